--- /dev/null
+++ b/cmd/toucanwelld/main.go
@@ -0,0 +1,71 @@
+// Command toucanwelld is the daemon: one process of the system, an entry or a
+// sidecar as its settings say.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/toucanwell/toucanwell/internal/daemon"
+	"github.com/toucanwell/toucanwell/internal/settings"
+	"github.com/toucanwell/toucanwell/internal/version"
+)
+
+const (
+	exitSettings = 2
+	exitFailed   = 1
+	// memoryLimit keeps the garbage collector well inside the size of a host.
+	memoryLimit = 512 << 20
+)
+
+func main() {
+	command := &cli.Command{
+		Name:    "toucanwelld",
+		Usage:   "run one process of the router",
+		Version: version.String(),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings file (TOML)", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "toucanwelld:", err)
+		if coder, ok := err.(cli.ExitCoder); ok {
+			os.Exit(coder.ExitCode())
+		}
+		os.Exit(exitFailed)
+	}
+}
+
+func run(_ context.Context, command *cli.Command) error {
+	s, err := settings.Load(command.String("settings"))
+	if err != nil {
+		return cli.Exit(err.Error(), exitSettings)
+	}
+	if command.Bool("check") {
+		fmt.Println("settings are good")
+		return nil
+	}
+	debug.SetMemoryLimit(memoryLimit)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d, err := daemon.New(s, os.Stderr)
+	if err != nil {
+		return cli.Exit(err.Error(), exitFailed)
+	}
+	select {
+	case <-signals:
+		d.Stop()
+		return nil
+	case err := <-d.Failed():
+		d.Close()
+		return cli.Exit(err.Error(), exitFailed)
+	}
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,160 @@
+// Package admin serves the administration address of a process: metrics,
+// liveness, readiness and the administration API.
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/toucanwell/toucanwell/api/admin/oas"
+	"github.com/toucanwell/toucanwell/internal/burn"
+	"github.com/toucanwell/toucanwell/internal/configlog"
+	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/routing"
+	"github.com/toucanwell/toucanwell/internal/settings"
+)
+
+// Process is what the administration API shows.
+type Process struct {
+	Settings *settings.Settings
+	// StartedMs is Unix time in milliseconds.
+	StartedMs int64
+	Registry  *prometheus.Registry
+	// Config returns the configuration in force.
+	Config func() (configlog.Snapshot, bool)
+	// Targets returns the targets as the process sees them.
+	Targets func() []routing.Target
+	// Burn may be nil.
+	Burn *burn.Counter
+	// InFlight is the number of requests being served.
+	InFlight func() int
+	// Draining is set when a planned stop has begun.
+	Draining *atomic.Bool
+}
+
+// Handler serves the administration address.
+func Handler(p *Process) (http.Handler, error) {
+	api, err := oas.NewServer(&server{p}, &security{p}, oas.WithErrorHandler(serveError))
+	if err != nil {
+		return nil, errors.Wrap(err, "administration API")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("/readyz", p.serveReady)
+	mux.Handle("/admin/v1/", api)
+	return mux, nil
+}
+
+func (p *Process) ready() bool {
+	_, ok := p.Config()
+	return ok && !p.Draining.Load()
+}
+
+func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !p.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+type server struct{ *Process }
+
+// GetState implements oas.Handler.
+func (s *server) GetState(context.Context) (*oas.State, error) {
+	snapshot, _ := s.Config()
+	return &oas.State{
+		Name: s.Settings.Name, Role: string(s.Settings.Role), AvailabilityZone: s.Settings.AvailabilityZone,
+		ConfigVersion: int64(snapshot.Version), StartedUnixMs: s.StartedMs,
+		Ready: s.ready(), Draining: s.Draining.Load(), InFlight: s.InFlight(),
+	}, nil
+}
+
+var stateNames = map[routing.State]oas.TargetState{
+	routing.Live:    oas.TargetStateLive,
+	routing.Leaving: oas.TargetStateLeaving,
+	routing.Suspect: oas.TargetStateSuspect,
+}
+
+// GetTargets implements oas.Handler.
+func (s *server) GetTargets(context.Context) (*oas.TargetList, error) {
+	list := &oas.TargetList{Targets: []oas.Target{}}
+	for _, t := range s.Targets() {
+		list.Targets = append(list.Targets, oas.Target{
+			Name: t.Name, Service: t.Service, AvailabilityZone: t.Zone, Address: t.Address, State: stateNames[t.State],
+		})
+	}
+	return list, nil
+}
+
+// GetConfiguration implements oas.Handler.
+func (s *server) GetConfiguration(context.Context) (*oas.Configuration, error) {
+	snapshot, ok := s.Config()
+	if !ok {
+		return nil, errkind.New(errkind.ConfigurationMissing, "")
+	}
+	return &oas.Configuration{Version: int64(snapshot.Version), Text: snapshot.Text}, nil
+}
+
+// GetBurn implements oas.Handler.
+func (s *server) GetBurn(context.Context) (*oas.Burn, error) {
+	b := &oas.Burn{SinceUnixMs: s.StartedMs, Rows: []oas.BurnRow{}}
+	if s.Burn == nil {
+		return b, nil
+	}
+	for _, c := range s.Burn.Counts() {
+		b.Rows = append(b.Rows, oas.BurnRow{
+			Service: c.Service, Class: c.Class, Workspace: c.Workspace, MinuteUnix: c.Minute, Good: c.Good, Bad: c.Bad,
+		})
+	}
+	return b, nil
+}
+
+// NewError implements oas.Handler.
+func (s *server) NewError(_ context.Context, err error) *oas.ProblemStatusCode { return problem(err) }
+
+func problem(err error) *oas.ProblemStatusCode {
+	e := errkind.From(err)
+	var sec *ogenerrors.SecurityError
+	if errors.As(err, &sec) {
+		e = errkind.New(errkind.Unauthenticated, "send Authorization: Bearer TOKEN of the administration")
+	}
+	row := e.Kind.Row()
+	p := oas.Problem{Type: "urn:toucanwell:error:" + row.Name, Title: row.Title, Status: row.Status}
+	if e.Detail != "" {
+		p.Detail = oas.NewOptString(e.Detail)
+	}
+	return &oas.ProblemStatusCode{StatusCode: row.Status, Response: p}
+}
+
+func serveError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	p := problem(err)
+	body, _ := p.Response.MarshalJSON()
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(p.StatusCode)
+	_, _ = w.Write(body)
+}
+
+type security struct{ *Process }
+
+// HandleAdminToken implements oas.SecurityHandler. Without a configured digest
+// no token opens the API.
+func (s *security) HandleAdminToken(ctx context.Context, _ oas.OperationName, t oas.AdminToken) (context.Context, error) {
+	sum := sha256.Sum256([]byte(t.Token))
+	want := strings.ToLower(s.Settings.AdminTokenSHA256)
+	if want == "" || subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(want)) != 1 {
+		return ctx, errkind.New(errkind.Unauthenticated, "")
+	}
+	return ctx, nil
+}
--- /dev/null
+++ b/internal/burn/report.go
@@ -0,0 +1,97 @@
+package burn
+
+import (
+	"sort"
+	"time"
+)
+
+// The windows of a report.
+const (
+	FastWindow = 5 * time.Minute
+	SlowWindow = time.Hour
+)
+
+// Goal is the share of good requests that an objective asks for.
+type Goal struct {
+	Service string
+	Class   string
+	Goal    float64
+}
+
+// Row is one line of a report.
+type Row struct {
+	Key
+	Goal float64 `json:"goal"`
+	// Good and Bad requests in the slow window.
+	Good int64 `json:"good"`
+	Bad  int64 `json:"bad"`
+	// FastBurn and SlowBurn are how many times faster than allowed the error
+	// budget burns in the window; 1 uses it up exactly.
+	FastBurn float64 `json:"fast_burn"`
+	SlowBurn float64 `json:"slow_burn"`
+	// BudgetLeft is the part of the slow window's error budget that is left;
+	// below 0 it is overspent.
+	BudgetLeft float64 `json:"budget_left"`
+}
+
+// AllWorkspaces stands in a row that sums over workspaces.
+const AllWorkspaces = "*"
+
+// Report works out the rows for each objective: one over all workspaces and
+// one for each workspace.
+func Report(goals []Goal, counts []Count, now time.Time) []Row {
+	sums := map[Key]*sum{}
+	for _, c := range counts {
+		for _, workspace := range []string{AllWorkspaces, c.Workspace} {
+			key := Key{c.Service, c.Class, workspace}
+			if sums[key] == nil {
+				sums[key] = &sum{}
+			}
+			sums[key].add(c, now)
+		}
+	}
+	var rows []Row
+	for _, g := range goals {
+		for key, s := range sums {
+			if key.Service == g.Service && key.Class == g.Class {
+				rows = append(rows, s.row(key, g.Goal))
+			}
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		return less(Count{Key: rows[i].Key}, Count{Key: rows[j].Key})
+	})
+	return rows
+}
+
+type sum struct {
+	fastGood, fastBad int64
+	slowGood, slowBad int64
+}
+
+func (s *sum) add(c Count, now time.Time) {
+	age := now.Sub(time.Unix(c.Minute*60, 0))
+	if age < SlowWindow {
+		s.slowGood += c.Good
+		s.slowBad += c.Bad
+	}
+	if age < FastWindow {
+		s.fastGood += c.Good
+		s.fastBad += c.Bad
+	}
+}
+
+func (s *sum) row(key Key, goal float64) Row {
+	slow := rate(s.slowGood, s.slowBad, goal)
+	return Row{
+		Key: key, Goal: goal, Good: s.slowGood, Bad: s.slowBad,
+		FastBurn: rate(s.fastGood, s.fastBad, goal), SlowBurn: slow, BudgetLeft: 1 - slow,
+	}
+}
+
+func rate(good, bad int64, goal float64) float64 {
+	if good+bad == 0 {
+		return 0
+	}
+	return float64(bad) / float64(good+bad) / (1 - goal)
+}
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,322 @@
+// Package cluster runs a deployment's processes and stand-ins for its platform
+// inside one process, on loopback. The demo and the tests use it; the daemons
+// in it are the real ones.
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/config"
+	"github.com/toucanwell/toucanwell/internal/configlog"
+	"github.com/toucanwell/toucanwell/internal/daemon"
+	"github.com/toucanwell/toucanwell/internal/settings"
+	"github.com/toucanwell/toucanwell/internal/standin"
+)
+
+// Options shape a cluster.
+type Options struct {
+	// Text is the configuration; target addresses are replaced by free ones.
+	Text string
+	// Entries is the number of entry processes.
+	Entries int
+	// Costs of the engines.
+	Costs standin.EngineCosts
+	// Adjust may change the settings of each process before it starts.
+	Adjust func(*settings.Settings)
+	// LogOutput takes the processes' logs.
+	LogOutput io.Writer
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	options  Options
+	Log      *standin.Log
+	Hosts    *standin.Hosts
+	Engines  map[string]*standin.Engine
+	Plains   map[string]*standin.Plain
+	Entries  []*daemon.Daemon
+	Sidecars map[string]*daemon.Daemon
+	// EntrySettings and SidecarSettings allow to start a process again.
+	EntrySettings   []*settings.Settings
+	SidecarSettings map[string]*settings.Settings
+	Text            string
+	servers         []*http.Server
+}
+
+// DefaultCosts are an engine's costs in real time, small enough for a demo.
+var DefaultCosts = standin.EngineCosts{
+	PrefillTokensPerSecond: 20_000,
+	DecodeStep:             2 * time.Millisecond,
+	DecodePerPeer:          200 * time.Microsecond,
+	MaxBatch:               8,
+	CacheBlocks:            600,
+	LoadTime:               500 * time.Millisecond,
+}
+
+// FreeAddress returns a loopback address that was free a moment ago.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Start runs a cluster and waits until every process has the configuration.
+func Start(ctx context.Context, o Options) (*Cluster, error) {
+	c := &Cluster{
+		options: o, Log: standin.NewLog(), Hosts: standin.NewHosts(),
+		Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{},
+		Sidecars: map[string]*daemon.Daemon{}, SidecarSettings: map[string]*settings.Settings{},
+	}
+	if err := c.start(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	parsed, err := config.Parse("configuration", c.options.Text)
+	if err != nil {
+		return err
+	}
+	if c.Text, err = freshAddresses(c.options.Text, parsed); err != nil {
+		return err
+	}
+	if parsed, err = config.Parse("configuration", c.Text); err != nil {
+		return err
+	}
+	data, err := configlog.Encode(configlog.Record{Type: configlog.TypePublish, Nonce: "first", Text: c.Text})
+	if err != nil {
+		return err
+	}
+	c.Log.AppendNow(configlog.Stream, data)
+	logURL, err := c.Serve(c.Log.Handler())
+	if err != nil {
+		return err
+	}
+	hostsURL, err := c.Serve(c.Hosts.Handler())
+	if err != nil {
+		return err
+	}
+	if err := c.startSidecars(parsed, logURL, hostsURL); err != nil {
+		return err
+	}
+	if err := c.startEntries(parsed, logURL, hostsURL); err != nil {
+		return err
+	}
+	return c.WaitReady(ctx)
+}
+
+// freshAddresses gives each target a free address.
+func freshAddresses(text string, c *config.Config) (string, error) {
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			l.Close()
+		}
+	}()
+	for i := range c.Services {
+		for _, t := range c.Services[i].Targets {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return "", errors.Wrap(err, "find a free port")
+			}
+			listeners = append(listeners, l)
+			text = strings.ReplaceAll(text, `"`+t.Address+`"`, `"`+l.Addr().String()+`"`)
+		}
+	}
+	return text, nil
+}
+
+// Serve runs a handler on a free address and returns its base URL.
+func (c *Cluster) Serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: h}
+	c.servers = append(c.servers, server)
+	go func() { _ = server.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
+
+func (c *Cluster) startSidecars(parsed *config.Config, logURL, hostsURL string) error {
+	for i := range parsed.Services {
+		service := &parsed.Services[i]
+		for _, t := range service.Targets {
+			url, err := c.Serve(c.newTarget(service, parsed.ModelOf(service.Name), t.Name))
+			if err != nil {
+				return err
+			}
+			s, err := c.newSettings(settings.RoleSidecar, t.Name, t.Address, logURL, hostsURL)
+			if err != nil {
+				return err
+			}
+			s.Target.URL = url
+			s.AvailabilityZone = t.AvailabilityZone
+			s.Region = parsed.RegionOf(t.AvailabilityZone)
+			c.SidecarSettings[t.Name] = s
+			if err := c.StartSidecar(t.Name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// newTarget makes the stand-in of a target.
+func (c *Cluster) newTarget(service *config.Service, model *config.Model, name string) http.Handler {
+	if service.Kind == config.KindEngine {
+		e := standin.NewEngine(c.options.Costs, model.Weights)
+		c.Engines[name] = e
+		return e.Handler()
+	}
+	p := standin.NewPlain()
+	c.Plains[name] = p
+	return p.Handler()
+}
+
+func (c *Cluster) startEntries(parsed *config.Config, logURL, hostsURL string) error {
+	region := parsed.Regions[0]
+	for i := range c.options.Entries {
+		address, err := FreeAddress()
+		if err != nil {
+			return err
+		}
+		s, err := c.newSettings(settings.RoleEntry, fmt.Sprintf("entry-%d", i+1), address, logURL, hostsURL)
+		if err != nil {
+			return err
+		}
+		s.Region = region.Name
+		s.AvailabilityZone = region.AvailabilityZones[i%len(region.AvailabilityZones)]
+		c.EntrySettings = append(c.EntrySettings, s)
+		c.Entries = append(c.Entries, nil)
+		if err := c.StartEntry(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) newSettings(role settings.Role, name, listen, logURL, hostsURL string) (*settings.Settings, error) {
+	admin, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(`name = %q
+role = %q
+region = "-"
+availability_zone = "-"
+listen = %q
+admin_listen = %q
+[platform]
+log_url = %q
+hosts_url = %q
+[target]
+url = "-"
+max_running = 8
+max_prefilling = 1
+prefill_tokens_per_second = 20000.0
+[timing]
+drain_delay = "100ms"
+hosts_period = "500ms"
+`, name, role, listen, admin, logURL, hostsURL)
+	s, err := settings.Parse(name, text)
+	if err != nil {
+		return nil, err
+	}
+	for _, other := range c.SidecarSettings {
+		s.Peers = append(s.Peers, other.Listen)
+		if len(s.Peers) == 3 {
+			break
+		}
+	}
+	if c.options.Adjust != nil {
+		c.options.Adjust(s)
+	}
+	return s, nil
+}
+
+// StartSidecar starts the sidecar of a target, also again.
+func (c *Cluster) StartSidecar(name string) error {
+	d, err := daemon.New(c.SidecarSettings[name], c.options.LogOutput)
+	if err != nil {
+		return err
+	}
+	c.Sidecars[name] = d
+	return nil
+}
+
+// StartEntry starts an entry, also again.
+func (c *Cluster) StartEntry(i int) error {
+	d, err := daemon.New(c.EntrySettings[i], c.options.LogOutput)
+	if err != nil {
+		return err
+	}
+	c.Entries[i] = d
+	return nil
+}
+
+// EntryURL is where callers reach an entry.
+func (c *Cluster) EntryURL(i int) string { return "http://" + c.EntrySettings[i].Listen }
+
+// WaitReady waits until every process is ready.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	for _, s := range c.EntrySettings {
+		if err := WaitReady(ctx, s.AdminListen); err != nil {
+			return err
+		}
+	}
+	for _, s := range c.SidecarSettings {
+		if err := WaitReady(ctx, s.AdminListen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitReady polls a process until it is ready.
+func WaitReady(ctx context.Context, adminAddress string) error {
+	const poll = 10 * time.Millisecond
+	for {
+		resp, err := http.Get("http://" + adminAddress + "/readyz")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(poll):
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%s is not ready", adminAddress)
+		}
+	}
+}
+
+// Close ends everything at once.
+func (c *Cluster) Close() {
+	for _, d := range c.Entries {
+		if d != nil {
+			d.Close()
+		}
+	}
+	for _, d := range c.Sidecars {
+		d.Close()
+	}
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,122 @@
+// Package control runs the controllers of a process on one thread.
+//
+// Controllers react to events and timers; what they know, they post on the
+// blackboard. Input and output run on goroutines of their own and come back as
+// events, so that a slow platform never holds up the control thread.
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const queueLength = 1024
+
+// Loop is the control thread.
+type Loop struct {
+	events chan func()
+	ctx    context.Context
+	stop   context.CancelFunc
+	tasks  sync.WaitGroup
+	// seedMu guards random, which timers of several controllers draw from.
+	seedMu sync.Mutex
+	random *rand.Rand
+}
+
+// NewLoop returns a loop whose jitter comes from the seed.
+func NewLoop(seed uint64) *Loop {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Loop{
+		events: make(chan func(), queueLength),
+		ctx:    ctx,
+		stop:   stop,
+		random: rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// Run handles events until Stop. It returns when all tasks have ended.
+func (l *Loop) Run() {
+	for {
+		select {
+		case event := <-l.events:
+			event()
+		case <-l.ctx.Done():
+			l.tasks.Wait()
+			return
+		}
+	}
+}
+
+// Stop ends Run and cancels the tasks.
+func (l *Loop) Stop() { l.stop() }
+
+// Context is cancelled by Stop.
+func (l *Loop) Context() context.Context { return l.ctx }
+
+// Post queues an event for the control thread. It waits while the queue is
+// full and gives up when the loop stops.
+func (l *Loop) Post(event func()) {
+	select {
+	case l.events <- event:
+	case <-l.ctx.Done():
+	}
+}
+
+// Every runs event on the control thread once at a random point of the first
+// period and then after each period, spread by a quarter to either side. The
+// spread keeps processes that started together from acting together.
+func (l *Loop) Every(period func() time.Duration, event func()) {
+	l.Go(func(ctx context.Context) {
+		wait := time.Duration(l.float() * float64(period()))
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		for {
+			select {
+			case <-timer.C:
+				l.Post(event)
+				timer.Reset(l.Spread(period()))
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// Go runs a task off the control thread until it ends or the loop stops.
+func (l *Loop) Go(task func(ctx context.Context)) {
+	l.tasks.Add(1)
+	go func() {
+		defer l.tasks.Done()
+		task(l.ctx)
+	}()
+}
+
+// Do runs io off the control thread and then hands its result to done on it.
+func Do[T any](l *Loop, timeout time.Duration, io func(ctx context.Context) (T, error), done func(T, error)) {
+	l.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		value, err := io(ctx)
+		l.Post(func() { done(value, err) })
+	})
+}
+
+// Spread returns d changed by up to a quarter to either side.
+func (l *Loop) Spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + l.float()/2))
+}
+
+// Intn returns a number from 0 to n-1.
+func (l *Loop) Intn(n int) int {
+	l.seedMu.Lock()
+	defer l.seedMu.Unlock()
+	return l.random.IntN(n)
+}
+
+func (l *Loop) float() float64 {
+	l.seedMu.Lock()
+	defer l.seedMu.Unlock()
+	return l.random.Float64()
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,239 @@
+// Package daemon runs one process of the system: the role that its settings
+// name, its listeners, and its planned stop.
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/toucanwell/toucanwell/internal/admin"
+	"github.com/toucanwell/toucanwell/internal/configlog"
+	"github.com/toucanwell/toucanwell/internal/entry"
+	"github.com/toucanwell/toucanwell/internal/logging"
+	"github.com/toucanwell/toucanwell/internal/metrics"
+	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/routing"
+	"github.com/toucanwell/toucanwell/internal/settings"
+	"github.com/toucanwell/toucanwell/internal/sidecar"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	peerDialTimeout   = 500 * time.Millisecond
+	peerIdleTimeout   = 30 * time.Second
+	peerPingAfter     = 5 * time.Second
+	peerPingTimeout   = 3 * time.Second
+)
+
+// role is what the two roles have in common.
+type role interface {
+	Start()
+	Handler() http.Handler
+	Close()
+}
+
+// Daemon is one process.
+type Daemon struct {
+	settings *settings.Settings
+	logger   logr.Logger
+	role     role
+	drain    func(ctx context.Context)
+	traffic  *http.Server
+	admin    *http.Server
+	peers    *http.Client
+	platform *http.Client
+	draining atomic.Bool
+	failed   chan error
+}
+
+// New builds the process and binds its listeners. Binding comes before
+// anything else: the listening address is the proof that no earlier process of
+// this name is alive.
+func New(s *settings.Settings, logOutput io.Writer) (*Daemon, error) {
+	d := &Daemon{
+		settings: s, logger: logging.New(logOutput, s.Name),
+		peers: newPeerClient(), platform: platform.NewHTTPClient(), failed: make(chan error, 2),
+	}
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	adminListener, err := net.Listen("tcp", s.AdminListen)
+	if err != nil {
+		listener.Close()
+		return nil, errors.Wrap(err, "admin_listen")
+	}
+	if err := d.build(); err != nil {
+		listener.Close()
+		adminListener.Close()
+		return nil, err
+	}
+	d.role.Start()
+	d.serve(listener, adminListener)
+	d.logger.Info("started", "role", string(s.Role), "listen", s.Listen, "admin_listen", s.AdminListen)
+	return d, nil
+}
+
+func (d *Daemon) build() error {
+	m := metrics.New()
+	process := &admin.Process{Settings: d.settings, StartedMs: time.Now().UnixMilli(), Registry: m.Registry, Draining: &d.draining}
+	log := platform.NewHTTPLog(d.settings.Platform.LogURL, d.platform)
+	mux := http.NewServeMux()
+	var err error
+	if d.settings.Role == settings.RoleEntry {
+		err = d.buildEntry(log, m, process, mux)
+	} else {
+		d.buildSidecar(log, m, process)
+	}
+	if err != nil {
+		return err
+	}
+	handler, err := admin.Handler(process)
+	if err != nil {
+		return err
+	}
+	mux.Handle("/", handler)
+	d.admin = newServer(mux)
+	return nil
+}
+
+func (d *Daemon) buildEntry(log platform.Log, m *metrics.Metrics, process *admin.Process, mux *http.ServeMux) error {
+	deps := entry.Deps{Log: log, Peers: d.peers, Logger: d.logger, Metrics: m}
+	if d.settings.Platform.HostsURL != "" {
+		deps.Hosts = platform.NewHTTPHosts(d.settings.Platform.HostsURL, d.platform)
+	}
+	e, err := entry.New(d.settings, deps)
+	if err != nil {
+		return err
+	}
+	d.role = e
+	d.drain = func(ctx context.Context) {}
+	d.traffic = newServer(e.Handler())
+	mux.Handle(e.PeerHandler())
+	process.Burn = e.Burn()
+	process.InFlight = e.InFlight
+	process.Config = e.Board().Config.Get
+	process.Targets = func() []routing.Target {
+		view, _ := e.Board().View.Get()
+		var all []routing.Target
+		for _, targets := range view.Services {
+			all = append(all, targets...)
+		}
+		return all
+	}
+	return nil
+}
+
+func (d *Daemon) buildSidecar(log platform.Log, m *metrics.Metrics, process *admin.Process) {
+	s := sidecar.New(d.settings, sidecar.Deps{
+		Log:    log,
+		Engine: platform.NewHTTPEngine(d.settings.Target.URL, d.platform),
+		Plain:  platform.NewHTTPPlain(d.settings.Target.URL, d.platform),
+		Peers:  d.peers, Logger: d.logger, Metrics: m,
+	})
+	d.role = s
+	d.drain = s.Drain
+	d.traffic = newServer(s.Handler())
+	process.InFlight = s.InFlight
+	process.Config = s.Board().Config.Get
+	process.Targets = func() []routing.Target { return targetsOf(s.Board().Config.Get()) }
+}
+
+func targetsOf(snapshot configlog.Snapshot, ok bool) []routing.Target {
+	if !ok {
+		return nil
+	}
+	var all []routing.Target
+	for i := range snapshot.Config.Services {
+		service := &snapshot.Config.Services[i]
+		for _, t := range service.Targets {
+			all = append(all, routing.NewTarget(service.Name, t.Name, t.Address, t.AvailabilityZone, snapshot.Config.RegionOf(t.AvailabilityZone)))
+		}
+	}
+	return all
+}
+
+func (d *Daemon) serve(traffic, adminListener net.Listener) {
+	go func() {
+		if d.settings.TLS.CertFile != "" {
+			d.failed <- d.traffic.ServeTLS(traffic, d.settings.TLS.CertFile, d.settings.TLS.KeyFile)
+			return
+		}
+		d.failed <- d.traffic.Serve(traffic)
+	}()
+	go func() { d.failed <- d.admin.Serve(adminListener) }()
+}
+
+// Failed yields the error of a listener that ended by itself.
+func (d *Daemon) Failed() <-chan error { return d.failed }
+
+// Stop is the planned stop: not ready at once, so that the balancer and the
+// entries turn away; then, after a moment in which late requests are still
+// taken, the end of what runs; then the end of the process. No request is cut
+// that ends within the drain timeout.
+func (d *Daemon) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timing.DrainTimeout.Duration)
+	defer cancel()
+	d.draining.Store(true)
+	d.logger.Info("stopping")
+	if d.settings.Role == settings.RoleEntry {
+		sleep(ctx, d.settings.Timing.DrainDelay.Duration)
+	}
+	d.drain(ctx)
+	if d.settings.Role == settings.RoleSidecar {
+		sleep(ctx, d.settings.Timing.DrainDelay.Duration)
+	}
+	if err := d.traffic.Shutdown(ctx); err != nil {
+		d.logger.Info("stop_cut_requests", "error", err.Error())
+	}
+	d.Close()
+	d.logger.Info("stopped")
+}
+
+// Close ends the process at once.
+func (d *Daemon) Close() {
+	_ = d.traffic.Close()
+	_ = d.admin.Close()
+	d.role.Close()
+	d.peers.CloseIdleConnections()
+	d.platform.CloseIdleConnections()
+}
+
+func sleep(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// newServer returns a server of HTTP/1.1 and HTTP/2 without TLS.
+func newServer(h http.Handler) *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols}
+}
+
+// newPeerClient returns a client that keeps one HTTP/2 connection for each
+// peer. Pings find a connection whose other end was cut off or is frozen.
+func newPeerClient() *http.Client {
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		Protocols:       protocols,
+		DialContext:     dialer.DialContext,
+		IdleConnTimeout: peerIdleTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout},
+	}}
+}
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-faster/jx"
+	"github.com/google/uuid"
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"github.com/toucanwell/toucanwell/api/caller/oas"
+	"github.com/toucanwell/toucanwell/internal/errkind"
+)
+
+const (
+	completionPath  = "/v1/chat/completions"
+	requestIDHeader = "X-Request-Id"
+	problemType     = "urn:toucanwell:error:"
+)
+
+type contextKey int
+
+const requestIDKey contextKey = 0
+
+// requestID returns the id that the outermost handler gave the request.
+func requestID(ctx context.Context) string {
+	id, _ := ctx.Value(requestIDKey).(string)
+	return id
+}
+
+// newHandler returns the callers' handler: the generated server, and before it
+// the handler of streamed completions, which that server cannot send.
+func (e *Entry) newHandler() (http.Handler, error) {
+	server, err := oas.NewServer(&callerAPI{e}, &security{e},
+		oas.WithErrorHandler(e.serveError),
+		oas.WithNotFound(func(w http.ResponseWriter, r *http.Request) {
+			writeProblem(w, requestID(r.Context()), errkind.New(errkind.BadRequest, "no such path %q", r.URL.Path))
+		}))
+	if err != nil {
+		return nil, errors.Wrap(err, "caller API")
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.inFlight.Add(1)
+		defer e.inFlight.Add(-1)
+		id := uuid.NewString()
+		w.Header().Set(requestIDHeader, id)
+		r = r.WithContext(context.WithValue(r.Context(), requestIDKey, id))
+		body, refusal := e.readBody(r)
+		if refusal != nil {
+			writeProblem(w, id, refusal)
+			return
+		}
+		if r.Method == http.MethodPost && r.URL.Path == completionPath && wantsStream(body) {
+			e.serveStream(w, r, body)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		server.ServeHTTP(w, r)
+	}), nil
+}
+
+// readBody reads the whole body up to the bound of the configuration.
+func (e *Entry) readBody(r *http.Request) ([]byte, *errkind.Error) {
+	limit := int64(4 << 20)
+	if c, _, ok := e.current(); ok {
+		limit = c.Limits.MaxBodyBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, errkind.New(errkind.BadRequest, "read body: %v", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, errkind.New(errkind.BodyTooLarge, "allowed are %d bytes", limit)
+	}
+	return body, nil
+}
+
+func wantsStream(body []byte) bool {
+	var peek struct {
+		Stream bool `json:"stream"`
+	}
+	return json.Unmarshal(body, &peek) == nil && peek.Stream
+}
+
+// serveError answers errors that the generated server finds itself.
+func (e *Entry) serveError(ctx context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	writeProblem(w, requestID(ctx), kindOf(err))
+}
+
+// kindOf finds the kind of an error of the generated server.
+func kindOf(err error) *errkind.Error {
+	var own *errkind.Error
+	if errors.As(err, &own) {
+		return own
+	}
+	var sec *ogenerrors.SecurityError
+	if errors.As(err, &sec) {
+		return errkind.New(errkind.Unauthenticated, "send Authorization: Bearer TOKEN")
+	}
+	var request *ogenerrors.DecodeRequestError
+	var params *ogenerrors.DecodeParamsError
+	if errors.As(err, &request) || errors.As(err, &params) {
+		return errkind.New(errkind.BadRequest, "%v", err)
+	}
+	return errkind.From(err)
+}
+
+// problem builds the answer to a refusal.
+func problem(id string, e *errkind.Error) *oas.ProblemStatusCodeWithHeaders {
+	row := e.Kind.Row()
+	p := &oas.ProblemStatusCodeWithHeaders{
+		StatusCode: row.Status,
+		Response:   oas.Problem{Type: problemType + row.Name, Title: row.Title, Status: row.Status, RequestID: oas.NewOptString(id)},
+	}
+	if e.Detail != "" {
+		p.Response.Detail = oas.NewOptString(e.Detail)
+	}
+	if e.RetryAfter > 0 {
+		p.RetryAfter = oas.NewOptInt(int(math.Ceil(e.RetryAfter.Seconds())))
+		p.Response.RetryAfterMs = oas.NewOptInt(int(e.RetryAfter.Milliseconds()))
+	}
+	return p
+}
+
+func encodeProblem(id string, e *errkind.Error) []byte {
+	p := problem(id, e)
+	enc := &jx.Encoder{}
+	p.Response.Encode(enc)
+	return enc.Bytes()
+}
+
+func writeProblem(w http.ResponseWriter, id string, e *errkind.Error) {
+	p := problem(id, e)
+	w.Header().Set("Content-Type", "application/problem+json")
+	if after, ok := p.RetryAfter.Get(); ok {
+		w.Header().Set("Retry-After", strconv.Itoa(after))
+	}
+	w.WriteHeader(p.StatusCode)
+	_, _ = w.Write(encodeProblem(id, e))
+}
+
+// callerAPI implements the generated server's handler.
+type callerAPI struct{ *Entry }
+
+// NewError implements oas.Handler.
+func (a *callerAPI) NewError(ctx context.Context, err error) *oas.ProblemStatusCodeWithHeaders {
+	return problem(requestID(ctx), kindOf(err))
+}
+
+// refusalDone logs and counts a refusal.
+func (e *Entry) refusalDone(id, service, class string, refusal *errkind.Error, started time.Time) {
+	e.metrics.Refusal(service, class, refusal.Kind.String())
+	e.logger.Info("request_refused", "request_id", id, "service", service, "class", class,
+		"kind", refusal.Kind.String(), "retry_after", refusal.RetryAfter, "detail", refusal.Detail, "took", time.Since(started))
+}
--- /dev/null
+++ b/internal/entry/route.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/routing"
+)
+
+const (
+	// probeTimeout bounds one round of probes. A sidecar that does not answer
+	// within it is frozen, gone or cut off.
+	probeTimeout = 250 * time.Millisecond
+	// zoneDistance is the round trip across availability zones, regionDistance
+	// across regions.
+	zoneDistance   = 2 * time.Millisecond
+	regionDistance = 30 * time.Millisecond
+)
+
+// choice is a routing decision with its reason.
+type choice struct {
+	target routing.Target
+	quote  routing.Quote
+	// probes sent, and rounds made.
+	probes int
+	rounds int
+	// bestMatched is the most tokens that any asked target held.
+	bestMatched int
+	matched     int
+}
+
+// choose asks targets in widening rounds and picks one. avoid names targets
+// that failed this request already.
+func (e *Entry) choose(ctx context.Context, view *View, r *completion, avoid map[string]bool) (choice, *errkind.Error) {
+	targets := view.Services[r.service.Name]
+	ranking := routing.Rank(targets, e.place, r.prompt.Levels)
+	if ranking.Len() == 0 {
+		return choice{}, errkind.After(errkind.NoTarget, suspectFor, "")
+	}
+	policy := &routing.DefaultPolicy
+	var answers []answer
+	var quotes []routing.Quote
+	asked := 0
+	made := choice{}
+	for _, upTo := range policy.Rounds {
+		fresh := e.probeRound(ctx, view, r, targets, &ranking, asked, min(upTo, ranking.Len()), avoid)
+		asked = min(upTo, ranking.Len())
+		answers = append(answers, fresh...)
+		for _, a := range fresh {
+			quotes = append(quotes, a.quote)
+		}
+		made.rounds++
+		if policy.Satisfied(quotes) || asked == ranking.Len() {
+			break
+		}
+	}
+	made.probes = len(quotes)
+	e.metrics.Probes(made.probes)
+	best := policy.Pick(quotes)
+	if best < 0 {
+		return choice{}, noneTook(answers)
+	}
+	made.quote = quotes[best]
+	made.target = targets[quotes[best].Index]
+	made.matched = answers[best].matched
+	for _, a := range answers {
+		made.bestMatched = max(made.bestMatched, a.matched)
+	}
+	return made, nil
+}
+
+// answer is what one probe brought.
+type answer struct {
+	quote   routing.Quote
+	matched int
+	refusal *errkind.Error
+}
+
+func (e *Entry) probeRound(ctx context.Context, view *View, r *completion, targets []routing.Target, ranking *routing.Ranking, from, to int, avoid map[string]bool) []answer {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	request := &peerv1.ProbeRequest{
+		ConfigVersion: view.Version, Workspace: r.workspace.Name, Class: uint32(r.class),
+		Blocks: r.prompt.Blocks, PromptTokens: uint32(r.prompt.Tokens),
+	}
+	results := make(chan answer, to-from)
+	sent := 0
+	for i := from; i < to; i++ {
+		index := ranking.At(i)
+		if avoid[targets[index].Name] {
+			continue
+		}
+		sent++
+		go func() { results <- e.probe(ctx, &targets[index], index, request) }()
+	}
+	answers := make([]answer, 0, sent)
+	for range sent {
+		answers = append(answers, <-results)
+	}
+	return answers
+}
+
+func (e *Entry) probe(ctx context.Context, target *routing.Target, index int, request *peerv1.ProbeRequest) answer {
+	a := answer{quote: routing.Quote{Index: index, Distance: e.distance(target)}}
+	resp, err := e.client(target.Address).Probe(ctx, connect.NewRequest(request))
+	if err != nil {
+		e.health.note(target.Name, routing.Suspect)
+		a.quote.Refused = true
+		a.refusal = errkind.After(errkind.NoTarget, suspectFor, "%s does not answer", target.Name)
+		return a
+	}
+	m := resp.Msg
+	e.follower.Hint(m.ConfigVersion, target.Address)
+	if kind := errkind.Kind(m.RefusalKind); kind != errkind.None {
+		e.noteRefusal(target.Name, kind)
+		a.quote.Refused = true
+		a.refusal = errkind.After(kind, time.Duration(m.RetryAfterMs)*time.Millisecond, "")
+		return a
+	}
+	a.quote.Wait = time.Duration(m.WaitMs) * time.Millisecond
+	a.quote.Prefill = time.Duration(m.PrefillMs) * time.Millisecond
+	a.matched = int(m.MatchedTokens)
+	return a
+}
+
+func (e *Entry) noteRefusal(target string, kind errkind.Kind) {
+	if kind == errkind.Leaving {
+		e.health.note(target, routing.Leaving)
+	}
+}
+
+func (e *Entry) distance(t *routing.Target) time.Duration {
+	switch {
+	case t.Zone == e.place.Zone:
+		return 0
+	case t.Region == e.place.Region:
+		return zoneDistance
+	default:
+		return regionDistance
+	}
+}
+
+// noneTook turns the refusals of all asked targets into one. Waiting helps
+// when any of them says so; the soonest counts.
+func noneTook(answers []answer) *errkind.Error {
+	refusal := errkind.After(errkind.NoTarget, suspectFor, "no target took the request")
+	for _, a := range answers {
+		if a.refusal == nil || a.refusal.RetryAfter == 0 {
+			continue
+		}
+		if a.refusal.Kind != errkind.NoTarget && (refusal.Kind == errkind.NoTarget || a.refusal.RetryAfter < refusal.RetryAfter) {
+			refusal = a.refusal
+		}
+	}
+	return refusal
+}
--- /dev/null
+++ b/internal/errkind/errkind.go
@@ -0,0 +1,162 @@
+// Package errkind holds the closed list of error kinds and the table that
+// turns a kind into the answer a caller gets.
+//
+// Every refusal in the system is an [Error] with a [Kind] of this list. A new
+// way to fail needs a new row here, so that its answer, its meaning for a
+// retry and its place in the documentation are decided once.
+package errkind
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind is one kind of error. Its number goes over the wire and never changes
+// its meaning.
+type Kind uint32
+
+// The kinds.
+const (
+	None Kind = iota
+	BadRequest
+	BodyTooLarge
+	Unauthenticated
+	UnknownWorkspace
+	UnknownModel
+	UnknownService
+	DeadlinePast
+	KeyMissing
+	KeyInvalid
+	KeyExpired
+	KeyConflict
+	NotRun
+	OutcomeUnknown
+	InProgress
+	Overloaded
+	DeadlineUnmeetable
+	NoTarget
+	Leaving
+	BreakerOpen
+	WrongWeights
+	TargetFailed
+	StreamBroken
+	ConfigurationMissing
+	Cancelled
+	UnknownRun
+	Internal
+)
+
+// Row is the answer to one kind.
+type Row struct {
+	// Name is the last part of the problem type.
+	Name string
+	// Title is the sentence that the caller reads.
+	Title string
+	// Status is the HTTP status.
+	Status int
+	// Elsewhere is true when the entry may try another target: this try has
+	// not started at the target that refused.
+	Elsewhere bool
+}
+
+// table has a row for each kind. For a call that runs at most once the entry
+// passes on NotRun only from the record of claims; see package once.
+var table = map[Kind]Row{
+	BadRequest:           {"bad_request", "The request is malformed.", http.StatusBadRequest, false},
+	BodyTooLarge:         {"body_too_large", "The request body is too large.", http.StatusRequestEntityTooLarge, false},
+	Unauthenticated:      {"unauthenticated", "The request carries no workspace token.", http.StatusUnauthorized, false},
+	UnknownWorkspace:     {"unknown_workspace", "No workspace has this token.", http.StatusForbidden, false},
+	UnknownModel:         {"unknown_model", "No service has this model or adapter.", http.StatusNotFound, false},
+	UnknownService:       {"unknown_service", "The configuration lists no such service.", http.StatusNotFound, false},
+	DeadlinePast:         {"deadline_past", "The deadline has passed already.", http.StatusBadRequest, false},
+	KeyMissing:           {"key_missing", "This call runs at most once and needs an Idempotency-Key.", http.StatusBadRequest, false},
+	KeyInvalid:           {"key_invalid", "The idempotency key carries no usable issue time.", http.StatusBadRequest, false},
+	KeyExpired:           {"key_expired", "The idempotency key is older than the record of calls; whether it ran is unknown.", http.StatusConflict, false},
+	KeyConflict:          {"key_conflict", "The idempotency key was used for another request.", http.StatusUnprocessableEntity, false},
+	NotRun:               {"not_run", "The call was not run and never will be under this key.", http.StatusServiceUnavailable, false},
+	OutcomeUnknown:       {"outcome_unknown", "Whether the call ran is unknown; ask again with the same key.", http.StatusGatewayTimeout, false},
+	InProgress:           {"in_progress", "A call with this key is running; ask again with the same key.", http.StatusConflict, false},
+	Overloaded:           {"overloaded", "Too much work is waiting.", http.StatusTooManyRequests, true},
+	DeadlineUnmeetable:   {"deadline_unmeetable", "The deadline cannot be met.", http.StatusServiceUnavailable, true},
+	NoTarget:             {"no_target", "No target of the service can take the request.", http.StatusServiceUnavailable, false},
+	Leaving:              {"leaving", "The target is leaving.", http.StatusServiceUnavailable, true},
+	BreakerOpen:          {"breaker_open", "The target has failed often and is being rested.", http.StatusServiceUnavailable, true},
+	WrongWeights:         {"wrong_weights", "The target does not have the weights in force.", http.StatusServiceUnavailable, true},
+	TargetFailed:         {"target_failed", "The target failed.", http.StatusBadGateway, true},
+	StreamBroken:         {"stream_broken", "The answer broke off and could not be continued.", http.StatusBadGateway, false},
+	ConfigurationMissing: {"configuration_missing", "No configuration is in force yet.", http.StatusServiceUnavailable, false},
+	Cancelled:            {"cancelled", "The caller has gone.", 499, false},
+	UnknownRun:           {"unknown_run", "The sidecar knows no such run.", http.StatusNotFound, true},
+	Internal:             {"internal", "The router failed.", http.StatusInternalServerError, false},
+}
+
+// Row returns the answer to k; an unknown number reads as Internal.
+func (k Kind) Row() Row {
+	row, ok := table[k]
+	if !ok {
+		return table[Internal]
+	}
+	return row
+}
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	if k == None {
+		return "none"
+	}
+	return k.Row().Name
+}
+
+// All returns every kind but None, in the order of their numbers.
+func All() []Kind {
+	kinds := make([]Kind, 0, len(table))
+	for k := BadRequest; k <= Internal; k++ {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// Error is a refusal.
+type Error struct {
+	Kind Kind
+	// RetryAfter is a lower bound of when a return helps; zero means that
+	// none does, or that it is not known.
+	RetryAfter time.Duration
+	// Detail says what was found and what is allowed.
+	Detail string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Detail == "" {
+		return e.Kind.String()
+	}
+	return e.Kind.String() + ": " + e.Detail
+}
+
+// New returns an Error whose detail is formatted like fmt.Sprintf.
+func New(kind Kind, format string, args ...any) *Error {
+	return &Error{Kind: kind, Detail: fmt.Sprintf(format, args...)}
+}
+
+// After returns an Error with a time to come back.
+func After(kind Kind, retryAfter time.Duration, format string, args ...any) *Error {
+	e := New(kind, format, args...)
+	e.RetryAfter = retryAfter
+	return e
+}
+
+// From returns the Error in err's chain. An error without one is Internal.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(Internal, "%v", err)
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,15 @@
+// Package logging writes one line of key=value pairs for each event.
+package logging
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/go-logr/logr"
+)
+
+// New returns a logger that writes to w and names the process on each line.
+func New(w io.Writer, process string) logr.Logger {
+	handler := slog.NewTextHandler(w, &slog.HandlerOptions{Level: slog.LevelInfo})
+	return logr.FromSlogHandler(handler).WithValues("process", process)
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,120 @@
+// Package metrics holds the measures that a process exposes to Prometheus.
+package metrics
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the collectors of one process.
+type Metrics struct {
+	// Registry gathers them.
+	Registry *prometheus.Registry
+
+	requests       *prometheus.CounterVec
+	refusals       *prometheus.CounterVec
+	ttft           *prometheus.HistogramVec
+	promptTokens   *prometheus.CounterVec
+	cachedTokens   *prometheus.CounterVec
+	wastedTokens   *prometheus.CounterVec
+	retries        *prometheus.CounterVec
+	resumes        prometheus.Counter
+	probes         prometheus.Counter
+	queueWaiting   prometheus.Gauge
+	queueRunning   prometheus.Gauge
+	indexBlocks    prometheus.Gauge
+	eventGaps      prometheus.Gauge
+	configVersion  prometheus.Gauge
+	logErrors      *prometheus.CounterVec
+	controlSeconds prometheus.Counter
+}
+
+var ttftBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.62, 1, 2, 4, 8, 16, 32}
+
+// New returns registered collectors.
+func New() *Metrics {
+	labels := []string{"service", "class"}
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "toucanwell", Name: name, Help: help}, labels)
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "toucanwell", Name: name, Help: help})
+	}
+	m := &Metrics{
+		Registry:     prometheus.NewRegistry(),
+		requests:     counter("requests_total", "Requests taken.", labels...),
+		refusals:     counter("refusals_total", "Requests refused, by kind.", "service", "class", "kind"),
+		promptTokens: counter("prompt_tokens_total", "Prompt tokens of finished requests.", labels...),
+		cachedTokens: counter("cached_tokens_total", "Prompt tokens that the engine had cached.", labels...),
+		wastedTokens: counter("recomputed_tokens_total", "Prompt tokens of shared levels that an engine computed although another target held them when asked.", labels...),
+		retries:      counter("retries_total", "Tries after the first, by cause.", "cause"),
+		logErrors:    counter("log_errors_total", "Failed calls of the platform's log.", "call"),
+		ttft: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "toucanwell", Name: "ttft_seconds", Help: "Time to first token.", Buckets: ttftBuckets,
+		}, labels),
+		resumes:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "stream_resumes_total", Help: "Streams continued after a cut."}),
+		probes:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "probes_total", Help: "Probes sent to sidecars."}),
+		controlSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "control_seconds_total", Help: "Time spent on the control thread."}),
+		queueWaiting:   gauge("queue_waiting", "Requests that wait at this sidecar."),
+		queueRunning:   gauge("queue_running", "Requests that run at this sidecar's target."),
+		indexBlocks:    gauge("index_blocks", "Blocks in the prefix index."),
+		eventGaps:      gauge("event_gaps", "Losses found in the engine's event stream."),
+		configVersion:  gauge("config_version", "Version of the configuration in force."),
+	}
+	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.wastedTokens,
+		m.retries, m.resumes, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
+		m.configVersion, m.logErrors, m.controlSeconds)
+	return m
+}
+
+// Request counts a request taken.
+func (m *Metrics) Request(service, class string) { m.requests.WithLabelValues(service, class).Inc() }
+
+// Refusal counts a refusal.
+func (m *Metrics) Refusal(service, class, kind string) {
+	m.refusals.WithLabelValues(service, class, kind).Inc()
+}
+
+// FirstToken records a time to first token.
+func (m *Metrics) FirstToken(service, class string, d time.Duration) {
+	m.ttft.WithLabelValues(service, class).Observe(d.Seconds())
+}
+
+// Tokens counts the prompt tokens of a finished request; wasted are those
+// computed although another target held them.
+func (m *Metrics) Tokens(service, class string, prompt, cached, wasted int) {
+	m.promptTokens.WithLabelValues(service, class).Add(float64(prompt))
+	m.cachedTokens.WithLabelValues(service, class).Add(float64(cached))
+	m.wastedTokens.WithLabelValues(service, class).Add(float64(wasted))
+}
+
+// Retry counts a try after the first.
+func (m *Metrics) Retry(cause string) { m.retries.WithLabelValues(cause).Inc() }
+
+// Resume counts a stream that was continued.
+func (m *Metrics) Resume() { m.resumes.Inc() }
+
+// Probes counts probes sent.
+func (m *Metrics) Probes(n int) { m.probes.Add(float64(n)) }
+
+// Queue sets the queue's gauges.
+func (m *Metrics) Queue(waiting, running int) {
+	m.queueWaiting.Set(float64(waiting))
+	m.queueRunning.Set(float64(running))
+}
+
+// Index sets the prefix index's gauges.
+func (m *Metrics) Index(blocks int, gaps uint64) {
+	m.indexBlocks.Set(float64(blocks))
+	m.eventGaps.Set(float64(gaps))
+}
+
+// ConfigVersion sets the version in force.
+func (m *Metrics) ConfigVersion(v uint64) { m.configVersion.Set(float64(v)) }
+
+// LogError counts a failed call of the log.
+func (m *Metrics) LogError(call string) { m.logErrors.WithLabelValues(call).Inc() }
+
+// Control counts time spent on the control thread.
+func (m *Metrics) Control(d time.Duration) { m.controlSeconds.Add(d.Seconds()) }
--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,288 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	maxAnswerBytes  = 64 << 20
+	maxTokenBytes   = 1 << 20
+	idleConnections = 64
+	dialTimeout     = 2 * time.Second
+)
+
+// NewHTTPClient returns a client whose dial errors read as ErrNotSent.
+func NewHTTPClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
+// notSent marks an error that stopped the call before it left. Only a failed
+// dial counts: once a connection stands, a lost answer may hide an effect.
+func notSent(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Mark(err, ErrNotSent)
+	}
+	return err
+}
+
+type jsonClient struct {
+	base string
+	http *http.Client
+}
+
+// statusError is an answer outside 2xx.
+type statusError struct {
+	status int
+	body   string
+}
+
+// Error implements error.
+func (e *statusError) Error() string { return fmt.Sprintf("status %d: %s", e.status, e.body) }
+
+func (c *jsonClient) do(ctx context.Context, method, path string, body io.Reader) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, path), ErrNotSent)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(notSent(err), path)
+	}
+	if resp.StatusCode/100 != 2 {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+		resp.Body.Close()
+		return nil, errors.Wrap(&statusError{resp.StatusCode, strings.TrimSpace(string(text))}, path)
+	}
+	return resp, nil
+}
+
+func (c *jsonClient) call(ctx context.Context, method, path string, body io.Reader, out any) error {
+	resp, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if out == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		return errors.Wrap(err, path)
+	}
+	dec := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes))
+	return errors.Wrap(dec.Decode(out), path)
+}
+
+func (c *jsonClient) post(ctx context.Context, path string, in, out any) error {
+	data, err := json.Marshal(in)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, path), ErrNotSent)
+	}
+	return c.call(ctx, http.MethodPost, path, bytes.NewReader(data), out)
+}
+
+func statusOf(err error) int {
+	var s *statusError
+	if errors.As(err, &s) {
+		return s.status
+	}
+	return 0
+}
+
+// HTTPLog is a Log over HTTP.
+type HTTPLog struct{ c jsonClient }
+
+// NewHTTPLog returns a Log at a base URL.
+func NewHTTPLog(base string, client *http.Client) *HTTPLog {
+	return &HTTPLog{jsonClient{base, client}}
+}
+
+// Append implements Log.
+func (l *HTTPLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	var out struct {
+		Offset uint64 `json:"offset"`
+	}
+	path := "/streams/" + url.PathEscape(stream) + "/records"
+	err := l.c.call(ctx, http.MethodPost, path, bytes.NewReader(data), &out)
+	return out.Offset, err
+}
+
+// Read implements Log.
+func (l *HTTPLog) Read(ctx context.Context, stream string, from uint64) (*Page, error) {
+	page := &Page{}
+	path := fmt.Sprintf("/streams/%s/records?from=%d", url.PathEscape(stream), from)
+	err := l.c.call(ctx, http.MethodGet, path, nil, page)
+	return page, err
+}
+
+// HTTPHosts is a Hosts over HTTP.
+type HTTPHosts struct{ c jsonClient }
+
+// NewHTTPHosts returns a Hosts at a base URL.
+func NewHTTPHosts(base string, client *http.Client) *HTTPHosts {
+	return &HTTPHosts{jsonClient{base, client}}
+}
+
+// List implements Hosts.
+func (h *HTTPHosts) List(ctx context.Context) ([]Host, error) {
+	var out struct {
+		Hosts []Host `json:"hosts"`
+	}
+	err := h.c.call(ctx, http.MethodGet, "/hosts", nil, &out)
+	return out.Hosts, err
+}
+
+// HTTPEngine is an Engine over HTTP; its streams are server-sent events.
+type HTTPEngine struct{ c jsonClient }
+
+// NewHTTPEngine returns an Engine at a base URL.
+func NewHTTPEngine(base string, client *http.Client) *HTTPEngine {
+	return &HTTPEngine{jsonClient{base, client}}
+}
+
+// Generate implements Engine.
+func (e *HTTPEngine) Generate(ctx context.Context, req *GenerateRequest) (TokenStream, error) {
+	data, err := json.Marshal(req)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	resp, err := e.c.do(ctx, http.MethodPost, "/v1/generate", bytes.NewReader(data))
+	if statusOf(err) == http.StatusConflict {
+		return nil, errors.Mark(err, ErrWrongWeights)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return newSSE(resp.Body), nil
+}
+
+// Resume implements Engine.
+func (e *HTTPEngine) Resume(ctx context.Context, requestID string, from uint64) (TokenStream, error) {
+	path := fmt.Sprintf("/v1/generate/%s?from=%d", url.PathEscape(requestID), from)
+	resp, err := e.c.do(ctx, http.MethodGet, path, nil)
+	if statusOf(err) == http.StatusNotFound {
+		return nil, errors.Mark(err, ErrUnknownStream)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return newSSE(resp.Body), nil
+}
+
+// Cancel implements Engine.
+func (e *HTTPEngine) Cancel(ctx context.Context, requestID string) error {
+	return e.c.call(ctx, http.MethodDelete, "/v1/generate/"+url.PathEscape(requestID), nil, nil)
+}
+
+// Events implements Engine.
+func (e *HTTPEngine) Events(ctx context.Context, from uint64) (*EventPage, error) {
+	page := &EventPage{}
+	err := e.c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/events?from=%d", from), nil, page)
+	return page, err
+}
+
+// Load implements Engine.
+func (e *HTTPEngine) Load(ctx context.Context) (*Load, error) {
+	load := &Load{}
+	err := e.c.call(ctx, http.MethodGet, "/v1/load", nil, load)
+	return load, err
+}
+
+// Order implements Engine.
+func (e *HTTPEngine) Order(ctx context.Context, order Order) error {
+	err := e.c.post(ctx, "/v1/orders", order, nil)
+	if statusOf(err) == http.StatusPreconditionFailed {
+		return errors.Mark(err, ErrStaleFence)
+	}
+	return err
+}
+
+// sse reads "data: {json}" events.
+type sse struct {
+	body  io.ReadCloser
+	lines *bufio.Scanner
+	ended bool
+}
+
+func newSSE(body io.ReadCloser) *sse {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxTokenBytes)
+	return &sse{body: body, lines: lines}
+}
+
+// Next implements TokenStream.
+func (s *sse) Next() (Token, error) {
+	if s.ended {
+		return Token{}, io.EOF
+	}
+	for s.lines.Scan() {
+		data, ok := strings.CutPrefix(s.lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		var token Token
+		if err := json.Unmarshal([]byte(data), &token); err != nil {
+			return Token{}, errors.Wrap(err, "engine event")
+		}
+		s.ended = token.End
+		return token, nil
+	}
+	if err := s.lines.Err(); err != nil {
+		return Token{}, errors.Wrap(err, "engine stream")
+	}
+	return Token{}, io.ErrUnexpectedEOF
+}
+
+// Close implements TokenStream.
+func (s *sse) Close() error { return s.body.Close() }
+
+// HTTPPlain is a Plain over HTTP.
+type HTTPPlain struct{ c jsonClient }
+
+// NewHTTPPlain returns a Plain at a base URL.
+func NewHTTPPlain(base string, client *http.Client) *HTTPPlain {
+	return &HTTPPlain{jsonClient{base, client}}
+}
+
+// Call implements Plain. It follows no redirect and sends each call once: the
+// request has no GetBody and a pooled connection's early close is an error, so
+// that net/http never repeats it.
+func (p *HTTPPlain) Call(ctx context.Context, in *PlainRequest) (*PlainResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, in.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.c.base+in.Path, io.NopCloser(bytes.NewReader(in.Body)))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "plain call"), ErrNotSent)
+	}
+	req.ContentLength = int64(len(in.Body))
+	req.Header.Set("Content-Type", in.ContentType)
+	req.Header.Set("X-Request-Id", in.RequestID)
+	if in.Key != "" {
+		req.Header.Set("Idempotency-Key", in.Key)
+	}
+	resp, err := p.c.http.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, errors.Wrap(notSent(err), "plain call")
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "plain answer")
+	}
+	return &PlainResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,39 @@
+// Package retry bounds retries to a share of the traffic, so that they cannot
+// multiply an overload.
+package retry
+
+import "sync"
+
+const (
+	// maxSaved is how many retries a quiet time saves up.
+	maxSaved = 10.0
+	// startSaved lets a process that just started retry a little.
+	startSaved = 3.0
+)
+
+// Budget allows retries as a share of requests. It is safe for concurrent use.
+type Budget struct {
+	mu    sync.Mutex
+	saved float64
+}
+
+// NewBudget returns a budget that allows a few retries at once.
+func NewBudget() *Budget { return &Budget{saved: startSaved} }
+
+// Earn counts one request; share is the part of a retry that it pays for.
+func (b *Budget) Earn(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved = min(b.saved+share, maxSaved)
+}
+
+// Spend takes one retry and reports whether there was one.
+func (b *Budget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,260 @@
+// Package routing decides which targets an entry asks for a request, and which
+// of them it picks.
+//
+// A decision takes three steps: filter the targets that may take the request,
+// rank them so that every entry ranks alike without talking, and pick by what
+// the ranked ones answer. The ranking is rendezvous hashing on the nested
+// levels of the prompt, so that requests which share a level meet at the same
+// few targets, and a target that comes or goes moves only its own share.
+//
+// Targets are asked in widening rounds. While the first round finds one that
+// holds the prefix and is free, no other is asked. A prefix that is hotter than
+// its first targets can bear makes them busy; the next round then brings in
+// more of its ranking, which compute the prefix once and hold it from then on.
+// Copies so follow the heat, and leave by the engines' own eviction when the
+// first targets suffice again. No entry keeps state for it.
+package routing
+
+import (
+	"cmp"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State of a target in an entry's view.
+type State uint8
+
+// The states.
+const (
+	Live State = iota
+	// Leaving takes no new work.
+	Leaving
+	// Suspect failed lately and is asked only when no other is left.
+	Suspect
+)
+
+// Target is a target as the ranking sees it.
+type Target struct {
+	Name    string
+	Service string
+	Address string
+	// Zone and Region are where its host stands.
+	Zone   string
+	Region string
+	State  State
+	// hash of the name.
+	hash uint64
+}
+
+// NewTarget returns a live target.
+func NewTarget(service, name, address, zone, region string) Target {
+	return Target{Name: name, Service: service, Address: address, Zone: zone, Region: region, hash: xxhash.Sum64String(name)}
+}
+
+// Place is where an entry stands.
+type Place struct {
+	Zone   string
+	Region string
+}
+
+// MaxRanked is how many targets a ranking holds at the most.
+const MaxRanked = 16
+
+// Ranking lists targets in the order in which to ask them. It is a value
+// without pointers into the heap, so that ranking allocates nothing.
+type Ranking struct {
+	indexes [MaxRanked]int32
+	n       int
+}
+
+// Len is the number of ranked targets.
+func (r *Ranking) Len() int { return r.n }
+
+// At returns the index of the i-th ranked target.
+func (r *Ranking) At(i int) int { return int(r.indexes[i]) }
+
+func (r *Ranking) has(index int) bool {
+	for _, x := range r.indexes[:r.n] {
+		if int(x) == index {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Ranking) add(index int) {
+	if r.n < MaxRanked && !r.has(index) {
+		r.indexes[r.n] = int32(index)
+		r.n++
+	}
+}
+
+// mix is the finalizer of splitmix64: cheap, and every bit of the input
+// changes every bit of the output.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xBF58476D1CE4E5B9
+	x ^= x >> 27
+	x *= 0x94D049BB133111EB
+	return x ^ x>>31
+}
+
+// Score is the rendezvous score of a target for a key; the highest goes first.
+func (t *Target) Score(key uint64) uint64 { return mix(key ^ t.hash) }
+
+// eligible is the filter: live targets of the entry's region; if there are
+// none, live ones anywhere; if there are none, suspect ones. Leaving targets
+// are never eligible.
+type eligible func(t *Target) bool
+
+func filter(targets []Target, place Place) (eligible, bool) {
+	var near, far, suspect bool
+	for i := range targets {
+		t := &targets[i]
+		switch {
+		case t.State == Live && t.Region == place.Region:
+			near = true
+		case t.State == Live:
+			far = true
+		case t.State == Suspect:
+			suspect = true
+		}
+	}
+	switch {
+	case near:
+		return func(t *Target) bool { return t.State == Live && t.Region == place.Region }, true
+	case far:
+		return func(t *Target) bool { return t.State == Live }, true
+	case suspect:
+		return func(t *Target) bool { return t.State == Suspect }, true
+	}
+	return nil, false
+}
+
+// top holds the best targets of one key, best first.
+type top struct {
+	index [MaxRanked]int32
+	score [MaxRanked]uint64
+	n     int
+}
+
+func (t *top) offer(index int, score uint64) {
+	if t.n == MaxRanked && score <= t.score[MaxRanked-1] {
+		return
+	}
+	at := min(t.n, MaxRanked-1)
+	for at > 0 && t.score[at-1] < score {
+		t.index[at], t.score[at] = t.index[at-1], t.score[at-1]
+		at--
+	}
+	t.index[at], t.score[at] = int32(index), score
+	t.n = min(t.n+1, MaxRanked)
+}
+
+// Rank orders the targets of a service for a prompt with the given levels,
+// outermost first. Two keys are ranked: the innermost level but one, which a
+// whole family of prompts shares (the town), and the innermost (the case).
+// They alternate two to one.
+func Rank(targets []Target, place Place, levels []uint64) Ranking {
+	var ranking Ranking
+	allowed, any := filter(targets, place)
+	if !any {
+		return ranking
+	}
+	family, own := levelKeys(levels)
+	var byFamily, byOwn top
+	for i := range targets {
+		t := &targets[i]
+		if !allowed(t) {
+			continue
+		}
+		byFamily.offer(i, t.Score(family))
+		byOwn.offer(i, t.Score(own))
+	}
+	merge(&ranking, &byFamily, &byOwn)
+	return ranking
+}
+
+func levelKeys(levels []uint64) (family, own uint64) {
+	switch len(levels) {
+	case 0:
+		return 0, 0
+	case 1:
+		return levels[0], levels[0]
+	default:
+		return levels[len(levels)-2], levels[len(levels)-1]
+	}
+}
+
+const familyPerOwn = 2
+
+func merge(ranking *Ranking, family, own *top) {
+	f, o := 0, 0
+	for ranking.n < MaxRanked && (f < family.n || o < own.n) {
+		for k := 0; k < familyPerOwn && f < family.n; k++ {
+			ranking.add(int(family.index[f]))
+			f++
+		}
+		if o < own.n {
+			ranking.add(int(own.index[o]))
+			o++
+		}
+	}
+}
+
+// Quote is a target's answer to a probe.
+type Quote struct {
+	// Index of the target.
+	Index int
+	// Wait until the request would reach the engine.
+	Wait time.Duration
+	// Prefill is the time to compute what the engine does not hold.
+	Prefill time.Duration
+	// Distance is the time of a round trip.
+	Distance time.Duration
+	// Refused is set when the target takes no new work.
+	Refused bool
+}
+
+// Policy weighs quotes.
+type Policy struct {
+	// Rounds are the numbers of targets asked after each round.
+	Rounds []int
+	// WasteFactor is how much a millisecond of recomputing weighs against one
+	// of waiting: it delays the requests behind as well.
+	WasteFactor float64
+	// Content is the cost up to which no further round is made.
+	Content time.Duration
+}
+
+// DefaultPolicy was chosen by replay; see docs/DESIGN.md.
+var DefaultPolicy = Policy{Rounds: []int{3, 8, 16}, WasteFactor: 1.5, Content: 100 * time.Millisecond}
+
+// Cost is what a quote weighs.
+func (p *Policy) Cost(q Quote) float64 {
+	if q.Refused {
+		return math.Inf(1)
+	}
+	return float64(q.Wait) + float64(q.Distance) + p.WasteFactor*float64(q.Prefill)
+}
+
+// Pick returns the position of the cheapest quote, or -1. Of equal ones the
+// first in the ranking wins.
+func (p *Policy) Pick(quotes []Quote) int {
+	best := -1
+	cost := math.Inf(1)
+	for i, q := range quotes {
+		if c := p.Cost(q); cmp.Less(c, cost) {
+			best, cost = i, c
+		}
+	}
+	return best
+}
+
+// Satisfied reports whether the quotes so far make another round needless.
+func (p *Policy) Satisfied(quotes []Quote) bool {
+	best := p.Pick(quotes)
+	return best >= 0 && p.Cost(quotes[best]) <= float64(p.Content)
+}
--- /dev/null
+++ b/internal/sidecar/gate.go
@@ -0,0 +1,258 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/admission"
+	"github.com/toucanwell/toucanwell/internal/breaker"
+	"github.com/toucanwell/toucanwell/internal/config"
+	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/prefix"
+)
+
+const (
+	// rateSmoothing is the weight of the newest measured prefill rate.
+	rateSmoothing = 0.1
+	// minRateTokens is the fewest computed tokens that say something of a rate.
+	minRateTokens = 256
+	// decodeShare is the part of a token's decode time that a request of a
+	// full batch costs its target; it weighs long answers in fairness.
+	decodeShare = 2 * time.Millisecond
+)
+
+// Work describes a request to the gate.
+type Work struct {
+	Workspace string
+	Weight    float64
+	Class     config.Class
+	Blocks    []uint64
+	// BlockTokens is the size of a block; PromptTokens the prompt's length.
+	BlockTokens  int
+	PromptTokens int
+	MaxTokens    int
+	// Budget is the time left until the first token must be there.
+	Budget time.Duration
+}
+
+// Quote is what a request would cost at this target now.
+type Quote struct {
+	Wait          time.Duration
+	Prefill       time.Duration
+	MatchedTokens int
+}
+
+// Gate is the state of the one way to a target: its queue, its breaker, the
+// index of its cache and its measured rate. It decides and does no I/O. It is
+// safe for concurrent use.
+type Gate struct {
+	mu       sync.Mutex
+	now      func() time.Duration
+	queue    *admission.Queue
+	breaker  *breaker.Breaker
+	index    *prefix.Index
+	rate     float64
+	draining bool
+	lastID   uint64
+	waiters  map[uint64]*Pass
+}
+
+// Pass is one request's way through the gate.
+type Pass struct {
+	gate   *Gate
+	id     uint64
+	work   Work
+	permit breaker.Permit
+	// Decided receives nil when the request may start, or its refusal.
+	Decided chan *errkind.Error
+	// MatchedTokens when the request came.
+	MatchedTokens int
+	startedAt     time.Duration
+}
+
+// NewGate returns an open gate. now counts from any start; rate is the prefill
+// rate in tokens a second that is assumed until one is measured.
+func NewGate(limits admission.Limits, maxBlocks int, rate float64, now func() time.Duration) *Gate {
+	return &Gate{
+		now:     now,
+		queue:   admission.NewQueue(limits),
+		breaker: breaker.New(breaker.DefaultPolicy),
+		index:   prefix.NewIndex(maxBlocks),
+		rate:    rate,
+		waiters: map[uint64]*Pass{},
+	}
+}
+
+// Drain makes the gate refuse new work as leaving.
+func (g *Gate) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+}
+
+// closedTo returns why no new work is taken, or nil. The caller holds mu.
+func (g *Gate) closedTo() *errkind.Error {
+	if g.draining {
+		return errkind.New(errkind.Leaving, "the target is leaving")
+	}
+	if notBefore, blocked := g.breaker.Blocked(g.now()); blocked {
+		return errkind.After(errkind.BreakerOpen, notBefore-g.now(), "the target failed often")
+	}
+	return nil
+}
+
+// Quote answers a probe.
+func (g *Gate) Quote(w Work) (Quote, *errkind.Error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if refusal := g.closedTo(); refusal != nil {
+		return Quote{}, refusal
+	}
+	matched := g.matched(w)
+	return Quote{
+		Wait:          g.queue.EstimateWait(g.now(), w.Workspace, w.Class),
+		Prefill:       g.prefillTime(w.PromptTokens - matched),
+		MatchedTokens: matched,
+	}, nil
+}
+
+func (g *Gate) matched(w Work) int {
+	return min(g.index.Match(w.Blocks)*w.BlockTokens, w.PromptTokens)
+}
+
+func (g *Gate) prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / g.rate * float64(time.Second))
+}
+
+// Enter asks for admission. The answer comes on the pass's channel, at once or
+// later; a refusal for leaving or an open breaker comes as the error.
+func (g *Gate) Enter(w Work) (*Pass, *errkind.Error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if refusal := g.closedTo(); refusal != nil {
+		return nil, refusal
+	}
+	permit, ok, notBefore := g.breaker.Acquire(g.now())
+	if !ok {
+		return nil, errkind.After(errkind.BreakerOpen, notBefore-g.now(), "the target failed often")
+	}
+	matched := g.matched(w)
+	prefill := g.prefillTime(w.PromptTokens - matched)
+	g.lastID++
+	p := &Pass{gate: g, id: g.lastID, work: w, permit: permit, MatchedTokens: matched, Decided: make(chan *errkind.Error, 1)}
+	g.waiters[p.id] = p
+	g.index.Expect(w.Blocks)
+	g.deliver(g.queue.Offer(g.now(), admission.Request{
+		ID:        p.id,
+		Workspace: w.Workspace,
+		Weight:    w.Weight,
+		Class:     w.Class,
+		Prefill:   prefill,
+		Cost:      prefill + time.Duration(w.MaxTokens)*decodeShare,
+		Deadline:  g.now() + w.Budget,
+	}))
+	return p, nil
+}
+
+// deliver hands outcomes to their passes. The caller holds mu.
+func (g *Gate) deliver(outcomes []admission.Outcome) {
+	for _, o := range outcomes {
+		p, ok := g.waiters[o.ID]
+		if !ok || o.Verdict == admission.Wait {
+			continue
+		}
+		delete(g.waiters, o.ID)
+		p.startedAt = g.now()
+		if o.Verdict == admission.Refuse {
+			g.forget(p)
+			g.breaker.Complete(g.now(), p.permit, breaker.Neutral)
+		}
+		p.Decided <- o.Refusal
+	}
+}
+
+func (g *Gate) forget(p *Pass) { g.index.Forget(p.work.Blocks) }
+
+// Expire refuses waiting requests whose deadline can no longer be met.
+func (g *Gate) Expire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.queue.Expire(g.now()))
+}
+
+// FirstToken tells that the first token is there. cached is what the engine
+// said it had.
+func (p *Pass) FirstToken(cached int) {
+	g := p.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.learnRate(p.work.PromptTokens-cached, g.now()-p.startedAt)
+	g.breaker.Complete(g.now(), p.permit, breaker.Success)
+	g.deliver(g.queue.FirstToken(g.now(), p.id))
+}
+
+func (g *Gate) learnRate(tokens int, took time.Duration) {
+	if tokens < minRateTokens || took <= 0 {
+		return
+	}
+	rate := float64(tokens) / took.Seconds()
+	g.rate += rateSmoothing * (rate - g.rate)
+}
+
+// Leave ends a pass that was started. result says what it tells of the
+// target's health.
+func (p *Pass) Leave(result breaker.Result) {
+	g := p.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.breaker.Complete(g.now(), p.permit, result)
+	g.forget(p)
+	g.deliver(g.queue.Finish(g.now(), p.id))
+}
+
+// Abandon ends a pass whose caller has gone, waiting or started.
+func (p *Pass) Abandon() {
+	g := p.gate
+	g.mu.Lock()
+	waiting := g.queue.Abandon(p.id)
+	if waiting {
+		delete(g.waiters, p.id)
+		g.forget(p)
+		g.breaker.Complete(g.now(), p.permit, breaker.Neutral)
+	}
+	g.mu.Unlock()
+	if waiting {
+		return
+	}
+	if refusal := <-p.Decided; refusal == nil {
+		p.Leave(breaker.Neutral)
+	}
+}
+
+// ApplyEvents updates the index by a page of cache events.
+func (g *Gate) ApplyEvents(page *platform.EventPage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.index.Apply(page)
+}
+
+// NextEvent is the number of the first cache event not seen yet.
+func (g *Gate) NextEvent() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.index.NextSeq()
+}
+
+// Counts are the gate's figures for metrics.
+type Counts struct {
+	Waiting, Running, Blocks int
+	Gaps                     uint64
+}
+
+// Counts returns the gate's figures.
+func (g *Gate) Counts() Counts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Counts{Waiting: g.queue.Waiting(), Running: g.queue.Running(), Blocks: g.index.Len(), Gaps: g.index.Gaps()}
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,199 @@
+// Package sidecar is the role that stands beside a target, as the one way to
+// it.
+//
+// # What a sidecar guards against
+//
+// An engine that crashes comes back empty: its new incarnation empties the
+// prefix index, and runs that were on it end with a refusal that lets the
+// entry run them elsewhere. A connection that breaks, on either side of the
+// sidecar, loses nothing: frames are numbered and kept until read, and the
+// engine's stream is continued at the next number. A sidecar that is killed
+// beside a living engine is replaced by one that takes its runs over from the
+// engine. Calls that may not be repeated are claimed on the platform's log
+// before they start (package once). A sidecar that stops refuses new work and
+// finishes what it has.
+//
+// Traffic threads use the gate, the registry of runs and immutable facts on
+// the blackboard; controllers on the control thread follow the configuration,
+// the engine's events and its state.
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/admission"
+	"github.com/toucanwell/toucanwell/internal/blackboard"
+	"github.com/toucanwell/toucanwell/internal/configlog"
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/metrics"
+	"github.com/toucanwell/toucanwell/internal/once"
+	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/settings"
+)
+
+const (
+	expirePeriod = 20 * time.Millisecond
+	reapPeriod   = 500 * time.Millisecond
+	forgetPeriod = time.Minute
+	loadPeriod   = 200 * time.Millisecond
+	ioTimeout    = 2 * time.Second
+	drainPoll    = 20 * time.Millisecond
+)
+
+// Board is a sidecar's blackboard.
+type Board struct {
+	// Config is owned by the configuration follower.
+	Config blackboard.Fact[configlog.Snapshot]
+	// Engine is owned by the engine watcher.
+	Engine blackboard.Fact[platform.Load]
+}
+
+// Sidecar is one process of the role. Make it with New.
+type Sidecar struct {
+	settings *settings.Settings
+	logger   logr.Logger
+	metrics  *metrics.Metrics
+	log      platform.Log
+	engine   platform.Engine
+	plain    platform.Plain
+	gate     *Gate
+	runs     *runs
+	board    *Board
+	loop     *control.Loop
+	follower *configlog.Follower
+	loader   *loader
+
+	ledgerMu sync.Mutex
+	ledgers  map[string]*once.Ledger
+
+	ctx   context.Context
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
+	calls sync.WaitGroup
+}
+
+// Deps are what a sidecar needs from outside.
+type Deps struct {
+	Log    platform.Log
+	Engine platform.Engine
+	Plain  platform.Plain
+	// Peers calls other processes.
+	Peers   *http.Client
+	Logger  logr.Logger
+	Metrics *metrics.Metrics
+}
+
+// New returns a sidecar that has not started.
+func New(s *settings.Settings, d Deps) *Sidecar {
+	ctx, stop := context.WithCancel(context.Background())
+	start := time.Now()
+	limits := admission.Limits{MaxRunning: s.Target.MaxRunning, MaxPrefilling: s.Target.MaxPrefilling, MaxQueued: s.Target.MaxQueued}
+	clock := func() time.Duration { return time.Since(start) }
+	c := &Sidecar{
+		settings: s, logger: d.Logger, metrics: d.Metrics, log: d.Log, engine: d.Engine, plain: d.Plain,
+		gate:    NewGate(limits, s.Cache.MaxBlocks, s.Target.PrefillTokensPerSecond, clock),
+		runs:    newRuns(),
+		board:   &Board{},
+		loop:    control.NewLoop(s.Seed),
+		ledgers: map[string]*once.Ledger{},
+		ctx:     ctx, stop: stop,
+	}
+	c.follower = configlog.NewFollower(c.loop, d.Log, &c.board.Config, configlog.FollowerOptions{
+		Address: s.Listen, Peers: s.Peers, LogPolls: s.Timing.LogPolls, SyncPeriod: s.Timing.SyncPeriod.Duration,
+		Retention: s.Platform.LogRetention.Duration, Client: d.Peers, Logger: d.Logger, LogError: d.Metrics.LogError,
+		InForce: func(snapshot configlog.Snapshot) { d.Metrics.ConfigVersion(snapshot.Version) },
+	})
+	c.loader = newLoader(c)
+	return c
+}
+
+// Start runs the control thread and the controllers.
+func (s *Sidecar) Start() {
+	s.tasks.Add(1)
+	go func() {
+		defer s.tasks.Done()
+		s.loop.Run()
+	}()
+	s.follower.Start()
+	s.every(expirePeriod, s.gate.Expire)
+	s.every(reapPeriod, func() { s.runs.reap(time.Now(), s.settings.Timing.ResumeGrace.Duration) })
+	s.every(reapPeriod, s.showCounts)
+	s.every(forgetPeriod, s.forgetKeys)
+	w := &engineWatcher{sidecar: s}
+	s.every(s.settings.Timing.EventsPeriod.Duration, w.readEvents)
+	s.every(loadPeriod, w.readLoad)
+	s.every(loadPeriod, s.loader.step)
+}
+
+func (s *Sidecar) every(period time.Duration, event func()) {
+	s.loop.Every(func() time.Duration { return period }, event)
+}
+
+// Handler serves the Gate and Peer services.
+func (s *Sidecar) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerv1.NewGateHandler(s))
+	mux.Handle(peerv1.NewPeerHandler(configlog.NewPeerServer(&s.board.Config, s.follower.Hint)))
+	return mux
+}
+
+// Drain refuses new work and waits until all that runs has ended and was read,
+// or the context ends.
+func (s *Sidecar) Drain(ctx context.Context) {
+	s.gate.Drain()
+	s.logger.Info("draining", "runs", s.runs.unread())
+	for !s.idle() {
+		if !pauseFor(ctx, drainPoll) {
+			return
+		}
+	}
+	s.calls.Wait()
+}
+
+func (s *Sidecar) idle() bool {
+	counts := s.gate.Counts()
+	return s.runs.unread() == 0 && counts.Running == 0 && counts.Waiting == 0
+}
+
+// Close ends the sidecar. Runs that are left are cancelled.
+func (s *Sidecar) Close() {
+	s.stop()
+	s.loop.Stop()
+	s.tasks.Wait()
+}
+
+// Board returns the blackboard, for the administration API.
+func (s *Sidecar) Board() *Board { return s.board }
+
+// InFlight is the number of requests at the gate and the target.
+func (s *Sidecar) InFlight() int {
+	counts := s.gate.Counts()
+	return counts.Running + counts.Waiting
+}
+
+// noteVersion reacts to a caller with a newer configuration: the log has it.
+func (s *Sidecar) noteVersion(version uint64) {
+	if current, _ := s.board.Config.Get(); version > current.Version {
+		s.follower.Nudge()
+	}
+}
+
+func (s *Sidecar) showCounts() {
+	counts := s.gate.Counts()
+	s.metrics.Queue(counts.Waiting, counts.Running)
+	s.metrics.Index(counts.Blocks, counts.Gaps)
+}
+
+func (s *Sidecar) forgetKeys() {
+	s.ledgerMu.Lock()
+	defer s.ledgerMu.Unlock()
+	for _, l := range s.ledgers {
+		l.Forget()
+	}
+}
--- /dev/null
+++ b/internal/sidecar/watch.go
@@ -0,0 +1,54 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/platform"
+)
+
+// engineWatcher follows an engine's cache events and its state. It is a
+// controller and owns the Engine fact.
+type engineWatcher struct {
+	sidecar       *Sidecar
+	readingEvents bool
+	readingLoad   bool
+}
+
+func (w *engineWatcher) readEvents() {
+	s := w.sidecar
+	if s.engine == nil || w.readingEvents {
+		return
+	}
+	w.readingEvents = true
+	from := s.gate.NextEvent()
+	control.Do(s.loop, ioTimeout, func(ctx context.Context) (*platform.EventPage, error) {
+		return s.engine.Events(ctx, from)
+	}, func(page *platform.EventPage, err error) {
+		w.readingEvents = false
+		if err != nil {
+			return
+		}
+		s.gate.ApplyEvents(page)
+	})
+}
+
+func (w *engineWatcher) readLoad() {
+	s := w.sidecar
+	if s.engine == nil || w.readingLoad {
+		return
+	}
+	w.readingLoad = true
+	control.Do(s.loop, ioTimeout, s.engine.Load, func(load *platform.Load, err error) {
+		w.readingLoad = false
+		if err != nil {
+			return
+		}
+		old, _ := s.board.Engine.Get()
+		if old.Incarnation != load.Incarnation {
+			s.logger.Info("engine_incarnation", "old", old.Incarnation, "new", load.Incarnation, "weights", load.Weights)
+		}
+		s.board.Engine.Post(*load, time.Now())
+	})
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,459 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/prefix"
+)
+
+// EngineCosts are the time costs of an engine that matter to a router.
+type EngineCosts struct {
+	// PrefillTokensPerSecond is the rate of computing uncached prompt tokens;
+	// one prompt at a time.
+	PrefillTokensPerSecond float64
+	// DecodeStep is the time for one token of one request, and DecodePerPeer
+	// what each other request of the batch adds.
+	DecodeStep    time.Duration
+	DecodePerPeer time.Duration
+	// MaxBatch is how many requests run at once.
+	MaxBatch int
+	// CacheBlocks is the size of the block cache.
+	CacheBlocks int
+	// LoadTime is the time to load weights.
+	LoadTime time.Duration
+}
+
+// EngineFaults are the ways an engine misbehaves.
+type EngineFaults struct {
+	// Fail refuses each generate call with 500.
+	Fail bool
+	// CutAfter breaks a stream's connection after so many tokens; the stream
+	// itself goes on and can be resumed. 0 means never.
+	CutAfter int
+	// Duplicate sends each frame twice.
+	Duplicate bool
+	// LoseEvents drops cache events, so that their numbers show a gap.
+	LoseEvents bool
+	// IgnoreFence takes orders with an old fencing number.
+	IgnoreFence bool
+	// Stall holds generation before the first token.
+	Stall time.Duration
+}
+
+const keepStreams = 10 * time.Second
+
+// Engine is a model engine whose answers are a function of the prompt.
+type Engine struct {
+	costs EngineCosts
+
+	mu          sync.Mutex
+	incarnation string
+	weights     string
+	loading     int
+	fence       uint64
+	cache       *BlockCache
+	events      []platform.CacheEvent
+	nextEvent   uint64
+	streams     map[string]*engineStream
+	running     int
+	waiting     int
+	faults      EngineFaults
+	stats       EngineStats
+	prefill     chan struct{}
+	batch       chan struct{}
+}
+
+// EngineStats counts what an engine did.
+type EngineStats struct {
+	Started       int
+	Finished      int
+	Cancelled     int
+	NeededTokens  int
+	PrefillTokens int
+	Loads         int
+}
+
+type engineStream struct {
+	tokens  []platform.Token
+	changed chan struct{}
+	cancel  context.CancelFunc
+	ended   bool
+}
+
+// NewEngine returns an engine with weights loaded and an empty cache.
+func NewEngine(costs EngineCosts, weights string) *Engine {
+	e := &Engine{costs: costs, weights: weights, cache: NewBlockCache(costs.CacheBlocks)}
+	e.reset()
+	return e
+}
+
+func (e *Engine) reset() {
+	e.incarnation = uuid.NewString()
+	e.cache.Clear()
+	e.events = nil
+	e.nextEvent = 1
+	e.streams = map[string]*engineStream{}
+	e.running = 0
+	e.waiting = 0
+	e.prefill = make(chan struct{}, 1)
+	e.batch = make(chan struct{}, e.costs.MaxBatch)
+}
+
+// Crash ends all streams and comes back empty under a new incarnation.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.streams {
+		s.cancel()
+	}
+	e.reset()
+}
+
+// SetFaults replaces the faults.
+func (e *Engine) SetFaults(f EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Stats returns the counts so far.
+func (e *Engine) Stats() EngineStats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stats
+}
+
+// Weights returns the weights loaded.
+func (e *Engine) Weights() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.weights
+}
+
+// TokenText is the text of one token of the answer to a prompt. It depends on
+// the prompt and the number alone, so that any engine continues an answer with
+// the same text.
+func TokenText(prompt string, seq uint64) string {
+	h := prefix.Chain(seq, prompt)
+	return fmt.Sprintf("%s%d ", []string{"swell", "permit", "tide", "stall"}[h%4], h%1000)
+}
+
+// Transcript is the whole answer to a prompt.
+func Transcript(prompt string, maxTokens int) string {
+	var text string
+	for seq := uint64(1); seq <= uint64(maxTokens); seq++ {
+		text += TokenText(prompt, seq)
+	}
+	return text
+}
+
+// Handler serves the engine over HTTP.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/generate", e.serveGenerate)
+	mux.HandleFunc("GET /v1/generate/{id}", e.serveResume)
+	mux.HandleFunc("DELETE /v1/generate/{id}", e.serveCancel)
+	mux.HandleFunc("GET /v1/events", e.serveEvents)
+	mux.HandleFunc("GET /v1/load", e.serveLoad)
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("PUT /faults", serveFaults(e.SetFaults))
+	mux.HandleFunc("PUT /crash", func(w http.ResponseWriter, _ *http.Request) { e.Crash() })
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Stats()) })
+	return mux
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	req := &platform.GenerateRequest{}
+	if err := json.NewDecoder(r.Body).Decode(req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	if e.faults.Fail {
+		e.mu.Unlock()
+		http.Error(w, "engine fails", http.StatusInternalServerError)
+		return
+	}
+	if req.Weights != e.weights || e.loading > 0 {
+		e.mu.Unlock()
+		http.Error(w, "wrong weights", http.StatusConflict)
+		return
+	}
+	s, known := e.streams[req.RequestID]
+	if !known {
+		s = e.start(req)
+	}
+	e.mu.Unlock()
+	e.follow(w, r, s, req.From)
+}
+
+// start begins a run that goes on without its reader. The caller holds mu.
+func (e *Engine) start(req *platform.GenerateRequest) *engineStream {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &engineStream{changed: make(chan struct{}), cancel: cancel}
+	e.streams[req.RequestID] = s
+	e.stats.Started++
+	e.waiting++
+	go e.run(ctx, req, s, e.incarnation, e.prefill, e.batch)
+	return s
+}
+
+func (e *Engine) run(ctx context.Context, req *platform.GenerateRequest, s *engineStream, incarnation string, prefill, batch chan struct{}) {
+	if !enter(ctx, batch) {
+		e.finish(s, req, incarnation, false)
+		return
+	}
+	defer func() { <-batch }()
+	cached, ok := e.runPrefill(ctx, req, prefill)
+	if !ok {
+		e.finish(s, req, incarnation, false)
+		return
+	}
+	for seq := max(req.From, 1); seq <= uint64(req.MaxTokens); seq++ {
+		if seq > 1 && !sleep(ctx, e.stepTime()) {
+			e.finish(s, req, incarnation, false)
+			return
+		}
+		e.emit(s, platform.Token{Seq: seq, Text: TokenText(req.Prompt, seq), Incarnation: incarnation, CachedTokens: cached})
+	}
+	e.emit(s, platform.Token{Seq: uint64(req.MaxTokens) + 1, End: true, FinishReason: "length", CachedTokens: cached, Incarnation: incarnation})
+	e.finish(s, req, incarnation, true)
+}
+
+func enter(ctx context.Context, slots chan struct{}) bool {
+	select {
+	case slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Engine) runPrefill(ctx context.Context, req *platform.GenerateRequest, prefill chan struct{}) (cached int, ok bool) {
+	if !enter(ctx, prefill) {
+		return 0, false
+	}
+	defer func() { <-prefill }()
+	e.mu.Lock()
+	e.waiting--
+	e.running++
+	cached = e.cache.Match(req.Blocks) * req.BlockTokens
+	missing := max(req.PromptTokens-cached, 0)
+	e.stats.NeededTokens += req.PromptTokens
+	e.stats.PrefillTokens += missing
+	stall := e.faults.Stall
+	e.mu.Unlock()
+	seconds := float64(missing) / e.costs.PrefillTokensPerSecond
+	if !sleep(ctx, stall+time.Duration(seconds*float64(time.Second))) {
+		return cached, false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stored, removed := e.cache.Use(req.Blocks)
+	e.publish(platform.EventStored, stored)
+	e.publish(platform.EventRemoved, removed)
+	return cached, true
+}
+
+// publish records a cache event. The caller holds mu.
+func (e *Engine) publish(kind platform.EventKind, blocks []uint64) {
+	if len(blocks) == 0 && kind != platform.EventCleared {
+		return
+	}
+	event := platform.CacheEvent{Seq: e.nextEvent, Kind: kind, Blocks: blocks}
+	e.nextEvent++
+	if e.faults.LoseEvents {
+		return
+	}
+	e.events = append(e.events, event)
+}
+
+func (e *Engine) stepTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	peers := max(e.running-1, 0)
+	return e.costs.DecodeStep + time.Duration(peers)*e.costs.DecodePerPeer
+}
+
+func (e *Engine) emit(s *engineStream, token platform.Token) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.tokens = append(s.tokens, token)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (e *Engine) finish(s *engineStream, req *platform.GenerateRequest, incarnation string, whole bool) {
+	s.cancel()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.ended = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if incarnation != e.incarnation {
+		return
+	}
+	e.running = max(e.running-1, 0)
+	if whole {
+		e.stats.Finished++
+	} else {
+		e.stats.Cancelled++
+	}
+	time.AfterFunc(keepStreams, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.streams[req.RequestID] == s {
+			delete(e.streams, req.RequestID)
+		}
+	})
+}
+
+// follow sends a stream's tokens from a sequence number on.
+func (e *Engine) follow(w http.ResponseWriter, r *http.Request, s *engineStream, from uint64) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := http.NewResponseController(w)
+	sent := 0
+	enc := json.NewEncoder(w)
+	for i := 0; ; {
+		e.mu.Lock()
+		tokens, changed, ended, faults := s.tokens[i:], s.changed, s.ended, e.faults
+		e.mu.Unlock()
+		for _, token := range tokens {
+			i++
+			if token.Seq < from {
+				continue
+			}
+			if faults.CutAfter > 0 && sent >= faults.CutAfter {
+				panic(http.ErrAbortHandler)
+			}
+			sendToken(w, enc, token)
+			if faults.Duplicate {
+				sendToken(w, enc, token)
+			}
+			sent++
+		}
+		_ = flusher.Flush()
+		if len(tokens) > 0 && tokens[len(tokens)-1].End {
+			return
+		}
+		if ended && len(tokens) == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		if ended {
+			continue
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func sendToken(w http.ResponseWriter, enc *json.Encoder, token platform.Token) {
+	_, _ = w.Write([]byte("data: "))
+	_ = enc.Encode(token)
+	_, _ = w.Write([]byte("\n"))
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	s, ok := e.streams[r.PathValue("id")]
+	e.mu.Unlock()
+	if !ok {
+		http.Error(w, "unknown stream", http.StatusNotFound)
+		return
+	}
+	e.follow(w, r, s, from)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s, ok := e.streams[r.PathValue("id")]
+	e.mu.Unlock()
+	if ok {
+		s.cancel()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	page := platform.EventPage{Incarnation: e.incarnation, First: 1, Next: e.nextEvent, Events: []platform.CacheEvent{}}
+	for _, event := range e.events {
+		if event.Seq >= from {
+			page.Events = append(page.Events, event)
+		}
+	}
+	writeJSON(w, page)
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	load := platform.Load{
+		Incarnation: e.incarnation, Weights: e.weights, Loading: e.loading > 0,
+		Running: e.running, Waiting: e.waiting,
+	}
+	writeJSON(w, load)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order platform.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	if order.Fence < e.fence && !e.faults.IgnoreFence {
+		e.mu.Unlock()
+		http.Error(w, "stale fence", http.StatusPreconditionFailed)
+		return
+	}
+	e.fence = max(e.fence, order.Fence)
+	e.loading++
+	e.stats.Loads++
+	e.mu.Unlock()
+	time.Sleep(e.costs.LoadTime)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loading--
+	e.weights = order.Weights
+	e.cache.Clear()
+	e.publish(platform.EventCleared, nil)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/stream/buffer.go
@@ -0,0 +1,133 @@
+// Package stream keeps the frames of a running answer, so that a reader whose
+// connection broke continues at the frame after its last.
+package stream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+)
+
+// Buffer holds the frames of one answer in order, each once. It is safe for
+// concurrent use: one writer, any number of readers.
+type Buffer struct {
+	mu      sync.Mutex
+	frames  []*peerv1.Frame
+	next    uint64
+	first   uint64
+	ended   bool
+	changed chan struct{}
+	readers int
+	idle    time.Time
+	now     func() time.Time
+}
+
+// NewBuffer returns an empty buffer whose first frame has the number from.
+func NewBuffer(from uint64, now func() time.Time) *Buffer {
+	from = max(from, 1)
+	return &Buffer{first: from, next: from, changed: make(chan struct{}), idle: now(), now: now}
+}
+
+// Next is the number of the frame that is expected next.
+func (b *Buffer) Next() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.next
+}
+
+// Append takes the next frame and reports whether it was taken. A frame with
+// another number than the next is left out: a lower one is a repeat, a higher
+// one shows a loss, and its writer has to fetch what lies between.
+func (b *Buffer) Append(frame *peerv1.Frame) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended || frame.Seq != b.next {
+		return false
+	}
+	b.frames = append(b.frames, frame)
+	b.next++
+	b.ended = frame.End != nil
+	b.wake()
+	return true
+}
+
+// Refuse ends the buffer with a refusal in place of the next frame.
+func (b *Buffer) Refuse(refusal *peerv1.Refusal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return
+	}
+	b.frames = append(b.frames, &peerv1.Frame{Seq: b.next, Refusal: refusal})
+	b.next++
+	b.ended = true
+	b.wake()
+}
+
+func (b *Buffer) wake() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// Ended reports whether the last frame is there.
+func (b *Buffer) Ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended
+}
+
+// IdleSince returns since when no reader follows; ok is false while one does.
+func (b *Buffer) IdleSince() (since time.Time, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.idle, b.readers == 0
+}
+
+// Follow sends the frames from a number on, up to the last one. It returns
+// when that is sent, when send fails, or when the context ends.
+func (b *Buffer) Follow(ctx context.Context, from uint64, send func(*peerv1.Frame) error) error {
+	b.enter()
+	defer b.leave()
+	at := int(max(from, b.first) - b.first)
+	for {
+		frames, changed, ended := b.after(at)
+		for _, frame := range frames {
+			if err := send(frame); err != nil {
+				return err
+			}
+		}
+		at += len(frames)
+		if ended {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (b *Buffer) after(at int) (frames []*peerv1.Frame, changed chan struct{}, ended bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if at < len(b.frames) {
+		frames = b.frames[at:]
+	}
+	return frames, b.changed, b.ended
+}
+
+func (b *Buffer) enter() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readers++
+}
+
+func (b *Buffer) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readers--
+	b.idle = b.now()
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Builds, checks and tests everything. Needs Go, git and the module proxy.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+echo "== build"
+go build ./...
+echo "== vet"
+go vet ./...
+echo "== gofmt"
+unformatted=$(gofmt -l $(git ls-files '*.go'))
+if [ -n "$unformatted" ]; then
+  echo "not formatted: $unformatted"
+  exit 1
+fi
+echo "== staticcheck"
+(cd tools && go build -o ../.bin/staticcheck honnef.co/go/tools/cmd/staticcheck)
+.bin/staticcheck $(go list ./... | grep -v /oas$)
+echo "== generated code"
+cp -r api .bin/api-before
+tools/generate.sh >.bin/generate.log 2>&1 || { cat .bin/generate.log; exit 1; }
+if ! diff -r api .bin/api-before; then
+  rm -rf .bin/api-before
+  echo "generated code was out of date; run tools/generate.sh and commit"
+  exit 1
+fi
+rm -rf .bin/api-before
+echo "== test"
+go test -race -timeout 20m ./...
