--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -200,6 +200,9 @@
 // Running is the number of running requests.
 func (q *Queue) Running() int { return len(q.running) }
 
+// Prefilling is the number of running requests that await their first token.
+func (q *Queue) Prefilling() int { return q.prefill }
+
 // EstimateWait is the time until a new request of a workspace and class would
 // reach the target.
 func (q *Queue) EstimateWait(now time.Duration, workspace string, class config.Class) time.Duration {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -19,6 +19,7 @@
 	// across regions.
 	zoneDistance   = 2 * time.Millisecond
 	regionDistance = 30 * time.Millisecond
+	permille       = 1000
 )
 
 // choice is a routing decision with its reason.
@@ -54,13 +55,13 @@
 			quotes = append(quotes, a.quote)
 		}
 		made.rounds++
-		if policy.Satisfied(quotes) || asked == ranking.Len() {
+		if policy.Satisfied(r.class, quotes) || asked == ranking.Len() {
 			break
 		}
 	}
 	made.probes = len(quotes)
 	e.metrics.Probes(made.probes)
-	best := policy.Pick(quotes)
+	best := policy.Pick(r.class, quotes)
 	if best < 0 {
 		return choice{}, noneTook(answers)
 	}
@@ -123,6 +124,7 @@
 	}
 	a.quote.Wait = time.Duration(m.WaitMs) * time.Millisecond
 	a.quote.Prefill = time.Duration(m.PrefillMs) * time.Millisecond
+	a.quote.Busy = float64(m.BusyPermille) / permille
 	a.matched = int(m.MatchedTokens)
 	return a
 }
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -1,32 +1,44 @@
 package prefix
 
-import "github.com/toucanwell/toucanwell/internal/platform"
+import (
+	"container/list"
 
-// Index holds the names of the blocks that one incarnation of an engine has,
-// as told by its events and foretold by admitted work.
+	"github.com/toucanwell/toucanwell/internal/platform"
+)
+
+// Index holds the names of the blocks that one incarnation of an engine is
+// believed to have.
+//
+// All work of an engine passes its sidecar, so that the index mirrors the
+// engine's cache: a prompt whose first token is there is stored, least recently
+// used blocks leave beyond the engine's size, and the number of cached tokens
+// that the engine reports with each answer corrects what was believed wrongly.
+// Cache events, which come late and with gaps, correct the rest.
 //
-// It guards against three failures. An engine that crashed comes back empty
-// under a new incarnation: the index is emptied with it, and events of the
-// earlier life are refused by their incarnation. An event stream that lost
-// entries shows a gap in its numbers: the index is emptied, because a lost
-// removal would leave a block believed in. A stale belief that slips through
-// costs time only, since the engine looks up its own cache.
+// It guards against two failures. An engine that crashed comes back empty under
+// a new incarnation: the index is emptied with it, and events of the earlier
+// life are refused by their incarnation. An event stream that lost entries may
+// leave a block believed in that is gone, or the reverse; this costs time only,
+// since the engine looks up its own cache, and the next answer about the block
+// mends it.
 //
 // An Index is used by one goroutine at a time.
 type Index struct {
 	maxBlocks   int
 	incarnation string
 	nextSeq     uint64
-	stored      map[uint64]struct{}
+	order       *list.List
+	places      map[uint64]*list.Element
 	expected    map[uint64]int
 	gaps        uint64
 }
 
-// NewIndex returns an empty index that holds at most maxBlocks.
+// NewIndex returns an empty index of an engine with so many blocks.
 func NewIndex(maxBlocks int) *Index {
 	return &Index{
 		maxBlocks: maxBlocks,
-		stored:    make(map[uint64]struct{}),
+		order:     list.New(),
+		places:    make(map[uint64]*list.Element),
 		expected:  make(map[uint64]int),
 	}
 }
@@ -38,59 +50,86 @@
 func (x *Index) Incarnation() string { return x.incarnation }
 
 // Len is the number of blocks held.
-func (x *Index) Len() int { return len(x.stored) }
+func (x *Index) Len() int { return x.order.Len() }
 
 // Gaps counts losses in the event stream since the start.
 func (x *Index) Gaps() uint64 { return x.gaps }
 
-// Reset empties the index for an incarnation.
-func (x *Index) Reset(incarnation string, nextSeq uint64) {
-	x.incarnation = incarnation
-	x.nextSeq = nextSeq
-	clear(x.stored)
-	clear(x.expected)
-}
-
 // Apply takes a page of events. Pages may come late, twice or with gaps.
 func (x *Index) Apply(page *platform.EventPage) {
 	if page.Incarnation != x.incarnation {
-		x.Reset(page.Incarnation, page.First)
+		x.incarnation = page.Incarnation
+		x.nextSeq = page.First
+		x.clear()
 	}
 	for _, event := range page.Events {
 		x.applyEvent(event)
 	}
 }
 
+func (x *Index) clear() {
+	x.order.Init()
+	clear(x.places)
+	clear(x.expected)
+}
+
 func (x *Index) applyEvent(event platform.CacheEvent) {
 	if event.Seq < x.nextSeq {
 		return
 	}
 	if event.Seq > x.nextSeq {
 		x.gaps++
-		clear(x.stored)
 	}
 	x.nextSeq = event.Seq + 1
 	switch event.Kind {
 	case platform.EventStored:
-		x.store(event.Blocks)
+		x.storeMissing(event.Blocks)
 	case platform.EventRemoved:
-		for _, b := range event.Blocks {
-			delete(x.stored, b)
-		}
+		x.drop(event.Blocks)
 	case platform.EventCleared:
-		clear(x.stored)
+		x.clear()
+	}
+}
+
+// storeMissing takes blocks that an event tells of. Those that are held keep
+// their place: the event is older than what put them there.
+func (x *Index) storeMissing(blocks []uint64) {
+	for _, b := range blocks {
+		if _, held := x.places[b]; !held {
+			x.places[b] = x.order.PushFront(b)
+		}
 	}
+	x.trim()
 }
 
-// store takes blocks up to the bound. A block over the bound is left out: the
-// index then believes too little, which costs time only.
-func (x *Index) store(blocks []uint64) {
+func (x *Index) drop(blocks []uint64) {
 	for _, b := range blocks {
-		if len(x.stored) >= x.maxBlocks {
-			return
+		if place, held := x.places[b]; held {
+			x.order.Remove(place)
+			delete(x.places, b)
+		}
+	}
+}
+
+func (x *Index) trim() {
+	for x.order.Len() > x.maxBlocks {
+		last := x.order.Back()
+		delete(x.places, x.order.Remove(last).(uint64))
+	}
+}
+
+// Confirm takes that the engine has computed a prompt and so holds all its
+// blocks now. Leading blocks stay longest, as in the engine.
+func (x *Index) Confirm(blocks []uint64) {
+	for i := len(blocks) - 1; i >= 0; i-- {
+		b := blocks[i]
+		if place, held := x.places[b]; held {
+			x.order.MoveToFront(place)
+			continue
 		}
-		x.stored[b] = struct{}{}
+		x.places[b] = x.order.PushFront(b)
 	}
+	x.trim()
 }
 
 // Expect counts the blocks of admitted work as held, so that a second request
@@ -115,7 +154,7 @@
 // Match returns how many leading blocks the engine holds or will hold.
 func (x *Index) Match(blocks []uint64) int {
 	for i, b := range blocks {
-		_, held := x.stored[b]
+		_, held := x.places[b]
 		if !held && x.expected[b] == 0 {
 			return i
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -16,11 +16,12 @@
 package routing
 
 import (
-	"cmp"
 	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/toucanwell/toucanwell/internal/config"
 )
 
 // State of a target in an entry's view.
@@ -59,8 +60,16 @@
 	Region string
 }
 
-// MaxRanked is how many targets a ranking holds at the most.
-const MaxRanked = 16
+// The parts of a ranking, in the order in which targets are asked.
+const (
+	// familyFirst targets of the family's key come first.
+	familyFirst = 6
+	// ownNext targets of the innermost level's key follow: the cases of a hot
+	// family spread over them.
+	ownNext = 8
+	// MaxRanked is how many targets a ranking holds at the most.
+	MaxRanked = 16
+)
 
 // Ranking lists targets in the order in which to ask them. It is a value
 // without pointers into the heap, so that ranking allocates nothing.
@@ -91,6 +100,12 @@
 	}
 }
 
+func (r *Ranking) addAll(indexes []int32) {
+	for _, i := range indexes {
+		r.add(int(i))
+	}
+}
+
 // mix is the finalizer of splitmix64: cheap, and every bit of the input
 // changes every bit of the output.
 func mix(x uint64) uint64 {
@@ -154,26 +169,29 @@
 }
 
 // Rank orders the targets of a service for a prompt with the given levels,
-// outermost first. Two keys are ranked: the innermost level but one, which a
-// whole family of prompts shares (the town), and the innermost (the case).
-// They alternate two to one.
+// outermost first. The first targets are those of the family, the innermost
+// level but one (the town), which many prompts share. Then come those of the
+// innermost level (the case), over which a family that is hotter than its first
+// targets can bear spreads out; then further ones of the family.
 func Rank(targets []Target, place Place, levels []uint64) Ranking {
 	var ranking Ranking
 	allowed, any := filter(targets, place)
 	if !any {
 		return ranking
 	}
-	family, own := levelKeys(levels)
-	var byFamily, byOwn top
+	familyKey, ownKey := levelKeys(levels)
+	var family, own top
 	for i := range targets {
 		t := &targets[i]
 		if !allowed(t) {
 			continue
 		}
-		byFamily.offer(i, t.Score(family))
-		byOwn.offer(i, t.Score(own))
+		family.offer(i, t.Score(familyKey))
+		own.offer(i, t.Score(ownKey))
 	}
-	merge(&ranking, &byFamily, &byOwn)
+	ranking.addAll(family.index[:min(family.n, familyFirst)])
+	ranking.addAll(own.index[:min(own.n, ownNext)])
+	ranking.addAll(family.index[:family.n])
 	return ranking
 }
 
@@ -188,22 +206,6 @@
 	}
 }
 
-const familyPerOwn = 2
-
-func merge(ranking *Ranking, family, own *top) {
-	f, o := 0, 0
-	for ranking.n < MaxRanked && (f < family.n || o < own.n) {
-		for k := 0; k < familyPerOwn && f < family.n; k++ {
-			ranking.add(int(family.index[f]))
-			f++
-		}
-		if o < own.n {
-			ranking.add(int(own.index[o]))
-			o++
-		}
-	}
-}
-
 // Quote is a target's answer to a probe.
 type Quote struct {
 	// Index of the target.
@@ -212,6 +214,8 @@
 	Wait time.Duration
 	// Prefill is the time to compute what the engine does not hold.
 	Prefill time.Duration
+	// Busy is the share of recent time that the target spent prefilling.
+	Busy float64
 	// Distance is the time of a round trip.
 	Distance time.Duration
 	// Refused is set when the target takes no new work.
@@ -222,31 +226,42 @@
 type Policy struct {
 	// Rounds are the numbers of targets asked after each round.
 	Rounds []int
-	// WasteFactor is how much a millisecond of recomputing weighs against one
-	// of waiting: it delays the requests behind as well.
-	WasteFactor float64
-	// Content is the cost up to which no further round is made.
+	// WasteFactor is how much a millisecond of recomputing at an idle target
+	// weighs against one of waiting. A class that cannot wait has a lower one.
+	WasteFactor [config.Classes]float64
+	// Content is the wait up to which no further round is made. The first
+	// targets of the ranking are where a prefix is if it is anywhere, so that
+	// only a queue, never a miss, is a reason to ask more.
 	Content time.Duration
 }
 
 // DefaultPolicy was chosen by replay; see docs/DESIGN.md.
-var DefaultPolicy = Policy{Rounds: []int{3, 8, 16}, WasteFactor: 1.5, Content: 100 * time.Millisecond}
+var DefaultPolicy = Policy{
+	Rounds:      []int{6, 16},
+	WasteFactor: [config.Classes]float64{0.3, 2, 2},
+	Content:     30 * time.Millisecond,
+}
+
+// busyPrice is how much dearer recomputing is at a target that is always busy:
+// there it delays the requests behind and evicts what they would have found.
+const busyPrice = 20
 
-// Cost is what a quote weighs.
-func (p *Policy) Cost(q Quote) float64 {
+// Cost is what a quote weighs, in nanoseconds of waiting.
+func (p *Policy) Cost(class config.Class, q Quote) float64 {
 	if q.Refused {
 		return math.Inf(1)
 	}
-	return float64(q.Wait) + float64(q.Distance) + p.WasteFactor*float64(q.Prefill)
+	price := p.WasteFactor[class] * (1 + busyPrice*q.Busy*q.Busy*q.Busy)
+	return float64(q.Wait) + float64(q.Distance) + price*float64(q.Prefill)
 }
 
 // Pick returns the position of the cheapest quote, or -1. Of equal ones the
 // first in the ranking wins.
-func (p *Policy) Pick(quotes []Quote) int {
+func (p *Policy) Pick(class config.Class, quotes []Quote) int {
 	best := -1
 	cost := math.Inf(1)
 	for i, q := range quotes {
-		if c := p.Cost(q); cmp.Less(c, cost) {
+		if c := p.Cost(class, q); c < cost {
 			best, cost = i, c
 		}
 	}
@@ -254,7 +269,7 @@
 }
 
 // Satisfied reports whether the quotes so far make another round needless.
-func (p *Policy) Satisfied(quotes []Quote) bool {
-	best := p.Pick(quotes)
-	return best >= 0 && p.Cost(quotes[best]) <= float64(p.Content)
+func (p *Policy) Satisfied(class config.Class, quotes []Quote) bool {
+	best := p.Pick(class, quotes)
+	return best >= 0 && quotes[best].Wait <= p.Content
 }
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	Wait          time.Duration
 	Prefill       time.Duration
 	MatchedTokens int
+	// Busy is the share of recent time that the target spent prefilling.
+	Busy float64
 }
 
 // Gate is the state of the one way to a target: its queue, its breaker, the
@@ -53,6 +56,7 @@
 	breaker  *breaker.Breaker
 	index    *prefix.Index
 	rate     float64
+	busy     busyMeter
 	draining bool
 	lastID   uint64
 	waiters  map[uint64]*Pass
@@ -69,6 +73,8 @@
 	// MatchedTokens when the request came.
 	MatchedTokens int
 	startedAt     time.Duration
+	// expecting is set while the index counts the pass's blocks as coming.
+	expecting bool
 }
 
 // NewGate returns an open gate. now counts from any start; rate is the prefill
@@ -114,6 +120,7 @@
 		Wait:          g.queue.EstimateWait(g.now(), w.Workspace, w.Class),
 		Prefill:       g.prefillTime(w.PromptTokens - matched),
 		MatchedTokens: matched,
+		Busy:          g.busy.share(g.now(), g.queue.Prefilling() > 0),
 	}, nil
 }
 
@@ -140,9 +147,10 @@
 	matched := g.matched(w)
 	prefill := g.prefillTime(w.PromptTokens - matched)
 	g.lastID++
-	p := &Pass{gate: g, id: g.lastID, work: w, permit: permit, MatchedTokens: matched, Decided: make(chan *errkind.Error, 1)}
+	p := &Pass{gate: g, id: g.lastID, work: w, permit: permit, MatchedTokens: matched, expecting: true, Decided: make(chan *errkind.Error, 1)}
 	g.waiters[p.id] = p
 	g.index.Expect(w.Blocks)
+	g.noteBusy()
 	g.deliver(g.queue.Offer(g.now(), admission.Request{
 		ID:        p.id,
 		Workspace: w.Workspace,
@@ -155,6 +163,31 @@
 	return p, nil
 }
 
+// busyMeter measures the share of recent time in which something was under way.
+type busyMeter struct {
+	level float64
+	at    time.Duration
+}
+
+// busyWindow is the time over which the share is averaged.
+const busyWindow = 5 * time.Second
+
+// share returns the average, after counting the time since the last call as
+// busy or idle.
+func (m *busyMeter) share(now time.Duration, busy bool) float64 {
+	keep := math.Exp(-float64(now-m.at) / float64(busyWindow))
+	target := 0.0
+	if busy {
+		target = 1
+	}
+	m.level = target + (m.level-target)*keep
+	m.at = now
+	return m.level
+}
+
+// noteBusy counts the time up to now, before the queue changes.
+func (g *Gate) noteBusy() { g.busy.share(g.now(), g.queue.Prefilling() > 0) }
+
 // deliver hands outcomes to their passes. The caller holds mu.
 func (g *Gate) deliver(outcomes []admission.Outcome) {
 	for _, o := range outcomes {
@@ -172,7 +205,13 @@
 	}
 }
 
-func (g *Gate) forget(p *Pass) { g.index.Forget(p.work.Blocks) }
+// forget takes back that the index expects a pass's blocks.
+func (g *Gate) forget(p *Pass) {
+	if p.expecting {
+		p.expecting = false
+		g.index.Forget(p.work.Blocks)
+	}
+}
 
 // Expire refuses waiting requests whose deadline can no longer be met.
 func (g *Gate) Expire() {
@@ -188,7 +227,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.learnRate(p.work.PromptTokens-cached, g.now()-p.startedAt)
+	g.index.Confirm(p.work.Blocks)
+	g.forget(p)
 	g.breaker.Complete(g.now(), p.permit, breaker.Success)
+	g.noteBusy()
 	g.deliver(g.queue.FirstToken(g.now(), p.id))
 }
 
@@ -208,6 +250,7 @@
 	defer g.mu.Unlock()
 	g.breaker.Complete(g.now(), p.permit, result)
 	g.forget(p)
+	g.noteBusy()
 	g.deliver(g.queue.Finish(g.now(), p.id))
 }
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -17,6 +17,8 @@
 	"github.com/toucanwell/toucanwell/internal/stream"
 )
 
+const permille = 1000
+
 // own is this sidecar's part of the configuration in force.
 type own struct {
 	snapshot configlog.Snapshot
@@ -64,6 +66,7 @@
 	resp.WaitMs = uint32(quote.Wait.Milliseconds())
 	resp.PrefillMs = uint32(quote.Prefill.Milliseconds())
 	resp.MatchedTokens = uint32(quote.MatchedTokens)
+	resp.BusyPermille = uint32(quote.Busy * permille)
 	return connect.NewResponse(resp), nil
 }
 
