The operators' tool: check, publish, show, status, report, demo, stand-ins

Cause: the path could be run from tests only. Ruled out: a tool that edits the configuration through the processes; what is in force comes from the published text alone. Change: toucanwell with its commands, exit codes and JSON output, a load tool that compares every answer with the engine's transcript, burn report with plot. Conclusion: one command shows the main job.

--- /dev/null
+++ b/cmd/toucanwell/config.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/toucanwell/toucanwell/internal/config"
+	"github.com/toucanwell/toucanwell/internal/configlog"
+	"github.com/toucanwell/toucanwell/internal/platform"
+)
+
+const publishTimeout = 60 * time.Second
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a configuration text",
+		ArgsUsage: "FILE",
+		Action: func(_ context.Context, c *cli.Command) error {
+			_, text, err := readConfig(c)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%s: good, %d bytes\n", c.Args().First(), len(text))
+			return nil
+		},
+	}
+}
+
+// readConfig reads and checks the text that the first argument names.
+func readConfig(c *cli.Command) (*config.Config, string, error) {
+	path := c.Args().First()
+	if path == "" {
+		return nil, "", cli.Exit("name a configuration file", exitBadInput)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, "", cli.Exit(err.Error(), exitBadInput)
+	}
+	parsed, err := config.Parse(path, string(text))
+	if err != nil {
+		return nil, "", cli.Exit(err.Error(), exitBadInput)
+	}
+	return parsed, string(text), nil
+}
+
+func logFlag() cli.Flag {
+	return &cli.StringFlag{Name: "log", Usage: "base URL of the platform's log", Required: true, Sources: cli.EnvVars("TOUCANWELL_LOG_URL")}
+}
+
+func publishCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "publish",
+		Usage:     "publish a configuration text",
+		ArgsUsage: "FILE",
+		Description: "A publish names the version it was edited from. When another version came first, it is refused with\n" +
+			"exit code 3: fetch the version in force, apply your change to it and publish again.",
+		Flags: []cli.Flag{
+			logFlag(), outputFlag(),
+			&cli.Uint64Flag{Name: "base", Usage: "version that the text was edited from; 0 for the first"},
+			&cli.BoolFlag{Name: "recover", Usage: "put a text in force when neither the log nor any process knows one any more"},
+		},
+		Action: publish,
+	}
+}
+
+func publish(ctx context.Context, c *cli.Command) error {
+	_, text, err := readConfig(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	log := platform.NewHTTPLog(c.String("log"), platform.NewHTTPClient())
+	nonce := uuid.NewString()
+	if c.Bool("recover") {
+		version, err := configlog.Recover(ctx, log, nonce, text)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("recovered as version %d\n", version)
+		return nil
+	}
+	verdict, err := configlog.Publish(ctx, log, nonce, c.Uint64("base"), text)
+	if errors.Is(err, configlog.ErrConflict) {
+		return cli.Exit(err.Error(), exitConflict)
+	}
+	if err != nil {
+		return err
+	}
+	if c.String("output") == "json" {
+		return json.NewEncoder(os.Stdout).Encode(map[string]any{"version": verdict.Offset, "accepted": true})
+	}
+	fmt.Printf("accepted as version %d; see 'toucanwell status' for where it is in force\n", verdict.Offset)
+	return nil
+}
--- a/cmd/toucanwell/main.go
+++ b/cmd/toucanwell/main.go
@@ -1,4 +1,5 @@
-// Command toucanwell is the operators' tool.
+// Command toucanwell is the operators' tool. It changes nothing behind the
+// configuration's back: it checks, publishes, shows and reports.
 package main
 
 import (
@@ -11,17 +12,54 @@
 	"github.com/toucanwell/toucanwell/internal/version"
 )
 
+// Exit codes besides 0.
+const (
+	exitFailed   = 1
+	exitBadInput = 2
+	exitConflict = 3
+)
+
 func main() {
 	command := &cli.Command{
 		Name:    "toucanwell",
 		Usage:   "check, publish and watch the router's configuration",
 		Version: version.String(),
+		Description: "Exit codes: 0 done, 1 failed, 2 bad input, 3 another version was published first.\n" +
+			"The administration token is read from the environment variable TOUCANWELL_ADMIN_TOKEN.",
 		Commands: []*cli.Command{
+			checkCommand(),
+			publishCommand(),
+			showCommand(),
+			statusCommand(),
+			reportCommand(),
+			demoCommand(),
 			replayCommand(),
+			traceCommand(),
+			standinCommand(),
+			versionCommand(),
 		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "toucanwell:", err)
-		os.Exit(1)
+		if coder, ok := err.(cli.ExitCoder); ok {
+			os.Exit(coder.ExitCode())
+		}
+		os.Exit(exitFailed)
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(context.Context, *cli.Command) error {
+			fmt.Println(version.String())
+			return nil
+		},
 	}
 }
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{Name: "output", Usage: "text or json", Value: "text"}
+}
--- /dev/null
+++ b/cmd/toucanwell/report.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"github.com/wcharczuk/go-chart/v2"
+
+	"github.com/toucanwell/toucanwell/api/admin/oas"
+	"github.com/toucanwell/toucanwell/internal/burn"
+	"github.com/toucanwell/toucanwell/internal/config"
+)
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "report",
+		Usage: "show how fast the service-level objectives' error budgets burn",
+		Flags: []cli.Flag{adminFlag(), outputFlag(), &cli.StringFlag{Name: "plot", Usage: "write a picture of the burn by minute (SVG)"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			r, err := gather(ctx, c.StringSlice("admin"), time.Now())
+			if err != nil {
+				return err
+			}
+			if path := c.String("plot"); path != "" {
+				if err := r.plot(path); err != nil {
+					return err
+				}
+			}
+			if c.String("output") == "json" {
+				return json.NewEncoder(os.Stdout).Encode(r)
+			}
+			return r.print()
+		},
+	}
+}
+
+// report is the burn over all entries asked.
+type report struct {
+	Rows []burn.Row `json:"rows"`
+	// Missing says which part of the slow window is not covered.
+	Missing []string `json:"missing"`
+
+	goals  []burn.Goal
+	counts []burn.Count
+	now    time.Time
+}
+
+func gather(ctx context.Context, addresses []string, now time.Time) (*report, error) {
+	r := &report{now: now, Missing: []string{}}
+	answers := askAll(ctx, addresses, func(ctx context.Context, client *oas.Client) (*oas.Burn, error) { return client.GetBurn(ctx) })
+	for _, a := range answers {
+		if a.err != nil {
+			r.Missing = append(r.Missing, fmt.Sprintf("%s gave no answer: %v", a.address, a.err))
+			continue
+		}
+		if since := time.UnixMilli(a.value.SinceUnixMs); since.After(now.Add(-burn.SlowWindow)) {
+			r.Missing = append(r.Missing, fmt.Sprintf("%s counts since %s only", a.address, since.UTC().Format(time.RFC3339)))
+		}
+		for _, row := range a.value.Rows {
+			key := burn.Key{Service: row.Service, Class: row.Class, Workspace: row.Workspace}
+			r.counts = append(r.counts, burn.Count{Key: key, Minute: row.MinuteUnix, Good: row.Good, Bad: row.Bad})
+		}
+	}
+	goals, err := objectives(ctx, addresses)
+	if err != nil {
+		return nil, err
+	}
+	r.goals = goals
+	r.Rows = burn.Report(goals, r.counts, now)
+	return r, nil
+}
+
+// objectives reads the goals from the newest configuration in force.
+func objectives(ctx context.Context, addresses []string) ([]burn.Goal, error) {
+	answers := askAll(ctx, addresses, func(ctx context.Context, client *oas.Client) (*oas.Configuration, error) {
+		return client.GetConfiguration(ctx)
+	})
+	var newest *oas.Configuration
+	for _, a := range answers {
+		if a.err == nil && (newest == nil || a.value.Version > newest.Version) {
+			newest = a.value
+		}
+	}
+	if newest == nil {
+		return nil, errors.New("no process told its configuration")
+	}
+	parsed, err := config.Parse("configuration in force", newest.Text)
+	if err != nil {
+		return nil, err
+	}
+	var goals []burn.Goal
+	for _, o := range parsed.Objectives {
+		goals = append(goals, burn.Goal{Service: o.Service, Class: o.Class, Goal: o.Goal})
+	}
+	return goals, nil
+}
+
+func (r *report) print() error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVICE\tCLASS\tWORKSPACE\tGOAL\tGOOD\tBAD\tBURN 5M\tBURN 1H\tBUDGET LEFT")
+	for _, row := range r.Rows {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.3f\t%d\t%d\t%.2f\t%.2f\t%.0f%%\n", row.Service, row.Class, row.Workspace, row.Goal,
+			row.Good, row.Bad, row.FastBurn, row.SlowBurn, row.BudgetLeft*100)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, m := range r.Missing {
+		fmt.Println("missing:", m)
+	}
+	return nil
+}
+
+// plot draws the burn of each objective by minute.
+func (r *report) plot(path string) error {
+	graph := chart.Chart{
+		Title: "error budget burn by minute",
+		YAxis: chart.YAxis{Name: "burn"},
+		XAxis: chart.XAxis{ValueFormatter: chart.TimeMinuteValueFormatter},
+	}
+	for _, g := range r.goals {
+		graph.Series = append(graph.Series, r.series(g))
+	}
+	graph.Elements = []chart.Renderable{chart.Legend(&graph)}
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	err = graph.Render(chart.SVG, file)
+	return errors.CombineErrors(errors.Wrap(err, "plot"), file.Close())
+}
+
+func (r *report) series(g burn.Goal) chart.TimeSeries {
+	good := map[int64]int64{}
+	bad := map[int64]int64{}
+	for _, c := range r.counts {
+		if c.Service == g.Service && c.Class == g.Class {
+			good[c.Minute] += c.Good
+			bad[c.Minute] += c.Bad
+		}
+	}
+	s := chart.TimeSeries{Name: g.Service + " " + g.Class}
+	first := r.now.Unix()/60 - burn.Minutes + 1
+	for m := first; m <= r.now.Unix()/60; m++ {
+		y := 0.0
+		if n := good[m] + bad[m]; n > 0 {
+			y = float64(bad[m]) / float64(n) / (1 - g.Goal)
+		}
+		s.XValues = append(s.XValues, time.Unix(m*60, 0))
+		s.YValues = append(s.YValues, y)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/load/events.go
@@ -0,0 +1,30 @@
+package load
+
+import (
+	"bufio"
+	"io"
+	"strings"
+)
+
+const maxEvent = 1 << 20
+
+// eventReader yields the data of server-sent events.
+type eventReader struct{ lines *bufio.Scanner }
+
+func newEventReader(in io.Reader) *eventReader {
+	lines := bufio.NewScanner(in)
+	lines.Buffer(make([]byte, 0, 4096), maxEvent)
+	return &eventReader{lines}
+}
+
+func (r *eventReader) next() (string, error) {
+	for r.lines.Scan() {
+		if data, ok := strings.CutPrefix(r.lines.Text(), "data: "); ok {
+			return data, nil
+		}
+	}
+	if err := r.lines.Err(); err != nil {
+		return "", err
+	}
+	return "", io.ErrUnexpectedEOF
+}
