Probes as datagrams; faults in replay; two rounds of 4 and 10

Cause: at 420 entries before 600 engines an entry asks each gate once in tens of seconds, so that probes over connect would hold a connection to nearly every sidecar, and a probe that names every block of an 11,000-token prompt is 700 B. Change: a probe is one UDP datagram with points of the prefix chain, numbered, answered or passed over; without any answer the first of the ranking is taken. Replay has faults (a third of the engines crash, a zone is gone) and recoveries.

--- a/api/peer/v1/peer.connect.go
+++ b/api/peer/v1/peer.connect.go
@@ -38,8 +38,6 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// GateProbeProcedure is the fully-qualified name of the Gate's Probe RPC.
-	GateProbeProcedure = "/toucanwell.peer.v1.Gate/Probe"
 	// GateRunProcedure is the fully-qualified name of the Gate's Run RPC.
 	GateRunProcedure = "/toucanwell.peer.v1.Gate/Run"
 	// GateResumeProcedure is the fully-qualified name of the Gate's Resume RPC.
@@ -54,8 +52,6 @@
 
 // GateClient is a client for the toucanwell.peer.v1.Gate service.
 type GateClient interface {
-	// Probe tells what a request would cost at this target now.
-	Probe(context.Context, *connect.Request[ProbeRequest]) (*connect.Response[ProbeResponse], error)
 	// Run admits a completion and streams its frames.
 	Run(context.Context, *connect.Request[RunRequest]) (*connect.ServerStreamForClient[Frame], error)
 	// Resume continues the frames of a run from a sequence number.
@@ -77,12 +73,6 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	gateMethods := File_peer_proto.Services().ByName("Gate").Methods()
 	return &gateClient{
-		probe: connect.NewClient[ProbeRequest, ProbeResponse](
-			httpClient,
-			baseURL+GateProbeProcedure,
-			connect.WithSchema(gateMethods.ByName("Probe")),
-			connect.WithClientOptions(opts...),
-		),
 		run: connect.NewClient[RunRequest, Frame](
 			httpClient,
 			baseURL+GateRunProcedure,
@@ -112,18 +102,12 @@
 
 // gateClient implements GateClient.
 type gateClient struct {
-	probe  *connect.Client[ProbeRequest, ProbeResponse]
 	run    *connect.Client[RunRequest, Frame]
 	resume *connect.Client[ResumeRequest, Frame]
 	cancel *connect.Client[CancelRequest, CancelResponse]
 	call   *connect.Client[CallRequest, CallResponse]
 }
 
-// Probe calls toucanwell.peer.v1.Gate.Probe.
-func (c *gateClient) Probe(ctx context.Context, req *connect.Request[ProbeRequest]) (*connect.Response[ProbeResponse], error) {
-	return c.probe.CallUnary(ctx, req)
-}
-
 // Run calls toucanwell.peer.v1.Gate.Run.
 func (c *gateClient) Run(ctx context.Context, req *connect.Request[RunRequest]) (*connect.ServerStreamForClient[Frame], error) {
 	return c.run.CallServerStream(ctx, req)
@@ -146,8 +130,6 @@
 
 // GateHandler is an implementation of the toucanwell.peer.v1.Gate service.
 type GateHandler interface {
-	// Probe tells what a request would cost at this target now.
-	Probe(context.Context, *connect.Request[ProbeRequest]) (*connect.Response[ProbeResponse], error)
 	// Run admits a completion and streams its frames.
 	Run(context.Context, *connect.Request[RunRequest], *connect.ServerStream[Frame]) error
 	// Resume continues the frames of a run from a sequence number.
@@ -165,12 +147,6 @@
 // and JSON codecs. They also support gzip compression.
 func NewGateHandler(svc GateHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	gateMethods := File_peer_proto.Services().ByName("Gate").Methods()
-	gateProbeHandler := connect.NewUnaryHandler(
-		GateProbeProcedure,
-		svc.Probe,
-		connect.WithSchema(gateMethods.ByName("Probe")),
-		connect.WithHandlerOptions(opts...),
-	)
 	gateRunHandler := connect.NewServerStreamHandler(
 		GateRunProcedure,
 		svc.Run,
@@ -197,8 +173,6 @@
 	)
 	return "/toucanwell.peer.v1.Gate/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case GateProbeProcedure:
-			gateProbeHandler.ServeHTTP(w, r)
 		case GateRunProcedure:
 			gateRunHandler.ServeHTTP(w, r)
 		case GateResumeProcedure:
@@ -216,10 +190,6 @@
 // UnimplementedGateHandler returns CodeUnimplemented from all methods.
 type UnimplementedGateHandler struct{}
 
-func (UnimplementedGateHandler) Probe(context.Context, *connect.Request[ProbeRequest]) (*connect.Response[ProbeResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("toucanwell.peer.v1.Gate.Probe is not implemented"))
-}
-
 func (UnimplementedGateHandler) Run(context.Context, *connect.Request[RunRequest], *connect.ServerStream[Frame]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("toucanwell.peer.v1.Gate.Run is not implemented"))
 }
--- a/cmd/toucanwell/replay.go
+++ b/cmd/toucanwell/replay.go
@@ -34,6 +34,7 @@
 			&cli.FloatFlag{Name: "loss", Usage: "share of cache events lost", Value: 0.05},
 			&cli.IntFlag{Name: "prefilling", Usage: "prefills that a gate lets run at once", Value: 1},
 			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.StringFlag{Name: "fault", Usage: "at half the length: crash (a third of the engines) or zone (one availability zone is gone)"},
 			&cli.StringFlag{Name: "policies", Usage: "words of policy names, divided by commas; empty means all"},
 			&cli.StringSliceFlag{Name: "variant", Usage: "another weighing to replay, like waste=2/4/8;content=50ms;rounds=2/6/16 (oracle=1 for the oracle's)"},
 		},
@@ -57,21 +58,56 @@
 	if err != nil {
 		return err
 	}
+	faults, err := faultsOf(c)
+	if err != nil {
+		return err
+	}
 	for _, policy := range policies {
 		records, done, err := recordsOf(c, shape, rate)
 		if err != nil {
 			return err
 		}
 		results = append(results, replay.Run(replay.Setup{
-			Engines: c.Int("engines"), Entries: c.Int("entries"), Zones: 3, Costs: replay.DefaultCosts, Policy: policy,
+			Engines: c.Int("engines"), Entries: c.Int("entries"), Zones: zones, Costs: replay.DefaultCosts, Policy: policy,
 			Weights: replay.Weights(shape), ReportLag: c.Duration("lag"), EventLoss: c.Float("loss"),
-			MaxPrefilling: c.Int("prefilling"), BlockTokens: shape.BlockTokens, Seed: c.Uint64("seed"), Warmup: c.Duration("length") / 6,
+			MaxPrefilling: c.Int("prefilling"), BlockTokens: shape.BlockTokens, Seed: c.Uint64("seed"), Warmup: c.Duration("length") / 6, Faults: faults,
 		}, records))
 		if err := done(); err != nil {
 			return err
 		}
 	}
-	return replay.WriteTable(os.Stdout, results)
+	if err := replay.WriteTable(os.Stdout, results); err != nil {
+		return err
+	}
+	for _, f := range faults {
+		for _, r := range results {
+			hit, ttft := r.Recovery(f.At)
+			fmt.Printf("%s: hit rate recovered after %d s, mean TTFT after %d s (-1: not in the trace)\n", r.Policy, hit, ttft)
+		}
+	}
+	return nil
+}
+
+const zones = 3
+
+// faultsOf returns the fault that the flag names.
+func faultsOf(c *cli.Command) ([]replay.Fault, error) {
+	f := replay.Fault{At: c.Duration("length") / 2}
+	var part []int
+	for i := 0; i < c.Int("engines"); i += zones {
+		part = append(part, i)
+	}
+	switch c.String("fault") {
+	case "":
+		return nil, nil
+	case "crash":
+		f.Crash = part
+	case "zone":
+		f.Kill = part
+	default:
+		return nil, errors.Newf("fault %q found; allowed are crash and zone", c.String("fault"))
+	}
+	return []replay.Fault{f}, nil
 }
 
 // policiesOf returns the wanted policies and the variants.
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -45,8 +45,9 @@
 // Request asks for admission. Times are since a start that the caller chose.
 type Request struct {
 	// ID is unique among the requests of the queue.
-	ID        uint64
-	Workspace string
+	ID uint64
+	// Workspace is the hash of its name.
+	Workspace uint32
 	// Weight of the workspace.
 	Weight float64
 	Class  config.Class
@@ -95,7 +96,7 @@
 	queued  [config.Classes][]item
 	credit  [config.Classes]float64
 	virtual [config.Classes]float64
-	finish  [config.Classes]map[string]float64
+	finish  [config.Classes]map[uint32]float64
 	running map[uint64]*active
 	prefill int
 	order   uint64
@@ -106,7 +107,7 @@
 func NewQueue(limits Limits) *Queue {
 	q := &Queue{limits: limits, running: map[uint64]*active{}}
 	for c := range q.finish {
-		q.finish[c] = map[string]float64{}
+		q.finish[c] = map[uint32]float64{}
 	}
 	return q
 }
@@ -205,7 +206,7 @@
 
 // EstimateWait is the time until a new request of a workspace and class would
 // reach the target.
-func (q *Queue) EstimateWait(now time.Duration, workspace string, class config.Class) time.Duration {
+func (q *Queue) EstimateWait(now time.Duration, workspace uint32, class config.Class) time.Duration {
 	it := q.tag(Request{Workspace: workspace, Class: class, Weight: 1})
 	return q.waitOf(now, it)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/toucanwell/toucanwell/internal/logging"
 	"github.com/toucanwell/toucanwell/internal/metrics"
 	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/probe"
 	"github.com/toucanwell/toucanwell/internal/routing"
 	"github.com/toucanwell/toucanwell/internal/settings"
 	"github.com/toucanwell/toucanwell/internal/sidecar"
@@ -47,10 +48,12 @@
 	drain    func(ctx context.Context)
 	traffic  *http.Server
 	admin    *http.Server
-	peers    *http.Client
-	platform *http.Client
-	draining atomic.Bool
-	failed   chan error
+	// datagrams sends or answers probes.
+	datagrams io.Closer
+	peers     *http.Client
+	platform  *http.Client
+	draining  atomic.Bool
+	failed    chan error
 }
 
 // New builds the process and binds its listeners. Binding comes before
@@ -90,7 +93,7 @@
 	if d.settings.Role == settings.RoleEntry {
 		err = d.buildEntry(log, m, process, mux)
 	} else {
-		d.buildSidecar(log, m, process)
+		err = d.buildSidecar(log, m, process)
 	}
 	if err != nil {
 		return err
@@ -105,7 +108,12 @@
 }
 
 func (d *Daemon) buildEntry(log platform.Log, m *metrics.Metrics, process *admin.Process, mux *http.ServeMux) error {
-	deps := entry.Deps{Log: log, Peers: d.peers, Logger: d.logger, Metrics: m}
+	prober, err := probe.NewClient(d.settings.Listen)
+	if err != nil {
+		return err
+	}
+	d.datagrams = prober
+	deps := entry.Deps{Log: log, Peers: d.peers, Prober: prober, Logger: d.logger, Metrics: m}
 	if d.settings.Platform.HostsURL != "" {
 		deps.Hosts = platform.NewHTTPHosts(d.settings.Platform.HostsURL, d.platform)
 	}
@@ -131,7 +139,7 @@
 	return nil
 }
 
-func (d *Daemon) buildSidecar(log platform.Log, m *metrics.Metrics, process *admin.Process) {
+func (d *Daemon) buildSidecar(log platform.Log, m *metrics.Metrics, process *admin.Process) error {
 	s := sidecar.New(d.settings, sidecar.Deps{
 		Log:    log,
 		Engine: platform.NewHTTPEngine(d.settings.Target.URL, d.platform),
@@ -144,6 +152,12 @@
 	process.InFlight = s.InFlight
 	process.Config = s.Board().Config.Get
 	process.Targets = func() []routing.Target { return targetsOf(s.Board().Config.Get()) }
+	server, err := probe.NewServer(d.settings.Listen, s.Probe)
+	if err != nil {
+		return err
+	}
+	d.datagrams = server
+	return nil
 }
 
 func targetsOf(snapshot configlog.Snapshot, ok bool) []routing.Target {
@@ -201,6 +215,7 @@
 func (d *Daemon) Close() {
 	_ = d.traffic.Close()
 	_ = d.admin.Close()
+	_ = d.datagrams.Close()
 	d.role.Close()
 	d.peers.CloseIdleConnections()
 	d.platform.CloseIdleConnections()
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -31,16 +31,18 @@
 type completion struct {
 	id        string
 	workspace *config.Workspace
-	service   *config.Service
-	model     *config.Model
-	adapter   string
-	class     config.Class
-	text      string
-	prompt    prefix.Prompt
-	maxTokens int
-	once      *peerv1.OnceKey
-	arrived   time.Time
-	deadline  time.Time
+	// workspaceHash is how probes name the workspace.
+	workspaceHash uint32
+	service       *config.Service
+	model         *config.Model
+	adapter       string
+	class         config.Class
+	text          string
+	prompt        prefix.Prompt
+	maxTokens     int
+	once          *peerv1.OnceKey
+	arrived       time.Time
+	deadline      time.Time
 }
 
 // sink takes an answer's frames in order. An error means that the caller has
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/metrics"
 	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/probe"
 	"github.com/toucanwell/toucanwell/internal/retry"
 	"github.com/toucanwell/toucanwell/internal/routing"
 	"github.com/toucanwell/toucanwell/internal/settings"
@@ -63,6 +64,7 @@
 	budget   *retry.Budget
 	burn     *burn.Counter
 	peers    *http.Client
+	prober   *probe.Client
 	place    routing.Place
 	clients  sync.Map // address to peerv1.GateClient
 	inFlight atomic.Int64
@@ -77,6 +79,7 @@
 	// Hosts may be nil.
 	Hosts   platform.Hosts
 	Peers   *http.Client
+	Prober  *probe.Client
 	Logger  logr.Logger
 	Metrics *metrics.Metrics
 }
@@ -86,7 +89,7 @@
 	e := &Entry{
 		settings: s, logger: d.Logger, metrics: d.Metrics, hosts: d.Hosts,
 		board: &Board{}, loop: control.NewLoop(s.Seed), health: newHealth(time.Now),
-		budget: retry.NewBudget(), burn: burn.NewCounter(time.Now), peers: d.Peers,
+		budget: retry.NewBudget(), burn: burn.NewCounter(time.Now), peers: d.Peers, prober: d.Prober,
 		place: routing.Place{Zone: s.AvailabilityZone, Region: s.Region},
 	}
 	e.follower = configlog.NewFollower(e.loop, d.Log, &e.board.Config, configlog.FollowerOptions{
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -14,6 +14,7 @@
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/once"
 	"github.com/toucanwell/toucanwell/internal/prefix"
+	"github.com/toucanwell/toucanwell/internal/probe"
 )
 
 const (
@@ -116,7 +117,7 @@
 	}
 	service := c.Service(model.Service)
 	r := &completion{
-		id: id, workspace: h.workspace, service: service, model: model, adapter: req.Adapter.Or(""),
+		id: id, workspace: h.workspace, workspaceHash: probe.WorkspaceHash(h.workspace.Name), service: service, model: model, adapter: req.Adapter.Or(""),
 		maxTokens: req.MaxTokens.Or(0), arrived: arrived,
 	}
 	var refusal *errkind.Error
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/routing"
@@ -15,7 +13,7 @@
 const (
 	// probeTimeout bounds one round of probes. A sidecar that does not answer
 	// within it is frozen, gone or cut off.
-	probeTimeout = 250 * time.Millisecond
+	probeTimeout = 100 * time.Millisecond
 	// zoneDistance is the round trip across availability zones, regionDistance
 	// across regions.
 	zoneDistance   = 2 * time.Millisecond
@@ -63,6 +61,9 @@
 	made.probes = len(quotes)
 	e.metrics.Probes(made.probes)
 	best := policy.Pick(r.class, quotes)
+	if best < 0 && silent(answers) {
+		return blind(targets, &ranking, avoid)
+	}
 	if best < 0 {
 		return choice{}, noneTook(answers)
 	}
@@ -75,6 +76,27 @@
 	return made, nil
 }
 
+// silent reports whether no probe was answered at all.
+func silent(answers []answer) bool {
+	for _, a := range answers {
+		if a.refusal.Kind != errkind.NoTarget {
+			return false
+		}
+	}
+	return true
+}
+
+// blind picks the first of the ranking when no probe was answered: datagrams
+// may be lost where connections are not, and the gate decides in any case.
+func blind(targets []routing.Target, ranking *routing.Ranking, avoid map[string]bool) (choice, *errkind.Error) {
+	for i := range ranking.Len() {
+		if t := targets[ranking.At(i)]; !avoid[t.Name] {
+			return choice{target: t}, nil
+		}
+	}
+	return choice{}, errkind.After(errkind.NoTarget, suspectFor, "no target is left to try")
+}
+
 // answer is what one probe brought.
 type answer struct {
 	quote   routing.Quote
@@ -85,10 +107,6 @@
 func (e *Entry) probeRound(ctx context.Context, view *View, r *completion, targets []routing.Target, ranking *routing.Ranking, from, to int, avoid map[string]bool) []answer {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	request := &peerv1.ProbeRequest{
-		ConfigVersion: view.Version, Workspace: r.workspace.Name, Class: uint32(r.class),
-		Blocks: r.prompt.Blocks, PromptTokens: uint32(r.prompt.Tokens),
-	}
 	answers := make([]answer, 0, to-from)
 	var wg sync.WaitGroup
 	for i := from; i < to; i++ {
@@ -101,23 +119,33 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			*place = e.probe(ctx, &targets[index], index, request)
+			*place = e.probe(ctx, &targets[index], index, newProbe(view, r))
 		}()
 	}
 	wg.Wait()
 	return answers
 }
 
+func newProbe(view *View, r *completion) *peerv1.ProbeRequest {
+	m := &peerv1.ProbeRequest{
+		ConfigVersion: view.Version, Workspace: r.workspaceHash, Class: uint32(r.class), PromptTokens: uint32(r.prompt.Tokens),
+	}
+	for _, p := range r.prompt.Points {
+		m.Points = append(m.Points, p.Block)
+		m.PointTokens = append(m.PointTokens, uint32(p.Tokens))
+	}
+	return m
+}
+
 func (e *Entry) probe(ctx context.Context, target *routing.Target, index int, request *peerv1.ProbeRequest) answer {
 	a := answer{quote: routing.Quote{Index: index, Distance: e.distance(target)}}
-	resp, err := e.client(target.Address).Probe(ctx, connect.NewRequest(request))
+	m, err := e.prober.Ask(ctx, target.Probe, request)
 	if err != nil {
 		e.health.note(target.Name, routing.Suspect)
 		a.quote.Refused = true
 		a.refusal = errkind.After(errkind.NoTarget, suspectFor, "%s does not answer", target.Name)
 		return a
 	}
-	m := resp.Msg
 	e.follower.Hint(m.ConfigVersion, target.Address)
 	if kind := errkind.Kind(m.RefusalKind); kind != errkind.None {
 		e.noteRefusal(target.Name, kind)
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -163,10 +163,26 @@
 // Match returns how many leading blocks the engine holds or will hold.
 func (x *Index) Match(blocks []uint64) int {
 	for i, b := range blocks {
-		_, held := x.places[b]
-		if !held && x.expected[b] == 0 {
+		if !x.holds(b) {
 			return i
 		}
 	}
 	return len(blocks)
 }
+
+// MatchPoints returns how many tokens of a prefix the engine holds or will
+// hold, as told by points of it. A block leaves after those behind it, so that
+// the furthest point held stands for all before it.
+func (x *Index) MatchPoints(points []Point) int {
+	for i := len(points) - 1; i >= 0; i-- {
+		if x.holds(points[i].Block) {
+			return points[i].Tokens
+		}
+	}
+	return 0
+}
+
+func (x *Index) holds(block uint64) bool {
+	_, held := x.places[block]
+	return held || x.expected[block] > 0
+}
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -53,16 +53,40 @@
 	// Levels are the names of its nested prefixes, outermost first: the
 	// rulebook, the town within it, the case within that.
 	Levels []uint64
+	// Points are the last whole blocks within the levels and of the prompt.
+	Points []Point
 	// Tokens is the estimated length.
 	Tokens int
 }
 
+// Point is a block that stands for the prefix up to it.
+type Point struct {
+	Block  uint64
+	Tokens int
+}
+
+// PointsAt returns the points at numbers of blocks, leaving out those that
+// fall together.
+func PointsAt(blocks []uint64, ends []int, blockTokens int) []Point {
+	points := make([]Point, 0, len(ends))
+	last := 0
+	for _, end := range ends {
+		if end = min(end, len(blocks)); end > last {
+			points = append(points, Point{blocks[end-1], end * blockTokens})
+			last = end
+		}
+	}
+	return points
+}
+
 // Parse names the blocks and levels of a prompt made of parts. Each part but
 // the last closes a level; the last part is the caller's own question, unless
 // it is the only one.
 func Parse(scope Scope, parts []string, blockTokens int) Prompt {
 	root := scope.Root()
 	var text []byte
+	var ends []int
+	size := blockTokens * BytesPerToken
 	p := Prompt{Levels: make([]uint64, 0, len(parts))}
 	level := root
 	for i, part := range parts {
@@ -70,9 +94,11 @@
 		level = Chain(level, part)
 		if i < len(parts)-1 || len(parts) == 1 {
 			p.Levels = append(p.Levels, level)
+			ends = append(ends, len(text)/size)
 		}
 	}
-	p.Blocks = blocks(root, text, blockTokens*BytesPerToken)
+	p.Blocks = blocks(root, text, size)
+	p.Points = PointsAt(p.Blocks, append(ends, len(p.Blocks)), blockTokens)
 	p.Tokens = (len(text) + BytesPerToken - 1) / BytesPerToken
 	return p
 }
--- a/internal/replay/policies.go
+++ b/internal/replay/policies.go
@@ -257,7 +257,7 @@
 
 // quote asks the real gate.
 func (r *Replay) quote(j *job, i int) routing.Quote {
-	q, refusal := r.engines[i].gate.Quote(r.work(j))
+	q, refusal := r.engines[i].gate.Quote(r.question(j))
 	return routing.Quote{Index: i, Wait: q.Wait, Prefill: q.Prefill, Busy: q.Busy, Refused: refusal != nil}
 }
 
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -13,6 +13,8 @@
 	"github.com/toucanwell/toucanwell/internal/admission"
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/prefix"
+	"github.com/toucanwell/toucanwell/internal/probe"
 	"github.com/toucanwell/toucanwell/internal/routing"
 	"github.com/toucanwell/toucanwell/internal/sidecar"
 	"github.com/toucanwell/toucanwell/internal/trace"
@@ -137,6 +139,8 @@
 	avoid   map[int]bool
 	engine  int
 	pass    *sidecar.Pass
+	// answered is set with the first token.
+	answered bool
 }
 
 // Run replays a trace.
@@ -231,6 +235,14 @@
 	}
 }
 
+func (r *Replay) question(j *job) sidecar.Question {
+	ends := append(append([]int(nil), j.record.PrefixLevels...), len(j.record.HashIDs))
+	return sidecar.Question{
+		Workspace: probe.WorkspaceHash(j.record.Workspace), Class: j.class, PromptTokens: j.record.InputLength,
+		Points: prefix.PointsAt(j.record.HashIDs, ends, j.record.BlockTokens),
+	}
+}
+
 func (r *Replay) enter(j *job) {
 	e := r.engines[j.engine]
 	if e.dead {
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -44,8 +44,9 @@
 // Second holds the figures of one second of the trace.
 type Second struct {
 	Prompt, Cached int64
-	Slow           int
 	Answered       int
+	// TTFT is the sum over the answered requests.
+	TTFT time.Duration
 }
 
 func newResult(s Setup) *Result {
@@ -81,17 +82,24 @@
 	s.Prompt += int64(j.record.InputLength)
 	s.Cached += int64(cached)
 	s.Answered++
+	s.TTFT += ttft
 	if !res.counts(j) {
 		return
 	}
+	res.PromptTokens += int64(j.record.InputLength)
+	res.CachedTokens += int64(cached)
+	res.RecomputedTokens += int64(recomputed)
+	if j.answered {
+		// The engine crashed and the rest runs elsewhere: the caller has had
+		// the first token.
+		return
+	}
+	j.answered = true
 	_ = res.TTFT[j.class].RecordValue(min(ttft.Microseconds(), maxMicros))
 	res.Answered++
 	if ttft <= time.Duration(j.record.DeadlineMs)*time.Millisecond {
 		res.InTime++
 	}
-	res.PromptTokens += int64(j.record.InputLength)
-	res.CachedTokens += int64(cached)
-	res.RecomputedTokens += int64(recomputed)
 	res.Served[j.record.Workspace] += float64(j.record.InputLength + j.record.OutputLength)
 }
 
@@ -190,3 +198,46 @@
 	}
 	return worst
 }
+
+const (
+	// recoveryWindow is the time over which a recovery must hold.
+	recoveryWindow = 3
+	// recoveryBand is how near to the steady figure counts as recovered.
+	recoveryBand = 0.1
+)
+
+// Recovery is how many seconds after a time the hit rate and the mean TTFT are
+// back within a tenth of what they were before it; -1 means not within the
+// trace.
+func (res *Result) Recovery(at time.Duration) (hit, ttft int) {
+	fault := int(at / time.Second)
+	steady := sumSeconds(res.Seconds[int(res.warmup/time.Second):fault])
+	hit, ttft = -1, -1
+	for s := fault; s+recoveryWindow <= len(res.Seconds); s++ {
+		now := sumSeconds(res.Seconds[s : s+recoveryWindow])
+		if hit < 0 && now.hitRate() >= steady.hitRate()*(1-recoveryBand) {
+			hit = s - fault
+		}
+		if ttft < 0 && now.meanTTFT() <= time.Duration(float64(steady.meanTTFT())*(1+recoveryBand)) {
+			ttft = s - fault
+		}
+	}
+	return hit, ttft
+}
+
+func sumSeconds(seconds []Second) Second {
+	var sum Second
+	for _, s := range seconds {
+		sum.Prompt += s.Prompt
+		sum.Cached += s.Cached
+		sum.Answered += s.Answered
+		sum.TTFT += s.TTFT
+	}
+	return sum
+}
+
+func (s Second) hitRate() float64 { return ratio(s.Cached, s.Prompt) }
+
+func (s Second) meanTTFT() time.Duration {
+	return s.TTFT / time.Duration(max(s.Answered, 1))
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -17,6 +17,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,6 +42,8 @@
 	Name    string
 	Service string
 	Address string
+	// Probe is the same address for datagrams.
+	Probe netip.AddrPort
 	// Zone and Region are where its host stands.
 	Zone   string
 	Region string
@@ -51,7 +54,9 @@
 
 // NewTarget returns a live target.
 func NewTarget(service, name, address, zone, region string) Target {
-	return Target{Name: name, Service: service, Address: address, Zone: zone, Region: region, hash: xxhash.Sum64String(name)}
+	t := Target{Name: name, Service: service, Address: address, Zone: zone, Region: region, hash: xxhash.Sum64String(name)}
+	t.Probe, _ = netip.ParseAddrPort(address)
+	return t
 }
 
 // Place is where an entry stands.
@@ -237,7 +242,7 @@
 
 // DefaultPolicy was chosen by replay; see docs/DESIGN.md.
 var DefaultPolicy = Policy{
-	Rounds:      []int{6, 16},
+	Rounds:      []int{4, 10},
 	WasteFactor: [config.Classes]float64{0.3, 2, 2},
 	Content:     30 * time.Millisecond,
 }
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -11,6 +11,7 @@
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/platform"
 	"github.com/toucanwell/toucanwell/internal/prefix"
+	"github.com/toucanwell/toucanwell/internal/probe"
 )
 
 const (
@@ -108,17 +109,26 @@
 	return nil
 }
 
+// Question is what a probe asks.
+type Question struct {
+	// Workspace is the hash of the workspace's name.
+	Workspace    uint32
+	Class        config.Class
+	Points       []prefix.Point
+	PromptTokens int
+}
+
 // Quote answers a probe.
-func (g *Gate) Quote(w Work) (Quote, *errkind.Error) {
+func (g *Gate) Quote(q Question) (Quote, *errkind.Error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if refusal := g.closedTo(); refusal != nil {
 		return Quote{}, refusal
 	}
-	matched := g.matched(w)
+	matched := min(g.index.MatchPoints(q.Points), q.PromptTokens)
 	return Quote{
-		Wait:          g.queue.EstimateWait(g.now(), w.Workspace, w.Class),
-		Prefill:       g.prefillTime(w.PromptTokens - matched),
+		Wait:          g.queue.EstimateWait(g.now(), q.Workspace, q.Class),
+		Prefill:       g.prefillTime(q.PromptTokens - matched),
 		MatchedTokens: matched,
 		Busy:          g.busy.share(g.now(), g.queue.Prefilling() > 0),
 	}, nil
@@ -153,7 +163,7 @@
 	g.noteBusy()
 	g.deliver(g.queue.Offer(g.now(), admission.Request{
 		ID:        p.id,
-		Workspace: w.Workspace,
+		Workspace: probe.WorkspaceHash(w.Workspace),
 		Weight:    w.Weight,
 		Class:     w.Class,
 		Prefill:   prefill,
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -14,6 +14,7 @@
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/once"
 	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/prefix"
 	"github.com/toucanwell/toucanwell/internal/stream"
 )
 
@@ -52,22 +53,21 @@
 	return nil
 }
 
-// Probe implements the Gate service.
-func (s *Sidecar) Probe(_ context.Context, req *connect.Request[peerv1.ProbeRequest]) (*connect.Response[peerv1.ProbeResponse], error) {
-	m := req.Msg
+// Probe answers a probe datagram.
+func (s *Sidecar) Probe(m *peerv1.ProbeRequest) *peerv1.ProbeResponse {
 	s.noteVersion(m.ConfigVersion)
-	resp := &peerv1.ProbeResponse{}
+	resp := &peerv1.ProbeResponse{Id: m.Id}
 	quote, refusal := s.quote(m, resp)
 	if refusal != nil {
 		resp.RefusalKind = uint32(refusal.Kind)
 		resp.RetryAfterMs = uint32(refusal.RetryAfter.Milliseconds())
-		return connect.NewResponse(resp), nil
+		return resp
 	}
 	resp.WaitMs = uint32(quote.Wait.Milliseconds())
 	resp.PrefillMs = uint32(quote.Prefill.Milliseconds())
 	resp.MatchedTokens = uint32(quote.MatchedTokens)
 	resp.BusyPermille = uint32(quote.Busy * permille)
-	return connect.NewResponse(resp), nil
+	return resp
 }
 
 func (s *Sidecar) quote(m *peerv1.ProbeRequest, resp *peerv1.ProbeResponse) (Quote, *errkind.Error) {
@@ -81,10 +81,12 @@
 			return Quote{}, refusal
 		}
 	}
-	return s.gate.Quote(Work{
-		Workspace: m.Workspace, Class: config.Class(m.Class), Blocks: m.Blocks,
-		BlockTokens: o.service.BlockTokens, PromptTokens: int(m.PromptTokens),
-	})
+	class := min(config.Class(m.Class), config.Classes-1)
+	points := make([]prefix.Point, 0, len(m.Points))
+	for i := range min(len(m.Points), len(m.PointTokens)) {
+		points = append(points, prefix.Point{Block: m.Points[i], Tokens: int(m.PointTokens[i])})
+	}
+	return s.gate.Quote(Question{Workspace: m.Workspace, Class: class, Points: points, PromptTokens: int(m.PromptTokens)})
 }
 
 // Run implements the Gate service.
