--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -34,6 +34,8 @@
 	Config func() (configlog.Snapshot, bool)
 	// Targets returns the targets as the process sees them.
 	Targets func() []routing.Target
+	// Ready tells whether the process can serve.
+	Ready func() bool
 	// Burn may be nil.
 	Burn *burn.Counter
 	// InFlight is the number of requests being served.
@@ -57,8 +59,7 @@
 }
 
 func (p *Process) ready() bool {
-	_, ok := p.Config()
-	return ok && !p.Draining.Load()
+	return p.Ready() && !p.Draining.Load()
 }
 
 func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/cluster/failure_test.go
+++ b/internal/cluster/failure_test.go
@@ -217,7 +217,8 @@
 	go func() { done <- answerTo(c, 0, review) }()
 	name := busyEngine(t, c, 3)
 	c.Hosts.Set([]platform.Host{{Name: name, State: platform.HostLeaving}})
-	time.Sleep(2 * time.Second)
+	reads := c.Hosts.Reads()
+	eventually(t, "the entry has read the list and built on it", func() bool { return c.Hosts.Reads() >= reads+2 })
 	started := c.Engines[name].Stats().Started
 	for i := range 12 {
 		b := completionBody{Model: "pruefer-lm", Messages: nested(1, i), MaxTokens: 1}
--- a/internal/cluster/process_test.go
+++ b/internal/cluster/process_test.go
@@ -39,7 +39,7 @@
 	os.Exit(code)
 }
 
-func buildDaemon(t *testing.T) string {
+func buildDaemon(t testing.TB) string {
 	t.Helper()
 	buildOnce.Do(func() {
 		dir, err := os.MkdirTemp("", "toucanwelld")
@@ -83,7 +83,7 @@
 	})
 }
 
-func launcher(t *testing.T) func(*settings.Settings) (cluster.Process, error) {
+func launcher(t testing.TB) func(*settings.Settings) (cluster.Process, error) {
 	bin := buildDaemon(t)
 	dir := t.TempDir()
 	return func(s *settings.Settings) (cluster.Process, error) {
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -193,8 +193,10 @@
 
 // Hint is told, from any thread, that a peer has a version.
 func (f *Follower) Hint(version uint64, peer string) {
-	current, _ := f.fact.Get()
-	if version <= current.Version || peer == "" {
+	if peer == "" {
+		return
+	}
+	if current, _ := f.fact.Get(); version <= current.Version {
 		return
 	}
 	f.loop.Post(func() { f.pull(peer) })
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -128,6 +128,7 @@
 	process.Burn = e.Burn()
 	process.InFlight = e.InFlight
 	process.Config = e.Board().Config.Get
+	process.Ready = e.Ready
 	process.Targets = func() []routing.Target {
 		view, _ := e.Board().View.Get()
 		var all []routing.Target
@@ -151,6 +152,7 @@
 	d.traffic = newServer(s.Handler())
 	process.InFlight = s.InFlight
 	process.Config = s.Board().Config.Get
+	process.Ready = s.Ready
 	process.Targets = func() []routing.Target { return targetsOf(s.Board().Config.Get()) }
 	server, err := probe.NewServer(d.settings.Listen, s.Probe)
 	if err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -140,6 +140,12 @@
 // Burn returns the objective counts.
 func (e *Entry) Burn() *burn.Counter { return e.burn }
 
+// Ready reports whether the entry has a configuration to route by.
+func (e *Entry) Ready() bool {
+	_, ok := e.board.View.Get()
+	return ok
+}
+
 // InFlight is the number of requests being served.
 func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
 
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -27,7 +27,6 @@
 	life      int
 	nextEvent uint64
 	dead      bool
-	maxBlocks int
 }
 
 func newEngine(r *Replay, index int) *engine {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -124,53 +124,69 @@
 // Score is the rendezvous score of a target for a key; the highest goes first.
 func (t *Target) Score(key uint64) uint64 { return mix(key ^ t.hash) }
 
-// eligible is the filter: live targets of the entry's region; if there are
-// none, live ones anywhere; if there are none, suspect ones. Leaving targets
-// are never eligible.
-type eligible func(t *Target) bool
+// scope is which targets the filter lets through.
+type scope uint8
 
-func filter(targets []Target, place Place) (eligible, bool) {
-	var near, far, suspect bool
+// The scopes, from the best to the last resort. Leaving targets are in none.
+const (
+	nobody scope = iota
+	suspects
+	liveAnywhere
+	liveNear
+)
+
+// filter finds the best scope that has a target: live ones of the entry's
+// region; if there are none, live ones anywhere; if there are none, suspects.
+func filter(targets []Target, place Place) scope {
+	best := nobody
 	for i := range targets {
-		t := &targets[i]
-		switch {
+		switch t := &targets[i]; {
 		case t.State == Live && t.Region == place.Region:
-			near = true
+			return liveNear
 		case t.State == Live:
-			far = true
+			best = max(best, liveAnywhere)
 		case t.State == Suspect:
-			suspect = true
+			best = max(best, suspects)
 		}
 	}
-	switch {
-	case near:
-		return func(t *Target) bool { return t.State == Live && t.Region == place.Region }, true
-	case far:
-		return func(t *Target) bool { return t.State == Live }, true
-	case suspect:
-		return func(t *Target) bool { return t.State == Suspect }, true
+	return best
+}
+
+func (s scope) has(t *Target, place Place) bool {
+	switch s {
+	case liveNear:
+		return t.State == Live && t.Region == place.Region
+	case liveAnywhere:
+		return t.State == Live
+	default:
+		return t.State == Suspect
 	}
-	return nil, false
 }
 
-// top holds the best targets of one key, best first.
+// top holds the best targets of one key, best first. floor is the score that
+// a target must exceed to enter a full one.
 type top struct {
 	index [MaxRanked]int32
 	score [MaxRanked]uint64
 	n     int
+	size  int
+	floor uint64
 }
 
 func (t *top) offer(index int, score uint64) {
-	if t.n == MaxRanked && score <= t.score[MaxRanked-1] {
+	if score <= t.floor {
 		return
 	}
-	at := min(t.n, MaxRanked-1)
+	at := min(t.n, t.size-1)
 	for at > 0 && t.score[at-1] < score {
 		t.index[at], t.score[at] = t.index[at-1], t.score[at-1]
 		at--
 	}
 	t.index[at], t.score[at] = int32(index), score
-	t.n = min(t.n+1, MaxRanked)
+	t.n = min(t.n+1, t.size)
+	if t.n == t.size {
+		t.floor = t.score[t.size-1]
+	}
 }
 
 // Rank orders the targets of a service for a prompt with the given levels,
@@ -180,22 +196,22 @@
 // targets can bear spreads out; then further ones of the family.
 func Rank(targets []Target, place Place, levels []uint64) Ranking {
 	var ranking Ranking
-	allowed, any := filter(targets, place)
-	if !any {
+	allowed := filter(targets, place)
+	if allowed == nobody {
 		return ranking
 	}
 	familyKey, ownKey := levelKeys(levels)
-	var family, own top
+	family := top{size: MaxRanked}
+	own := top{size: ownNext}
 	for i := range targets {
 		t := &targets[i]
-		if !allowed(t) {
-			continue
+		if allowed.has(t, place) {
+			family.offer(i, t.Score(familyKey))
+			own.offer(i, t.Score(ownKey))
 		}
-		family.offer(i, t.Score(familyKey))
-		own.offer(i, t.Score(ownKey))
 	}
 	ranking.addAll(family.index[:min(family.n, familyFirst)])
-	ranking.addAll(own.index[:min(own.n, ownNext)])
+	ranking.addAll(own.index[:own.n])
 	ranking.addAll(family.index[:family.n])
 	return ranking
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -97,7 +97,8 @@
 	SyncPeriod Duration `toml:"sync_period"`
 	// HostsPeriod is how often the host list is read. Default 2s.
 	HostsPeriod Duration `toml:"hosts_period"`
-	// EventsPeriod is how often a sidecar reads cache events. Default 100ms.
+	// EventsPeriod is how often a sidecar reads cache events, which only
+	// correct the index. Default 500ms.
 	EventsPeriod Duration `toml:"events_period"`
 	// ClaimInterval is how long claims gather into one append. Default 10ms.
 	ClaimInterval Duration `toml:"claim_interval"`
@@ -167,7 +168,7 @@
 			LogPolls:      20,
 			SyncPeriod:    Duration{2 * time.Second},
 			HostsPeriod:   Duration{2 * time.Second},
-			EventsPeriod:  Duration{100 * time.Millisecond},
+			EventsPeriod:  Duration{500 * time.Millisecond},
 			ClaimInterval: Duration{10 * time.Millisecond},
 			ResumeGrace:   Duration{5 * time.Second},
 			DrainTimeout:  Duration{60 * time.Second},
--- a/internal/sidecar/loader.go
+++ b/internal/sidecar/loader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,16 +39,27 @@
 	clean bool
 	// failedAt is when an order failed; zero when none did.
 	failedAt time.Time
+	// inLine tells the timer whether there is a ticket.
+	inLine atomic.Bool
 }
 
 func newLoader(s *Sidecar) *loader {
 	return &loader{sidecar: s, line: loadslot.NewLine()}
 }
 
+// period is the time to the next step; any thread may ask.
+func (l *loader) period() time.Duration {
+	if l.inLine.Load() {
+		return loaderBusy
+	}
+	return loaderIdle
+}
+
 // step moves the loader by one action at most. It runs on the control thread.
 func (l *loader) step() {
 	s := l.sidecar
-	if s.engine == nil || l.busy {
+	l.inLine.Store(l.nonce != "")
+	if l.busy {
 		return
 	}
 	o, refusal := s.own()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -18,7 +18,11 @@
 	"github.com/toucanwell/toucanwell/internal/stream"
 )
 
-const permille = 1000
+const (
+	permille = 1000
+	// expiryMargin lets the queue's clock pass the deadline for certain.
+	expiryMargin = time.Millisecond
+)
 
 // own is this sidecar's part of the configuration in force.
 type own struct {
@@ -183,15 +187,22 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	select {
-	case refusal := <-pass.Decided:
-		if refusal != nil {
-			return nil, refusal
+	// The request refuses itself when its deadline has passed while it waited.
+	expiry := time.NewTimer(w.Budget + expiryMargin)
+	defer expiry.Stop()
+	for {
+		select {
+		case refusal := <-pass.Decided:
+			if refusal != nil {
+				return nil, refusal
+			}
+			return pass, nil
+		case <-expiry.C:
+			s.gate.Expire()
+		case <-ctx.Done():
+			pass.Abandon()
+			return nil, errkind.New(errkind.Cancelled, "the caller has gone")
 		}
-		return pass, nil
-	case <-ctx.Done():
-		pass.Abandon()
-		return nil, errkind.New(errkind.Cancelled, "the caller has gone")
 	}
 }
 
@@ -199,7 +210,7 @@
 func (s *Sidecar) Resume(ctx context.Context, req *connect.Request[peerv1.ResumeRequest], out *connect.ServerStream[peerv1.Frame]) error {
 	key := runKey{req.Msg.Workspace, req.Msg.RequestId}
 	one, ok := s.runs.get(key)
-	if !ok && s.engine != nil {
+	if !ok && s.hasEngine() {
 		adopted, err := s.adoptRun(ctx, key, req.Msg.FromSeq)
 		if err != nil && !errors.Is(err, platform.ErrUnknownStream) {
 			s.logger.Info("resume_failed", "request_id", key.requestID, "error", err.Error())
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -38,12 +38,15 @@
 )
 
 const (
-	expirePeriod = 20 * time.Millisecond
-	reapPeriod   = 500 * time.Millisecond
+	reapPeriod   = time.Second
 	forgetPeriod = time.Minute
-	loadPeriod   = 200 * time.Millisecond
-	ioTimeout    = 2 * time.Second
-	drainPoll    = 20 * time.Millisecond
+	loadPeriod   = 500 * time.Millisecond
+	// loaderIdle and loaderBusy are the loader's periods without and with a
+	// ticket in line.
+	loaderIdle = time.Second
+	loaderBusy = 100 * time.Millisecond
+	ioTimeout  = 2 * time.Second
+	drainPoll  = 20 * time.Millisecond
 )
 
 // Board is a sidecar's blackboard.
@@ -67,6 +70,7 @@
 	board    *Board
 	loop     *control.Loop
 	follower *configlog.Follower
+	watcher  *engineWatcher
 	loader   *loader
 
 	ledgerMu sync.Mutex
@@ -107,8 +111,9 @@
 	c.follower = configlog.NewFollower(c.loop, d.Log, &c.board.Config, configlog.FollowerOptions{
 		Address: s.Listen, Peers: s.Peers, LogPolls: s.Timing.LogPolls, SyncPeriod: s.Timing.SyncPeriod.Duration,
 		Retention: s.Platform.LogRetention.Duration, Client: d.Peers, Logger: d.Logger, LogError: d.Metrics.LogError,
-		InForce: func(snapshot configlog.Snapshot) { d.Metrics.ConfigVersion(snapshot.Version) },
+		InForce: c.inForce,
 	})
+	c.watcher = &engineWatcher{sidecar: c}
 	c.loader = newLoader(c)
 	return c
 }
@@ -121,14 +126,20 @@
 		s.loop.Run()
 	}()
 	s.follower.Start()
-	s.every(expirePeriod, s.gate.Expire)
-	s.every(reapPeriod, func() { s.runs.reap(time.Now(), s.settings.Timing.ResumeGrace.Duration) })
-	s.every(reapPeriod, s.showCounts)
+	s.every(reapPeriod, func() {
+		s.runs.reap(time.Now(), s.settings.Timing.ResumeGrace.Duration)
+		s.showCounts()
+	})
 	s.every(forgetPeriod, s.forgetKeys)
-	w := &engineWatcher{sidecar: s}
-	s.every(s.settings.Timing.EventsPeriod.Duration, w.readEvents)
-	s.every(loadPeriod, w.readLoad)
-	s.every(loadPeriod, s.loader.step)
+	s.every(s.settings.Timing.EventsPeriod.Duration, s.watcher.readEvents)
+	s.every(loadPeriod, s.watcher.readLoad)
+	s.loop.Every(s.loader.period, s.loader.step)
+}
+
+// inForce is told of each new configuration, on the control thread.
+func (s *Sidecar) inForce(snapshot configlog.Snapshot) {
+	s.metrics.ConfigVersion(snapshot.Version)
+	s.watcher.readLoad()
 }
 
 func (s *Sidecar) every(period time.Duration, event func()) {
@@ -171,6 +182,15 @@
 // Board returns the blackboard, for the administration API.
 func (s *Sidecar) Board() *Board { return s.board }
 
+// Ready reports whether the sidecar has a configuration and, beside an engine,
+// knows the engine's state.
+func (s *Sidecar) Ready() bool {
+	if _, refusal := s.own(); refusal != nil {
+		return false
+	}
+	return !s.hasEngine() || s.board.Engine.Entry() != nil
+}
+
 // InFlight is the number of requests at the gate and the target.
 func (s *Sidecar) InFlight() int {
 	counts := s.gate.Counts()
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/platform"
 )
@@ -18,7 +19,7 @@
 
 func (w *engineWatcher) readEvents() {
 	s := w.sidecar
-	if s.engine == nil || w.readingEvents {
+	if !s.hasEngine() || w.readingEvents {
 		return
 	}
 	w.readingEvents = true
@@ -36,7 +37,7 @@
 
 func (w *engineWatcher) readLoad() {
 	s := w.sidecar
-	if s.engine == nil || w.readingLoad {
+	if !s.hasEngine() || w.readingLoad {
 		return
 	}
 	w.readingLoad = true
@@ -52,3 +53,10 @@
 		s.board.Engine.Post(*load, time.Now())
 	})
 }
+
+// hasEngine reports whether the configuration makes this sidecar's target an
+// engine.
+func (s *Sidecar) hasEngine() bool {
+	o, refusal := s.own()
+	return refusal == nil && o.service.Kind == config.KindEngine
+}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -179,6 +179,7 @@
 type Hosts struct {
 	mu    sync.Mutex
 	hosts []platform.Host
+	reads int
 }
 
 // NewHosts returns an empty list.
@@ -191,12 +192,20 @@
 	h.hosts = hosts
 }
 
+// Reads counts how often the list was read.
+func (h *Hosts) Reads() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reads
+}
+
 // Handler serves the list over HTTP.
 func (h *Hosts) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, _ *http.Request) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
+		h.reads++
 		writeJSON(w, map[string][]platform.Host{"hosts": h.hosts})
 	})
 	mux.HandleFunc("PUT /hosts", serveFaults(h.Set))
