--- /dev/null
+++ b/internal/cluster/spread_bench_test.go
@@ -0,0 +1,63 @@
+package cluster_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/cluster"
+	"github.com/toucanwell/toucanwell/internal/configlog"
+	"github.com/toucanwell/toucanwell/internal/settings"
+)
+
+// manyPlain is a configuration of n plain targets.
+func manyPlain(n int) string {
+	var b strings.Builder
+	b.WriteString("schema = 1\n[[region]]\nname = \"r\"\navailability_zones = [\"z\"]\n[[service]]\nname = \"s\"\nkind = \"plain\"\n")
+	for i := range n {
+		fmt.Fprintf(&b, "[[service.target]]\nname = \"t%d\"\naddress = \"127.0.0.1:%d\"\navailability_zone = \"z\"\n", i, 40_000+i)
+	}
+	return b.String()
+}
+
+// BenchmarkConfigSpread is the time from a publish until the last of n
+// processes has it in force. The fleet polls the log 20 times a second in all.
+func BenchmarkConfigSpread(b *testing.B) {
+	for _, n := range []int{25, 50, 100, 200} {
+		b.Run(fmt.Sprintf("processes=%d", n), func(b *testing.B) {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*bound)
+			defer cancel()
+			c, err := cluster.Start(ctx, cluster.Options{
+				Text: manyPlain(n), Costs: slowCosts, LogOutput: io.Discard,
+				Adjust: func(s *settings.Settings) { s.Timing.SyncPeriod.Duration = 2 * time.Second },
+			})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			version, worst := uint64(1), time.Duration(0)
+			var sum time.Duration
+			rounds := 0
+			for b.Loop() {
+				rounds++
+				c.Text += "# changed\n"
+				data, _ := configlog.Encode(configlog.Record{Type: configlog.TypePublish, Nonce: fmt.Sprint(version), Base: version, Text: c.Text})
+				start := time.Now()
+				version = c.Log.AppendNow(configlog.Stream, data)
+				for _, s := range c.SidecarSettings {
+					for versionAt(s.AdminListen) < version {
+						time.Sleep(2 * time.Millisecond)
+					}
+				}
+				took := time.Since(start)
+				sum += took
+				worst = max(worst, took)
+			}
+			b.ReportMetric(float64(sum.Milliseconds())/float64(rounds), "mean-ms")
+			b.ReportMetric(float64(worst.Milliseconds()), "worst-ms")
+		})
+	}
+}
--- a/internal/configlog/fold.go
+++ b/internal/configlog/fold.go
@@ -65,6 +65,9 @@
 	Text string
 	// Config is the checked text.
 	Config *config.Config
+	// NewestCopyMs is the log time of the newest record known that holds the
+	// text; 0 when none is.
+	NewestCopyMs int64
 }
 
 // Verdict is what became of one publish.
@@ -88,8 +91,6 @@
 	gapFrom  uint64
 	pending  []offsetRecord
 	verdicts []Verdict
-	// newestCopyMs is the log time of the newest record with the text in force.
-	newestCopyMs int64
 }
 
 type offsetRecord struct {
@@ -110,10 +111,6 @@
 // Undecided reports whether a gap keeps the folder from deciding.
 func (f *Folder) Undecided() bool { return f.gap }
 
-// NewestCopyMs is the log time of the newest record that carries the text in
-// force; 0 when none was seen.
-func (f *Folder) NewestCopyMs() int64 { return f.newestCopyMs }
-
 // TakeVerdicts returns the verdicts since the last call.
 func (f *Folder) TakeVerdicts() []Verdict {
 	v := f.verdicts
@@ -163,10 +160,7 @@
 	if err != nil {
 		return
 	}
-	f.Adopt(Snapshot{Version: r.record.Version, AsOf: r.record.AsOf, Text: r.record.Text, Config: c})
-	if r.record.Version == f.state.Version {
-		f.newestCopyMs = max(f.newestCopyMs, r.unixMs)
-	}
+	f.Adopt(Snapshot{Version: r.record.Version, AsOf: r.record.AsOf, Text: r.record.Text, Config: c, NewestCopyMs: r.unixMs})
 }
 
 // Adopt takes what another process or a carry says was in force. An older
@@ -178,7 +172,10 @@
 		f.state.Version = s.Version
 		f.state.Text = s.Text
 		f.state.Config = s.Config
-		f.newestCopyMs = 0
+		f.state.NewestCopyMs = s.NewestCopyMs
+	}
+	if s.Version == f.state.Version {
+		f.state.NewestCopyMs = max(f.state.NewestCopyMs, s.NewestCopyMs)
 	}
 	if newer && s.AsOf+1 > f.next {
 		f.skipTo(s.AsOf)
@@ -222,8 +219,7 @@
 		v.Problem = err
 		v.Accepted = err == nil
 		if v.Accepted {
-			f.state = Snapshot{Version: r.offset, AsOf: r.offset, Text: r.record.Text, Config: c}
-			f.newestCopyMs = r.unixMs
+			f.state = Snapshot{Version: r.offset, AsOf: r.offset, Text: r.record.Text, Config: c, NewestCopyMs: r.unixMs}
 			v.InForce = r.offset
 		}
 	}
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -187,7 +187,7 @@
 		f.options.Logger.Info("config_peer_refused", "version", resp.ConfigVersion, "error", err.Error())
 		return
 	}
-	f.folder.Adopt(Snapshot{Version: resp.ConfigVersion, AsOf: resp.AsOf, Text: resp.Text, Config: c})
+	f.folder.Adopt(Snapshot{Version: resp.ConfigVersion, AsOf: resp.AsOf, Text: resp.Text, Config: c, NewestCopyMs: resp.NewestCopyMs})
 	f.post()
 }
 
@@ -246,7 +246,7 @@
 	if s.Version == 0 || f.folder.Undecided() {
 		return
 	}
-	age := time.Since(time.UnixMilli(f.folder.NewestCopyMs()))
+	age := time.Since(time.UnixMilli(s.NewestCopyMs))
 	if age < carryAge(f.options.Retention, f.carrySeed) {
 		return
 	}
@@ -284,7 +284,7 @@
 // Sync implements the Peer service.
 func (p *PeerServer) Sync(_ context.Context, req *connect.Request[peerv1.SyncRequest]) (*connect.Response[peerv1.SyncResponse], error) {
 	s, ok := p.fact.Get()
-	resp := &peerv1.SyncResponse{ConfigVersion: s.Version, AsOf: s.AsOf}
+	resp := &peerv1.SyncResponse{ConfigVersion: s.Version, AsOf: s.AsOf, NewestCopyMs: s.NewestCopyMs}
 	if ok && s.Version > req.Msg.ConfigVersion {
 		resp.Text = s.Text
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -64,26 +64,40 @@
 	}
 }
 
-// Every runs event on the control thread once at a random point of the first
-// period and then after each period, spread by a quarter to either side. The
-// spread keeps processes that started together from acting together.
+// spreadStarts is how many first waits are drawn from a whole period. The
+// period of a process that has just started may change once it has its
+// configuration, so that one is not enough.
+const spreadStarts = 2
+
+// Every runs event on the control thread after each period, spread by a quarter
+// to either side. The first waits are drawn from the whole period, so that
+// processes that started together do not act together.
 func (l *Loop) Every(period func() time.Duration, event func()) {
 	l.Go(func(ctx context.Context) {
-		wait := time.Duration(l.float() * float64(period()))
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
-		for {
-			select {
-			case <-timer.C:
-				l.Post(event)
-				timer.Reset(l.Spread(period()))
-			case <-ctx.Done():
+		for n := 0; ; n++ {
+			wait := l.Spread(period())
+			if n < spreadStarts {
+				wait = time.Duration(l.float() * float64(period()))
+			}
+			if !sleep(ctx, wait) {
 				return
 			}
+			l.Post(event)
 		}
 	})
 }
 
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Go runs a task off the control thread until it ends or the loop stops.
 func (l *Loop) Go(task func(ctx context.Context)) {
 	l.tasks.Add(1)
