--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -7,9 +7,9 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -78,17 +78,19 @@
 const (
 	firstPort = 10_000
 	portRange = 20_000
-	portStep  = 97
 )
 
 var nextPort atomic.Int64
 
+// host is this process's own loopback address. Two test processes at once so
+// never take each other's ports.
+var host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
 // FreeAddress returns a loopback address that was free a moment ago and that
 // this process has not handed out before.
 func FreeAddress() (string, error) {
 	for range portRange {
-		port := firstPort + (int64(os.Getpid())*portStep+nextPort.Add(1))%portRange
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+		address := fmt.Sprintf("%s:%d", host, firstPort+nextPort.Add(1)%portRange)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
