A frozen sidecar holds a stream for 2 to 3 s in place of 12

A frozen host still accepts connections, so that each of five resumes waited for its own ping timeout. Ruled out: shorter pings, which would cut streams beside a loaded host. Change: a resume must bring its first frame within 1 s, and a cut stream is looked for where it ran for 1 s, then the rest runs elsewhere. Conclusion: the longest gap inside an answer for a frozen sidecar is about 3 s.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -17,10 +17,14 @@
 const (
 	// maxTries bounds the targets that one request is run at.
 	maxTries = 4
-	// maxResumes bounds the resumes of one stream without a new frame between.
-	maxResumes = 5
-	// resumePause is the wait before a resume; a sidecar that is replaced needs
-	// a moment to come up.
+	// resumeWindow is the time after a cut, or after the last frame since, in
+	// which the stream is looked for where it ran: a sidecar that is replaced
+	// needs a moment to come up. Then the rest runs elsewhere.
+	resumeWindow = time.Second
+	// resumeTimeout is the time in which a resume must bring its first frame.
+	// A frozen sidecar's host takes connections and never answers.
+	resumeTimeout = time.Second
+	// resumePause is the wait before a resume.
 	resumePause   = 100 * time.Millisecond
 	cancelTimeout = 2 * time.Second
 	// loadPause is the wait for a target with the weights in force.
@@ -194,18 +198,15 @@
 func (e *Entry) runAt(ctx context.Context, r *completion, p *progress, out sink) *errkind.Error {
 	client := e.client(p.made.target.Address)
 	refusal, cut := e.firstStream(ctx, client, r, p, out)
-	for resumes := 0; cut && resumes < maxResumes; resumes++ {
-		if p.gone || ctx.Err() != nil {
-			break
-		}
+	for cutAt := time.Now(); cut && time.Since(cutAt) < resumeWindow; {
 		before := p.next
-		if !pause(ctx, resumePause) {
+		if p.gone || !pause(ctx, resumePause) {
 			break
 		}
 		e.metrics.Resume()
 		refusal, cut = e.resumeStream(ctx, client, r, p, out)
 		if p.next > before {
-			resumes = 0
+			cutAt = time.Now()
 		}
 	}
 	if p.gone || ctx.Err() != nil {
@@ -240,12 +241,14 @@
 func (e *Entry) resumeStream(ctx context.Context, client peerv1.GateClient, r *completion, p *progress, out sink) (refusal *errkind.Error, cut bool) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	watchdog := time.AfterFunc(resumeTimeout, stop)
+	defer watchdog.Stop()
 	request := &peerv1.ResumeRequest{RequestId: r.id, Workspace: r.workspace.Name, FromSeq: p.next}
 	stream, err := client.Resume(ctx, connect.NewRequest(request))
 	if err != nil {
 		return errkind.New(errkind.TargetFailed, "%v", err), true
 	}
-	refusal, cut = e.copyStream(stream, r, p, out)
+	refusal, cut = e.copyStream(&watchedStream{frameStream: stream, watchdog: watchdog}, r, p, out)
 	if refusal != nil && refusal.Kind == errkind.UnknownRun && r.once != nil {
 		refusal = errkind.After(errkind.OutcomeUnknown, time.Second, "the run was lost")
 	}
@@ -260,6 +263,19 @@
 	Close() error
 }
 
+// watchedStream stops its watchdog with the first frame.
+type watchedStream struct {
+	frameStream
+	watchdog *time.Timer
+}
+
+// Receive implements frameStream.
+func (w *watchedStream) Receive() bool {
+	ok := w.frameStream.Receive()
+	w.watchdog.Stop()
+	return ok
+}
+
 // copyStream moves frames to the sink. cut is true when the stream ended
 // without its end mark: a lost connection shows as a clean end or as an error,
 // and only the mark tells a whole answer.
