--- a/cmd/toucanwell/replay.go
+++ b/cmd/toucanwell/replay.go
@@ -138,6 +138,10 @@
 		switch key {
 		case "waste":
 			weighing.WasteFactor, err = parseFactors(value)
+		case "price":
+			weighing.BusyPrice, err = strconv.ParseFloat(value, 64)
+		case "power":
+			weighing.BusyPower, err = strconv.ParseFloat(value, 64)
 		case "content":
 			weighing.Content, err = time.ParseDuration(value)
 		case "rounds":
@@ -145,7 +149,7 @@
 		case "oracle":
 			oracle = true
 		default:
-			err = errors.Newf("key %q found; allowed are waste, content, rounds and oracle", key)
+			err = errors.Newf("key %q found; allowed are waste, price, power, content, rounds and oracle", key)
 		}
 		if err != nil {
 			return nil, errors.Wrapf(err, "variant %q", text)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -250,6 +250,10 @@
 	// WasteFactor is how much a millisecond of recomputing at an idle target
 	// weighs against one of waiting. A class that cannot wait has a lower one.
 	WasteFactor [config.Classes]float64
+	// BusyPrice and BusyPower say how much dearer recomputing is at a target
+	// that was busy for a part of the time: 1 + BusyPrice*busy^BusyPower times.
+	// There it delays the requests behind and evicts what they would have found.
+	BusyPrice, BusyPower float64
 	// Content is the wait up to which no further round is made. The first
 	// targets of the ranking are where a prefix is if it is anywhere, so that
 	// only a queue, never a miss, is a reason to ask more.
@@ -259,20 +263,18 @@
 // DefaultPolicy was chosen by replay; see docs/DESIGN.md.
 var DefaultPolicy = Policy{
 	Rounds:      []int{4, 10},
-	WasteFactor: [config.Classes]float64{0.3, 2, 2},
+	WasteFactor: [config.Classes]float64{0.05, 1, 1},
+	BusyPrice:   60,
+	BusyPower:   2,
 	Content:     30 * time.Millisecond,
 }
 
-// busyPrice is how much dearer recomputing is at a target that is always busy:
-// there it delays the requests behind and evicts what they would have found.
-const busyPrice = 20
-
 // Cost is what a quote weighs, in nanoseconds of waiting.
 func (p *Policy) Cost(class config.Class, q Quote) float64 {
 	if q.Refused {
 		return math.Inf(1)
 	}
-	price := p.WasteFactor[class] * (1 + busyPrice*q.Busy*q.Busy*q.Busy)
+	price := p.WasteFactor[class] * (1 + p.BusyPrice*math.Pow(q.Busy, p.BusyPower))
 	return float64(q.Wait) + float64(q.Distance) + price*float64(q.Prefill)
 }
 
