--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,7 +28,7 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	peerDialTimeout   = 500 * time.Millisecond
-	peerIdleTimeout   = 30 * time.Second
+	peerIdleTimeout   = 10 * time.Second
 	peerPingAfter     = time.Second
 	peerPingTimeout   = time.Second
 )
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
@@ -14,6 +13,8 @@
 	// probeTimeout bounds one round of probes. A sidecar that does not answer
 	// within it is frozen, gone or cut off.
 	probeTimeout = 100 * time.Millisecond
+	// probeGrace is how long a round waits for others after its first answer.
+	probeGrace = 10 * time.Millisecond
 	// zoneDistance is the round trip across availability zones, regionDistance
 	// across regions.
 	zoneDistance   = 2 * time.Millisecond
@@ -104,28 +105,58 @@
 	refusal *errkind.Error
 }
 
+// placed is an answer with its position in the round.
+type placed struct {
+	at     int
+	answer answer
+}
+
+// probeRound asks the targets of one round at once. After the first answer the
+// others have a short time to follow: a dead target, which never answers, would
+// otherwise hold up a request each time it is tried again.
 func (e *Entry) probeRound(ctx context.Context, r *completion, targets []routing.Target, ranking *routing.Ranking, from, to int, avoid map[string]bool) []answer {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
 	answers := make([]answer, 0, to-from)
-	var wg sync.WaitGroup
+	results := make(chan placed, to-from)
 	for i := from; i < to; i++ {
 		index := ranking.At(i)
 		if avoid[targets[index].Name] {
 			continue
 		}
-		answers = append(answers, answer{})
-		place := &answers[len(answers)-1]
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			*place = e.probe(ctx, &targets[index], index, newProbe(r))
-		}()
-	}
-	wg.Wait()
+		at := len(answers)
+		answers = append(answers, unanswered(&targets[index], index))
+		go func() { results <- placed{at, e.probe(&targets[index], index, newProbe(r))} }()
+	}
+	collect(ctx, answers, results)
 	return answers
 }
 
+// collect fills in the answers until all are there or the time is over.
+func collect(ctx context.Context, answers []answer, results <-chan placed) {
+	wait := time.NewTimer(probeTimeout)
+	defer wait.Stop()
+	for n := range answers {
+		select {
+		case p := <-results:
+			answers[p.at] = p.answer
+			if n == 0 {
+				wait.Reset(probeGrace)
+			}
+		case <-wait.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// unanswered stands for a probe that has brought nothing.
+func unanswered(target *routing.Target, index int) answer {
+	return answer{
+		quote:   routing.Quote{Index: index, Refused: true},
+		refusal: errkind.After(errkind.NoTarget, suspectFor, "%s does not answer", target.Name),
+	}
+}
+
 func newProbe(r *completion) *peerv1.ProbeRequest {
 	m := &peerv1.ProbeRequest{
 		Workspace: r.workspaceHash, Class: uint32(r.class), PromptTokens: uint32(r.prompt.Tokens),
@@ -137,15 +168,17 @@
 	return m
 }
 
-func (e *Entry) probe(ctx context.Context, target *routing.Target, index int, request *peerv1.ProbeRequest) answer {
-	a := answer{quote: routing.Quote{Index: index, Distance: e.distance(target)}}
+// probe asks one target. It has its own time, so that one that answers late is
+// told from one that never does.
+func (e *Entry) probe(target *routing.Target, index int, request *peerv1.ProbeRequest) answer {
+	ctx, cancel := background(probeTimeout)
+	defer cancel()
 	m, err := e.prober.Ask(ctx, target.Probe, request)
 	if err != nil {
 		e.health.note(target.Name, routing.Suspect)
-		a.quote.Refused = true
-		a.refusal = errkind.After(errkind.NoTarget, suspectFor, "%s does not answer", target.Name)
-		return a
+		return unanswered(target, index)
 	}
+	a := answer{quote: routing.Quote{Index: index, Distance: e.distance(target)}}
 	e.follower.Hint(m.ConfigVersion, target.Address)
 	if kind := errkind.Kind(m.RefusalKind); kind != errkind.None {
 		e.noteRefusal(target.Name, kind)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,7 +71,8 @@
 	URL string `toml:"url"`
 	// MaxRunning is how many requests the target works on at once. Default 8.
 	MaxRunning int `toml:"max_running"`
-	// MaxPrefilling is how many of them may await their first token. Default 2.
+	// MaxPrefilling is how many of them may await their first token. Default 1, which keeps the order of classes in
+	// the gate's hands.
 	MaxPrefilling int `toml:"max_prefilling"`
 	// MaxQueued is how many requests may wait. Default 512.
 	MaxQueued int `toml:"max_queued"`
@@ -163,7 +164,7 @@
 func defaults() *Settings {
 	return &Settings{
 		Platform: Platform{LogRetention: Duration{24 * time.Hour}},
-		Target:   Target{MaxRunning: 8, MaxPrefilling: 2, MaxQueued: 512, PrefillTokensPerSecond: 8000},
+		Target:   Target{MaxRunning: 8, MaxPrefilling: 1, MaxQueued: 512, PrefillTokensPerSecond: 8000},
 		Timing: Timing{
 			LogPolls:      20,
 			SyncPeriod:    Duration{2 * time.Second},
