One wait that a context can cut short

Ruled out: time.AfterFunc with context.AfterFunc, which reads no shorter. Change: internal/sleep; its callers lose their own. Conclusion: one place to read.

--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -15,6 +15,7 @@
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 const (
@@ -98,7 +99,7 @@
 		}
 	})
 	f.loop.Go(func(ctx context.Context) {
-		if pause(ctx, startPatience) == nil {
+		if sleep.For(ctx, startPatience) {
 			f.loop.Post(f.readFromStart)
 		}
 	})
@@ -235,7 +236,7 @@
 	f.pulling = true
 	f.Ask(peer)
 	f.loop.Go(func(ctx context.Context) {
-		_ = pause(ctx, hintSpacing)
+		sleep.For(ctx, hintSpacing)
 		f.loop.Post(func() { f.pulling = false })
 	})
 }
@@ -327,7 +328,7 @@
 		f.sync()
 	})
 	f.loop.Go(func(ctx context.Context) {
-		_ = pause(ctx, nudgeSpacing)
+		sleep.For(ctx, nudgeSpacing)
 		f.nudged.Store(false)
 	})
 }
--- a/internal/configlog/publish.go
+++ b/internal/configlog/publish.go
@@ -8,6 +8,7 @@
 
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 // ErrConflict says that another publish came first.
@@ -63,8 +64,8 @@
 		if errors.Is(err, ErrUndecided) {
 			return Verdict{}, err
 		}
-		if err := pause(ctx, tryPause); err != nil {
-			return Verdict{}, err
+		if !sleep.For(ctx, tryPause) {
+			return Verdict{}, ctx.Err()
 		}
 	}
 	return Verdict{}, errors.Wrap(last, "publish: no answer; the text may be in the log, look with 'toucanwell show'")
@@ -122,14 +123,3 @@
 	_, err = log.Append(ctx, Stream, data)
 	return page.Next, errors.Wrap(err, "append")
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 const queueLength = 1024
@@ -79,7 +81,7 @@
 			if n < spreadStarts {
 				wait = time.Duration(l.float() * float64(period()))
 			}
-			if !sleep(ctx, wait) {
+			if !sleep.For(ctx, wait) {
 				return
 			}
 			l.Post(event)
@@ -87,17 +89,6 @@
 	})
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Go runs a task off the control thread until it ends or the loop stops.
 func (l *Loop) Go(task func(ctx context.Context)) {
 	l.tasks.Add(1)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/toucanwell/toucanwell/internal/routing"
 	"github.com/toucanwell/toucanwell/internal/settings"
 	"github.com/toucanwell/toucanwell/internal/sidecar"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 const (
@@ -200,11 +201,11 @@
 	d.draining.Store(true)
 	d.logger.Info("stopping")
 	if d.settings.Role == settings.RoleEntry {
-		sleep(ctx, d.settings.Timing.DrainDelay.Duration)
+		sleep.For(ctx, d.settings.Timing.DrainDelay.Duration)
 	}
 	d.drain(ctx)
 	if d.settings.Role == settings.RoleSidecar {
-		sleep(ctx, d.settings.Timing.DrainDelay.Duration)
+		sleep.For(ctx, d.settings.Timing.DrainDelay.Duration)
 	}
 	if err := d.traffic.Shutdown(ctx); err != nil {
 		d.logger.Info("stop_cut_requests", "error", err.Error())
@@ -223,15 +224,6 @@
 	d.platform.CloseIdleConnections()
 }
 
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // newServer returns a server of HTTP/1.1 and HTTP/2 without TLS.
 func newServer(h http.Handler) *http.Server {
 	protocols := &http.Protocols{}
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -12,6 +12,7 @@
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/prefix"
 	"github.com/toucanwell/toucanwell/internal/routing"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 const (
@@ -152,7 +153,7 @@
 		if refusal == nil || refusal.Kind != errkind.WrongWeights {
 			return made, refusal
 		}
-		if time.Now().Add(loadPause).After(r.deadline) || !pause(ctx, loadPause) {
+		if time.Now().Add(loadPause).After(r.deadline) || !sleep.For(ctx, loadPause) {
 			return choice{}, refusal
 		}
 	}
@@ -200,7 +201,7 @@
 	refusal, cut := e.firstStream(ctx, client, r, p, out)
 	for cutAt := time.Now(); cut && time.Since(cutAt) < resumeWindow; {
 		before := p.next
-		if p.gone || !pause(ctx, resumePause) {
+		if p.gone || !sleep.For(ctx, resumePause) {
 			break
 		}
 		e.metrics.Resume()
@@ -340,14 +341,3 @@
 	}
 	return uint32(max(time.Until(deadline).Milliseconds(), 0))
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/toucanwell/toucanwell/internal/prefix"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 	"github.com/toucanwell/toucanwell/internal/standin"
 	"github.com/toucanwell/toucanwell/internal/trace"
 )
@@ -53,7 +54,7 @@
 	start := time.Now()
 	n := 0
 	for r := range records {
-		if !waitUntil(ctx, start.Add(time.Duration(r.Timestamp)*time.Millisecond)) {
+		if !sleep.For(ctx, time.Until(start.Add(time.Duration(r.Timestamp)*time.Millisecond))) {
 			break
 		}
 		base := o.Entries[n%len(o.Entries)]
@@ -73,17 +74,6 @@
 	return outcomes
 }
 
-func waitUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 type message struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -14,6 +14,7 @@
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/once"
 	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 	"github.com/toucanwell/toucanwell/internal/stream"
 )
 
@@ -227,7 +228,7 @@
 // the tries early: it has lost it.
 func (p *pump) resume(ctx context.Context, failures *int, cause error) (platform.TokenStream, error) {
 	for {
-		if *failures++; *failures > engineResumes || !pauseFor(ctx, resumePause) {
+		if *failures++; *failures > engineResumes || !sleep.For(ctx, resumePause) {
 			return nil, cause
 		}
 		tokens, err := p.sidecar.engine.Resume(ctx, p.run.engineID, p.run.buffer.Next())
@@ -318,17 +319,6 @@
 	return one, nil
 }
 
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func refusalMessage(e *errkind.Error) *peerv1.Refusal {
 	return &peerv1.Refusal{Kind: uint32(e.Kind), RetryAfterMs: uint32(e.RetryAfter.Milliseconds()), Detail: e.Detail}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 	"github.com/toucanwell/toucanwell/internal/once"
 	"github.com/toucanwell/toucanwell/internal/platform"
 	"github.com/toucanwell/toucanwell/internal/settings"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 const (
@@ -162,7 +163,7 @@
 	s.gate.Drain()
 	s.logger.Info("draining", "runs", s.runs.unread())
 	for !s.idle() {
-		if !pauseFor(ctx, drainPoll) {
+		if !sleep.For(ctx, drainPoll) {
 			return
 		}
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/toucanwell/toucanwell/internal/platform"
 	"github.com/toucanwell/toucanwell/internal/prefix"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 // EngineCosts are the time costs of an engine that matter to a router.
@@ -225,7 +226,7 @@
 		return
 	}
 	for seq := max(req.From, 1); seq <= uint64(req.MaxTokens); seq++ {
-		if seq > 1 && !sleep(ctx, e.stepTime()) {
+		if seq > 1 && !sleep.For(ctx, e.stepTime()) {
 			e.finish(s, req, incarnation, false)
 			return
 		}
@@ -259,7 +260,7 @@
 	stall := e.faults.Stall
 	e.mu.Unlock()
 	seconds := float64(missing) / e.costs.PrefillTokensPerSecond
-	if !sleep(ctx, stall+time.Duration(seconds*float64(time.Second))) {
+	if !sleep.For(ctx, stall+time.Duration(seconds*float64(time.Second))) {
 		return cached, false
 	}
 	e.mu.Lock()
@@ -451,17 +452,3 @@
 	e.publish(platform.EventCleared, nil)
 	w.WriteHeader(http.StatusNoContent)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
