--- a/cmd/toucanwell/replay.go
+++ b/cmd/toucanwell/replay.go
@@ -27,6 +27,7 @@
 			&cli.StringFlag{Name: "trace", Usage: "trace file (JSON lines) in place of a generated one"},
 			&cli.IntFlag{Name: "engines", Value: 18},
 			&cli.IntFlag{Name: "entries", Value: 3},
+			&cli.BoolFlag{Name: "contended", Usage: "every workspace sends as much as the others"},
 			&cli.FloatFlag{Name: "load", Usage: "share of the oracle's capacity", Value: 0.9},
 			&cli.FloatFlag{Name: "rate", Usage: "requests a second and engine, in place of a load"},
 			&cli.DurationFlag{Name: "length", Value: 60 * time.Second},
@@ -47,6 +48,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Bool("contended") {
+		shape = trace.Contended(shape)
+	}
 	rate := c.Float("rate")
 	if rate == 0 && c.String("trace") == "" {
 		rate = c.Float("load") * replay.CapacityRate(shape, replay.DefaultCosts, c.Uint64("seed"))
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -25,8 +25,8 @@
 	// PromptTokens of answered requests; CachedTokens of them were cached;
 	// RecomputedTokens had been computed by some engine before.
 	PromptTokens, CachedTokens, RecomputedTokens int64
-	// Served is the cost served by workspace, against its weight.
-	Served map[string]float64
+	// Served and Wanted are the tokens served to and asked by each workspace.
+	Served, Wanted map[string]float64
 	// Utilization is the mean share of time that engines prefilled.
 	Utilization float64
 	// BatchUse is the mean share of batch places that were taken.
@@ -51,7 +51,7 @@
 
 func newResult(s Setup) *Result {
 	const digits = 3
-	res := &Result{Policy: s.Policy.Name(), Refusals: map[errkind.Kind]int{}, Served: map[string]float64{}, warmup: s.Warmup, weights: s.Weights}
+	res := &Result{Policy: s.Policy.Name(), Refusals: map[errkind.Kind]int{}, Served: map[string]float64{}, Wanted: map[string]float64{}, warmup: s.Warmup, weights: s.Weights}
 	for i := range res.TTFT {
 		res.TTFT[i] = hdrhistogram.New(1, maxMicros, digits)
 	}
@@ -64,6 +64,7 @@
 	res.lastArrival = j.arrived
 	if res.counts(j) {
 		res.Requests++
+		res.Wanted[j.record.Workspace] += float64(j.record.InputLength + j.record.OutputLength)
 	}
 }
 
@@ -182,23 +183,57 @@
 	})
 }
 
-// ShareError is the largest distance of a workspace's part of what was served
-// from its part of the weights, as a share of the latter. It says something
-// only under overload, when every workspace wants more than it gets.
+// ShareError is the largest distance of what a workspace was served from its
+// fair share, as a part of the latter. The fair shares are those by weight of
+// all that was served, where nobody gets more than it asked for.
 func (res *Result) ShareError() float64 {
-	served, weights := 0.0, 0.0
-	for name, s := range res.Served {
-		served += s
-		weights += res.weights[name]
-	}
+	fair := res.fairShares()
 	worst := 0.0
-	for name, s := range res.Served {
-		want := res.weights[name] / weights
-		worst = max(worst, math.Abs(s/served-want)/want)
+	for name, want := range fair {
+		worst = max(worst, math.Abs(res.Served[name]-want)/want)
 	}
 	return worst
 }
 
+// fairShares fills the workspaces by weight until each is full or nothing is
+// left.
+func (res *Result) fairShares() map[string]float64 {
+	left := 0.0
+	for _, s := range res.Served {
+		left += s
+	}
+	fair := make(map[string]float64, len(res.Wanted))
+	open := make(map[string]bool, len(res.Wanted))
+	for name := range res.Wanted {
+		open[name] = true
+	}
+	for len(open) > 0 {
+		weights := 0.0
+		for name := range open {
+			weights += res.weights[name]
+		}
+		unit := left / weights
+		full := false
+		for name := range open {
+			if res.Wanted[name] <= unit*res.weights[name] {
+				fair[name] = res.Wanted[name]
+				left -= fair[name]
+				delete(open, name)
+				full = true
+				break
+			}
+		}
+		if full {
+			continue
+		}
+		for name := range open {
+			fair[name] = unit * res.weights[name]
+			delete(open, name)
+		}
+	}
+	return fair
+}
+
 const (
 	// recoveryWindow is the time over which a recovery must hold.
 	recoveryWindow = 3
--- a/internal/trace/generate.go
+++ b/internal/trace/generate.go
@@ -86,6 +86,17 @@
 	}
 }
 
+// Contended is a shape in which every workspace sends as much as the others, so
+// that under overload each wants more than its weight gives it.
+func Contended(s Shape) Shape {
+	workspaces := append([]WorkspaceShare(nil), s.Workspaces...)
+	for i := range workspaces {
+		workspaces[i].Share = 1 / float64(len(workspaces))
+	}
+	s.Workspaces = workspaces
+	return s
+}
+
 // Generate yields the requests of a shape at a mean rate, from a seed.
 func Generate(s Shape, rate float64, length time.Duration, seed uint64) iter.Seq[Record] {
 	return func(yield func(Record) bool) {
