Claims are pinned by stream, keys have a lifetime; capacity and measurements

Cause: working out the capacity page showed that keys were pinned one by one, so that each gate of a service read all its claim streams: 285 calls a second for 18 hours are 18 million keys at 434 bytes, and the bound of 12,500 keys a stream would have refused after 12 minutes. Ruled out: forgetting by pressure, which breaks at most once; more streams, whose appends grow with their number. Change: a stream's keys all go to the first reachable target of the stream's own ranking; a service may shorten the time for which keys are taken; what a ledger forgot stays refused when the time is lengthened again.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,6 +97,10 @@
 	// OpaqueKeys takes idempotency keys without an issue time. The promise
 	// then ends with the log's retention: a key repeated later runs again.
 	OpaqueKeys bool `toml:"opaque_keys"`
+	// KeyLifetime is how long an idempotency key is taken after it was made.
+	// Default and at most three quarters of the log's retention. The sidecars
+	// hold every key for as long.
+	KeyLifetime settings.Duration `toml:"key_lifetime"`
 	// ChecksFence says whether the targets refuse an order with an old fencing
 	// number by themselves.
 	ChecksFence bool `toml:"checks_fence"`
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/once"
 	"github.com/toucanwell/toucanwell/internal/prefix"
 	"github.com/toucanwell/toucanwell/internal/routing"
 	"github.com/toucanwell/toucanwell/internal/sleep"
@@ -165,18 +165,20 @@
 	if r.once == nil {
 		return e.choose(ctx, view, r, avoid)
 	}
-	target, ok := pinned(view.Services[r.service.Name], r.workspace.Name, r.once.Key, avoid)
+	target, ok := pinned(view.Services[r.service.Name], r.workspace.Name, r.service.Name, r.once.Key, avoid)
 	if !ok {
 		return choice{}, errkind.After(errkind.NoTarget, suspectFor, "")
 	}
 	return choice{target: target}, nil
 }
 
-// pinned returns the first target for a key that was not tried. The ranking is
-// over the configured targets, alive or not, so that entries which see
-// different ones fail still agree; one that cannot be reached is tried next.
-func pinned(targets []routing.Target, workspace, key string, avoid map[string]bool) (routing.Target, bool) {
-	hash := prefix.Chain(xxhash.Sum64String(workspace), key)
+// pinned returns the first target for a key's claim stream that was not tried,
+// so that each gate holds the keys of few streams. The ranking is over the
+// configured targets that are not leaving, reachable or not, so that entries
+// which see different ones fail still agree; one that cannot be reached is tried
+// next.
+func pinned(targets []routing.Target, workspace, service, key string, avoid map[string]bool) (routing.Target, bool) {
+	hash := once.SlotKey(service, once.NewKey(workspace, service, key, 0, 0).Slot)
 	best := -1
 	var score uint64
 	for i := range targets {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -316,7 +316,7 @@
 func (e *Entry) targetFor(view *View, call *plainCall, avoid map[string]bool) (routing.Target, bool) {
 	targets := view.Services[call.service.Name]
 	if call.request.Once != nil {
-		return pinned(targets, call.request.Workspace, call.request.Once.Key, avoid)
+		return pinned(targets, call.request.Workspace, call.service.Name, call.request.Once.Key, avoid)
 	}
 	ranking := routing.Rank(targets, e.place, []uint64{xxhash.Sum64String(call.request.RequestId)})
 	for i := range ranking.Len() {
--- a/internal/once/book.go
+++ b/internal/once/book.go
@@ -138,8 +138,10 @@
 	case TypeDone:
 		s.Phase = Done
 		s.Answer = r.Answer
+		s.Nonce = ""
 	case TypeVoid:
 		s.Phase = Void
+		s.Nonce = ""
 	}
 }
 
--- a/internal/once/key.go
+++ b/internal/once/key.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
@@ -36,6 +37,11 @@
 	Request uint64
 }
 
+// SlotKey is what the targets of a service are ranked by for a slot.
+func SlotKey(service string, slot int) uint64 {
+	return xxhash.Sum64String(StreamOf(service, slot))
+}
+
 // NewKey returns the key of a workspace's call.
 func NewKey(workspace, service, key string, issuedMs int64, request uint64) Key {
 	sum := sha256.New()
@@ -69,10 +75,27 @@
 	return int64(binary.BigEndian.Uint64(ms[:]))
 }
 
+// Terms are what a service lets its keys be.
+type Terms struct {
+	// Opaque takes keys without an issue time.
+	Opaque bool
+	// Lifetime is how long a key is taken; 0 means as long as the log allows.
+	Lifetime time.Duration
+}
+
+// keep is how long a key is taken beside a log with a retention.
+func (t Terms) keep(retention time.Duration) time.Duration {
+	longest := time.Duration(keepShare * float64(retention))
+	if t.Lifetime <= 0 {
+		return longest
+	}
+	return min(t.Lifetime, longest)
+}
+
 // CheckAge refuses a key that tells no time (unless opaque ones are taken),
 // one from the future, and one older than the record of calls.
-func CheckAge(issuedMs int64, opaque bool, now time.Time, retention time.Duration) *errkind.Error {
-	if issuedMs == 0 && opaque {
+func CheckAge(issuedMs int64, terms Terms, now time.Time, retention time.Duration) *errkind.Error {
+	if issuedMs == 0 && terms.Opaque {
 		return nil
 	}
 	if issuedMs == 0 {
@@ -82,12 +105,8 @@
 	if age < -ClockBound {
 		return errkind.New(errkind.KeyInvalid, "the key was made %v in the future; allowed is %v", -age.Round(time.Second), ClockBound)
 	}
-	if keep := keepTime(retention); age > keep {
+	if keep := terms.keep(retention); age > keep {
 		return errkind.New(errkind.KeyExpired, "the key is %v old; calls are kept for %v", age.Round(time.Second), keep)
 	}
 	return nil
 }
-
-func keepTime(retention time.Duration) time.Duration {
-	return time.Duration(keepShare * float64(retention))
-}
--- a/internal/once/ledger.go
+++ b/internal/once/ledger.go
@@ -17,8 +17,8 @@
 const (
 	// maxKeptBody is the largest answer kept in the log.
 	maxKeptBody = 8 << 10
-	// maxKeys is the most keys a ledger holds; a full one refuses.
-	maxKeys = 200_000
+	// maxKeys is the most keys a slot holds; a full one refuses.
+	maxKeys = 50_000
 	// commitTimeout bounds one append with its read.
 	commitTimeout = 3 * time.Second
 	// maxOrphans bounds the nonces kept of claims with a lost answer.
@@ -46,8 +46,10 @@
 	mu      sync.Mutex
 	book    *Book
 	pending []*pendingRecord
-	busy    bool
-	last    time.Time
+	// horizonMs is the issue time below which keys were dropped.
+	horizonMs int64
+	busy      bool
+	last      time.Time
 	// local holds the tries that run in this process, for callers that ask
 	// again meanwhile.
 	local map[string]*Ticket
@@ -98,11 +100,11 @@
 // Claim returns a ticket, or the kept answer of an earlier try, or a refusal.
 // A refusal of kind NotRun is final for the key; OutcomeUnknown means that the
 // same key may be asked again.
-func (l *Ledger) Claim(ctx context.Context, key Key, opaque bool) (*Ticket, *Answer, *errkind.Error) {
-	if refusal := CheckAge(key.IssuedMs, opaque, l.now(), l.retention); refusal != nil {
+func (l *Ledger) Claim(ctx context.Context, key Key, terms Terms) (*Ticket, *Answer, *errkind.Error) {
+	s := l.slots[key.Slot]
+	if refusal := s.checkAge(key, terms); refusal != nil {
 		return nil, nil, refusal
 	}
-	s := l.slots[key.Slot]
 	ticket := &Ticket{slot: s, key: key, nonce: uuid.NewString(), ended: make(chan struct{})}
 	if other := s.enter(ticket); other != nil {
 		return s.join(ctx, other, key)
@@ -122,11 +124,11 @@
 
 // Close ends a key unrun, so that its caller can be told so. The refusal is
 // NotRun when the key is closed, and else what is known of it.
-func (l *Ledger) Close(ctx context.Context, key Key, opaque bool, retryAfter time.Duration, detail string) (*Answer, *errkind.Error) {
-	if refusal := CheckAge(key.IssuedMs, opaque, l.now(), l.retention); refusal != nil {
+func (l *Ledger) Close(ctx context.Context, key Key, terms Terms, retryAfter time.Duration, detail string) (*Answer, *errkind.Error) {
+	s := l.slots[key.Slot]
+	if refusal := s.checkAge(key, terms); refusal != nil {
 		return nil, refusal
 	}
-	s := l.slots[key.Slot]
 	ticket := &Ticket{slot: s, key: key, nonce: uuid.NewString(), ended: make(chan struct{})}
 	state, err := s.commit(ctx, ticket.record(TypeVoid))
 	if err != nil {
@@ -149,16 +151,33 @@
 	return n
 }
 
-// Forget drops keys that are refused by age.
-func (l *Ledger) Forget() {
-	before := l.now().Add(-keepTime(l.retention) - ClockBound).UnixMilli()
+// Forget drops keys that the terms no longer take. What was dropped stays
+// refused, also when an operator lengthens the lifetime later.
+func (l *Ledger) Forget(terms Terms) {
+	before := l.now().Add(-terms.keep(l.retention) - ClockBound).UnixMilli()
 	for _, s := range l.slots {
 		s.mu.Lock()
-		s.book.Forget(before)
+		s.horizonMs = max(s.horizonMs, before)
+		s.book.Forget(s.horizonMs)
 		s.mu.Unlock()
 	}
 }
 
+// checkAge refuses a key that the terms do not take, or that may have been
+// dropped from the record.
+func (s *slot) checkAge(key Key, terms Terms) *errkind.Error {
+	l := s.ledger
+	if refusal := CheckAge(key.IssuedMs, terms, l.now(), l.retention); refusal != nil {
+		return refusal
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if key.IssuedMs != 0 && key.IssuedMs < s.horizonMs {
+		return errkind.New(errkind.KeyExpired, "calls of that time are no longer on record")
+	}
+	return nil
+}
+
 // judge turns the state of a key that another try owns into an answer.
 func judge(state State, key Key) (*Answer, *errkind.Error) {
 	if state.Digest != key.Request {
@@ -280,7 +299,7 @@
 	p := &pendingRecord{record: record, done: make(chan error, 1)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.book.Len() >= maxKeys/Slots && record.Type != TypeDone {
+	if s.book.Len() >= maxKeys && record.Type != TypeDone {
 		p.done <- errors.Newf("the record of calls is full: %d keys", s.book.Len())
 		return p
 	}
--- a/internal/once/ledger_test.go
+++ b/internal/once/ledger_test.go
@@ -100,10 +100,10 @@
 
 func (h *history) try(ctx context.Context, l *Ledger, key Key, c call) string {
 	if c.close {
-		answer, refusal := l.Close(ctx, key, false, time.Second, "overloaded")
+		answer, refusal := l.Close(ctx, key, Terms{}, time.Second, "overloaded")
 		return outcomeOf(answer, refusal)
 	}
-	ticket, answer, refusal := l.Claim(ctx, key, false)
+	ticket, answer, refusal := l.Claim(ctx, key, Terms{})
 	if ticket == nil {
 		return outcomeOf(answer, refusal)
 	}
@@ -245,10 +245,10 @@
 		log := &flakyLog{log: standin.NewLog(), random: rand.New(rand.NewPCG(1, 1))}
 		l := NewLedger(&lostOnce{Log: log}, "s", time.Hour, time.Millisecond, time.Now)
 		key := NewKey("w", "s", "key-long-enough", time.Now().UnixMilli(), 1)
-		if _, _, refusal := l.Claim(context.Background(), key, false); refusal == nil || refusal.Kind != errkind.OutcomeUnknown {
+		if _, _, refusal := l.Claim(context.Background(), key, Terms{}); refusal == nil || refusal.Kind != errkind.OutcomeUnknown {
 			t.Fatalf("first try: %v", refusal)
 		}
-		ticket, _, refusal := l.Claim(context.Background(), key, false)
+		ticket, _, refusal := l.Claim(context.Background(), key, Terms{})
 		if ticket == nil {
 			t.Fatalf("second try: %v", refusal)
 		}
@@ -279,11 +279,11 @@
 		log := &flakyLog{log: standin.NewLog(), random: rand.New(rand.NewPCG(1, 1)), loss: 1}
 		l := NewLedger(log, "s", time.Hour, time.Millisecond, time.Now)
 		key := NewKey("w", "s", "key-long-enough", time.Now().UnixMilli(), 1)
-		ticket, _, refusal := l.Claim(context.Background(), key, false)
+		ticket, _, refusal := l.Claim(context.Background(), key, Terms{})
 		if ticket != nil || refusal.Kind != errkind.OutcomeUnknown || refusal.RetryAfter == 0 {
 			t.Fatalf("claim: %v %v", ticket, refusal)
 		}
-		if _, refusal := l.Close(context.Background(), key, false, time.Second, ""); refusal.Kind != errkind.OutcomeUnknown {
+		if _, refusal := l.Close(context.Background(), key, Terms{}, time.Second, ""); refusal.Kind != errkind.OutcomeUnknown {
 			t.Fatalf("close: %v", refusal)
 		}
 		time.Sleep(10 * time.Second)
@@ -311,14 +311,39 @@
 		{"from the future", now.Add(ClockBound + time.Second).UnixMilli(), false, errkind.KeyInvalid},
 	} {
 		got := errkind.None
-		if refusal := CheckAge(c.issued, c.opaque, now, retention); refusal != nil {
+		if refusal := CheckAge(c.issued, Terms{Opaque: c.opaque}, now, retention); refusal != nil {
 			got = refusal.Kind
 		}
 		if got != c.want {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
 		}
 	}
-	if keepTime(retention)+ClockBound >= retention {
+	if (Terms{}).keep(retention)+ClockBound >= retention {
 		t.Error("a key may be taken that the log has dropped")
 	}
 }
+
+// An operator shortens a service's key lifetime, and the record forgets old
+// calls. When the lifetime is lengthened again, a key from before must not be
+// taken for new: it would run twice.
+func TestLengthenedLifetimeRevivesNoKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &flakyLog{log: standin.NewLog(), random: rand.New(rand.NewPCG(1, 1))}
+		l := NewLedger(log, "s", 24*time.Hour, time.Millisecond, time.Now)
+		key := NewKey("w", "s", "key-long-enough", time.Now().UnixMilli(), 1)
+		ticket, _, refusal := l.Claim(context.Background(), key, Terms{})
+		if ticket == nil {
+			t.Fatal(refusal)
+		}
+		ticket.Done(Answer{Status: 200})
+		time.Sleep(2 * time.Hour)
+		l.Forget(Terms{Lifetime: time.Hour})
+		if n := l.Len(); n != 0 {
+			t.Fatalf("%d keys are held", n)
+		}
+		ticket, _, refusal = l.Claim(context.Background(), key, Terms{Lifetime: 10 * time.Hour})
+		if ticket != nil || refusal.Kind != errkind.KeyExpired {
+			t.Fatalf("the key was taken again: %v", refusal)
+		}
+	})
+}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -121,7 +121,11 @@
 	if m == nil {
 		return nil, nil, nil
 	}
-	return s.ledgerFor(o.service.Name).Claim(ctx, onceKey(o, workspace, m), o.service.OpaqueKeys)
+	return s.ledgerFor(o.service.Name).Claim(ctx, onceKey(o, workspace, m), termsOf(o.service))
+}
+
+func termsOf(s *config.Service) once.Terms {
+	return once.Terms{Opaque: s.OpaqueKeys, Lifetime: s.KeyLifetime.Duration}
 }
 
 func onceKey(o own, workspace string, m *peerv1.OnceKey) once.Key {
@@ -137,7 +141,7 @@
 		return refusal
 	}
 	ledger := s.ledgerFor(o.service.Name)
-	answer, closed := ledger.Close(context.WithoutCancel(ctx), onceKey(o, workspace, m), o.service.OpaqueKeys, refusal.RetryAfter, refusal.Error())
+	answer, closed := ledger.Close(context.WithoutCancel(ctx), onceKey(o, workspace, m), termsOf(o.service), refusal.RetryAfter, refusal.Error())
 	if answer != nil {
 		return errkind.After(errkind.InProgress, 0, "the call has run; ask again with the same key for its answer")
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -214,9 +214,13 @@
 }
 
 func (s *Sidecar) forgetKeys() {
+	o, refusal := s.own()
+	if refusal != nil {
+		return
+	}
 	s.ledgerMu.Lock()
 	defer s.ledgerMu.Unlock()
 	for _, l := range s.ledgers {
-		l.Forget()
+		l.Forget(termsOf(o.service))
 	}
 }
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -31,9 +31,12 @@
 	levels = 3.0
 	// probesPerRequest is what the replay at 288 engines takes; see
 	// docs/MEASUREMENTS.md.
-	probesPerRequest = 5.4
+	probesPerRequest = 6.5
 	// onceShare is the assumed share of calls that may not be repeated.
 	onceShare = 0.05
+	// claimStreams of a service, and seconds for which a key is taken.
+	claimStreams = 16.0
+	keyLifetime  = 1800.0
 	// syncSeconds is the time between two questions of one process to peers.
 	syncSeconds = 2.0
 	logPolls    = 20.0
@@ -212,7 +215,7 @@
 		t.syncRow(),
 		{"index of the engine's blocks, and its events (13 KB/s on loopback, not counted)", t.value("IndexEvent heap-B", blocks/engines), 0, t.value("IndexEvent ns/op", blocks/engines)/1e3 + 1, perEngine, "prefix.Index"},
 		{"probes, both ways", 0, t.value("ProbeMessage wire-B", levels) * probes, (t.value("ProbeMessage ns/op", levels)/2 + t.value("Quote ns/op", 16)) / 1e3, probes, "probe.Server, sidecar.Gate"},
-		{"record of calls, 18 h of the slots it owns", t.value("Claim heap-B", onceShare*requests*18*3600), 0, 0, 0, "once.Ledger"},
+		{"record of calls: 30 minutes of one claim stream", t.value("Claim heap-B", onceShare*requestsPerSecond/claimStreams*keyLifetime), 0, 0, 0, "once.Ledger"},
 		{"connections from entries, idle for 10 s at most", t.value("PeerConnection heap-B", requests*10) / 2, 0, 0, 0, "net/http"},
 		{"polls of the log", 0, 400 * logPolls / (entries + engines), 50, logPolls / (entries + engines), "configlog.Follower"},
 	})
@@ -224,8 +227,8 @@
 
 func (t *table) log() {
 	claims := requestsPerSecond * onceShare
-	const slots, interval, services = 16, 0.1, 1
-	batches := math.Min(2*claims, services*slots/interval)
+	const interval = 0.1
+	batches := math.Min(2*claims, claimStreams/interval)
 	fmt.Print("\n### Log\n\n| stream | appends/s | KB/s | note |\n|---|---|---|---|\n")
 	fmt.Printf("| configuration | %.3f | %.2f | publishes, and a carry each 12 h |\n", changesPerDay/secondsPerDay, t.value("Config wire-B", workspaces)*3*changesPerDay/secondsPerDay/1e3)
 	fmt.Printf("| claims and ends | %.0f | %.1f | %.0f calls/s, 16 slots, one append in 100 ms each |\n", batches, claims*523/1e3, claims)
