A waiting request gives up as soon as it must; control time is measured

Ruled out: a timer for the whole queue, which idles at a cost (0.8% of a core). Change: the wait ends at deadline minus prefill; the loop reports each event's time and takes no task once stopped; an unused accessor is gone. Conclusion: "given up on" and "answered" are the same moment now.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -22,19 +22,27 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	tasks  sync.WaitGroup
+	// tasksMu guards stopped, so that no task begins once Run waits for the end
+	// of the others.
+	tasksMu sync.Mutex
+	stopped bool
+	// observe is told how long each event took.
+	observe func(time.Duration)
 	// seedMu guards random, which timers of several controllers draw from.
 	seedMu sync.Mutex
 	random *rand.Rand
 }
 
-// NewLoop returns a loop whose jitter comes from the seed.
-func NewLoop(seed uint64) *Loop {
+// NewLoop returns a loop whose jitter comes from the seed. observe is told how
+// long each event held the thread.
+func NewLoop(seed uint64, observe func(time.Duration)) *Loop {
 	ctx, stop := context.WithCancel(context.Background())
 	return &Loop{
-		events: make(chan func(), queueLength),
-		ctx:    ctx,
-		stop:   stop,
-		random: rand.New(rand.NewPCG(seed, seed)),
+		events:  make(chan func(), queueLength),
+		observe: observe,
+		ctx:     ctx,
+		stop:    stop,
+		random:  rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -43,7 +51,9 @@
 	for {
 		select {
 		case event := <-l.events:
+			start := time.Now()
 			event()
+			l.observe(time.Since(start))
 		case <-l.ctx.Done():
 			l.tasks.Wait()
 			return
@@ -52,7 +62,12 @@
 }
 
 // Stop ends Run and cancels the tasks.
-func (l *Loop) Stop() { l.stop() }
+func (l *Loop) Stop() {
+	l.tasksMu.Lock()
+	l.stopped = true
+	l.tasksMu.Unlock()
+	l.stop()
+}
 
 // Context is cancelled by Stop.
 func (l *Loop) Context() context.Context { return l.ctx }
@@ -91,6 +106,11 @@
 
 // Go runs a task off the control thread until it ends or the loop stops.
 func (l *Loop) Go(task func(ctx context.Context)) {
+	l.tasksMu.Lock()
+	defer l.tasksMu.Unlock()
+	if l.stopped {
+		return
+	}
 	l.tasks.Add(1)
 	go func() {
 		defer l.tasks.Done()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -89,7 +89,7 @@
 func New(s *settings.Settings, d Deps) (*Entry, error) {
 	e := &Entry{
 		settings: s, logger: d.Logger, metrics: d.Metrics, hosts: d.Hosts,
-		board: &Board{}, loop: control.NewLoop(s.Seed), health: newHealth(time.Now),
+		board: &Board{}, loop: control.NewLoop(s.Seed, d.Metrics.Control), health: newHealth(time.Now),
 		budget: retry.NewBudget(), burn: burn.NewCounter(time.Now), peers: d.Peers, prober: d.Prober,
 		place: routing.Place{Zone: s.AvailabilityZone, Region: s.Region},
 	}
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -46,9 +46,6 @@
 // NextSeq is the number of the first event not seen yet.
 func (x *Index) NextSeq() uint64 { return x.nextSeq }
 
-// Incarnation of the engine that the index speaks of.
-func (x *Index) Incarnation() string { return x.incarnation }
-
 // Len is the number of blocks held.
 func (x *Index) Len() int { return x.order.Len() }
 
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -71,8 +71,9 @@
 	permit breaker.Permit
 	// Decided receives nil when the request may start, or its refusal.
 	Decided chan *errkind.Error
-	// MatchedTokens when the request came.
+	// MatchedTokens and Prefill are what was expected when the request came.
 	MatchedTokens int
+	Prefill       time.Duration
 	startedAt     time.Duration
 	// expecting is set while the index counts the pass's blocks as coming.
 	expecting bool
@@ -157,7 +158,7 @@
 	matched := g.matched(w)
 	prefill := g.prefillTime(w.PromptTokens - matched)
 	g.lastID++
-	p := &Pass{gate: g, id: g.lastID, work: w, permit: permit, MatchedTokens: matched, expecting: true, Decided: make(chan *errkind.Error, 1)}
+	p := &Pass{gate: g, id: g.lastID, work: w, permit: permit, MatchedTokens: matched, Prefill: prefill, expecting: true, Decided: make(chan *errkind.Error, 1)}
 	g.waiters[p.id] = p
 	g.index.Expect(w.Blocks)
 	g.noteBusy()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -186,8 +186,8 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	// The request refuses itself when its deadline has passed while it waited.
-	expiry := time.NewTimer(w.Budget + expiryMargin)
+	// The request refuses itself as soon as its deadline can no longer be met.
+	expiry := time.NewTimer(w.Budget - pass.Prefill + expiryMargin)
 	defer expiry.Stop()
 	for {
 		select {
