--- /dev/null
+++ b/internal/cluster/restart_bench_test.go
@@ -0,0 +1,88 @@
+package cluster_test
+
+import (
+	"context"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/toucanwell/toucanwell/examples"
+	"github.com/toucanwell/toucanwell/internal/cluster"
+	"github.com/toucanwell/toucanwell/internal/config"
+	"github.com/toucanwell/toucanwell/internal/load"
+	"github.com/toucanwell/toucanwell/internal/standin"
+	"github.com/toucanwell/toucanwell/internal/trace"
+)
+
+// BenchmarkRestart kills all entries between two thousand requests while the
+// log is down, and compares the hit rates of the thousand before and after.
+func BenchmarkRestart(b *testing.B) {
+	const half = 1000
+	ctx, cancel := context.WithTimeout(context.Background(), 5*bound)
+	defer cancel()
+	costs := standin.EngineCosts{PrefillTokensPerSecond: 40_000, DecodeStep: time.Millisecond, MaxBatch: 16, CacheBlocks: 4000, LoadTime: time.Second}
+	c, err := cluster.Start(ctx, cluster.Options{Text: examples.Olaje, Entries: 3, Costs: costs, LogOutput: io.Discard, Launch: launcher(b)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	shape := trace.Olaje()
+	parsed, err := config.Parse("olaje", examples.Olaje)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := range shape.Workspaces {
+		shape.Workspaces[i].Name = parsed.Workspaces[i].Name
+	}
+	records := slices.Collect(trace.Generate(shape, 100, time.Minute, 5))
+	send := func(part []trace.Record) float64 {
+		start := part[0].Timestamp
+		shifted := func(yield func(trace.Record) bool) {
+			for _, r := range part {
+				r.Timestamp -= start
+				if !yield(r) {
+					return
+				}
+			}
+		}
+		var entries []string
+		for i := range c.Entries {
+			entries = append(entries, c.EntryURL(i))
+		}
+		outcomes := load.Run(ctx, load.Options{Entries: entries, Model: "oleaje-lm", MaxOpen: 200, Token: func(w string) string { return w + "-token" }}, shifted)
+		prompt, cached := 0, 0
+		for _, o := range outcomes {
+			if !o.Whole {
+				b.Fatal(o.Problem)
+			}
+			prompt += o.Prompt
+			cached += o.Cached
+		}
+		return float64(cached) / float64(prompt)
+	}
+	var ready time.Duration
+	var before, after float64
+	for b.Loop() {
+		send(records[:half])
+		before = send(records[half : 2*half])
+		c.Log.SetFaults(standin.LogFaults{Down: true})
+		for i := range c.Entries {
+			c.Entries[i].Close()
+		}
+		start := time.Now()
+		for i := range c.Entries {
+			if err := c.StartEntry(i); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if err := c.WaitReady(ctx); err != nil {
+			b.Fatal(err)
+		}
+		ready = time.Since(start)
+		after = send(records[2*half : 3*half])
+	}
+	b.ReportMetric(float64(ready.Milliseconds()), "ready-ms")
+	b.ReportMetric(before, "hit-before")
+	b.ReportMetric(after, "hit-after")
+}
