Weights are loaded when an engine's runs have ended

Cause: reading the path of a request over a roll of weights: the loader gave its order whatever ran, a gate took work for weights that were being replaced, and a request on its way asked for the old ones four times and was refused. Ruled out: serving with the former weights while the roll goes on, since a request must not rely on older weights. Change: the order waits for the engine's runs, up to the drain timeout; a gate takes requests for the weights in force only; a request that has not begun takes them up, one that has begun ends on its own. Conclusion: a roll under load refuses nobody and cuts nothing in the test.

--- a/internal/cluster/failure_test.go
+++ b/internal/cluster/failure_test.go
@@ -345,3 +345,41 @@
 		t.Errorf("the renewal ran %d times", n)
 	}
 }
+
+// An operator puts new weights in force while traders read answers. Answers that
+// have begun end on the weights they began with, requests that wait are answered
+// with the new ones, and nobody is refused.
+func TestWeightsRollCutsNothing(t *testing.T) {
+	c := startSlow(t, examples.Marktlizenz, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; ctx.Err() == nil; n++ {
+				b := completionBody{Model: "pruefer-lm", Messages: nested(i, n), MaxTokens: 100, Stream: n%2 == 0}
+				if err := answerTo(c, (i+n)%2, b); err != nil {
+					t.Errorf("caller %d, request %d: %v", i, n, err)
+				}
+			}
+		}()
+	}
+	eventually(t, "engines generate", func() bool { return c.Computed() > 0 })
+	publish(t, c, 1, `weights = "2026-11"`, `weights = "2026-12"`)
+	eventually(t, "all engines have the new weights", func() bool {
+		for _, e := range c.Engines {
+			if e.Weights() != "2026-12" {
+				return false
+			}
+		}
+		return true
+	})
+	cancel()
+	wg.Wait()
+	for name, e := range c.Engines {
+		if n := e.Stats().LoadsDuringRuns; n > 0 {
+			t.Errorf("%s was told to load while %d runs were under way", name, n)
+		}
+	}
+}
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -42,12 +42,14 @@
 	model         *config.Model
 	adapter       string
 	class         config.Class
-	text          string
-	prompt        prefix.Prompt
-	maxTokens     int
-	once          *peerv1.OnceKey
-	arrived       time.Time
-	deadline      time.Time
+	// parts of the prompt, and the whole text.
+	parts     []string
+	text      string
+	prompt    prefix.Prompt
+	maxTokens int
+	once      *peerv1.OnceKey
+	arrived   time.Time
+	deadline  time.Time
 }
 
 // sink takes an answer's frames in order. An error means that the caller has
@@ -90,13 +92,37 @@
 		if p.gone || !last.Kind.Row().Elsewhere {
 			break
 		}
-		avoid[made.target.Name] = true
+		if last.Kind == errkind.WrongWeights && p.next == 1 {
+			sleep.For(ctx, loadPause)
+			e.takeUpWeights(r)
+		} else {
+			avoid[made.target.Name] = true
+		}
 		e.metrics.Retry(last.Kind.String())
 		e.logger.Info("retry", "request_id", r.id, "target", made.target.Name, "kind", last.Kind.String(), "next_seq", p.next)
 	}
 	return p, e.finalRefusal(r, p, last)
 }
 
+// takeUpWeights names the prompt anew by the weights in force: they changed
+// while the request was on its way. One whose answer has begun keeps its weights.
+func (e *Entry) takeUpWeights(r *completion) {
+	c, _, ok := e.current()
+	if !ok {
+		return
+	}
+	if model := c.Model(r.model.Name); model != nil {
+		r.nameBy(model)
+	}
+}
+
+// nameBy names the prompt's prefixes by a model's weights.
+func (r *completion) nameBy(model *config.Model) {
+	r.model = model
+	scope := prefix.Scope{Workspace: r.workspace.Name, Model: model.Name, Adapter: r.adapter, Weights: model.Weights}
+	r.prompt = prefix.Parse(scope, r.parts, r.service.BlockTokens)
+}
+
 func (r *completion) retryShare(e *Entry) float64 {
 	c, _, ok := e.current()
 	if !ok {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,7 +13,6 @@
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/once"
-	"github.com/toucanwell/toucanwell/internal/prefix"
 	"github.com/toucanwell/toucanwell/internal/probe"
 )
 
@@ -127,13 +126,12 @@
 	if r.deadline, refusal = h.deadlineFrom(arrived, c); refusal != nil {
 		return nil, refusal
 	}
-	parts := renderParts(req.Messages)
-	r.text = strings.Join(parts, "")
+	r.parts = renderParts(req.Messages)
+	r.text = strings.Join(r.parts, "")
 	if r.once, refusal = h.onceKey(service, xxhash.Sum64String(r.text), arrived, e.settings.Platform.LogRetention.Duration); refusal != nil {
 		return nil, refusal
 	}
-	scope := prefix.Scope{Workspace: h.workspace.Name, Model: model.Name, Adapter: r.adapter, Weights: model.Weights}
-	r.prompt = prefix.Parse(scope, parts, service.BlockTokens)
+	r.nameBy(model)
 	return r, nil
 }
 
--- a/internal/sidecar/loader.go
+++ b/internal/sidecar/loader.go
@@ -39,6 +39,8 @@
 	clean bool
 	// failedAt is when an order failed; zero when none did.
 	failedAt time.Time
+	// drainSince is when the loader began to wait for runs to end.
+	drainSince time.Time
 	// inLine tells the timer whether there is a ticket.
 	inLine atomic.Bool
 }
@@ -116,11 +118,27 @@
 		l.append(stream, loadslot.Record{Type: loadslot.TypeAcquire, Target: name, Nonce: l.nonce})
 	case !l.failedAt.IsZero():
 		l.giveWay(stream)
-	case l.line.Holds(l.nonce, o.service.MaxLoads, isListed(o)):
+	case l.line.Holds(l.nonce, o.service.MaxLoads, isListed(o)) && l.drained():
 		l.order(o, ticket)
 	}
 }
 
+// drained reports whether the engine's runs have ended. The gate takes none for
+// other weights than those in force, so that they do; a load under a run would
+// cut its answer. After a bound the load goes ahead, since the ticket keeps
+// others waiting, and what still runs is continued or refused like any run on an
+// engine that was lost.
+func (l *loader) drained() bool {
+	if l.sidecar.gate.Counts().Running == 0 {
+		l.drainSince = time.Time{}
+		return true
+	}
+	if l.drainSince.IsZero() {
+		l.drainSince = time.Now()
+	}
+	return time.Since(l.drainSince) > l.sidecar.settings.Timing.DrainTimeout.Duration
+}
+
 // giveWay goes to the end of the line after a failed order, once the engine
 // has said since that it is not loading: the order's answer may have been lost
 // after it took effect, and a place given back early would let one load too
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -44,11 +44,16 @@
 	return own{snapshot: snapshot, service: service, model: snapshot.Config.ModelOf(service.Name)}, nil
 }
 
-// readyFor refuses work for weights that the engine does not have.
+// readyFor refuses work for other weights than those in force, also when the
+// engine still has them: they are to be replaced, and entries that ask for them
+// have an old configuration.
 func (s *Sidecar) readyFor(o own, weights string) *errkind.Error {
 	if o.service.Kind != config.KindEngine {
 		return nil
 	}
+	if weights != o.model.Weights {
+		return errkind.New(errkind.WrongWeights, "%q is in force, asked for %q", o.model.Weights, weights)
+	}
 	loaded, _ := s.board.Engine.Get()
 	if loaded.Weights != weights || loaded.Loading {
 		const loadRetry = 200 * time.Millisecond
@@ -102,7 +107,8 @@
 	}
 	one, refusal := s.admitRun(ctx, key, m)
 	if refusal != nil {
-		return out.Send(&peerv1.Frame{Refusal: refusalMessage(refusal)})
+		snapshot, _ := s.board.Config.Get()
+		return out.Send(&peerv1.Frame{Refusal: refusalMessage(refusal), ConfigVersion: snapshot.Version})
 	}
 	return s.follow(ctx, one, m.FromSeq, out)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -83,6 +83,8 @@
 	PrefillTokens int
 	Generated     int
 	Loads         int
+	// LoadsDuringRuns counts the runs that loads have found under way.
+	LoadsDuringRuns int
 }
 
 type engineStream struct {
@@ -442,6 +444,7 @@
 	e.fence = max(e.fence, order.Fence)
 	e.loading++
 	e.stats.Loads++
+	e.stats.LoadsDuringRuns += e.running
 	e.mu.Unlock()
 	e.store.Fetch(e.costs.LoadTime)
 	e.mu.Lock()
