A passed deadline is refused also at a free target; licence; plots as PNG

Cause: by hand, a request with a deadline of 1 ms was answered after 2.9 ms: a free target started it without a look at the deadline. Ruled out: refusing by the estimate at a free target, since an estimate that is too slow would then never be mended. Change: what comes past its deadline is refused; the report's plot is a PNG when its name says so; the loader's drain time is reset with each order. Conclusion: no work is begun for nobody.

--- a/cmd/toucanwell/report.go
+++ b/cmd/toucanwell/report.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -21,7 +22,7 @@
 	return &cli.Command{
 		Name:  "report",
 		Usage: "show how fast the service-level objectives' error budgets burn",
-		Flags: []cli.Flag{adminFlag(), outputFlag(), &cli.StringFlag{Name: "plot", Usage: "write a picture of the burn by minute (SVG)"}},
+		Flags: []cli.Flag{adminFlag(), outputFlag(), &cli.StringFlag{Name: "plot", Usage: "write a picture of the burn by minute (SVG, or PNG by the ending)"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			r, err := gather(ctx, c.StringSlice("admin"), time.Now())
 			if err != nil {
@@ -132,7 +133,11 @@
 	if err != nil {
 		return errors.Wrap(err, "plot")
 	}
-	err = graph.Render(chart.SVG, file)
+	renderer := chart.SVG
+	if strings.HasSuffix(path, ".png") {
+		renderer = chart.PNG
+	}
+	err = graph.Render(renderer, file)
 	return errors.CombineErrors(errors.Wrap(err, "plot"), file.Close())
 }
 
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -116,6 +116,12 @@
 // waiting one that had to give way to it.
 func (q *Queue) Offer(now time.Duration, r Request) []Outcome {
 	it := q.tag(r)
+	if r.Deadline <= now {
+		refusal := errkind.After(errkind.DeadlineUnmeetable, q.spread(minRetry, r.ID), "the deadline has passed")
+		return []Outcome{{ID: r.ID, Verdict: Refuse, Refusal: refusal}}
+	}
+	// A free target is tried whatever the estimate says: a wrong one would
+	// otherwise refuse the very requests that would mend it.
 	if q.canStart() && q.empty() {
 		q.commit(it)
 		q.begin(now, it)
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -168,6 +168,17 @@
 	}
 }
 
+// A request comes whose deadline passed on the way. No target works on it.
+func TestPassedDeadlineIsRefusedAtAFreeTarget(t *testing.T) {
+	q := NewQueue(limits)
+	r := request(1, 1, config.ClassAlert, time.Millisecond)
+	r.Deadline = 5 * time.Second
+	out := q.Offer(5*time.Second, r)
+	if len(out) != 1 || out[0].Verdict != Refuse || q.Running() != 0 {
+		t.Errorf("%+v", out)
+	}
+}
+
 // A full queue keeps the alert that comes and refuses a waiting briefing.
 func TestFullQueueRefusesTheLastInLine(t *testing.T) {
 	q := NewQueue(Limits{MaxRunning: 1, MaxPrefilling: 1, MaxQueued: 2})
--- a/internal/sidecar/loader.go
+++ b/internal/sidecar/loader.go
@@ -191,6 +191,7 @@
 		return
 	}
 	l.ordered = fence
+	l.drainSince = time.Time{}
 	l.busy = true
 	s.logger.Info("load_order", "model", o.model.Name, "weights", o.model.Weights, "fence", fence)
 	order := platform.Order{Model: o.model.Name, Weights: o.model.Weights, Fence: fence}
