The burn's picture shows something

Cause: looked at, the plot of a quiet hour was an empty frame without a legend: the range of its axis was zero. Ruled out: another plot library. Change: the axis starts at 0 and reaches 2 at least, the even burn is drawn, the legend has its place.

--- a/cmd/toucanwell/report.go
+++ b/cmd/toucanwell/report.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -118,17 +119,34 @@
 	return nil
 }
 
-// plot draws the burn of each objective by minute.
+const (
+	plotWidth  = 1100
+	plotHeight = 420
+	plotTop    = 50
+	plotLeft   = 160
+	// leastBurnShown keeps the line of an even burn, 1, inside the picture.
+	leastBurnShown = 2.0
+)
+
+// plot draws the burn of each objective by minute, and the even burn that would
+// use the budget up exactly.
 func (r *report) plot(path string) error {
 	graph := chart.Chart{
-		Title: "error budget burn by minute",
-		YAxis: chart.YAxis{Name: "burn"},
-		XAxis: chart.XAxis{ValueFormatter: chart.TimeMinuteValueFormatter},
+		Title:      "error budget burn by minute (UTC)",
+		Width:      plotWidth,
+		Height:     plotHeight,
+		Background: chart.Style{Padding: chart.Box{Top: plotTop, Left: plotLeft}},
+		XAxis:      chart.XAxis{ValueFormatter: chart.TimeValueFormatterWithFormat("15:04")},
 	}
+	highest := leastBurnShown
 	for _, g := range r.goals {
-		graph.Series = append(graph.Series, r.series(g))
+		s := r.series(g)
+		highest = max(highest, slices.Max(s.YValues))
+		graph.Series = append(graph.Series, s)
 	}
-	graph.Elements = []chart.Renderable{chart.Legend(&graph)}
+	graph.Series = append(graph.Series, r.evenBurn())
+	graph.YAxis = chart.YAxis{Name: "burn", Range: &chart.ContinuousRange{Min: 0, Max: highest}}
+	graph.Elements = []chart.Renderable{chart.LegendLeft(&graph)}
 	file, err := os.Create(path)
 	if err != nil {
 		return errors.Wrap(err, "plot")
@@ -151,14 +169,25 @@
 		}
 	}
 	s := chart.TimeSeries{Name: g.Service + " " + g.Class}
-	first := r.now.Unix()/60 - burn.Minutes + 1
-	for m := first; m <= r.now.Unix()/60; m++ {
+	for m := r.firstMinute(); m <= r.now.Unix()/60; m++ {
 		y := 0.0
 		if n := good[m] + bad[m]; n > 0 {
 			y = float64(bad[m]) / float64(n) / (1 - g.Goal)
 		}
-		s.XValues = append(s.XValues, time.Unix(m*60, 0))
+		s.XValues = append(s.XValues, time.Unix(m*60, 0).UTC())
 		s.YValues = append(s.YValues, y)
 	}
 	return s
 }
+
+func (r *report) firstMinute() int64 { return r.now.Unix()/60 - burn.Minutes + 1 }
+
+// evenBurn is the line at 1.
+func (r *report) evenBurn() chart.TimeSeries {
+	return chart.TimeSeries{
+		Name:    "even burn",
+		Style:   chart.Style{StrokeColor: chart.ColorRed, StrokeDashArray: []float64{5, 5}},
+		XValues: []time.Time{time.Unix(r.firstMinute()*60, 0).UTC(), r.now.UTC()},
+		YValues: []float64{1, 1},
+	}
+}
