--- a/internal/cluster/failure_test.go
+++ b/internal/cluster/failure_test.go
@@ -57,7 +57,7 @@
 // A renewal takes effect and the service's answer is lost. The clerk must not
 // be told that it was not run, and asking again must not bill the trader twice.
 func TestLostAnswerOfAPlainCallIsUnknown(t *testing.T) {
-	c := startCluster(t, examples.Marktlizenz, 2)
+	c := startProcesses(t, examples.Marktlizenz, 2, slowCosts)
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
 	for _, p := range c.Plains {
@@ -137,7 +137,7 @@
 // two requests of one. Neither may find the other's blocks or the older ones.
 // The fleet's engines load the new weights no more than two at a time.
 func TestCacheIsNotSharedOverWorkspacesOrWeights(t *testing.T) {
-	c := startCluster(t, examples.Marktlizenz, 1)
+	c := startProcesses(t, examples.Marktlizenz, 1, cluster.DefaultCosts)
 	b := completionBody{Model: "pruefer-lm", Messages: nested(1, 1), MaxTokens: 2}
 	if cold := cachedTokens(t, c, "muenchen-token", b); cold != 0 {
 		t.Errorf("first request found %d tokens", cold)
@@ -212,7 +212,7 @@
 // The platform's list calls a target leaving. It gets no new work after a few
 // seconds, while its run in flight finishes whole.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
-	c := startSlow(t, examples.Marktlizenz, 1)
+	c := startProcesses(t, examples.Marktlizenz, 1, slowCosts)
 	done := make(chan error, 1)
 	go func() { done <- answerTo(c, 0, review) }()
 	name := busyEngine(t, c, 3)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -44,7 +44,7 @@
 	forgetPeriod = time.Minute
 	loadPeriod   = 500 * time.Millisecond
 	// loaderIdle and loaderBusy are the loader's periods without and with a
-	// ticket in line.
+	// ticket in line; it also steps with each word of the engine.
 	loaderIdle = time.Second
 	loaderBusy = 100 * time.Millisecond
 	ioTimeout  = 2 * time.Second
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -51,6 +51,7 @@
 			s.logger.Info("engine_incarnation", "old", old.Incarnation, "new", load.Incarnation, "weights", load.Weights)
 		}
 		s.board.Engine.Post(*load, time.Now())
+		s.loader.step()
 	})
 }
 
