All entries killed with the log up, slow and down

Ruled out: nothing was found; a slow log (4 s a call) is overtaken by the peers. Change: one test, three states of the log.

--- a/internal/cluster/process_test.go
+++ b/internal/cluster/process_test.go
@@ -228,16 +228,29 @@
 	}
 }
 
-// All entries are killed at once while the platform's log is down. New ones
-// must serve at once: the configuration comes from the sidecars, and what the
-// engines hold is known beside them, so that there is no cold start.
-func TestEntriesKilledWhileLogIsDown(t *testing.T) {
+// All entries are killed at once while the platform's log is up, slow, or down.
+// New ones must serve at once: the configuration comes from the sidecars, and
+// what the engines hold is known beside them, so that there is no cold start.
+func TestEntriesKilledAtOnce(t *testing.T) {
+	for _, log := range []struct {
+		name   string
+		faults standin.LogFaults
+	}{
+		{"log up", standin.LogFaults{}},
+		{"log slow", standin.LogFaults{Delay: 4 * time.Second}},
+		{"log down", standin.LogFaults{Down: true}},
+	} {
+		t.Run(log.name, func(t *testing.T) { killAllEntries(t, log.faults) })
+	}
+}
+
+func killAllEntries(t *testing.T, faults standin.LogFaults) {
 	c := startProcesses(t, examples.Marktlizenz, 2, slowCosts)
 	warm := completionBody{Model: "pruefer-lm", Messages: nested(1, 1), MaxTokens: 2}
 	if err := answerTo(c, 0, warm); err != nil {
 		t.Fatal(err)
 	}
-	c.Log.SetFaults(standin.LogFaults{Down: true})
+	c.Log.SetFaults(faults)
 	before := c.Computed()
 	for i := range c.Entries {
 		c.Entries[i].Close()
