Two pieces of logic that stood twice

Cause: duplicates showed the end of a choice in two policies and the wait for weights in three tests. Ruled out: sharing the policies' command-line flags, which differ in their words. Change: replay.cheapest, allEnginesGet. Conclusion: one place for each.

--- a/internal/cluster/failure_test.go
+++ b/internal/cluster/failure_test.go
@@ -149,14 +149,7 @@
 		t.Errorf("another workspace found %d tokens", other)
 	}
 	publish(t, c, 1, `weights = "2026-11"`, `weights = "2026-12"`)
-	eventually(t, "all engines have the new weights", func() bool {
-		for _, e := range c.Engines {
-			if e.Weights() != "2026-12" {
-				return false
-			}
-		}
-		return true
-	})
+	allEnginesGet(t, c, "2026-12")
 	if peak, total := c.Store.Peak(); peak > 2 || total != len(c.Engines) {
 		t.Errorf("%d of %d loads ran at once", peak, total)
 	}
@@ -367,14 +360,7 @@
 	}
 	eventually(t, "engines generate", func() bool { return c.Computed() > 0 })
 	publish(t, c, 1, `weights = "2026-11"`, `weights = "2026-12"`)
-	eventually(t, "all engines have the new weights", func() bool {
-		for _, e := range c.Engines {
-			if e.Weights() != "2026-12" {
-				return false
-			}
-		}
-		return true
-	})
+	allEnginesGet(t, c, "2026-12")
 	cancel()
 	wg.Wait()
 	for name, e := range c.Engines {
--- a/internal/cluster/orders_test.go
+++ b/internal/cluster/orders_test.go
@@ -10,6 +10,19 @@
 	"github.com/toucanwell/toucanwell/internal/standin"
 )
 
+// allEnginesGet waits until every engine has weights.
+func allEnginesGet(t *testing.T, c *cluster.Cluster, weights string) {
+	t.Helper()
+	eventually(t, "all engines have the weights", func() bool {
+		for _, e := range c.Engines {
+			if e.Weights() != weights {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // loadingEngine waits for an engine that has been told to load, other than the
 // given one.
 func loadingEngine(t *testing.T, c *cluster.Cluster, not string) string {
@@ -47,14 +60,7 @@
 	if err := c.StartSidecar(killed); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "all engines but the frozen one's line have the weights", func() bool {
-		for _, e := range c.Engines {
-			if e.Weights() != "2026-12" {
-				return false
-			}
-		}
-		return true
-	})
+	allEnginesGet(t, c, "2026-12")
 	proc(c.Sidecars[frozen]).signal(syscall.SIGCONT)
 	eventually(t, "the woken sidecar answers", func() bool { return isReady(c.SidecarSettings[frozen].AdminListen) })
 	if peak, total := c.Store.Peak(); peak > 2 || total != len(c.Engines) {
--- a/internal/replay/policies.go
+++ b/internal/replay/policies.go
@@ -247,16 +247,20 @@
 				p.round(r, j, ranking, n+1, quotes, chosen)
 				return
 			}
-			best := p.Policy.Pick(j.class, quotes)
-			if best < 0 {
-				chosen(-1)
-				return
-			}
-			chosen(quotes[best].Index)
+			chosen(cheapest(&p.Policy, j, quotes))
 		})
 	})
 }
 
+// cheapest is the engine of the quote that a weighing picks, or -1.
+func cheapest(policy *routing.Policy, j *job, quotes []routing.Quote) int {
+	best := policy.Pick(j.class, quotes)
+	if best < 0 {
+		return -1
+	}
+	return quotes[best].Index
+}
+
 // quote asks the real gate.
 func (r *Replay) quote(j *job, i int) routing.Quote {
 	q, refusal := r.engines[i].gate.Quote(r.question(j))
@@ -299,12 +303,7 @@
 		q.Prefill = time.Duration(float64(missing) / r.setup.Costs.PrefillTokensPerSecond * float64(time.Second))
 		quotes = append(quotes, q)
 	}
-	best := p.Policy.Pick(j.class, quotes)
-	if best < 0 {
-		chosen(-1)
-		return
-	}
-	chosen(quotes[best].Index)
+	chosen(cheapest(&p.Policy, j, quotes))
 }
 
 // sharedTokens is the length of the prefix that two requests share; the later
