--- a/api/peer/v1/peer.connect.go
+++ b/api/peer/v1/peer.connect.go
@@ -28,6 +28,8 @@
 	GateName = "toucanwell.peer.v1.Gate"
 	// PeerName is the fully-qualified name of the Peer service.
 	PeerName = "toucanwell.peer.v1.Peer"
+	// MeshName is the fully-qualified name of the Mesh service.
+	MeshName = "toucanwell.peer.v1.Mesh"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -48,6 +50,8 @@
 	GateCallProcedure = "/toucanwell.peer.v1.Gate/Call"
 	// PeerSyncProcedure is the fully-qualified name of the Peer's Sync RPC.
 	PeerSyncProcedure = "/toucanwell.peer.v1.Peer/Sync"
+	// MeshFetchProcedure is the fully-qualified name of the Mesh's Fetch RPC.
+	MeshFetchProcedure = "/toucanwell.peer.v1.Mesh/Fetch"
 )
 
 // GateClient is a client for the toucanwell.peer.v1.Gate service.
@@ -277,3 +281,75 @@
 func (UnimplementedPeerHandler) Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("toucanwell.peer.v1.Peer.Sync is not implemented"))
 }
+
+// MeshClient is a client for the toucanwell.peer.v1.Mesh service.
+type MeshClient interface {
+	// Fetch returns the newest records of a topic from an offset on.
+	Fetch(context.Context, *connect.Request[FetchRequest]) (*connect.Response[FetchResponse], error)
+}
+
+// NewMeshClient constructs a client for the toucanwell.peer.v1.Mesh service. By default, it uses
+// the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewMeshClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) MeshClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	meshMethods := File_peer_proto.Services().ByName("Mesh").Methods()
+	return &meshClient{
+		fetch: connect.NewClient[FetchRequest, FetchResponse](
+			httpClient,
+			baseURL+MeshFetchProcedure,
+			connect.WithSchema(meshMethods.ByName("Fetch")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// meshClient implements MeshClient.
+type meshClient struct {
+	fetch *connect.Client[FetchRequest, FetchResponse]
+}
+
+// Fetch calls toucanwell.peer.v1.Mesh.Fetch.
+func (c *meshClient) Fetch(ctx context.Context, req *connect.Request[FetchRequest]) (*connect.Response[FetchResponse], error) {
+	return c.fetch.CallUnary(ctx, req)
+}
+
+// MeshHandler is an implementation of the toucanwell.peer.v1.Mesh service.
+type MeshHandler interface {
+	// Fetch returns the newest records of a topic from an offset on.
+	Fetch(context.Context, *connect.Request[FetchRequest]) (*connect.Response[FetchResponse], error)
+}
+
+// NewMeshHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewMeshHandler(svc MeshHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	meshMethods := File_peer_proto.Services().ByName("Mesh").Methods()
+	meshFetchHandler := connect.NewUnaryHandler(
+		MeshFetchProcedure,
+		svc.Fetch,
+		connect.WithSchema(meshMethods.ByName("Fetch")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/toucanwell.peer.v1.Mesh/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case MeshFetchProcedure:
+			meshFetchHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedMeshHandler returns CodeUnimplemented from all methods.
+type UnimplementedMeshHandler struct{}
+
+func (UnimplementedMeshHandler) Fetch(context.Context, *connect.Request[FetchRequest]) (*connect.Response[FetchResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("toucanwell.peer.v1.Mesh.Fetch is not implemented"))
+}
--- a/cmd/toucanwelld/main.go
+++ b/cmd/toucanwelld/main.go
@@ -30,10 +30,11 @@
 		Usage:   "run one process of the router",
 		Version: version.String(),
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings file (TOML)", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "settings file (TOML)", Sources: cli.EnvVars("TOUCANWELL_SETTINGS"), Required: true},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{gatewayCommand()},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "toucanwelld:", err)
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -47,6 +47,10 @@
 	Cancelled
 	UnknownRun
 	Internal
+	UnknownKey
+	UnknownRoute
+	TimedOut
+	HeaderTooLarge
 )
 
 // Row is the answer to one kind.
@@ -91,6 +95,10 @@
 	Cancelled:            {"cancelled", "The caller has gone.", 499, false},
 	UnknownRun:           {"unknown_run", "The sidecar knows no such run.", http.StatusNotFound, true},
 	Internal:             {"internal", "The router failed.", http.StatusInternalServerError, false},
+	UnknownKey:           {"unknown_key", "No workspace has this key.", http.StatusUnauthorized, false},
+	UnknownRoute:         {"unknown_route", "No route has this host and path.", http.StatusNotFound, false},
+	TimedOut:             {"timed_out", "No answer came within the route's time; the request may have run.", http.StatusGatewayTimeout, false},
+	HeaderTooLarge:       {"header_too_large", "The request's headers are too large.", http.StatusRequestHeaderFieldsTooLarge, false},
 }
 
 // Row returns the answer to k; an unknown number reads as Internal.
@@ -113,7 +121,7 @@
 // All returns every kind but None, in the order of their numbers.
 func All() []Kind {
 	kinds := make([]Kind, 0, len(table))
-	for k := BadRequest; k <= Internal; k++ {
+	for k := BadRequest; k <= HeaderTooLarge; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
--- /dev/null
+++ b/internal/gateway/beliefs.go
@@ -0,0 +1,395 @@
+package gateway
+
+import (
+	"context"
+	"encoding/binary"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/blackboard"
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/estate"
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
+	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+	"github.com/toucanwell/toucanwell/internal/gateway/view"
+	"github.com/toucanwell/toucanwell/internal/gateway/weights"
+	"github.com/toucanwell/toucanwell/internal/settings"
+)
+
+// Names of the topics between processes.
+const (
+	topicOperators = "operators"
+	topicTargets   = "targets"
+)
+
+const (
+	// operatorsWait is how long a read of what operators declare waits at the
+	// store. A record answers it at once, so that the wait costs no time, only
+	// calls: one in eight seconds for each entry.
+	operatorsWait = 8 * time.Second
+	// outageGap is the time without word of the store that counts as an outage.
+	outageGap = 1500 * time.Millisecond
+	// Ages of the copy of the targets from which a process reads the store. The
+	// first entry reads, the second when the first is late, and so on: one of them
+	// keeps all others up to date through their heartbeats.
+	firstReads   = 450 * time.Millisecond
+	secondReads  = 800 * time.Millisecond
+	othersRead   = 1100 * time.Millisecond
+	sidecarsRead = 2500 * time.Millisecond
+	// sidecarsReadOperators is the same for what operators declare.
+	sidecarsReadOperators = 3 * time.Second
+	// viewPeriod is how often the view is made anew without a change, so that what
+	// became old leaves it.
+	refreshPeriod = 200 * time.Millisecond
+	// wordFor is how long an engine's sidecar is believed.
+	wordFor = 2500 * time.Millisecond
+)
+
+// beliefs holds what a process knows of the deployment. Its state is used on
+// the control thread; traffic reads the view.
+type beliefs struct {
+	settings  *Settings
+	platform  Platform
+	loop      *control.Loop
+	clock     *hostclock.Clock
+	logger    logr.Logger
+	peers     *http.Client
+	mesh      *mesh.Mesh
+	operators *feed.Follower
+	targets   *feed.Follower
+	directory *fleet.Directory
+	estate    *estate.Estate
+	wanted    map[string]weights.Wanted
+	words     map[string]view.EngineWord
+	digest    uint64
+	pulling   map[string]bool
+	stopping  bool
+	view      blackboard.Fact[*view.View]
+	// changed is told after each new view.
+	changed func()
+}
+
+func newBeliefs(s *Settings, p Platform, loop *control.Loop, clock *hostclock.Clock, logger logr.Logger, peers *http.Client, called func(string, time.Duration, error)) *beliefs {
+	b := &beliefs{
+		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
+		directory: fleet.NewDirectory(), wanted: map[string]weights.Wanted{}, words: map[string]view.EngineWord{},
+		pulling: map[string]bool{}, changed: func() {},
+	}
+	b.operators = feed.NewFollower(loop, p.Operators(), feed.NewCopy(outageGap), feed.Options{
+		Name: topicOperators, Wait: operatorsWait, Reads: b.readsOperators, Changed: b.operatorsChanged,
+		Called: called, Logger: logger, Now: clock.Now,
+	})
+	b.targets = feed.NewFollower(loop, p.Targets(), feed.NewCopy(outageGap), feed.Options{
+		Name: topicTargets, Reads: b.readsTargets, Changed: b.targetsChanged,
+		Called: called, Logger: logger, Now: clock.Now,
+	})
+	return b
+}
+
+// start begins to follow the store. The mesh is set before.
+func (b *beliefs) start() {
+	b.operators.Start()
+	b.targets.Start()
+	b.loop.Every(func() time.Duration { return refreshPeriod }, b.post)
+}
+
+func (b *beliefs) isEntry() bool { return b.settings.Role == settings.RoleEntry }
+
+// readsOperators reports whether this process reads what operators declare.
+func (b *beliefs) readsOperators(currentAt time.Time) bool {
+	return b.isEntry() || b.clock.Now().Sub(currentAt) > sidecarsReadOperators
+}
+
+// readsTargets reports whether this process reads the list of targets now.
+func (b *beliefs) readsTargets(currentAt time.Time) bool {
+	return b.clock.Now().Sub(currentAt) > b.patience()
+}
+
+// patience is the age of the copy of the targets at which this process reads.
+func (b *beliefs) patience() time.Duration {
+	if !b.isEntry() {
+		return sidecarsRead
+	}
+	before := 0
+	for _, m := range b.mesh.Live(true) {
+		if m.Name < b.settings.Name && !m.Leaving {
+			before++
+		}
+	}
+	switch before {
+	case 0:
+		return firstReads
+	case 1:
+		return secondReads
+	default:
+		return othersRead
+	}
+}
+
+func (b *beliefs) operatorsChanged(keys []string) {
+	for _, key := range keys {
+		r, ok := b.operators.Copy().Get(key)
+		if !ok {
+			continue
+		}
+		d, err := b.platform.ReadDeclaration(r)
+		if err != nil {
+			// The last good one stays in force: half of a bad one must not.
+			b.logger.Error(err, "declaration_refused", "key", key, "offset", r.Offset)
+			continue
+		}
+		b.declare(d, r.Offset)
+	}
+	b.post()
+	b.mesh.Tell()
+}
+
+func (b *beliefs) declare(d Declaration, offset uint64) {
+	if d.Estate != nil && (b.estate == nil || d.Estate.Version > b.estate.Version) {
+		b.estate = d.Estate
+		b.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", offset, "routes", len(d.Estate.Routes()))
+	}
+	if d.Model == "" || d.Version <= b.wanted[d.Model].Version {
+		return
+	}
+	b.wanted[d.Model] = weights.Wanted{Model: d.Model, Version: d.Version, Since: b.clock.Now()}
+	b.logger.Info("weights_wanted", "model", d.Model, "version", d.Version, "offset", offset)
+}
+
+func (b *beliefs) targetsChanged(keys []string) {
+	changed := false
+	for _, key := range keys {
+		r, ok := b.targets.Copy().Get(key)
+		if !ok {
+			if b.directory.Drop(key, b.clock.Now()) {
+				changed = true
+				b.logger.Info("target_gone", "target", key, "end", b.targets.Copy().End())
+			}
+			continue
+		}
+		listing, err := b.platform.ReadTarget(r)
+		if err != nil {
+			b.logger.Error(err, "target_refused", "target", key, "offset", r.Offset)
+			continue
+		}
+		changed = b.list(listing, r.Offset) || changed
+	}
+	if changed {
+		b.digestTargets()
+		b.post()
+	}
+}
+
+// list takes in a listing and reports whether it changed what matters.
+func (b *beliefs) list(l fleet.Listing, offset uint64) bool {
+	old, known := b.directory.Find(l.Instance)
+	b.directory.List(l)
+	if known && listingDigest(&old.Listing) == listingDigest(&l) {
+		return false
+	}
+	b.logger.Info("target_listed", "target", l.Instance, "service", l.Service, "address", l.Address, "zone", l.Zone,
+		"leaving", l.Leaving, "weights", l.Weights, "offset", offset)
+	return true
+}
+
+// digestTargets makes the digest that tells other processes whether they lack
+// something. Heartbeats of targets change records all the time, but rarely what
+// matters.
+func (b *beliefs) digestTargets() {
+	b.digest = 0
+	for _, r := range b.targets.Copy().Records() {
+		if l, err := b.platform.ReadTarget(r); err == nil {
+			b.digest ^= listingDigest(&l)
+		}
+	}
+}
+
+func listingDigest(l *fleet.Listing) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, text := range []string{l.Instance, l.Service, l.Address.String(), l.Zone} {
+		_, _ = d.WriteString(text + "\x00")
+	}
+	if l.Leaving {
+		_, _ = d.WriteString("leaving")
+	}
+	sum := d.Sum64()
+	for model, version := range l.Weights {
+		var v [8]byte
+		binary.BigEndian.PutUint64(v[:], uint64(version))
+		sum ^= xxhash.Sum64String(model + "\x00" + string(v[:]))
+	}
+	return sum
+}
+
+// post makes a new view of all beliefs.
+func (b *beliefs) post() {
+	now := b.clock.Now()
+	v := &view.View{
+		Estate: b.estate, Targets: b.directory.Targets(now, b.targets.Copy().OutageEnd()),
+		Engines: map[string]view.EngineWord{}, Wanted: map[string]weights.Wanted{},
+		Entries: 1 + len(b.mesh.Live(true)), Stopping: b.stopping,
+	}
+	for instance, word := range b.words {
+		if now.Sub(word.HeardAt) <= wordFor {
+			v.Engines[instance] = word
+		} else {
+			delete(b.words, instance)
+		}
+	}
+	for model, w := range b.wanted {
+		v.Wanted[model] = w
+	}
+	b.view.Post(v, now)
+	b.changed()
+}
+
+// hosts are those on which sidecars may run: the engines'.
+func (b *beliefs) hosts() []netip.Addr {
+	var hosts []netip.Addr
+	for _, list := range b.directory.Targets(b.clock.Now(), b.targets.Copy().OutageEnd()) {
+		for i := range list {
+			if len(list[i].Weights) > 0 {
+				hosts = append(hosts, list[i].Address.Addr())
+			}
+		}
+	}
+	return hosts
+}
+
+// compose fills in a heartbeat with how far the copies are.
+func (b *beliefs) compose(beat *peerv1.Beat) {
+	beat.Leaving = b.stopping
+	beat.Topics = []*peerv1.TopicPosition{
+		b.position(topicOperators, b.operators, 0),
+		b.position(topicTargets, b.targets, b.digest),
+	}
+}
+
+func (b *beliefs) position(name string, f *feed.Follower, digest uint64) *peerv1.TopicPosition {
+	current := b.currentAt(name)
+	return &peerv1.TopicPosition{
+		Topic: name, End: f.Copy().End(), AgeMs: uint32(b.clock.Now().Sub(current).Milliseconds()),
+		Unknown: current.IsZero(), Digest: digest,
+	}
+}
+
+// currentAt is when a copy last was complete. A read of what operators declare
+// that waits at the store is answered by the first record; as long as the store
+// answers other reads, none has come.
+func (b *beliefs) currentAt(topic string) time.Time {
+	own := b.targets.Copy().CurrentAt()
+	if topic == topicTargets {
+		return own
+	}
+	at := b.operators.Copy().CurrentAt()
+	if b.isEntry() && !at.IsZero() && own.After(at) {
+		return own
+	}
+	return at
+}
+
+// heard takes in how far another process's copies are, and fetches what this
+// one lacks.
+func (b *beliefs) heard(m *mesh.Member) {
+	for _, p := range m.Beat.Topics {
+		if p.Unknown {
+			continue
+		}
+		f := b.follower(p.Topic)
+		if f == nil {
+			continue
+		}
+		at := b.clock.Now().Add(-time.Duration(p.AgeMs) * time.Millisecond)
+		same := p.End <= f.Copy().End()
+		if p.Topic == topicTargets {
+			same = p.Digest == b.digest
+		}
+		switch {
+		case same && f.Copy().End() > 0:
+			if p.Topic == topicTargets || p.End == f.Copy().End() {
+				f.Copy().Confirm(at)
+			}
+		case p.End > f.Copy().End():
+			b.pull(m.Address, p.Topic, f)
+		}
+	}
+}
+
+func (b *beliefs) follower(topic string) *feed.Follower {
+	switch topic {
+	case topicOperators:
+		return b.operators
+	case topicTargets:
+		return b.targets
+	default:
+		return nil
+	}
+}
+
+// pull fetches the records of a topic that a peer has and this process lacks.
+func (b *beliefs) pull(from netip.AddrPort, topic string, f *feed.Follower) {
+	if b.pulling[topic] {
+		return
+	}
+	b.pulling[topic] = true
+	offset := f.Copy().End()
+	const timeout = 800 * time.Millisecond
+	control.Do(b.loop, timeout, func(ctx context.Context) (mesh.Answer, error) {
+		return mesh.Fetch(ctx, b.peers, from, topic, offset)
+	}, func(a mesh.Answer, err error) {
+		b.pulling[topic] = false
+		if err != nil {
+			b.logger.Info("fetch_failed", "topic", topic, "peer", from, "error", err.Error())
+			return
+		}
+		if a.End > 0 {
+			f.Adopt(a.Records, offset, a.End, b.clock.Now().Add(-a.Age))
+		}
+	})
+}
+
+// answer serves another process's fetch.
+func (b *beliefs) answer(topic string, from uint64) (mesh.Answer, bool) {
+	f := b.follower(topic)
+	if f == nil || f.Copy().CurrentAt().IsZero() {
+		return mesh.Answer{}, false
+	}
+	return mesh.Answer{
+		Records: f.Copy().Since(from), End: f.Copy().End(), Age: b.clock.Now().Sub(b.currentAt(topic)),
+	}, true
+}
+
+// hearEngine takes in what a sidecar says of its engine. It reports whether
+// traffic goes by something else now.
+func (b *beliefs) hearEngine(e *peerv1.EngineState) bool {
+	if e == nil || e.Instance == "" {
+		return false
+	}
+	word := view.EngineWord{
+		Weights: map[string]int64{}, Loading: e.Phase == peerv1.EnginePhase_ENGINE_PHASE_LOADING,
+		Running: int(e.Running), Queued: int(e.Queued), HeardAt: b.clock.Now(),
+	}
+	for _, w := range e.Weights {
+		word.Weights[w.Model] = w.Version
+	}
+	old, known := b.words[e.Instance]
+	b.words[e.Instance] = word
+	changed := !known || old.Loading != word.Loading
+	for model, version := range word.Weights {
+		if old.Weights[model] != version {
+			changed = true
+		}
+	}
+	if changed {
+		b.logger.Info("engine_told", "target", e.Instance, "weights", word.Weights, "loading", word.Loading)
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/gateway/feed/feed.go
@@ -0,0 +1,161 @@
+// Package feed keeps copies of keyed topics: logs of which only the newest
+// record of each key counts.
+//
+// A copy is filled from the platform's store and from other processes alike.
+// Offsets decide which record of a key is newer, so that it does not matter in
+// which order and by which way records come, and a copy never goes back.
+package feed
+
+import (
+	"slices"
+	"time"
+)
+
+// Record is the newest record of one key.
+type Record struct {
+	Key string
+	// Value is nil when the key was dropped.
+	Value []byte
+	// Offset of the record in its topic.
+	Offset uint64
+}
+
+// Snapshot is every key of a topic at some moment.
+type Snapshot struct {
+	Records []Record
+	// End is the offset that the next append gets.
+	End uint64
+}
+
+// Copy is a copy of a topic. It is used by one thread.
+type Copy struct {
+	records map[string]Record
+	// end is the offset up to which nothing is missing.
+	end uint64
+	// currentAt is the latest time at which the copy was known to hold all
+	// that the store had acknowledged.
+	currentAt time.Time
+	// outageEnd is when the copy last became current again after it had not
+	// been for longer than outageGap.
+	outageEnd time.Time
+	outageGap time.Duration
+}
+
+// NewCopy returns an empty copy. A time without word of the store that exceeds
+// outageGap counts as an outage.
+func NewCopy(outageGap time.Duration) *Copy {
+	return &Copy{records: map[string]Record{}, outageGap: outageGap}
+}
+
+// End is the offset from which to read on.
+func (c *Copy) End() uint64 { return c.end }
+
+// CurrentAt is when the copy last held all that the store had acknowledged;
+// zero when it never did.
+func (c *Copy) CurrentAt() time.Time { return c.currentAt }
+
+// OutageEnd is when the last outage of the store ended, as seen by this copy;
+// zero when there was none.
+func (c *Copy) OutageEnd() time.Time { return c.outageEnd }
+
+// Get returns the newest record of a key.
+func (c *Copy) Get(key string) (Record, bool) {
+	r, ok := c.records[key]
+	return r, ok && r.Value != nil
+}
+
+// Records returns the newest record of each key that was not dropped, in the
+// order of keys.
+func (c *Copy) Records() []Record {
+	all := make([]Record, 0, len(c.records))
+	for _, r := range c.records {
+		if r.Value != nil {
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, func(a, b Record) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Since returns the newest records, dropped keys included, of offset from on.
+func (c *Copy) Since(from uint64) []Record {
+	var all []Record
+	for _, r := range c.records {
+		if r.Offset >= from {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// Merge takes in the records from the copy's end, or before it, up to end, and
+// returns the keys that changed. current is when they were all that the store
+// had acknowledged; zero when that is not known.
+//
+// Records that leave a gap behind the copy's end are refused by the caller; see
+// Continues.
+func (c *Copy) Merge(records []Record, end uint64, current time.Time) []string {
+	var changed []string
+	for _, r := range records {
+		if c.put(r) {
+			changed = append(changed, r.Key)
+		}
+	}
+	c.end = max(c.end, end)
+	if end >= c.end {
+		c.noteCurrent(current)
+	}
+	return changed
+}
+
+// Continues reports whether records from that offset on leave no gap.
+func (c *Copy) Continues(from uint64) bool { return from <= c.end }
+
+// Replace takes in a snapshot and returns the keys that changed. Keys that it
+// lacks were dropped while their history was not to be had. A snapshot that is
+// older than the copy changes nothing: stale reads show so.
+func (c *Copy) Replace(s Snapshot, current time.Time) []string {
+	if s.End < c.end {
+		return nil
+	}
+	present := make(map[string]bool, len(s.Records))
+	for _, r := range s.Records {
+		present[r.Key] = true
+	}
+	records := slices.Clone(s.Records)
+	for key, r := range c.records {
+		if !present[key] && r.Value != nil && r.Offset < s.End {
+			records = append(records, Record{Key: key, Offset: s.End - 1})
+		}
+	}
+	return c.Merge(records, s.End, current)
+}
+
+// Confirm notes that the copy held all that matters at a time.
+func (c *Copy) Confirm(at time.Time) { c.noteCurrent(at) }
+
+func (c *Copy) put(r Record) bool {
+	old, ok := c.records[r.Key]
+	if ok && old.Offset >= r.Offset {
+		return false
+	}
+	c.records[r.Key] = r
+	return true
+}
+
+// noteCurrent moves the time of being current on. The failure guarded against
+// is a peer's older word: it must not make the copy look older.
+func (c *Copy) noteCurrent(at time.Time) {
+	if !at.After(c.currentAt) {
+		return
+	}
+	if !c.currentAt.IsZero() && at.Sub(c.currentAt) > c.outageGap {
+		c.outageEnd = at
+	}
+	c.currentAt = at
+}
--- /dev/null
+++ b/internal/gateway/feed/follower.go
@@ -0,0 +1,206 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/sleep"
+)
+
+// ErrTrimmed says that records from the asked offset on were deleted: only a
+// snapshot brings the copy up to date.
+var ErrTrimmed = errors.New("records were deleted")
+
+// Source is a topic at the platform's store.
+type Source interface {
+	// Newest returns the newest record of every key.
+	Newest(ctx context.Context) (Snapshot, error)
+	// Read returns the records from an offset on and the topic's end. It waits
+	// up to wait for one to come. ErrTrimmed means that some are gone.
+	Read(ctx context.Context, from uint64, wait time.Duration) (Snapshot, error)
+}
+
+// Options are a follower's name and pace.
+type Options struct {
+	// Name of the topic, for logs and metrics.
+	Name string
+	// Wait is how long one read waits at the store for a record; zero reads
+	// what is there.
+	Wait time.Duration
+	// Pause between two reads.
+	Pause time.Duration
+	// Reads reports whether this process reads the store now. Others hear from
+	// those that do. It is asked on the control thread.
+	Reads func(currentAt time.Time) bool
+	// Changed is told, on the control thread, of keys that have new records.
+	Changed func(keys []string)
+	// Called is told of each call of the store, its duration and its error.
+	Called func(topic string, took time.Duration, err error)
+	Logger logr.Logger
+	Now    func() time.Time
+}
+
+const (
+	// callTimeout is added to a read's wait: a store that is slow answers
+	// within it, one that is silent or cut off does not.
+	callTimeout = 1500 * time.Millisecond
+	// firstRetry and maxRetry bound the pause after a failed call. It doubles
+	// from the first to the last: a store that is back is used at once, one that
+	// is down is not pressed by every process.
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = 800 * time.Millisecond
+	// idlePause is how soon a process that does not read asks again whether it
+	// should.
+	idlePause = 100 * time.Millisecond
+)
+
+// Follower fills a copy from the store. It is a controller: its copy is
+// changed on the control thread alone.
+type Follower struct {
+	loop    *control.Loop
+	source  Source
+	copy    *Copy
+	options Options
+	// snapshot is set when the next call must be for a snapshot.
+	snapshot bool
+	lost     bool
+}
+
+// NewFollower returns a follower that has not started.
+func NewFollower(loop *control.Loop, source Source, c *Copy, options Options) *Follower {
+	return &Follower{loop: loop, source: source, copy: c, options: options, snapshot: true}
+}
+
+// Copy returns the copy, for use on the control thread.
+func (f *Follower) Copy() *Copy { return f.copy }
+
+// Start begins to follow.
+func (f *Follower) Start() { f.loop.Go(f.run) }
+
+// request is what the next call asks for.
+type request struct {
+	reads    bool
+	snapshot bool
+	from     uint64
+}
+
+// run makes one call after another off the control thread, and hands each
+// result to it.
+func (f *Follower) run(ctx context.Context) {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		next, ok := ask(ctx, f.loop, f.next)
+		if !ok {
+			return
+		}
+		if !next.reads {
+			sleep.For(ctx, idlePause)
+			continue
+		}
+		err := f.call(ctx, next)
+		if err == nil || errors.Is(err, ErrTrimmed) {
+			retry = firstRetry
+			sleep.For(ctx, f.options.Pause)
+			continue
+		}
+		sleep.For(ctx, f.loop.Spread(retry))
+		retry = min(2*retry, maxRetry)
+	}
+}
+
+// ask runs a question on the control thread and returns its answer.
+func ask[T any](ctx context.Context, loop *control.Loop, question func() T) (T, bool) {
+	answer := make(chan T, 1)
+	loop.Post(func() { answer <- question() })
+	select {
+	case v := <-answer:
+		return v, true
+	case <-ctx.Done():
+		var none T
+		return none, false
+	}
+}
+
+func (f *Follower) next() request {
+	return request{
+		reads:    f.options.Reads == nil || f.options.Reads(f.copy.CurrentAt()),
+		snapshot: f.snapshot,
+		from:     f.copy.End(),
+	}
+}
+
+// call makes one call of the store and merges what it brings.
+func (f *Follower) call(ctx context.Context, r request) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+callTimeout)
+	defer cancel()
+	asked := f.options.Now()
+	var s Snapshot
+	var err error
+	if r.snapshot {
+		s, err = f.source.Newest(ctx)
+	} else {
+		s, err = f.source.Read(ctx, r.from, f.options.Wait)
+	}
+	f.options.Called(f.options.Name, f.options.Now().Sub(asked), err)
+	merged := make(chan struct{})
+	f.loop.Post(func() {
+		defer close(merged)
+		f.merge(r, s, asked, err)
+	})
+	select {
+	case <-merged:
+	case <-ctx.Done():
+	}
+	return err
+}
+
+// merge takes in a call's result. What a read that waited brings was complete
+// when it was answered; a snapshot may have taken several calls, and is only
+// known to be complete as of the first.
+func (f *Follower) merge(r request, s Snapshot, asked time.Time, err error) {
+	if errors.Is(err, ErrTrimmed) {
+		f.options.Logger.Info("feed_trimmed", "topic", f.options.Name, "from", r.from)
+		f.snapshot = true
+		return
+	}
+	if err != nil {
+		if !f.lost {
+			f.lost = true
+			f.options.Logger.Info("store_lost", "topic", f.options.Name, "end", f.copy.End(), "error", err.Error())
+		}
+		return
+	}
+	if f.lost {
+		f.lost = false
+		f.options.Logger.Info("store_regained", "topic", f.options.Name, "silent_for", asked.Sub(f.copy.CurrentAt()))
+	}
+	var changed []string
+	if r.snapshot {
+		f.snapshot = false
+		changed = f.copy.Replace(s, asked)
+	} else {
+		changed = f.copy.Merge(s.Records, s.End, f.options.Now())
+	}
+	if len(changed) > 0 {
+		f.options.Changed(changed)
+	}
+}
+
+// Adopt takes in records that a peer sent. current is when the peer's copy was
+// current. It runs on the control thread and reports whether all was taken.
+func (f *Follower) Adopt(records []Record, from, end uint64, current time.Time) bool {
+	if !f.copy.Continues(from) {
+		return false
+	}
+	if f.snapshot && end > 0 {
+		f.snapshot = false
+	}
+	if changed := f.copy.Merge(records, end, current); len(changed) > 0 {
+		f.options.Changed(changed)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/gateway/fleet/fleet.go
@@ -0,0 +1,139 @@
+// Package fleet holds what is known of the targets of a deployment: the
+// platform's lagging list, corrected by what was learned since.
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Listing is one target as the platform's list shows it.
+type Listing struct {
+	// Instance names one life of a target; a restart makes a new one.
+	Instance string
+	Service  string
+	Address  netip.AddrPort
+	Zone     string
+	// Slots is how many requests the target works on at once.
+	Slots int
+	// Leaving targets end soon and take no new work.
+	Leaving bool
+	// ColdFor is how much longer the target is slow after its start.
+	ColdFor time.Duration
+	// Weights are the versions of the models that the target has loaded.
+	Weights map[string]int64
+}
+
+// Target is a target of which traffic may make use.
+type Target struct {
+	Listing
+	// Hash ranks the target for a key; it follows from the instance.
+	Hash uint64
+	// Doubtful targets have left the list after an outage of the store. They may
+	// live and not have reported yet.
+	Doubtful bool
+}
+
+const (
+	// returnTime is how long after an outage of the store the entry of a living
+	// target may be missing. The platform states about two seconds; targets that
+	// are missing for longer are gone.
+	returnTime = 2200 * time.Millisecond
+	// goneMemory is how long a target that left the list is remembered. It
+	// exceeds returnTime and the longest time that one of its requests may be
+	// looked up in.
+	goneMemory = time.Minute
+)
+
+// entry is a listing and what became of it.
+type entry struct {
+	target Target
+	goneAt time.Time
+}
+
+// Directory follows the list. It is used by one thread.
+type Directory struct {
+	entries map[string]*entry
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory { return &Directory{entries: map[string]*entry{}} }
+
+// List takes in a target's newest listing.
+func (d *Directory) List(l Listing) {
+	e := d.entries[l.Instance]
+	if e == nil {
+		e = &entry{}
+		d.entries[l.Instance] = e
+	}
+	e.target = Target{Listing: l, Hash: xxhash.Sum64String(l.Instance)}
+	e.goneAt = time.Time{}
+}
+
+// Drop notes that a target has left the list. It reports whether it was known.
+func (d *Directory) Drop(instance string, now time.Time) bool {
+	e := d.entries[instance]
+	if e == nil || !e.goneAt.IsZero() {
+		return false
+	}
+	e.goneAt = now
+	return true
+}
+
+// Targets returns the targets to make use of, by service, each service's in a
+// fixed order. A target that left the list while the store was away, or just
+// after, is doubtful until the time in which it would be back has passed:
+// lapsed entries of living targets would otherwise empty the fleet at the end
+// of each outage.
+func (d *Directory) Targets(now, outageEnd time.Time) map[string][]Target {
+	byService := map[string][]Target{}
+	for instance, e := range d.entries {
+		t := e.target
+		if !e.goneAt.IsZero() {
+			if now.Sub(e.goneAt) > goneMemory {
+				delete(d.entries, instance)
+			}
+			if t.Leaving || !inDoubt(now, e.goneAt, outageEnd) {
+				continue
+			}
+			t.Doubtful = true
+		}
+		byService[t.Service] = append(byService[t.Service], t)
+	}
+	for _, list := range byService {
+		slices.SortFunc(list, func(a, b Target) int { return strings.Compare(a.Instance, b.Instance) })
+	}
+	return byService
+}
+
+// inDoubt reports whether an entry that went at goneAt may have lapsed through
+// an outage that ended at outageEnd.
+func inDoubt(now, goneAt, outageEnd time.Time) bool {
+	if outageEnd.IsZero() || now.Sub(outageEnd) > returnTime {
+		return false
+	}
+	return goneAt.Sub(outageEnd) < returnTime && outageEnd.Sub(goneAt) < goneMemory
+}
+
+// Find returns the target of an instance, whether listed or gone lately.
+func (d *Directory) Find(instance string) (Target, bool) {
+	e := d.entries[instance]
+	if e == nil {
+		return Target{}, false
+	}
+	return e.target, true
+}
+
+// At returns the listed target at an address.
+func (d *Directory) At(address netip.AddrPort) (Target, bool) {
+	for _, e := range d.entries {
+		if e.goneAt.IsZero() && e.target.Address == address {
+			return e.target, true
+		}
+	}
+	return Target{}, false
+}
--- /dev/null
+++ b/internal/gateway/forward/answer.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/errkind"
+)
+
+// problem is the body of an own refusal.
+type problem struct {
+	Type         string `json:"type"`
+	Title        string `json:"title"`
+	Status       int    `json:"status"`
+	Detail       string `json:"detail,omitempty"`
+	RequestID    string `json:"request_id,omitempty"`
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+}
+
+// refuse answers with a refusal. Nothing of another answer has been written.
+func (fl *flow) refuse(e *errkind.Error) {
+	row := e.Kind.Row()
+	fl.Metrics.Refusal(fl.serviceName(), fl.class(), e.Kind.String())
+	fl.logDone(e)
+	if e.Kind == errkind.Cancelled {
+		panic(http.ErrAbortHandler)
+	}
+	header := fl.w.Header()
+	header.Set("Content-Type", "application/problem+json")
+	if e.RetryAfter > 0 {
+		fl.Protocol.WriteRetryAfter(header, e.RetryAfter)
+	}
+	fl.closeIfStopping(header)
+	body, err := json.Marshal(problem{
+		Type: "urn:toucanwell:error:" + row.Name, Title: row.Title, Status: row.Status, Detail: e.Detail,
+		RequestID: fl.request.ID, RetryAfterMs: e.RetryAfter.Milliseconds(),
+	})
+	if err != nil {
+		fl.Logger.Error(err, "encode_problem", "request_id", fl.request.ID)
+	}
+	fl.w.WriteHeader(row.Status)
+	_, _ = fl.w.Write(body) // a caller that has gone needs no refusal
+}
+
+// breakOff ends an answer that cannot be completed, so that it does not look
+// complete: the connection is closed without the mark of the answer's end.
+func (fl *flow) breakOff(e *errkind.Error) {
+	fl.Metrics.Refusal(fl.serviceName(), fl.class(), e.Kind.String())
+	fl.logDone(e)
+	panic(http.ErrAbortHandler)
+}
+
+// closeIfStopping asks the caller to use another connection next time. The
+// view is read anew: the process may have begun to stop since.
+func (fl *flow) closeIfStopping(header http.Header) {
+	if v, ok := fl.View(); ok && v.Stopping {
+		header.Set("Connection", "close")
+	}
+}
+
+func (fl *flow) done() {
+	fl.Metrics.FirstToken(fl.serviceName(), fl.class(), fl.firstAt)
+	fl.logDone(nil)
+}
+
+// logDone writes the line that ends a request's story.
+func (fl *flow) logDone(e *errkind.Error) {
+	outcome, detail := "answered", ""
+	if e != nil {
+		outcome, detail = e.Kind.String(), e.Detail
+	}
+	workspace, route, version := "", "", int64(0)
+	if fl.workspace != nil {
+		workspace = fl.workspace.Name
+	}
+	if fl.route != nil {
+		route = fl.route.Name
+	}
+	if fl.view != nil && fl.view.Estate != nil {
+		version = fl.view.Estate.Version
+	}
+	fl.Logger.Info("request_done", "request_id", fl.request.ID, "outcome", outcome, "detail", detail,
+		"route", route, "service", fl.serviceName(), "workspace", workspace, "estate", version,
+		"sends", fl.sends, "runs", fl.runs, "target", fl.last.instance, "status", fl.last.status,
+		"first", fl.firstAt.Round(time.Millisecond/10), "took", time.Since(fl.arrived).Round(time.Millisecond/10))
+}
--- /dev/null
+++ b/internal/gateway/forward/place.go
@@ -0,0 +1,252 @@
+package forward
+
+import (
+	"context"
+	"math"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
+	"github.com/toucanwell/toucanwell/internal/gateway/parts"
+	"github.com/toucanwell/toucanwell/internal/gateway/placement"
+	"github.com/toucanwell/toucanwell/internal/sleep"
+)
+
+const (
+	// placePause is the wait before another look when no target may take a
+	// request now, and maxPlaceWait the bound of all such waits: loads of weights
+	// end, and targets are listed, within some hundred milliseconds.
+	placePause   = 20 * time.Millisecond
+	maxPlaceWait = 400 * time.Millisecond
+	// waitShare is the most that is waited so, of the time left: a caller who is
+	// refused needs the rest to come back.
+	waitShare = 0.25
+)
+
+// place chooses the target of the next send.
+func (fl *flow) place(ctx context.Context) (*destination, *errkind.Error) {
+	until := time.Now().Add(min(maxPlaceWait, time.Duration(waitShare*float64(fl.timeLeft()))))
+	for {
+		v, ok := fl.View()
+		if ok {
+			fl.view = v
+		}
+		to, refusal := fl.choose()
+		if refusal == nil || time.Now().After(until) {
+			return to, refusal
+		}
+		if refusal.Kind != errkind.NoTarget {
+			return nil, refusal
+		}
+		if !sleep.For(ctx, placePause) {
+			return nil, fl.ended(ctx)
+		}
+	}
+}
+
+func (fl *flow) choose() (*destination, *errkind.Error) {
+	if fl.service.Engine != nil && fl.route.Prompted {
+		return fl.chooseEngine()
+	}
+	return fl.choosePlain()
+}
+
+// choosePlain picks the target of a request without a prompt: one in the same
+// availability zone with the least work, else the least loaded elsewhere.
+func (fl *flow) choosePlain() (*destination, *errkind.Error) {
+	totals := fl.Ledger.Totals(fl.Now())
+	rested := fl.Health.Rested(fl.Now())
+	best, lowest := -1, math.Inf(1)
+	targets := fl.view.Targets[fl.service.Name]
+	for i := range targets {
+		t := &targets[i]
+		if t.Leaving || fl.excluded[t.Instance] {
+			continue
+		}
+		if cost := fl.plainCost(t, totals[t.Hash], rested); cost < lowest {
+			best, lowest = i, cost
+		}
+	}
+	if best < 0 {
+		return nil, errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "no target of %s", fl.service.Name)
+	}
+	to := &destination{target: targets[best], work: ledger.Work{Running: 1}}
+	if fl.route.Repeatable() && fl.runs+1 < fl.route.MaxAttempts {
+		to.patience = fl.timeLeft() / 2
+	}
+	return to, nil
+}
+
+const (
+	// farRequests is how many running requests the way to another availability
+	// zone weighs, and restedRequests how many a rested target has against it.
+	farRequests    = 3
+	restedRequests = 1000
+	// doubtfulRequests is the same for a target that may be gone.
+	doubtfulRequests = 100
+)
+
+func (fl *flow) plainCost(t *fleet.Target, w ledger.Work, rested map[string]time.Time) float64 {
+	cost := float64(w.Running) + fl.uniform()/2
+	if t.Zone != fl.Zone {
+		cost += farRequests
+	}
+	if t.Doubtful {
+		cost += doubtfulRequests
+	}
+	if _, ok := rested[t.Instance]; ok {
+		cost += restedRequests
+	}
+	if over := w.Running + 1 - t.Slots; t.Slots > 0 && over > 0 {
+		cost += float64(over)
+	}
+	return cost
+}
+
+// chooseEngine picks the engine of a prompt.
+func (fl *flow) chooseEngine() (*destination, *errkind.Error) {
+	targets := fl.view.Targets[fl.service.Name]
+	wanted := fl.view.Wanted[fl.request.Model]
+	q := fl.question()
+	candidates := make([]placement.Candidate, len(targets))
+	totals := fl.Ledger.Totals(fl.Now())
+	rested := fl.Health.Rested(fl.Now())
+	for i := range targets {
+		t := &targets[i]
+		c := &candidates[i]
+		*c = placement.Candidate{
+			Instance: t.Instance, Address: t.Address, Hash: t.Hash, Near: t.Zone == fl.Zone,
+			Excluded: t.Leaving || fl.excluded[t.Instance], Loading: fl.view.Loading(t), Version: fl.view.Version(t, fl.request.Model),
+			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.Hash],
+		}
+		if _, ok := rested[t.Instance]; ok || t.Doubtful {
+			c.Excluded = true
+		}
+		fl.addParts(c, t)
+	}
+	q.Wanted, q.WantedAge = wanted.Version, fl.Now().Sub(wanted.Since)
+	choice := placement.Pick(q, candidates)
+	if choice.Index < 0 {
+		return nil, errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "no engine of %s may take the request now", fl.service.Name)
+	}
+	if left := fl.timeLeft(); choice.Estimate > left {
+		return nil, errkind.After(errkind.DeadlineUnmeetable, fl.comeBack(choice.Estimate-left), "the first event would come in %s", choice.Estimate)
+	}
+	return fl.toEngine(targets[choice.Index], candidates[choice.Index].Version, choice, q), nil
+}
+
+func (fl *flow) question() *placement.Question {
+	q := &placement.Question{VersionBound: fl.Bounds.Version, ReadRate: fl.rate.tokensPerMs(), MaxTokens: fl.request.MaxTokens}
+	for i, p := range fl.request.Parts {
+		if i < len(fl.request.Parts)-1 {
+			q.Shared += p.Tokens
+			q.Family = xxhash.Sum64String(p.ID)
+		}
+	}
+	q.Own = max(fl.request.PromptTokens-q.Shared, 0)
+	engine := fl.service.Engine
+	q.FetchRate = engine.LinkMbps * 1e6 / 8 / 1000 / max(float64(engine.TokenBytes), 1)
+	return q
+}
+
+// scopeAt is the cache scope of the request at weights of a version.
+func (fl *flow) scopeAt(version int64) string {
+	isolated := ""
+	if fl.workspace != nil && fl.workspace.Isolated {
+		isolated = fl.workspace.Name
+	}
+	return parts.Scope(fl.request.Model, version, isolated)
+}
+
+// addParts fills in what a candidate holds of the prompt, and what it can fetch.
+func (fl *flow) addParts(c *placement.Candidate, t *fleet.Target) {
+	keys := parts.Keys(fl.scopeAt(c.Version), fl.request.Parts)
+	now := fl.Now()
+	for i, k := range keys {
+		if fl.Parts.At(k, t.Hash, now) != parts.Held {
+			break
+		}
+		c.Held += fl.request.Parts[i].Tokens
+	}
+	for _, s := range fl.view.Estate.Stores() {
+		address, err := netip.ParseAddrPort(s.Store.Address)
+		if err != nil {
+			continue
+		}
+		fetchable := 0
+		for i, k := range keys {
+			if fl.Parts.At(k, storeHash(s.Store.Address), now) != parts.Held {
+				break
+			}
+			fetchable += fl.request.Parts[i].Tokens
+		}
+		c.Fetchable, c.Source, c.SourceNear = fetchable, address, s.Store.Zone == t.Zone
+	}
+}
+
+// saveTo returns the store that the prompt's parts are to be sent to: one that
+// neither holds them nor is about to. Saving them again would fill its link.
+func (fl *flow) saveTo(keys []parts.Key) string {
+	if len(keys) == 0 {
+		return ""
+	}
+	for _, s := range fl.view.Estate.Stores() {
+		if fl.Parts.At(keys[len(keys)-1], storeHash(s.Store.Address), fl.Now()) == parts.Absent {
+			return s.Store.Address
+		}
+	}
+	return ""
+}
+
+// storeHash names a store of cached parts among targets.
+func storeHash(address string) uint64 { return xxhash.Sum64String(address) }
+
+func (fl *flow) toEngine(t fleet.Target, version int64, choice placement.Choice, q *placement.Question) *destination {
+	scope := fl.scopeAt(version)
+	keys := parts.Keys(scope, fl.request.Parts)
+	read := float64(choice.Read) / float64(time.Millisecond) * q.ReadRate
+	to := &destination{
+		target: t, scope: scope, weights: version, choice: choice, fetchFrom: choice.FetchFrom, keys: keys, saveTo: fl.saveTo(keys),
+		work: ledger.Work{Running: 1, Unread: int(read), Memory: q.Own + q.Shared + q.MaxTokens},
+	}
+	if fl.route.Repeatable() && fl.runs+1 < fl.route.MaxAttempts {
+		to.patience = max(fl.timeLeft()/2, choice.Estimate)
+	}
+	return to
+}
+
+// rateMeter measures how fast engines read prompts.
+type rateMeter struct {
+	bits atomic.Uint64
+}
+
+const (
+	// firstRate is the rate assumed until one is measured, in tokens a
+	// millisecond; rateSmoothing is the weight of the newest measurement.
+	firstRate     = 30.0
+	rateSmoothing = 0.05
+	// rateTokens is the least prompt that says something of the rate.
+	rateTokens = 1500
+)
+
+func (m *rateMeter) tokensPerMs() float64 {
+	if bits := m.bits.Load(); bits != 0 {
+		return math.Float64frombits(bits)
+	}
+	return firstRate
+}
+
+// note takes in the time to the first event of a prompt that met no others.
+func (m *rateMeter) note(to *destination, took time.Duration) {
+	if to.choice.Wait > 5*time.Millisecond || to.work.Unread < rateTokens || took <= 0 {
+		return
+	}
+	rate := float64(to.work.Unread) / (float64(took) / float64(time.Millisecond))
+	old := m.tokensPerMs()
+	m.bits.Store(math.Float64bits(old + rateSmoothing*(rate-old)))
+}
--- /dev/null
+++ b/internal/gateway/forward/relay.go
@@ -0,0 +1,141 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/gateway/events"
+	"github.com/toucanwell/toucanwell/internal/gateway/health"
+	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
+)
+
+// maxHeld is the largest answer that is held until it is whole. A cut one can
+// then be asked for elsewhere, or refused; a larger one is passed on as it
+// comes.
+const maxHeld = 1 << 20
+
+// relayWhole passes an answer on once it is there to its end.
+func (fl *flow) relayWhole(ctx context.Context, to *destination, resp *upstream.Response) verdict {
+	body, err := io.ReadAll(io.LimitReader(resp, maxHeld+1))
+	if err != nil {
+		return fl.cut(ctx, to, err)
+	}
+	if resp.Status < http.StatusInternalServerError {
+		fl.Health.Note(fl.service.Name, to.target.Instance, health.Good, fl.Now())
+	}
+	fl.firstAt = time.Since(fl.arrived)
+	header := fl.w.Header()
+	fl.Protocol.WriteReply(header, resp.Header)
+	noDefaults(header)
+	fl.closeIfStopping(header)
+	if len(body) <= maxHeld {
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	fl.begun = true
+	fl.w.WriteHeader(resp.Status)
+	if _, err := fl.w.Write(body); err != nil {
+		return verdict{end: true, refusal: errkind.New(errkind.Cancelled, "%v", err)}
+	}
+	if len(body) <= maxHeld {
+		return verdict{end: true}
+	}
+	if _, err := io.Copy(fl.w, resp); err != nil {
+		return verdict{end: true, refusal: errkind.New(errkind.StreamBroken, "%v", err)}
+	}
+	return verdict{end: true}
+}
+
+// noDefaults keeps the server from adding headers that the target did not send.
+func noDefaults(header http.Header) {
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := header[name]; !ok {
+			header[name] = nil
+		}
+	}
+}
+
+// cut judges an answer that broke off.
+func (fl *flow) cut(ctx context.Context, to *destination, err error) verdict {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errImpatient) {
+		return verdict{end: true, refusal: fl.ended(ctx)}
+	}
+	fl.excluded[to.target.Instance] = true
+	fl.Health.Note(fl.service.Name, to.target.Instance, health.Broken, fl.Now())
+	kind := errkind.TargetFailed
+	if fl.begun {
+		kind = errkind.StreamBroken
+	}
+	return verdict{refusal: errkind.New(kind, "the answer broke off: %v", err)}
+}
+
+// relayStream passes a stream on event by event. The head is held until the
+// first event, so that a target that fails before it costs the caller nothing.
+func (fl *flow) relayStream(ctx context.Context, to *destination, resp *upstream.Response, item *ledger.Item, patience *time.Timer) verdict {
+	reader := events.NewReader(resp)
+	flusher := http.NewResponseController(fl.w)
+	first := true
+	for {
+		event, err := reader.Next()
+		if err == io.EOF {
+			return fl.streamEnded(to)
+		}
+		if err != nil {
+			return fl.cut(ctx, to, err)
+		}
+		if first {
+			first = false
+			item.Read()
+			fl.noteParts(to, true)
+			if patience != nil {
+				patience.Stop()
+			}
+			fl.firstEvent(to, resp)
+		}
+		if event.HasID {
+			fl.lastEvent = strconv.FormatInt(event.ID, 10)
+		}
+		if err := fl.pass(flusher, event.Raw); err != nil {
+			return verdict{end: true, refusal: errkind.New(errkind.Cancelled, "%v", err)}
+		}
+	}
+}
+
+func (fl *flow) pass(flusher *http.ResponseController, raw []byte) error {
+	if _, err := fl.w.Write(raw); err != nil {
+		return err
+	}
+	return flusher.Flush()
+}
+
+// firstEvent writes the head of the answer, unless an earlier target's stands.
+func (fl *flow) firstEvent(to *destination, resp *upstream.Response) {
+	if fl.begun {
+		fl.Metrics.Resume()
+		return
+	}
+	fl.begun = true
+	fl.firstAt = time.Since(fl.arrived)
+	fl.rate.note(to, time.Since(fl.arrived))
+	header := fl.w.Header()
+	fl.Protocol.WriteReply(header, resp.Header)
+	noDefaults(header)
+	fl.closeIfStopping(header)
+	fl.w.WriteHeader(resp.Status)
+}
+
+// streamEnded judges a stream that came to its end.
+func (fl *flow) streamEnded(to *destination) verdict {
+	if !fl.begun {
+		fl.excluded[to.target.Instance] = true
+		return verdict{refusal: errkind.New(errkind.TargetFailed, "the stream ended without an event")}
+	}
+	fl.Health.Note(fl.service.Name, to.target.Instance, health.Good, fl.Now())
+	return verdict{end: true}
+}
--- /dev/null
+++ b/internal/gateway/forward/send.go
@@ -0,0 +1,215 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/gateway/estate"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/health"
+	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
+	"github.com/toucanwell/toucanwell/internal/gateway/parts"
+	"github.com/toucanwell/toucanwell/internal/gateway/placement"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
+	"github.com/toucanwell/toucanwell/internal/gateway/wire"
+)
+
+// destination is where one send goes, and with what.
+type destination struct {
+	target fleet.Target
+	work   ledger.Work
+	// The following are set for prompts.
+	scope     string
+	weights   int64
+	fetchFrom netip.AddrPort
+	saveTo    string
+	keys      []parts.Key
+	choice    placement.Choice
+	// patience is how long the first byte is awaited; zero until the deadline.
+	patience time.Duration
+}
+
+// sendRecord is what the log tells of the last send.
+type sendRecord struct {
+	instance string
+	status   int
+}
+
+// verdict is what became of a send.
+type verdict struct {
+	// end is set when no further send may follow.
+	end bool
+	// refusal is what the caller would be told; nil with end means that it has
+	// the answer.
+	refusal *errkind.Error
+	// notRun is set when the target certainly did not run the request.
+	notRun bool
+}
+
+// errImpatient is the cause of sends that were given up for another target.
+var errImpatient = errors.New("no answer in the time set for one target")
+
+// send makes one send and passes on what comes.
+func (fl *flow) send(ctx context.Context, to *destination) verdict {
+	fl.sends++
+	fl.runs++ // taken back when the target certainly did not run it
+	fl.last = sendRecord{instance: to.target.Instance}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var patience *time.Timer
+	if to.patience > 0 {
+		patience = time.AfterFunc(to.patience, func() { cancel(errImpatient) })
+		defer patience.Stop()
+	}
+	item := fl.Ledger.Begin(to.target.Hash, to.work)
+	defer item.End()
+	fl.noteParts(to, false)
+	resp, err := fl.Pool.Send(ctx, to.target.Address, fl.upstreamRequest(to))
+	fl.logSend(to, resp, err)
+	if err != nil {
+		return fl.failedSend(ctx, to, err)
+	}
+	defer resp.Close()
+	fl.last.status = resp.Status
+	reply := fl.Protocol.ReadReply(resp.Status, resp.Header)
+	if reply.IdleTimeout > 0 {
+		fl.Pool.LimitIdle(to.target.Address, reply.IdleTimeout)
+	}
+	if reply.NotRun {
+		return fl.notRunBy(to, resp, reply)
+	}
+	if v, ok := fl.unusable(ctx, to, resp, reply); !ok {
+		return v
+	}
+	if fl.route.Kind == estate.Stream && resp.Status < http.StatusMultipleChoices {
+		return fl.relayStream(ctx, to, resp, item, patience)
+	}
+	return fl.relayWhole(ctx, to, resp)
+}
+
+// noteParts notes that the engine, and the store that it saves to, read the
+// prompt's parts or have read them.
+func (fl *flow) noteParts(to *destination, done bool) {
+	fl.Parts.Note(to.target.Hash, to.keys, done, fl.Now())
+	if to.saveTo != "" {
+		fl.Parts.Note(storeHash(to.saveTo), to.keys, done, fl.Now())
+	}
+}
+
+func (fl *flow) upstreamRequest(to *destination) *upstream.Request {
+	send := wire.Send{
+		TimeLeft: fl.timeLeft(), Instance: to.target.Instance, Urgency: -1,
+		CacheScope: to.scope, Weights: to.weights, SaveTo: to.saveTo,
+	}
+	if fl.route.Resumable {
+		send.LastEvent = fl.lastEvent
+	}
+	if fl.workspace != nil {
+		send.Workspace = fl.workspace.Name
+	}
+	if to.fetchFrom.IsValid() {
+		send.FetchFrom = to.fetchFrom.String()
+	}
+	if fl.service.Engine != nil {
+		send.Urgency = fl.urgency()
+	}
+	return &upstream.Request{
+		Method: fl.r.Method, Target: fl.r.RequestURI, Host: fl.r.Host,
+		Header: fl.Protocol.WriteSend(fl.r.Header, send), Body: fl.body, Fresh: !fl.route.Repeatable(),
+		Mine: func(status int, h http.Header) bool {
+			id := fl.Protocol.ReadReply(status, h).ID
+			return id == fl.request.ID || id == "" && status >= http.StatusMultipleChoices
+		},
+	}
+}
+
+// maxUrgency is the least urgent rank that engines know.
+const maxUrgency = 9
+
+// urgency ranks the request at an engine: by its workspace, then by its route.
+func (fl *flow) urgency() int {
+	rank := fl.route.Priority
+	if fl.workspace != nil && fl.workspace.HasPriority {
+		rank = fl.workspace.Priority
+	}
+	return min(max(rank, 0), maxUrgency)
+}
+
+// failedSend judges a send that brought no answer.
+func (fl *flow) failedSend(ctx context.Context, to *destination, err error) verdict {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errImpatient) {
+		return verdict{end: true, refusal: fl.ended(ctx)}
+	}
+	fl.excluded[to.target.Instance] = true
+	if errors.Is(err, upstream.ErrNotSent) {
+		fl.runs--
+		fl.Health.Note(fl.service.Name, to.target.Instance, health.Unreachable, fl.Now())
+		return verdict{notRun: true, refusal: errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "%v", err)}
+	}
+	fl.Health.Note(fl.service.Name, to.target.Instance, health.Broken, fl.Now())
+	return verdict{refusal: errkind.New(errkind.TargetFailed, "%v", err)}
+}
+
+// notRunBy judges a target's word that it did not run the request.
+func (fl *flow) notRunBy(to *destination, resp *upstream.Response, reply wire.Reply) verdict {
+	fl.runs--
+	fl.excluded[to.target.Instance] = true
+	drain(resp)
+	refusal := errkind.After(errkind.Overloaded, fl.comeBack(retryPause), "the target refused with status %d", resp.Status)
+	if resp.Status == http.StatusMisdirectedRequest {
+		refusal = errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "the target at this address is now %q or has other weights", reply.Instance)
+	}
+	if resp.Status == http.StatusBadRequest {
+		return verdict{end: true, refusal: errkind.New(errkind.BadRequest, "the target refused the request as malformed")}
+	}
+	return verdict{notRun: true, refusal: refusal}
+}
+
+// maxDrain bounds what is read of an answer that nobody wants, to keep its
+// connection.
+const maxDrain = 16 << 10
+
+func drain(resp *upstream.Response) { _, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDrain)) }
+
+// unusable sorts out answers that must not reach the caller as they are.
+func (fl *flow) unusable(ctx context.Context, to *destination, resp *upstream.Response, reply wire.Reply) (verdict, bool) {
+	success := resp.Status < http.StatusMultipleChoices
+	if reply.Encoded || success && (!reply.Sealed || reply.ID != fl.request.ID) {
+		fl.Health.Note(fl.service.Name, to.target.Instance, health.Broken, fl.Now())
+		fl.excluded[to.target.Instance] = true
+		return verdict{refusal: errkind.New(errkind.TargetFailed, "the target's answer is not sealed or encoded")}, false
+	}
+	if resp.Status >= http.StatusInternalServerError {
+		fl.Health.Note(fl.service.Name, to.target.Instance, health.Failed, fl.Now())
+		if fl.route.Repeatable() && fl.runs < fl.route.MaxAttempts && !fl.begun && ctx.Err() == nil {
+			fl.excluded[to.target.Instance] = true
+			drain(resp)
+			return verdict{refusal: errkind.New(errkind.TargetFailed, "the target answered with status %d", resp.Status)}, false
+		}
+	}
+	if fl.begun && !success {
+		fl.excluded[to.target.Instance] = true
+		return verdict{refusal: errkind.New(errkind.StreamBroken, "continuing gave status %d", resp.Status)}, false
+	}
+	return verdict{}, true
+}
+
+func (fl *flow) logSend(to *destination, resp *upstream.Response, err error) {
+	status, detail := 0, ""
+	if resp != nil {
+		status = resp.Status
+	}
+	if err != nil {
+		detail = err.Error()
+	}
+	fl.Logger.Info("request_sent", "request_id", fl.request.ID, "send", fl.sends, "target", to.target.Instance, "zone", to.target.Zone,
+		"status", status, "error", detail, "weights", to.weights, "fetch_from", to.fetchFrom, "save_to", to.saveTo,
+		"wait", to.choice.Wait, "read", to.choice.Read, "fetch", to.choice.Fetch, "running", to.work.Running,
+		"last_event", fl.lastEvent, "left", fl.timeLeft().Round(time.Millisecond), "head", time.Since(fl.arrived).Round(time.Millisecond/10))
+}
--- /dev/null
+++ b/internal/gateway/mesh/mesh.go
@@ -0,0 +1,257 @@
+// Package mesh lets the processes of a deployment hear of each other: who
+// lives, what each knows, and what each does.
+//
+// Processes send each other heartbeats as datagrams, which are small, frequent
+// and may be lost. What is too large for one is fetched by a call.
+package mesh
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/control"
+)
+
+const (
+	// maxDatagram bounds a heartbeat; longer ones are not sent. It fits into one
+	// packet of an Ethernet network.
+	maxDatagram = 1400
+	// liveFor is how long a process counts as living after its last heartbeat.
+	liveFor = 2500 * time.Millisecond
+	// forgetAfter is how long a silent process is still sent heartbeats: it may
+	// be cut off and come back.
+	forgetAfter = 30 * time.Second
+	// fanOut bounds the receivers of one round. In larger fleets each round goes
+	// to others, drawn anew.
+	fanOut = 24
+	// toldMembers is how many other processes a heartbeat names.
+	toldMembers = 3
+)
+
+// Member is another process.
+type Member struct {
+	Address     netip.AddrPort
+	Name        string
+	Zone        string
+	Entry       bool
+	Leaving     bool
+	Incarnation uint64
+	Sequence    uint64
+	HeardAt     time.Time
+	// Beat is the newest heartbeat.
+	Beat *peerv1.Beat
+}
+
+// Options are a mesh's surroundings. The functions are called on the control
+// thread.
+type Options struct {
+	// Self is this process, without its lists; each heartbeat starts from it.
+	Self *peerv1.Beat
+	// Listen is where heartbeats arrive; every process has the same port.
+	Listen netip.AddrPort
+	// Seeds are hosts on which other processes may run.
+	Seeds []netip.Addr
+	// Hosts returns further hosts on which processes may run.
+	Hosts func() []netip.Addr
+	// Compose fills in what this process tells of itself.
+	Compose func(*peerv1.Beat)
+	// Heard is told of each newer heartbeat.
+	Heard func(*Member)
+	// Period returns the time between two rounds to processes of a role.
+	Period func(entries bool) time.Duration
+	Logger logr.Logger
+	Now    func() time.Time
+}
+
+// Mesh is this process's part. Its state is used on the control thread.
+type Mesh struct {
+	loop     *control.Loop
+	options  Options
+	conn     *net.UDPConn
+	members  map[netip.AddrPort]*Member
+	sequence uint64
+	stopped  bool
+}
+
+// New binds the address.
+func New(loop *control.Loop, options Options) (*Mesh, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(options.Listen))
+	if err != nil {
+		return nil, errors.Wrap(err, "mesh")
+	}
+	return &Mesh{loop: loop, options: options, conn: conn, members: map[netip.AddrPort]*Member{}}, nil
+}
+
+// Start begins to send and to receive.
+func (m *Mesh) Start() {
+	go m.receive()
+	m.loop.Every(func() time.Duration { return m.options.Period(true) }, func() { m.round(true) })
+	m.loop.Every(func() time.Duration { return m.options.Period(false) }, func() { m.round(false) })
+}
+
+// Close ends receiving.
+func (m *Mesh) Close() { _ = m.conn.Close() }
+
+func (m *Mesh) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := m.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an ICMP word of an earlier datagram
+		}
+		beat := &peerv1.Beat{}
+		if proto.Unmarshal(buffer[:n], beat) != nil {
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		m.loop.Post(func() { m.hear(from, beat) })
+	}
+}
+
+// hear takes in a heartbeat. The failure guarded against is an older one that
+// comes late: it would bring back what its sender has long taken back.
+func (m *Mesh) hear(from netip.AddrPort, beat *peerv1.Beat) {
+	member := m.members[from]
+	if member != nil && member.Incarnation == beat.Incarnation && member.Sequence >= beat.Sequence {
+		return
+	}
+	if member == nil || m.options.Now().Sub(member.HeardAt) > liveFor || member.Incarnation != beat.Incarnation {
+		m.options.Logger.Info("peer_heard", "peer", beat.Name, "address", from, "entry", beat.Entry, "incarnation", beat.Incarnation)
+	}
+	if member == nil {
+		member = &Member{Address: from}
+		m.members[from] = member
+	}
+	member.Name, member.Zone, member.Entry, member.Leaving = beat.Name, beat.Zone, beat.Entry, beat.Leaving
+	member.Incarnation, member.Sequence = beat.Incarnation, beat.Sequence
+	member.HeardAt, member.Beat = m.options.Now(), beat
+	for _, text := range beat.Members {
+		if address, err := netip.ParseAddrPort(text); err == nil && address != m.options.Listen && m.members[address] == nil {
+			m.members[address] = &Member{Address: address, HeardAt: m.options.Now().Add(-liveFor)}
+		}
+	}
+	m.options.Heard(member)
+}
+
+// SetSeeds replaces the hosts on which other processes may run. It runs on the
+// control thread.
+func (m *Mesh) SetSeeds(seeds []netip.Addr) { m.options.Seeds = seeds }
+
+// Live returns the living processes of a role, in the order of their names.
+func (m *Mesh) Live(entries bool) []*Member {
+	var live []*Member
+	for _, member := range m.members {
+		if member.Beat != nil && member.Entry == entries && m.options.Now().Sub(member.HeardAt) <= liveFor {
+			live = append(live, member)
+		}
+	}
+	slices.SortFunc(live, func(a, b *Member) int { return cmp.Compare(a.Name, b.Name) })
+	return live
+}
+
+// At returns the process at an address, or nil.
+func (m *Mesh) At(address netip.AddrPort) *Member { return m.members[address] }
+
+// round sends one heartbeat to the processes of a role, and to the hosts of
+// which no process is known.
+func (m *Mesh) round(entries bool) {
+	m.forget()
+	var to []netip.AddrPort
+	for _, member := range m.members {
+		if member.Beat == nil && !entries || member.Beat != nil && member.Entry == entries {
+			to = append(to, member.Address)
+		}
+	}
+	if !entries {
+		to = append(to, m.unheard()...)
+	}
+	m.send(to)
+}
+
+// Tell sends a heartbeat to all living processes at once, when something has
+// changed that they should not learn a round later.
+func (m *Mesh) Tell() {
+	var to []netip.AddrPort
+	for _, member := range m.members {
+		if m.options.Now().Sub(member.HeardAt) <= liveFor {
+			to = append(to, member.Address)
+		}
+	}
+	m.send(to)
+}
+
+// unheard returns the addresses at hosts where a process may run that has not
+// been heard.
+func (m *Mesh) unheard() []netip.AddrPort {
+	var to []netip.AddrPort
+	for _, host := range append(m.options.Hosts(), m.options.Seeds...) {
+		address := netip.AddrPortFrom(host, m.options.Listen.Port())
+		if address != m.options.Listen && m.members[address] == nil && !slices.Contains(to, address) {
+			to = append(to, address)
+		}
+	}
+	return to
+}
+
+func (m *Mesh) forget() {
+	for address, member := range m.members {
+		silent := m.options.Now().Sub(member.HeardAt)
+		if silent > forgetAfter {
+			delete(m.members, address)
+			continue
+		}
+		if silent > liveFor && member.Beat != nil && member.Name != "" && !member.Leaving {
+			member.Leaving = true // said once
+			m.options.Logger.Info("peer_silent", "peer", member.Name, "address", address, "silent_for", silent)
+		}
+	}
+}
+
+func (m *Mesh) send(to []netip.AddrPort) {
+	if len(to) == 0 || m.stopped {
+		return
+	}
+	if len(to) > fanOut {
+		rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+		to = to[:fanOut]
+	}
+	beat := proto.Clone(m.options.Self).(*peerv1.Beat)
+	m.sequence++
+	beat.Sequence = m.sequence
+	beat.Members = m.someMembers()
+	m.options.Compose(beat)
+	data, err := proto.Marshal(beat)
+	if err != nil || len(data) > maxDatagram {
+		m.options.Logger.Info("beat_not_sent", "bytes", len(data), "error", err)
+		return
+	}
+	for _, address := range to {
+		// A datagram that cannot be sent is as good as lost; the next round follows.
+		_, _ = m.conn.WriteToUDPAddrPort(data, address)
+	}
+}
+
+func (m *Mesh) someMembers() []string {
+	var told []string
+	for address, member := range m.members { // in random order
+		if len(told) == toldMembers {
+			break
+		}
+		if member.Beat != nil && m.options.Now().Sub(member.HeardAt) <= liveFor {
+			told = append(told, address.String())
+		}
+	}
+	return told
+}
--- /dev/null
+++ b/internal/gateway/parts/parts.go
@@ -0,0 +1,216 @@
+// Package parts remembers which targets hold which shared parts of prompts.
+//
+// What it says is a belief: targets evict parts without a word that reaches
+// this process in time. A wrong one costs the time to read a part again, never a
+// wrong answer, because parts are named together with all that decides whether
+// they may be used.
+package parts
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/wire"
+)
+
+// Key names a part together with all parts before it and its cache scope.
+type Key uint64
+
+// Scope returns the cache scope of a prompt: parts are shared within it only.
+// It names the model, its weights, and the workspace where that is isolated.
+// The failure guarded against is an answer made from parts of other weights or
+// of another workspace; the length before each name keeps two scopes apart that
+// read alike when joined.
+func Scope(model string, weights int64, isolated string) string {
+	return strconv.Itoa(len(model)) + "." + model + "." + strconv.FormatInt(weights, 10) + "." + isolated
+}
+
+// Keys returns the keys of the prompt's shared parts: all but the last.
+func Keys(scope string, prompt []wire.Part) []Key {
+	if len(prompt) < 2 {
+		return nil
+	}
+	keys := make([]Key, 0, len(prompt)-1)
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(scope)
+	for _, p := range prompt[:len(prompt)-1] {
+		_, _ = d.WriteString("\x00" + p.ID)
+		keys = append(keys, Key(d.Sum64()))
+	}
+	return keys
+}
+
+// State is what is believed of a part at a target.
+type State uint8
+
+// The states.
+const (
+	Absent State = iota
+	// Coming parts are being read.
+	Coming
+	// Held parts were read to their end.
+	Held
+)
+
+const (
+	// comingFor is how long a part counts as being read; a request that takes
+	// longer has failed or waits behind others.
+	comingFor = 2 * time.Second
+	// heldFor is how long after its last use a part is believed to be held.
+	// Engines of the deployments known evict parts that were not used for some
+	// seconds.
+	heldFor = 8 * time.Second
+	// maxKeys bounds the memory; the oldest beliefs are dropped first.
+	maxKeys = 40_000
+	// sweepEvery is the number of notes between two sweeps.
+	sweepEvery = 4096
+)
+
+// Fact is one belief, as processes tell it to each other.
+type Fact struct {
+	Part   Key
+	Target uint64
+	Done   bool
+}
+
+type belief struct {
+	target uint64
+	state  State
+	at     time.Time
+}
+
+// Book holds the beliefs. It is safe for concurrent use.
+type Book struct {
+	mu    sync.Mutex
+	parts map[Key][]belief
+	fresh []Fact
+	notes int
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{parts: map[Key][]belief{}} }
+
+// Note takes in what this process learned: a target reads parts, or has read
+// them. It is told to other processes.
+func (b *Book) Note(target uint64, keys []Key, done bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, k := range keys {
+		if b.note(Fact{Part: k, Target: target, Done: done}, now) {
+			b.fresh = append(b.fresh, Fact{Part: k, Target: target, Done: done})
+		}
+	}
+}
+
+// Told takes in what another process learned.
+func (b *Book) Told(f Fact, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.note(f, now)
+}
+
+// note reports whether it changed what others should know.
+func (b *Book) note(f Fact, now time.Time) bool {
+	b.sweep(now)
+	state := Coming
+	if f.Done {
+		state = Held
+	}
+	list := b.parts[f.Part]
+	for i := range list {
+		if list[i].target != f.Target {
+			continue
+		}
+		was := list[i]
+		if was.current(now) == Held && state == Coming {
+			state = Held
+		}
+		list[i].state, list[i].at = state, now
+		return was.current(now) != state || now.Sub(was.at) > heldFor/4
+	}
+	b.parts[f.Part] = append(list, belief{target: f.Target, state: state, at: now})
+	return true
+}
+
+func (b belief) current(now time.Time) State {
+	age := now.Sub(b.at)
+	if b.state == Coming && age > comingFor || age > heldFor {
+		return Absent
+	}
+	return b.state
+}
+
+// sweep drops what is no longer believed, now and then.
+func (b *Book) sweep(now time.Time) {
+	b.notes++
+	if b.notes%sweepEvery != 0 && len(b.parts) < maxKeys {
+		return
+	}
+	for k, list := range b.parts {
+		kept := list[:0]
+		for _, one := range list {
+			if one.current(now) != Absent {
+				kept = append(kept, one)
+			}
+		}
+		if len(kept) == 0 || len(b.parts) > maxKeys {
+			delete(b.parts, k)
+			continue
+		}
+		b.parts[k] = kept
+	}
+}
+
+// TakeFresh returns up to n facts that others were not told yet.
+func (b *Book) TakeFresh(n int) []Fact {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n = min(n, len(b.fresh))
+	facts := b.fresh[:n:n]
+	b.fresh = b.fresh[n:]
+	if len(b.fresh) == 0 {
+		b.fresh = nil
+	}
+	return facts
+}
+
+// Forget drops what is believed of a target, which was emptied.
+func (b *Book) Forget(target uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for k, list := range b.parts {
+		for i := range list {
+			if list[i].target == target {
+				b.parts[k] = append(list[:i:i], list[i+1:]...)
+				break
+			}
+		}
+	}
+}
+
+// At returns the state of a part at a target.
+func (b *Book) At(k Key, target uint64, now time.Time) State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, one := range b.parts[k] {
+		if one.target == target {
+			return one.current(now)
+		}
+	}
+	return Absent
+}
+
+// Holders calls visit with each target that holds or reads a part.
+func (b *Book) Holders(k Key, now time.Time, visit func(target uint64, s State, at time.Time)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, one := range b.parts[k] {
+		if s := one.current(now); s != Absent {
+			visit(one.target, s, one.at)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/placement/placement.go
@@ -0,0 +1,204 @@
+// Package placement decides which engine a prompt goes to, and from where that
+// engine fetches the parts that it lacks.
+//
+// A decision takes three steps: filter the engines that may run the prompt,
+// score each by the time to the first event and by what the choice costs
+// others, and pick the lowest. Everything that a decision goes by is handed in.
+package placement
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
+)
+
+// Candidate is one engine.
+type Candidate struct {
+	Instance string
+	Address  netip.AddrPort
+	// Hash ranks the engine for a prompt's family.
+	Hash uint64
+	// Near engines stand in the entry's availability zone.
+	Near bool
+	// Excluded engines are not to be used: they leave, rest, or failed this
+	// request already.
+	Excluded bool
+	// Loading engines load weights and refuse.
+	Loading bool
+	// Version of the model that the engine has.
+	Version int64
+	// Slots is how many requests it works on at once, Memory its memory in
+	// tokens.
+	Slots  int
+	Memory int
+	// Work of all entries.
+	Work ledger.Work
+	// Held is how many of the prompt's shared tokens the engine holds, Coming how
+	// many it reads now.
+	Held, Coming int
+	// Fetchable is how many of the shared tokens can be had from Source, the
+	// best place other than the engine itself.
+	Fetchable int
+	Source    netip.AddrPort
+	// SourceNear is set when Source stands in the engine's availability zone.
+	SourceNear bool
+}
+
+// Question is what a decision goes by besides the candidates.
+type Question struct {
+	// Family names the prompt's shared parts for ranking.
+	Family uint64
+	// Shared and Own are the prompt's tokens: in parts that others use too, and
+	// in the rest.
+	Shared, Own int
+	// MaxTokens is the longest answer.
+	MaxTokens int
+	// Wanted is the version that operators want, WantedAge for how long.
+	Wanted    int64
+	WantedAge time.Duration
+	// VersionBound is the age from which no request begins on an older version.
+	VersionBound time.Duration
+	// ReadRate is how many prompt tokens an engine reads in a millisecond.
+	ReadRate float64
+	// FetchRate is how many tokens a link carries in a millisecond.
+	FetchRate float64
+}
+
+// Choice is a decision.
+type Choice struct {
+	// Index of the candidate; -1 when none may run the prompt.
+	Index int
+	// FetchFrom is the source to fetch from; invalid for none.
+	FetchFrom netip.AddrPort
+	// Estimate is the expected time to the first event.
+	Estimate time.Duration
+	// Wait, Read and Fetch are its parts.
+	Wait, Read, Fetch time.Duration
+}
+
+const (
+	// farPenalty is what sending to another availability zone weighs, in
+	// milliseconds of waiting. Bytes between zones have a price, and the way is
+	// longer.
+	farPenalty = 120
+	// oldPenalty is what beginning on weights older than the wanted weighs, in
+	// milliseconds, once graceAge has passed.
+	oldPenalty = 400
+	// graceAge is how long after new weights were named older ones still count
+	// in full.
+	graceAge = 1300 * time.Millisecond
+	// boundMargin is left of VersionBound for the way to the engine and for what
+	// the estimate of the wait there misses.
+	boundMargin = 800 * time.Millisecond
+	// readPrice is what a token that is read again weighs against one of the
+	// prompt's own: it was paid for before.
+	readPrice = 3.0
+	// awayStep is what each step away from the family's first engine weighs, in
+	// milliseconds. It keeps a family at one engine while that makes no difference
+	// in waiting.
+	awayStep = 3
+	// stepTime is the time of one decoding step, in milliseconds: what each
+	// running request adds to the reading of a prompt.
+	stepTime = 0.6
+	// fetchSetup is the time before a fetch begins to bring tokens, in
+	// milliseconds.
+	fetchSetup = 5
+	// fullPenalty is what an engine without a free slot or memory weighs, in
+	// milliseconds for each request over.
+	fullPenalty = 60
+)
+
+// Pick returns the best candidate.
+func Pick(q *Question, candidates []Candidate) Choice {
+	best := Choice{Index: -1}
+	lowest := math.Inf(1)
+	for i := range candidates {
+		c := &candidates[i]
+		if !usable(q, c) {
+			continue
+		}
+		choice, cost := score(q, c)
+		cost += awayStep * float64(away(q.Family, c, candidates))
+		if cost < lowest {
+			lowest = cost
+			choice.Index = i
+			best = choice
+		}
+	}
+	return best
+}
+
+// usable is the filter.
+func usable(q *Question, c *Candidate) bool {
+	if c.Excluded || c.Loading {
+		return false
+	}
+	return c.Version >= q.Wanted || q.WantedAge < q.VersionBound-boundMargin
+}
+
+// score returns the choice of a candidate with its cost in milliseconds.
+func score(q *Question, c *Candidate) (Choice, float64) {
+	missing := max(q.Shared-c.Held, 0)
+	fetched := min(max(c.Fetchable-c.Held, 0), missing)
+	wait := float64(c.Work.Unread)/q.ReadRate + stepTime*float64(c.Work.Running)
+	wait += fullPenalty * float64(over(c, q))
+	read := float64(q.Own+missing-fetched) / q.ReadRate
+	fetch := 0.0
+	choice := Choice{}
+	if fetched > 0 {
+		fetch = fetchSetup + float64(fetched)/q.FetchRate*sourceDistance(c)
+		choice.FetchFrom = c.Source
+	}
+	cost := wait + read + fetch + (readPrice-1)*float64(missing-fetched)/q.ReadRate
+	if !c.Near {
+		cost += farPenalty
+	}
+	if c.Version < q.Wanted && q.WantedAge > graceAge {
+		cost += oldPenalty
+	}
+	choice.Wait, choice.Read, choice.Fetch = milliseconds(wait), milliseconds(read), milliseconds(fetch)
+	choice.Estimate = choice.Wait + choice.Read + choice.Fetch
+	return choice, cost
+}
+
+// over is by how many requests an engine is too full for one more.
+func over(c *Candidate, q *Question) int {
+	n := max(c.Work.Running+1-c.Slots, 0)
+	if need := c.Work.Memory + q.Shared + q.Own + q.MaxTokens; need > c.Memory && c.Memory > 0 {
+		n += 1 + (need-c.Memory)/max(q.Shared+q.Own, 1)
+	}
+	return n
+}
+
+func sourceDistance(c *Candidate) float64 {
+	if c.SourceNear {
+		return 1
+	}
+	return 2
+}
+
+// away counts the candidates in the same zone that rank before c for a family.
+func away(family uint64, c *Candidate, all []Candidate) int {
+	n := 0
+	own := mix(family ^ c.Hash)
+	for i := range all {
+		o := &all[i]
+		if o.Near == c.Near && !o.Excluded && mix(family^o.Hash) > own {
+			n++
+		}
+	}
+	return n
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xBF58476D1CE4E5B9
+	x ^= x >> 27
+	x *= 0x94D049BB133111EB
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/gateway/platform.go
@@ -0,0 +1,53 @@
+// Package gateway is the product on a platform that brings its own store, its
+// own list of targets and its own way for operators to speak: the roles entry
+// and sidecar, put together from the packages below this one.
+//
+// What must last lies in the platform's store. An entry knows the estate, the
+// targets and the wanted weights from there or from its peers, and sends
+// requests straight to targets. A sidecar watches the engine beside it, tells
+// the entries of it, and gives it its orders.
+package gateway
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/estate"
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/weights"
+	"github.com/toucanwell/toucanwell/internal/gateway/wire"
+)
+
+// Declaration is one record of what operators declare; one field is set.
+type Declaration struct {
+	Estate *estate.Estate
+	// Model and Version name the weights that a model is to have.
+	Model   string
+	Version int64
+}
+
+// Platform is what an adapter offers: the platform's formats and calls in the
+// product's types.
+type Platform interface {
+	// Operators is the topic of what operators declare, Targets that of the
+	// platform's list of targets.
+	Operators() feed.Source
+	Targets() feed.Source
+	// ReadDeclaration decodes a record of Operators. A record that is none of the
+	// product's business gives a zero Declaration.
+	ReadDeclaration(r feed.Record) (Declaration, error)
+	// ReadTarget decodes a record of Targets.
+	ReadTarget(r feed.Record) (fleet.Listing, error)
+	// Token returns a new fencing token for a holder's orders: a number higher
+	// than all before it.
+	Token(ctx context.Context, holder string) (uint64, error)
+	// Engine returns the control side of an engine.
+	Engine(address netip.AddrPort) weights.Engine
+	// Protocol is what callers and targets speak.
+	Protocol() wire.Protocol
+	// ReadyPath is where the balancer asks whether an entry takes callers.
+	ReadyPath() string
+	// Close ends the connections that no call uses.
+	Close()
+}
--- /dev/null
+++ b/internal/gateway/process.go
@@ -0,0 +1,236 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"reflect"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
+	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
+	"github.com/toucanwell/toucanwell/internal/logging"
+	"github.com/toucanwell/toucanwell/internal/metrics"
+	"github.com/toucanwell/toucanwell/internal/settings"
+	"github.com/toucanwell/toucanwell/internal/sleep"
+)
+
+const (
+	// Periods of heartbeats: among entries, which tell each other their work at
+	// targets; between entries and sidecars; among sidecars.
+	entriesPeriod  = 100 * time.Millisecond
+	mixedPeriod    = 400 * time.Millisecond
+	sidecarsPeriod = 500 * time.Millisecond
+	// headerTimeout and idleTimeout bound callers until the estate is known.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	headerBytes   = 64 << 10
+	// balancerNotice is how long a stopping entry still takes new connections:
+	// the balancer turns away after two questions a second apart.
+	balancerNotice = 2500 * time.Millisecond
+	peerIdle       = 5 * time.Second
+)
+
+// process is one process of the system.
+type process struct {
+	settings *Settings
+	platform Platform
+	logger   logr.Logger
+	log      *logging.Bounded
+	metrics  *metrics.Metrics
+	clock    *hostclock.Clock
+	loop     *control.Loop
+	beliefs  *beliefs
+	entry    *entry
+	sidecar  *sidecar
+	callers  *http.Server
+	others   []*http.Server
+	failed   chan error
+}
+
+// Process is a running process.
+type Process struct{ *process }
+
+// Start runs a process until Stop or Close.
+func Start(s *Settings, platform Platform, out io.Writer) (*Process, error) {
+	log := logging.NewBounded(out, s.LogLinesPerSecond)
+	p := &process{
+		settings: s, platform: platform, log: log, logger: logging.New(log, s.Name), metrics: metrics.New(),
+		clock: hostclock.New(), failed: make(chan error, 4),
+	}
+	p.loop = control.NewLoop(s.seed(), p.metrics.Control)
+	peers := &http.Client{Transport: &http.Transport{DialContext: upstream.NewDialer().DialContext, IdleConnTimeout: peerIdle, DisableCompression: true}}
+	p.beliefs = newBeliefs(s, platform, p.loop, p.clock, p.logger, peers, p.metrics.StoreCall)
+	if s.Role == settings.RoleEntry {
+		p.entry = newEntry(p)
+	} else {
+		p.sidecar = newSidecar(p)
+	}
+	if err := p.open(); err != nil {
+		log.Close()
+		return nil, err
+	}
+	go p.loop.Run()
+	p.beliefs.mesh.Start()
+	p.beliefs.start()
+	if p.sidecar != nil {
+		p.sidecar.start()
+	}
+	if p.entry != nil {
+		p.loop.Go(p.entry.pool.Reap)
+	}
+	p.loop.Go(func(ctx context.Context) { p.clock.Watch(ctx, p.woke) })
+	p.logger.Info("started", "role", string(s.Role), "mesh", s.MeshListen, "store", s.Store.Address)
+	return &Process{p}, nil
+}
+
+func (p *process) woke(pause time.Duration) {
+	p.logger.Info("host_woke", "suspended_for", pause)
+}
+
+// open binds the addresses and serves them.
+func (p *process) open() error {
+	m, err := mesh.New(p.loop, mesh.Options{
+		Self: &peerv1.Beat{
+			Name: p.settings.Name, Incarnation: rand.Uint64(), Entry: p.entry != nil, Zone: p.settings.AvailabilityZone,
+		},
+		Listen: p.settings.mesh(), Seeds: p.settings.seedHosts(), Hosts: p.beliefs.hosts,
+		Compose: p.compose, Heard: p.heard, Period: p.period, Logger: p.logger, Now: p.clock.Now,
+	})
+	if err != nil {
+		return err
+	}
+	p.beliefs.mesh = m
+	mux := http.NewServeMux()
+	mux.Handle(mesh.NewServer(p.loop, p.beliefs.answer).Handler())
+	if err := p.serve(p.settings.MeshListen, mux); err != nil {
+		return err
+	}
+	metricsMux := http.NewServeMux()
+	metricsMux.Handle("/metrics", promhttp.HandlerFor(p.metrics.Registry, promhttp.HandlerOpts{}))
+	if err := p.serve(p.settings.MetricsListen, metricsMux); err != nil {
+		return err
+	}
+	if p.entry == nil {
+		return nil
+	}
+	if err := p.serve(p.settings.ReadyListen, p.entry.readyHandler(p.platform.ReadyPath())); err != nil {
+		return err
+	}
+	return p.serveCallers()
+}
+
+func (p *process) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	p.others = append(p.others, server)
+	go func() { p.failed <- server.Serve(listener) }()
+	return nil
+}
+
+func (p *process) serveCallers() error {
+	listener, err := net.Listen("tcp", p.settings.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	p.callers = &http.Server{
+		Handler: p.entry.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: nil,
+	}
+	go func() { p.failed <- p.callers.Serve(listener) }()
+	return nil
+}
+
+func (p *process) compose(beat *peerv1.Beat) {
+	p.beliefs.compose(beat)
+	if p.entry != nil {
+		p.entry.compose(beat)
+	} else {
+		p.sidecar.compose(beat)
+	}
+}
+
+func (p *process) heard(m *mesh.Member) {
+	p.beliefs.heard(m)
+	if p.entry != nil {
+		p.entry.heard(m)
+	} else {
+		p.sidecar.heard(m)
+	}
+}
+
+func (p *process) period(entries bool) time.Duration {
+	switch {
+	case entries && p.entry != nil:
+		return entriesPeriod
+	case !entries && p.entry == nil:
+		return sidecarsPeriod
+	default:
+		return mixedPeriod
+	}
+}
+
+// Adopt takes over what may change in the settings of a running process: the
+// seeds. Everything else keeps the value that it started with, which is said.
+func (p *process) Adopt(next *Settings) {
+	fixed := *next
+	fixed.Seeds = p.settings.Seeds
+	same := reflect.DeepEqual(&fixed, p.settings)
+	p.loop.Post(func() { p.beliefs.mesh.SetSeeds(next.seedHosts()) })
+	p.logger.Info("settings_reloaded", "seeds", next.Seeds, "others_unchanged", same)
+}
+
+// Refused tells that changed settings were not taken over.
+func (p *process) Refused(err error) { p.logger.Error(err, "settings_refused") }
+
+// Failed yields the error of a listener that ended by itself.
+func (p *process) Failed() <-chan error { return p.failed }
+
+// Stop is the planned stop. The entry is not ready at once, so that the
+// balancer turns away; it goes on taking requests until the balancer has, and
+// asks callers to use other connections; then it ends what runs. No request is
+// cut that ends within the grace period.
+func (p *process) Stop() {
+	p.logger.Info("stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.grace())
+	defer cancel()
+	p.loop.Post(func() {
+		p.beliefs.stopping = true
+		p.beliefs.post()
+		p.beliefs.mesh.Tell()
+	})
+	if p.callers != nil {
+		sleep.For(ctx, balancerNotice)
+		if err := p.callers.Shutdown(ctx); err != nil {
+			p.logger.Info("stop_cut_requests", "in_flight", p.entry.forwarder.InFlight(), "error", err.Error())
+		}
+	}
+	p.Close()
+}
+
+// Close ends the process at once.
+func (p *process) Close() {
+	if p.callers != nil {
+		_ = p.callers.Close()
+	}
+	for _, s := range p.others {
+		_ = s.Close()
+	}
+	p.beliefs.mesh.Close()
+	p.loop.Stop()
+	p.platform.Close()
+	p.logger.Info("stopped")
+	p.log.Close()
+}
--- /dev/null
+++ b/internal/gateway/sidecar.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+	"github.com/toucanwell/toucanwell/internal/gateway/weights"
+)
+
+const (
+	tokenTimeout = 2 * time.Second
+	tokenRetry   = 500 * time.Millisecond
+	// freshAfter is how long a host must have run since it was suspended before
+	// its sidecar gives orders: its beliefs are renewed by then.
+	freshAfter = 600 * time.Millisecond
+	// never is the age of what was not heard.
+	never = time.Hour
+)
+
+// sidecar is the role beside an engine: it watches the engine, tells the
+// entries, and gives the engine its orders.
+type sidecar struct {
+	process *process
+	beliefs *beliefs
+	address netip.AddrPort
+	orders  *weights.Controller
+	report  weights.Report
+	phase   weights.Phase
+	known   bool
+	token   uint64
+}
+
+func newSidecar(p *process) *sidecar {
+	s := &sidecar{process: p, beliefs: p.beliefs, address: netip.MustParseAddrPort(p.settings.Engine)}
+	s.orders = weights.NewController(p.loop, p.platform.Engine(s.address), weights.Surroundings{
+		Wanted: s.wanted, Instance: s.instance, Engines: s.engines, Changed: s.changed,
+		Token: func() (uint64, bool) { return s.token, s.token > 0 },
+		Fresh: func() bool { p.clock.Check(); return p.clock.SinceWoken() > freshAfter },
+	}, weights.Options{
+		Holder: p.settings.Name, Bound: p.settings.Bounds.Weights.Duration, Logger: p.logger, Now: p.clock.Now,
+		Ordered: func(o weights.Outcome) { p.metrics.Order(o.String()) },
+	})
+	p.beliefs.changed = s.orders.Nudge
+	return s
+}
+
+func (s *sidecar) start() {
+	s.fetchToken()
+	s.orders.Start()
+}
+
+// fetchToken gets this life's fencing token, once the store gives one.
+func (s *sidecar) fetchToken() {
+	control.Do(s.process.loop, tokenTimeout, func(ctx context.Context) (uint64, error) {
+		return s.process.platform.Token(ctx, s.process.settings.Name)
+	}, func(token uint64, err error) {
+		if err == nil {
+			s.token = token
+			s.process.logger.Info("token_taken", "token", token)
+			return
+		}
+		s.process.logger.Info("token_failed", "error", err.Error())
+		s.process.loop.Go(func(ctx context.Context) {
+			select {
+			case <-time.After(s.process.loop.Spread(tokenRetry)):
+				s.process.loop.Post(s.fetchToken)
+			case <-ctx.Done():
+			}
+		})
+	})
+}
+
+func (s *sidecar) wanted() []weights.Wanted {
+	all := make([]weights.Wanted, 0, len(s.beliefs.wanted))
+	for _, w := range s.beliefs.wanted {
+		all = append(all, w)
+	}
+	return all
+}
+
+// instance is the engine's present life: as it says itself, else as listed.
+func (s *sidecar) instance() string {
+	if s.report.Instance != "" {
+		return s.report.Instance
+	}
+	t, ok := s.beliefs.directory.At(s.address)
+	if !ok {
+		return ""
+	}
+	return t.Instance
+}
+
+// engines returns all engines of the own engine's service.
+func (s *sidecar) engines(model string) []weights.EngineView {
+	now := s.process.clock.Now()
+	own := s.instance()
+	var all []weights.EngineView
+	for _, t := range s.beliefs.directory.Targets(now, s.beliefs.targets.Copy().OutageEnd())[s.service()] {
+		v := weights.EngineView{Instance: t.Instance, Version: t.Weights[model], Age: never}
+		if word, ok := s.beliefs.words[t.Instance]; ok {
+			v.Version, v.Age = word.Weights[model], now.Sub(word.HeardAt)
+			if word.Loading {
+				v.Phase = weights.Loading
+			}
+		}
+		if t.Instance == own {
+			v.Version, v.Phase, v.Age = s.report.Weights[model], s.phase, 0
+		}
+		all = append(all, v)
+	}
+	return all
+}
+
+func (s *sidecar) service() string {
+	if t, ok := s.beliefs.directory.At(s.address); ok {
+		return t.Service
+	}
+	return s.process.settings.Service
+}
+
+// changed takes in the engine's newest report, and tells the others at once of
+// what they must not learn late.
+func (s *sidecar) changed(report weights.Report, phase weights.Phase) {
+	told := !s.known || phase != s.phase || report.Instance != s.report.Instance
+	for model, version := range report.Weights {
+		if s.report.Weights[model] != version {
+			told = true
+		}
+	}
+	s.report, s.phase, s.known = report, phase, true
+	if told {
+		s.beliefs.mesh.Tell()
+	}
+}
+
+// compose adds the engine's state to a heartbeat.
+func (s *sidecar) compose(beat *peerv1.Beat) {
+	if !s.known {
+		return
+	}
+	e := &peerv1.EngineState{
+		Instance: s.instance(), Address: s.address.String(), Phase: peerv1.EnginePhase_ENGINE_PHASE_SERVING,
+		Running: uint32(s.report.Running), Queued: uint32(s.report.Queued),
+		MemoryUsed: uint32(s.report.MemoryUsed), MemoryTotal: uint32(s.report.MemoryTotal),
+	}
+	if s.phase == weights.Loading {
+		e.Phase = peerv1.EnginePhase_ENGINE_PHASE_LOADING
+	}
+	for model, version := range s.report.Weights {
+		e.Weights = append(e.Weights, &peerv1.ModelWeights{Model: model, Version: version})
+	}
+	beat.Engine = e
+}
+
+func (s *sidecar) heard(m *mesh.Member) {
+	if s.beliefs.hearEngine(m.Beat.Engine) {
+		s.orders.Nudge()
+	}
+}
--- /dev/null
+++ b/internal/gateway/view/view.go
@@ -0,0 +1,49 @@
+// Package view holds what traffic goes by: an immutable picture of all beliefs
+// of a process, made anew by the control thread when one of them changes.
+package view
+
+import (
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/estate"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/weights"
+)
+
+// EngineWord is what an engine's sidecar said last.
+type EngineWord struct {
+	Weights map[string]int64
+	Loading bool
+	// Running and Queued are the engine's own counts.
+	Running, Queued int
+	HeardAt         time.Time
+}
+
+// View is one picture. It does not change.
+type View struct {
+	Estate *estate.Estate
+	// Targets by service.
+	Targets map[string][]fleet.Target
+	// Engines by instance, for those whose sidecars were heard lately.
+	Engines map[string]EngineWord
+	// Wanted versions by model.
+	Wanted map[string]weights.Wanted
+	// Entries is how many entries live, this one included.
+	Entries int
+	// Stopping is set when the process ends soon.
+	Stopping bool
+}
+
+// Version returns the weights of a model that a target has: as its sidecar
+// says, else as the lagging list shows.
+func (v *View) Version(t *fleet.Target, model string) int64 {
+	if word, ok := v.Engines[t.Instance]; ok {
+		if version, ok := word.Weights[model]; ok {
+			return version
+		}
+	}
+	return t.Weights[model]
+}
+
+// Loading reports whether a target's sidecar said that it loads weights.
+func (v *View) Loading(t *fleet.Target) bool { return v.Engines[t.Instance].Loading }
--- /dev/null
+++ b/internal/gateway/weights/controller.go
@@ -0,0 +1,292 @@
+package weights
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/sleep"
+)
+
+// Report is an engine's word of itself.
+type Report struct {
+	// Instance of the engine, where it says so.
+	Instance string
+	// Weights are the versions of its models.
+	Weights map[string]int64
+	// Busy is set while an order is carried out.
+	Busy bool
+	// Orders counts the orders that this life of the engine has accepted.
+	Orders int64
+	// Queued and Running count requests.
+	Queued, Running int
+	// MemoryUsed is the memory that cannot be freed, in tokens.
+	MemoryUsed, MemoryTotal int
+}
+
+// Swap says what becomes of the runs under way when weights are loaded.
+type Swap uint8
+
+// The ways to swap.
+const (
+	// SwapAfterRuns lets runs finish first.
+	SwapAfterRuns Swap = iota
+	// SwapCutRuns breaks them off.
+	SwapCutRuns
+	// SwapUnderRuns lets them go on under the new weights.
+	SwapUnderRuns
+)
+
+// Order tells an engine to load weights.
+type Order struct {
+	Model   string
+	Version int64
+	Swap    Swap
+	// Holder is who gives the order, Token its fencing token: a number that
+	// grows with each holder.
+	Holder string
+	Token  uint64
+	// Instance is the life of the engine that is meant.
+	Instance string
+	// Orders is how many orders the engine must have accepted before. An order
+	// that is carried out late, after a newer one, is refused by it.
+	Orders int64
+}
+
+// Outcome is an engine's answer to an order.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Unknown orders may have been accepted, or may be later.
+	Unknown Outcome = iota
+	// Accepted orders are being carried out.
+	Accepted
+	// Holds means that the engine has the weights already.
+	Holds
+	// Busy engines carry out another order, or have accepted another since.
+	Busy
+	// StaleToken means that the engine has seen a higher token.
+	StaleToken
+	// OtherInstance means that another life of the engine, or another target,
+	// has the address.
+	OtherInstance
+	// Refused orders do not exist for the engine.
+	Refused
+)
+
+var outcomeNames = map[Outcome]string{
+	Unknown: "unknown", Accepted: "accepted", Holds: "holds", Busy: "busy",
+	StaleToken: "stale_token", OtherInstance: "other_instance", Refused: "refused",
+}
+
+// String returns the outcome's name.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Engine is the control side of one engine.
+type Engine interface {
+	Report(ctx context.Context) (Report, error)
+	// Load gives an order. An error with Unknown leaves open whether it was
+	// accepted.
+	Load(ctx context.Context, o Order) (Outcome, error)
+}
+
+// Wanted is the version of a model that operators want.
+type Wanted struct {
+	Model   string
+	Version int64
+	// Since is when this process learned of it.
+	Since time.Time
+}
+
+// Surroundings are what a controller asks and tells. All are called on the
+// control thread.
+type Surroundings struct {
+	// Wanted returns the wanted versions.
+	Wanted func() []Wanted
+	// Instance returns the life of the engine that the platform lists.
+	Instance func() string
+	// Engines returns the engines of the service for a model.
+	Engines func(model string) []EngineView
+	// Changed is told of the engine's newest report and phase.
+	Changed func(Report, Phase)
+	// Token returns the fencing token, once there is one.
+	Token func() (uint64, bool)
+	// Fresh reports whether this process has run without a break lately: one
+	// that was frozen must look again before it gives an order.
+	Fresh func() bool
+}
+
+// Options are a controller's fixed values.
+type Options struct {
+	Holder string
+	// Bound is the time within which engines must have a wanted version.
+	Bound  time.Duration
+	Logger logr.Logger
+	Now    func() time.Time
+	// Ordered counts orders by their outcome.
+	Ordered func(Outcome)
+}
+
+const (
+	// reportPeriod is how often the engine is asked; the question is free from
+	// its own host. While it loads it is asked more often, so that it serves again
+	// at once.
+	reportPeriod  = 100 * time.Millisecond
+	loadingPeriod = 20 * time.Millisecond
+	reportTimeout = time.Second
+	orderTimeout  = 800 * time.Millisecond
+	// orderNotice is the time between telling the entries and the order, in which
+	// requests on their way arrive.
+	orderNotice = 4 * time.Millisecond
+	// retryAfter is the pause after an order that was not accepted, or whose
+	// fate is unknown. The expected count keeps a late first one harmless.
+	retryAfter = 400 * time.Millisecond
+)
+
+// Controller is the one that gives orders to one engine.
+type Controller struct {
+	loop    *control.Loop
+	engine  Engine
+	around  Surroundings
+	options Options
+	report  Report
+	known   bool
+	phase   Phase
+	// loading is the version that was ordered last.
+	loading   Wanted
+	ordering  bool
+	notBefore time.Time
+}
+
+// NewController returns a controller that has not started.
+func NewController(loop *control.Loop, engine Engine, around Surroundings, options Options) *Controller {
+	return &Controller{loop: loop, engine: engine, around: around, options: options}
+}
+
+// Start begins to watch the engine and to give it orders.
+func (c *Controller) Start() { c.loop.Go(c.run) }
+
+func (c *Controller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		report, err := c.engine.Report(callCtx)
+		cancel()
+		pause := make(chan time.Duration, 1)
+		c.loop.Post(func() { pause <- c.take(report, err) })
+		select {
+		case p := <-pause:
+			sleep.For(ctx, p)
+		case <-ctx.Done():
+		}
+	}
+}
+
+// take handles a report and returns the pause until the next.
+func (c *Controller) take(report Report, err error) time.Duration {
+	if err != nil {
+		if c.known {
+			c.options.Logger.Info("engine_silent", "error", err.Error())
+		}
+		c.known = false
+		return reportPeriod
+	}
+	if !c.known {
+		c.options.Logger.Info("engine_heard", "weights", report.Weights, "busy", report.Busy, "orders", report.Orders)
+	}
+	c.known = true
+	c.report = report
+	c.step()
+	if c.phase == Loading {
+		return loadingPeriod
+	}
+	return reportPeriod
+}
+
+// Nudge makes the controller decide again, after a new wanted version or word
+// of another engine. It runs on the control thread.
+func (c *Controller) Nudge() {
+	if c.known {
+		c.step()
+	}
+}
+
+func (c *Controller) step() {
+	c.endLoading()
+	if c.phase == Serving && !c.ordering {
+		c.begin()
+	}
+	c.around.Changed(c.report, c.phase)
+}
+
+// endLoading goes back to serving when the engine has carried out its order.
+func (c *Controller) endLoading() {
+	if c.phase != Loading || c.ordering || c.report.Busy {
+		return
+	}
+	if c.report.Weights[c.loading.Model] < c.loading.Version && c.options.Now().Before(c.notBefore) {
+		return
+	}
+	c.phase = Serving
+	c.options.Logger.Info("weights_loaded", "model", c.loading.Model, "wanted", c.loading.Version,
+		"version", c.report.Weights[c.loading.Model], "took_since_wanted", c.options.Now().Sub(c.loading.Since))
+}
+
+// begin starts to load a wanted version when it is the engine's turn.
+func (c *Controller) begin() {
+	now := c.options.Now()
+	if now.Before(c.notBefore) || c.report.Busy || !c.around.Fresh() {
+		return
+	}
+	token, ok := c.around.Token()
+	instance := c.around.Instance()
+	if !ok || instance == "" {
+		return
+	}
+	for _, w := range c.around.Wanted() {
+		have, served := c.report.Weights[w.Model]
+		if !served || have >= w.Version {
+			continue
+		}
+		q := Question{
+			Self: instance, Engines: c.around.Engines(w.Model), Wanted: w.Version,
+			WantedAge: now.Sub(w.Since), Bound: c.options.Bound,
+		}
+		if Decide(q) {
+			c.give(w, Order{Model: w.Model, Version: w.Version, Swap: SwapAfterRuns, Holder: c.options.Holder, Token: token,
+				Instance: instance, Orders: c.report.Orders})
+			return
+		}
+	}
+}
+
+// give announces the load and orders it a moment later.
+func (c *Controller) give(w Wanted, o Order) {
+	c.phase, c.loading, c.ordering = Loading, w, true
+	c.notBefore = c.options.Now().Add(retryAfter)
+	control.Do(c.loop, orderTimeout, func(ctx context.Context) (Outcome, error) {
+		sleep.For(ctx, orderNotice)
+		return c.engine.Load(ctx, o)
+	}, func(outcome Outcome, err error) { c.ordered(o, outcome, err) })
+}
+
+func (c *Controller) ordered(o Order, outcome Outcome, err error) {
+	c.ordering = false
+	c.options.Ordered(outcome)
+	c.notBefore = c.options.Now().Add(retryAfter)
+	detail := ""
+	if err != nil {
+		detail = err.Error()
+	}
+	c.options.Logger.Info("weights_ordered", "model", o.Model, "version", o.Version, "token", o.Token,
+		"instance", o.Instance, "orders", o.Orders, "outcome", outcome.String(), "error", detail)
+	if outcome == Accepted {
+		c.report.Busy = true
+	}
+	if outcome != Accepted && outcome != Unknown {
+		c.phase = Serving
+	}
+	c.around.Changed(c.report, c.phase)
+}
--- /dev/null
+++ b/internal/gateway/weights/plan.go
@@ -0,0 +1,114 @@
+// Package weights brings the engines of a service to the weights that the
+// operators want, a few at a time, so that the others go on serving.
+//
+// Each sidecar decides for its own engine from what all sidecars tell of
+// theirs. There is no coordinator: all rank the engines alike, and the first in
+// the ranking that lack the wanted version load it.
+package weights
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Phase is what an engine is doing about weights.
+type Phase uint8
+
+// The phases.
+const (
+	// Serving engines take requests.
+	Serving Phase = iota
+	// Loading engines load weights, or are just about to.
+	Loading
+)
+
+// EngineView is what one sidecar knows of an engine of its service.
+type EngineView struct {
+	Instance string
+	// Version of the model that the engine has.
+	Version int64
+	Phase   Phase
+	// Age of this knowledge.
+	Age time.Duration
+}
+
+const (
+	// parallelShare is the share of a service's engines that load at once. More
+	// make each load slower and leave too few to serve; at a fifth, loading all
+	// takes five times one load.
+	parallelShare = 0.2
+	// minParallel lets small services finish in time.
+	minParallel = 2
+	// silentAfter is the age from which an engine's sidecar counts as gone and
+	// is not waited for. Sidecars tell of themselves twice a second.
+	silentAfter = 1200 * time.Millisecond
+	// hurryShare is the part of the time bound after which an engine loads
+	// whatever the others do: one that is late is of no use.
+	hurryShare = 0.55
+)
+
+// Parallel is how many of n engines may load at once.
+func Parallel(n int) int { return max(minParallel, int(float64(n)*parallelShare)) }
+
+// Turns returns the engines in the order in which they load a version: a new
+// one for each version, so that no engine is always the last.
+func Turns(engines []EngineView, version int64) []EngineView {
+	ordered := slices.Clone(engines)
+	slices.SortFunc(ordered, func(a, b EngineView) int {
+		ra, rb := rank(a.Instance, version), rank(b.Instance, version)
+		switch {
+		case ra < rb:
+			return -1
+		case ra > rb:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return ordered
+}
+
+func rank(instance string, version int64) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(uint64(version))
+	_, _ = d.WriteString(instance)
+	return d.Sum64()
+}
+
+// Question is what Decide goes by.
+type Question struct {
+	// Self is the instance of the deciding sidecar's engine.
+	Self string
+	// Engines of the service, the own one included.
+	Engines []EngineView
+	// Wanted version, and how long ago it was learned.
+	Wanted    int64
+	WantedAge time.Duration
+	// Bound is the time within which engines must have the wanted version.
+	Bound time.Duration
+}
+
+// Decide reports whether the own engine loads the wanted version now. Those
+// first in the order that still lack it go; engines whose sidecars are silent
+// are passed over.
+func Decide(q Question) bool {
+	if q.WantedAge > time.Duration(hurryShare*float64(q.Bound)) {
+		return true
+	}
+	places := Parallel(len(q.Engines))
+	for _, e := range Turns(q.Engines, q.Wanted) {
+		if e.Version >= q.Wanted && e.Phase == Serving || e.Age > silentAfter {
+			continue
+		}
+		if places == 0 {
+			return false
+		}
+		if e.Instance == q.Self {
+			return true
+		}
+		places--
+	}
+	return false
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -4,6 +4,8 @@
 import (
 	"io"
 	"log/slog"
+	"strconv"
+	"time"
 
 	"github.com/go-logr/logr"
 )
@@ -13,3 +15,7 @@
 	handler := slog.NewTextHandler(w, &slog.HandlerOptions{Level: slog.LevelInfo})
 	return logr.FromSlogHandler(handler).WithValues("process", process)
 }
+
+func droppedLine(n uint64) string {
+	return "time=" + time.Now().UTC().Format(time.RFC3339Nano) + " level=WARN msg=log_lines_dropped lines=" + strconv.FormatUint(n, 10) + "\n"
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -28,6 +28,9 @@
 	configVersion  prometheus.Gauge
 	logErrors      *prometheus.CounterVec
 	controlSeconds prometheus.Counter
+	connections    prometheus.Counter
+	storeCalls     *prometheus.HistogramVec
+	orders         *prometheus.CounterVec
 }
 
 var ttftBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.62, 1, 2, 4, 8, 16, 32}
@@ -56,15 +59,20 @@
 		resumes:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "stream_resumes_total", Help: "Streams continued after a cut."}),
 		probes:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "probes_total", Help: "Probes sent to sidecars."}),
 		controlSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "control_seconds_total", Help: "Time spent on the control thread."}),
-		queueWaiting:   gauge("queue_waiting", "Requests that wait at this sidecar."),
-		queueRunning:   gauge("queue_running", "Requests that run at this sidecar's target."),
-		indexBlocks:    gauge("index_blocks", "Blocks in the prefix index."),
-		eventGaps:      gauge("event_gaps", "Losses found in the engine's event stream."),
-		configVersion:  gauge("config_version", "Version of the configuration in force."),
+		connections:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_connections_total", Help: "Connections opened to targets."}),
+		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "toucanwell", Name: "store_call_seconds", Help: "Calls of the platform's store, by topic and result.", Buckets: ttftBuckets,
+		}, []string{"topic", "result"}),
+		orders:        counter("weights_orders_total", "Orders to load weights, by outcome.", "outcome"),
+		queueWaiting:  gauge("queue_waiting", "Requests that wait at this sidecar."),
+		queueRunning:  gauge("queue_running", "Requests that run at this sidecar's target."),
+		indexBlocks:   gauge("index_blocks", "Blocks in the prefix index."),
+		eventGaps:     gauge("event_gaps", "Losses found in the engine's event stream."),
+		configVersion: gauge("config_version", "Version of the configuration in force."),
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.wastedTokens,
 		m.retries, m.resumes, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
-		m.configVersion, m.logErrors, m.controlSeconds)
+		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.storeCalls, m.orders)
 	return m
 }
 
@@ -118,3 +126,18 @@
 
 // Control counts time spent on the control thread.
 func (m *Metrics) Control(d time.Duration) { m.controlSeconds.Add(d.Seconds()) }
+
+// Connection counts a connection opened to a target.
+func (m *Metrics) Connection() { m.connections.Inc() }
+
+// StoreCall records a call of the platform's store.
+func (m *Metrics) StoreCall(topic string, took time.Duration, err error) {
+	result := "ok"
+	if err != nil {
+		result = "error"
+	}
+	m.storeCalls.WithLabelValues(topic, result).Observe(took.Seconds())
+}
+
+// Order counts an order to load weights.
+func (m *Metrics) Order(outcome string) { m.orders.WithLabelValues(outcome).Inc() }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -15,16 +15,30 @@
 type Budget struct {
 	mu    sync.Mutex
 	saved float64
+	most  float64
 }
 
 // NewBudget returns a budget that allows a few retries at once.
-func NewBudget() *Budget { return &Budget{saved: startSaved} }
+func NewBudget() *Budget { return &Budget{saved: startSaved, most: maxSaved} }
+
+// NewEmptyBudget returns a budget that starts without a retry and saves up most
+// of them. A process that is killed and started again and again would else
+// spend what several may.
+func NewEmptyBudget(most float64) *Budget { return &Budget{most: most} }
+
+// SetMost changes how many retries are saved up.
+func (b *Budget) SetMost(most float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = most
+	b.saved = min(b.saved, most)
+}
 
 // Earn counts one request; share is the part of a retry that it pays for.
 func (b *Budget) Earn(share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved = min(b.saved+share, maxSaved)
+	b.saved = min(b.saved+share, b.most)
 }
 
 // Spend takes one retry and reports whether there was one.
