Engines load under their runs; sidecars tell of lives and silence; bound by age

(3) After a power failure of the engines' hosts, entries named the lives of before for the 1 to 2 s by which the list lags, each request was refused (421), and the retry budget was spent.

Change: loads go on under the runs (SwapUnderRuns). An engine is judged by how long it has been behind the first newer version. A sidecar asks its engine's health once for its life and tells the entries, at once also when the engine is silent. Sends that did not arrive cost no retry.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -66,12 +66,14 @@
 	targets   *feed.Follower
 	directory *fleet.Directory
 	estate    *estate.Estate
-	wanted    map[string]weights.Wanted
+	wanted    map[string]weights.History
 	words     map[string]view.EngineWord
-	digest    uint64
-	pulling   map[string]bool
-	stopping  bool
-	view      blackboard.Fact[*view.View]
+	// silent holds since when the sidecars of silent engines were heard last.
+	silent   map[netip.AddrPort]time.Time
+	digest   uint64
+	pulling  map[string]bool
+	stopping bool
+	view     blackboard.Fact[*view.View]
 	// changed is told after each new view.
 	changed func()
 }
@@ -79,7 +81,7 @@
 func newBeliefs(s *Settings, p Platform, loop *control.Loop, clock *hostclock.Clock, logger logr.Logger, peers *http.Client, called func(string, time.Duration, error)) *beliefs {
 	b := &beliefs{
 		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
-		directory: fleet.NewDirectory(), wanted: map[string]weights.Wanted{}, words: map[string]view.EngineWord{},
+		directory: fleet.NewDirectory(), wanted: map[string]weights.History{}, words: map[string]view.EngineWord{}, silent: map[netip.AddrPort]time.Time{},
 		pulling: map[string]bool{}, changed: func() {},
 	}
 	b.operators = feed.NewFollower(loop, p.Operators(), feed.NewCopy(outageGap), feed.Options{
@@ -156,10 +158,10 @@
 		b.estate = d.Estate
 		b.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", offset, "routes", len(d.Estate.Routes()))
 	}
-	if d.Model == "" || d.Version <= b.wanted[d.Model].Version {
+	if d.Model == "" || d.Version <= b.wanted[d.Model].Newest() {
 		return
 	}
-	b.wanted[d.Model] = weights.Wanted{Model: d.Model, Version: d.Version, Since: b.clock.Now()}
+	b.wanted[d.Model] = b.wanted[d.Model].Add(weights.Wanted{Version: d.Version, Since: b.clock.Now()})
 	b.logger.Info("weights_wanted", "model", d.Model, "version", d.Version, "offset", offset)
 }
 
@@ -234,7 +236,7 @@
 	now := b.clock.Now()
 	v := &view.View{
 		Estate: b.estate, Targets: b.directory.Targets(now, b.targets.Copy().OutageEnd()),
-		Engines: map[string]view.EngineWord{}, Wanted: map[string]weights.Wanted{},
+		Engines: map[string]view.EngineWord{}, Silent: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
 		Entries: 1 + len(b.mesh.Live(true)), Stopping: b.stopping,
 	}
 	for instance, word := range b.words {
@@ -244,6 +246,14 @@
 			delete(b.words, instance)
 		}
 	}
+	for address, heard := range b.silent {
+		if now.Sub(heard) <= wordFor {
+			v.Silent[address] = true
+		} else {
+			delete(b.silent, address)
+		}
+	}
+	fleet.Correct(v.Targets, b.living(v.Engines))
 	for model, w := range b.wanted {
 		v.Wanted[model] = w
 	}
@@ -251,6 +261,19 @@
 	b.changed()
 }
 
+// living are the engines whose sidecars know them. One that the list has
+// dropped is not among them: it has ended or leaves.
+func (b *beliefs) living(words map[string]view.EngineWord) []fleet.Living {
+	var all []fleet.Living
+	for instance, w := range words {
+		if b.directory.Gone(instance) {
+			continue
+		}
+		all = append(all, fleet.Living{Instance: instance, Service: w.Service, Address: w.Address, Zone: w.Zone, Weights: w.Weights})
+	}
+	return all
+}
+
 // hosts are those on which sidecars may run: the engines'.
 func (b *beliefs) hosts() []netip.Addr {
 	var hosts []netip.Addr
@@ -369,11 +392,22 @@
 
 // hearEngine takes in what a sidecar says of its engine. It reports whether
 // traffic goes by something else now.
-func (b *beliefs) hearEngine(e *peerv1.EngineState) bool {
-	if e == nil || e.Instance == "" {
+func (b *beliefs) hearEngine(m *mesh.Member) bool {
+	e := m.Beat.Engine
+	if e == nil {
+		return false
+	}
+	address, err := netip.ParseAddrPort(e.Address)
+	if err != nil {
+		b.logger.Info("engine_word_refused", "peer", m.Name, "address", e.Address, "error", err.Error())
 		return false
 	}
+	if e.Phase == peerv1.EnginePhase_ENGINE_PHASE_SILENT {
+		return b.hearSilent(m, address)
+	}
+	delete(b.silent, address)
 	word := view.EngineWord{
+		Service: e.Service, Address: address, Zone: m.Zone,
 		Weights: map[string]int64{}, Loading: e.Phase == peerv1.EnginePhase_ENGINE_PHASE_LOADING,
 		Running: int(e.Running), Queued: int(e.Queued), HeardAt: b.clock.Now(),
 	}
@@ -393,3 +427,21 @@
 	}
 	return changed
 }
+
+// hearSilent takes in that an engine does not answer its sidecar. It is known
+// there within a tenth of a second; the platform's list shows a crash only
+// after three heartbeats.
+func (b *beliefs) hearSilent(m *mesh.Member, address netip.AddrPort) bool {
+	_, known := b.silent[address]
+	b.silent[address] = b.clock.Now()
+	if known {
+		return false
+	}
+	b.logger.Info("engine_told_silent", "peer", m.Name, "address", address)
+	for instance, w := range b.words {
+		if w.Address == address {
+			delete(b.words, instance)
+		}
+	}
+	return true
+}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -72,7 +72,7 @@
 			e.parts.Told(parts.Fact{Part: parts.Key(p.Part), Target: p.Target, Done: p.Done}, now)
 		}
 	}
-	if e.beliefs.hearEngine(m.Beat.Engine) {
+	if e.beliefs.hearEngine(m) {
 		e.beliefs.post()
 	}
 }
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -119,6 +119,37 @@
 	return goneAt.Sub(outageEnd) < returnTime && outageEnd.Sub(goneAt) < goneMemory
 }
 
+// Living is the life of a target that its own host has just told of.
+type Living struct {
+	Instance string
+	Service  string
+	Address  netip.AddrPort
+	Zone     string
+	Weights  map[string]int64
+}
+
+// Correct returns the targets with what their own hosts say: a life that the
+// list does not show yet is added, and one that it replaced at its address is
+// left out. Without it, requests name a life that has ended for the second or
+// two by which the list lags, and each is refused.
+func Correct(byService map[string][]Target, living []Living) {
+	for _, l := range living {
+		list := byService[l.Service]
+		at := slices.IndexFunc(list, func(t Target) bool { return t.Address == l.Address })
+		if slices.ContainsFunc(list, func(t Target) bool { return t.Instance == l.Instance }) {
+			byService[l.Service] = slices.DeleteFunc(list, func(t Target) bool { return t.Address == l.Address && t.Instance != l.Instance })
+			continue
+		}
+		t := Target{Listing: Listing{Instance: l.Instance, Service: l.Service, Address: l.Address, Zone: l.Zone, Weights: l.Weights}, Hash: xxhash.Sum64String(l.Instance)}
+		if at >= 0 {
+			t.Slots = list[at].Slots
+			list[at] = t
+			continue
+		}
+		byService[l.Service] = append(list, t)
+	}
+}
+
 // Find returns the target of an instance, whether listed or gone lately.
 func (d *Directory) Find(instance string) (Target, bool) {
 	e := d.entries[instance]
@@ -128,6 +159,12 @@
 	return e.target, true
 }
 
+// Gone reports whether a target was listed and is not any more.
+func (d *Directory) Gone(instance string) bool {
+	e := d.entries[instance]
+	return e != nil && !e.goneAt.IsZero()
+}
+
 // At returns the listed target at an address.
 func (d *Directory) At(address netip.AddrPort) (Target, bool) {
 	for _, e := range d.entries {
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -112,7 +112,7 @@
 	most := f.Bounds.RetrySlack * slackShare / float64(max(entries, 1))
 	b, ok := f.budgets.Load(service)
 	if !ok {
-		b, _ = f.budgets.LoadOrStore(service, retry.NewEmptyBudget(most))
+		b, _ = f.budgets.LoadOrStore(service, retry.NewBudgetOf(most))
 	}
 	b.(*retry.Budget).SetMost(most)
 	return b.(*retry.Budget)
@@ -132,8 +132,9 @@
 	arrived   time.Time
 	deadline  time.Time
 	retries   *retry.Budget
-	// sends counts sends, runs those of them that may have run.
-	sends, runs int
+	// sends counts sends, arrivals those of them that may have reached a target,
+	// and runs those that may have run.
+	sends, arrivals, runs int
 	// excluded targets are not tried again.
 	excluded map[string]bool
 	// lastEvent is the event that the caller has; begun is set once it has any
@@ -275,7 +276,7 @@
 		if refusal != nil {
 			return fl.worse(last, refusal)
 		}
-		if fl.sends > 0 && !fl.retries.Spend() {
+		if fl.arrivals > 0 && !fl.retries.Spend() {
 			return fl.worse(last, errkind.After(errkind.Overloaded, fl.comeBack(retryPause), "the retry budget is spent"))
 		}
 		v := fl.send(ctx, to)
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -124,12 +124,15 @@
 			Excluded: t.Leaving || fl.excluded[t.Instance], Loading: fl.view.Loading(t), Version: fl.view.Version(t, fl.request.Model),
 			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.Hash],
 		}
-		if _, ok := rested[t.Instance]; ok || t.Doubtful {
+		c.Behind = wanted.Behind(c.Version, fl.Now())
+		if c.Slots == 0 {
+			c.Slots = fl.service.Engine.Slots
+		}
+		if _, ok := rested[t.Instance]; ok || t.Doubtful || fl.view.Silent[t.Address] {
 			c.Excluded = true
 		}
 		fl.addParts(c, t)
 	}
-	q.Wanted, q.WantedAge = wanted.Version, fl.Now().Sub(wanted.Since)
 	choice := placement.Pick(q, candidates)
 	if choice.Index < 0 {
 		return nil, errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "no engine of %s may take the request now", fl.service.Name)
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -58,7 +58,9 @@
 // send makes one send and passes on what comes.
 func (fl *flow) send(ctx context.Context, to *destination) verdict {
 	fl.sends++
-	fl.runs++ // taken back when the target certainly did not run it
+	// The following are taken back when they turn out not to be so.
+	fl.arrivals++
+	fl.runs++
 	fl.last = sendRecord{instance: to.target.Instance}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -149,6 +151,7 @@
 	fl.excluded[to.target.Instance] = true
 	if errors.Is(err, upstream.ErrNotSent) {
 		fl.runs--
+		fl.arrivals--
 		fl.Health.Note(fl.service.Name, to.target.Instance, health.Unreachable, fl.Now())
 		return verdict{notRun: true, refusal: errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "%v", err)}
 	}
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -27,8 +27,10 @@
 	Excluded bool
 	// Loading engines load weights and refuse.
 	Loading bool
-	// Version of the model that the engine has.
+	// Version of the model that the engine has, and for how long it has been
+	// older than one that operators want.
 	Version int64
+	Behind  time.Duration
 	// Slots is how many requests it works on at once, Memory its memory in
 	// tokens.
 	Slots  int
@@ -55,9 +57,6 @@
 	Shared, Own int
 	// MaxTokens is the longest answer.
 	MaxTokens int
-	// Wanted is the version that operators want, WantedAge for how long.
-	Wanted    int64
-	WantedAge time.Duration
 	// VersionBound is the age from which no request begins on an older version.
 	VersionBound time.Duration
 	// ReadRate is how many prompt tokens an engine reads in a millisecond.
@@ -135,7 +134,7 @@
 	if c.Excluded || c.Loading {
 		return false
 	}
-	return c.Version >= q.Wanted || q.WantedAge < q.VersionBound-boundMargin
+	return c.Behind < q.VersionBound-boundMargin
 }
 
 // score returns the choice of a candidate with its cost in milliseconds.
@@ -155,7 +154,7 @@
 	if !c.Near {
 		cost += farPenalty
 	}
-	if c.Version < q.Wanted && q.WantedAge > graceAge {
+	if c.Behind > graceAge {
 		cost += oldPenalty
 	}
 	choice.Wait, choice.Read, choice.Fetch = milliseconds(wait), milliseconds(read), milliseconds(fetch)
--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -28,16 +28,18 @@
 	beliefs *beliefs
 	address netip.AddrPort
 	orders  *weights.Controller
-	report  weights.Report
-	phase   weights.Phase
-	known   bool
-	token   uint64
+	// instance, report and phase are the engine's as the controller said last.
+	instance string
+	report   weights.Report
+	phase    weights.Phase
+	known    bool
+	token    uint64
 }
 
 func newSidecar(p *process) *sidecar {
 	s := &sidecar{process: p, beliefs: p.beliefs, address: netip.MustParseAddrPort(p.settings.Engine)}
 	s.orders = weights.NewController(p.loop, p.platform.Engine(s.address), weights.Surroundings{
-		Wanted: s.wanted, Instance: s.instance, Engines: s.engines, Changed: s.changed,
+		Wanted: func() map[string]weights.History { return s.beliefs.wanted }, HealthPath: s.healthPath, Engines: s.engines, Changed: s.changed,
 		Token: func() (uint64, bool) { return s.token, s.token > 0 },
 		Fresh: func() bool { p.clock.Check(); return p.clock.SinceWoken() > freshAfter },
 	}, weights.Options{
@@ -74,30 +76,20 @@
 	})
 }
 
-func (s *sidecar) wanted() []weights.Wanted {
-	all := make([]weights.Wanted, 0, len(s.beliefs.wanted))
-	for _, w := range s.beliefs.wanted {
-		all = append(all, w)
-	}
-	return all
-}
-
-// instance is the engine's present life: as it says itself, else as listed.
-func (s *sidecar) instance() string {
-	if s.report.Instance != "" {
-		return s.report.Instance
+func (s *sidecar) healthPath() string {
+	if s.beliefs.estate == nil {
+		return ""
 	}
-	t, ok := s.beliefs.directory.At(s.address)
-	if !ok {
+	service := s.beliefs.estate.Service(s.service())
+	if service == nil {
 		return ""
 	}
-	return t.Instance
+	return service.HealthPath
 }
 
 // engines returns all engines of the own engine's service.
 func (s *sidecar) engines(model string) []weights.EngineView {
 	now := s.process.clock.Now()
-	own := s.instance()
 	var all []weights.EngineView
 	for _, t := range s.beliefs.directory.Targets(now, s.beliefs.targets.Copy().OutageEnd())[s.service()] {
 		v := weights.EngineView{Instance: t.Instance, Version: t.Weights[model], Age: never}
@@ -107,7 +99,7 @@
 				v.Phase = weights.Loading
 			}
 		}
-		if t.Instance == own {
+		if t.Instance == s.instance {
 			v.Version, v.Phase, v.Age = s.report.Weights[model], s.phase, 0
 		}
 		all = append(all, v)
@@ -124,14 +116,14 @@
 
 // changed takes in the engine's newest report, and tells the others at once of
 // what they must not learn late.
-func (s *sidecar) changed(report weights.Report, phase weights.Phase) {
-	told := !s.known || phase != s.phase || report.Instance != s.report.Instance
+func (s *sidecar) changed(instance string, report weights.Report, phase weights.Phase) {
+	told := !s.known || phase != s.phase || instance != s.instance
 	for model, version := range report.Weights {
 		if s.report.Weights[model] != version {
 			told = true
 		}
 	}
-	s.report, s.phase, s.known = report, phase, true
+	s.instance, s.report, s.phase, s.known = instance, report, phase, true
 	if told {
 		s.beliefs.mesh.Tell()
 	}
@@ -139,16 +131,19 @@
 
 // compose adds the engine's state to a heartbeat.
 func (s *sidecar) compose(beat *peerv1.Beat) {
-	if !s.known {
+	if !s.known || s.instance == "" && s.phase != weights.Silent {
 		return
 	}
 	e := &peerv1.EngineState{
-		Instance: s.instance(), Address: s.address.String(), Phase: peerv1.EnginePhase_ENGINE_PHASE_SERVING,
+		Instance: s.instance, Service: s.service(), Address: s.address.String(), Phase: peerv1.EnginePhase_ENGINE_PHASE_SERVING,
 		Running: uint32(s.report.Running), Queued: uint32(s.report.Queued),
 		MemoryUsed: uint32(s.report.MemoryUsed), MemoryTotal: uint32(s.report.MemoryTotal),
 	}
-	if s.phase == weights.Loading {
+	switch s.phase {
+	case weights.Loading:
 		e.Phase = peerv1.EnginePhase_ENGINE_PHASE_LOADING
+	case weights.Silent:
+		e.Phase = peerv1.EnginePhase_ENGINE_PHASE_SILENT
 	}
 	for model, version := range s.report.Weights {
 		e.Weights = append(e.Weights, &peerv1.ModelWeights{Model: model, Version: version})
@@ -157,7 +152,7 @@
 }
 
 func (s *sidecar) heard(m *mesh.Member) {
-	if s.beliefs.hearEngine(m.Beat.Engine) {
+	if s.beliefs.hearEngine(m) {
 		s.orders.Nudge()
 	}
 }
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -3,6 +3,7 @@
 package view
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
@@ -12,6 +13,9 @@
 
 // EngineWord is what an engine's sidecar said last.
 type EngineWord struct {
+	Service string
+	Address netip.AddrPort
+	Zone    string
 	Weights map[string]int64
 	Loading bool
 	// Running and Queued are the engine's own counts.
@@ -26,8 +30,10 @@
 	Targets map[string][]fleet.Target
 	// Engines by instance, for those whose sidecars were heard lately.
 	Engines map[string]EngineWord
+	// Silent are the addresses of engines that do not answer their own sidecars.
+	Silent map[netip.AddrPort]bool
 	// Wanted versions by model.
-	Wanted map[string]weights.Wanted
+	Wanted map[string]weights.History
 	// Entries is how many entries live, this one included.
 	Entries int
 	// Stopping is set when the process ends soon.
--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -12,8 +12,6 @@
 
 // Report is an engine's word of itself.
 type Report struct {
-	// Instance of the engine, where it says so.
-	Instance string
 	// Weights are the versions of its models.
 	Weights map[string]int64
 	// Busy is set while an order is carried out.
@@ -88,30 +86,26 @@
 // Engine is the control side of one engine.
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
+	// Identify returns the name of the engine's present life, which it tells with
+	// its health.
+	Identify(ctx context.Context, healthPath string) (string, error)
 	// Load gives an order. An error with Unknown leaves open whether it was
 	// accepted.
 	Load(ctx context.Context, o Order) (Outcome, error)
 }
 
-// Wanted is the version of a model that operators want.
-type Wanted struct {
-	Model   string
-	Version int64
-	// Since is when this process learned of it.
-	Since time.Time
-}
-
 // Surroundings are what a controller asks and tells. All are called on the
 // control thread.
 type Surroundings struct {
-	// Wanted returns the wanted versions.
-	Wanted func() []Wanted
-	// Instance returns the life of the engine that the platform lists.
-	Instance func() string
+	// Wanted returns the versions that operators named, by model.
+	Wanted func() map[string]History
+	// HealthPath returns where the engine tells its health; empty while that is
+	// not known.
+	HealthPath func() string
 	// Engines returns the engines of the service for a model.
 	Engines func(model string) []EngineView
-	// Changed is told of the engine's newest report and phase.
-	Changed func(Report, Phase)
+	// Changed is told of the engine's life, its newest report and its phase.
+	Changed func(instance string, report Report, phase Phase)
 	// Token returns the fencing token, once there is one.
 	Token func() (uint64, bool)
 	// Fresh reports whether this process has run without a break lately: one
@@ -155,8 +149,12 @@
 	report  Report
 	known   bool
 	phase   Phase
-	// loading is the version that was ordered last.
-	loading   Wanted
+	// instance is the engine's life; empty until it has been identified.
+	instance    string
+	identifying bool
+	// loading is the order that was given last.
+	loading   Order
+	begunAt   time.Time
 	ordering  bool
 	notBefore time.Time
 }
@@ -188,16 +186,21 @@
 func (c *Controller) take(report Report, err error) time.Duration {
 	if err != nil {
 		if c.known {
-			c.options.Logger.Info("engine_silent", "error", err.Error())
+			c.options.Logger.Info("engine_silent", "instance", c.instance, "error", err.Error())
 		}
-		c.known = false
+		c.known, c.instance = false, ""
+		c.around.Changed("", c.report, Silent)
 		return reportPeriod
 	}
 	if !c.known {
 		c.options.Logger.Info("engine_heard", "weights", report.Weights, "busy", report.Busy, "orders", report.Orders)
 	}
+	if report.Orders < c.report.Orders {
+		c.instance = "" // it has started anew
+	}
 	c.known = true
 	c.report = report
+	c.identify()
 	c.step()
 	if c.phase == Loading {
 		return loadingPeriod
@@ -205,6 +208,41 @@
 	return reportPeriod
 }
 
+// identifyPause is the least time between two questions for the engine's life;
+// they have a price.
+const identifyPause = 300 * time.Millisecond
+
+// identify asks for the engine's life while it is not known. The platform's list
+// shows a life that has just begun a second or two late; requests that name the
+// earlier one are refused until then.
+func (c *Controller) identify() {
+	path := c.around.HealthPath()
+	if c.instance != "" || c.identifying || path == "" {
+		return
+	}
+	c.identifying = true
+	control.Do(c.loop, reportTimeout, func(ctx context.Context) (string, error) {
+		return c.engine.Identify(ctx, path)
+	}, func(instance string, err error) {
+		if err == nil && c.known {
+			c.instance = instance
+			c.options.Logger.Info("engine_identified", "instance", instance)
+			c.step()
+		}
+		if err != nil {
+			c.options.Logger.Info("engine_not_identified", "error", err.Error())
+		}
+		c.loop.Go(func(ctx context.Context) {
+			sleep.For(ctx, identifyPause)
+			c.loop.Post(func() { c.identifying = false })
+		})
+	})
+}
+
+// Unknown makes the controller ask for the engine's life again, after word that
+// it is another.
+func (c *Controller) Unknown() { c.instance = "" }
+
 // Nudge makes the controller decide again, after a new wanted version or word
 // of another engine. It runs on the control thread.
 func (c *Controller) Nudge() {
@@ -218,7 +256,7 @@
 	if c.phase == Serving && !c.ordering {
 		c.begin()
 	}
-	c.around.Changed(c.report, c.phase)
+	c.around.Changed(c.instance, c.report, c.phase)
 }
 
 // endLoading goes back to serving when the engine has carried out its order.
@@ -231,7 +269,7 @@
 	}
 	c.phase = Serving
 	c.options.Logger.Info("weights_loaded", "model", c.loading.Model, "wanted", c.loading.Version,
-		"version", c.report.Weights[c.loading.Model], "took_since_wanted", c.options.Now().Sub(c.loading.Since))
+		"version", c.report.Weights[c.loading.Model], "took", c.options.Now().Sub(c.begunAt))
 }
 
 // begin starts to load a wanted version when it is the engine's turn.
@@ -241,31 +279,32 @@
 		return
 	}
 	token, ok := c.around.Token()
-	instance := c.around.Instance()
-	if !ok || instance == "" {
+	if !ok || c.instance == "" {
 		return
 	}
-	for _, w := range c.around.Wanted() {
-		have, served := c.report.Weights[w.Model]
-		if !served || have >= w.Version {
+	for model, history := range c.around.Wanted() {
+		have, served := c.report.Weights[model]
+		wanted := history.Newest()
+		if !served || have >= wanted {
 			continue
 		}
 		q := Question{
-			Self: instance, Engines: c.around.Engines(w.Model), Wanted: w.Version,
-			WantedAge: now.Sub(w.Since), Bound: c.options.Bound,
+			Self: c.instance, Engines: c.around.Engines(model), Wanted: wanted,
+			Behind: history.Behind(have, now), Bound: c.options.Bound,
 		}
 		if Decide(q) {
-			c.give(w, Order{Model: w.Model, Version: w.Version, Swap: SwapAfterRuns, Holder: c.options.Holder, Token: token,
-				Instance: instance, Orders: c.report.Orders})
+			c.give(Order{Model: model, Version: wanted, Swap: SwapUnderRuns, Holder: c.options.Holder, Token: token,
+				Instance: c.instance, Orders: c.report.Orders})
 			return
 		}
 	}
 }
 
 // give announces the load and orders it a moment later.
-func (c *Controller) give(w Wanted, o Order) {
-	c.phase, c.loading, c.ordering = Loading, w, true
-	c.notBefore = c.options.Now().Add(retryAfter)
+func (c *Controller) give(o Order) {
+	c.phase, c.loading, c.ordering = Loading, o, true
+	c.begunAt = c.options.Now()
+	c.notBefore = c.begunAt.Add(retryAfter)
 	control.Do(c.loop, orderTimeout, func(ctx context.Context) (Outcome, error) {
 		sleep.For(ctx, orderNotice)
 		return c.engine.Load(ctx, o)
@@ -288,5 +327,8 @@
 	if outcome != Accepted && outcome != Unknown {
 		c.phase = Serving
 	}
-	c.around.Changed(c.report, c.phase)
+	if outcome == OtherInstance {
+		c.Unknown()
+	}
+	c.around.Changed(c.instance, c.report, c.phase)
 }
--- a/internal/gateway/weights/plan.go
+++ b/internal/gateway/weights/plan.go
@@ -22,6 +22,8 @@
 	Serving Phase = iota
 	// Loading engines load weights, or are just about to.
 	Loading
+	// Silent engines do not answer their own sidecar.
+	Silent
 )
 
 // EngineView is what one sidecar knows of an engine of its service.
@@ -77,15 +79,54 @@
 	return d.Sum64()
 }
 
+// Wanted is a version of a model that operators want.
+type Wanted struct {
+	Version int64
+	// Since is when this process learned of it.
+	Since time.Time
+}
+
+// History is the versions of a model that operators named, oldest first.
+type History []Wanted
+
+// maxHistory is how many versions are remembered. Older ones are long overdue.
+const maxHistory = 16
+
+// Add returns the history with a version that is newer than all before.
+func (h History) Add(w Wanted) History {
+	next := append(slices.Clone(h), w)
+	return next[max(0, len(next)-maxHistory):]
+}
+
+// Newest is the newest version; zero when none was named.
+func (h History) Newest() int64 {
+	if len(h) == 0 {
+		return 0
+	}
+	return h[len(h)-1].Version
+}
+
+// Behind returns for how long an engine that has a version has been behind:
+// since the first newer one was named. The newest alone would not tell, because
+// it may have been named a moment ago.
+func (h History) Behind(have int64, now time.Time) time.Duration {
+	for _, w := range h {
+		if w.Version > have {
+			return now.Sub(w.Since)
+		}
+	}
+	return 0
+}
+
 // Question is what Decide goes by.
 type Question struct {
 	// Self is the instance of the deciding sidecar's engine.
 	Self string
 	// Engines of the service, the own one included.
 	Engines []EngineView
-	// Wanted version, and how long ago it was learned.
-	Wanted    int64
-	WantedAge time.Duration
+	// Wanted version, and for how long the own engine has been behind.
+	Wanted int64
+	Behind time.Duration
 	// Bound is the time within which engines must have the wanted version.
 	Bound time.Duration
 }
@@ -94,7 +135,7 @@
 // first in the order that still lack it go; engines whose sidecars are silent
 // are passed over.
 func Decide(q Question) bool {
-	if q.WantedAge > time.Duration(hurryShare*float64(q.Bound)) {
+	if q.Behind > time.Duration(hurryShare*float64(q.Bound)) {
 		return true
 	}
 	places := Parallel(len(q.Engines))
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -21,10 +21,13 @@
 // NewBudget returns a budget that allows a few retries at once.
 func NewBudget() *Budget { return &Budget{saved: startSaved, most: maxSaved} }
 
-// NewEmptyBudget returns a budget that starts without a retry and saves up most
-// of them. A process that is killed and started again and again would else
-// spend what several may.
-func NewEmptyBudget(most float64) *Budget { return &Budget{most: most} }
+// freshShare is the part of what may be saved that a new budget starts with. A
+// process that is killed and started again would spend what several may if it
+// were all.
+const freshShare = 0.3
+
+// NewBudgetOf returns a budget that saves up to most retries.
+func NewBudgetOf(most float64) *Budget { return &Budget{saved: freshShare * most, most: most} }
 
 // SetMost changes how many retries are saved up.
 func (b *Budget) SetMost(most float64) {
