Engines always ask the store of cached parts for what they lack

Cause: a part was fetched only while this entry believed that the store held it; beliefs end after 8 s, the store holds longer, and a miss costs a millisecond.

--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -145,10 +145,9 @@
 	wait += fullPenalty * float64(over(c, q))
 	read := float64(q.Own+missing-fetched) / q.ReadRate
 	fetch := 0.0
-	choice := Choice{}
+	choice := Choice{FetchFrom: c.Source}
 	if fetched > 0 {
 		fetch = fetchSetup + float64(fetched)/q.FetchRate*sourceDistance(c)
-		choice.FetchFrom = c.Source
 	}
 	cost := wait + read + fetch + (readPrice-1)*float64(missing-fetched)/q.ReadRate
 	if !c.Near {
