Parts are fetched from an engine that used them lately

Cause: the store's one link carries every part that an engine lacks; engines have faster links, and there are many. Change: the source is the engine that used the innermost shared part within 3 s, in the same availability zone if there is one; else the store.

--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -166,7 +166,8 @@
 	return parts.Scope(fl.request.Model, version, isolated)
 }
 
-// addParts fills in what a candidate holds of the prompt, and what it can fetch.
+// addParts fills in what a candidate holds of the prompt, and from where it can
+// fetch the rest.
 func (fl *flow) addParts(c *placement.Candidate, t *fleet.Target) {
 	keys := parts.Keys(fl.scopeAt(c.Version), fl.request.Parts)
 	now := fl.Now()
@@ -176,22 +177,63 @@
 		}
 		c.Held += fl.request.Parts[i].Tokens
 	}
+	fl.addStore(c, t, keys)
+	fl.addPeers(c, t, keys)
+}
+
+// addStore offers the store of cached parts as a source, also when it is not
+// known to hold any: it holds parts for longer than they are remembered here,
+// and asking for one that it lacks costs a millisecond.
+func (fl *flow) addStore(c *placement.Candidate, t *fleet.Target, keys []parts.Key) {
 	for _, s := range fl.view.Estate.Stores() {
 		address, err := netip.ParseAddrPort(s.Store.Address)
 		if err != nil {
 			continue
 		}
-		fetchable := 0
+		c.Source, c.SourceNear = address, s.Store.Zone == t.Zone
 		for i, k := range keys {
-			if fl.Parts.At(k, storeHash(s.Store.Address), now) != parts.Held {
+			if fl.Parts.At(k, storeHash(s.Store.Address), fl.Now()) != parts.Held {
 				break
 			}
-			fetchable += fl.request.Parts[i].Tokens
+			c.Fetchable += fl.request.Parts[i].Tokens
 		}
-		c.Fetchable, c.Source, c.SourceNear = fetchable, address, s.Store.Zone == t.Zone
 	}
 }
 
+// addPeers offers an engine as a source that has used the innermost shared part
+// lately. Engines have faster links than the store, and many of them.
+func (fl *flow) addPeers(c *placement.Candidate, t *fleet.Target, keys []parts.Key) {
+	if len(keys) == 0 {
+		return
+	}
+	targets := fl.view.Targets[fl.service.Name]
+	var newest time.Time
+	fl.Parts.Holders(keys[len(keys)-1], fl.Now(), func(target uint64, s parts.State, at time.Time) {
+		if s != parts.Held || target == t.Hash || fl.Now().Sub(at) > sourceFor {
+			return
+		}
+		for i := range targets {
+			p := &targets[i]
+			if p.Hash != target || fl.view.Silent[p.Address] || fl.view.Version(p, fl.request.Model) != c.Version {
+				continue
+			}
+			near := p.Zone == t.Zone
+			if c.Peer && (c.SourceNear && !near || c.SourceNear == near && at.Before(newest)) {
+				continue
+			}
+			c.Source, c.SourceNear, c.Peer, newest = p.Address, near, true, at
+			c.Fetchable = 0
+			for j := range keys {
+				c.Fetchable += fl.request.Parts[j].Tokens
+			}
+		}
+	})
+}
+
+// sourceFor is how long after its last use an engine is asked for a part;
+// engines evict what was not used for some seconds.
+const sourceFor = 3 * time.Second
+
 // saveTo returns the store that the prompt's parts are to be sent to: one that
 // neither holds them nor is about to. Saving them again would fill its link.
 func (fl *flow) saveTo(keys []parts.Key) string {
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -46,6 +46,8 @@
 	Source    netip.AddrPort
 	// SourceNear is set when Source stands in the engine's availability zone.
 	SourceNear bool
+	// Peer is set when Source is an engine.
+	Peer bool
 }
 
 // Question is what a decision goes by besides the candidates.
