Two findings of an outage in which the targets' entries lapse

Change: a return counts; a read that waits is ended when the other topic hears the store again, and waits 4 s in place of 8; engines that left the list after an outage are used when no other is left.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -32,8 +32,9 @@
 const (
 	// operatorsWait is how long a read of what operators declare waits at the
 	// store. A record answers it at once, so that the wait costs no time, only
-	// calls: one in eight seconds for each entry.
-	operatorsWait = 8 * time.Second
+	// calls: one in four seconds for each entry. A connection that went silent
+	// holds it up for that long.
+	operatorsWait = 4 * time.Second
 	// outageGap is the time without word of the store that counts as an outage.
 	outageGap = 1500 * time.Millisecond
 	// Ages of the copy of the targets from which a process reads the store. The
@@ -86,11 +87,11 @@
 	}
 	b.operators = feed.NewFollower(loop, p.Operators(), feed.NewCopy(outageGap), feed.Options{
 		Name: topicOperators, Wait: operatorsWait, Reads: b.readsOperators, Changed: b.operatorsChanged,
-		Called: called, Logger: logger, Now: clock.Now,
+		Called: called, Regained: func() {}, Logger: logger, Now: clock.Now,
 	})
 	b.targets = feed.NewFollower(loop, p.Targets(), feed.NewCopy(outageGap), feed.Options{
 		Name: topicTargets, Reads: b.readsTargets, Changed: b.targetsChanged,
-		Called: called, Logger: logger, Now: clock.Now,
+		Called: called, Regained: b.operators.Again, Logger: logger, Now: clock.Now,
 	})
 	return b
 }
@@ -192,12 +193,13 @@
 // list takes in a listing and reports whether it changed what matters.
 func (b *beliefs) list(l fleet.Listing, offset uint64) bool {
 	old, known := b.directory.Find(l.Instance)
+	returned := b.directory.Gone(l.Instance)
 	b.directory.List(l)
-	if known && listingDigest(&old.Listing) == listingDigest(&l) {
+	if known && !returned && listingDigest(&old.Listing) == listingDigest(&l) {
 		return false
 	}
 	b.logger.Info("target_listed", "target", l.Instance, "service", l.Service, "address", l.Address, "zone", l.Zone,
-		"leaving", l.Leaving, "weights", l.Weights, "offset", offset)
+		"leaving", l.Leaving, "weights", l.Weights, "returned", returned, "offset", offset)
 	return true
 }
 
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,8 @@
 	Changed func(keys []string)
 	// Called is told of each call of the store, its duration and its error.
 	Called func(topic string, took time.Duration, err error)
+	// Regained is told, on the control thread, when the store answers again.
+	Regained func()
 	Logger logr.Logger
 	Now    func() time.Time
 }
@@ -68,6 +71,9 @@
 	// snapshot is set when the next call must be for a snapshot.
 	snapshot bool
 	lost     bool
+	// cancel ends the call that is under way.
+	cancelMu sync.Mutex
+	cancel   context.CancelFunc
 }
 
 // NewFollower returns a follower that has not started.
@@ -137,6 +143,7 @@
 func (f *Follower) call(ctx context.Context, r request) error {
 	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+callTimeout)
 	defer cancel()
+	f.setCancel(cancel)
 	asked := f.options.Now()
 	var s Snapshot
 	var err error
@@ -158,6 +165,23 @@
 	return err
 }
 
+func (f *Follower) setCancel(cancel context.CancelFunc) {
+	f.cancelMu.Lock()
+	defer f.cancelMu.Unlock()
+	f.cancel = cancel
+}
+
+// Again ends the call that is under way, so that a new one begins. The failure
+// guarded against is a read that waits on a connection which went silent with
+// the store: it would wait on after the store is back.
+func (f *Follower) Again() {
+	f.cancelMu.Lock()
+	defer f.cancelMu.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
 // merge takes in a call's result. What a read that waited brings was complete
 // when it was answered; a snapshot may have taken several calls, and is only
 // known to be complete as of the first.
@@ -177,6 +201,7 @@
 	if f.lost {
 		f.lost = false
 		f.options.Logger.Info("store_regained", "topic", f.options.Name, "silent_for", asked.Sub(f.copy.CurrentAt()))
+		f.options.Regained()
 	}
 	var changed []string
 	if r.snapshot {
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -128,9 +128,8 @@
 		if c.Slots == 0 {
 			c.Slots = fl.service.Engine.Slots
 		}
-		if _, ok := rested[t.Instance]; ok || t.Doubtful || fl.view.Silent[t.Address] {
-			c.Excluded = true
-		}
+		_, c.Rested = rested[t.Instance]
+		c.Rested = c.Rested || t.Doubtful || fl.view.Silent[t.Address]
 		fl.addParts(c, t)
 	}
 	choice := placement.Pick(q, candidates)
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -22,9 +22,12 @@
 	Hash uint64
 	// Near engines stand in the entry's availability zone.
 	Near bool
-	// Excluded engines are not to be used: they leave, rest, or failed this
-	// request already.
+	// Excluded engines are not to be used: they leave, or failed this request
+	// already.
 	Excluded bool
+	// Rested engines failed lately, or may be gone. They are used when no other
+	// is left.
+	Rested bool
 	// Loading engines load weights and refuse.
 	Loading bool
 	// Version of the model that the engine has, and for how long it has been
@@ -106,6 +109,8 @@
 	// fetchSetup is the time before a fetch begins to bring tokens, in
 	// milliseconds.
 	fetchSetup = 5
+	// restedPenalty outweighs all else, so that rested engines come last.
+	restedPenalty = 1e6
 	// fullPenalty is what an engine without a free slot or memory weighs, in
 	// milliseconds for each request over.
 	fullPenalty = 60
@@ -155,6 +160,9 @@
 	if !c.Near {
 		cost += farPenalty
 	}
+	if c.Rested {
+		cost += restedPenalty
+	}
 	if c.Behind > graceAge {
 		cost += oldPenalty
 	}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -95,6 +95,8 @@
 
 func (p *process) woke(pause time.Duration) {
 	p.logger.Info("host_woke", "suspended_for", pause)
+	p.beliefs.operators.Again()
+	p.beliefs.targets.Again()
 }
 
 // open binds the addresses and serves them.
