--- a/cmd/toucanwelld/main.go
+++ b/cmd/toucanwelld/main.go
@@ -15,6 +15,7 @@
 	"github.com/toucanwell/toucanwell/internal/daemon"
 	"github.com/toucanwell/toucanwell/internal/settings"
 	"github.com/toucanwell/toucanwell/internal/version"
+	"github.com/toucanwell/toucanwell/platform"
 )
 
 const (
@@ -30,7 +31,7 @@
 		Usage:   "run one process of the router",
 		Version: version.String(),
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings file (TOML)", Sources: cli.EnvVars("TOUCANWELL_SETTINGS"), Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "settings file (TOML)", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action:   run,
--- /dev/null
+++ b/internal/gateway/feed/feed_test.go
@@ -0,0 +1,287 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"pgregory.net/rapid"
+
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+// log is a topic as the store holds it: all records ever, and how many of the
+// oldest were deleted.
+type log struct {
+	records []Record
+	trimmed uint64
+}
+
+func (l *log) append(key string, value []byte) {
+	l.records = append(l.records, Record{Key: key, Value: value, Offset: uint64(len(l.records))})
+}
+
+func (l *log) end() uint64 { return uint64(len(l.records)) }
+
+// newest is what a snapshot brings at an end.
+func (l *log) newest(end uint64) Snapshot {
+	last := map[string]Record{}
+	for _, r := range l.records[:end] {
+		last[r.Key] = r
+	}
+	s := Snapshot{End: end}
+	for _, r := range last {
+		if r.Value != nil {
+			s.Records = append(s.Records, r)
+		}
+	}
+	return s
+}
+
+// Records come by snapshots, by reads, and from peers that are behind or ahead,
+// in any order and some twice. A key never goes back to an older record, and a
+// copy that has all of the log holds just what a snapshot of it holds.
+func TestCopyNeverGoesBackAndConverges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := &log{}
+		a, b := NewCopy(time.Second), NewCopy(time.Second)
+		seen := map[string]uint64{}
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 4).Draw(rt, "step") {
+			case 0:
+				key := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(rt, "key")
+				var value []byte
+				if rapid.Bool().Draw(rt, "kept") {
+					value = []byte{byte(len(l.records))}
+				}
+				l.append(key, value)
+			case 1:
+				a.Replace(l.newest(rapid.Uint64Range(0, l.end()).Draw(rt, "snapshot end")), time.Time{})
+			case 2:
+				from := min(a.End(), l.end())
+				to := rapid.Uint64Range(from, l.end()).Draw(rt, "read end")
+				a.Merge(slices.Clone(l.records[from:to]), to, time.Time{})
+			case 3:
+				b.Merge(a.Since(b.End()), a.End(), time.Time{})
+			case 4:
+				a.Merge(b.Since(a.End()), b.End(), time.Time{})
+			}
+			for _, r := range a.Records() {
+				if r.Offset < seen[r.Key] {
+					rt.Fatalf("key %s went back from %d to %d", r.Key, seen[r.Key], r.Offset)
+				}
+				seen[r.Key] = r.Offset
+			}
+		}
+		a.Merge(slices.Clone(l.records[a.End():]), l.end(), time.Time{})
+		b.Merge(a.Since(b.End()), a.End(), time.Time{})
+		want := l.newest(l.end())
+		slices.SortFunc(want.Records, func(x, y Record) int { return int(x.Key[0]) - int(y.Key[0]) })
+		for name, c := range map[string]*Copy{"reader": a, "peer": b} {
+			if got := c.Records(); !slices.EqualFunc(got, want.Records, func(x, y Record) bool { return x.Key == y.Key && x.Offset == y.Offset }) {
+				rt.Fatalf("%s has %v, the log %v", name, got, want.Records)
+			}
+		}
+	})
+}
+
+// The history that dropped a key was deleted before it was read. The next
+// snapshot lacks the key, and the copy drops it.
+func TestSnapshotDropsWhatItLacks(t *testing.T) {
+	l := &log{}
+	l.append("x", []byte("1"))
+	l.append("y", []byte("1"))
+	c := NewCopy(time.Second)
+	c.Replace(l.newest(2), time.Time{})
+	l.append("x", nil)
+	if changed := c.Replace(l.newest(3), time.Time{}); !slices.Equal(changed, []string{"x"}) {
+		t.Errorf("changed %v", changed)
+	}
+	if _, ok := c.Get("x"); ok {
+		t.Error("the dropped key is still there")
+	}
+}
+
+// A stale read brings an older snapshot than the one that is known. It must not
+// drop what has come since.
+func TestOlderSnapshotChangesNothing(t *testing.T) {
+	l := &log{}
+	l.append("x", []byte("1"))
+	old := l.newest(1)
+	l.append("y", []byte("1"))
+	c := NewCopy(time.Second)
+	c.Replace(l.newest(2), time.Time{})
+	if changed := c.Replace(old, time.Time{}); len(changed) != 0 {
+		t.Errorf("changed %v", changed)
+	}
+	if _, ok := c.Get("y"); !ok {
+		t.Error("the newer key is gone")
+	}
+}
+
+// A silence of the store that exceeds the gap is an outage; a peer's older word
+// neither ends one nor makes one.
+func TestOutageIsTheGapBetweenTwoWords(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	c := NewCopy(2 * time.Second)
+	c.Confirm(at(1))
+	c.Confirm(at(2))
+	c.Confirm(at(1))
+	if !c.OutageEnd().IsZero() || c.CurrentAt() != at(2) {
+		t.Errorf("outage end %v, current at %v", c.OutageEnd(), c.CurrentAt())
+	}
+	c.Confirm(at(7))
+	if c.OutageEnd() != at(7) {
+		t.Errorf("outage end %v", c.OutageEnd())
+	}
+}
+
+// silentSource is a store that leaves reads unanswered while it is silent.
+type silentSource struct {
+	mu     sync.Mutex
+	log    log
+	silent bool
+	calls  int
+}
+
+func (s *silentSource) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *silentSource) Newest(ctx context.Context) (Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.log.newest(s.log.end()), nil
+}
+
+func (s *silentSource) Read(ctx context.Context, from uint64, wait time.Duration) (Snapshot, error) {
+	until := time.Now().Add(wait)
+	lost := false
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		s.calls++
+		lost = lost || s.silent // a connection that went silent stays so
+		if s.log.trimmed > from {
+			s.mu.Unlock()
+			return Snapshot{}, ErrTrimmed
+		}
+		if !lost && (s.log.end() > from || time.Now().After(until)) {
+			defer s.mu.Unlock()
+			return Snapshot{Records: slices.Clone(s.log.records[from:]), End: s.log.end()}, nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return Snapshot{}, ctx.Err()
+}
+
+func startFollower(t *testing.T, source Source, options Options) (*Follower, *control.Loop) {
+	t.Helper()
+	loop := control.NewLoop(1, func(time.Duration) {})
+	options.Logger, options.Now = logr.Discard(), time.Now
+	options.Called = func(string, time.Duration, error) {}
+	if options.Changed == nil {
+		options.Changed = func([]string) {}
+	}
+	if options.Regained == nil {
+		options.Regained = func() {}
+	}
+	f := NewFollower(loop, source, NewCopy(time.Second), options)
+	go loop.Run()
+	f.Start()
+	return f, loop
+}
+
+func has(loop *control.Loop, f *Follower, key string) bool {
+	answer := make(chan bool)
+	loop.Post(func() { _, ok := f.Copy().Get(key); answer <- ok })
+	return <-answer
+}
+
+// The store goes silent while a read waits there, and a configuration is
+// published just as it comes back. The waiting read's connection stays silent;
+// it must be given up, or the configuration is in force only when its time ends.
+func TestReadThatWaitsIsGivenUpWhenTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &silentSource{}
+		f, loop := startFollower(t, source, Options{Wait: 20 * time.Second})
+		time.Sleep(time.Second)
+		source.set(func() { source.silent = true })
+		time.Sleep(3 * time.Second)
+		source.set(func() { source.silent = false; source.log.append("config", []byte("2")) })
+		f.Again() // another topic's reads were answered
+		time.Sleep(500 * time.Millisecond)
+		if !has(loop, f, "config") {
+			t.Error("the configuration was not read")
+		}
+		loop.Stop()
+		synctest.Wait()
+	})
+}
+
+// Records were deleted before they were read. A snapshot brings the copy up to
+// date.
+func TestTrimmedTopicIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &silentSource{}
+		f, loop := startFollower(t, source, Options{Pause: 100 * time.Millisecond})
+		time.Sleep(time.Second)
+		source.set(func() {
+			source.log.append("a", []byte("1"))
+			source.log.append("b", []byte("1"))
+			source.log.trimmed = 1
+		})
+		time.Sleep(time.Second)
+		if !has(loop, f, "a") || !has(loop, f, "b") {
+			t.Error("a record is missing")
+		}
+		loop.Stop()
+		synctest.Wait()
+	})
+}
+
+// failing is a store that refuses every call.
+type failing struct {
+	mu    sync.Mutex
+	calls int
+}
+
+func (f *failing) Newest(context.Context) (Snapshot, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	return Snapshot{}, errors.New("busy")
+}
+
+func (f *failing) Read(ctx context.Context, _ uint64, _ time.Duration) (Snapshot, error) {
+	return f.Newest(ctx)
+}
+
+// A store that is down is not pressed: a process asks about once in its longest
+// pause.
+func TestStoreThatIsDownIsAskedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &failing{}
+		_, loop := startFollower(t, source, Options{})
+		time.Sleep(20 * time.Second)
+		loop.Stop()
+		synctest.Wait()
+		if source.calls > 40 {
+			t.Errorf("%d calls in 20 s", source.calls)
+		}
+	})
+}
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -43,8 +43,8 @@
 	Called func(topic string, took time.Duration, err error)
 	// Regained is told, on the control thread, when the store answers again.
 	Regained func()
-	Logger logr.Logger
-	Now    func() time.Time
+	Logger   logr.Logger
+	Now      func() time.Time
 }
 
 const (
--- /dev/null
+++ b/internal/gateway/fleet/fleet_test.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func listing(instance string, port uint16) Listing {
+	return Listing{Instance: instance, Service: "s", Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port), Zone: "a"}
+}
+
+func names(d *Directory, now, outageEnd time.Time) map[string]bool {
+	doubtful := map[string]bool{}
+	for _, t := range d.Targets(now, outageEnd)["s"] {
+		doubtful[t.Instance] = t.Doubtful
+	}
+	return doubtful
+}
+
+// A target that leaves the list is not used from then on, however it left.
+func TestDroppedTargetIsNotUsed(t *testing.T) {
+	d := NewDirectory()
+	d.List(listing("x", 1))
+	if !d.Drop("x", start) || d.Drop("x", start) {
+		t.Error("a drop counts once")
+	}
+	if got := names(d, start, time.Time{}); len(got) != 0 {
+		t.Errorf("targets %v", got)
+	}
+	if !d.Gone("x") {
+		t.Error("the target does not count as gone")
+	}
+}
+
+// The store was away for some seconds, and the entries of all targets lapsed.
+// At its return the list is empty although the targets live: they are used as
+// doubtful until they would have reported.
+func TestLapsedTargetsAreDoubtfulForAWhile(t *testing.T) {
+	d := NewDirectory()
+	d.List(listing("x", 1))
+	d.List(listing("y", 2))
+	d.Drop("x", start)
+	d.Drop("y", start)
+	if got := names(d, start.Add(time.Second), start); len(got) != 2 || !got["x"] {
+		t.Errorf("a second after the outage: %v", got)
+	}
+	d.List(listing("x", 1))
+	if got := names(d, start.Add(returnTime+time.Second), start); len(got) != 1 || got["x"] {
+		t.Errorf("later: %v", got)
+	}
+}
+
+// A target that announced its leaving before the outage is not brought back by
+// the doubt.
+func TestLeavingTargetIsNotDoubtful(t *testing.T) {
+	d := NewDirectory()
+	l := listing("x", 1)
+	l.Leaving = true
+	d.List(l)
+	d.Drop("x", start)
+	if got := names(d, start, start); len(got) != 0 {
+		t.Errorf("targets %v", got)
+	}
+}
+
+// An engine crashed and came back under a new name at its address. The list
+// still shows the old one; its own host knows better.
+func TestOwnHostCorrectsTheList(t *testing.T) {
+	d := NewDirectory()
+	old := listing("old", 1)
+	old.Slots = 64
+	d.List(old)
+	d.List(listing("other", 2))
+	byService := d.Targets(start, time.Time{})
+	Correct(byService, []Living{{Instance: "new", Service: "s", Address: old.Address, Zone: "a", Weights: map[string]int64{"m": 2}}})
+	found := map[string]int{}
+	for _, t := range byService["s"] {
+		found[t.Instance] = t.Slots
+	}
+	if len(found) != 2 || found["new"] != 64 {
+		t.Errorf("targets %v", found)
+	}
+	d.List(Listing{Instance: "new", Service: "s", Address: old.Address, Zone: "a"})
+	byService = d.Targets(start, time.Time{})
+	Correct(byService, []Living{{Instance: "new", Service: "s", Address: old.Address}})
+	if len(byService["s"]) != 2 {
+		t.Errorf("both lives are used: %v", byService["s"])
+	}
+}
--- /dev/null
+++ b/internal/gateway/forward/early_test.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/wire/wiretest"
+)
+
+// earlyTarget answers a request when it has its head, keeps the connection and
+// reads the body later. mixed counts bodies in which another request began.
+type earlyTarget struct {
+	address netip.AddrPort
+	mixed   atomic.Int32
+}
+
+func startEarlyTarget(t *testing.T) *earlyTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &earlyTarget{address: netip.MustParseAddrPort(listener.Addr().String())}
+	var tasks sync.WaitGroup
+	tasks.Add(1)
+	go func() {
+		defer tasks.Done()
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			tasks.Add(1)
+			go func() {
+				defer tasks.Done()
+				e.serve(c)
+			}()
+		}
+	}()
+	t.Cleanup(func() { listener.Close(); tasks.Wait() })
+	return e
+}
+
+func (e *earlyTarget) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 503 X\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", wiretest.ID, r.Header.Get(wiretest.ID), wiretest.NotRun)
+		buffer := make([]byte, 4096)
+		for {
+			n, err := r.Body.Read(buffer)
+			for _, b := range buffer[:n] {
+				if b != 'x' && b != 'n' && b != 'e' && b != 't' {
+					e.mixed.Add(1)
+					return
+				}
+			}
+			if err != nil {
+				break
+			}
+		}
+	}
+}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -239,6 +239,8 @@
 		return nil
 	}
 	if fl.r.ContentLength > limit {
+		// A caller that is still sending would meet a reset in place of the answer.
+		_, _ = io.CopyN(io.Discard, fl.r.Body, limit)
 		return errkind.New(errkind.BodyTooLarge, "%d bytes found; allowed are %d", fl.r.ContentLength, limit)
 	}
 	if n := fl.r.ContentLength; n > 0 {
--- /dev/null
+++ b/internal/gateway/forward/helpers_test.go
@@ -0,0 +1,209 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/estate"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/health"
+	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
+	"github.com/toucanwell/toucanwell/internal/gateway/parts"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
+	"github.com/toucanwell/toucanwell/internal/gateway/view"
+	"github.com/toucanwell/toucanwell/internal/gateway/weights"
+	"github.com/toucanwell/toucanwell/internal/gateway/wire/wiretest"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("internal/poll.runtime_pollWait"))
+}
+
+type noMetrics struct{}
+
+func (noMetrics) Request(string, string)                   {}
+func (noMetrics) Refusal(string, string, string)           {}
+func (noMetrics) FirstToken(string, string, time.Duration) {}
+func (noMetrics) Retry(string)                             {}
+func (noMetrics) Resume()                                  {}
+
+// target is a target whose answers a test writes byte by byte.
+type target struct {
+	listener net.Listener
+	instance string
+	// answer writes to the connection what comes for a request, and reports
+	// whether the connection stays open.
+	answer func(w io.Writer, r *http.Request, body string) bool
+	// runs counts the requests that reached answer.
+	runs atomic.Int32
+	// gone counts connections that the other end closed.
+	gone  atomic.Int32
+	tasks sync.WaitGroup
+}
+
+func startTarget(t *testing.T, instance string, answer func(w io.Writer, r *http.Request, body string) bool) *target {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tg := &target{listener: listener, instance: instance, answer: answer}
+	tg.tasks.Add(1)
+	go tg.accept()
+	t.Cleanup(func() { listener.Close(); tg.tasks.Wait() })
+	return tg
+}
+
+func (tg *target) accept() {
+	defer tg.tasks.Done()
+	for {
+		c, err := tg.listener.Accept()
+		if err != nil {
+			return
+		}
+		tg.tasks.Add(1)
+		go tg.serve(c)
+	}
+}
+
+func (tg *target) serve(c net.Conn) {
+	defer tg.tasks.Done()
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			tg.gone.Add(1)
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		tg.runs.Add(1)
+		if !tg.answer(c, r, string(body)) {
+			return
+		}
+	}
+}
+
+// whole writes a sealed answer.
+func (tg *target) whole(w io.Writer, r *http.Request, status int, body string) bool {
+	fmt.Fprintf(w, "HTTP/1.1 %d X\r\n%s: %s\r\n%s: by-%s\r\nContent-Length: %d\r\n\r\n%s",
+		status, wiretest.ID, r.Header.Get(wiretest.ID), wiretest.Seal, tg.instance, len(body), body)
+	return true
+}
+
+// refused writes that the request was not run.
+func (tg *target) refused(w io.Writer, r *http.Request, status int) bool {
+	fmt.Fprintf(w, "HTTP/1.1 %d X\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", status, wiretest.ID, r.Header.Get(wiretest.ID), wiretest.NotRun)
+	return true
+}
+
+// streamHead begins a sealed stream.
+func (tg *target) streamHead(w io.Writer, r *http.Request) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: by-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		wiretest.ID, r.Header.Get(wiretest.ID), wiretest.Seal, tg.instance)
+}
+
+func chunk(w io.Writer, text string) { fmt.Fprintf(w, "%x\r\n%s\r\n", len(text), text) }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: piece-%d\n\n", n, n) }
+
+// world is a forwarder with its surroundings.
+type world struct {
+	*Forwarder
+	view   *view.View
+	server *httptest.Server
+	pool   *upstream.Pool
+}
+
+const (
+	host  = "desk.example"
+	model = "m"
+)
+
+// startWorld serves four routes over the given targets: /once/ runs at most
+// once, /again/ may be repeated, /stream/ may not be resumed, /resume/ may.
+func startWorld(t *testing.T, targets ...*target) *world {
+	t.Helper()
+	routes := []estate.Route{
+		{Name: "once", Host: host, PathPrefix: "/once/", Kind: estate.NonIdempotent, Timeout: 2 * time.Second, MaxAttempts: 1},
+		{Name: "again", Host: host, PathPrefix: "/again/", Kind: estate.Idempotent, Timeout: 2 * time.Second, MaxAttempts: 2},
+		{Name: "stream", Host: host, PathPrefix: "/stream/", Kind: estate.Stream, Timeout: 2 * time.Second, MaxAttempts: 1},
+		{Name: "resume", Host: host, PathPrefix: "/resume/", Kind: estate.Stream, Timeout: 2 * time.Second, MaxAttempts: 2, Resumable: true},
+		{Name: "public", Host: host, PathPrefix: "/public/", Kind: estate.Idempotent, Timeout: 2 * time.Second, Public: true},
+	}
+	for i := range routes {
+		routes[i].Backends = []estate.Backend{{Service: "plain", Weight: 1}}
+	}
+	routes = append(routes, estate.Route{
+		Name: "prompt", Host: host, PathPrefix: "/prompt/", Kind: estate.Stream, Timeout: 2 * time.Second, MaxAttempts: 1,
+		Prompted: true, Backends: []estate.Backend{{Service: "engines", Weight: 1}},
+	})
+	services := []estate.Service{
+		{Name: "plain"},
+		{Name: "engines", Engine: &estate.Engine{Slots: 4, CacheTokens: 100_000, TokenBytes: 1000, LinkMbps: 100_000, Models: []string{model}}},
+		{Name: "kept", Store: &estate.KVStore{Address: "127.0.0.1:9", Zone: "a"}},
+	}
+	workspaces := []estate.Workspace{{Name: "town", Keys: []string{"town-key"}}, {Name: "fort", Keys: []string{"fort-key"}, Isolated: true}}
+	e, err := estate.New(1, routes, services, workspaces, estate.Limits{BodyBytes: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{view: &view.View{Estate: e, Targets: map[string][]fleet.Target{}, Entries: 1}}
+	directory := fleet.NewDirectory()
+	for _, tg := range targets {
+		address := netip.MustParseAddrPort(tg.listener.Addr().String())
+		directory.List(fleet.Listing{Instance: tg.instance, Service: "plain", Address: address, Zone: "a", Slots: 4})
+		directory.List(fleet.Listing{Instance: tg.instance + "-engine", Service: "engines", Address: address, Zone: "a", Slots: 4, Weights: map[string]int64{model: 3}})
+	}
+	w.view.Targets = directory.Targets(time.Now(), time.Time{})
+	w.view.Wanted = map[string]weights.History{}
+	w.pool = upstream.NewPool(func() {})
+	w.Forwarder = New(Deps{
+		Protocol: wiretest.Protocol{}, View: func() (*view.View, bool) { return w.view, true }, Pool: w.pool,
+		Ledger: ledger.New(), Parts: parts.NewBook(), Health: health.NewBook(nil),
+		Bounds: Bounds{RetryRatio: 0.5, RetrySlack: 100, Version: 5 * time.Second}, Zone: "a",
+		Logger: logr.Discard(), Metrics: noMetrics{}, Now: time.Now, Seed: 1,
+	})
+	w.server = httptest.NewServer(w.Forwarder)
+	t.Cleanup(func() { w.server.Close(); w.pool.CloseIdle() })
+	return w
+}
+
+// ask sends a request and returns status, body and the error of reading it.
+func (w *world) ask(t *testing.T, path, body string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, w.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = host
+	req.Header.Set(wiretest.ID, "r1")
+	req.Header.Set(wiretest.Key, "town-key")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return resp, string(got), err
+}
--- /dev/null
+++ b/internal/gateway/health/health_test.go
@@ -0,0 +1,85 @@
+package health
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func note(b *Book, instance string, now time.Time, outcomes ...Outcome) {
+	for _, o := range outcomes {
+		b.Note("s", instance, o, now)
+	}
+}
+
+// A target takes no connection. It is rested at the first one, for longer each
+// time, and used again when it is back.
+func TestUnreachableTargetRestsAtOnce(t *testing.T) {
+	b := NewBook(nil)
+	now := start
+	note(b, "x", now, Unreachable)
+	if _, ok := b.Rested(now)["x"]; !ok {
+		t.Fatal("not rested")
+	}
+	first := b.Rested(now)["x"].Sub(now)
+	now = now.Add(first + time.Millisecond)
+	if len(b.Rested(now)) != 0 {
+		t.Error("rests on")
+	}
+	note(b, "x", now, Unreachable)
+	if again := b.Rested(now)["x"].Sub(now); again <= first {
+		t.Errorf("rests for %v, then for %v", first, again)
+	}
+	now = now.Add(maxRest)
+	note(b, "x", now, Good)
+	note(b, "x", now, Unreachable)
+	if after := b.Rested(now)["x"].Sub(now); after != firstRest {
+		t.Errorf("after a good answer it rests for %v", after)
+	}
+}
+
+// A target's health check is good, and half of its requests fail. The others of
+// its service answer: it is rested.
+func TestTargetThatFailsMoreThanTheOthersRests(t *testing.T) {
+	b := NewBook(nil)
+	for range 10 {
+		note(b, "fine", start, Good)
+		note(b, "grey", start, Good, Failed)
+	}
+	rested := b.Rested(start)
+	if _, ok := rested["grey"]; !ok {
+		t.Error("the failing target is used on")
+	}
+	if _, ok := rested["fine"]; ok {
+		t.Error("the good target is rested")
+	}
+}
+
+// All targets of a service fail a part of their requests, because the service
+// does so. None is rested: the others are no better.
+func TestServiceThatFailsEverywhereIsNotRested(t *testing.T) {
+	b := NewBook(nil)
+	for range 30 {
+		for _, name := range []string{"x", "y", "z"} {
+			note(b, name, start, Good, Good, Good, Good, Failed)
+		}
+	}
+	if rested := b.Rested(start); len(rested) != 0 {
+		t.Errorf("rested %v", rested)
+	}
+}
+
+// Exchanges that break in a row rest a target before its share says so.
+func TestBrokenInARowRests(t *testing.T) {
+	b := NewBook(nil)
+	note(b, "x", start, Good, Good, Good, Good, Good, Good, Good, Good, Good, Good)
+	note(b, "x", start, Broken, Broken)
+	if len(b.Rested(start)) != 0 {
+		t.Error("rested after two")
+	}
+	note(b, "x", start, Broken)
+	if len(b.Rested(start)) != 1 {
+		t.Error("used on after three")
+	}
+}
--- a/internal/gateway/parts/parts.go
+++ b/internal/gateway/parts/parts.go
@@ -7,6 +7,7 @@
 package parts
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -64,10 +65,9 @@
 	// Engines of the deployments known evict parts that were not used for some
 	// seconds.
 	heldFor = 8 * time.Second
-	// maxKeys bounds the memory; the oldest beliefs are dropped first.
+	// maxKeys bounds the memory, some 100 bytes each; what was not noted for the
+	// longest time is dropped first.
 	maxKeys = 40_000
-	// sweepEvery is the number of notes between two sweeps.
-	sweepEvery = 4096
 )
 
 // Fact is one belief, as processes tell it to each other.
@@ -84,15 +84,34 @@
 }
 
 // Book holds the beliefs. It is safe for concurrent use.
+//
+// Keys live in two generations. A key that is noted moves to the young one; when
+// that is full it becomes the old one, and what was left in the old one is
+// dropped, without a walk over all keys.
 type Book struct {
-	mu    sync.Mutex
-	parts map[Key][]belief
-	fresh []Fact
-	notes int
+	mu         sync.Mutex
+	young, old map[Key][]belief
+	fresh      []Fact
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{parts: map[Key][]belief{}} }
+func NewBook() *Book { return &Book{young: map[Key][]belief{}, old: map[Key][]belief{}} }
+
+// get returns what is believed of a key. The caller holds mu.
+func (b *Book) get(k Key) []belief {
+	if list, ok := b.young[k]; ok {
+		return list
+	}
+	return b.old[k]
+}
+
+// put keeps what is believed of a key. The caller holds mu.
+func (b *Book) put(k Key, list []belief) {
+	if len(b.young) >= maxKeys/2 {
+		b.old, b.young = b.young, map[Key][]belief{}
+	}
+	b.young[k] = list
+}
 
 // Note takes in what this process learned: a target reads parts, or has read
 // them. It is told to other processes.
@@ -115,12 +134,11 @@
 
 // note reports whether it changed what others should know.
 func (b *Book) note(f Fact, now time.Time) bool {
-	b.sweep(now)
 	state := Coming
 	if f.Done {
 		state = Held
 	}
-	list := b.parts[f.Part]
+	list := b.get(f.Part)
 	for i := range list {
 		if list[i].target != f.Target {
 			continue
@@ -130,12 +148,18 @@
 			state = Held
 		}
 		list[i].state, list[i].at = state, now
+		b.put(f.Part, list)
 		return was.current(now) != state || now.Sub(was.at) > heldFor/4
 	}
-	b.parts[f.Part] = append(list, belief{target: f.Target, state: state, at: now})
+	b.put(f.Part, append(believed(list, now), belief{target: f.Target, state: state, at: now}))
 	return true
 }
 
+// believed drops what is believed no more.
+func believed(list []belief, now time.Time) []belief {
+	return slices.DeleteFunc(list, func(one belief) bool { return one.current(now) == Absent })
+}
+
 func (b belief) current(now time.Time) State {
 	age := now.Sub(b.at)
 	if b.state == Coming && age > comingFor || age > heldFor {
@@ -144,27 +168,6 @@
 	return b.state
 }
 
-// sweep drops what is no longer believed, now and then.
-func (b *Book) sweep(now time.Time) {
-	b.notes++
-	if b.notes%sweepEvery != 0 && len(b.parts) < maxKeys {
-		return
-	}
-	for k, list := range b.parts {
-		kept := list[:0]
-		for _, one := range list {
-			if one.current(now) != Absent {
-				kept = append(kept, one)
-			}
-		}
-		if len(kept) == 0 || len(b.parts) > maxKeys {
-			delete(b.parts, k)
-			continue
-		}
-		b.parts[k] = kept
-	}
-}
-
 // TakeFresh returns up to n facts that others were not told yet.
 func (b *Book) TakeFresh(n int) []Fact {
 	b.mu.Lock()
@@ -182,12 +185,9 @@
 func (b *Book) Forget(target uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for k, list := range b.parts {
-		for i := range list {
-			if list[i].target == target {
-				b.parts[k] = append(list[:i:i], list[i+1:]...)
-				break
-			}
+	for _, generation := range []map[Key][]belief{b.young, b.old} {
+		for k, list := range generation {
+			generation[k] = slices.DeleteFunc(list, func(one belief) bool { return one.target == target })
 		}
 	}
 }
@@ -196,7 +196,7 @@
 func (b *Book) At(k Key, target uint64, now time.Time) State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, one := range b.parts[k] {
+	for _, one := range b.get(k) {
 		if one.target == target {
 			return one.current(now)
 		}
@@ -208,7 +208,7 @@
 func (b *Book) Holders(k Key, now time.Time, visit func(target uint64, s State, at time.Time)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, one := range b.parts[k] {
+	for _, one := range b.get(k) {
 		if s := one.current(now); s != Absent {
 			visit(one.target, s, one.at)
 		}
--- /dev/null
+++ b/internal/gateway/parts/parts_test.go
@@ -0,0 +1,124 @@
+package parts
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/wire"
+	"github.com/toucanwell/toucanwell/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var now = time.Unix(1000, 0)
+
+func prompt(ids ...string) []wire.Part {
+	var p []wire.Part
+	for _, id := range ids {
+		p = append(p, wire.Part{ID: id, Tokens: 10})
+	}
+	return p
+}
+
+// Two prompts share parts only under the same model, weights and isolated
+// workspace. Scopes that differ in any of these are never equal, whatever the
+// names are.
+func TestScopesOfDifferentOriginDiffer(t *testing.T) {
+	name := rapid.StringMatching(`[a-z0-9.]{0,6}`)
+	rapid.Check(t, func(rt *rapid.T) {
+		m1, m2 := name.Draw(rt, "model 1"), name.Draw(rt, "model 2")
+		v1, v2 := rapid.Int64Range(0, 30).Draw(rt, "weights 1"), rapid.Int64Range(0, 30).Draw(rt, "weights 2")
+		w1, w2 := name.Draw(rt, "workspace 1"), name.Draw(rt, "workspace 2")
+		same := m1 == m2 && v1 == v2 && w1 == w2
+		if (Scope(m1, v1, w1) == Scope(m2, v2, w2)) != same {
+			rt.Fatalf("%q and %q", Scope(m1, v1, w1), Scope(m2, v2, w2))
+		}
+	})
+}
+
+// The last part belongs to the request alone and is not remembered; a part is
+// the same only after the same parts.
+func TestKeysChainSharedParts(t *testing.T) {
+	a, b, c := Keys("s", prompt("x", "y", "own1")), Keys("s", prompt("x", "y", "own2")), Keys("s", prompt("z", "y", "own1"))
+	if len(a) != 2 || a[0] != b[0] || a[1] != b[1] {
+		t.Errorf("%v and %v", a, b)
+	}
+	if a[1] == c[1] {
+		t.Error("a part is the same after different parts")
+	}
+	if other := Keys("t", prompt("x", "y", "own1")); other[0] == a[0] {
+		t.Error("a part is the same in another scope")
+	}
+}
+
+// Beliefs end: engines evict what was not used, and a read that takes long has
+// failed.
+func TestBeliefsEnd(t *testing.T) {
+	b := NewBook()
+	keys := Keys("s", prompt("x", "own"))
+	b.Note(1, keys, false, now)
+	if got := b.At(keys[0], 1, now); got != Coming {
+		t.Errorf("state %v", got)
+	}
+	if got := b.At(keys[0], 1, now.Add(comingFor+1)); got != Absent {
+		t.Errorf("a read that hangs: state %v", got)
+	}
+	b.Note(1, keys, true, now)
+	if got := b.At(keys[0], 1, now.Add(heldFor-1)); got != Held {
+		t.Errorf("state %v", got)
+	}
+	if got := b.At(keys[0], 1, now.Add(heldFor+1)); got != Absent {
+		t.Errorf("a part not used for long: state %v", got)
+	}
+}
+
+// A part that is held stays so while another request reads it.
+func TestHeldPartIsNotComingAgain(t *testing.T) {
+	b := NewBook()
+	keys := Keys("s", prompt("x", "own"))
+	b.Note(1, keys, true, now)
+	b.Note(1, keys, false, now.Add(time.Second))
+	if got := b.At(keys[0], 1, now.Add(time.Second)); got != Held {
+		t.Errorf("state %v", got)
+	}
+}
+
+// What one process learned is told once; what it was told is not told on.
+func TestFactsAreToldOnce(t *testing.T) {
+	b := NewBook()
+	keys := Keys("s", prompt("x", "y", "own"))
+	b.Note(1, keys, true, now)
+	b.Note(1, keys, true, now.Add(time.Millisecond))
+	b.Told(Fact{Part: 5, Target: 2, Done: true}, now)
+	if got := b.TakeFresh(10); len(got) != 2 {
+		t.Errorf("facts %v", got)
+	}
+	if got := b.TakeFresh(10); len(got) != 0 {
+		t.Errorf("again %v", got)
+	}
+	if b.At(5, 2, now) != Held {
+		t.Error("what was told is not believed")
+	}
+}
+
+// A target that was emptied holds nothing, and memory stays bounded.
+func TestForgetAndBound(t *testing.T) {
+	b := NewBook()
+	for i := range 3 * maxKeys {
+		b.Told(Fact{Part: Key(i), Target: 1, Done: true}, now)
+	}
+	if n := len(b.young) + len(b.old); n > maxKeys {
+		t.Errorf("%d keys", n)
+	}
+	if b.At(Key(3*maxKeys-1), 1, now) != Held {
+		t.Error("the newest belief was dropped")
+	}
+	b = NewBook()
+	b.Told(Fact{Part: 7, Target: 1, Done: true}, now)
+	b.Forget(1)
+	if b.At(7, 1, now) != Absent {
+		t.Error("an emptied target holds a part")
+	}
+}
--- /dev/null
+++ b/internal/gateway/placement/placement_test.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
+	"github.com/toucanwell/toucanwell/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+func question() *Question {
+	return &Question{Family: 7, Shared: 5000, Own: 5000, MaxTokens: 500, VersionBound: 8 * time.Second, ReadRate: 50, FetchRate: 300}
+}
+
+func engine(hash uint64) Candidate {
+	return Candidate{Hash: hash, Near: true, Slots: 64, Memory: 250_000, Version: 2}
+}
+
+// No choice falls on an engine that loads, leaves, or has weights that no
+// request may begin on any more, whatever it holds.
+func TestUnusableEnginesAreNeverChosen(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		candidates := make([]Candidate, rapid.IntRange(1, 12).Draw(rt, "engines"))
+		for i := range candidates {
+			c := engine(rapid.Uint64().Draw(rt, "hash"))
+			c.Excluded, c.Loading, c.Rested = rapid.Bool().Draw(rt, "excluded"), rapid.Bool().Draw(rt, "loading"), rapid.Bool().Draw(rt, "rested")
+			c.Behind = time.Duration(rapid.IntRange(0, 12).Draw(rt, "behind")) * time.Second
+			c.Held = rapid.IntRange(0, 5000).Draw(rt, "held")
+			c.Work = ledger.Work{Running: rapid.IntRange(0, 200).Draw(rt, "running"), Unread: rapid.IntRange(0, 100_000).Draw(rt, "unread")}
+			candidates[i] = c
+		}
+		q := question()
+		choice := Pick(q, candidates)
+		free := false
+		for i := range candidates {
+			free = free || usable(q, &candidates[i])
+		}
+		if choice.Index < 0 {
+			if free {
+				rt.Fatal("no choice although an engine is usable")
+			}
+			return
+		}
+		if c := candidates[choice.Index]; c.Excluded || c.Loading || c.Behind >= q.VersionBound {
+			rt.Fatalf("chose %+v", c)
+		}
+	})
+}
+
+// A family's prompts go to one engine while it is no busier than others, and to
+// the one that holds the parts when that is another.
+func TestFamilyStaysTogether(t *testing.T) {
+	candidates := []Candidate{engine(1), engine(2), engine(3)}
+	first := Pick(question(), candidates).Index
+	for range 5 {
+		if got := Pick(question(), candidates).Index; got != first {
+			t.Fatalf("engine %d, then %d", first, got)
+		}
+	}
+	holder := (first + 1) % 3
+	candidates[holder].Held = 5000
+	if got := Pick(question(), candidates).Index; got != holder {
+		t.Errorf("engine %d, though %d holds the parts", got, holder)
+	}
+}
+
+// A hot family's engine has a queue that costs more than reading the parts
+// again elsewhere. The request goes elsewhere.
+func TestHotFamilySpreads(t *testing.T) {
+	candidates := []Candidate{engine(1), engine(2)}
+	candidates[0].Held = 5000
+	candidates[0].Work = ledger.Work{Running: 30, Unread: 60_000}
+	if got := Pick(question(), candidates).Index; got != 1 {
+		t.Errorf("engine %d", got)
+	}
+}
+
+// Parts that can be fetched make an idle engine as good as the holder.
+func TestFetchingBeatsWaiting(t *testing.T) {
+	source := netip.MustParseAddrPort("10.0.0.9:80")
+	candidates := []Candidate{engine(1), engine(2)}
+	candidates[0].Held = 5000
+	candidates[0].Work = ledger.Work{Running: 8, Unread: 6000}
+	candidates[1].Fetchable, candidates[1].Source, candidates[1].SourceNear = 5000, source, true
+	choice := Pick(question(), candidates)
+	if choice.Index != 1 || choice.FetchFrom != source {
+		t.Errorf("%+v", choice)
+	}
+	if choice.Read >= 110*time.Millisecond {
+		t.Errorf("reads for %v although half is fetched", choice.Read)
+	}
+}
+
+// Another zone is used only when waiting in the own one costs more than the way.
+func TestOtherZoneIsForOverload(t *testing.T) {
+	near, far := engine(1), engine(2)
+	far.Near = false
+	near.Work.Unread = 3000
+	if got := Pick(question(), []Candidate{near, far}).Index; got != 0 {
+		t.Error("left the zone for 60 ms of waiting")
+	}
+	near.Work.Unread = 20_000
+	if got := Pick(question(), []Candidate{near, far}).Index; got != 1 {
+		t.Error("stayed in the zone for 400 ms of waiting")
+	}
+}
+
+// Rested engines come last, and are used when there is no other.
+func TestRestedEngineIsTheLastResort(t *testing.T) {
+	rested, busy := engine(1), engine(2)
+	rested.Rested = true
+	busy.Work = ledger.Work{Running: 100, Unread: 100_000}
+	if got := Pick(question(), []Candidate{rested, busy}).Index; got != 1 {
+		t.Errorf("engine %d", got)
+	}
+	if got := Pick(question(), []Candidate{rested}).Index; got != 0 {
+		t.Errorf("engine %d", got)
+	}
+}
+
+// Older weights count in full for a moment after newer ones are named, and much
+// less from then on.
+func TestOlderWeightsYieldAfterTheGrace(t *testing.T) {
+	older, newer := engine(1), engine(2)
+	older.Held, older.Behind = 5000, graceAge/2
+	newer.Work.Unread = 2000
+	if got := Pick(question(), []Candidate{older, newer}).Index; got != 0 {
+		t.Error("left the older weights within the grace")
+	}
+	older.Behind = graceAge + time.Second
+	if got := Pick(question(), []Candidate{older, newer}).Index; got != 1 {
+		t.Error("stayed on the older weights after the grace")
+	}
+}
--- /dev/null
+++ b/internal/gateway/weights/controller_test.go
@@ -0,0 +1,222 @@
+package weights
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/toucanwell/toucanwell/internal/control"
+)
+
+// fakeEngine is an engine whose orders a test holds up.
+type fakeEngine struct {
+	mu       sync.Mutex
+	life     string
+	version  int64
+	orders   int64
+	busyTill time.Time
+	// late holds up orders: they get no answer and are carried out after it.
+	late  time.Duration
+	down  bool
+	given []Order
+}
+
+func (e *fakeEngine) Report(context.Context) (Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return Report{}, errors.New("connection refused")
+	}
+	return Report{Weights: map[string]int64{"m": e.version}, Busy: time.Now().Before(e.busyTill), Orders: e.orders}, nil
+}
+
+func (e *fakeEngine) Identify(context.Context, string) (string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life, nil
+}
+
+func (e *fakeEngine) Load(ctx context.Context, o Order) (Outcome, error) {
+	e.mu.Lock()
+	e.given = append(e.given, o)
+	late := e.late
+	e.mu.Unlock()
+	if late == 0 {
+		return e.accept(o), nil
+	}
+	go func() {
+		time.Sleep(late)
+		e.accept(o)
+	}()
+	<-ctx.Done()
+	return Unknown, ctx.Err()
+}
+
+const loadTime = 400 * time.Millisecond
+
+func (e *fakeEngine) accept(o Order) Outcome {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Instance != e.life {
+		return OtherInstance
+	}
+	if o.Orders != e.orders || time.Now().Before(e.busyTill) {
+		return Busy
+	}
+	e.orders++
+	e.version = o.Version
+	e.busyTill = time.Now().Add(loadTime)
+	return Accepted
+}
+
+// bench is a controller beside a fake engine.
+type bench struct {
+	engine  *fakeEngine
+	loop    *control.Loop
+	orders  *Controller
+	history History
+	phases  []Phase
+	token   uint64
+	fresh   bool
+}
+
+func startBench() *bench {
+	b := &bench{engine: &fakeEngine{life: "i1", version: 1}, loop: control.NewLoop(1, func(time.Duration) {}), token: 7, fresh: true}
+	b.orders = NewController(b.loop, b.engine, Surroundings{
+		Wanted:     func() map[string]History { return map[string]History{"m": b.history} },
+		HealthPath: func() string { return "/health" },
+		Engines:    func(string) []EngineView { return []EngineView{{Instance: b.engine.life, Version: b.engine.version}} },
+		Changed: func(_ string, _ Report, p Phase) {
+			if len(b.phases) == 0 || b.phases[len(b.phases)-1] != p {
+				b.phases = append(b.phases, p)
+			}
+		},
+		Token: func() (uint64, bool) { return b.token, b.token > 0 },
+		Fresh: func() bool { return b.fresh },
+	}, Options{Holder: "side-1", Bound: 8 * time.Second, Logger: logr.Discard(), Now: time.Now, Ordered: func(Outcome) {}})
+	go b.loop.Run()
+	b.orders.Start()
+	return b
+}
+
+func (b *bench) want(version int64) {
+	b.loop.Post(func() {
+		b.history = b.history.Add(Wanted{Version: version, Since: time.Now()})
+		b.orders.Nudge()
+	})
+}
+
+func (b *bench) stop() {
+	b.loop.Stop()
+	synctest.Wait()
+}
+
+// A version is named. The entries hear that the engine loads before it is told
+// to, and that it serves again when it does.
+func TestEngineLoadsTheWantedVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBench()
+		time.Sleep(time.Second)
+		b.want(2)
+		time.Sleep(time.Second)
+		b.stop()
+		if b.engine.version != 2 || len(b.engine.given) != 1 {
+			t.Errorf("version %d after %d orders", b.engine.version, len(b.engine.given))
+		}
+		if len(b.phases) != 3 || b.phases[1] != Loading || b.phases[2] != Serving {
+			t.Errorf("phases %v", b.phases)
+		}
+		if o := b.engine.given[0]; o.Token != 7 || o.Instance != "i1" || o.Holder != "side-1" {
+			t.Errorf("order %+v", o)
+		}
+	})
+}
+
+// An order gets no answer and is carried out seconds later, after a newer one.
+// The engine must end with the newest version: the late order names how many
+// orders must have come before it, and is refused.
+func TestLateOrderDoesNotBringAnOlderVersionBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBench()
+		time.Sleep(time.Second)
+		b.engine.mu.Lock()
+		b.engine.late = 6 * time.Second
+		b.engine.mu.Unlock()
+		b.want(2)
+		time.Sleep(2 * time.Second)
+		b.engine.mu.Lock()
+		b.engine.late = 0
+		b.engine.mu.Unlock()
+		b.want(3)
+		time.Sleep(20 * time.Second)
+		b.stop()
+		if b.engine.version != 3 {
+			t.Errorf("the engine ends with version %d", b.engine.version)
+		}
+		for i := 1; i < len(b.engine.given); i++ {
+			if b.engine.given[i].Token < b.engine.given[i-1].Token {
+				t.Errorf("tokens %d and %d", b.engine.given[i-1].Token, b.engine.given[i].Token)
+			}
+		}
+	})
+}
+
+// The engine crashes and comes back as another life at the same address. It is
+// named anew before it gets an order, and is told silent meanwhile.
+func TestRestartedEngineIsIdentifiedBeforeAnOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBench()
+		time.Sleep(time.Second)
+		b.engine.mu.Lock()
+		b.engine.down = true
+		b.engine.mu.Unlock()
+		time.Sleep(time.Second)
+		b.engine.mu.Lock()
+		b.engine.down, b.engine.life = false, "i2"
+		b.engine.mu.Unlock()
+		b.want(2)
+		time.Sleep(2 * time.Second)
+		b.stop()
+		if b.engine.version != 2 {
+			t.Errorf("version %d", b.engine.version)
+		}
+		for _, o := range b.engine.given {
+			if o.Instance != "i2" {
+				t.Errorf("order to %s", o.Instance)
+			}
+		}
+		if b.phases[1] != Silent {
+			t.Errorf("phases %v", b.phases)
+		}
+	})
+}
+
+// A host that has just woken, or a sidecar without a fencing token, gives no
+// order.
+func TestNoOrderWithoutTokenOrAfterAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBench()
+		b.loop.Post(func() { b.fresh = false })
+		time.Sleep(time.Second)
+		b.want(2)
+		time.Sleep(time.Second)
+		b.loop.Post(func() { b.fresh, b.token = true, 0 })
+		time.Sleep(time.Second)
+		b.engine.mu.Lock()
+		if len(b.engine.given) != 0 {
+			t.Errorf("orders %v", b.engine.given)
+		}
+		b.engine.mu.Unlock()
+		b.loop.Post(func() { b.token = 9 })
+		time.Sleep(time.Second)
+		b.stop()
+		if b.engine.version != 2 {
+			t.Errorf("version %d", b.engine.version)
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/wire/wiretest/wiretest.go
@@ -0,0 +1,105 @@
+// Package wiretest is a small protocol of its own for tests of the request
+// path, with the same facts as a platform's under other names.
+package wiretest
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/wire"
+)
+
+// Header names of the test protocol.
+const (
+	ID        = "Test-Id"
+	TimeLeft  = "Test-Time-Left"
+	Key       = "Test-Key"
+	Workspace = "Test-Workspace"
+	Instance  = "Test-Instance"
+	Model     = "Test-Model"
+	Prompt    = "Test-Prompt"
+	Parts     = "Test-Parts"
+	LastEvent = "Test-Last-Event"
+	Seal      = "Test-Seal"
+	NotRun    = "Test-Not-Run"
+	Scope     = "Test-Scope"
+	Weights   = "Test-Weights"
+	Fetch     = "Test-Fetch"
+	Save      = "Test-Save"
+	Urgency   = "Test-Urgency"
+)
+
+// Protocol implements wire.Protocol.
+type Protocol struct{}
+
+// ReadRequest implements wire.Protocol.
+func (Protocol) ReadRequest(h http.Header) (wire.Request, error) {
+	r := wire.Request{ID: h.Get(ID), Key: h.Get(Key), Model: h.Get(Model), LastEvent: h.Get(LastEvent)}
+	if text := h.Get(TimeLeft); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return r, err
+		}
+		r.TimeLeft = d
+	}
+	r.PromptTokens, _ = strconv.Atoi(h.Get(Prompt))
+	if text := h.Get(Parts); text != "" {
+		for _, id := range strings.Split(text, " ") {
+			r.Parts = append(r.Parts, wire.Part{ID: id, Tokens: 100})
+		}
+	}
+	return r, nil
+}
+
+// WriteSend implements wire.Protocol.
+func (Protocol) WriteSend(caller http.Header, s wire.Send) http.Header {
+	h := http.Header{}
+	for _, name := range []string{ID, Model, Prompt, Parts, "Content-Type"} {
+		if v := caller.Get(name); v != "" {
+			h.Set(name, v)
+		}
+	}
+	set := func(name, value string) {
+		if value != "" {
+			h.Set(name, value)
+		}
+	}
+	set(TimeLeft, s.TimeLeft.String())
+	set(Instance, s.Instance)
+	set(Workspace, s.Workspace)
+	set(Scope, s.CacheScope)
+	set(LastEvent, s.LastEvent)
+	set(Fetch, s.FetchFrom)
+	set(Save, s.SaveTo)
+	if s.Weights > 0 {
+		set(Weights, strconv.FormatInt(s.Weights, 10))
+	}
+	if s.Urgency >= 0 {
+		set(Urgency, strconv.Itoa(s.Urgency))
+	}
+	return h
+}
+
+// ReadReply implements wire.Protocol.
+func (Protocol) ReadReply(status int, h http.Header) wire.Reply {
+	return wire.Reply{
+		ID: h.Get(ID), Sealed: h.Get(Seal) != "", Instance: h.Get(Instance), Encoded: h.Get("Content-Encoding") != "",
+		NotRun: h.Get(NotRun) != "" || status == http.StatusMisdirectedRequest,
+	}
+}
+
+// WriteReply implements wire.Protocol.
+func (Protocol) WriteReply(to, target http.Header) {
+	for name, values := range target {
+		if name != "Connection" && name != "Content-Length" && name != "Transfer-Encoding" {
+			to[name] = values
+		}
+	}
+}
+
+// WriteRetryAfter implements wire.Protocol.
+func (Protocol) WriteRetryAfter(to http.Header, after time.Duration) {
+	to.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -12,10 +12,19 @@
 
 // New returns a logger that writes to w and names the process on each line.
 func New(w io.Writer, process string) logr.Logger {
-	handler := slog.NewTextHandler(w, &slog.HandlerOptions{Level: slog.LevelInfo})
+	handler := slog.NewTextHandler(w, &slog.HandlerOptions{Level: slog.LevelInfo, ReplaceAttr: plainErrors})
 	return logr.FromSlogHandler(handler).WithValues("process", process)
 }
 
+// plainErrors writes an error as its message: the long form would put a stack
+// trace into the line.
+func plainErrors(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
+
 func droppedLine(n uint64) string {
 	return "time=" + time.Now().UTC().Format(time.RFC3339Nano) + " level=WARN msg=log_lines_dropped lines=" + strconv.FormatUint(n, 10) + "\n"
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,6 +13,8 @@
   echo "not formatted: $unformatted"
   exit 1
 fi
+echo "== names"
+scripts/check-names.sh
 echo "== staticcheck"
 (cd tools && go build -o ../.bin/staticcheck honnef.co/go/tools/cmd/staticcheck)
 .bin/staticcheck $(go list ./... | grep -v /oas$)
