Late prompts wait behind those in time; long ones are told at once

Cause: in an overload of two seconds (two of nine engines dark, two loading) every short prompt waited for a second behind those that were late already; a short prompt behind a long one, of which its entry had not heard, waited for all of it; a dark target cost 0.7 s of connecting.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -39,7 +39,7 @@
 		Bounds: forward.Bounds{
 			RetryRatio: p.settings.Bounds.RetryRatio, RetrySlack: p.settings.Bounds.RetrySlack, Version: p.settings.Bounds.Weights.Duration,
 		},
-		Zone: p.settings.AvailabilityZone, Logger: p.logger, Metrics: p.metrics, Now: p.clock.Now, Seed: p.settings.seed(),
+		Zone: p.settings.AvailabilityZone, Logger: p.logger, Metrics: p.metrics, TellWork: e.tellWork, Now: p.clock.Now, Seed: p.settings.seed(),
 	})
 	return e
 }
@@ -55,19 +55,34 @@
 // compose adds to a heartbeat what other entries want to know.
 func (e *entry) compose(beat *peerv1.Beat) {
 	for target, w := range e.ledger.Own() {
-		beat.Loads = append(beat.Loads, &peerv1.TargetLoad{
-			Target: target, Running: uint32(max(w.Running, 0)), UnreadTokens: uint32(max(w.Unread, 0)), MemoryTokens: uint32(max(w.Memory, 0)),
-		})
+		beat.Loads = append(beat.Loads, loadOf(target, w))
 	}
 	for _, f := range e.parts.TakeFresh(maxFacts) {
 		beat.Parts = append(beat.Parts, &peerv1.PartHeld{Part: uint64(f.Part), Target: f.Target, Done: f.Done})
 	}
 }
 
+// tellWork tells the other entries at once of this entry's work at a target.
+func (e *entry) tellWork(target uint64) {
+	e.beliefs.loop.Post(func() {
+		e.beliefs.mesh.TellEntries(func(beat *peerv1.Beat) {
+			beat.Partial = true
+			beat.Loads = []*peerv1.TargetLoad{loadOf(target, e.ledger.OwnAt(target))}
+		})
+	})
+}
+
+func loadOf(target uint64, w ledger.Work) *peerv1.TargetLoad {
+	return &peerv1.TargetLoad{
+		Target: target, Running: uint32(max(w.Running, 0)), UnreadTokens: uint32(max(w.Unread, 0)),
+		UnreadLateTokens: uint32(max(w.UnreadLate, 0)), MemoryTokens: uint32(max(w.Memory, 0)),
+	}
+}
+
 func (e *entry) heard(m *mesh.Member) {
 	now := e.beliefs.clock.Now()
 	if m.Entry {
-		e.ledger.Told(m.Address, loadsOf(m.Beat), now)
+		e.ledger.Told(m.Address, loadsOf(m.Beat), m.Beat.Partial, now)
 		for _, p := range m.Beat.Parts {
 			e.parts.Told(parts.Fact{Part: parts.Key(p.Part), Target: p.Target, Done: p.Done}, now)
 		}
@@ -80,7 +95,7 @@
 func loadsOf(beat *peerv1.Beat) map[uint64]ledger.Work {
 	loads := make(map[uint64]ledger.Work, len(beat.Loads))
 	for _, l := range beat.Loads {
-		loads[l.Target] = ledger.Work{Running: int(l.Running), Unread: int(l.UnreadTokens), Memory: int(l.MemoryTokens)}
+		loads[l.Target] = ledger.Work{Running: int(l.Running), Unread: int(l.UnreadTokens), UnreadLate: int(l.UnreadLateTokens), Memory: int(l.MemoryTokens)}
 	}
 	return loads
 }
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -59,6 +59,8 @@
 	Zone     string
 	Logger   logr.Logger
 	Metrics  Metrics
+	// TellWork tells the other entries at once of the work at a target.
+	TellWork func(target uint64)
 	Now      func() time.Time
 	// Seed makes this entry's random choices its own.
 	Seed uint64
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -143,7 +143,7 @@
 }
 
 func (fl *flow) question() *placement.Question {
-	q := &placement.Question{VersionBound: fl.Bounds.Version, ReadRate: fl.rate.tokensPerMs(), MaxTokens: fl.request.MaxTokens}
+	q := &placement.Question{Aim: fl.route.TargetLatency - time.Since(fl.arrived), VersionBound: fl.Bounds.Version, ReadRate: fl.rate.tokensPerMs(), MaxTokens: fl.request.MaxTokens}
 	for i, p := range fl.request.Parts {
 		if i < len(fl.request.Parts)-1 {
 			q.Shared += p.Tokens
@@ -258,6 +258,9 @@
 		target: t, scope: scope, weights: version, choice: choice, fetchFrom: choice.FetchFrom, keys: keys, saveTo: fl.saveTo(keys),
 		work: ledger.Work{Running: 1, Unread: int(read), Memory: q.Own + q.Shared + q.MaxTokens},
 	}
+	if choice.Late {
+		to.work.Unread, to.work.UnreadLate = 0, to.work.Unread
+	}
 	if fl.route.Repeatable() && fl.runs+1 < fl.route.MaxAttempts {
 		to.patience = max(fl.timeLeft()/2, choice.Estimate)
 	}
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -52,6 +52,11 @@
 	notRun bool
 }
 
+// tellFrom is the reading from which other entries are told at once of a prompt.
+// Engines read prompts one after the other: a small one that is sent behind a
+// long one, of which its entry has not heard yet, waits for all of it.
+const tellFrom = 60 * time.Millisecond
+
 // errImpatient is the cause of sends that were given up for another target.
 var errImpatient = errors.New("no answer in the time set for one target")
 
@@ -71,6 +76,9 @@
 	}
 	item := fl.Ledger.Begin(to.target.Hash, to.work)
 	defer item.End()
+	if to.choice.Read > tellFrom {
+		fl.TellWork(to.target.Hash)
+	}
 	fl.noteParts(to, false)
 	resp, err := fl.Pool.Send(ctx, to.target.Address, fl.upstreamRequest(to))
 	fl.logSend(to, resp, err)
@@ -119,7 +127,7 @@
 		send.FetchFrom = to.fetchFrom.String()
 	}
 	if fl.service.Engine != nil {
-		send.Urgency = fl.urgency()
+		send.Urgency = fl.urgency(to.choice.Late)
 	}
 	return &upstream.Request{
 		Method: fl.r.Method, Target: fl.r.RequestURI, Host: fl.r.Host,
@@ -131,16 +139,23 @@
 	}
 }
 
-// maxUrgency is the least urgent rank that engines know.
-const maxUrgency = 9
+const (
+	// lateUrgency is the rank of requests that cannot be in time: the last.
+	lateUrgency = 9
+	// routeRanks is how many ranks the routes of one workspace have.
+	routeRanks = 3
+)
 
 // urgency ranks the request at an engine: by its workspace, then by its route.
-func (fl *flow) urgency() int {
-	rank := fl.route.Priority
+func (fl *flow) urgency(late bool) int {
+	if late {
+		return lateUrgency
+	}
+	rank := min(max(fl.route.Priority, 0), routeRanks-1)
 	if fl.workspace != nil && fl.workspace.HasPriority {
-		rank = fl.workspace.Priority
+		rank = max(fl.workspace.Priority, 0)
 	}
-	return min(max(rank, 0), maxUrgency)
+	return min(rank, lateUrgency-1)
 }
 
 // failedSend judges a send that brought no answer.
@@ -213,6 +228,6 @@
 	}
 	fl.Logger.Info("request_sent", "request_id", fl.request.ID, "send", fl.sends, "target", to.target.Instance, "zone", to.target.Zone,
 		"status", status, "error", detail, "weights", to.weights, "fetch_from", to.fetchFrom, "save_to", to.saveTo,
-		"wait", to.choice.Wait, "read", to.choice.Read, "fetch", to.choice.Fetch, "running", to.work.Running,
+		"late", to.choice.Late, "wait", to.choice.Wait, "read", to.choice.Read, "fetch", to.choice.Fetch, "running", to.work.Running,
 		"last_event", fl.lastEvent, "left", fl.timeLeft().Round(time.Millisecond), "head", time.Since(fl.arrived).Round(time.Millisecond/10))
 }
--- a/internal/gateway/ledger/ledger.go
+++ b/internal/gateway/ledger/ledger.go
@@ -12,8 +12,10 @@
 type Work struct {
 	// Running counts requests that are not finished.
 	Running int
-	// Unread counts prompt tokens that were sent and not read yet.
-	Unread int
+	// Unread counts prompt tokens that were sent and not read yet, of requests
+	// that can be in time; UnreadLate those of requests that cannot, which wait
+	// behind the others.
+	Unread, UnreadLate int
 	// Memory counts the tokens of memory that the requests take.
 	Memory int
 }
@@ -21,6 +23,7 @@
 func (w *Work) add(o Work) {
 	w.Running += o.Running
 	w.Unread += o.Unread
+	w.UnreadLate += o.UnreadLate
 	w.Memory += o.Memory
 }
 
@@ -65,8 +68,8 @@
 func (i *Item) Read() {
 	i.ledger.mu.Lock()
 	defer i.ledger.mu.Unlock()
-	i.ledger.change(i.target, Work{Unread: i.work.Unread}, -1)
-	i.work.Unread = 0
+	i.ledger.change(i.target, Work{Unread: i.work.Unread, UnreadLate: i.work.UnreadLate}, -1)
+	i.work.Unread, i.work.UnreadLate = 0, 0
 }
 
 // End notes that the request has left the target.
@@ -79,7 +82,7 @@
 
 func (l *Ledger) change(target uint64, w Work, sign int) {
 	have := l.own[target]
-	have.add(Work{Running: sign * w.Running, Unread: sign * w.Unread, Memory: sign * w.Memory})
+	have.add(Work{Running: sign * w.Running, Unread: sign * w.Unread, UnreadLate: sign * w.UnreadLate, Memory: sign * w.Memory})
 	if have == (Work{}) {
 		delete(l.own, target)
 		return
@@ -98,11 +101,29 @@
 	return copied
 }
 
-// Told takes in what another entry said of its work.
-func (l *Ledger) Told(entry netip.AddrPort, work map[uint64]Work, now time.Time) {
+// Told takes in what another entry said of its work; partial words hold only
+// what changed.
+func (l *Ledger) Told(entry netip.AddrPort, work map[uint64]Work, partial bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.others[entry] = told{work: work, at: now}
+	if !partial {
+		l.others[entry] = told{work: work, at: now}
+		return
+	}
+	old, ok := l.others[entry]
+	if !ok {
+		return
+	}
+	for target, w := range work {
+		old.work[target] = w
+	}
+}
+
+// OwnAt returns this entry's work at one target.
+func (l *Ledger) OwnAt(target uint64) Work {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.own[target]
 }
 
 // Totals returns the work at all targets, of all entries.
--- a/internal/gateway/ledger/ledger_test.go
+++ b/internal/gateway/ledger/ledger_test.go
@@ -37,14 +37,18 @@
 	l := New()
 	item := l.Begin(1, Work{Running: 1})
 	defer item.End()
-	l.Told(other, map[uint64]Work{1: {Running: 3}, 2: {Running: 1}}, now)
+	l.Told(other, map[uint64]Work{1: {Running: 3}, 2: {Running: 1}}, false, now)
 	if got := l.Totals(now); got[1].Running != 4 || got[2].Running != 1 {
 		t.Errorf("%v", got)
 	}
-	l.Told(other, map[uint64]Work{1: {Running: 2}}, now)
+	l.Told(other, map[uint64]Work{1: {Running: 2}}, false, now)
 	if got := l.Totals(now); got[1].Running != 3 || got[2].Running != 0 {
 		t.Errorf("the newer word does not replace the older: %v", got)
 	}
+	l.Told(other, map[uint64]Work{2: {Running: 5}}, true, now)
+	if got := l.Totals(now); got[1].Running != 3 || got[2].Running != 5 {
+		t.Errorf("a partial word replaces all: %v", got)
+	}
 	if got := l.Totals(now.Add(toldFor + 1)); got[1].Running != 1 {
 		t.Errorf("%v", got)
 	}
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -192,6 +192,18 @@
 	m.send(to)
 }
 
+// TellEntries sends the living entries a heartbeat that holds only what fill
+// adds.
+func (m *Mesh) TellEntries(fill func(*peerv1.Beat)) {
+	var to []netip.AddrPort
+	for _, member := range m.members {
+		if member.Entry && m.options.Now().Sub(member.HeardAt) <= liveFor {
+			to = append(to, member.Address)
+		}
+	}
+	m.sendBeat(to, fill)
+}
+
 // unheard returns the addresses at hosts where a process may run that has not
 // been heard.
 func (m *Mesh) unheard() []netip.AddrPort {
@@ -219,7 +231,15 @@
 	}
 }
 
+// send sends a whole heartbeat.
 func (m *Mesh) send(to []netip.AddrPort) {
+	m.sendBeat(to, func(beat *peerv1.Beat) {
+		beat.Members = m.someMembers()
+		m.options.Compose(beat)
+	})
+}
+
+func (m *Mesh) sendBeat(to []netip.AddrPort, fill func(*peerv1.Beat)) {
 	if len(to) == 0 || m.stopped {
 		return
 	}
@@ -230,8 +250,7 @@
 	beat := proto.Clone(m.options.Self).(*peerv1.Beat)
 	m.sequence++
 	beat.Sequence = m.sequence
-	beat.Members = m.someMembers()
-	m.options.Compose(beat)
+	fill(beat)
 	data, err := proto.Marshal(beat)
 	if err != nil || len(data) > maxDatagram {
 		m.options.Logger.Info("beat_not_sent", "bytes", len(data), "error", err)
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -62,6 +62,8 @@
 	Shared, Own int
 	// MaxTokens is the longest answer.
 	MaxTokens int
+	// Aim is the time within which the first event is of full use.
+	Aim time.Duration
 	// VersionBound is the age from which no request begins on an older version.
 	VersionBound time.Duration
 	// ReadRate is how many prompt tokens an engine reads in a millisecond.
@@ -76,6 +78,8 @@
 	Index int
 	// FetchFrom is the source to fetch from; invalid for none.
 	FetchFrom netip.AddrPort
+	// Late choices cannot be in time. They wait behind those that can.
+	Late bool
 	// Estimate is the expected time to the first event.
 	Estimate time.Duration
 	// Wait, Read and Fetch are its parts.
@@ -116,8 +120,18 @@
 	fullPenalty = 60
 )
 
-// Pick returns the best candidate.
+// Pick returns the best candidate. A prompt that no engine can begin to answer
+// in time is put behind those that can: were all to wait in the order in which
+// they came, one burst would make every later prompt late too.
 func Pick(q *Question, candidates []Candidate) Choice {
+	choice := pick(q, candidates, false)
+	if q.Aim <= 0 || choice.Index < 0 || choice.Estimate <= 3*q.Aim/2 {
+		return choice
+	}
+	return pick(q, candidates, true)
+}
+
+func pick(q *Question, candidates []Candidate, late bool) Choice {
 	best := Choice{Index: -1}
 	lowest := math.Inf(1)
 	for i := range candidates {
@@ -125,11 +139,11 @@
 		if !usable(q, c) {
 			continue
 		}
-		choice, cost := score(q, c)
+		choice, cost := score(q, c, late)
 		cost += awayStep * float64(away(q.Family, c, candidates))
 		if cost < lowest {
 			lowest = cost
-			choice.Index = i
+			choice.Index, choice.Late = i, late
 			best = choice
 		}
 	}
@@ -145,10 +159,13 @@
 }
 
 // score returns the choice of a candidate with its cost in milliseconds.
-func score(q *Question, c *Candidate) (Choice, float64) {
+func score(q *Question, c *Candidate, late bool) (Choice, float64) {
 	missing := max(q.Shared-c.Held, 0)
 	fetched := min(max(c.Fetchable-c.Held, 0), missing)
 	wait := float64(c.Work.Unread)/q.ReadRate + stepTime*float64(c.Work.Running)
+	if late {
+		wait += float64(c.Work.UnreadLate) / q.ReadRate
+	}
 	wait += fullPenalty * float64(over(c, q))
 	read := float64(q.Own+missing-fetched) / q.ReadRate
 	fetch := 0.0
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -31,9 +31,10 @@
 var ErrForeign = errors.New("not the answer to this request")
 
 const (
-	// dialTimeout bounds a new connection. Hosts that are dark never answer;
-	// lost opening packets come again after a second.
-	dialTimeout = 700 * time.Millisecond
+	// dialTimeout bounds a new connection, which takes a few milliseconds. Hosts
+	// that are dark never answer, and a lost opening packet comes again only after
+	// a second: another target is quicker in both cases.
+	dialTimeout = 250 * time.Millisecond
 	// bufferSize fits the heads of requests and answers.
 	bufferSize = 4 << 10
 	// maxForeign is how many answers to other requests are skipped.
