How long engines read is learned; what is read already is taken off

Cause: one rate of tokens said 1.2 s for prompts that take 0.5 s, and 30 ms for some that take 60; a prompt counted in full until its first event.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -54,7 +54,7 @@
 
 // compose adds to a heartbeat what other entries want to know.
 func (e *entry) compose(beat *peerv1.Beat) {
-	for target, w := range e.ledger.Own() {
+	for target, w := range e.ledger.Own(e.beliefs.clock.Now()) {
 		beat.Loads = append(beat.Loads, loadOf(target, w))
 	}
 	for _, f := range e.parts.TakeFresh(maxFacts) {
@@ -67,15 +67,15 @@
 	e.beliefs.loop.Post(func() {
 		e.beliefs.mesh.TellEntries(func(beat *peerv1.Beat) {
 			beat.Partial = true
-			beat.Loads = []*peerv1.TargetLoad{loadOf(target, e.ledger.OwnAt(target))}
+			beat.Loads = []*peerv1.TargetLoad{loadOf(target, e.ledger.OwnAt(target, e.beliefs.clock.Now()))}
 		})
 	})
 }
 
 func loadOf(target uint64, w ledger.Work) *peerv1.TargetLoad {
 	return &peerv1.TargetLoad{
-		Target: target, Running: uint32(max(w.Running, 0)), UnreadTokens: uint32(max(w.Unread, 0)),
-		UnreadLateTokens: uint32(max(w.UnreadLate, 0)), MemoryTokens: uint32(max(w.Memory, 0)),
+		Target: target, Running: uint32(max(w.Running, 0)), ReadingMs: uint32(w.Reading.Milliseconds()),
+		ReadingLateMs: uint32(w.ReadingLate.Milliseconds()), MemoryTokens: uint32(max(w.Memory, 0)),
 	}
 }
 
@@ -95,7 +95,8 @@
 func loadsOf(beat *peerv1.Beat) map[uint64]ledger.Work {
 	loads := make(map[uint64]ledger.Work, len(beat.Loads))
 	for _, l := range beat.Loads {
-		loads[l.Target] = ledger.Work{Running: int(l.Running), Unread: int(l.UnreadTokens), UnreadLate: int(l.UnreadLateTokens), Memory: int(l.MemoryTokens)}
+		loads[l.Target] = ledger.Work{Running: int(l.Running), Reading: time.Duration(l.ReadingMs) * time.Millisecond,
+			ReadingLate: time.Duration(l.ReadingLateMs) * time.Millisecond, Memory: int(l.MemoryTokens)}
 	}
 	return loads
 }
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -30,6 +30,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
+	"github.com/toucanwell/toucanwell/internal/gateway/readtime"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire"
@@ -81,12 +82,12 @@
 	inFlight atomic.Int64
 	random   atomic.Uint64
 	budgets  sync.Map // service to *retry.Budget
-	rate     rateMeter
+	readTime *readtime.Meter
 }
 
 // New returns a forwarder.
 func New(d Deps) *Forwarder {
-	f := &Forwarder{Deps: d}
+	f := &Forwarder{Deps: d, readTime: readtime.New()}
 	f.random.Store(d.Seed)
 	return f
 }
@@ -144,7 +145,9 @@
 	lastEvent string
 	begun     bool
 	firstAt   time.Duration
-	last      sendRecord
+	// sentAt is when the last send was made.
+	sentAt time.Time
+	last   sendRecord
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -143,7 +142,7 @@
 }
 
 func (fl *flow) question() *placement.Question {
-	q := &placement.Question{Aim: fl.route.TargetLatency - time.Since(fl.arrived), VersionBound: fl.Bounds.Version, ReadRate: fl.rate.tokensPerMs(), MaxTokens: fl.request.MaxTokens}
+	q := &placement.Question{Aim: fl.route.TargetLatency - time.Since(fl.arrived), VersionBound: fl.Bounds.Version, ReadTime: fl.readTime.Of, MaxTokens: fl.request.MaxTokens}
 	for i, p := range fl.request.Parts {
 		if i < len(fl.request.Parts)-1 {
 			q.Shared += p.Tokens
@@ -253,47 +252,15 @@
 func (fl *flow) toEngine(t fleet.Target, version int64, choice placement.Choice, q *placement.Question) *destination {
 	scope := fl.scopeAt(version)
 	keys := parts.Keys(scope, fl.request.Parts)
-	read := float64(choice.Read) / float64(time.Millisecond) * q.ReadRate
 	to := &destination{
 		target: t, scope: scope, weights: version, choice: choice, fetchFrom: choice.FetchFrom, keys: keys, saveTo: fl.saveTo(keys),
-		work: ledger.Work{Running: 1, Unread: int(read), Memory: q.Own + q.Shared + q.MaxTokens},
+		work: ledger.Work{Running: 1, Reading: choice.Read, Memory: q.Own + q.Shared + q.MaxTokens},
 	}
 	if choice.Late {
-		to.work.Unread, to.work.UnreadLate = 0, to.work.Unread
+		to.work.Reading, to.work.ReadingLate = 0, choice.Read
 	}
 	if fl.route.Repeatable() && fl.runs+1 < fl.route.MaxAttempts {
 		to.patience = max(fl.timeLeft()/2, choice.Estimate)
 	}
 	return to
 }
-
-// rateMeter measures how fast engines read prompts.
-type rateMeter struct {
-	bits atomic.Uint64
-}
-
-const (
-	// firstRate is the rate assumed until one is measured, in tokens a
-	// millisecond; rateSmoothing is the weight of the newest measurement.
-	firstRate     = 30.0
-	rateSmoothing = 0.05
-	// rateTokens is the least prompt that says something of the rate.
-	rateTokens = 1500
-)
-
-func (m *rateMeter) tokensPerMs() float64 {
-	if bits := m.bits.Load(); bits != 0 {
-		return math.Float64frombits(bits)
-	}
-	return firstRate
-}
-
-// note takes in the time to the first event of a prompt that met no others.
-func (m *rateMeter) note(to *destination, took time.Duration) {
-	if to.choice.Wait > 5*time.Millisecond || to.work.Unread < rateTokens || took <= 0 {
-		return
-	}
-	rate := float64(to.work.Unread) / (float64(took) / float64(time.Millisecond))
-	old := m.tokensPerMs()
-	m.bits.Store(math.Float64bits(old + rateSmoothing*(rate-old)))
-}
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -122,7 +122,7 @@
 	}
 	fl.begun = true
 	fl.firstAt = time.Since(fl.arrived)
-	fl.rate.note(to, time.Since(fl.arrived))
+	fl.learnReadTime(to)
 	header := fl.w.Header()
 	fl.Protocol.WriteReply(header, resp.Header)
 	noDefaults(header)
@@ -130,6 +130,18 @@
 	fl.w.WriteHeader(resp.Status)
 }
 
+// unhindered is the expected wait up to which a prompt counts as having met no
+// others at its engine.
+const unhindered = 3 * time.Millisecond
+
+// learnReadTime takes in how long an engine took to read a prompt.
+func (fl *flow) learnReadTime(to *destination) {
+	if to.choice.Wait > unhindered || to.choice.ReadTokens == 0 {
+		return
+	}
+	fl.readTime.Note(to.choice.ReadTokens, time.Since(fl.sentAt)-to.choice.Fetch)
+}
+
 // streamEnded judges a stream that came to its end.
 func (fl *flow) streamEnded(to *destination) verdict {
 	if !fl.begun {
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -74,12 +74,13 @@
 		patience = time.AfterFunc(to.patience, func() { cancel(errImpatient) })
 		defer patience.Stop()
 	}
-	item := fl.Ledger.Begin(to.target.Hash, to.work)
+	item := fl.Ledger.Begin(to.target.Hash, to.work, to.choice.Wait+to.choice.Fetch, fl.Now())
 	defer item.End()
 	if to.choice.Read > tellFrom {
 		fl.TellWork(to.target.Hash)
 	}
 	fl.noteParts(to, false)
+	fl.sentAt = time.Now()
 	resp, err := fl.Pool.Send(ctx, to.target.Address, fl.upstreamRequest(to))
 	fl.logSend(to, resp, err)
 	if err != nil {
--- a/internal/gateway/ledger/ledger.go
+++ b/internal/gateway/ledger/ledger.go
@@ -12,18 +12,18 @@
 type Work struct {
 	// Running counts requests that are not finished.
 	Running int
-	// Unread counts prompt tokens that were sent and not read yet, of requests
-	// that can be in time; UnreadLate those of requests that cannot, which wait
+	// Reading is the time that the target still needs to read prompts, of
+	// requests that can be in time; ReadingLate of those that cannot, which wait
 	// behind the others.
-	Unread, UnreadLate int
+	Reading, ReadingLate time.Duration
 	// Memory counts the tokens of memory that the requests take.
 	Memory int
 }
 
 func (w *Work) add(o Work) {
 	w.Running += o.Running
-	w.Unread += o.Unread
-	w.UnreadLate += o.UnreadLate
+	w.Reading += o.Reading
+	w.ReadingLate += o.ReadingLate
 	w.Memory += o.Memory
 }
 
@@ -40,13 +40,13 @@
 // Ledger is safe for concurrent use.
 type Ledger struct {
 	mu     sync.Mutex
-	own    map[uint64]Work
+	own    map[uint64]map[*Item]struct{}
 	others map[netip.AddrPort]told
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{own: map[uint64]Work{}, others: map[netip.AddrPort]told{}}
+	return &Ledger{own: map[uint64]map[*Item]struct{}{}, others: map[netip.AddrPort]told{}}
 }
 
 // Item is one request at a target.
@@ -54,51 +54,90 @@
 	ledger *Ledger
 	target uint64
 	work   Work
+	// startsAt is when the target is expected to begin to read its prompt.
+	startsAt time.Time
 }
 
-// Begin counts a request that is sent to a target.
-func (l *Ledger) Begin(target uint64, w Work) *Item {
+// Begin counts a request that is sent to a target. Its prompt is expected to be
+// read from wait on.
+func (l *Ledger) Begin(target uint64, w Work, wait time.Duration, now time.Time) *Item {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.change(target, w, 1)
-	return &Item{ledger: l, target: target, work: w}
+	item := &Item{ledger: l, target: target, work: w, startsAt: now.Add(wait)}
+	if l.own[target] == nil {
+		l.own[target] = map[*Item]struct{}{}
+	}
+	l.own[target][item] = struct{}{}
+	return item
 }
 
 // Read notes that the target has read the request's prompt.
 func (i *Item) Read() {
 	i.ledger.mu.Lock()
 	defer i.ledger.mu.Unlock()
-	i.ledger.change(i.target, Work{Unread: i.work.Unread, UnreadLate: i.work.UnreadLate}, -1)
-	i.work.Unread, i.work.UnreadLate = 0, 0
+	i.work.Reading, i.work.ReadingLate = 0, 0
 }
 
 // End notes that the request has left the target.
 func (i *Item) End() {
-	i.ledger.mu.Lock()
-	defer i.ledger.mu.Unlock()
-	i.ledger.change(i.target, i.work, -1)
-	i.work = Work{}
+	l := i.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.own[i.target], i)
+	if len(l.own[i.target]) == 0 {
+		delete(l.own, i.target)
+	}
 }
 
-func (l *Ledger) change(target uint64, w Work, sign int) {
-	have := l.own[target]
-	have.add(Work{Running: sign * w.Running, Unread: sign * w.Unread, UnreadLate: sign * w.UnreadLate, Memory: sign * w.Memory})
-	if have == (Work{}) {
-		delete(l.own, target)
-		return
+// readAtLeast is the part of a prompt's reading that counts until its first
+// event comes: one that should be read by now may wait behind others.
+const readAtLeast = 0.15
+
+// left is the item's work with what the target has probably read taken off.
+func (i *Item) left(now time.Time) Work {
+	w := i.work
+	done := now.Sub(i.startsAt)
+	if done < 0 {
+		return w
+	}
+	// A prompt that is being read holds up all others, however late it is.
+	w.Reading = remaining(w.Reading+w.ReadingLate, done)
+	w.ReadingLate = 0
+	return w
+}
+
+func remaining(all, done time.Duration) time.Duration {
+	return max(all-done, time.Duration(readAtLeast*float64(all)))
+}
+
+// OwnAt returns this entry's work at one target.
+func (l *Ledger) OwnAt(target uint64, now time.Time) Work {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ownAt(target, now)
+}
+
+func (l *Ledger) ownAt(target uint64, now time.Time) Work {
+	var sum Work
+	for item := range l.own[target] {
+		sum.add(item.left(now))
 	}
-	l.own[target] = have
+	return sum
 }
 
 // Own returns this entry's work at all targets.
-func (l *Ledger) Own() map[uint64]Work {
+func (l *Ledger) Own(now time.Time) map[uint64]Work {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	copied := make(map[uint64]Work, len(l.own))
-	for target, w := range l.own {
-		copied[target] = w
+	return l.ownAll(now)
+}
+
+func (l *Ledger) ownAll(now time.Time) map[uint64]Work {
+	all := make(map[uint64]Work, len(l.own))
+	for target := range l.own {
+		all[target] = l.ownAt(target, now)
 	}
-	return copied
+	return all
 }
 
 // Told takes in what another entry said of its work; partial words hold only
@@ -119,21 +158,11 @@
 	}
 }
 
-// OwnAt returns this entry's work at one target.
-func (l *Ledger) OwnAt(target uint64) Work {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.own[target]
-}
-
 // Totals returns the work at all targets, of all entries.
 func (l *Ledger) Totals(now time.Time) map[uint64]Work {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	totals := make(map[uint64]Work, len(l.own))
-	for target, w := range l.own {
-		totals[target] = w
-	}
+	totals := l.ownAll(now)
 	for entry, t := range l.others {
 		if now.Sub(t.at) > toldFor {
 			delete(l.others, entry)
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -66,8 +66,8 @@
 	Aim time.Duration
 	// VersionBound is the age from which no request begins on an older version.
 	VersionBound time.Duration
-	// ReadRate is how many prompt tokens an engine reads in a millisecond.
-	ReadRate float64
+	// ReadTime predicts how long an engine takes to read so many tokens.
+	ReadTime func(tokens int) time.Duration
 	// FetchRate is how many tokens a link carries in a millisecond.
 	FetchRate float64
 }
@@ -82,7 +82,9 @@
 	Late bool
 	// Estimate is the expected time to the first event.
 	Estimate time.Duration
-	// Wait, Read and Fetch are its parts.
+	// ReadTokens is how much of the prompt the engine is expected to read.
+	ReadTokens int
+	// Wait, Read and Fetch are the estimate's parts.
 	Wait, Read, Fetch time.Duration
 }
 
@@ -162,18 +164,19 @@
 func score(q *Question, c *Candidate, late bool) (Choice, float64) {
 	missing := max(q.Shared-c.Held, 0)
 	fetched := min(max(c.Fetchable-c.Held, 0), missing)
-	wait := float64(c.Work.Unread)/q.ReadRate + stepTime*float64(c.Work.Running)
+	wait := inMs(c.Work.Reading) + stepTime*float64(c.Work.Running)
 	if late {
-		wait += float64(c.Work.UnreadLate) / q.ReadRate
+		wait += inMs(c.Work.ReadingLate)
 	}
 	wait += fullPenalty * float64(over(c, q))
-	read := float64(q.Own+missing-fetched) / q.ReadRate
+	read := inMs(q.ReadTime(q.Own + missing - fetched))
 	fetch := 0.0
-	choice := Choice{FetchFrom: c.Source}
+	choice := Choice{FetchFrom: c.Source, ReadTokens: q.Own + missing - fetched}
 	if fetched > 0 {
 		fetch = fetchSetup + float64(fetched)/q.FetchRate*sourceDistance(c)
 	}
-	cost := wait + read + fetch + (readPrice-1)*float64(missing-fetched)/q.ReadRate
+	again := read - inMs(q.ReadTime(q.Own))
+	cost := wait + read + fetch + (readPrice-1)*again
 	if !c.Near {
 		cost += farPenalty
 	}
@@ -217,6 +220,8 @@
 	return n
 }
 
+func inMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // mix is the finalizer of splitmix64.
