A prompt waits for a shared part that another request reads

Cause: of two prompts with a new part in common, which come within the tenth of a second that an engine needs to read it, both read it.

Change: facts about parts go to the other entries within 8 ms (later in larger fleets); a prompt waits up to 250 ms, or 0.4 of its aim, for a part that is being read.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 // maxFacts is how many facts about parts one heartbeat holds. A fact takes 22
@@ -26,10 +28,13 @@
 	health    *health.Book
 	pool      *upstream.Pool
 	forwarder *forward.Forwarder
+	// changed are the targets at which this entry's work has changed since the
+	// others were told.
+	changed map[uint64]bool
 }
 
 func newEntry(p *process) *entry {
-	e := &entry{beliefs: p.beliefs, ledger: ledger.New(), parts: parts.NewBook()}
+	e := &entry{beliefs: p.beliefs, ledger: ledger.New(), parts: parts.NewBook(), changed: map[uint64]bool{}}
 	e.health = health.NewBook(func(instance string, until time.Time, failures, others float64, outcome health.Outcome) {
 		p.logger.Info("target_rested", "target", instance, "for", until.Sub(p.clock.Now()), "failures", failures, "others", others, "outcome", int(outcome))
 	})
@@ -57,21 +62,53 @@
 	for target, w := range e.ledger.Own(e.beliefs.clock.Now()) {
 		beat.Loads = append(beat.Loads, loadOf(target, w))
 	}
-	for _, f := range e.parts.TakeFresh(maxFacts) {
-		beat.Parts = append(beat.Parts, &peerv1.PartHeld{Part: uint64(f.Part), Target: f.Target, Done: f.Done})
-	}
+	e.addFacts(beat)
 }
 
-// tellWork tells the other entries at once of this entry's work at a target.
+const (
+	// tellDelay gathers what other entries are told at once. In larger fleets more
+	// is gathered, by tellDelayEach for each entry: what an entry hears grows with
+	// their number.
+	tellDelay     = 8 * time.Millisecond
+	tellDelayEach = 2 * time.Millisecond
+)
+
+// tellWork tells the other entries soon of this entry's work at a target, and of
+// the parts that are read there.
 func (e *entry) tellWork(target uint64) {
 	e.beliefs.loop.Post(func() {
-		e.beliefs.mesh.TellEntries(func(beat *peerv1.Beat) {
-			beat.Partial = true
-			beat.Loads = []*peerv1.TargetLoad{loadOf(target, e.ledger.OwnAt(target, e.beliefs.clock.Now()))}
+		first := len(e.changed) == 0
+		e.changed[target] = true
+		if !first {
+			return
+		}
+		delay := tellDelay + tellDelayEach*time.Duration(len(e.beliefs.mesh.Live(true)))
+		e.beliefs.loop.Go(func(ctx context.Context) {
+			if sleep.For(ctx, delay) {
+				e.beliefs.loop.Post(e.tellChanged)
+			}
 		})
 	})
 }
 
+func (e *entry) tellChanged() {
+	now := e.beliefs.clock.Now()
+	e.beliefs.mesh.TellEntries(func(beat *peerv1.Beat) {
+		beat.Partial = true
+		for target := range e.changed {
+			beat.Loads = append(beat.Loads, loadOf(target, e.ledger.OwnAt(target, now)))
+		}
+		e.addFacts(beat)
+	})
+	clear(e.changed)
+}
+
+func (e *entry) addFacts(beat *peerv1.Beat) {
+	for _, f := range e.parts.TakeFresh(maxFacts) {
+		beat.Parts = append(beat.Parts, &peerv1.PartHeld{Part: uint64(f.Part), Target: f.Target, Done: f.Done})
+	}
+}
+
 func loadOf(target uint64, w ledger.Work) *peerv1.TargetLoad {
 	return &peerv1.TargetLoad{
 		Target: target, Running: uint32(max(w.Running, 0)), ReadingMs: uint32(w.Reading.Milliseconds()),
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -20,7 +20,7 @@
 	// placePause is the wait before another look when no target may take a
 	// request now, and maxPlaceWait the bound of all such waits: loads of weights
 	// end, and targets are listed, within some hundred milliseconds.
-	placePause   = 20 * time.Millisecond
+	placePause   = 10 * time.Millisecond
 	maxPlaceWait = 400 * time.Millisecond
 	// waitShare is the most that is waited so, of the time left: a caller who is
 	// refused needs the rest to come back.
@@ -36,18 +36,49 @@
 			fl.view = v
 		}
 		to, refusal := fl.choose()
-		if refusal == nil || time.Now().After(until) {
-			return to, refusal
-		}
-		if refusal.Kind != errkind.NoTarget {
+		if refusal != nil && (refusal.Kind != errkind.NoTarget || time.Now().After(until)) {
 			return nil, refusal
 		}
+		if refusal == nil && !fl.awaitsParts(to) {
+			return to, nil
+		}
 		if !sleep.For(ctx, placePause) {
 			return nil, fl.ended(ctx)
 		}
 	}
 }
 
+const (
+	// partsPatience is the most that a prompt waits for a part that another
+	// request reads, and partsShare the most of the time within which its first
+	// event is of full use. Reading 5,000 tokens takes an engine about a tenth of
+	// a second.
+	partsPatience = 250 * time.Millisecond
+	partsShare    = 0.4
+)
+
+// awaitsParts reports whether the prompt should wait for a part that another
+// request reads now. Two prompts that share a part and come within the time that
+// it takes to read it would both read it, at one engine as well as at two.
+func (fl *flow) awaitsParts(to *destination) bool {
+	waited := time.Since(fl.arrived)
+	if len(to.keys) == 0 || waited > partsPatience || waited > time.Duration(partsShare*float64(fl.route.TargetLatency)) {
+		return false
+	}
+	now := fl.Now()
+	for _, k := range to.keys {
+		held, coming := false, false
+		fl.Parts.Holders(k, now, func(target uint64, s parts.State, _ time.Time) {
+			held = held || s == parts.Held
+			coming = coming || s == parts.Coming
+		})
+		if !held {
+			return coming
+		}
+	}
+	return false
+}
+
 func (fl *flow) choose() (*destination, *errkind.Error) {
 	if fl.service.Engine != nil && fl.route.Prompted {
 		return fl.chooseEngine()
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -92,7 +92,9 @@
 		if first {
 			first = false
 			item.Read()
-			fl.noteParts(to, true)
+			if fl.noteParts(to, true) {
+				fl.TellWork(to.target.Hash)
+			}
 			if patience != nil {
 				patience.Stop()
 			}
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -76,10 +76,9 @@
 	}
 	item := fl.Ledger.Begin(to.target.Hash, to.work, to.choice.Wait+to.choice.Fetch, fl.Now())
 	defer item.End()
-	if to.choice.Read > tellFrom {
+	if fl.noteParts(to, false) || to.choice.Read > tellFrom {
 		fl.TellWork(to.target.Hash)
 	}
-	fl.noteParts(to, false)
 	fl.sentAt = time.Now()
 	resp, err := fl.Pool.Send(ctx, to.target.Address, fl.upstreamRequest(to))
 	fl.logSend(to, resp, err)
@@ -106,11 +105,13 @@
 
 // noteParts notes that the engine, and the store that it saves to, read the
 // prompt's parts or have read them.
-func (fl *flow) noteParts(to *destination, done bool) {
-	fl.Parts.Note(to.target.Hash, to.keys, done, fl.Now())
+// It reports whether the other entries should hear of it.
+func (fl *flow) noteParts(to *destination, done bool) bool {
+	news := fl.Parts.Note(to.target.Hash, to.keys, done, fl.Now())
 	if to.saveTo != "" {
-		fl.Parts.Note(storeHash(to.saveTo), to.keys, done, fl.Now())
+		news = fl.Parts.Note(storeHash(to.saveTo), to.keys, done, fl.Now()) || news
 	}
+	return news
 }
 
 func (fl *flow) upstreamRequest(to *destination) *upstream.Request {
--- a/internal/gateway/parts/parts.go
+++ b/internal/gateway/parts/parts.go
@@ -115,14 +115,18 @@
 
 // Note takes in what this process learned: a target reads parts, or has read
 // them. It is told to other processes.
-func (b *Book) Note(target uint64, keys []Key, done bool, now time.Time) {
+//
+// It reports whether others should hear of it.
+func (b *Book) Note(target uint64, keys []Key, done bool, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	before := len(b.fresh)
 	for _, k := range keys {
 		if b.note(Fact{Part: k, Target: target, Done: done}, now) {
 			b.fresh = append(b.fresh, Fact{Part: k, Target: target, Done: done})
 		}
 	}
+	return len(b.fresh) > before
 }
 
 // Told takes in what another process learned.
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -40,9 +40,8 @@
 	Memory int
 	// Work of all entries.
 	Work ledger.Work
-	// Held is how many of the prompt's shared tokens the engine holds, Coming how
-	// many it reads now.
-	Held, Coming int
+	// Held is how many of the prompt's shared tokens the engine holds.
+	Held int
 	// Fetchable is how many of the shared tokens can be had from Source, the
 	// best place other than the engine itself.
 	Fetchable int
