--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -261,7 +261,7 @@
 
 // sourceFor is how long after its last use an engine is asked for a part;
 // engines evict what was not used for some seconds.
-const sourceFor = 3 * time.Second
+const sourceFor = 8 * time.Second
 
 // saveTo returns the store that the prompt's parts are to be sent to: one that
 // neither holds them nor is about to. Saving them again would fill its link.
