--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -62,7 +62,6 @@
 	for target, w := range e.ledger.Own(e.beliefs.clock.Now()) {
 		beat.Loads = append(beat.Loads, loadOf(target, w))
 	}
-	e.addFacts(beat)
 }
 
 const (
@@ -103,6 +102,8 @@
 	clear(e.changed)
 }
 
+// addFacts adds what the other entries were not told yet of parts. It goes into
+// what is sent to entries alone: heartbeats to sidecars would use it up.
 func (e *entry) addFacts(beat *peerv1.Beat) {
 	for _, f := range e.parts.TakeFresh(maxFacts) {
 		beat.Parts = append(beat.Parts, &peerv1.PartHeld{Part: uint64(f.Part), Target: f.Target, Done: f.Done})
