Prompts are saved only when much of them is shared

Cause: the store of parts takes whole prompts, each with its own part, and turned over in 5 s: after all engines lost power it held nothing of use.

--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -263,10 +263,14 @@
 // engines evict what was not used for some seconds.
 const sourceFor = 8 * time.Second
 
+// minSharedShare is the least share of a saved prompt that others use too. The
+// prompt's own part is sent with the rest and drives out what others need.
+const minSharedShare = 0.5
+
 // saveTo returns the store that the prompt's parts are to be sent to: one that
 // neither holds them nor is about to. Saving them again would fill its link.
-func (fl *flow) saveTo(keys []parts.Key) string {
-	if len(keys) == 0 {
+func (fl *flow) saveTo(keys []parts.Key, q *placement.Question) string {
+	if len(keys) == 0 || float64(q.Shared) < minSharedShare*float64(q.Shared+q.Own) {
 		return ""
 	}
 	for _, s := range fl.view.Estate.Stores() {
@@ -284,7 +288,7 @@
 	scope := fl.scopeAt(version)
 	keys := parts.Keys(scope, fl.request.Parts)
 	to := &destination{
-		target: t, scope: scope, weights: version, choice: choice, fetchFrom: choice.FetchFrom, keys: keys, saveTo: fl.saveTo(keys),
+		target: t, scope: scope, weights: version, choice: choice, fetchFrom: choice.FetchFrom, keys: keys, saveTo: fl.saveTo(keys, q),
 		work: ledger.Work{Running: 1, Reading: choice.Read, Memory: q.Own + q.Shared + q.MaxTokens},
 	}
 	if choice.Late {
