--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -265,7 +265,7 @@
 
 // minSharedShare is the least share of a saved prompt that others use too. The
 // prompt's own part is sent with the rest and drives out what others need.
-const minSharedShare = 0.5
+const minSharedShare = 0.4
 
 // saveTo returns the store that the prompt's parts are to be sent to: one that
 // neither holds them nor is about to. Saving them again would fill its link.
