--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -229,7 +229,7 @@
 		detail = err.Error()
 	}
 	fl.Logger.Info("request_sent", "request_id", fl.request.ID, "send", fl.sends, "target", to.target.Instance, "zone", to.target.Zone,
-		"status", status, "error", detail, "weights", to.weights, "fetch_from", to.fetchFrom, "save_to", to.saveTo,
+		"status", status, "error", detail, "weights", to.weights, "prompt", fl.request.PromptTokens, "held", to.choice.Held, "fetched", to.choice.Fetched, "fetch_from", to.fetchFrom, "save_to", to.saveTo,
 		"late", to.choice.Late, "wait", to.choice.Wait, "read", to.choice.Read, "fetch", to.choice.Fetch, "running", to.work.Running,
 		"last_event", fl.lastEvent, "left", fl.timeLeft().Round(time.Millisecond), "head", time.Since(fl.arrived).Round(time.Millisecond/10))
 }
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -81,8 +81,9 @@
 	Late bool
 	// Estimate is the expected time to the first event.
 	Estimate time.Duration
-	// ReadTokens is how much of the prompt the engine is expected to read.
-	ReadTokens int
+	// Held, Fetched and ReadTokens are the prompt's tokens that the engine is
+	// expected to hold, to fetch and to read.
+	Held, Fetched, ReadTokens int
 	// Wait, Read and Fetch are the estimate's parts.
 	Wait, Read, Fetch time.Duration
 }
@@ -170,7 +171,7 @@
 	wait += fullPenalty * float64(over(c, q))
 	read := inMs(q.ReadTime(q.Own + missing - fetched))
 	fetch := 0.0
-	choice := Choice{FetchFrom: c.Source, ReadTokens: q.Own + missing - fetched}
+	choice := Choice{FetchFrom: c.Source, Held: min(c.Held, q.Shared), Fetched: fetched, ReadTokens: q.Own + missing - fetched}
 	if fetched > 0 {
 		fetch = fetchSetup + float64(fetched)/q.FetchRate*sourceDistance(c)
 	}
