Engines empty themselves before they load weights

Change: an engine whose turn is next takes nothing new, so that its short runs end before; it loads when it is empty, after 0.35 s at the latest.

Runs are not moved yet.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -392,6 +392,13 @@
 	}, true
 }
 
+// phases are those that traffic knows; a silent engine is told apart before.
+var phases = map[peerv1.EnginePhase]weights.Phase{
+	peerv1.EnginePhase_ENGINE_PHASE_SERVING:  weights.Serving,
+	peerv1.EnginePhase_ENGINE_PHASE_LOADING:  weights.Loading,
+	peerv1.EnginePhase_ENGINE_PHASE_EMPTYING: weights.Emptying,
+}
+
 // hearEngine takes in what a sidecar says of its engine. It reports whether
 // traffic goes by something else now.
 func (b *beliefs) hearEngine(m *mesh.Member) bool {
@@ -410,7 +417,7 @@
 	delete(b.silent, address)
 	word := view.EngineWord{
 		Service: e.Service, Address: address, Zone: m.Zone,
-		Weights: map[string]int64{}, Loading: e.Phase == peerv1.EnginePhase_ENGINE_PHASE_LOADING,
+		Weights: map[string]int64{}, Phase: phases[e.Phase],
 		Running: int(e.Running), Queued: int(e.Queued), HeardAt: b.clock.Now(),
 	}
 	for _, w := range e.Weights {
@@ -418,14 +425,14 @@
 	}
 	old, known := b.words[e.Instance]
 	b.words[e.Instance] = word
-	changed := !known || old.Loading != word.Loading
+	changed := !known || old.Phase != word.Phase
 	for model, version := range word.Weights {
 		if old.Weights[model] != version {
 			changed = true
 		}
 	}
 	if changed {
-		b.logger.Info("engine_told", "target", e.Instance, "weights", word.Weights, "loading", word.Loading)
+		b.logger.Info("engine_told", "target", e.Instance, "weights", word.Weights, "phase", word.Phase.String())
 	}
 	return changed
 }
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -13,6 +13,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/placement"
+	"github.com/toucanwell/toucanwell/internal/gateway/weights"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
@@ -151,7 +152,7 @@
 		c := &candidates[i]
 		*c = placement.Candidate{
 			Instance: t.Instance, Address: t.Address, Hash: t.Hash, Near: t.Zone == fl.Zone,
-			Excluded: t.Leaving || fl.excluded[t.Instance], Loading: fl.view.Loading(t), Version: fl.view.Version(t, fl.request.Model),
+			Excluded: t.Leaving || fl.excluded[t.Instance], Loading: fl.view.Phase(t) == weights.Loading, Emptying: fl.view.Phase(t) == weights.Emptying, Version: fl.view.Version(t, fl.request.Model),
 			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.Hash],
 		}
 		c.Behind = wanted.Behind(c.Version, fl.Now())
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -28,8 +28,9 @@
 	// Rested engines failed lately, or may be gone. They are used when no other
 	// is left.
 	Rested bool
-	// Loading engines load weights and refuse.
-	Loading bool
+	// Loading engines load weights and refuse. Emptying ones load next and are
+	// used when no other is left.
+	Loading, Emptying bool
 	// Version of the model that the engine has, and for how long it has been
 	// older than one that operators want.
 	Version int64
@@ -183,6 +184,9 @@
 	if c.Rested {
 		cost += restedPenalty
 	}
+	if c.Emptying {
+		cost += restedPenalty / 2
+	}
 	if c.Behind > graceAge {
 		cost += oldPenalty
 	}
--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -95,9 +95,7 @@
 		v := weights.EngineView{Instance: t.Instance, Version: t.Weights[model], Age: never}
 		if word, ok := s.beliefs.words[t.Instance]; ok {
 			v.Version, v.Age = word.Weights[model], now.Sub(word.HeardAt)
-			if word.Loading {
-				v.Phase = weights.Loading
-			}
+			v.Phase = word.Phase
 		}
 		if t.Instance == s.instance {
 			v.Version, v.Phase, v.Age = s.report.Weights[model], s.phase, 0
@@ -142,6 +140,8 @@
 	switch s.phase {
 	case weights.Loading:
 		e.Phase = peerv1.EnginePhase_ENGINE_PHASE_LOADING
+	case weights.Emptying:
+		e.Phase = peerv1.EnginePhase_ENGINE_PHASE_EMPTYING
 	case weights.Silent:
 		e.Phase = peerv1.EnginePhase_ENGINE_PHASE_SILENT
 	}
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -17,7 +17,7 @@
 	Address netip.AddrPort
 	Zone    string
 	Weights map[string]int64
-	Loading bool
+	Phase   weights.Phase
 	// Running and Queued are the engine's own counts.
 	Running, Queued int
 	HeardAt         time.Time
@@ -51,5 +51,5 @@
 	return t.Weights[model]
 }
 
-// Loading reports whether a target's sidecar said that it loads weights.
-func (v *View) Loading(t *fleet.Target) bool { return v.Engines[t.Instance].Loading }
+// Phase is what a target's sidecar said that it does about weights.
+func (v *View) Phase(t *fleet.Target) weights.Phase { return v.Engines[t.Instance].Phase }
--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -132,9 +132,13 @@
 	loadingPeriod = 20 * time.Millisecond
 	reportTimeout = time.Second
 	orderTimeout  = 800 * time.Millisecond
-	// orderNotice is the time between telling the entries and the order, in which
-	// requests on their way arrive.
-	orderNotice = 4 * time.Millisecond
+	// orderNotice is the least time between telling the entries and the order, in
+	// which requests on their way arrive.
+	orderNotice = 15 * time.Millisecond
+	// emptyTime is how long an engine is given to be emptied. Moving a run takes
+	// some tens of milliseconds, and short runs end in the time; a run that is
+	// left goes on under the new weights.
+	emptyTime = 350 * time.Millisecond
 	// retryAfter is the pause after an order that was not accepted, or whose
 	// fate is unknown. The expected count keeps a late first one harmless.
 	retryAfter = 400 * time.Millisecond
@@ -153,10 +157,12 @@
 	instance    string
 	identifying bool
 	// loading is the order that was given last.
-	loading   Order
-	begunAt   time.Time
-	ordering  bool
-	notBefore time.Time
+	loading Order
+	begunAt time.Time
+	// emptyingSince is when the engine was told to be emptied.
+	emptyingSince time.Time
+	ordering      bool
+	notBefore     time.Time
 }
 
 // NewController returns a controller that has not started.
@@ -202,7 +208,7 @@
 	c.report = report
 	c.identify()
 	c.step()
-	if c.phase == Loading {
+	if c.phase == Loading || c.phase == Emptying {
 		return loadingPeriod
 	}
 	return reportPeriod
@@ -253,7 +259,7 @@
 
 func (c *Controller) step() {
 	c.endLoading()
-	if c.phase == Serving && !c.ordering {
+	if (c.phase == Serving || c.phase == Emptying) && !c.ordering {
 		c.begin()
 	}
 	c.around.Changed(c.instance, c.report, c.phase)
@@ -272,7 +278,7 @@
 		"version", c.report.Weights[c.loading.Model], "took", c.options.Now().Sub(c.begunAt))
 }
 
-// begin starts to load a wanted version when it is the engine's turn.
+// begin takes the engine's turn to load a wanted version.
 func (c *Controller) begin() {
 	now := c.options.Now()
 	if now.Before(c.notBefore) || c.report.Busy || !c.around.Fresh() {
@@ -282,6 +288,23 @@
 	if !ok || c.instance == "" {
 		return
 	}
+	turn, o := c.turn(now)
+	if turn == Later {
+		c.phase = Serving
+		return
+	}
+	if c.phase != Emptying {
+		c.phase, c.emptyingSince = Emptying, now
+	}
+	empty := c.report.Running == 0 && c.report.Queued == 0
+	if turn == Now && (empty && now.Sub(c.emptyingSince) > orderNotice || now.Sub(c.emptyingSince) > emptyTime) {
+		o.Token = token
+		c.give(o)
+	}
+}
+
+// turn returns when the engine loads, and the order for it.
+func (c *Controller) turn(now time.Time) (Turn, Order) {
 	for model, history := range c.around.Wanted() {
 		have, served := c.report.Weights[model]
 		wanted := history.Newest()
@@ -292,21 +315,20 @@
 			Self: c.instance, Engines: c.around.Engines(model), Wanted: wanted,
 			Behind: history.Behind(have, now), Bound: c.options.Bound,
 		}
-		if Decide(q) {
-			c.give(Order{Model: model, Version: wanted, Swap: SwapUnderRuns, Holder: c.options.Holder, Token: token,
-				Instance: c.instance, Orders: c.report.Orders})
-			return
+		if turn := Decide(q); turn != Later {
+			return turn, Order{Model: model, Version: wanted, Swap: SwapUnderRuns, Holder: c.options.Holder,
+				Instance: c.instance, Orders: c.report.Orders}
 		}
 	}
+	return Later, Order{}
 }
 
-// give announces the load and orders it a moment later.
+// give orders a load.
 func (c *Controller) give(o Order) {
 	c.phase, c.loading, c.ordering = Loading, o, true
 	c.begunAt = c.options.Now()
 	c.notBefore = c.begunAt.Add(retryAfter)
 	control.Do(c.loop, orderTimeout, func(ctx context.Context) (Outcome, error) {
-		sleep.For(ctx, orderNotice)
 		return c.engine.Load(ctx, o)
 	}, func(outcome Outcome, err error) { c.ordered(o, outcome, err) })
 }
--- a/internal/gateway/weights/controller_test.go
+++ b/internal/gateway/weights/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -128,7 +129,7 @@
 		if b.engine.version != 2 || len(b.engine.given) != 1 {
 			t.Errorf("version %d after %d orders", b.engine.version, len(b.engine.given))
 		}
-		if len(b.phases) != 3 || b.phases[1] != Loading || b.phases[2] != Serving {
+		if !slices.Equal(b.phases, []Phase{Serving, Emptying, Loading, Serving}) {
 			t.Errorf("phases %v", b.phases)
 		}
 		if o := b.engine.given[0]; o.Token != 7 || o.Instance != "i1" || o.Holder != "side-1" {
--- a/internal/gateway/weights/plan.go
+++ b/internal/gateway/weights/plan.go
@@ -24,8 +24,16 @@
 	Loading
 	// Silent engines do not answer their own sidecar.
 	Silent
+	// Emptying engines load next: they take nothing new, and their runs are moved
+	// away.
+	Emptying
 )
 
+var phaseNames = map[Phase]string{Serving: "serving", Loading: "loading", Silent: "silent", Emptying: "emptying"}
+
+// String returns the phase's name.
+func (p Phase) String() string { return phaseNames[p] }
+
 // EngineView is what one sidecar knows of an engine of its service.
 type EngineView struct {
 	Instance string
@@ -131,25 +139,47 @@
 	Bound time.Duration
 }
 
-// Decide reports whether the own engine loads the wanted version now. Those
-// first in the order that still lack it go; engines whose sidecars are silent
-// are passed over.
-func Decide(q Question) bool {
+// Turn is when an engine loads a version.
+type Turn uint8
+
+// The turns.
+const (
+	// Later engines go on serving.
+	Later Turn = iota
+	// Next engines empty themselves while others load.
+	Next
+	// Now engines load.
+	Now
+)
+
+// Decide returns the own engine's turn. Those first in the order that still lack
+// the wanted version go, as many again are next; engines whose sidecars are
+// silent are passed over.
+func Decide(q Question) Turn {
 	if q.Behind > time.Duration(hurryShare*float64(q.Bound)) {
-		return true
+		return Now
 	}
 	places := Parallel(len(q.Engines))
+	before := 0
 	for _, e := range Turns(q.Engines, q.Wanted) {
 		if e.Version >= q.Wanted && e.Phase == Serving || e.Age > silentAfter {
 			continue
 		}
-		if places == 0 {
-			return false
-		}
 		if e.Instance == q.Self {
-			return true
+			return turnAfter(before, places)
 		}
-		places--
+		before++
+	}
+	return Later
+}
+
+func turnAfter(before, places int) Turn {
+	switch {
+	case before < places:
+		return Now
+	case before < 2*places:
+		return Next
+	default:
+		return Later
 	}
-	return false
 }
--- a/internal/gateway/weights/plan_test.go
+++ b/internal/gateway/weights/plan_test.go
@@ -33,7 +33,7 @@
 			if e.Version >= 3 && e.Phase == Serving {
 				continue
 			}
-			if Decide(Question{Self: e.Instance, Engines: engines, Wanted: 3, Bound: 8 * time.Second}) {
+			if Decide(Question{Self: e.Instance, Engines: engines, Wanted: 3, Bound: 8 * time.Second}) == Now {
 				told++
 			}
 		}
@@ -55,15 +55,15 @@
 	}
 	turns := Turns(engines, 2)
 	q := Question{Self: turns[2].Instance, Engines: engines, Wanted: 2, Bound: 8 * time.Second}
-	if Decide(q) {
-		t.Fatal("the third engine loads although two go first")
+	if Decide(q) != Next {
+		t.Fatal("the third engine is not next, although two go first")
 	}
 	for i := range engines {
 		if engines[i].Instance == turns[0].Instance {
 			engines[i].Age = 2 * silentAfter
 		}
 	}
-	if !Decide(q) {
+	if Decide(q) != Now {
 		t.Error("the third engine waits for a silent sidecar")
 	}
 }
@@ -77,7 +77,7 @@
 	}
 	last := Turns(engines, 2)[8].Instance
 	q := Question{Self: last, Engines: engines, Wanted: 2, Bound: 8 * time.Second, Behind: 5 * time.Second}
-	if !Decide(q) {
+	if Decide(q) != Now {
 		t.Error("the last engine still waits")
 	}
 }
