--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -345,13 +345,10 @@
 // goesOn reports whether a request that failed at one target is sent to
 // another.
 func (fl *flow) goesOn(v verdict) bool {
-	if v.notRun {
-		return true
+	if fl.begun && !(fl.route.Resumable && fl.lastEvent != "") {
+		return false // a new run would begin the stream again
 	}
-	if !fl.route.Repeatable() || fl.runs >= fl.route.MaxAttempts {
-		return false
-	}
-	return !fl.begun || fl.route.Resumable && fl.lastEvent != ""
+	return v.notRun || fl.route.Repeatable() && fl.runs < fl.route.MaxAttempts
 }
 
 // comeBack spreads a time to come back by half, so that callers who were
