Processes name targets and parts by 32 bits to each other

Cause: what entries tell each other at once is half of the bytes between zones that is not requests. Change: short names; partial heartbeats without name and zone.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/forward"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
@@ -16,9 +17,9 @@
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
-// maxFacts is how many facts about parts one heartbeat holds. A fact takes 22
+// maxFacts is how many facts about parts one heartbeat holds. A fact takes 14
 // bytes; with the rest a heartbeat stays within one packet.
-const maxFacts = 30
+const maxFacts = 60
 
 // entry is the role that takes callers' requests.
 type entry struct {
@@ -30,11 +31,11 @@
 	forwarder *forward.Forwarder
 	// changed are the targets at which this entry's work has changed since the
 	// others were told.
-	changed map[uint64]bool
+	changed map[fleet.ID]bool
 }
 
 func newEntry(p *process) *entry {
-	e := &entry{beliefs: p.beliefs, ledger: ledger.New(), parts: parts.NewBook(), changed: map[uint64]bool{}}
+	e := &entry{beliefs: p.beliefs, ledger: ledger.New(), parts: parts.NewBook(), changed: map[fleet.ID]bool{}}
 	e.health = health.NewBook(func(instance string, until time.Time, failures, others float64, outcome health.Outcome) {
 		p.logger.Info("target_rested", "target", instance, "for", until.Sub(p.clock.Now()), "failures", failures, "others", others, "outcome", int(outcome))
 	})
@@ -74,7 +75,7 @@
 
 // tellWork tells the other entries soon of this entry's work at a target, and of
 // the parts that are read there.
-func (e *entry) tellWork(target uint64) {
+func (e *entry) tellWork(target fleet.ID) {
 	e.beliefs.loop.Post(func() {
 		first := len(e.changed) == 0
 		e.changed[target] = true
@@ -93,26 +94,26 @@
 func (e *entry) tellChanged() {
 	now := e.beliefs.clock.Now()
 	e.beliefs.mesh.TellEntries(func(beat *peerv1.Beat) {
-		beat.Partial = true
 		for target := range e.changed {
 			beat.Loads = append(beat.Loads, loadOf(target, e.ledger.OwnAt(target, now)))
 		}
-		e.addFacts(beat)
+		beat.Parts = e.freshFacts()
 	})
 	clear(e.changed)
 }
 
-// addFacts adds what the other entries were not told yet of parts. It goes into
-// what is sent to entries alone: heartbeats to sidecars would use it up.
-func (e *entry) addFacts(beat *peerv1.Beat) {
+// freshFacts returns what the other entries were not told yet of parts.
+func (e *entry) freshFacts() []*peerv1.PartHeld {
+	var facts []*peerv1.PartHeld
 	for _, f := range e.parts.TakeFresh(maxFacts) {
-		beat.Parts = append(beat.Parts, &peerv1.PartHeld{Part: uint64(f.Part), Target: f.Target, Done: f.Done})
+		facts = append(facts, &peerv1.PartHeld{Part: uint32(f.Part), Target: uint32(f.Target), Done: f.Done})
 	}
+	return facts
 }
 
-func loadOf(target uint64, w ledger.Work) *peerv1.TargetLoad {
+func loadOf(target fleet.ID, w ledger.Work) *peerv1.TargetLoad {
 	return &peerv1.TargetLoad{
-		Target: target, Running: uint32(max(w.Running, 0)), ReadingMs: uint32(w.Reading.Milliseconds()),
+		Target: uint32(target), Running: uint32(max(w.Running, 0)), ReadingMs: uint32(w.Reading.Milliseconds()),
 		ReadingLateMs: uint32(w.ReadingLate.Milliseconds()), MemoryTokens: uint32(max(w.Memory, 0)),
 	}
 }
@@ -122,7 +123,7 @@
 	if m.Entry {
 		e.ledger.Told(m.Address, loadsOf(m.Beat), m.Beat.Partial, now)
 		for _, p := range m.Beat.Parts {
-			e.parts.Told(parts.Fact{Part: parts.Key(p.Part), Target: p.Target, Done: p.Done}, now)
+			e.parts.Told(parts.Fact{Part: parts.Key(p.Part), Target: fleet.ID(p.Target), Done: p.Done}, now)
 		}
 	}
 	if e.beliefs.hearEngine(m) {
@@ -130,10 +131,10 @@
 	}
 }
 
-func loadsOf(beat *peerv1.Beat) map[uint64]ledger.Work {
-	loads := make(map[uint64]ledger.Work, len(beat.Loads))
+func loadsOf(beat *peerv1.Beat) map[fleet.ID]ledger.Work {
+	loads := make(map[fleet.ID]ledger.Work, len(beat.Loads))
 	for _, l := range beat.Loads {
-		loads[l.Target] = ledger.Work{Running: int(l.Running), Reading: time.Duration(l.ReadingMs) * time.Millisecond,
+		loads[fleet.ID(l.Target)] = ledger.Work{Running: int(l.Running), Reading: time.Duration(l.ReadingMs) * time.Millisecond,
 			ReadingLate: time.Duration(l.ReadingLateMs) * time.Millisecond, Memory: int(l.MemoryTokens)}
 	}
 	return loads
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -28,16 +28,29 @@
 	Weights map[string]int64
 }
 
+// ID is a target's short name, in what processes tell each other and in counts.
+// Two targets of one deployment share one with a probability of n*n/2^33, which
+// costs a worse choice and nothing else.
+type ID uint32
+
+// IDOf returns the short name of a target or of another place by its full name.
+func IDOf(name string) ID { return ID(xxhash.Sum64String(name)) }
+
 // Target is a target of which traffic may make use.
 type Target struct {
 	Listing
-	// Hash ranks the target for a key; it follows from the instance.
+	// Hash ranks the target for a key, ID names it; both follow from the instance.
 	Hash uint64
+	ID   ID
 	// Doubtful targets have left the list after an outage of the store. They may
 	// live and not have reported yet.
 	Doubtful bool
 }
 
+func newTarget(l Listing) Target {
+	return Target{Listing: l, Hash: xxhash.Sum64String(l.Instance), ID: IDOf(l.Instance)}
+}
+
 const (
 	// returnTime is how long after an outage of the store the entry of a living
 	// target may be missing. The platform states about two seconds; targets that
@@ -70,7 +83,7 @@
 		e = &entry{}
 		d.entries[l.Instance] = e
 	}
-	e.target = Target{Listing: l, Hash: xxhash.Sum64String(l.Instance)}
+	e.target = newTarget(l)
 	e.goneAt = time.Time{}
 }
 
@@ -140,7 +153,7 @@
 			byService[l.Service] = slices.DeleteFunc(list, func(t Target) bool { return t.Address == l.Address && t.Instance != l.Instance })
 			continue
 		}
-		t := Target{Listing: Listing{Instance: l.Instance, Service: l.Service, Address: l.Address, Zone: l.Zone, Weights: l.Weights}, Hash: xxhash.Sum64String(l.Instance)}
+		t := newTarget(Listing{Instance: l.Instance, Service: l.Service, Address: l.Address, Zone: l.Zone, Weights: l.Weights})
 		if at >= 0 {
 			t.Slots = list[at].Slots
 			list[at] = t
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -27,6 +27,7 @@
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
@@ -61,7 +62,7 @@
 	Logger   logr.Logger
 	Metrics  Metrics
 	// TellWork tells the other entries at once of the work at a target.
-	TellWork func(target uint64)
+	TellWork func(target fleet.ID)
 	Now      func() time.Time
 	// Seed makes this entry's random choices its own.
 	Seed uint64
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -178,7 +178,7 @@
 		Protocol: wiretest.Protocol{}, View: func() (*view.View, bool) { return w.view, true }, Pool: w.pool,
 		Ledger: ledger.New(), Parts: parts.NewBook(), Health: health.NewBook(nil),
 		Bounds: Bounds{RetryRatio: 0.5, RetrySlack: 100, Version: 5 * time.Second}, Zone: "a",
-		Logger: logr.Discard(), Metrics: noMetrics{}, TellWork: func(uint64) {}, Now: time.Now, Seed: 1,
+		Logger: logr.Discard(), Metrics: noMetrics{}, TellWork: func(fleet.ID) {}, Now: time.Now, Seed: 1,
 	})
 	w.server = httptest.NewServer(w.Forwarder)
 	t.Cleanup(func() { w.server.Close(); w.pool.CloseIdle() })
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -69,7 +69,7 @@
 	now := fl.Now()
 	for _, k := range to.keys {
 		held, coming := false, false
-		fl.Parts.Holders(k, now, func(target uint64, s parts.State, _ time.Time) {
+		fl.Parts.Holders(k, now, func(target fleet.ID, s parts.State, _ time.Time) {
 			held = held || s == parts.Held
 			coming = coming || s == parts.Coming
 		})
@@ -99,7 +99,7 @@
 		if t.Leaving || fl.excluded[t.Instance] {
 			continue
 		}
-		if cost := fl.plainCost(t, totals[t.Hash], rested); cost < lowest {
+		if cost := fl.plainCost(t, totals[t.ID], rested); cost < lowest {
 			best, lowest = i, cost
 		}
 	}
@@ -153,7 +153,7 @@
 		*c = placement.Candidate{
 			Instance: t.Instance, Address: t.Address, Hash: t.Hash, Near: t.Zone == fl.Zone,
 			Excluded: t.Leaving || fl.excluded[t.Instance], Loading: fl.view.Phase(t) == weights.Loading, Emptying: fl.view.Phase(t) == weights.Emptying, Version: fl.view.Version(t, fl.request.Model),
-			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.Hash],
+			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.ID],
 		}
 		c.Behind = wanted.Behind(c.Version, fl.Now())
 		if c.Slots == 0 {
@@ -202,7 +202,7 @@
 	keys := parts.Keys(fl.scopeAt(c.Version), fl.request.Parts)
 	now := fl.Now()
 	for i, k := range keys {
-		if fl.Parts.At(k, t.Hash, now) != parts.Held {
+		if fl.Parts.At(k, t.ID, now) != parts.Held {
 			break
 		}
 		c.Held += fl.request.Parts[i].Tokens
@@ -222,7 +222,7 @@
 		}
 		c.Source, c.SourceNear = address, s.Store.Zone == t.Zone
 		for i, k := range keys {
-			if fl.Parts.At(k, storeHash(s.Store.Address), fl.Now()) != parts.Held {
+			if fl.Parts.At(k, storeID(s.Store.Address), fl.Now()) != parts.Held {
 				break
 			}
 			c.Fetchable += fl.request.Parts[i].Tokens
@@ -238,13 +238,13 @@
 	}
 	targets := fl.view.Targets[fl.service.Name]
 	var newest time.Time
-	fl.Parts.Holders(keys[len(keys)-1], fl.Now(), func(target uint64, s parts.State, at time.Time) {
-		if s != parts.Held || target == t.Hash || fl.Now().Sub(at) > sourceFor {
+	fl.Parts.Holders(keys[len(keys)-1], fl.Now(), func(target fleet.ID, s parts.State, at time.Time) {
+		if s != parts.Held || target == t.ID || fl.Now().Sub(at) > sourceFor {
 			return
 		}
 		for i := range targets {
 			p := &targets[i]
-			if p.Hash != target || fl.view.Silent[p.Address] || fl.view.Version(p, fl.request.Model) != c.Version {
+			if p.ID != target || fl.view.Silent[p.Address] || fl.view.Version(p, fl.request.Model) != c.Version {
 				continue
 			}
 			near := p.Zone == t.Zone
@@ -275,15 +275,15 @@
 		return ""
 	}
 	for _, s := range fl.view.Estate.Stores() {
-		if fl.Parts.At(keys[len(keys)-1], storeHash(s.Store.Address), fl.Now()) == parts.Absent {
+		if fl.Parts.At(keys[len(keys)-1], storeID(s.Store.Address), fl.Now()) == parts.Absent {
 			return s.Store.Address
 		}
 	}
 	return ""
 }
 
-// storeHash names a store of cached parts among targets.
-func storeHash(address string) uint64 { return xxhash.Sum64String(address) }
+// storeID names a store of cached parts among targets.
+func storeID(address string) fleet.ID { return fleet.IDOf(address) }
 
 func (fl *flow) toEngine(t fleet.Target, version int64, choice placement.Choice, q *placement.Question) *destination {
 	scope := fl.scopeAt(version)
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -93,7 +93,7 @@
 			first = false
 			item.Read()
 			if fl.noteParts(to, true) {
-				fl.TellWork(to.target.Hash)
+				fl.TellWork(to.target.ID)
 			}
 			if patience != nil {
 				patience.Stop()
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -74,10 +74,10 @@
 		patience = time.AfterFunc(to.patience, func() { cancel(errImpatient) })
 		defer patience.Stop()
 	}
-	item := fl.Ledger.Begin(to.target.Hash, to.work, to.choice.Wait+to.choice.Fetch, fl.Now())
+	item := fl.Ledger.Begin(to.target.ID, to.work, to.choice.Wait+to.choice.Fetch, fl.Now())
 	defer item.End()
 	if fl.noteParts(to, false) || to.choice.Read > tellFrom {
-		fl.TellWork(to.target.Hash)
+		fl.TellWork(to.target.ID)
 	}
 	fl.sentAt = time.Now()
 	resp, err := fl.Pool.Send(ctx, to.target.Address, fl.upstreamRequest(to))
@@ -107,9 +107,9 @@
 // prompt's parts or have read them.
 // It reports whether the other entries should hear of it.
 func (fl *flow) noteParts(to *destination, done bool) bool {
-	news := fl.Parts.Note(to.target.Hash, to.keys, done, fl.Now())
+	news := fl.Parts.Note(to.target.ID, to.keys, done, fl.Now())
 	if to.saveTo != "" {
-		news = fl.Parts.Note(storeHash(to.saveTo), to.keys, done, fl.Now()) || news
+		news = fl.Parts.Note(storeID(to.saveTo), to.keys, done, fl.Now()) || news
 	}
 	return news
 }
--- a/internal/gateway/ledger/ledger.go
+++ b/internal/gateway/ledger/ledger.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 )
 
 // Work is what is under way at a target.
@@ -29,7 +31,7 @@
 
 // told is what another entry said last.
 type told struct {
-	work map[uint64]Work
+	work map[fleet.ID]Work
 	at   time.Time
 }
 
@@ -40,19 +42,19 @@
 // Ledger is safe for concurrent use.
 type Ledger struct {
 	mu     sync.Mutex
-	own    map[uint64]map[*Item]struct{}
+	own    map[fleet.ID]map[*Item]struct{}
 	others map[netip.AddrPort]told
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{own: map[uint64]map[*Item]struct{}{}, others: map[netip.AddrPort]told{}}
+	return &Ledger{own: map[fleet.ID]map[*Item]struct{}{}, others: map[netip.AddrPort]told{}}
 }
 
 // Item is one request at a target.
 type Item struct {
 	ledger *Ledger
-	target uint64
+	target fleet.ID
 	work   Work
 	// startsAt is when the target is expected to begin to read its prompt.
 	startsAt time.Time
@@ -60,7 +62,7 @@
 
 // Begin counts a request that is sent to a target. Its prompt is expected to be
 // read from wait on.
-func (l *Ledger) Begin(target uint64, w Work, wait time.Duration, now time.Time) *Item {
+func (l *Ledger) Begin(target fleet.ID, w Work, wait time.Duration, now time.Time) *Item {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	item := &Item{ledger: l, target: target, work: w, startsAt: now.Add(wait)}
@@ -111,13 +113,13 @@
 }
 
 // OwnAt returns this entry's work at one target.
-func (l *Ledger) OwnAt(target uint64, now time.Time) Work {
+func (l *Ledger) OwnAt(target fleet.ID, now time.Time) Work {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.ownAt(target, now)
 }
 
-func (l *Ledger) ownAt(target uint64, now time.Time) Work {
+func (l *Ledger) ownAt(target fleet.ID, now time.Time) Work {
 	var sum Work
 	for item := range l.own[target] {
 		sum.add(item.left(now))
@@ -126,14 +128,14 @@
 }
 
 // Own returns this entry's work at all targets.
-func (l *Ledger) Own(now time.Time) map[uint64]Work {
+func (l *Ledger) Own(now time.Time) map[fleet.ID]Work {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.ownAll(now)
 }
 
-func (l *Ledger) ownAll(now time.Time) map[uint64]Work {
-	all := make(map[uint64]Work, len(l.own))
+func (l *Ledger) ownAll(now time.Time) map[fleet.ID]Work {
+	all := make(map[fleet.ID]Work, len(l.own))
 	for target := range l.own {
 		all[target] = l.ownAt(target, now)
 	}
@@ -142,7 +144,7 @@
 
 // Told takes in what another entry said of its work; partial words hold only
 // what changed.
-func (l *Ledger) Told(entry netip.AddrPort, work map[uint64]Work, partial bool, now time.Time) {
+func (l *Ledger) Told(entry netip.AddrPort, work map[fleet.ID]Work, partial bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !partial {
@@ -159,7 +161,7 @@
 }
 
 // Totals returns the work at all targets, of all entries.
-func (l *Ledger) Totals(now time.Time) map[uint64]Work {
+func (l *Ledger) Totals(now time.Time) map[fleet.ID]Work {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	totals := l.ownAll(now)
--- a/internal/gateway/ledger/ledger_test.go
+++ b/internal/gateway/ledger/ledger_test.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 )
 
 var (
@@ -52,15 +54,15 @@
 	l := New()
 	item := l.Begin(1, Work{Running: 1}, 0, now)
 	defer item.End()
-	l.Told(other, map[uint64]Work{1: {Running: 3}, 2: {Running: 1}}, false, now)
+	l.Told(other, map[fleet.ID]Work{1: {Running: 3}, 2: {Running: 1}}, false, now)
 	if got := l.Totals(now); got[1].Running != 4 || got[2].Running != 1 {
 		t.Errorf("%v", got)
 	}
-	l.Told(other, map[uint64]Work{1: {Running: 2}}, false, now)
+	l.Told(other, map[fleet.ID]Work{1: {Running: 2}}, false, now)
 	if got := l.Totals(now); got[1].Running != 3 || got[2].Running != 0 {
 		t.Errorf("the newer word does not replace the older: %v", got)
 	}
-	l.Told(other, map[uint64]Work{2: {Running: 5}}, true, now)
+	l.Told(other, map[fleet.ID]Work{2: {Running: 5}}, true, now)
 	if got := l.Totals(now); got[1].Running != 3 || got[2].Running != 5 {
 		t.Errorf("a partial word replaces all: %v", got)
 	}
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -127,6 +127,9 @@
 	if member != nil && member.Incarnation == beat.Incarnation && member.Sequence >= beat.Sequence {
 		return
 	}
+	if beat.Partial && (member == nil || member.Incarnation != beat.Incarnation) {
+		return // its first whole heartbeat follows
+	}
 	if member == nil || m.options.Now().Sub(member.HeardAt) > liveFor || member.Incarnation != beat.Incarnation {
 		m.options.Logger.Info("peer_heard", "peer", beat.Name, "address", from, "entry", beat.Entry, "incarnation", beat.Incarnation)
 	}
@@ -134,7 +137,9 @@
 		member = &Member{Address: from}
 		m.members[from] = member
 	}
-	member.Name, member.Zone, member.Entry, member.Leaving = beat.Name, beat.Zone, beat.Entry, beat.Leaving
+	if !beat.Partial {
+		member.Name, member.Zone, member.Entry, member.Leaving = beat.Name, beat.Zone, beat.Entry, beat.Leaving
+	}
 	member.Incarnation, member.Sequence = beat.Incarnation, beat.Sequence
 	member.HeardAt, member.Beat = m.options.Now(), beat
 	for _, text := range beat.Members {
@@ -192,8 +197,8 @@
 	m.send(to)
 }
 
-// TellEntries sends the living entries a heartbeat that holds only what fill
-// adds.
+// TellEntries sends the living entries a partial heartbeat, which holds only
+// what fill adds.
 func (m *Mesh) TellEntries(fill func(*peerv1.Beat)) {
 	var to []netip.AddrPort
 	for _, member := range m.members {
@@ -201,7 +206,10 @@
 			to = append(to, member.Address)
 		}
 	}
-	m.sendBeat(to, fill)
+	m.sendBeat(to, func(beat *peerv1.Beat) {
+		beat.Partial, beat.Name, beat.Zone = true, "", ""
+		fill(beat)
+	})
 }
 
 // unheard returns the addresses at hosts where a process may run that has not
--- a/internal/gateway/parts/parts.go
+++ b/internal/gateway/parts/parts.go
@@ -14,11 +14,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire"
 )
 
-// Key names a part together with all parts before it and its cache scope.
-type Key uint64
+// Key names a part together with all parts before it and its cache scope. It is
+// short, since processes tell each other of parts all the time; two parts that
+// share one are taken for each other, which costs a fetch that brings nothing.
+type Key uint32
 
 // Scope returns the cache scope of a prompt: parts are shared within it only.
 // It names the model, its weights, and the workspace where that is isolated.
@@ -73,12 +76,12 @@
 // Fact is one belief, as processes tell it to each other.
 type Fact struct {
 	Part   Key
-	Target uint64
+	Target fleet.ID
 	Done   bool
 }
 
 type belief struct {
-	target uint64
+	target fleet.ID
 	state  State
 	at     time.Time
 }
@@ -117,7 +120,7 @@
 // them. It is told to other processes.
 //
 // It reports whether others should hear of it.
-func (b *Book) Note(target uint64, keys []Key, done bool, now time.Time) bool {
+func (b *Book) Note(target fleet.ID, keys []Key, done bool, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	before := len(b.fresh)
@@ -186,7 +189,7 @@
 }
 
 // Forget drops what is believed of a target, which was emptied.
-func (b *Book) Forget(target uint64) {
+func (b *Book) Forget(target fleet.ID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, generation := range []map[Key][]belief{b.young, b.old} {
@@ -197,7 +200,7 @@
 }
 
 // At returns the state of a part at a target.
-func (b *Book) At(k Key, target uint64, now time.Time) State {
+func (b *Book) At(k Key, target fleet.ID, now time.Time) State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, one := range b.get(k) {
@@ -209,7 +212,7 @@
 }
 
 // Holders calls visit with each target that holds or reads a part.
-func (b *Book) Holders(k Key, now time.Time, visit func(target uint64, s State, at time.Time)) {
+func (b *Book) Holders(k Key, now time.Time, visit func(target fleet.ID, s State, at time.Time)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, one := range b.get(k) {
