--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -93,7 +93,7 @@
 	// farPenalty is what sending to another availability zone weighs, in
 	// milliseconds of waiting. Bytes between zones have a price, and the way is
 	// longer.
-	farPenalty = 120
+	farPenalty = 60
 	// oldPenalty is what beginning on weights older than the wanted weighs, in
 	// milliseconds, once graceAge has passed.
 	oldPenalty = 400
