Engines that are slower than predicted get less

Cause: an engine that turns four or eight times slower, while its health is good, was sent prompts as before.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -84,11 +84,12 @@
 	random   atomic.Uint64
 	budgets  sync.Map // service to *retry.Budget
 	readTime *readtime.Meter
+	paces    *readtime.Paces
 }
 
 // New returns a forwarder.
 func New(d Deps) *Forwarder {
-	f := &Forwarder{Deps: d, readTime: readtime.New()}
+	f := &Forwarder{Deps: d, readTime: readtime.New(), paces: readtime.NewPaces()}
 	f.random.Store(d.Seed)
 	return f
 }
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -155,6 +155,7 @@
 			Excluded: t.Leaving || fl.excluded[t.Instance], Loading: fl.view.Phase(t) == weights.Loading, Emptying: fl.view.Phase(t) == weights.Emptying, Version: fl.view.Version(t, fl.request.Model),
 			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.ID],
 		}
+		c.Pace = fl.paces.Of(t.Instance, fl.Now())
 		c.Behind = wanted.Behind(c.Version, fl.Now())
 		if c.Slots == 0 {
 			c.Slots = fl.service.Engine.Slots
@@ -288,8 +289,10 @@
 func (fl *flow) toEngine(t fleet.Target, version int64, choice placement.Choice, q *placement.Question) *destination {
 	scope := fl.scopeAt(version)
 	keys := parts.Keys(scope, fl.request.Parts)
+	slower := max(fl.paces.Of(t.Instance, fl.Now()), 1)
 	to := &destination{
-		target: t, scope: scope, weights: version, choice: choice, fetchFrom: choice.FetchFrom, keys: keys, saveTo: fl.saveTo(keys, q),
+		expected: time.Duration(float64(choice.Wait+choice.Read)/slower) + choice.Fetch,
+		target:   t, scope: scope, weights: version, choice: choice, fetchFrom: choice.FetchFrom, keys: keys, saveTo: fl.saveTo(keys, q),
 		work: ledger.Work{Running: 1, Reading: choice.Read, Memory: q.Own + q.Shared + q.MaxTokens},
 	}
 	if choice.Late {
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -138,6 +138,9 @@
 
 // learnReadTime takes in how long an engine took to read a prompt.
 func (fl *flow) learnReadTime(to *destination) {
+	if to.choice.ReadTokens > 0 {
+		fl.paces.Note(to.target.Instance, time.Since(fl.sentAt), to.expected, fl.Now())
+	}
 	if to.choice.Wait > unhindered || to.choice.ReadTokens == 0 {
 		return
 	}
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -31,6 +31,8 @@
 	saveTo    string
 	keys      []parts.Key
 	choice    placement.Choice
+	// expected is the time to the first event at an engine of ordinary pace.
+	expected time.Duration
 	// patience is how long the first byte is awaited; zero until the deadline.
 	patience time.Duration
 }
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -41,6 +41,9 @@
 	Memory int
 	// Work of all entries.
 	Work ledger.Work
+	// Pace is by how much the engine is slower than predicted; zero means that it
+	// is not.
+	Pace float64
 	// Held is how many of the prompt's shared tokens the engine holds.
 	Held int
 	// Fetchable is how many of the shared tokens can be had from Source, the
@@ -169,14 +172,14 @@
 	if late {
 		wait += inMs(c.Work.ReadingLate)
 	}
-	wait += fullPenalty * float64(over(c, q))
-	read := inMs(q.ReadTime(q.Own + missing - fetched))
+	wait = wait*pace(c) + fullPenalty*float64(over(c, q))
+	read := pace(c) * inMs(q.ReadTime(q.Own+missing-fetched))
 	fetch := 0.0
 	choice := Choice{FetchFrom: c.Source, Held: min(c.Held, q.Shared), Fetched: fetched, ReadTokens: q.Own + missing - fetched}
 	if fetched > 0 {
 		fetch = fetchSetup + float64(fetched)/q.FetchRate*sourceDistance(c)
 	}
-	again := read - inMs(q.ReadTime(q.Own))
+	again := read - pace(c)*inMs(q.ReadTime(q.Own))
 	cost := wait + read + fetch + (readPrice-1)*again
 	if !c.Near {
 		cost += farPenalty
@@ -195,6 +198,13 @@
 	return choice, cost
 }
 
+func pace(c *Candidate) float64 {
+	if c.Pace <= 0 {
+		return 1
+	}
+	return c.Pace
+}
+
 // over is by how many requests an engine is too full for one more.
 func over(c *Candidate, q *Question) int {
 	n := max(c.Work.Running+1-c.Slots, 0)
