Stores of cached parts share the families

Cause: with several stores all parts were saved to the first that lacked them, and fetched from the last. Change: a family's store follows from its name.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -157,7 +157,7 @@
 func (b *beliefs) declare(d Declaration, offset uint64) {
 	if d.Estate != nil && (b.estate == nil || d.Estate.Version > b.estate.Version) {
 		b.estate = d.Estate
-		b.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", offset, "routes", len(d.Estate.Routes()))
+		b.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", offset, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()))
 	}
 	if d.Model == "" || d.Version <= b.wanted[d.Model].Newest() {
 		return
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
@@ -212,23 +213,42 @@
 	fl.addPeers(c, t, keys)
 }
 
-// addStore offers the store of cached parts as a source, also when it is not
-// known to hold any: it holds parts for longer than they are remembered here,
-// and asking for one that it lacks costs a millisecond.
+// addStore offers the prompt's store of cached parts as a source, also when it
+// is not known to hold any: it holds parts for longer than they are remembered
+// here, and asking for one that it lacks costs a millisecond.
 func (fl *flow) addStore(c *placement.Candidate, t *fleet.Target, keys []parts.Key) {
-	for _, s := range fl.view.Estate.Stores() {
-		address, err := netip.ParseAddrPort(s.Store.Address)
-		if err != nil {
-			continue
+	s := fl.storeOf(keys)
+	if s == nil {
+		return
+	}
+	address, err := netip.ParseAddrPort(s.Store.Address)
+	if err != nil {
+		return // said when the estate came into force
+	}
+	c.Source, c.SourceNear = address, s.Store.Zone == t.Zone
+	for i, k := range keys {
+		if fl.Parts.At(k, storeID(s.Store.Address), fl.Now()) != parts.Held {
+			break
 		}
-		c.Source, c.SourceNear = address, s.Store.Zone == t.Zone
-		for i, k := range keys {
-			if fl.Parts.At(k, storeID(s.Store.Address), fl.Now()) != parts.Held {
-				break
-			}
-			c.Fetchable += fl.request.Parts[i].Tokens
+		c.Fetchable += fl.request.Parts[i].Tokens
+	}
+}
+
+// storeOf returns the store of a prompt's parts, or nil. Where there are several
+// each has its share of the families, so that together they hold more.
+func (fl *flow) storeOf(keys []parts.Key) *estate.Service {
+	if len(keys) == 0 {
+		return nil
+	}
+	family := uint64(keys[len(keys)-1])
+	var best *estate.Service
+	var highest uint64
+	for _, s := range fl.view.Estate.Stores() {
+		if score := placement.Mix(family ^ xxhash.Sum64String(s.Store.Address)); best == nil || score > highest {
+			best, highest = s, score
 		}
 	}
+	return best
 }
 
 // addPeers offers an engine as a source that has used the innermost shared part
@@ -275,12 +295,11 @@
 	if len(keys) == 0 || float64(q.Shared) < minSharedShare*float64(q.Shared+q.Own) {
 		return ""
 	}
-	for _, s := range fl.view.Estate.Stores() {
-		if fl.Parts.At(keys[len(keys)-1], storeID(s.Store.Address), fl.Now()) == parts.Absent {
-			return s.Store.Address
-		}
+	s := fl.storeOf(keys)
+	if s == nil || fl.Parts.At(keys[len(keys)-1], storeID(s.Store.Address), fl.Now()) != parts.Absent {
+		return ""
 	}
-	return ""
+	return s.Store.Address
 }
 
 // storeID names a store of cached parts among targets.
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -224,10 +224,10 @@
 // away counts the candidates in the same zone that rank before c for a family.
 func away(family uint64, c *Candidate, all []Candidate) int {
 	n := 0
-	own := mix(family ^ c.Hash)
+	own := Mix(family ^ c.Hash)
 	for i := range all {
 		o := &all[i]
-		if o.Near == c.Near && !o.Excluded && mix(family^o.Hash) > own {
+		if o.Near == c.Near && !o.Excluded && Mix(family^o.Hash) > own {
 			n++
 		}
 	}
@@ -238,8 +238,9 @@
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
+// Mix is the finalizer of splitmix64: cheap, and every bit of the input changes
+// every bit of the output.
+func Mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xBF58476D1CE4E5B9
 	x ^= x >> 27
