--- a/internal/gateway/estate/estate.go
+++ b/internal/gateway/estate/estate.go
@@ -8,6 +8,7 @@
 package estate
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -122,7 +123,7 @@
 
 // KVStore describes a store of cached prompt parts.
 type KVStore struct {
-	Address     string
+	Address     netip.AddrPort
 	Zone        string
 	CacheTokens int
 	LinkMbps    float64
--- a/internal/gateway/estate/estate_test.go
+++ b/internal/gateway/estate/estate_test.go
@@ -9,7 +9,7 @@
 	return Route{Name: name, Host: host, PathPrefix: prefix, Backends: []Backend{{Service: "s", Weight: 1}}}
 }
 
-var services = []Service{{Name: "s"}, {Name: "kept", Store: &KVStore{Address: "10.0.0.1:80"}}}
+var services = []Service{{Name: "s"}, {Name: "kept", Store: &KVStore{Zone: "a"}}}
 
 func TestLongestPrefixOfTheHostMatches(t *testing.T) {
 	e, err := New(1, []Route{route("short", "A.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/")}, services, nil, Limits{})
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -85,6 +85,7 @@
 	budgets  sync.Map // service to *retry.Budget
 	readTime *readtime.Meter
 	paces    *readtime.Paces
+	turnover parts.Turnover
 }
 
 // New returns a forwarder.
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -157,7 +157,7 @@
 	services := []estate.Service{
 		{Name: "plain"},
 		{Name: "engines", Engine: &estate.Engine{Slots: 4, CacheTokens: 100_000, TokenBytes: 1000, LinkMbps: 100_000, Models: []string{model}}},
-		{Name: "kept", Store: &estate.KVStore{Address: "127.0.0.1:9", Zone: "a"}},
+		{Name: "kept", Store: &estate.KVStore{Address: netip.MustParseAddrPort("127.0.0.1:9"), Zone: "a"}},
 	}
 	workspaces := []estate.Workspace{{Name: "town", Keys: []string{"town-key"}}, {Name: "fort", Keys: []string{"fort-key"}, Isolated: true}}
 	e, err := estate.New(1, routes, services, workspaces, estate.Limits{BodyBytes: 1 << 20})
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -148,6 +147,7 @@
 	candidates := make([]placement.Candidate, len(targets))
 	totals := fl.Ledger.Totals(fl.Now())
 	rested := fl.Health.Rested(fl.Now())
+	kept := fl.keptFor(targets, totals)
 	for i := range targets {
 		t := &targets[i]
 		c := &candidates[i]
@@ -163,7 +163,7 @@
 		}
 		_, c.Rested = rested[t.Instance]
 		c.Rested = c.Rested || t.Doubtful || fl.view.Silent[t.Address]
-		fl.addParts(c, t)
+		fl.addParts(c, t, kept)
 	}
 	choice := placement.Pick(q, candidates)
 	if choice.Index < 0 {
@@ -175,6 +175,16 @@
 	return fl.toEngine(targets[choice.Index], candidates[choice.Index].Version, choice, q), nil
 }
 
+// keptFor is for how long the service's engines keep a part that is not used.
+func (fl *flow) keptFor(targets []fleet.Target, totals map[fleet.ID]ledger.Work) time.Duration {
+	running := 0
+	for i := range targets {
+		running += totals[targets[i].ID].Memory
+	}
+	room := fl.service.Engine.CacheTokens - running/max(len(targets), 1)
+	return fl.turnover.Kept(fl.view.Entries, len(targets), max(room, 0), fl.Now())
+}
+
 func (fl *flow) question() *placement.Question {
 	q := &placement.Question{Aim: fl.route.TargetLatency - time.Since(fl.arrived), VersionBound: fl.Bounds.Version, ReadTime: fl.readTime.Of, MaxTokens: fl.request.MaxTokens}
 	for i, p := range fl.request.Parts {
@@ -200,17 +210,18 @@
 
 // addParts fills in what a candidate holds of the prompt, and from where it can
 // fetch the rest.
-func (fl *flow) addParts(c *placement.Candidate, t *fleet.Target) {
+func (fl *flow) addParts(c *placement.Candidate, t *fleet.Target, kept time.Duration) {
 	keys := parts.Keys(fl.scopeAt(c.Version), fl.request.Parts)
 	now := fl.Now()
 	for i, k := range keys {
-		if fl.Parts.At(k, t.ID, now) != parts.Held {
+		state, used := fl.Parts.At(k, t.ID, now)
+		if state != parts.Held || now.Sub(used) > kept {
 			break
 		}
 		c.Held += fl.request.Parts[i].Tokens
 	}
 	fl.addStore(c, t, keys)
-	fl.addPeers(c, t, keys)
+	fl.addPeers(c, t, keys, kept)
 }
 
 // addStore offers the prompt's store of cached parts as a source, also when it
@@ -221,13 +232,9 @@
 	if s == nil {
 		return
 	}
-	address, err := netip.ParseAddrPort(s.Store.Address)
-	if err != nil {
-		return // said when the estate came into force
-	}
-	c.Source, c.SourceNear = address, s.Store.Zone == t.Zone
+	c.Source, c.SourceNear = s.Store.Address, s.Store.Zone == t.Zone
 	for i, k := range keys {
-		if fl.Parts.At(k, storeID(s.Store.Address), fl.Now()) != parts.Held {
+		if state, _ := fl.Parts.At(k, storeID(s.Store.Address.String()), fl.Now()); state != parts.Held {
 			break
 		}
 		c.Fetchable += fl.request.Parts[i].Tokens
@@ -244,7 +251,7 @@
 	var best *estate.Service
 	var highest uint64
 	for _, s := range fl.view.Estate.Stores() {
-		if score := placement.Mix(family ^ xxhash.Sum64String(s.Store.Address)); best == nil || score > highest {
+		if score := placement.Mix(family ^ xxhash.Sum64String(s.Store.Address.String())); best == nil || score > highest {
 			best, highest = s, score
 		}
 	}
@@ -253,14 +260,14 @@
 
 // addPeers offers an engine as a source that has used the innermost shared part
 // lately. Engines have faster links than the store, and many of them.
-func (fl *flow) addPeers(c *placement.Candidate, t *fleet.Target, keys []parts.Key) {
+func (fl *flow) addPeers(c *placement.Candidate, t *fleet.Target, keys []parts.Key, kept time.Duration) {
 	if len(keys) == 0 {
 		return
 	}
 	targets := fl.view.Targets[fl.service.Name]
 	var newest time.Time
 	fl.Parts.Holders(keys[len(keys)-1], fl.Now(), func(target fleet.ID, s parts.State, at time.Time) {
-		if s != parts.Held || target == t.ID || fl.Now().Sub(at) > sourceFor {
+		if s != parts.Held || target == t.ID || fl.Now().Sub(at) > kept {
 			return
 		}
 		for i := range targets {
@@ -281,10 +288,6 @@
 	})
 }
 
-// sourceFor is how long after its last use an engine is asked for a part;
-// engines evict what was not used for some seconds.
-const sourceFor = 8 * time.Second
-
 // minSharedShare is the least share of a saved prompt that others use too. The
 // prompt's own part is sent with the rest and drives out what others need.
 const minSharedShare = 0.4
@@ -296,15 +299,22 @@
 		return ""
 	}
 	s := fl.storeOf(keys)
-	if s == nil || fl.Parts.At(keys[len(keys)-1], storeID(s.Store.Address), fl.Now()) != parts.Absent {
+	if s == nil {
 		return ""
 	}
-	return s.Store.Address
+	if state, _ := fl.Parts.At(keys[len(keys)-1], storeID(s.Store.Address.String()), fl.Now()); state != parts.Absent {
+		return ""
+	}
+	return s.Store.Address.String()
 }
 
 // storeID names a store of cached parts among targets.
 func storeID(address string) fleet.ID { return fleet.IDOf(address) }
 
+// answerShare is the inverse of the part of the longest answer that answers take
+// on the mean: callers state bounds, not lengths.
+const answerShare = 2
+
 func (fl *flow) toEngine(t fleet.Target, version int64, choice placement.Choice, q *placement.Question) *destination {
 	scope := fl.scopeAt(version)
 	keys := parts.Keys(scope, fl.request.Parts)
@@ -314,6 +324,7 @@
 		target:   t, scope: scope, weights: version, choice: choice, fetchFrom: choice.FetchFrom, keys: keys, saveTo: fl.saveTo(keys, q),
 		work: ledger.Work{Running: 1, Reading: choice.Read, Memory: q.Own + q.Shared + q.MaxTokens},
 	}
+	fl.turnover.Intake(choice.ReadTokens+choice.Fetched+q.MaxTokens/answerShare, fl.Now())
 	if choice.Late {
 		to.work.Reading, to.work.ReadingLate = 0, choice.Read
 	}
--- a/internal/gateway/parts/parts.go
+++ b/internal/gateway/parts/parts.go
@@ -199,16 +199,16 @@
 	}
 }
 
-// At returns the state of a part at a target.
-func (b *Book) At(k Key, target fleet.ID, now time.Time) State {
+// At returns the state of a part at a target, and when it was used there last.
+func (b *Book) At(k Key, target fleet.ID, now time.Time) (State, time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, one := range b.get(k) {
 		if one.target == target {
-			return one.current(now)
+			return one.current(now), one.at
 		}
 	}
-	return Absent
+	return Absent, time.Time{}
 }
 
 // Holders calls visit with each target that holds or reads a part.
--- a/internal/gateway/parts/parts_test.go
+++ b/internal/gateway/parts/parts_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire"
 	"github.com/toucanwell/toucanwell/internal/testseed"
 )
@@ -14,6 +15,12 @@
 
 var now = time.Unix(1000, 0)
 
+// stateAt is a part's state at a target.
+func stateAt(b *Book, k Key, target fleet.ID, at time.Time) State {
+	s, _ := b.At(k, target, at)
+	return s
+}
+
 func prompt(ids ...string) []wire.Part {
 	var p []wire.Part
 	for _, id := range ids {
@@ -59,17 +66,17 @@
 	b := NewBook()
 	keys := Keys("s", prompt("x", "own"))
 	b.Note(1, keys, false, now)
-	if got := b.At(keys[0], 1, now); got != Coming {
+	if got := stateAt(b, keys[0], 1, now); got != Coming {
 		t.Errorf("state %v", got)
 	}
-	if got := b.At(keys[0], 1, now.Add(comingFor+1)); got != Absent {
+	if got := stateAt(b, keys[0], 1, now.Add(comingFor+1)); got != Absent {
 		t.Errorf("a read that hangs: state %v", got)
 	}
 	b.Note(1, keys, true, now)
-	if got := b.At(keys[0], 1, now.Add(heldFor-1)); got != Held {
+	if got := stateAt(b, keys[0], 1, now.Add(heldFor-1)); got != Held {
 		t.Errorf("state %v", got)
 	}
-	if got := b.At(keys[0], 1, now.Add(heldFor+1)); got != Absent {
+	if got := stateAt(b, keys[0], 1, now.Add(heldFor+1)); got != Absent {
 		t.Errorf("a part not used for long: state %v", got)
 	}
 }
@@ -80,7 +87,7 @@
 	keys := Keys("s", prompt("x", "own"))
 	b.Note(1, keys, true, now)
 	b.Note(1, keys, false, now.Add(time.Second))
-	if got := b.At(keys[0], 1, now.Add(time.Second)); got != Held {
+	if got := stateAt(b, keys[0], 1, now.Add(time.Second)); got != Held {
 		t.Errorf("state %v", got)
 	}
 }
@@ -98,7 +105,7 @@
 	if got := b.TakeFresh(10); len(got) != 0 {
 		t.Errorf("again %v", got)
 	}
-	if b.At(5, 2, now) != Held {
+	if stateAt(b, 5, 2, now) != Held {
 		t.Error("what was told is not believed")
 	}
 }
@@ -112,13 +119,13 @@
 	if n := len(b.young) + len(b.old); n > maxKeys {
 		t.Errorf("%d keys", n)
 	}
-	if b.At(Key(3*maxKeys-1), 1, now) != Held {
+	if stateAt(b, Key(3*maxKeys-1), 1, now) != Held {
 		t.Error("the newest belief was dropped")
 	}
 	b = NewBook()
 	b.Told(Fact{Part: 7, Target: 1, Done: true}, now)
 	b.Forget(1)
-	if b.At(7, 1, now) != Absent {
+	if stateAt(b, 7, 1, now) != Absent {
 		t.Error("an emptied target holds a part")
 	}
 }
