--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -329,7 +329,22 @@
 		to.work.Reading, to.work.ReadingLate = 0, choice.Read
 	}
 	if fl.route.Repeatable() && fl.runs+1 < fl.route.MaxAttempts {
-		to.patience = max(fl.timeLeft()/2, choice.Estimate)
+		to.patience = patience(choice, fl.timeLeft())
 	}
 	return to
 }
+
+// patienceFactor is how many times the expected wait is waited before a prompt is
+// sent to another engine. Engines that are only busy come within it; to leave
+// them adds the prompt to another queue and throws away what was read.
+const patienceFactor = 4
+
+// patience is how long an engine is waited for before another is tried; zero
+// means as long as there is time.
+func patience(choice placement.Choice, left time.Duration) time.Duration {
+	p := max(left/2, patienceFactor*choice.Estimate)
+	if choice.Late || p >= left {
+		return 0
+	}
+	return p
+}
