Engines begin to empty themselves 200 ms before their turn

Cause: while two of nine engines loaded, two more took nothing new for the whole time of the load. Change: an engine empties itself when a load that it waits for is about to end; how long loads take is learned.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -424,6 +424,10 @@
 		word.Weights[w.Model] = w.Version
 	}
 	old, known := b.words[e.Instance]
+	word.PhaseSince = b.clock.Now()
+	if known && old.Phase == word.Phase {
+		word.PhaseSince = old.PhaseSince
+	}
 	b.words[e.Instance] = word
 	changed := !known || old.Phase != word.Phase
 	for model, version := range word.Weights {
--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -95,7 +95,7 @@
 		v := weights.EngineView{Instance: t.Instance, Version: t.Weights[model], Age: never}
 		if word, ok := s.beliefs.words[t.Instance]; ok {
 			v.Version, v.Age = word.Weights[model], now.Sub(word.HeardAt)
-			v.Phase = word.Phase
+			v.Phase, v.PhaseAge = word.Phase, now.Sub(word.PhaseSince)
 		}
 		if t.Instance == s.instance {
 			v.Version, v.Phase, v.Age = s.report.Weights[model], s.phase, 0
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -18,6 +18,8 @@
 	Zone    string
 	Weights map[string]int64
 	Phase   weights.Phase
+	// PhaseSince is when the phase began, as heard.
+	PhaseSince time.Time
 	// Running and Queued are the engine's own counts.
 	Running, Queued int
 	HeardAt         time.Time
--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -139,6 +139,9 @@
 	// some tens of milliseconds, and short runs end in the time; a run that is
 	// left goes on under the new weights.
 	emptyTime = 350 * time.Millisecond
+	// firstLoadTime is how long a load is expected to take until the engine has made
+	// one.
+	firstLoadTime = 500 * time.Millisecond
 	// retryAfter is the pause after an order that was not accepted, or whose
 	// fate is unknown. The expected count keeps a late first one harmless.
 	retryAfter = 400 * time.Millisecond
@@ -159,6 +162,8 @@
 	// loading is the order that was given last.
 	loading Order
 	begunAt time.Time
+	// loadTime is how long this engine's last load took.
+	loadTime time.Duration
 	// emptyingSince is when the engine was told to be emptied.
 	emptyingSince time.Time
 	ordering      bool
@@ -167,7 +172,7 @@
 
 // NewController returns a controller that has not started.
 func NewController(loop *control.Loop, engine Engine, around Surroundings, options Options) *Controller {
-	return &Controller{loop: loop, engine: engine, around: around, options: options}
+	return &Controller{loop: loop, engine: engine, around: around, options: options, loadTime: firstLoadTime}
 }
 
 // Start begins to watch the engine and to give it orders.
@@ -274,6 +279,9 @@
 		return
 	}
 	c.phase = Serving
+	if c.report.Weights[c.loading.Model] >= c.loading.Version {
+		c.loadTime = c.options.Now().Sub(c.begunAt)
+	}
 	c.options.Logger.Info("weights_loaded", "model", c.loading.Model, "wanted", c.loading.Version,
 		"version", c.report.Weights[c.loading.Model], "took", c.options.Now().Sub(c.begunAt))
 }
@@ -313,7 +321,7 @@
 		}
 		q := Question{
 			Self: c.instance, Engines: c.around.Engines(model), Wanted: wanted,
-			Behind: history.Behind(have, now), Bound: c.options.Bound,
+			Behind: history.Behind(have, now), Bound: c.options.Bound, LoadTime: c.loadTime,
 		}
 		if turn := Decide(q); turn != Later {
 			return turn, Order{Model: model, Version: wanted, Swap: SwapUnderRuns, Holder: c.options.Holder,
--- a/internal/gateway/weights/plan.go
+++ b/internal/gateway/weights/plan.go
@@ -42,6 +42,8 @@
 	Phase   Phase
 	// Age of this knowledge.
 	Age time.Duration
+	// PhaseAge is for how long the engine has been in its phase.
+	PhaseAge time.Duration
 }
 
 const (
@@ -137,6 +139,8 @@
 	Behind time.Duration
 	// Bound is the time within which engines must have the wanted version.
 	Bound time.Duration
+	// LoadTime is how long a load is expected to take.
+	LoadTime time.Duration
 }
 
 // Turn is when an engine loads a version.
@@ -146,7 +150,7 @@
 const (
 	// Later engines go on serving.
 	Later Turn = iota
-	// Next engines empty themselves while others load.
+	// Next engines empty themselves while others end their loads.
 	Next
 	// Now engines load.
 	Now
@@ -161,23 +165,29 @@
 	}
 	places := Parallel(len(q.Engines))
 	before := 0
+	soon := false
 	for _, e := range Turns(q.Engines, q.Wanted) {
 		if e.Version >= q.Wanted && e.Phase == Serving || e.Age > silentAfter {
 			continue
 		}
 		if e.Instance == q.Self {
-			return turnAfter(before, places)
+			return turnAfter(before, places, soon)
 		}
+		soon = soon || e.Phase == Loading && q.LoadTime-e.PhaseAge < emptyLead
 		before++
 	}
 	return Later
 }
 
-func turnAfter(before, places int) Turn {
+// emptyLead is how long before its turn an engine begins to empty itself. Short
+// runs end in that time; in a longer one too few engines are left to serve.
+const emptyLead = 200 * time.Millisecond
+
+func turnAfter(before, places int, soon bool) Turn {
 	switch {
 	case before < places:
 		return Now
-	case before < 2*places:
+	case before < 2*places && soon:
 		return Next
 	default:
 		return Later
--- a/internal/gateway/weights/plan_test.go
+++ b/internal/gateway/weights/plan_test.go
@@ -55,8 +55,17 @@
 	}
 	turns := Turns(engines, 2)
 	q := Question{Self: turns[2].Instance, Engines: engines, Wanted: 2, Bound: 8 * time.Second}
+	if Decide(q) != Later {
+		t.Fatal("the third engine does not wait, although two go first")
+	}
+	for i := range engines {
+		if engines[i].Instance == turns[0].Instance {
+			engines[i].Phase, engines[i].PhaseAge = Loading, 300*time.Millisecond
+		}
+	}
+	q.LoadTime = 450 * time.Millisecond
 	if Decide(q) != Next {
-		t.Fatal("the third engine is not next, although two go first")
+		t.Fatal("the third engine does not empty itself, although a load is about to end")
 	}
 	for i := range engines {
 		if engines[i].Instance == turns[0].Instance {
