Callers' limits follow what operators state

Cause: header size, header time and idle time were fixed, and a failing accept ended the process. Change: new limits make a new server for the connections that come from then on; an accept that fails is tried again.

--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -30,10 +30,6 @@
 	entriesPeriod  = 100 * time.Millisecond
 	mixedPeriod    = 400 * time.Millisecond
 	sidecarsPeriod = 500 * time.Millisecond
-	// headerTimeout and idleTimeout bound callers until the estate is known.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
-	headerBytes   = 64 << 10
 	// balancerNotice is how long a stopping entry still takes new connections:
 	// the balancer turns away after two questions a second apart.
 	balancerNotice = 2500 * time.Millisecond
@@ -52,7 +48,8 @@
 	beliefs  *beliefs
 	entry    *entry
 	sidecar  *sidecar
-	callers  *http.Server
+	callers  *callers
+	listener net.Listener
 	others   []*http.Server
 	failed   chan error
 }
@@ -147,11 +144,14 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	p.callers = &http.Server{
-		Handler: p.entry.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: nil,
+	p.listener = listener
+	p.callers = newCallers(p.entry.forwarder, listener.Addr(), p.logger)
+	p.beliefs.changed = func() {
+		if p.beliefs.estate != nil {
+			p.callers.apply(p.beliefs.estate.Limits)
+		}
 	}
-	go func() { p.failed <- p.callers.Serve(listener) }()
+	go func() { p.failed <- p.callers.serve(listener) }()
 	return nil
 }
 
@@ -215,7 +215,8 @@
 	})
 	if p.callers != nil {
 		sleep.For(ctx, balancerNotice)
-		if err := p.callers.Shutdown(ctx); err != nil {
+		_ = p.listener.Close()
+		if err := p.callers.shutdown(ctx); err != nil {
 			p.logger.Info("stop_cut_requests", "in_flight", p.entry.forwarder.InFlight(), "error", err.Error())
 		}
 	}
@@ -225,7 +226,8 @@
 // Close ends the process at once.
 func (p *process) Close() {
 	if p.callers != nil {
-		_ = p.callers.Close()
+		_ = p.listener.Close()
+		p.callers.close()
 	}
 	for _, s := range p.others {
 		_ = s.Close()
