Long prompts avoid engines that load before they have read them

The estimate of its reading, before any was measured, was 0.56 s in place of 1.5 s. Change: entries know when each engine loads, by the order of turns, and prefer others for what it could not read before; the first estimate has a square term.

--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -148,6 +148,7 @@
 	totals := fl.Ledger.Totals(fl.Now())
 	rested := fl.Health.Rested(fl.Now())
 	kept := fl.keptFor(targets, totals)
+	schedule := fl.schedule(targets)
 	for i := range targets {
 		t := &targets[i]
 		c := &candidates[i]
@@ -156,6 +157,7 @@
 			Excluded: t.Leaving || fl.excluded[t.Instance], Loading: fl.view.Phase(t) == weights.Loading, Emptying: fl.view.Phase(t) == weights.Emptying, Version: fl.view.Version(t, fl.request.Model),
 			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.ID],
 		}
+		c.LoadsIn, c.Loads = schedule[t.Instance]
 		c.Pace = fl.paces.Of(t.Instance, fl.Now())
 		c.Behind = wanted.Behind(c.Version, fl.Now())
 		if c.Slots == 0 {
@@ -175,6 +177,22 @@
 	return fl.toEngine(targets[choice.Index], candidates[choice.Index].Version, choice, q), nil
 }
 
+// schedule returns in how long engines load the weights that operators want.
+func (fl *flow) schedule(targets []fleet.Target) map[string]time.Duration {
+	wanted := fl.view.Wanted[fl.request.Model].Newest()
+	engines := make([]weights.EngineView, len(targets))
+	behind := false
+	for i := range targets {
+		t := &targets[i]
+		engines[i] = weights.EngineView{Instance: t.Instance, Version: fl.view.Version(t, fl.request.Model), Phase: fl.view.Phase(t)}
+		behind = behind || engines[i].Version < wanted
+	}
+	if !behind {
+		return nil
+	}
+	return weights.Schedule(engines, wanted)
+}
+
 // keptFor is for how long the service's engines keep a part that is not used.
 func (fl *flow) keptFor(targets []fleet.Target, totals map[fleet.ID]ledger.Work) time.Duration {
 	running := 0
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -35,6 +35,9 @@
 	// older than one that operators want.
 	Version int64
 	Behind  time.Duration
+	// Loads is set when the engine is to load weights, in LoadsIn.
+	Loads   bool
+	LoadsIn time.Duration
 	// Slots is how many requests it works on at once, Memory its memory in
 	// tokens.
 	Slots  int
@@ -119,6 +122,10 @@
 	// fetchSetup is the time before a fetch begins to bring tokens, in
 	// milliseconds.
 	fetchSetup = 5
+	// unreadPenalty is what it weighs, in milliseconds, that an engine loads weights
+	// before it has read the prompt: it gives the prompt back unread, and all is
+	// begun again elsewhere.
+	unreadPenalty = 1000
 	// restedPenalty outweighs all else, so that rested engines come last.
 	restedPenalty = 1e6
 	// fullPenalty is what an engine without a free slot or memory weighs, in
@@ -184,6 +191,9 @@
 	if !c.Near {
 		cost += farPenalty
 	}
+	if c.Loads && fromMs(wait+read+fetch) > c.LoadsIn {
+		cost += unreadPenalty
+	}
 	if c.Rested {
 		cost += restedPenalty
 	}
@@ -193,7 +203,7 @@
 	if c.Behind > graceAge {
 		cost += oldPenalty
 	}
-	choice.Wait, choice.Read, choice.Fetch = milliseconds(wait), milliseconds(read), milliseconds(fetch)
+	choice.Wait, choice.Read, choice.Fetch = fromMs(wait), fromMs(read), fromMs(fetch)
 	choice.Estimate = choice.Wait + choice.Read + choice.Fetch
 	return choice, cost
 }
@@ -236,7 +246,7 @@
 
 func inMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+func fromMs(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // Mix is the finalizer of splitmix64: cheap, and every bit of the input changes
 // every bit of the output.
--- a/internal/gateway/placement/placement_test.go
+++ b/internal/gateway/placement/placement_test.go
@@ -155,3 +155,21 @@
 		t.Errorf("a prompt waits for those that are late: %+v", got)
 	}
 }
+
+// A long prompt comes while weights roll. The idle engine loads before it could
+// read the prompt, and would give it back; one that is busier but has loaded
+// already reads it once.
+func TestLongPromptAvoidsAnEngineThatIsAboutToLoad(t *testing.T) {
+	about, loaded := engine(1), engine(2)
+	about.Loads, about.LoadsIn = true, 200*time.Millisecond
+	loaded.Work.Reading = 300 * time.Millisecond
+	q := question()
+	q.Own = 40_000
+	if got := Pick(q, []Candidate{about, loaded}).Index; got != 1 {
+		t.Error("a long prompt goes to the engine that is about to load")
+	}
+	q.Own, q.Shared = 2000, 500
+	if got := Pick(q, []Candidate{about, loaded}).Index; got != 0 {
+		t.Error("a short prompt does not use the engine until it loads")
+	}
+}
--- a/internal/gateway/readtime/readtime.go
+++ b/internal/gateway/readtime/readtime.go
@@ -13,9 +13,11 @@
 
 const (
 	// The values assumed until some are measured: a fixed part in milliseconds,
-	// and for 1,000 tokens; of a large model on few accelerators.
+	// for 1,000 tokens, and for the square of that; of a large model on few
+	// accelerators.
 	firstFixed    = 15.0
 	firstThousand = 18.0
+	firstSquare   = 0.1
 	// forget is the weight of what was learned before one more measurement. With
 	// it the last few hundred count.
 	forget = 0.995
@@ -38,7 +40,7 @@
 
 // New returns a meter that has measured nothing.
 func New() *Meter {
-	m := &Meter{weights: [terms]float64{firstFixed, firstThousand, 0}}
+	m := &Meter{weights: [terms]float64{firstFixed, firstThousand, firstSquare}}
 	for i := range terms {
 		m.spread[i][i] = trust
 	}
--- a/internal/gateway/weights/plan.go
+++ b/internal/gateway/weights/plan.go
@@ -193,3 +193,26 @@
 		return Later
 	}
 }
+
+// usualLoadTime is how long a load takes with the time before it in which the
+// engine is emptied, as far as who only schedules by it can tell.
+const usualLoadTime = 650 * time.Millisecond
+
+// Schedule returns in how long each engine that lacks the wanted version loads
+// it, by the order of turns. Engines that have it are left out.
+func Schedule(engines []EngineView, wanted int64) map[string]time.Duration {
+	var schedule map[string]time.Duration
+	places := Parallel(len(engines))
+	before := 0
+	for _, e := range Turns(engines, wanted) {
+		if e.Version >= wanted && e.Phase == Serving {
+			continue
+		}
+		if schedule == nil {
+			schedule = map[string]time.Duration{}
+		}
+		schedule[e.Instance] = time.Duration(before/places) * usualLoadTime
+		before++
+	}
+	return schedule
+}
