--- a/cmd/toucanwell/config.go
+++ b/cmd/toucanwell/config.go
@@ -13,7 +13,7 @@
 
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/configlog"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 )
 
 const publishTimeout = 60 * time.Second
@@ -78,7 +78,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	log := platform.NewHTTPLog(c.String("log"), platform.NewHTTPClient())
+	log := external.NewHTTPLog(c.String("log"), external.NewHTTPClient())
 	nonce := uuid.NewString()
 	if c.Bool("recover") {
 		version, err := configlog.Recover(ctx, log, nonce, text)
--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -31,8 +31,8 @@
 	"github.com/toucanwell/toucanwell/internal/burn"
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/configlog"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/once"
-	"github.com/toucanwell/toucanwell/internal/platform"
 	"github.com/toucanwell/toucanwell/internal/prefix"
 	"github.com/toucanwell/toucanwell/internal/probe"
 	"github.com/toucanwell/toucanwell/internal/routing"
@@ -137,10 +137,10 @@
 			seq := uint64(0)
 			for b.Loop() {
 				seq++
-				x.Apply(&platform.EventPage{Incarnation: "a", First: 1, Events: []platform.CacheEvent{{Seq: seq, Kind: platform.EventStored, Blocks: []uint64{seq + 1<<40}}}})
+				x.Apply(&external.EventPage{Incarnation: "a", First: 1, Events: []external.CacheEvent{{Seq: seq, Kind: external.EventStored, Blocks: []uint64{seq + 1<<40}}}})
 			}
 			b.ReportMetric(heapOf(func() any { return fill() }), "heap-B")
-			event, _ := json.Marshal(platform.CacheEvent{Seq: 1 << 30, Kind: platform.EventStored, Blocks: []uint64{1 << 60}})
+			event, _ := json.Marshal(external.CacheEvent{Seq: 1 << 30, Kind: external.EventStored, Blocks: []uint64{1 << 60}})
 			b.ReportMetric(float64(len(event)), "wire-B")
 		})
 	}
@@ -300,15 +300,15 @@
 // end with an answer of 200 bytes.
 func BenchmarkClaim(b *testing.B) {
 	for _, n := range []int{1000, 10_000, 50_000} {
-		page := func() *platform.Page {
-			p := &platform.Page{First: 1}
+		page := func() *external.Page {
+			p := &external.Page{First: 1}
 			for i := range n {
 				key := once.NewKey("workspace", "service", fmt.Sprint(i), 1_700_000_000_000, 7)
 				data, _ := json.Marshal([]once.Record{
 					{Type: once.TypeClaim, Key: key.Digest, Nonce: "0193a1f0-0000-7000-8000-000000000000", Digest: 1 << 60, IssuedMs: key.IssuedMs},
 					{Type: once.TypeDone, Key: key.Digest, Nonce: "0193a1f0-0000-7000-8000-000000000000", Answer: &once.Answer{Status: 200, Body: make([]byte, 200)}},
 				})
-				p.Records = append(p.Records, platform.Record{Offset: uint64(i + 1), Data: data})
+				p.Records = append(p.Records, external.Record{Offset: uint64(i + 1), Data: data})
 			}
 			return p
 		}
--- a/internal/cluster/failure_test.go
+++ b/internal/cluster/failure_test.go
@@ -17,7 +17,7 @@
 	"github.com/toucanwell/toucanwell/examples"
 	"github.com/toucanwell/toucanwell/internal/cluster"
 	"github.com/toucanwell/toucanwell/internal/configlog"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/standin"
 )
 
@@ -209,7 +209,7 @@
 	done := make(chan error, 1)
 	go func() { done <- answerTo(c, 0, review) }()
 	name := busyEngine(t, c, 3)
-	c.Hosts.Set([]platform.Host{{Name: name, State: platform.HostLeaving}})
+	c.Hosts.Set([]external.Host{{Name: name, State: external.HostLeaving}})
 	reads := c.Hosts.Reads()
 	eventually(t, "the entry has read the list and built on it", func() bool { return c.Hosts.Reads() >= reads+2 })
 	started := c.Engines[name].Stats().Started
--- a/internal/cluster/path_bench_test.go
+++ b/internal/cluster/path_bench_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/toucanwell/toucanwell/examples"
 	"github.com/toucanwell/toucanwell/internal/cluster"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/standin"
 )
 
@@ -28,7 +28,7 @@
 		b.Fatal(err)
 	}
 	defer c.Close()
-	engine := platform.NewHTTPEngine(c.SidecarSettings["pruefer-1"].Target.URL, platform.NewHTTPClient())
+	engine := external.NewHTTPEngine(c.SidecarSettings["pruefer-1"].Target.URL, external.NewHTTPClient())
 	body := completionBody{Model: "pruefer-lm", Messages: nested(1, 1), MaxTokens: 1}
 	data, _ := json.Marshal(body)
 	var direct, through []time.Duration
@@ -64,8 +64,8 @@
 	}
 }
 
-func generateDirectly(ctx context.Context, engine platform.Engine, id, prompt string) error {
-	tokens, err := engine.Generate(ctx, &platform.GenerateRequest{RequestID: id, Prompt: prompt, From: 1, MaxTokens: 1, BlockTokens: 64, Weights: "2026-11"})
+func generateDirectly(ctx context.Context, engine external.Engine, id, prompt string) error {
+	tokens, err := engine.Generate(ctx, &external.GenerateRequest{RequestID: id, Prompt: prompt, From: 1, MaxTokens: 1, BlockTokens: 64, Weights: "2026-11"})
 	if err != nil {
 		return err
 	}
--- a/internal/configlog/fold.go
+++ b/internal/configlog/fold.go
@@ -28,7 +28,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/toucanwell/toucanwell/internal/config"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 )
 
 // Stream is the log stream of the configuration.
@@ -119,7 +119,7 @@
 }
 
 // Read folds a page. Records that were read before are passed over.
-func (f *Folder) Read(page *platform.Page) {
+func (f *Folder) Read(page *external.Page) {
 	if page.First > f.next {
 		f.gap = true
 		f.gapFrom = page.First
--- a/internal/configlog/fold_test.go
+++ b/internal/configlog/fold_test.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/standin"
 )
 
@@ -149,7 +149,7 @@
 	return offset, nil
 }
 
-func (l *lossyLog) Read(_ context.Context, stream string, from uint64) (*platform.Page, error) {
+func (l *lossyLog) Read(_ context.Context, stream string, from uint64) (*external.Page, error) {
 	if l.loseRead {
 		l.loseRead = false
 		return nil, errors.New("answer lost")
--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -14,7 +14,7 @@
 	"github.com/toucanwell/toucanwell/internal/blackboard"
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/control"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
@@ -44,7 +44,7 @@
 // few round trips, the third reaches who missed the second.
 type Follower struct {
 	loop    *control.Loop
-	log     platform.Log
+	log     external.Log
 	options FollowerOptions
 	folder  *Folder
 	fact    *blackboard.Fact[Snapshot]
@@ -81,7 +81,7 @@
 }
 
 // NewFollower returns a follower that posts to fact.
-func NewFollower(loop *control.Loop, log platform.Log, fact *blackboard.Fact[Snapshot], options FollowerOptions) *Follower {
+func NewFollower(loop *control.Loop, log external.Log, fact *blackboard.Fact[Snapshot], options FollowerOptions) *Follower {
 	const spreadSteps = 1000
 	return &Follower{
 		loop: loop, log: log, fact: fact, options: options, folder: NewFolder(),
@@ -137,12 +137,12 @@
 	}
 	f.reading = true
 	from := f.folder.Next()
-	control.Do(f.loop, readTimeout, func(ctx context.Context) (*platform.Page, error) {
+	control.Do(f.loop, readTimeout, func(ctx context.Context) (*external.Page, error) {
 		return f.log.Read(ctx, Stream, from)
 	}, f.pageRead)
 }
 
-func (f *Follower) pageRead(page *platform.Page, err error) {
+func (f *Follower) pageRead(page *external.Page, err error) {
 	f.reading = false
 	if err != nil {
 		f.options.LogError("read")
--- a/internal/configlog/follower_test.go
+++ b/internal/configlog/follower_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/toucanwell/toucanwell/internal/blackboard"
 	"github.com/toucanwell/toucanwell/internal/control"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/standin"
 )
 
@@ -23,7 +23,7 @@
 	return l.AppendNow(stream, data), nil
 }
 
-func (l *slowLog) Read(_ context.Context, stream string, from uint64) (*platform.Page, error) {
+func (l *slowLog) Read(_ context.Context, stream string, from uint64) (*external.Page, error) {
 	return l.ReadNow(stream, from), nil
 }
 
--- a/internal/configlog/publish.go
+++ b/internal/configlog/publish.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/toucanwell/toucanwell/internal/config"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
@@ -24,13 +24,13 @@
 )
 
 // ReadAll folds the stream from its start to its end.
-func ReadAll(ctx context.Context, log platform.Log) (*Folder, error) {
+func ReadAll(ctx context.Context, log external.Log) (*Folder, error) {
 	f := NewFolder()
 	return f, ReadOn(ctx, log, f)
 }
 
 // ReadOn folds what has come since, to the stream's end.
-func ReadOn(ctx context.Context, log platform.Log, f *Folder) error {
+func ReadOn(ctx context.Context, log external.Log, f *Folder) error {
 	for {
 		page, err := log.Read(ctx, Stream, f.Next())
 		if err != nil {
@@ -46,7 +46,7 @@
 // Publish appends a text that was edited from base and reports what became of
 // it. An append whose answer is lost is looked up by its nonce before it is
 // repeated, so that one call makes one version at most.
-func Publish(ctx context.Context, log platform.Log, nonce string, base uint64, text string) (Verdict, error) {
+func Publish(ctx context.Context, log external.Log, nonce string, base uint64, text string) (Verdict, error) {
 	if _, err := config.Parse("configuration", text); err != nil {
 		return Verdict{}, err
 	}
@@ -73,7 +73,7 @@
 
 // appendAndLook looks for the nonce, appends when it is not there, and looks
 // again.
-func appendAndLook(ctx context.Context, log platform.Log, nonce string, data []byte) (Verdict, bool, error) {
+func appendAndLook(ctx context.Context, log external.Log, nonce string, data []byte) (Verdict, bool, error) {
 	f, err := ReadAll(ctx, log)
 	if err != nil {
 		return Verdict{}, false, err
@@ -108,7 +108,7 @@
 
 // Recover appends a carry of a text when no process and no record knows what
 // was in force. The version is past every offset used so far.
-func Recover(ctx context.Context, log platform.Log, nonce, text string) (uint64, error) {
+func Recover(ctx context.Context, log external.Log, nonce, text string) (uint64, error) {
 	if _, err := config.Parse("configuration", text); err != nil {
 		return 0, err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,9 +16,9 @@
 	"github.com/toucanwell/toucanwell/internal/admin"
 	"github.com/toucanwell/toucanwell/internal/configlog"
 	"github.com/toucanwell/toucanwell/internal/entry"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/logging"
 	"github.com/toucanwell/toucanwell/internal/metrics"
-	"github.com/toucanwell/toucanwell/internal/platform"
 	"github.com/toucanwell/toucanwell/internal/probe"
 	"github.com/toucanwell/toucanwell/internal/routing"
 	"github.com/toucanwell/toucanwell/internal/settings"
@@ -63,7 +63,7 @@
 func New(s *settings.Settings, logOutput io.Writer) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, logger: logging.New(logOutput, s.Name),
-		peers: newPeerClient(), platform: platform.NewHTTPClient(), failed: make(chan error, 2),
+		peers: newPeerClient(), platform: external.NewHTTPClient(), failed: make(chan error, 2),
 	}
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
@@ -88,7 +88,7 @@
 func (d *Daemon) build() error {
 	m := metrics.New()
 	process := &admin.Process{Settings: d.settings, StartedMs: time.Now().UnixMilli(), Registry: m.Registry, Draining: &d.draining}
-	log := platform.NewHTTPLog(d.settings.Platform.LogURL, d.platform)
+	log := external.NewHTTPLog(d.settings.Platform.LogURL, d.platform)
 	mux := http.NewServeMux()
 	var err error
 	if d.settings.Role == settings.RoleEntry {
@@ -108,7 +108,7 @@
 	return nil
 }
 
-func (d *Daemon) buildEntry(log platform.Log, m *metrics.Metrics, process *admin.Process, mux *http.ServeMux) error {
+func (d *Daemon) buildEntry(log external.Log, m *metrics.Metrics, process *admin.Process, mux *http.ServeMux) error {
 	prober, err := probe.NewClient(d.settings.Listen)
 	if err != nil {
 		return err
@@ -116,7 +116,7 @@
 	d.datagrams = prober
 	deps := entry.Deps{Log: log, Peers: d.peers, Prober: prober, Logger: d.logger, Metrics: m}
 	if d.settings.Platform.HostsURL != "" {
-		deps.Hosts = platform.NewHTTPHosts(d.settings.Platform.HostsURL, d.platform)
+		deps.Hosts = external.NewHTTPHosts(d.settings.Platform.HostsURL, d.platform)
 	}
 	e, err := entry.New(d.settings, deps)
 	if err != nil {
@@ -141,11 +141,11 @@
 	return nil
 }
 
-func (d *Daemon) buildSidecar(log platform.Log, m *metrics.Metrics, process *admin.Process) error {
+func (d *Daemon) buildSidecar(log external.Log, m *metrics.Metrics, process *admin.Process) error {
 	s := sidecar.New(d.settings, sidecar.Deps{
 		Log:    log,
-		Engine: platform.NewHTTPEngine(d.settings.Target.URL, d.platform),
-		Plain:  platform.NewHTTPPlain(d.settings.Target.URL, d.platform),
+		Engine: external.NewHTTPEngine(d.settings.Target.URL, d.platform),
+		Plain:  external.NewHTTPPlain(d.settings.Target.URL, d.platform),
 		Peers:  d.peers, Logger: d.logger, Metrics: m,
 	})
 	d.role = s
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,8 +29,8 @@
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/configlog"
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/metrics"
-	"github.com/toucanwell/toucanwell/internal/platform"
 	"github.com/toucanwell/toucanwell/internal/probe"
 	"github.com/toucanwell/toucanwell/internal/retry"
 	"github.com/toucanwell/toucanwell/internal/routing"
@@ -47,7 +47,7 @@
 	// Config is owned by the configuration follower.
 	Config blackboard.Fact[configlog.Snapshot]
 	// Hosts is owned by the host watcher.
-	Hosts blackboard.Fact[[]platform.Host]
+	Hosts blackboard.Fact[[]external.Host]
 	// View is owned by the view builder.
 	View blackboard.Fact[View]
 }
@@ -57,7 +57,7 @@
 	settings *settings.Settings
 	logger   logr.Logger
 	metrics  *metrics.Metrics
-	hosts    platform.Hosts
+	hosts    external.Hosts
 	board    *Board
 	loop     *control.Loop
 	follower *configlog.Follower
@@ -76,9 +76,9 @@
 
 // Deps are what an entry needs from outside.
 type Deps struct {
-	Log platform.Log
+	Log external.Log
 	// Hosts may be nil.
-	Hosts   platform.Hosts
+	Hosts   external.Hosts
 	Peers   *http.Client
 	Prober  *probe.Client
 	Logger  logr.Logger
@@ -160,7 +160,7 @@
 		return
 	}
 	e.reading = true
-	control.Do(e.loop, hostsTimeout, e.hosts.List, func(hosts []platform.Host, err error) {
+	control.Do(e.loop, hostsTimeout, e.hosts.List, func(hosts []external.Host, err error) {
 		e.reading = false
 		if err != nil {
 			e.logger.Info("hosts_read_failed", "error", err.Error())
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/config"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/routing"
 )
 
@@ -27,10 +27,10 @@
 	e.board.View.Post(newView(s.Version, s.Config, hosts, e.health.states()), time.Now())
 }
 
-func newView(version uint64, c *config.Config, hosts []platform.Host, seen map[string]routing.State) View {
+func newView(version uint64, c *config.Config, hosts []external.Host, seen map[string]routing.State) View {
 	listed := make(map[string]routing.State, len(hosts))
 	for _, h := range hosts {
-		if h.State == platform.HostLeaving {
+		if h.State == external.HostLeaving {
 			listed[h.Name] = routing.Leaving
 		}
 	}
--- a/internal/platform/platform.go
+++ b/internal/external/external.go
@@ -1,7 +1,7 @@
-// Package platform holds the interfaces to what the platform gives (its log,
+// Package external holds the interfaces to what the platform gives (its log,
 // its list of hosts, engines and plain services) and HTTP clients for them. A
 // test bench takes the stand-ins' place by the addresses in the settings.
-package platform
+package external
 
 import (
 	"context"
--- a/internal/platform/http.go
+++ b/internal/external/http.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 import (
 	"bufio"
--- a/internal/loadslot/loadslot.go
+++ b/internal/loadslot/loadslot.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"slices"
 
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 )
 
 // RecordType is the type of a record.
@@ -51,7 +51,7 @@
 // Read folds a page. A ticket counts once, at its first offset; a ticket that
 // was released never counts again, so that a late copy of its acquire record
 // cannot take a place.
-func (l *Line) Read(page *platform.Page) {
+func (l *Line) Read(page *external.Page) {
 	l.next = max(l.next, page.First)
 	for _, r := range page.Records {
 		if r.Offset < l.next {
--- a/internal/once/book.go
+++ b/internal/once/book.go
@@ -22,7 +22,7 @@
 import (
 	"encoding/json"
 
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 )
 
 // RecordType is the type of a record.
@@ -108,7 +108,7 @@
 
 // Read folds a page. Records read before are passed over. A cut start needs no
 // care: what the log dropped is older than any key that is still taken.
-func (b *Book) Read(page *platform.Page) {
+func (b *Book) Read(page *external.Page) {
 	b.next = max(b.next, page.First)
 	for _, r := range page.Records {
 		if r.Offset < b.next {
--- a/internal/once/ledger.go
+++ b/internal/once/ledger.go
@@ -11,7 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 )
 
 const (
@@ -31,7 +31,7 @@
 
 // Ledger claims calls for one sidecar. It is safe for concurrent use.
 type Ledger struct {
-	log       platform.Log
+	log       external.Log
 	service   string
 	retention time.Duration
 	interval  time.Duration
@@ -78,7 +78,7 @@
 
 // NewLedger returns a ledger for the calls of a service. interval is the least
 // time between two appends to one stream.
-func NewLedger(log platform.Log, service string, retention, interval time.Duration, now func() time.Time) *Ledger {
+func NewLedger(log external.Log, service string, retention, interval time.Duration, now func() time.Time) *Ledger {
 	l := &Ledger{log: log, service: service, retention: retention, interval: interval, now: now}
 	for i := range l.slots {
 		l.slots[i] = &slot{
--- a/internal/once/ledger_test.go
+++ b/internal/once/ledger_test.go
@@ -14,7 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/standin"
 )
 
@@ -50,7 +50,7 @@
 	return 0, errors.New("answer lost, append still on its way")
 }
 
-func (f *flakyLog) Read(_ context.Context, stream string, from uint64) (*platform.Page, error) {
+func (f *flakyLog) Read(_ context.Context, stream string, from uint64) (*external.Page, error) {
 	lost, delay := f.draw()
 	time.Sleep(delay)
 	if lost < f.loss {
@@ -259,7 +259,7 @@
 
 // lostOnce loses the answers to the first batch's appends, after the effect.
 type lostOnce struct {
-	platform.Log
+	external.Log
 	appends int
 }
 
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -3,7 +3,7 @@
 import (
 	"container/list"
 
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 )
 
 // Index holds the short names of the blocks that one incarnation of an engine is
@@ -53,7 +53,7 @@
 func (x *Index) Gaps() uint64 { return x.gaps }
 
 // Apply takes a page of events. Pages may come late, twice or with gaps.
-func (x *Index) Apply(page *platform.EventPage) {
+func (x *Index) Apply(page *external.EventPage) {
 	if page.Incarnation != x.incarnation {
 		x.incarnation = page.Incarnation
 		x.nextSeq = page.First
@@ -71,7 +71,7 @@
 	clear(x.expected)
 }
 
-func (x *Index) applyEvent(event platform.CacheEvent) {
+func (x *Index) applyEvent(event external.CacheEvent) {
 	if event.Seq < x.nextSeq {
 		return
 	}
@@ -80,11 +80,11 @@
 	}
 	x.nextSeq = event.Seq + 1
 	switch event.Kind {
-	case platform.EventStored:
+	case external.EventStored:
 		x.storeMissing(event.Blocks)
-	case platform.EventRemoved:
+	case external.EventRemoved:
 		x.drop(event.Blocks)
-	case platform.EventCleared:
+	case external.EventCleared:
 		x.clear()
 	}
 }
--- a/internal/prefix/prefix_test.go
+++ b/internal/prefix/prefix_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/testseed"
 )
 
@@ -47,8 +47,8 @@
 	})
 }
 
-func page(incarnation string, first uint64, events ...platform.CacheEvent) *platform.EventPage {
-	return &platform.EventPage{Incarnation: incarnation, First: first, Events: events}
+func page(incarnation string, first uint64, events ...external.CacheEvent) *external.EventPage {
+	return &external.EventPage{Incarnation: incarnation, First: first, Events: events}
 }
 
 // The engine crashes and comes back empty. Events and answers of its earlier
@@ -57,7 +57,7 @@
 	x := NewIndex(100)
 	blocks := []uint64{1, 2, 3}
 	x.Confirm("life 1", blocks)
-	x.Apply(page("life 1", 1, platform.CacheEvent{Seq: 1, Kind: platform.EventStored, Blocks: blocks}))
+	x.Apply(page("life 1", 1, external.CacheEvent{Seq: 1, Kind: external.EventStored, Blocks: blocks}))
 	if x.Match(blocks) != 3 {
 		t.Fatal("stored blocks are not held")
 	}
@@ -84,10 +84,10 @@
 				}
 			case 1:
 				seq += rapid.Uint64Range(1, 3).Draw(rt, "gap")
-				x.Apply(page("a", 1, platform.CacheEvent{Seq: seq, Kind: platform.EventStored, Blocks: blocks}))
+				x.Apply(page("a", 1, external.CacheEvent{Seq: seq, Kind: external.EventStored, Blocks: blocks}))
 			case 2:
 				seq += rapid.Uint64Range(1, 3).Draw(rt, "gap")
-				x.Apply(page("a", 1, platform.CacheEvent{Seq: seq, Kind: platform.EventRemoved, Blocks: blocks}))
+				x.Apply(page("a", 1, external.CacheEvent{Seq: seq, Kind: external.EventRemoved, Blocks: blocks}))
 				if x.Match(blocks[:1]) != 0 {
 					rt.Fatalf("a removed block is held")
 				}
@@ -106,7 +106,7 @@
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
-				x.Apply(page("a", 1, platform.CacheEvent{Seq: uint64(i + 1), Kind: platform.EventStored, Blocks: []uint64{uint64(i)}}))
+				x.Apply(page("a", 1, external.CacheEvent{Seq: uint64(i + 1), Kind: external.EventStored, Blocks: []uint64{uint64(i)}}))
 			}
 		})
 	}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -6,7 +6,7 @@
 
 	"github.com/toucanwell/toucanwell/internal/breaker"
 	"github.com/toucanwell/toucanwell/internal/errkind"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/sidecar"
 	"github.com/toucanwell/toucanwell/internal/standin"
 )
@@ -86,8 +86,8 @@
 	r := e.replay
 	r.result.firstToken(r, j, cached)
 	stored, removed := e.cache.Use(j.record.HashIDs)
-	e.publish(platform.EventStored, stored)
-	e.publish(platform.EventRemoved, removed)
+	e.publish(external.EventStored, stored)
+	e.publish(external.EventRemoved, removed)
 	j.pass.FirstToken(strconv.Itoa(e.life), cached)
 	life := e.life
 	tokens := time.Duration(j.record.OutputLength)
@@ -109,18 +109,18 @@
 }
 
 // publish sends a cache event, late and not always.
-func (e *engine) publish(kind platform.EventKind, blocks []uint64) {
+func (e *engine) publish(kind external.EventKind, blocks []uint64) {
 	if len(blocks) == 0 {
 		return
 	}
 	r := e.replay
-	event := platform.CacheEvent{Seq: e.nextEvent, Kind: kind, Blocks: blocks}
+	event := external.CacheEvent{Seq: e.nextEvent, Kind: kind, Blocks: blocks}
 	e.nextEvent++
 	if r.random.Float64() < r.setup.EventLoss {
 		return
 	}
 	life := e.life
-	page := &platform.EventPage{Incarnation: strconv.Itoa(life), First: 1, Events: []platform.CacheEvent{event}}
+	page := &external.EventPage{Incarnation: strconv.Itoa(life), First: 1, Events: []external.CacheEvent{event}}
 	r.after(r.setup.ReportLag, func() {
 		if e.life == life {
 			e.gate.ApplyEvents(page)
@@ -141,7 +141,7 @@
 	}
 	sortJobs(lost)
 	clear(e.running)
-	e.gate.ApplyEvents(&platform.EventPage{Incarnation: strconv.Itoa(e.life), First: 1})
+	e.gate.ApplyEvents(&external.EventPage{Incarnation: strconv.Itoa(e.life), First: 1})
 	for _, j := range lost {
 		j.pass.Leave(breaker.Neutral)
 		r.again(j, errkind.TargetFailed)
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -11,8 +11,8 @@
 	"github.com/toucanwell/toucanwell/internal/breaker"
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/once"
-	"github.com/toucanwell/toucanwell/internal/platform"
 )
 
 const (
@@ -72,7 +72,7 @@
 	ctx = context.WithoutCancel(ctx)
 	s.calls.Add(1)
 	defer s.calls.Done()
-	request := &platform.PlainRequest{Path: m.Path, ContentType: m.ContentType, Body: m.Body, RequestID: m.RequestId, Timeout: o.service.Timeout.Duration}
+	request := &external.PlainRequest{Path: m.Path, ContentType: m.ContentType, Body: m.Body, RequestID: m.RequestId, Timeout: o.service.Timeout.Duration}
 	if m.Once != nil {
 		request.Key = m.Once.Key
 	}
@@ -94,7 +94,7 @@
 	if ticket == nil {
 		return errkind.New(errkind.TargetFailed, "%v", err)
 	}
-	if errors.Is(err, platform.ErrNotSent) {
+	if errors.Is(err, external.ErrNotSent) {
 		return ticket.Void(ctx, voidRetry, "the target could not be reached")
 	}
 	ticket.Lost()
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -9,7 +9,7 @@
 	"github.com/toucanwell/toucanwell/internal/breaker"
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/errkind"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/prefix"
 	"github.com/toucanwell/toucanwell/internal/probe"
 )
@@ -285,7 +285,7 @@
 }
 
 // ApplyEvents updates the index by a page of cache events.
-func (g *Gate) ApplyEvents(page *platform.EventPage) {
+func (g *Gate) ApplyEvents(page *external.EventPage) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.index.Apply(page)
--- a/internal/sidecar/loader.go
+++ b/internal/sidecar/loader.go
@@ -10,8 +10,8 @@
 	"github.com/google/uuid"
 
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/loadslot"
-	"github.com/toucanwell/toucanwell/internal/platform"
 )
 
 const orderTimeout = 5 * time.Minute
@@ -78,9 +78,9 @@
 	l.busy = true
 	stream := loadslot.StreamOf(o.service.Name)
 	from := l.line.Next()
-	control.Do(s.loop, ioTimeout, func(ctx context.Context) (*platform.Page, error) {
+	control.Do(s.loop, ioTimeout, func(ctx context.Context) (*external.Page, error) {
 		return s.log.Read(ctx, stream, from)
-	}, func(page *platform.Page, err error) {
+	}, func(page *external.Page, err error) {
 		l.busy = false
 		if err != nil {
 			s.metrics.LogError("read")
@@ -93,7 +93,7 @@
 
 // act takes the next step: give back a dead holder's tickets, take a ticket,
 // wait in line, load, or give the ticket back.
-func (l *loader) act(o own, stream string, engine platform.Load) {
+func (l *loader) act(o own, stream string, engine external.Load) {
 	name := l.sidecar.settings.Name
 	if stale := l.line.StaleOf(name, l.nonce); len(stale) > 0 {
 		l.append(stream, loadslot.Record{Type: loadslot.TypeRelease, Target: name, Nonce: stale[0]})
@@ -195,17 +195,17 @@
 	l.drainSince = time.Time{}
 	l.busy = true
 	s.logger.Info("load_order", "model", o.model.Name, "weights", o.model.Weights, "fence", fence)
-	order := platform.Order{Model: o.model.Name, Weights: o.model.Weights, Fence: fence}
-	control.Do(s.loop, orderTimeout, func(ctx context.Context) (*platform.Load, error) {
+	order := external.Order{Model: o.model.Name, Weights: o.model.Weights, Fence: fence}
+	control.Do(s.loop, orderTimeout, func(ctx context.Context) (*external.Load, error) {
 		if err := s.engine.Order(ctx, order); err != nil {
 			return nil, err
 		}
 		return s.engine.Load(ctx)
-	}, func(load *platform.Load, err error) {
+	}, func(load *external.Load, err error) {
 		l.busy = false
 		if err != nil {
 			l.failedAt = time.Now()
-			s.logger.Info("load_order_failed", "fence", fence, "stale", errors.Is(err, platform.ErrStaleFence), "error", err.Error())
+			s.logger.Info("load_order_failed", "fence", fence, "stale", errors.Is(err, external.ErrStaleFence), "error", err.Error())
 			return
 		}
 		s.board.Engine.Post(*load, time.Now())
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -12,8 +12,8 @@
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/breaker"
 	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/once"
-	"github.com/toucanwell/toucanwell/internal/platform"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 	"github.com/toucanwell/toucanwell/internal/stream"
 )
@@ -102,7 +102,7 @@
 }
 
 // startRun starts a completion whose pass was decided.
-func (s *Sidecar) startRun(one *run, pass *Pass, request *platform.GenerateRequest, ticket *once.Ticket) {
+func (s *Sidecar) startRun(one *run, pass *Pass, request *external.GenerateRequest, ticket *once.Ticket) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	one.cancel = cancel
 	s.tasks.Add(1)
@@ -121,7 +121,7 @@
 	run     *run
 	pass    *Pass
 	ticket  *once.Ticket
-	request *platform.GenerateRequest
+	request *external.GenerateRequest
 	first   bool
 	text    []byte
 }
@@ -161,11 +161,11 @@
 
 // refuseStart handles a generate call that gave no stream.
 func (p *pump) refuseStart(ctx context.Context, err error) breaker.Result {
-	if errors.Is(err, platform.ErrWrongWeights) {
+	if errors.Is(err, external.ErrWrongWeights) {
 		p.refuseUnrun(errkind.New(errkind.WrongWeights, "the engine has other weights"))
 		return breaker.Neutral
 	}
-	if errors.Is(err, platform.ErrNotSent) {
+	if errors.Is(err, external.ErrNotSent) {
 		p.refuseUnrun(errkind.New(errkind.TargetFailed, "%v", err))
 		return breaker.Failure
 	}
@@ -205,7 +205,7 @@
 // skips a number, is continued at the engine from the next frame: the failure
 // guarded against is a lost connection beside a living engine, which shows as
 // an error or a gap before the end mark.
-func (p *pump) copyAll(ctx context.Context, tokens platform.TokenStream) error {
+func (p *pump) copyAll(ctx context.Context, tokens external.TokenStream) error {
 	failures := 0
 	for {
 		before := p.run.buffer.Next()
@@ -226,13 +226,13 @@
 
 // resume opens the stream again. Only an engine that knows no such stream ends
 // the tries early: it has lost it.
-func (p *pump) resume(ctx context.Context, failures *int, cause error) (platform.TokenStream, error) {
+func (p *pump) resume(ctx context.Context, failures *int, cause error) (external.TokenStream, error) {
 	for {
 		if *failures++; *failures > engineResumes || !sleep.For(ctx, resumePause) {
 			return nil, cause
 		}
 		tokens, err := p.sidecar.engine.Resume(ctx, p.run.engineID, p.run.buffer.Next())
-		if err == nil || errors.Is(err, platform.ErrUnknownStream) {
+		if err == nil || errors.Is(err, external.ErrUnknownStream) {
 			return tokens, err
 		}
 		cause = err
@@ -240,7 +240,7 @@
 }
 
 // copy copies until the end mark, and fails at a cut or a gap.
-func (p *pump) copy(tokens platform.TokenStream) error {
+func (p *pump) copy(tokens external.TokenStream) error {
 	for {
 		token, err := tokens.Next()
 		if err != nil {
@@ -259,7 +259,7 @@
 	}
 }
 
-func (p *pump) take(token platform.Token) {
+func (p *pump) take(token external.Token) {
 	if !p.first {
 		p.first = true
 		p.pass.FirstToken(token.Incarnation, token.CachedTokens)
@@ -311,7 +311,7 @@
 		defer s.tasks.Done()
 		defer cancel()
 		defer close(one.finished)
-		p := &pump{sidecar: s, run: one, pass: &Pass{}, first: true, request: &platform.GenerateRequest{}}
+		p := &pump{sidecar: s, run: one, pass: &Pass{}, first: true, request: &external.GenerateRequest{}}
 		if err := p.copyAll(runCtx, tokens); err != nil {
 			one.buffer.Refuse(&peerv1.Refusal{Kind: uint32(errkind.TargetFailed), Detail: err.Error()})
 		}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,8 +12,8 @@
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/configlog"
 	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/once"
-	"github.com/toucanwell/toucanwell/internal/platform"
 	"github.com/toucanwell/toucanwell/internal/prefix"
 	"github.com/toucanwell/toucanwell/internal/stream"
 )
@@ -153,7 +153,7 @@
 		pass.Leave(breaker.Neutral)
 		return replayRun(answer, key), refusal
 	}
-	request := &platform.GenerateRequest{
+	request := &external.GenerateRequest{
 		RequestID: key.engineID(), Prompt: m.Prompt, TextSoFar: m.TextSoFar, From: max(m.FromSeq, 1),
 		MaxTokens: int(m.MaxTokens), Priority: int(m.Class), Blocks: m.Blocks,
 		BlockTokens: o.service.BlockTokens, PromptTokens: int(m.PromptTokens), Weights: m.Weights, Adapter: m.Adapter,
@@ -217,7 +217,7 @@
 	one, ok := s.runs.get(key)
 	if !ok && s.hasEngine() {
 		adopted, err := s.adoptRun(ctx, key, req.Msg.FromSeq)
-		if err != nil && !errors.Is(err, platform.ErrUnknownStream) {
+		if err != nil && !errors.Is(err, external.ErrUnknownStream) {
 			s.logger.Info("resume_failed", "request_id", key.requestID, "error", err.Error())
 		}
 		one, ok = adopted, err == nil
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -32,9 +32,9 @@
 	"github.com/toucanwell/toucanwell/internal/blackboard"
 	"github.com/toucanwell/toucanwell/internal/configlog"
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/metrics"
 	"github.com/toucanwell/toucanwell/internal/once"
-	"github.com/toucanwell/toucanwell/internal/platform"
 	"github.com/toucanwell/toucanwell/internal/settings"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
@@ -56,7 +56,7 @@
 	// Config is owned by the configuration follower.
 	Config blackboard.Fact[configlog.Snapshot]
 	// Engine is owned by the engine watcher.
-	Engine blackboard.Fact[platform.Load]
+	Engine blackboard.Fact[external.Load]
 }
 
 // Sidecar is one process of the role. Make it with New.
@@ -64,9 +64,9 @@
 	settings *settings.Settings
 	logger   logr.Logger
 	metrics  *metrics.Metrics
-	log      platform.Log
-	engine   platform.Engine
-	plain    platform.Plain
+	log      external.Log
+	engine   external.Engine
+	plain    external.Plain
 	gate     *Gate
 	runs     *runs
 	board    *Board
@@ -86,9 +86,9 @@
 
 // Deps are what a sidecar needs from outside.
 type Deps struct {
-	Log    platform.Log
-	Engine platform.Engine
-	Plain  platform.Plain
+	Log    external.Log
+	Engine external.Engine
+	Plain  external.Plain
 	// Peers calls other processes.
 	Peers   *http.Client
 	Logger  logr.Logger
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -6,7 +6,7 @@
 
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/control"
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 )
 
 // engineWatcher follows an engine's cache events and its state. It is a
@@ -24,9 +24,9 @@
 	}
 	w.readingEvents = true
 	from := s.gate.NextEvent()
-	control.Do(s.loop, ioTimeout, func(ctx context.Context) (*platform.EventPage, error) {
+	control.Do(s.loop, ioTimeout, func(ctx context.Context) (*external.EventPage, error) {
 		return s.engine.Events(ctx, from)
-	}, func(page *platform.EventPage, err error) {
+	}, func(page *external.EventPage, err error) {
 		w.readingEvents = false
 		if err != nil {
 			return
@@ -41,7 +41,7 @@
 		return
 	}
 	w.readingLoad = true
-	control.Do(s.loop, ioTimeout, s.engine.Load, func(load *platform.Load, err error) {
+	control.Do(s.loop, ioTimeout, s.engine.Load, func(load *external.Load, err error) {
 		w.readingLoad = false
 		if err != nil {
 			return
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 	"github.com/toucanwell/toucanwell/internal/prefix"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
@@ -62,7 +62,7 @@
 	loading     int
 	fence       uint64
 	cache       *BlockCache
-	events      []platform.CacheEvent
+	events      []external.CacheEvent
 	nextEvent   uint64
 	streams     map[string]*engineStream
 	running     int
@@ -88,7 +88,7 @@
 }
 
 type engineStream struct {
-	tokens  []platform.Token
+	tokens  []external.Token
 	changed chan struct{}
 	cancel  context.CancelFunc
 	ended   bool
@@ -181,7 +181,7 @@
 }
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
-	req := &platform.GenerateRequest{}
+	req := &external.GenerateRequest{}
 	if err := json.NewDecoder(r.Body).Decode(req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -206,7 +206,7 @@
 }
 
 // start begins a run that goes on without its reader. The caller holds mu.
-func (e *Engine) start(req *platform.GenerateRequest) *engineStream {
+func (e *Engine) start(req *external.GenerateRequest) *engineStream {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &engineStream{changed: make(chan struct{}), cancel: cancel}
 	e.streams[req.RequestID] = s
@@ -216,7 +216,7 @@
 	return s
 }
 
-func (e *Engine) run(ctx context.Context, req *platform.GenerateRequest, s *engineStream, incarnation string, prefill, batch chan struct{}) {
+func (e *Engine) run(ctx context.Context, req *external.GenerateRequest, s *engineStream, incarnation string, prefill, batch chan struct{}) {
 	if !enter(ctx, batch) {
 		e.finish(s, req, incarnation, false)
 		return
@@ -232,9 +232,9 @@
 			e.finish(s, req, incarnation, false)
 			return
 		}
-		e.emit(s, platform.Token{Seq: seq, Text: TokenText(req.Prompt, seq), Incarnation: incarnation, CachedTokens: cached})
+		e.emit(s, external.Token{Seq: seq, Text: TokenText(req.Prompt, seq), Incarnation: incarnation, CachedTokens: cached})
 	}
-	e.emit(s, platform.Token{Seq: uint64(req.MaxTokens) + 1, End: true, FinishReason: "length", CachedTokens: cached, Incarnation: incarnation})
+	e.emit(s, external.Token{Seq: uint64(req.MaxTokens) + 1, End: true, FinishReason: "length", CachedTokens: cached, Incarnation: incarnation})
 	e.finish(s, req, incarnation, true)
 }
 
@@ -247,7 +247,7 @@
 	}
 }
 
-func (e *Engine) runPrefill(ctx context.Context, req *platform.GenerateRequest, prefill chan struct{}) (cached int, ok bool) {
+func (e *Engine) runPrefill(ctx context.Context, req *external.GenerateRequest, prefill chan struct{}) (cached int, ok bool) {
 	if !enter(ctx, prefill) {
 		return 0, false
 	}
@@ -268,17 +268,17 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	stored, removed := e.cache.Use(req.Blocks)
-	e.publish(platform.EventStored, stored)
-	e.publish(platform.EventRemoved, removed)
+	e.publish(external.EventStored, stored)
+	e.publish(external.EventRemoved, removed)
 	return cached, true
 }
 
 // publish records a cache event. The caller holds mu.
-func (e *Engine) publish(kind platform.EventKind, blocks []uint64) {
-	if len(blocks) == 0 && kind != platform.EventCleared {
+func (e *Engine) publish(kind external.EventKind, blocks []uint64) {
+	if len(blocks) == 0 && kind != external.EventCleared {
 		return
 	}
-	event := platform.CacheEvent{Seq: e.nextEvent, Kind: kind, Blocks: blocks}
+	event := external.CacheEvent{Seq: e.nextEvent, Kind: kind, Blocks: blocks}
 	e.nextEvent++
 	if e.faults.LoseEvents {
 		return
@@ -293,7 +293,7 @@
 	return e.costs.DecodeStep + time.Duration(peers)*e.costs.DecodePerPeer
 }
 
-func (e *Engine) emit(s *engineStream, token platform.Token) {
+func (e *Engine) emit(s *engineStream, token external.Token) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s.tokens = append(s.tokens, token)
@@ -302,7 +302,7 @@
 	s.changed = make(chan struct{})
 }
 
-func (e *Engine) finish(s *engineStream, req *platform.GenerateRequest, incarnation string, whole bool) {
+func (e *Engine) finish(s *engineStream, req *external.GenerateRequest, incarnation string, whole bool) {
 	s.cancel()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -370,7 +370,7 @@
 	}
 }
 
-func sendToken(w http.ResponseWriter, enc *json.Encoder, token platform.Token) {
+func sendToken(w http.ResponseWriter, enc *json.Encoder, token external.Token) {
 	_, _ = w.Write([]byte("data: "))
 	_ = enc.Encode(token)
 	_, _ = w.Write([]byte("\n"))
@@ -410,7 +410,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	page := platform.EventPage{Incarnation: e.incarnation, First: 1, Next: e.nextEvent, Events: []platform.CacheEvent{}}
+	page := external.EventPage{Incarnation: e.incarnation, First: 1, Next: e.nextEvent, Events: []external.CacheEvent{}}
 	for _, event := range e.events {
 		if event.Seq >= from {
 			page.Events = append(page.Events, event)
@@ -422,7 +422,7 @@
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	load := platform.Load{
+	load := external.Load{
 		Incarnation: e.incarnation, Weights: e.weights, Loading: e.loading > 0,
 		Running: e.running, Waiting: e.waiting,
 	}
@@ -430,7 +430,7 @@
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var order platform.Order
+	var order external.Order
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -452,6 +452,6 @@
 	e.loading--
 	e.weights = order.Weights
 	e.cache.Clear()
-	e.publish(platform.EventCleared, nil)
+	e.publish(external.EventCleared, nil)
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/toucanwell/toucanwell/internal/platform"
+	"github.com/toucanwell/toucanwell/internal/external"
 )
 
 const maxRecordBytes = 4 << 20
@@ -35,7 +35,7 @@
 
 type logStream struct {
 	first   uint64
-	records []platform.Record
+	records []external.Record
 }
 
 func (s *logStream) next() uint64 { return s.first + uint64(len(s.records)) }
@@ -76,16 +76,16 @@
 	defer l.mu.Unlock()
 	s := l.stream(stream)
 	offset := s.next()
-	s.records = append(s.records, platform.Record{Offset: offset, UnixMs: time.Now().UnixMilli(), Data: data})
+	s.records = append(s.records, external.Record{Offset: offset, UnixMs: time.Now().UnixMilli(), Data: data})
 	return offset
 }
 
 // ReadNow reads without the network.
-func (l *Log) ReadNow(stream string, from uint64) *platform.Page {
+func (l *Log) ReadNow(stream string, from uint64) *external.Page {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(stream)
-	page := &platform.Page{First: s.first, Next: s.next(), Records: []platform.Record{}}
+	page := &external.Page{First: s.first, Next: s.next(), Records: []external.Record{}}
 	for _, r := range s.records {
 		if r.Offset >= from {
 			page.Records = append(page.Records, r)
@@ -169,7 +169,7 @@
 // Hosts is a host list.
 type Hosts struct {
 	mu    sync.Mutex
-	hosts []platform.Host
+	hosts []external.Host
 	reads int
 }
 
@@ -177,7 +177,7 @@
 func NewHosts() *Hosts { return &Hosts{} }
 
 // Set replaces the list.
-func (h *Hosts) Set(hosts []platform.Host) {
+func (h *Hosts) Set(hosts []external.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.hosts = hosts
@@ -197,7 +197,7 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.reads++
-		writeJSON(w, map[string][]platform.Host{"hosts": h.hosts})
+		writeJSON(w, map[string][]external.Host{"hosts": h.hosts})
 	})
 	mux.HandleFunc("PUT /hosts", serveFaults(h.Set))
 	return mux
