--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -376,7 +376,7 @@
 			return
 		}
 		if a.End > 0 {
-			f.Adopt(a.Records, offset, a.End, b.clock.Now().Add(-a.Age))
+			f.Adopt(a.Page, offset, b.clock.Now().Add(-a.Age))
 		}
 	})
 }
@@ -388,7 +388,7 @@
 		return mesh.Answer{}, false
 	}
 	return mesh.Answer{
-		Records: f.Copy().Since(from), End: f.Copy().End(), Age: b.clock.Now().Sub(b.currentAt(topic)),
+		Page: f.Copy().Since(from), Age: b.clock.Now().Sub(b.currentAt(topic)),
 	}, true
 }
 
--- a/internal/gateway/feed/feed.go
+++ b/internal/gateway/feed/feed.go
@@ -27,11 +27,22 @@
 	End uint64
 }
 
+// Page is what one copy of a topic hands to another.
+type Page struct {
+	Snapshot
+	// Whole pages hold every key that was not dropped. Other pages hold the
+	// records from the asked offset on, dropped keys included.
+	Whole bool
+}
+
 // Copy is a copy of a topic. It is used by one thread.
 type Copy struct {
 	records map[string]Record
 	// end is the offset up to which nothing is missing.
 	end uint64
+	// dropsFrom is the offset from which on the copy knows which keys were
+	// dropped. A snapshot lacks the keys that were dropped before it.
+	dropsFrom uint64
 	// currentAt is the latest time at which the copy was known to hold all
 	// that the store had acknowledged.
 	currentAt time.Time
@@ -82,15 +93,31 @@
 	return all
 }
 
-// Since returns the newest records, dropped keys included, of offset from on.
-func (c *Copy) Since(from uint64) []Record {
-	var all []Record
+// Since returns what a copy needs that has everything before the offset from.
+//
+// The failure guarded against: a process that began with a snapshot does not know
+// which keys were dropped before it. Were it to hand on its records alone, the
+// other copy would move to its end and keep the dropped key for ever: requests
+// went to an engine seconds after it had left.
+func (c *Copy) Since(from uint64) Page {
+	if from < c.dropsFrom {
+		return Page{Snapshot: Snapshot{Records: c.Records(), End: c.end}, Whole: true}
+	}
+	p := Page{Snapshot: Snapshot{End: c.end}}
 	for _, r := range c.records {
 		if r.Offset >= from {
-			all = append(all, r)
+			p.Records = append(p.Records, r)
 		}
 	}
-	return all
+	return p
+}
+
+// Take takes in a page of another copy and returns the keys that changed.
+func (c *Copy) Take(p Page, current time.Time) []string {
+	if p.Whole {
+		return c.Replace(p.Snapshot, current)
+	}
+	return c.Merge(p.Records, p.End, current)
 }
 
 // Merge takes in the records from the copy's end, or before it, up to end, and
@@ -133,6 +160,7 @@
 			records = append(records, Record{Key: key, Offset: s.End - 1})
 		}
 	}
+	c.dropsFrom = s.End
 	return c.Merge(records, s.End, current)
 }
 
--- a/internal/gateway/feed/feed_test.go
+++ b/internal/gateway/feed/feed_test.go
@@ -70,9 +70,9 @@
 				to := rapid.Uint64Range(from, l.end()).Draw(rt, "read end")
 				a.Merge(slices.Clone(l.records[from:to]), to, time.Time{})
 			case 3:
-				b.Merge(a.Since(b.End()), a.End(), time.Time{})
+				b.Take(a.Since(b.End()), time.Time{})
 			case 4:
-				a.Merge(b.Since(a.End()), b.End(), time.Time{})
+				a.Take(b.Since(a.End()), time.Time{})
 			}
 			for _, r := range a.Records() {
 				if r.Offset < seen[r.Key] {
@@ -82,7 +82,7 @@
 			}
 		}
 		a.Merge(slices.Clone(l.records[a.End():]), l.end(), time.Time{})
-		b.Merge(a.Since(b.End()), a.End(), time.Time{})
+		b.Take(a.Since(b.End()), time.Time{})
 		want := l.newest(l.end())
 		slices.SortFunc(want.Records, func(x, y Record) int { return int(x.Key[0]) - int(y.Key[0]) })
 		for name, c := range map[string]*Copy{"reader": a, "peer": b} {
@@ -93,6 +93,65 @@
 	})
 }
 
+// A caller's request reaches an engine two seconds after it left. The list drops
+// the engine; a sidecar that starts just then reads a snapshot, which lacks the
+// engine; an entry that still lists it fetches from the sidecar the records that
+// are new to it. Without word of the drop it would keep the engine for ever.
+func TestPeerThatBeganWithASnapshotHandsOnDrops(t *testing.T) {
+	l := &log{}
+	l.append("engine", []byte("listed"))
+	entry := NewCopy(time.Second)
+	entry.Replace(l.newest(1), time.Time{})
+	l.append("engine", nil)
+	l.append("other", []byte("listed"))
+	sidecar := NewCopy(time.Second)
+	sidecar.Replace(l.newest(3), time.Time{})
+	entry.Take(sidecar.Since(entry.End()), time.Time{})
+	if _, ok := entry.Get("engine"); ok {
+		t.Error("the engine that left is still listed")
+	}
+	if _, ok := entry.Get("other"); !ok || entry.End() != 3 {
+		t.Errorf("the new engine is listed: %v; end %d", ok, entry.End())
+	}
+}
+
+// Processes start at any moment, read the store or each other, and one that has
+// read all of a topic from whichever of them holds what the store holds.
+func TestCopiesOfProcessesThatStartAnewConverge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := &log{}
+		copies := []*Copy{NewCopy(time.Second), NewCopy(time.Second), NewCopy(time.Second)}
+		one := rapid.IntRange(0, len(copies)-1)
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			i, j := one.Draw(rt, "copy"), one.Draw(rt, "peer")
+			c := copies[i]
+			switch rapid.IntRange(0, 4).Draw(rt, "step") {
+			case 0, 1:
+				key := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(rt, "key")
+				var value []byte
+				if rapid.Bool().Draw(rt, "kept") {
+					value = []byte{byte(len(l.records))}
+				}
+				l.append(key, value)
+			case 2:
+				copies[i] = NewCopy(time.Second)
+				copies[i].Replace(l.newest(l.end()), time.Time{})
+			case 3:
+				c.Merge(slices.Clone(l.records[c.End():]), l.end(), time.Time{})
+			case 4:
+				c.Take(copies[j].Since(c.End()), time.Time{})
+			}
+			for i, c := range copies {
+				got, want := NewCopy(time.Second), l.newest(c.End())
+				got.Replace(want, time.Time{})
+				if !slices.EqualFunc(c.Records(), got.Records(), func(x, y Record) bool { return x.Key == y.Key && x.Offset == y.Offset }) {
+					rt.Fatalf("copy %d at %d has %v, the store %v", i, c.End(), c.Records(), got.Records())
+				}
+			}
+		}
+	})
+}
+
 // The history that dropped a key was deleted before it was read. The next
 // snapshot lacks the key, and the copy drops it.
 func TestSnapshotDropsWhatItLacks(t *testing.T) {
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -215,16 +215,17 @@
 	}
 }
 
-// Adopt takes in records that a peer sent. current is when the peer's copy was
-// current. It runs on the control thread and reports whether all was taken.
-func (f *Follower) Adopt(records []Record, from, end uint64, current time.Time) bool {
-	if !f.copy.Continues(from) {
+// Adopt takes in a page that a peer sent for the records from an offset on.
+// current is when the peer's copy was current. It runs on the control thread and
+// reports whether the page was taken.
+func (f *Follower) Adopt(p Page, from uint64, current time.Time) bool {
+	if !p.Whole && !f.copy.Continues(from) {
 		return false
 	}
-	if f.snapshot && end > 0 {
+	if f.snapshot && p.End > 0 {
 		f.snapshot = false
 	}
-	if changed := f.copy.Merge(records, end, current); len(changed) > 0 {
+	if changed := f.copy.Take(p, current); len(changed) > 0 {
 		f.options.Changed(changed)
 	}
 	return true
--- a/internal/gateway/mesh/fetch.go
+++ b/internal/gateway/mesh/fetch.go
@@ -17,8 +17,7 @@
 
 // Answer is what a process knows of a topic.
 type Answer struct {
-	Records []feed.Record
-	End     uint64
+	feed.Page
 	// Age since the records were known to be all.
 	Age time.Duration
 }
@@ -55,7 +54,7 @@
 	if !ok {
 		return &peerv1.FetchResponse{}
 	}
-	resp := &peerv1.FetchResponse{End: a.End, AgeMs: uint32(a.Age.Milliseconds())}
+	resp := &peerv1.FetchResponse{End: a.End, Whole: a.Whole, AgeMs: uint32(a.Age.Milliseconds())}
 	for _, r := range a.Records {
 		resp.Records = append(resp.Records, &peerv1.TopicRecord{Key: r.Key, Value: r.Value, Offset: r.Offset, Dropped: r.Value == nil})
 	}
@@ -71,7 +70,8 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	a := Answer{End: resp.Msg.End, Age: time.Duration(resp.Msg.AgeMs) * time.Millisecond}
+	a := Answer{Age: time.Duration(resp.Msg.AgeMs) * time.Millisecond}
+	a.End, a.Whole = resp.Msg.End, resp.Msg.Whole
 	for _, r := range resp.Msg.Records {
 		value := r.Value
 		if r.Dropped {
