Entries that are cut off from engines, or stop, leave their callers to others

(2) In a roll that is quicker than the stops every port was closed for 1.2 s. (3) A stopping entry waited for connections without a request to the end of its grace period. Change: package reach (no sidecar heard for 0.8 s and the newest word of engines a failed connection: not ready, refusals at once as cut_off, connections closed); a stopping entry takes callers until another does or one that stopped later is left, but only requests that will have ended before it; it ends 0.2 s after the last one.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -145,3 +145,17 @@
 	defer l.seedMu.Unlock()
 	return l.random.Float64()
 }
+
+// Ask runs a question on the control thread and returns its answer; false when the
+// context ends before.
+func Ask[T any](ctx context.Context, loop *Loop, question func() T) (T, bool) {
+	answer := make(chan T, 1)
+	loop.Post(func() { answer <- question() })
+	select {
+	case v := <-answer:
+		return v, true
+	case <-ctx.Done():
+		var none T
+		return none, false
+	}
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -51,6 +51,8 @@
 	UnknownRoute
 	TimedOut
 	HeaderTooLarge
+	CutOff
+	Stopping
 )
 
 // Row is the answer to one kind.
@@ -99,6 +101,8 @@
 	UnknownRoute:         {"unknown_route", "No route has this host and path.", http.StatusNotFound, false},
 	TimedOut:             {"timed_out", "No answer came within the route's time; the request may have run.", http.StatusGatewayTimeout, false},
 	HeaderTooLarge:       {"header_too_large", "The request's headers are too large.", http.StatusRequestHeaderFieldsTooLarge, false},
+	CutOff:               {"cut_off", "This entry reaches no engine; another one does.", http.StatusServiceUnavailable, false},
+	Stopping:             {"stopping", "This entry stops before the request could be answered; another one serves.", http.StatusServiceUnavailable, false},
 }
 
 // Row returns the answer to k; an unknown number reads as Internal.
@@ -121,7 +125,7 @@
 // All returns every kind but None, in the order of their numbers.
 func All() []Kind {
 	kinds := make([]Kind, 0, len(table))
-	for k := BadRequest; k <= HeaderTooLarge; k++ {
+	for k := BadRequest; k <= Stopping; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -74,7 +74,10 @@
 	digest   uint64
 	pulling  map[string]bool
 	stopping bool
-	view     blackboard.Fact[*view.View]
+	// stoppingSince, picksFrom and endsAt are set once the process stops; the
+	// latter two are the view's.
+	stoppingSince, picksFrom, endsAt time.Time
+	view                             blackboard.Fact[*view.View]
 	// changed is told after each new view.
 	changed func()
 }
@@ -103,6 +106,12 @@
 	b.loop.Every(func() time.Duration { return refreshPeriod }, b.post)
 }
 
+// stop notes that the process stops and ends at a time.
+func (b *beliefs) stop(endsAt time.Time) {
+	b.stopping, b.stoppingSince = true, b.clock.Now()
+	b.picksFrom, b.endsAt = time.Now().Add(balancerNotice), endsAt
+}
+
 func (b *beliefs) isEntry() bool { return b.settings.Role == settings.RoleEntry }
 
 // readsOperators reports whether this process reads what operators declare.
@@ -239,7 +248,7 @@
 	v := &view.View{
 		Estate: b.estate, Targets: b.directory.Targets(now, b.targets.Copy().OutageEnd()),
 		Engines: map[string]view.EngineWord{}, Silent: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
-		Entries: 1 + len(b.mesh.Live(true)), Stopping: b.stopping,
+		Entries: 1 + len(b.mesh.Live(true)), Stopping: b.stopping, PicksFrom: b.picksFrom, EndsAt: b.endsAt,
 	}
 	for instance, word := range b.words {
 		if now.Sub(word.HeardAt) <= wordFor {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -12,6 +12,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
+	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
 	"github.com/toucanwell/toucanwell/internal/sleep"
@@ -27,6 +28,7 @@
 	ledger    *ledger.Ledger
 	parts     *parts.Book
 	health    *health.Book
+	reach     *reach.Book
 	pool      *upstream.Pool
 	forwarder *forward.Forwarder
 	// changed are the targets at which this entry's work has changed since the
@@ -35,13 +37,13 @@
 }
 
 func newEntry(p *process) *entry {
-	e := &entry{beliefs: p.beliefs, ledger: ledger.New(), parts: parts.NewBook(), changed: map[fleet.ID]bool{}}
+	e := &entry{beliefs: p.beliefs, ledger: ledger.New(), parts: parts.NewBook(), reach: &reach.Book{}, changed: map[fleet.ID]bool{}}
 	e.health = health.NewBook(func(instance string, until time.Time, failures, others float64, outcome health.Outcome) {
 		p.logger.Info("target_rested", "target", instance, "for", until.Sub(p.clock.Now()), "failures", failures, "others", others, "outcome", int(outcome))
 	})
 	e.pool = upstream.NewPool(p.metrics.Connection)
 	e.forwarder = forward.New(forward.Deps{
-		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health,
+		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach,
 		Bounds: forward.Bounds{
 			RetryRatio: p.settings.Bounds.RetryRatio, RetrySlack: p.settings.Bounds.RetrySlack, Version: p.settings.Bounds.Weights.Duration,
 		},
@@ -52,10 +54,11 @@
 
 func (e *entry) currentView() (*view.View, bool) { return e.beliefs.view.Get() }
 
-// ready reports whether the entry can serve callers.
+// ready reports whether the entry can serve callers. One that is cut off says no,
+// so that the balancer turns to others.
 func (e *entry) ready() bool {
 	v, ok := e.currentView()
-	return ok && v.Estate != nil && len(v.Targets) > 0 && !v.Stopping
+	return ok && v.Estate != nil && len(v.Targets) > 0 && !v.Stopping && !e.reach.CutOff(e.beliefs.clock.Now())
 }
 
 // compose adds to a heartbeat what other entries want to know.
@@ -120,6 +123,9 @@
 
 func (e *entry) heard(m *mesh.Member) {
 	now := e.beliefs.clock.Now()
+	if !m.Entry {
+		e.reach.Heard(now)
+	}
 	if m.Entry {
 		e.ledger.Told(m.Address, loadsOf(m.Beat), m.Beat.Partial, now)
 		for _, p := range m.Beat.Parts {
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -99,7 +99,7 @@
 func (f *Follower) run(ctx context.Context) {
 	retry := firstRetry
 	for ctx.Err() == nil {
-		next, ok := ask(ctx, f.loop, f.next)
+		next, ok := control.Ask(ctx, f.loop, f.next)
 		if !ok {
 			return
 		}
@@ -118,19 +118,6 @@
 	}
 }
 
-// ask runs a question on the control thread and returns its answer.
-func ask[T any](ctx context.Context, loop *control.Loop, question func() T) (T, bool) {
-	answer := make(chan T, 1)
-	loop.Post(func() { answer <- question() })
-	select {
-	case v := <-answer:
-		return v, true
-	case <-ctx.Done():
-		var none T
-		return none, false
-	}
-}
-
 func (f *Follower) next() request {
 	return request{
 		reads:    f.options.Reads == nil || f.options.Reads(f.copy.CurrentAt()),
--- a/internal/gateway/forward/answer.go
+++ b/internal/gateway/forward/answer.go
@@ -31,7 +31,7 @@
 	if e.RetryAfter > 0 {
 		fl.Protocol.WriteRetryAfter(header, e.RetryAfter)
 	}
-	fl.closeIfStopping(header)
+	fl.sendElsewhere(header)
 	body, err := json.Marshal(problem{
 		Type: "urn:toucanwell:error:" + row.Name, Title: row.Title, Status: row.Status, Detail: e.Detail,
 		RequestID: fl.request.ID, RetryAfterMs: e.RetryAfter.Milliseconds(),
@@ -51,10 +51,11 @@
 	panic(http.ErrAbortHandler)
 }
 
-// closeIfStopping asks the caller to use another connection next time. The
-// view is read anew: the process may have begun to stop since.
-func (fl *flow) closeIfStopping(header http.Header) {
-	if v, ok := fl.View(); ok && v.Stopping {
+// sendElsewhere asks the caller to use another connection next time, while this
+// entry stops or is cut off: a kept connection stays with its entry. The view is
+// read anew, because the process may have begun to stop since.
+func (fl *flow) sendElsewhere(header http.Header) {
+	if v, ok := fl.View(); ok && v.Stopping || fl.Reach.CutOff(fl.Now()) {
 		header.Set("Connection", "close")
 	}
 }
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -31,6 +31,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
+	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/readtime"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
@@ -57,6 +58,7 @@
 	Ledger   *ledger.Ledger
 	Parts    *parts.Book
 	Health   *health.Book
+	Reach    *reach.Book
 	Bounds   Bounds
 	Zone     string
 	Logger   logr.Logger
@@ -223,9 +225,32 @@
 	if timeout := fl.arrived.Add(fl.route.Timeout); fl.route.Timeout > 0 && timeout.Before(fl.deadline) {
 		fl.deadline = timeout
 	}
+	if refusal := fl.mayOutlast(); refusal != nil {
+		return refusal
+	}
 	return fl.readBody(e.Limits.BodyBytes)
 }
 
+const (
+	// readingTime and tokenTime are how long an engine under load takes to read a
+	// prompt and to make one token of the answer, well above the mean: a step takes
+	// 4 ms and more, and a prompt that is read delays the others.
+	readingTime = time.Second
+	tokenTime   = 25 * time.Millisecond
+)
+
+// mayOutlast refuses a request that may go on for longer than this process. The
+// failure guarded against is an answer that is cut off when a stopping process
+// ends: another entry can give it whole.
+func (fl *flow) mayOutlast() *errkind.Error {
+	v := fl.view
+	longest := min(fl.timeLeft(), readingTime+time.Duration(fl.request.MaxTokens)*tokenTime)
+	if !v.Stopping || fl.arrived.Before(v.PicksFrom) || time.Now().Add(longest).Before(v.EndsAt) {
+		return nil
+	}
+	return errkind.After(errkind.Stopping, fl.comeBack(elsewherePause), "the entry ends in %s", time.Until(v.EndsAt).Round(time.Millisecond))
+}
+
 const (
 	// noDeadline bounds requests of callers and routes that name no time.
 	noDeadline = 2 * time.Minute
@@ -307,6 +332,9 @@
 	// retryPause is when a caller comes back who was refused although targets
 	// may take it soon.
 	retryPause = 300 * time.Millisecond
+	// elsewherePause is when a caller comes back who was refused because this entry
+	// is cut off or stops: another entry can take the request at once.
+	elsewherePause = 50 * time.Millisecond
 	// minTimeLeft is the time under which a further send is pointless.
 	minTimeLeft = 15 * time.Millisecond
 )
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -418,3 +418,45 @@
 		<-time.After(2 * time.Millisecond)
 	}
 }
+
+// The links of an entry's host fail while callers still reach it. Each request
+// tried four engines and waited a quarter of a second for each before it was
+// refused. Once one connection has failed and no process is heard, the refusal
+// comes at once, and sends the caller to another entry.
+func TestEntryThatIsCutOffRefusesAtOnce(t *testing.T) {
+	tg := startTarget(t, "i1", nil)
+	w := startWorld(t, tg)
+	w.Reach.Heard(time.Now().Add(-time.Second))
+	w.Reach.Failed(time.Now())
+	resp, body, err := w.ask(t, "/prompt/x", "p", wiretest.Model, model, wiretest.Prompt, "10,1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, "cut_off") {
+		t.Errorf("%d %s", resp.StatusCode, body)
+	}
+	if !resp.Close || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("close %v, headers %v", resp.Close, resp.Header)
+	}
+	if n := tg.runs.Load(); n != 0 {
+		t.Errorf("%d sends", n)
+	}
+}
+
+// A stopping entry takes a review that lasts longer than the entry has left. The
+// stream was cut off in the middle. What will have ended in time is still served:
+// other entries may be stopping too.
+func TestStoppingEntryTakesOnlyWhatWillEnd(t *testing.T) {
+	var tg *target
+	tg = startTarget(t, "i1", func(w io.Writer, r *http.Request, _ string) bool { return tg.whole(w, r, 200, "answer") })
+	w := startWorld(t, tg)
+	w.view.Stopping, w.view.PicksFrom, w.view.EndsAt = true, time.Now(), time.Now().Add(time.Second)
+	resp, body, err := w.ask(t, "/again/x", "")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, "stopping") {
+		t.Errorf("a request of two seconds: %v %s %v", resp, body, err)
+	}
+	resp, body, err = w.ask(t, "/again/x", "", wiretest.TimeLeft, "300ms")
+	if err != nil || resp.StatusCode != http.StatusOK || body != "answer" || !resp.Close {
+		t.Errorf("a request of 0.3 seconds: %v %s %v", resp, body, err)
+	}
+}
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -22,6 +22,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
+	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
 	"github.com/toucanwell/toucanwell/internal/gateway/weights"
@@ -176,7 +177,7 @@
 	w.pool = upstream.NewPool(func() {})
 	w.Forwarder = New(Deps{
 		Protocol: wiretest.Protocol{}, View: func() (*view.View, bool) { return w.view, true }, Pool: w.pool,
-		Ledger: ledger.New(), Parts: parts.NewBook(), Health: health.NewBook(nil),
+		Ledger: ledger.New(), Parts: parts.NewBook(), Health: health.NewBook(nil), Reach: &reach.Book{},
 		Bounds: Bounds{RetryRatio: 0.5, RetrySlack: 100, Version: 5 * time.Second}, Zone: "a",
 		Logger: logr.Discard(), Metrics: noMetrics{}, TellWork: func(fleet.ID) {}, Now: time.Now, Seed: 1,
 	})
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -81,6 +81,9 @@
 }
 
 func (fl *flow) choose() (*destination, *errkind.Error) {
+	if fl.service.Engine != nil && fl.Reach.CutOff(fl.Now()) {
+		return nil, errkind.After(errkind.CutOff, fl.comeBack(elsewherePause), "no engine and no sidecar was heard lately")
+	}
 	if fl.service.Engine != nil && fl.route.Prompted {
 		return fl.chooseEngine()
 	}
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -34,7 +34,7 @@
 	header := fl.w.Header()
 	fl.Protocol.WriteReply(header, resp.Header)
 	noDefaults(header)
-	fl.closeIfStopping(header)
+	fl.sendElsewhere(header)
 	if len(body) <= maxHeld {
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
@@ -128,7 +128,7 @@
 	header := fl.w.Header()
 	fl.Protocol.WriteReply(header, resp.Header)
 	noDefaults(header)
-	fl.closeIfStopping(header)
+	fl.sendElsewhere(header)
 	fl.w.WriteHeader(resp.Status)
 }
 
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -88,6 +88,9 @@
 		return fl.failedSend(ctx, to, err)
 	}
 	defer resp.Close()
+	if fl.service.Engine != nil {
+		fl.Reach.Answered(fl.Now())
+	}
 	fl.last.status = resp.Status
 	reply := fl.Protocol.ReadReply(resp.Status, resp.Header)
 	if reply.IdleTimeout > 0 {
@@ -171,6 +174,9 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		fl.runs--
 		fl.arrivals--
+		if fl.service.Engine != nil {
+			fl.Reach.Failed(fl.Now())
+		}
 		fl.Health.Note(fl.service.Name, to.target.Instance, health.Unreachable, fl.Now())
 		return verdict{notRun: true, refusal: errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "%v", err)}
 	}
--- a/internal/gateway/hostclock/hostclock.go
+++ b/internal/gateway/hostclock/hostclock.go
@@ -30,7 +30,7 @@
 // Clock is safe for concurrent use.
 type Clock struct {
 	suspended atomic.Int64
-	wokeAt    atomic.Int64
+	wokeAt    atomic.Pointer[time.Time]
 	base      time.Duration
 }
 
@@ -43,10 +43,10 @@
 // SinceWoken is the time since the host last woke, or a long time.
 func (c *Clock) SinceWoken() time.Duration {
 	at := c.wokeAt.Load()
-	if at == 0 {
+	if at == nil {
 		return time.Hour
 	}
-	return time.Duration(time.Now().UnixNano() - at)
+	return time.Since(*at)
 }
 
 // Check compares the clocks now and returns the pause found, if any.
@@ -57,7 +57,8 @@
 		return 0
 	}
 	c.suspended.Store(int64(suspended))
-	c.wokeAt.Store(time.Now().UnixNano())
+	now := time.Now()
+	c.wokeAt.Store(&now)
 	return pause
 }
 
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -47,6 +47,12 @@
 	Incarnation uint64
 	Sequence    uint64
 	HeardAt     time.Time
+	// Since is when this life of the process was first heard, or heard again after
+	// it had been silent.
+	Since time.Time
+	// StopsSince is when the process was first heard to stop; zero while it does
+	// not.
+	StopsSince time.Time
 	// Beat is the newest heartbeat.
 	Beat *peerv1.Beat
 }
@@ -130,14 +136,19 @@
 	if beat.Partial && (member == nil || member.Incarnation != beat.Incarnation) {
 		return // its first whole heartbeat follows
 	}
-	if member == nil || m.options.Now().Sub(member.HeardAt) > liveFor || member.Incarnation != beat.Incarnation {
+	fresh := member == nil || m.options.Now().Sub(member.HeardAt) > liveFor || member.Incarnation != beat.Incarnation
+	if fresh {
 		m.options.Logger.Info("peer_heard", "peer", beat.Name, "address", from, "entry", beat.Entry, "incarnation", beat.Incarnation)
 	}
 	if member == nil {
 		member = &Member{Address: from}
 		m.members[from] = member
 	}
+	if fresh {
+		member.Since = m.options.Now()
+	}
 	if !beat.Partial {
+		member.noteStop(beat.Leaving, m.options.Now())
 		member.Name, member.Zone, member.Entry, member.Leaving = beat.Name, beat.Zone, beat.Entry, beat.Leaving
 	}
 	member.Incarnation, member.Sequence = beat.Incarnation, beat.Sequence
@@ -150,6 +161,15 @@
 	m.options.Heard(member)
 }
 
+func (m *Member) noteStop(stops bool, now time.Time) {
+	switch {
+	case !stops:
+		m.StopsSince = time.Time{}
+	case m.StopsSince.IsZero():
+		m.StopsSince = now
+	}
+}
+
 // SetSeeds replaces the hosts on which other processes may run. It runs on the
 // control thread.
 func (m *Mesh) SetSeeds(seeds []netip.Addr) { m.options.Seeds = seeds }
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -21,7 +21,6 @@
 	"github.com/toucanwell/toucanwell/internal/logging"
 	"github.com/toucanwell/toucanwell/internal/metrics"
 	"github.com/toucanwell/toucanwell/internal/settings"
-	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 const (
@@ -30,9 +29,6 @@
 	entriesPeriod  = 100 * time.Millisecond
 	mixedPeriod    = 400 * time.Millisecond
 	sidecarsPeriod = 500 * time.Millisecond
-	// balancerNotice is how long a stopping entry still takes new connections:
-	// the balancer turns away after two questions a second apart.
-	balancerNotice = 2500 * time.Millisecond
 	peerIdle       = 5 * time.Second
 )
 
@@ -200,29 +196,6 @@
 // Failed yields the error of a listener that ended by itself.
 func (p *process) Failed() <-chan error { return p.failed }
 
-// Stop is the planned stop. The entry is not ready at once, so that the
-// balancer turns away; it goes on taking requests until the balancer has, and
-// asks callers to use other connections; then it ends what runs. No request is
-// cut that ends within the grace period.
-func (p *process) Stop() {
-	p.logger.Info("stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.grace())
-	defer cancel()
-	p.loop.Post(func() {
-		p.beliefs.stopping = true
-		p.beliefs.post()
-		p.beliefs.mesh.Tell()
-	})
-	if p.callers != nil {
-		sleep.For(ctx, balancerNotice)
-		_ = p.listener.Close()
-		if err := p.callers.shutdown(ctx); err != nil {
-			p.logger.Info("stop_cut_requests", "in_flight", p.entry.forwarder.InFlight(), "error", err.Error())
-		}
-	}
-	p.Close()
-}
-
 // Close ends the process at once.
 func (p *process) Close() {
 	if p.callers != nil {
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -38,8 +38,10 @@
 	Wanted map[string]weights.History
 	// Entries is how many entries live, this one included.
 	Entries int
-	// Stopping is set when the process ends soon.
-	Stopping bool
+	// Stopping is set when the process ends soon; EndsAt is when, and PicksFrom
+	// is from when on it takes only requests that will have ended by then.
+	Stopping          bool
+	PicksFrom, EndsAt time.Time
 }
 
 // Version returns the weights of a model that a target has: as its sidecar
