--- a/api/admin/oas/oas_client_gen.go
+++ b/api/admin/oas/oas_client_gen.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/ogen-go/ogen/conv"
 	ht "github.com/ogen-go/ogen/http"
 	"github.com/ogen-go/ogen/ogenerrors"
 	"github.com/ogen-go/ogen/otelogen"
@@ -36,6 +37,10 @@
 	//
 	// GET /admin/v1/configuration
 	GetConfiguration(ctx context.Context) (*Configuration, error)
+	// GetPlacement invokes getPlacement operation.
+	//
+	// GET /admin/v1/placement
+	GetPlacement(ctx context.Context, params GetPlacementParams) (*Placement, error)
 	// GetState invokes getState operation.
 	//
 	// GET /admin/v1/state
@@ -309,6 +314,243 @@
 	return result, nil
 }
 
+// GetPlacement invokes getPlacement operation.
+//
+// GET /admin/v1/placement
+func (c *Client) GetPlacement(ctx context.Context, params GetPlacementParams) (*Placement, error) {
+	res, err := c.sendGetPlacement(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendGetPlacement(ctx context.Context, params GetPlacementParams) (res *Placement, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("getPlacement"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.URLTemplateKey.String("/admin/v1/placement"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, GetPlacementOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/admin/v1/placement"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeQueryParams"
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "host" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "host",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			return e.EncodeValue(conv.StringToString(params.Host))
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "path" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "path",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			return e.EncodeValue(conv.StringToString(params.Path))
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "workspace" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "workspace",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Workspace.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "model" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "model",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Model.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "prompt_tokens" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "prompt_tokens",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.PromptTokens.Get(); ok {
+				return e.EncodeValue(conv.IntToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "max_tokens" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "max_tokens",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.MaxTokens.Get(); ok {
+				return e.EncodeValue(conv.IntToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "parts" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "parts",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if params.Parts != nil {
+				return e.EncodeArray(func(e uri.Encoder) error {
+					for i, item := range params.Parts {
+						if err := func() error {
+							return e.EncodeValue(conv.StringToString(item))
+						}(); err != nil {
+							return errors.Wrapf(err, "[%d]", i)
+						}
+					}
+					return nil
+				})
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:AdminToken"
+			switch err := c.securityAdminToken(ctx, GetPlacementOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"AdminToken\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeGetPlacementResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetState invokes getState operation.
 //
 // GET /admin/v1/state
--- a/api/admin/oas/oas_json_gen.go
+++ b/api/admin/oas/oas_json_gen.go
@@ -24,6 +24,16 @@
 		e.FieldStart("since_unix_ms")
 		e.Int64(s.SinceUnixMs)
 	}
+	{
+		if s.Goals != nil {
+			e.FieldStart("goals")
+			e.ArrStart()
+			for _, elem := range s.Goals {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 	{
 		e.FieldStart("rows")
 		e.ArrStart()
@@ -34,9 +44,10 @@
 	}
 }
 
-var jsonFieldsNameOfBurn = [2]string{
+var jsonFieldsNameOfBurn = [3]string{
 	0: "since_unix_ms",
-	1: "rows",
+	1: "goals",
+	2: "rows",
 }
 
 // Decode decodes Burn from json.
@@ -60,8 +71,25 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"since_unix_ms\"")
 			}
+		case "goals":
+			if err := func() error {
+				s.Goals = make([]BurnGoal, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem BurnGoal
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Goals = append(s.Goals, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"goals\"")
+			}
 		case "rows":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				s.Rows = make([]BurnRow, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -88,7 +116,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b00000101,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -134,6 +162,136 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *BurnGoal) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *BurnGoal) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("class")
+		e.Str(s.Class)
+	}
+	{
+		e.FieldStart("goal")
+		e.Float64(s.Goal)
+	}
+}
+
+var jsonFieldsNameOfBurnGoal = [3]string{
+	0: "service",
+	1: "class",
+	2: "goal",
+}
+
+// Decode decodes BurnGoal from json.
+func (s *BurnGoal) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BurnGoal to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "service":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "class":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Class = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"class\"")
+			}
+		case "goal":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Float64()
+				s.Goal = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"goal\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode BurnGoal")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfBurnGoal) {
+					name = jsonFieldsNameOfBurnGoal[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *BurnGoal) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BurnGoal) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *BurnRow) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -463,6 +621,545 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Placement) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Placement) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("route")
+		e.Str(s.Route)
+	}
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("config_version")
+		e.Int64(s.ConfigVersion)
+	}
+	{
+		e.FieldStart("list_age_ms")
+		e.Int64(s.ListAgeMs)
+	}
+	{
+		if s.Chosen.Set {
+			e.FieldStart("chosen")
+			s.Chosen.Encode(e)
+		}
+	}
+	{
+		if s.Refusal.Set {
+			e.FieldStart("refusal")
+			s.Refusal.Encode(e)
+		}
+	}
+	{
+		if s.Detail.Set {
+			e.FieldStart("detail")
+			s.Detail.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("candidates")
+		e.ArrStart()
+		for _, elem := range s.Candidates {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfPlacement = [8]string{
+	0: "route",
+	1: "service",
+	2: "config_version",
+	3: "list_age_ms",
+	4: "chosen",
+	5: "refusal",
+	6: "detail",
+	7: "candidates",
+}
+
+// Decode decodes Placement from json.
+func (s *Placement) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Placement to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "route":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Route = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"route\"")
+			}
+		case "service":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "config_version":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int64()
+				s.ConfigVersion = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"config_version\"")
+			}
+		case "list_age_ms":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int64()
+				s.ListAgeMs = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"list_age_ms\"")
+			}
+		case "chosen":
+			if err := func() error {
+				s.Chosen.Reset()
+				if err := s.Chosen.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"chosen\"")
+			}
+		case "refusal":
+			if err := func() error {
+				s.Refusal.Reset()
+				if err := s.Refusal.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"refusal\"")
+			}
+		case "detail":
+			if err := func() error {
+				s.Detail.Reset()
+				if err := s.Detail.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"detail\"")
+			}
+		case "candidates":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				s.Candidates = make([]PlacementCandidate, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem PlacementCandidate
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Candidates = append(s.Candidates, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"candidates\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Placement")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b10001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfPlacement) {
+					name = jsonFieldsNameOfPlacement[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Placement) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Placement) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *PlacementCandidate) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *PlacementCandidate) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("target")
+		e.Str(s.Target)
+	}
+	{
+		e.FieldStart("availability_zone")
+		e.Str(s.AvailabilityZone)
+	}
+	{
+		e.FieldStart("address")
+		e.Str(s.Address)
+	}
+	{
+		if s.Filtered.Set {
+			e.FieldStart("filtered")
+			s.Filtered.Encode(e)
+		}
+	}
+	{
+		if s.Marks != nil {
+			e.FieldStart("marks")
+			e.ArrStart()
+			for _, elem := range s.Marks {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
+	{
+		e.FieldStart("cost")
+		e.Float64(s.Cost)
+	}
+	{
+		e.FieldStart("wait_ms")
+		e.Float64(s.WaitMs)
+	}
+	{
+		e.FieldStart("read_ms")
+		e.Float64(s.ReadMs)
+	}
+	{
+		e.FieldStart("fetch_ms")
+		e.Float64(s.FetchMs)
+	}
+	{
+		e.FieldStart("held")
+		e.Int(s.Held)
+	}
+	{
+		e.FieldStart("fetched")
+		e.Int(s.Fetched)
+	}
+	{
+		e.FieldStart("running")
+		e.Int(s.Running)
+	}
+	{
+		e.FieldStart("weights")
+		e.Int64(s.Weights)
+	}
+}
+
+var jsonFieldsNameOfPlacementCandidate = [13]string{
+	0:  "target",
+	1:  "availability_zone",
+	2:  "address",
+	3:  "filtered",
+	4:  "marks",
+	5:  "cost",
+	6:  "wait_ms",
+	7:  "read_ms",
+	8:  "fetch_ms",
+	9:  "held",
+	10: "fetched",
+	11: "running",
+	12: "weights",
+}
+
+// Decode decodes PlacementCandidate from json.
+func (s *PlacementCandidate) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode PlacementCandidate to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "target":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Target = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"target\"")
+			}
+		case "availability_zone":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.AvailabilityZone = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"availability_zone\"")
+			}
+		case "address":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Address = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"address\"")
+			}
+		case "filtered":
+			if err := func() error {
+				s.Filtered.Reset()
+				if err := s.Filtered.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"filtered\"")
+			}
+		case "marks":
+			if err := func() error {
+				s.Marks = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Marks = append(s.Marks, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"marks\"")
+			}
+		case "cost":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Float64()
+				s.Cost = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cost\"")
+			}
+		case "wait_ms":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Float64()
+				s.WaitMs = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"wait_ms\"")
+			}
+		case "read_ms":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Float64()
+				s.ReadMs = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"read_ms\"")
+			}
+		case "fetch_ms":
+			requiredBitSet[1] |= 1 << 0
+			if err := func() error {
+				v, err := d.Float64()
+				s.FetchMs = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"fetch_ms\"")
+			}
+		case "held":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.Held = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"held\"")
+			}
+		case "fetched":
+			requiredBitSet[1] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Fetched = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"fetched\"")
+			}
+		case "running":
+			requiredBitSet[1] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int()
+				s.Running = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"running\"")
+			}
+		case "weights":
+			requiredBitSet[1] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int64()
+				s.Weights = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"weights\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode PlacementCandidate")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b11100111,
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfPlacementCandidate) {
+					name = jsonFieldsNameOfPlacementCandidate[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *PlacementCandidate) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *PlacementCandidate) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Problem) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/api/admin/oas/oas_operations_gen.go
+++ b/api/admin/oas/oas_operations_gen.go
@@ -8,6 +8,7 @@
 const (
 	GetBurnOperation          OperationName = "GetBurn"
 	GetConfigurationOperation OperationName = "GetConfiguration"
+	GetPlacementOperation     OperationName = "GetPlacement"
 	GetStateOperation         OperationName = "GetState"
 	GetTargetsOperation       OperationName = "GetTargets"
 )
--- a/api/admin/oas/oas_router_gen.go
+++ b/api/admin/oas/oas_router_gen.go
@@ -23,6 +23,9 @@
 	rn5AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
+	rn6AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
 )
 
 func (s *Server) cutPrefix(path string) (string, bool) {
@@ -125,6 +128,31 @@
 					return
 				}
 
+			case 'p': // Prefix: "placement"
+
+				if l := len("placement"); len(elem) >= l && elem[0:l] == "placement" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleGetPlacementRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: rn4AllowedHeaders,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 's': // Prefix: "state"
 
 				if l := len("state"); len(elem) >= l && elem[0:l] == "state" {
@@ -141,7 +169,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn4AllowedHeaders,
+							allowedHeaders: rn5AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -166,7 +194,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn5AllowedHeaders,
+							allowedHeaders: rn6AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -325,6 +353,31 @@
 					}
 				}
 
+			case 'p': // Prefix: "placement"
+
+				if l := len("placement"); len(elem) >= l && elem[0:l] == "placement" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = GetPlacementOperation
+						r.summary = ""
+						r.operationID = "getPlacement"
+						r.operationGroup = ""
+						r.pathPattern = "/admin/v1/placement"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 's': // Prefix: "state"
 
 				if l := len("state"); len(elem) >= l && elem[0:l] == "state" {
--- a/api/admin/oas/oas_schemas_gen.go
+++ b/api/admin/oas/oas_schemas_gen.go
@@ -39,8 +39,10 @@
 
 // Ref: #/components/schemas/Burn
 type Burn struct {
-	SinceUnixMs int64     `json:"since_unix_ms"`
-	Rows        []BurnRow `json:"rows"`
+	SinceUnixMs int64 `json:"since_unix_ms"`
+	// Objectives of a process whose configuration states none.
+	Goals []BurnGoal `json:"goals"`
+	Rows  []BurnRow  `json:"rows"`
 }
 
 // GetSinceUnixMs returns the value of SinceUnixMs.
@@ -48,6 +50,11 @@
 	return s.SinceUnixMs
 }
 
+// GetGoals returns the value of Goals.
+func (s *Burn) GetGoals() []BurnGoal {
+	return s.Goals
+}
+
 // GetRows returns the value of Rows.
 func (s *Burn) GetRows() []BurnRow {
 	return s.Rows
@@ -58,11 +65,53 @@
 	s.SinceUnixMs = val
 }
 
+// SetGoals sets the value of Goals.
+func (s *Burn) SetGoals(val []BurnGoal) {
+	s.Goals = val
+}
+
 // SetRows sets the value of Rows.
 func (s *Burn) SetRows(val []BurnRow) {
 	s.Rows = val
 }
 
+// Ref: #/components/schemas/BurnGoal
+type BurnGoal struct {
+	Service string  `json:"service"`
+	Class   string  `json:"class"`
+	Goal    float64 `json:"goal"`
+}
+
+// GetService returns the value of Service.
+func (s *BurnGoal) GetService() string {
+	return s.Service
+}
+
+// GetClass returns the value of Class.
+func (s *BurnGoal) GetClass() string {
+	return s.Class
+}
+
+// GetGoal returns the value of Goal.
+func (s *BurnGoal) GetGoal() float64 {
+	return s.Goal
+}
+
+// SetService sets the value of Service.
+func (s *BurnGoal) SetService(val string) {
+	s.Service = val
+}
+
+// SetClass sets the value of Class.
+func (s *BurnGoal) SetClass(val string) {
+	s.Class = val
+}
+
+// SetGoal sets the value of Goal.
+func (s *BurnGoal) SetGoal(val float64) {
+	s.Goal = val
+}
+
 // Ref: #/components/schemas/BurnRow
 type BurnRow struct {
 	Service    string `json:"service"`
@@ -159,6 +208,52 @@
 	s.Text = val
 }
 
+// NewOptInt returns new OptInt with value set to v.
+func NewOptInt(v int) OptInt {
+	return OptInt{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt is optional int.
+type OptInt struct {
+	Value int
+	Set   bool
+}
+
+// IsSet returns true if OptInt was set.
+func (o OptInt) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt) Reset() {
+	var v int
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt) SetTo(v int) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt) Get() (v int, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt) Or(d int) int {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptString returns new OptString with value set to v.
 func NewOptString(v string) OptString {
 	return OptString{
@@ -205,6 +300,248 @@
 	return d
 }
 
+// Ref: #/components/schemas/Placement
+type Placement struct {
+	Route         string    `json:"route"`
+	Service       string    `json:"service"`
+	ConfigVersion int64     `json:"config_version"`
+	ListAgeMs     int64     `json:"list_age_ms"`
+	Chosen        OptString `json:"chosen"`
+	// Kind of the refusal that the request would get.
+	Refusal    OptString            `json:"refusal"`
+	Detail     OptString            `json:"detail"`
+	Candidates []PlacementCandidate `json:"candidates"`
+}
+
+// GetRoute returns the value of Route.
+func (s *Placement) GetRoute() string {
+	return s.Route
+}
+
+// GetService returns the value of Service.
+func (s *Placement) GetService() string {
+	return s.Service
+}
+
+// GetConfigVersion returns the value of ConfigVersion.
+func (s *Placement) GetConfigVersion() int64 {
+	return s.ConfigVersion
+}
+
+// GetListAgeMs returns the value of ListAgeMs.
+func (s *Placement) GetListAgeMs() int64 {
+	return s.ListAgeMs
+}
+
+// GetChosen returns the value of Chosen.
+func (s *Placement) GetChosen() OptString {
+	return s.Chosen
+}
+
+// GetRefusal returns the value of Refusal.
+func (s *Placement) GetRefusal() OptString {
+	return s.Refusal
+}
+
+// GetDetail returns the value of Detail.
+func (s *Placement) GetDetail() OptString {
+	return s.Detail
+}
+
+// GetCandidates returns the value of Candidates.
+func (s *Placement) GetCandidates() []PlacementCandidate {
+	return s.Candidates
+}
+
+// SetRoute sets the value of Route.
+func (s *Placement) SetRoute(val string) {
+	s.Route = val
+}
+
+// SetService sets the value of Service.
+func (s *Placement) SetService(val string) {
+	s.Service = val
+}
+
+// SetConfigVersion sets the value of ConfigVersion.
+func (s *Placement) SetConfigVersion(val int64) {
+	s.ConfigVersion = val
+}
+
+// SetListAgeMs sets the value of ListAgeMs.
+func (s *Placement) SetListAgeMs(val int64) {
+	s.ListAgeMs = val
+}
+
+// SetChosen sets the value of Chosen.
+func (s *Placement) SetChosen(val OptString) {
+	s.Chosen = val
+}
+
+// SetRefusal sets the value of Refusal.
+func (s *Placement) SetRefusal(val OptString) {
+	s.Refusal = val
+}
+
+// SetDetail sets the value of Detail.
+func (s *Placement) SetDetail(val OptString) {
+	s.Detail = val
+}
+
+// SetCandidates sets the value of Candidates.
+func (s *Placement) SetCandidates(val []PlacementCandidate) {
+	s.Candidates = val
+}
+
+// Ref: #/components/schemas/PlacementCandidate
+type PlacementCandidate struct {
+	Target           string `json:"target"`
+	AvailabilityZone string `json:"availability_zone"`
+	Address          string `json:"address"`
+	// Why the target may not take the request.
+	Filtered OptString `json:"filtered"`
+	// What speaks against the target.
+	Marks   []string `json:"marks"`
+	Cost    float64  `json:"cost"`
+	WaitMs  float64  `json:"wait_ms"`
+	ReadMs  float64  `json:"read_ms"`
+	FetchMs float64  `json:"fetch_ms"`
+	Held    int      `json:"held"`
+	Fetched int      `json:"fetched"`
+	Running int      `json:"running"`
+	Weights int64    `json:"weights"`
+}
+
+// GetTarget returns the value of Target.
+func (s *PlacementCandidate) GetTarget() string {
+	return s.Target
+}
+
+// GetAvailabilityZone returns the value of AvailabilityZone.
+func (s *PlacementCandidate) GetAvailabilityZone() string {
+	return s.AvailabilityZone
+}
+
+// GetAddress returns the value of Address.
+func (s *PlacementCandidate) GetAddress() string {
+	return s.Address
+}
+
+// GetFiltered returns the value of Filtered.
+func (s *PlacementCandidate) GetFiltered() OptString {
+	return s.Filtered
+}
+
+// GetMarks returns the value of Marks.
+func (s *PlacementCandidate) GetMarks() []string {
+	return s.Marks
+}
+
+// GetCost returns the value of Cost.
+func (s *PlacementCandidate) GetCost() float64 {
+	return s.Cost
+}
+
+// GetWaitMs returns the value of WaitMs.
+func (s *PlacementCandidate) GetWaitMs() float64 {
+	return s.WaitMs
+}
+
+// GetReadMs returns the value of ReadMs.
+func (s *PlacementCandidate) GetReadMs() float64 {
+	return s.ReadMs
+}
+
+// GetFetchMs returns the value of FetchMs.
+func (s *PlacementCandidate) GetFetchMs() float64 {
+	return s.FetchMs
+}
+
+// GetHeld returns the value of Held.
+func (s *PlacementCandidate) GetHeld() int {
+	return s.Held
+}
+
+// GetFetched returns the value of Fetched.
+func (s *PlacementCandidate) GetFetched() int {
+	return s.Fetched
+}
+
+// GetRunning returns the value of Running.
+func (s *PlacementCandidate) GetRunning() int {
+	return s.Running
+}
+
+// GetWeights returns the value of Weights.
+func (s *PlacementCandidate) GetWeights() int64 {
+	return s.Weights
+}
+
+// SetTarget sets the value of Target.
+func (s *PlacementCandidate) SetTarget(val string) {
+	s.Target = val
+}
+
+// SetAvailabilityZone sets the value of AvailabilityZone.
+func (s *PlacementCandidate) SetAvailabilityZone(val string) {
+	s.AvailabilityZone = val
+}
+
+// SetAddress sets the value of Address.
+func (s *PlacementCandidate) SetAddress(val string) {
+	s.Address = val
+}
+
+// SetFiltered sets the value of Filtered.
+func (s *PlacementCandidate) SetFiltered(val OptString) {
+	s.Filtered = val
+}
+
+// SetMarks sets the value of Marks.
+func (s *PlacementCandidate) SetMarks(val []string) {
+	s.Marks = val
+}
+
+// SetCost sets the value of Cost.
+func (s *PlacementCandidate) SetCost(val float64) {
+	s.Cost = val
+}
+
+// SetWaitMs sets the value of WaitMs.
+func (s *PlacementCandidate) SetWaitMs(val float64) {
+	s.WaitMs = val
+}
+
+// SetReadMs sets the value of ReadMs.
+func (s *PlacementCandidate) SetReadMs(val float64) {
+	s.ReadMs = val
+}
+
+// SetFetchMs sets the value of FetchMs.
+func (s *PlacementCandidate) SetFetchMs(val float64) {
+	s.FetchMs = val
+}
+
+// SetHeld sets the value of Held.
+func (s *PlacementCandidate) SetHeld(val int) {
+	s.Held = val
+}
+
+// SetFetched sets the value of Fetched.
+func (s *PlacementCandidate) SetFetched(val int) {
+	s.Fetched = val
+}
+
+// SetRunning sets the value of Running.
+func (s *PlacementCandidate) SetRunning(val int) {
+	s.Running = val
+}
+
+// SetWeights sets the value of Weights.
+func (s *PlacementCandidate) SetWeights(val int64) {
+	s.Weights = val
+}
+
 // Ref: #/components/schemas/Problem
 type Problem struct {
 	Type   string    `json:"type"`
--- a/api/admin/oas/oas_security_gen.go
+++ b/api/admin/oas/oas_security_gen.go
@@ -36,6 +36,7 @@
 var operationRolesAdminToken = map[string][]string{
 	GetBurnOperation:          []string{},
 	GetConfigurationOperation: []string{},
+	GetPlacementOperation:     []string{},
 	GetStateOperation:         []string{},
 	GetTargetsOperation:       []string{},
 }
--- a/api/admin/oas/oas_server_gen.go
+++ b/api/admin/oas/oas_server_gen.go
@@ -16,6 +16,10 @@
 	//
 	// GET /admin/v1/configuration
 	GetConfiguration(ctx context.Context) (*Configuration, error)
+	// GetPlacement implements getPlacement operation.
+	//
+	// GET /admin/v1/placement
+	GetPlacement(ctx context.Context, params GetPlacementParams) (*Placement, error)
 	// GetState implements getState operation.
 	//
 	// GET /admin/v1/state
--- a/api/admin/oas/oas_unimplemented_gen.go
+++ b/api/admin/oas/oas_unimplemented_gen.go
@@ -27,6 +27,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// GetPlacement implements getPlacement operation.
+//
+// GET /admin/v1/placement
+func (UnimplementedHandler) GetPlacement(ctx context.Context, params GetPlacementParams) (r *Placement, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // GetState implements getState operation.
 //
 // GET /admin/v1/state
--- a/api/admin/oas/oas_validators_gen.go
+++ b/api/admin/oas/oas_validators_gen.go
@@ -15,6 +15,31 @@
 	}
 
 	var failures []validate.FieldError
+	if err := func() error {
+		var failures []validate.FieldError
+		for i, elem := range s.Goals {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "goals",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if s.Rows == nil {
 			return errors.New("nil is invalid value")
@@ -32,6 +57,125 @@
 	return nil
 }
 
+func (s *BurnGoal) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Goal)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "goal",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *Placement) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Candidates == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Candidates {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "candidates",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *PlacementCandidate) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Cost)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "cost",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.WaitMs)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "wait_ms",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.ReadMs)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "read_ms",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.FetchMs)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "fetch_ms",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Target) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/cmd/toucanwell/admin.go
+++ b/cmd/toucanwell/admin.go
@@ -156,6 +156,7 @@
 					return w.Flush()
 				}),
 			},
+			showRouteCommand(),
 		},
 	}
 }
--- a/cmd/toucanwell/main.go
+++ b/cmd/toucanwell/main.go
@@ -32,6 +32,7 @@
 			showCommand(),
 			statusCommand(),
 			reportCommand(),
+			explainCommand(),
 			demoCommand(),
 			replayCommand(),
 			traceCommand(),
--- a/cmd/toucanwell/report.go
+++ b/cmd/toucanwell/report.go
@@ -69,15 +69,33 @@
 			r.counts = append(r.counts, burn.Count{Key: key, Minute: row.MinuteUnix, Good: row.Good, Bad: row.Bad})
 		}
 	}
-	goals, err := objectives(ctx, addresses)
-	if err != nil {
-		return nil, err
+	if r.goals = toldGoals(answers); len(r.goals) == 0 {
+		goals, err := objectives(ctx, addresses)
+		if err != nil {
+			return nil, err
+		}
+		r.goals = goals
 	}
-	r.goals = goals
+	goals := r.goals
 	r.Rows = burn.Report(goals, r.counts, now)
 	return r, nil
 }
 
+// toldGoals are the goals of the first process that tells its own.
+func toldGoals(answers []answer[*oas.Burn]) []burn.Goal {
+	for _, a := range answers {
+		if a.err != nil || len(a.value.Goals) == 0 {
+			continue
+		}
+		var goals []burn.Goal
+		for _, g := range a.value.Goals {
+			goals = append(goals, burn.Goal{Service: g.Service, Class: g.Class, Goal: g.Goal})
+		}
+		return goals
+	}
+	return nil
+}
+
 // objectives reads the goals from the newest configuration in force.
 func objectives(ctx context.Context, addresses []string) ([]burn.Goal, error) {
 	answers := askAll(ctx, addresses, func(ctx context.Context, client *oas.Client) (*oas.Configuration, error) {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,7 +9,6 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/ogen-go/ogen/ogenerrors"
@@ -18,22 +17,26 @@
 
 	"github.com/toucanwell/toucanwell/api/admin/oas"
 	"github.com/toucanwell/toucanwell/internal/burn"
-	"github.com/toucanwell/toucanwell/internal/configlog"
 	"github.com/toucanwell/toucanwell/internal/errkind"
-	"github.com/toucanwell/toucanwell/internal/routing"
-	"github.com/toucanwell/toucanwell/internal/settings"
 )
 
 // Process is what the administration API shows.
 type Process struct {
-	Settings *settings.Settings
+	Name, Role, Zone string
+	// TokenSHA256 is the hex digest of the administration token; without one no
+	// token opens the API.
+	TokenSHA256 string
 	// StartedMs is Unix time in milliseconds.
 	StartedMs int64
 	Registry  *prometheus.Registry
-	// Config returns the configuration in force.
-	Config func() (configlog.Snapshot, bool)
+	// Config returns the version and the text of the configuration in force.
+	Config func() (version int64, text string, ok bool)
 	// Targets returns the targets as the process sees them.
-	Targets func() []routing.Target
+	Targets func() []oas.Target
+	// Goals are the objectives, where no configuration states them; may be nil.
+	Goals func() []burn.Goal
+	// Placement says where a request would go; nil for processes that place none.
+	Placement func(oas.GetPlacementParams) (*oas.Placement, error)
 	// Ready tells whether the process can serve.
 	Ready func() bool
 	// Burn may be nil.
@@ -41,7 +44,7 @@
 	// InFlight is the number of requests being served.
 	InFlight func() int
 	// Draining is set when a planned stop has begun.
-	Draining *atomic.Bool
+	Draining func() bool
 }
 
 // Handler serves the administration address.
@@ -59,7 +62,7 @@
 }
 
 func (p *Process) ready() bool {
-	return p.Ready() && !p.Draining.Load()
+	return p.Ready() && !p.Draining()
 }
 
 func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -74,38 +77,25 @@
 
 // GetState implements oas.Handler.
 func (s *server) GetState(context.Context) (*oas.State, error) {
-	snapshot, _ := s.Config()
+	version, _, _ := s.Config()
 	return &oas.State{
-		Name: s.Settings.Name, Role: string(s.Settings.Role), AvailabilityZone: s.Settings.AvailabilityZone,
-		ConfigVersion: int64(snapshot.Version), StartedUnixMs: s.StartedMs,
-		Ready: s.ready(), Draining: s.Draining.Load(), InFlight: s.InFlight(),
+		Name: s.Name, Role: s.Role, AvailabilityZone: s.Zone, ConfigVersion: version, StartedUnixMs: s.StartedMs,
+		Ready: s.ready(), Draining: s.Draining(), InFlight: s.InFlight(),
 	}, nil
 }
 
-var stateNames = map[routing.State]oas.TargetState{
-	routing.Live:    oas.TargetStateLive,
-	routing.Leaving: oas.TargetStateLeaving,
-	routing.Suspect: oas.TargetStateSuspect,
-}
-
 // GetTargets implements oas.Handler.
 func (s *server) GetTargets(context.Context) (*oas.TargetList, error) {
-	list := &oas.TargetList{Targets: []oas.Target{}}
-	for _, t := range s.Targets() {
-		list.Targets = append(list.Targets, oas.Target{
-			Name: t.Name, Service: t.Service, AvailabilityZone: t.Zone, Address: t.Address, State: stateNames[t.State],
-		})
-	}
-	return list, nil
+	return &oas.TargetList{Targets: append([]oas.Target{}, s.Targets()...)}, nil
 }
 
 // GetConfiguration implements oas.Handler.
 func (s *server) GetConfiguration(context.Context) (*oas.Configuration, error) {
-	snapshot, ok := s.Config()
+	version, text, ok := s.Config()
 	if !ok {
 		return nil, errkind.New(errkind.ConfigurationMissing, "")
 	}
-	return &oas.Configuration{Version: int64(snapshot.Version), Text: snapshot.Text}, nil
+	return &oas.Configuration{Version: version, Text: text}, nil
 }
 
 // GetBurn implements oas.Handler.
@@ -114,6 +104,11 @@
 	if s.Burn == nil {
 		return b, nil
 	}
+	if s.Goals != nil {
+		for _, g := range s.Goals() {
+			b.Goals = append(b.Goals, oas.BurnGoal{Service: g.Service, Class: g.Class, Goal: g.Goal})
+		}
+	}
 	for _, c := range s.Burn.Counts() {
 		b.Rows = append(b.Rows, oas.BurnRow{
 			Service: c.Service, Class: c.Class, Workspace: c.Workspace, MinuteUnix: c.Minute, Good: c.Good, Bad: c.Bad,
@@ -122,6 +117,14 @@
 	return b, nil
 }
 
+// GetPlacement implements oas.Handler.
+func (s *server) GetPlacement(_ context.Context, params oas.GetPlacementParams) (*oas.Placement, error) {
+	if s.Placement == nil {
+		return nil, errkind.New(errkind.UnknownRoute, "this process places no requests; ask an entry of a gateway")
+	}
+	return s.Placement(params)
+}
+
 // NewError implements oas.Handler.
 func (s *server) NewError(_ context.Context, err error) *oas.ProblemStatusCode { return problem(err) }
 
@@ -153,7 +156,7 @@
 // no token opens the API.
 func (s *security) HandleAdminToken(ctx context.Context, _ oas.OperationName, t oas.AdminToken) (context.Context, error) {
 	sum := sha256.Sum256([]byte(t.Token))
-	want := strings.ToLower(s.Settings.AdminTokenSHA256)
+	want := strings.ToLower(s.TokenSHA256)
 	if want == "" || subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(want)) != 1 {
 		return ctx, errkind.New(errkind.Unauthenticated, "")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/toucanwell/toucanwell/api/admin/oas"
 	"github.com/toucanwell/toucanwell/internal/admin"
 	"github.com/toucanwell/toucanwell/internal/configlog"
 	"github.com/toucanwell/toucanwell/internal/entry"
@@ -87,7 +88,10 @@
 
 func (d *Daemon) build() error {
 	m := metrics.New()
-	process := &admin.Process{Settings: d.settings, StartedMs: time.Now().UnixMilli(), Registry: m.Registry, Draining: &d.draining}
+	process := &admin.Process{
+		Name: d.settings.Name, Role: string(d.settings.Role), Zone: d.settings.AvailabilityZone, TokenSHA256: d.settings.AdminTokenSHA256,
+		StartedMs: time.Now().UnixMilli(), Registry: m.Registry, Draining: d.draining.Load,
+	}
 	log := external.NewHTTPLog(d.settings.Platform.LogURL, d.platform)
 	mux := http.NewServeMux()
 	var err error
@@ -128,16 +132,16 @@
 	mux.Handle(e.PeerHandler())
 	process.Burn = e.Burn()
 	process.InFlight = e.InFlight
-	process.Config = e.Board().Config.Get
+	process.Config = textInForce(e.Board().Config.Get)
 	process.Ready = e.Ready
-	process.Targets = func() []routing.Target {
+	process.Targets = listing(func() []routing.Target {
 		view, _ := e.Board().View.Get()
 		var all []routing.Target
 		for _, targets := range view.Services {
 			all = append(all, targets...)
 		}
 		return all
-	}
+	})
 	return nil
 }
 
@@ -152,9 +156,9 @@
 	d.drain = s.Drain
 	d.traffic = newServer(s.Handler())
 	process.InFlight = s.InFlight
-	process.Config = s.Board().Config.Get
+	process.Config = textInForce(s.Board().Config.Get)
 	process.Ready = s.Ready
-	process.Targets = func() []routing.Target { return targetsOf(s.Board().Config.Get()) }
+	process.Targets = listing(func() []routing.Target { return targetsOf(s.Board().Config.Get()) })
 	server, err := probe.NewServer(d.settings.Listen, s.Probe)
 	if err != nil {
 		return err
@@ -163,6 +167,31 @@
 	return nil
 }
 
+// textInForce reads the version and the text off a snapshot.
+func textInForce(get func() (configlog.Snapshot, bool)) func() (int64, string, bool) {
+	return func() (int64, string, bool) {
+		s, ok := get()
+		return int64(s.Version), s.Text, ok
+	}
+}
+
+var stateNames = map[routing.State]oas.TargetState{
+	routing.Live:    oas.TargetStateLive,
+	routing.Leaving: oas.TargetStateLeaving,
+	routing.Suspect: oas.TargetStateSuspect,
+}
+
+// listing turns targets into those of the administration API.
+func listing(targets func() []routing.Target) func() []oas.Target {
+	return func() []oas.Target {
+		var all []oas.Target
+		for _, t := range targets() {
+			all = append(all, oas.Target{Name: t.Name, Service: t.Service, AvailabilityZone: t.Zone, Address: t.Address, State: stateNames[t.State]})
+		}
+		return all
+	}
+}
+
 func targetsOf(snapshot configlog.Snapshot, ok bool) []routing.Target {
 	if !ok {
 		return nil
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -67,8 +67,10 @@
 	targets   *feed.Follower
 	directory *fleet.Directory
 	estate    *estate.Estate
-	wanted    map[string]weights.History
-	words     map[string]view.EngineWord
+	// estateText is the record that the estate was read from.
+	estateText []byte
+	wanted     map[string]weights.History
+	words      map[string]view.EngineWord
 	// silent holds since when the sidecars of silent engines were heard last.
 	silent   map[netip.AddrPort]time.Time
 	digest   uint64
@@ -78,15 +80,17 @@
 	// latter two are the view's.
 	stoppingSince, picksFrom, endsAt time.Time
 	view                             blackboard.Fact[*view.View]
-	// changed is told after each new view.
+	// changed is told after each new view, inForce of each new version of the
+	// estate.
 	changed func()
+	inForce func(version int64)
 }
 
 func newBeliefs(s *Settings, p Platform, loop *control.Loop, clock *hostclock.Clock, logger logr.Logger, peers *http.Client, called func(string, time.Duration, error)) *beliefs {
 	b := &beliefs{
 		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
 		directory: fleet.NewDirectory(), wanted: map[string]weights.History{}, words: map[string]view.EngineWord{}, silent: map[netip.AddrPort]time.Time{},
-		pulling: map[string]bool{}, changed: func() {},
+		pulling: map[string]bool{}, changed: func() {}, inForce: func(int64) {},
 	}
 	b.operators = feed.NewFollower(loop, p.Operators(), feed.NewCopy(outageGap), feed.Options{
 		Name: topicOperators, Wait: operatorsWait, Reads: b.readsOperators, Changed: b.operatorsChanged,
@@ -157,22 +161,23 @@
 			b.logger.Error(err, "declaration_refused", "key", key, "offset", r.Offset)
 			continue
 		}
-		b.declare(d, r.Offset)
+		b.declare(d, r)
 	}
 	b.post()
 	b.mesh.Tell()
 }
 
-func (b *beliefs) declare(d Declaration, offset uint64) {
+func (b *beliefs) declare(d Declaration, r feed.Record) {
 	if d.Estate != nil && (b.estate == nil || d.Estate.Version > b.estate.Version) {
-		b.estate = d.Estate
-		b.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", offset, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()))
+		b.estate, b.estateText = d.Estate, r.Value
+		b.inForce(d.Estate.Version)
+		b.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", r.Offset, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()))
 	}
 	if d.Model == "" || d.Version <= b.wanted[d.Model].Newest() {
 		return
 	}
 	b.wanted[d.Model] = b.wanted[d.Model].Add(weights.Wanted{Version: d.Version, Since: b.clock.Now()})
-	b.logger.Info("weights_wanted", "model", d.Model, "version", d.Version, "offset", offset)
+	b.logger.Info("weights_wanted", "model", d.Model, "version", d.Version, "offset", r.Offset)
 }
 
 func (b *beliefs) targetsChanged(keys []string) {
@@ -246,8 +251,8 @@
 func (b *beliefs) post() {
 	now := b.clock.Now()
 	v := &view.View{
-		Estate: b.estate, Targets: b.directory.Targets(now, b.targets.Copy().OutageEnd()),
-		Engines: map[string]view.EngineWord{}, Silent: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
+		Estate: b.estate, EstateText: b.estateText, Targets: b.directory.Targets(now, b.targets.Copy().OutageEnd()),
+		ListedAt: b.targets.Copy().CurrentAt(), DeclaredAt: b.currentAt(topicOperators), Engines: map[string]view.EngineWord{}, Silent: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
 		Entries: 1 + len(b.mesh.Live(true)), Stopping: b.stopping, PicksFrom: b.picksFrom, EndsAt: b.endsAt,
 	}
 	for instance, word := range b.words {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/burn"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/forward"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
@@ -15,6 +17,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
+	"github.com/toucanwell/toucanwell/internal/metrics"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
@@ -39,7 +42,8 @@
 func newEntry(p *process) *entry {
 	e := &entry{beliefs: p.beliefs, ledger: ledger.New(), parts: parts.NewBook(), reach: &reach.Book{}, changed: map[fleet.ID]bool{}}
 	e.health = health.NewBook(func(instance string, until time.Time, failures, others float64, outcome health.Outcome) {
-		p.logger.Info("target_rested", "target", instance, "for", until.Sub(p.clock.Now()), "failures", failures, "others", others, "outcome", int(outcome))
+		p.logger.Info("target_rested", "target", instance, "for", until.Sub(p.clock.Now()).Round(time.Millisecond),
+			"failures", math.Round(100*failures)/100, "others", math.Round(100*others)/100, "outcome", outcome.String())
 	})
 	e.pool = upstream.NewPool(p.metrics.Connection)
 	e.forwarder = forward.New(forward.Deps{
@@ -47,11 +51,22 @@
 		Bounds: forward.Bounds{
 			RetryRatio: p.settings.Bounds.RetryRatio, RetrySlack: p.settings.Bounds.RetrySlack, Version: p.settings.Bounds.Weights.Duration,
 		},
-		Zone: p.settings.AvailabilityZone, Logger: p.logger, Metrics: p.metrics, TellWork: e.tellWork, Now: p.clock.Now, Seed: p.settings.seed(),
+		Zone: p.settings.AvailabilityZone, Logger: p.logger, Ordinary: p.ordinary, Metrics: requestMetrics{p.metrics, p.burn}, TellWork: e.tellWork, Now: p.clock.Now, Seed: p.settings.seed(),
 	})
 	return e
 }
 
+// requestMetrics counts requests for Prometheus and for the report on burn.
+type requestMetrics struct {
+	*metrics.Metrics
+	counter *burn.Counter
+}
+
+// Burn implements forward.Metrics.
+func (m requestMetrics) Burn(service, class, workspace string, good bool) {
+	m.counter.Add(burn.Key{Service: service, Class: class, Workspace: workspace}, good)
+}
+
 func (e *entry) currentView() (*view.View, bool) { return e.beliefs.view.Get() }
 
 // ready reports whether the entry can serve callers. One that is cut off says no,
--- a/internal/gateway/estate/estate.go
+++ b/internal/gateway/estate/estate.go
@@ -301,6 +301,15 @@
 	return e.byKey[key]
 }
 
+// Workspace returns a workspace by its name, or nil.
+func (e *Estate) Workspace(name string) *Workspace {
+	i := slices.IndexFunc(e.workspaces, func(w Workspace) bool { return w.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &e.workspaces[i]
+}
+
 // Service returns a service by its name, or nil.
 func (e *Estate) Service(name string) *Service { return e.services[name] }
 
--- a/internal/gateway/forward/answer.go
+++ b/internal/gateway/forward/answer.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
 )
@@ -21,8 +20,7 @@
 // refuse answers with a refusal. Nothing of another answer has been written.
 func (fl *flow) refuse(e *errkind.Error) {
 	row := e.Kind.Row()
-	fl.Metrics.Refusal(fl.serviceName(), fl.class(), e.Kind.String())
-	fl.logDone(e)
+	fl.failed(e)
 	if e.Kind == errkind.Cancelled {
 		panic(http.ErrAbortHandler)
 	}
@@ -46,8 +44,7 @@
 // breakOff ends an answer that cannot be completed, so that it does not look
 // complete: the connection is closed without the mark of the answer's end.
 func (fl *flow) breakOff(e *errkind.Error) {
-	fl.Metrics.Refusal(fl.serviceName(), fl.class(), e.Kind.String())
-	fl.logDone(e)
+	fl.failed(e)
 	panic(http.ErrAbortHandler)
 }
 
@@ -59,30 +56,3 @@
 		header.Set("Connection", "close")
 	}
 }
-
-func (fl *flow) done() {
-	fl.Metrics.FirstToken(fl.serviceName(), fl.class(), fl.firstAt)
-	fl.logDone(nil)
-}
-
-// logDone writes the line that ends a request's story.
-func (fl *flow) logDone(e *errkind.Error) {
-	outcome, detail := "answered", ""
-	if e != nil {
-		outcome, detail = e.Kind.String(), e.Detail
-	}
-	workspace, route, version := "", "", int64(0)
-	if fl.workspace != nil {
-		workspace = fl.workspace.Name
-	}
-	if fl.route != nil {
-		route = fl.route.Name
-	}
-	if fl.view != nil && fl.view.Estate != nil {
-		version = fl.view.Estate.Version
-	}
-	fl.Logger.Info("request_done", "request_id", fl.request.ID, "outcome", outcome, "detail", detail,
-		"route", route, "service", fl.serviceName(), "workspace", workspace, "estate", version,
-		"sends", fl.sends, "runs", fl.runs, "target", fl.last.instance, "status", fl.last.status,
-		"first", fl.firstAt.Round(time.Millisecond/10), "took", time.Since(fl.arrived).Round(time.Millisecond/10))
-}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -62,6 +62,9 @@
 	Bounds   Bounds
 	Zone     string
 	Logger   logr.Logger
+	// Ordinary writes lines of what goes well. Under load they are dropped before
+	// the others.
+	Ordinary logr.Logger
 	Metrics  Metrics
 	// TellWork tells the other entries at once of the work at a target.
 	TellWork func(target fleet.ID)
@@ -75,6 +78,14 @@
 	Request(service, class string)
 	Refusal(service, class, kind string)
 	FirstToken(service, class string, d time.Duration)
+	// Waited is told how long a request was kept before a send.
+	Waited(service, class string, d time.Duration)
+	// Burn is told whether a request was answered within its objective.
+	Burn(service, class, workspace string, good bool)
+	// Tokens is told of a prompt's tokens at its first send: in all, those that the
+	// engine was believed to hold or fetch, and those that it was to read although
+	// another engine held them.
+	Tokens(service, class string, prompt, cached, wasted int)
 	Retry(cause string)
 	Resume()
 }
@@ -153,6 +164,8 @@
 	// sentAt is when the last send was made.
 	sentAt time.Time
 	last   sendRecord
+	// cause is why the next send is made; empty for the first.
+	cause string
 }
 
 // ServeHTTP implements http.Handler.
@@ -207,15 +220,26 @@
 	if fl.request, err = fl.Protocol.ReadRequest(fl.r.Header); err != nil {
 		return errkind.New(errkind.BadRequest, "%v", err)
 	}
-	e := fl.view.Estate
 	path, _, _ := strings.Cut(fl.r.RequestURI, "?")
-	if fl.route = e.Match(fl.r.Host, path); fl.route == nil {
-		return errkind.New(errkind.UnknownRoute, "host %q, path %q", fl.r.Host, path)
+	if refusal := fl.assign(fl.r.Host, path); refusal != nil {
+		return refusal
 	}
-	fl.workspace = e.WorkspaceByKey(fl.request.Key)
-	if fl.workspace == nil && e.NeedsKey(fl.route) {
+	fl.workspace = fl.view.Estate.WorkspaceByKey(fl.request.Key)
+	if fl.workspace == nil && fl.view.Estate.NeedsKey(fl.route) {
 		return errkind.New(errkind.UnknownKey, "")
 	}
+	if refusal := fl.mayOutlast(); refusal != nil {
+		return refusal
+	}
+	return fl.readBody(fl.view.Estate.Limits.BodyBytes)
+}
+
+// assign finds the request's route, service, retry budget and deadline.
+func (fl *flow) assign(host, path string) *errkind.Error {
+	e := fl.view.Estate
+	if fl.route = e.Match(host, path); fl.route == nil {
+		return errkind.New(errkind.UnknownRoute, "host %q, path %q", host, path)
+	}
 	fl.service = e.Service(fl.route.Backend(float64(xxhash.Sum64String(fl.request.ID)>>11) / (1 << 53)))
 	fl.retries = fl.budget(fl.service.Name, fl.view.Entries)
 	fl.deadline = fl.arrived.Add(noDeadline)
@@ -225,10 +249,7 @@
 	if timeout := fl.arrived.Add(fl.route.Timeout); fl.route.Timeout > 0 && timeout.Before(fl.deadline) {
 		fl.deadline = timeout
 	}
-	if refusal := fl.mayOutlast(); refusal != nil {
-		return refusal
-	}
-	return fl.readBody(e.Limits.BodyBytes)
+	return nil
 }
 
 const (
@@ -323,6 +344,7 @@
 			return last
 		}
 		fl.Metrics.Retry(last.Kind.String())
+		fl.cause = last.Kind.String()
 	}
 }
 
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -38,6 +38,9 @@
 func (noMetrics) Request(string, string)                   {}
 func (noMetrics) Refusal(string, string, string)           {}
 func (noMetrics) FirstToken(string, string, time.Duration) {}
+func (noMetrics) Burn(string, string, string, bool)        {}
+func (noMetrics) Waited(string, string, time.Duration)     {}
+func (noMetrics) Tokens(string, string, int, int, int)     {}
 func (noMetrics) Retry(string)                             {}
 func (noMetrics) Resume()                                  {}
 
@@ -179,7 +182,7 @@
 		Protocol: wiretest.Protocol{}, View: func() (*view.View, bool) { return w.view, true }, Pool: w.pool,
 		Ledger: ledger.New(), Parts: parts.NewBook(), Health: health.NewBook(nil), Reach: &reach.Book{},
 		Bounds: Bounds{RetryRatio: 0.5, RetrySlack: 100, Version: 5 * time.Second}, Zone: "a",
-		Logger: logr.Discard(), Metrics: noMetrics{}, TellWork: func(fleet.ID) {}, Now: time.Now, Seed: 1,
+		Logger: logr.Discard(), Ordinary: logr.Discard(), Metrics: noMetrics{}, TellWork: func(fleet.ID) {}, Now: time.Now, Seed: 1,
 	})
 	w.server = httptest.NewServer(w.Forwarder)
 	t.Cleanup(func() { w.server.Close(); w.pool.CloseIdle() })
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -144,9 +144,21 @@
 
 // chooseEngine picks the engine of a prompt.
 func (fl *flow) chooseEngine() (*destination, *errkind.Error) {
+	q, candidates := fl.question(), fl.candidates()
+	choice := placement.Pick(q, candidates)
+	if choice.Index < 0 {
+		return nil, errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "no engine of %s may take the request now", fl.service.Name)
+	}
+	if left := fl.timeLeft(); choice.Estimate > left {
+		return nil, errkind.After(errkind.DeadlineUnmeetable, fl.comeBack(choice.Estimate-left), "the first event would come in %s", choice.Estimate)
+	}
+	return fl.toEngine(fl.view.Targets[fl.service.Name][choice.Index], candidates[choice.Index].Version, choice, q), nil
+}
+
+// candidates are the engines of the prompt's service, in the order of the view.
+func (fl *flow) candidates() []placement.Candidate {
 	targets := fl.view.Targets[fl.service.Name]
 	wanted := fl.view.Wanted[fl.request.Model]
-	q := fl.question()
 	candidates := make([]placement.Candidate, len(targets))
 	totals := fl.Ledger.Totals(fl.Now())
 	rested := fl.Health.Rested(fl.Now())
@@ -170,14 +182,7 @@
 		c.Rested = c.Rested || t.Doubtful || fl.view.Silent[t.Address]
 		fl.addParts(c, t, kept)
 	}
-	choice := placement.Pick(q, candidates)
-	if choice.Index < 0 {
-		return nil, errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "no engine of %s may take the request now", fl.service.Name)
-	}
-	if left := fl.timeLeft(); choice.Estimate > left {
-		return nil, errkind.After(errkind.DeadlineUnmeetable, fl.comeBack(choice.Estimate-left), "the first event would come in %s", choice.Estimate)
-	}
-	return fl.toEngine(targets[choice.Index], candidates[choice.Index].Version, choice, q), nil
+	return candidates
 }
 
 // schedule returns in how long engines load the weights that operators want.
@@ -345,7 +350,7 @@
 		target:   t, scope: scope, weights: version, choice: choice, fetchFrom: choice.FetchFrom, keys: keys, saveTo: fl.saveTo(keys, q),
 		work: ledger.Work{Running: 1, Reading: choice.Read, Memory: q.Own + q.Shared + q.MaxTokens},
 	}
-	fl.turnover.Intake(choice.ReadTokens+choice.Fetched+q.MaxTokens/answerShare, fl.Now())
+	to.intake = choice.ReadTokens + choice.Fetched + q.MaxTokens/answerShare
 	if choice.Late {
 		to.work.Reading, to.work.ReadingLate = 0, choice.Read
 	}
--- /dev/null
+++ b/internal/gateway/forward/record.go
@@ -0,0 +1,155 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/parts"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
+)
+
+// unknownAge is logged as the age of what was never heard.
+const unknownAge = time.Duration(-1)
+
+// since is how old a belief is, for the log.
+func (fl *flow) since(at time.Time) time.Duration {
+	if at.IsZero() {
+		return unknownAge
+	}
+	return fl.Now().Sub(at).Round(time.Millisecond)
+}
+
+// tenth rounds for the log.
+func tenth(d time.Duration) time.Duration { return d.Round(time.Millisecond / 10) }
+
+// logSend writes the line of a send before it is made, so that it is there also
+// when the process ends in the middle of the answer. It names what decided: the
+// versions and ages of the beliefs, and the estimate.
+func (fl *flow) logSend(to *destination) {
+	log := fl.Ordinary
+	if fl.cause != "" {
+		log = fl.Logger
+	}
+	word := fl.view.Engines[to.target.Instance]
+	log.Info("request_sent", "request_id", fl.request.ID, "send", fl.sends, "cause", fl.cause, "last_event", fl.lastEvent,
+		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
+		"target", to.target.Instance, "address", to.target.Address, "zone", to.target.Zone,
+		"list_age", fl.since(fl.view.ListedAt), "word_age", fl.since(word.HeardAt), "phase", word.Phase.String(),
+		"weights", to.weights, "wanted", fl.view.Wanted[fl.request.Model].Newest(),
+		"prompt", fl.request.PromptTokens, "held", to.choice.Held, "fetched", to.choice.Fetched, "fetch_from", to.fetchFrom, "save_to", to.saveTo,
+		"late", to.choice.Late, "wait", tenth(to.choice.Wait), "read", tenth(to.choice.Read), "fetch", tenth(to.choice.Fetch),
+		"patience", tenth(to.patience), "kept", tenth(time.Since(fl.arrived)), "left", fl.timeLeft().Round(time.Millisecond))
+}
+
+// logAnswer writes a line for a send that brought no usable answer.
+func (fl *flow) logAnswer(to *destination, resp *upstream.Response, err error) {
+	if err == nil && !refusedOrFailed(resp.Status) {
+		return
+	}
+	status, detail := 0, ""
+	if resp != nil {
+		status = resp.Status
+	}
+	if err != nil {
+		detail = err.Error()
+	}
+	fl.Logger.Info("send_failed", "request_id", fl.request.ID, "send", fl.sends, "target", to.target.Instance,
+		"status", status, "error", detail, "after", tenth(time.Since(fl.sentAt)))
+}
+
+// refusedOrFailed reports whether an answer of that status is no answer to the
+// request itself.
+func refusedOrFailed(status int) bool {
+	return status >= http.StatusInternalServerError || status == http.StatusMisdirectedRequest || status == http.StatusTooManyRequests
+}
+
+// count counts what a send means for waiting and for cached prompts.
+func (fl *flow) count(to *destination) {
+	if fl.sends > 1 {
+		return
+	}
+	fl.Metrics.Waited(fl.serviceName(), fl.class(), fl.sentAt.Sub(fl.arrived))
+	if len(to.keys) == 0 {
+		return
+	}
+	fl.Metrics.Tokens(fl.serviceName(), fl.class(), fl.request.PromptTokens, to.choice.Held+to.choice.Fetched, fl.wasted(to))
+}
+
+// wasted is how many of a prompt's shared tokens the engine reads although another
+// was believed to hold them.
+func (fl *flow) wasted(to *destination) int {
+	tokens := 0
+	for i, k := range to.keys {
+		elsewhere := false
+		fl.Parts.Holders(k, fl.Now(), func(target fleet.ID, s parts.State, _ time.Time) {
+			elsewhere = elsewhere || s == parts.Held && target != to.target.ID
+		})
+		if elsewhere {
+			tokens += fl.request.Parts[i].Tokens
+		}
+	}
+	return max(tokens-to.choice.Held-to.choice.Fetched, 0)
+}
+
+func (fl *flow) routeName() string {
+	if fl.route == nil {
+		return ""
+	}
+	return fl.route.Name
+}
+
+func (fl *flow) workspaceName() string {
+	if fl.workspace == nil {
+		return ""
+	}
+	return fl.workspace.Name
+}
+
+func (fl *flow) estateVersion() int64 {
+	if fl.view == nil || fl.view.Estate == nil {
+		return 0
+	}
+	return fl.view.Estate.Version
+}
+
+func (fl *flow) done() {
+	fl.Metrics.FirstToken(fl.serviceName(), fl.class(), fl.firstAt)
+	aim := fl.route.TargetLatency
+	fl.burn(fl.last.status < http.StatusInternalServerError && (aim == 0 || fl.firstAt <= aim))
+	fl.logDone(nil)
+}
+
+// burn counts the request against its objective.
+func (fl *flow) burn(good bool) {
+	if fl.service != nil {
+		fl.Metrics.Burn(fl.serviceName(), fl.class(), fl.workspaceName(), good)
+	}
+}
+
+// failed counts a refusal or an answer that broke off. A caller's own mistake, or
+// leave, is not held against the service.
+func (fl *flow) failed(e *errkind.Error) {
+	fl.Metrics.Refusal(fl.serviceName(), fl.class(), e.Kind.String())
+	if e.Kind.Row().Status >= http.StatusInternalServerError || e.Kind == errkind.Overloaded {
+		fl.burn(false)
+	}
+	fl.logDone(e)
+}
+
+// logDone writes the line that ends a request's story.
+func (fl *flow) logDone(e *errkind.Error) {
+	outcome, detail, back := "answered", "", time.Duration(0)
+	log := fl.Ordinary
+	if e != nil {
+		outcome, detail, back = e.Kind.String(), e.Detail, e.RetryAfter
+	}
+	if e != nil || fl.sends > 1 || fl.last.status >= http.StatusInternalServerError {
+		log = fl.Logger
+	}
+	log.Info("request_done", "request_id", fl.request.ID, "outcome", outcome, "detail", detail, "retry_after", tenth(back),
+		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
+		"sends", fl.sends, "runs", fl.runs, "target", fl.last.instance, "status", fl.last.status,
+		"first", tenth(fl.firstAt), "took", tenth(time.Since(fl.arrived)))
+}
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -31,6 +31,8 @@
 	saveTo    string
 	keys      []parts.Key
 	choice    placement.Choice
+	// intake is how many tokens the engine's memory takes in.
+	intake int
 	// expected is the time to the first event at an engine of ordinary pace.
 	expected time.Duration
 	// patience is how long the first byte is awaited; zero until the deadline.
@@ -76,14 +78,17 @@
 		patience = time.AfterFunc(to.patience, func() { cancel(errImpatient) })
 		defer patience.Stop()
 	}
+	fl.turnover.Intake(to.intake, fl.Now())
 	item := fl.Ledger.Begin(to.target.ID, to.work, to.choice.Wait+to.choice.Fetch, fl.Now())
 	defer item.End()
 	if fl.noteParts(to, false) || to.choice.Read > tellFrom {
 		fl.TellWork(to.target.ID)
 	}
 	fl.sentAt = time.Now()
+	fl.logSend(to)
+	fl.count(to)
 	resp, err := fl.Pool.Send(ctx, to.target.Address, fl.upstreamRequest(to))
-	fl.logSend(to, resp, err)
+	fl.logAnswer(to, resp, err)
 	if err != nil {
 		return fl.failedSend(ctx, to, err)
 	}
@@ -227,17 +232,3 @@
 	}
 	return verdict{}, true
 }
-
-func (fl *flow) logSend(to *destination, resp *upstream.Response, err error) {
-	status, detail := 0, ""
-	if resp != nil {
-		status = resp.Status
-	}
-	if err != nil {
-		detail = err.Error()
-	}
-	fl.Logger.Info("request_sent", "request_id", fl.request.ID, "send", fl.sends, "target", to.target.Instance, "zone", to.target.Zone,
-		"status", status, "error", detail, "weights", to.weights, "prompt", fl.request.PromptTokens, "held", to.choice.Held, "fetched", to.choice.Fetched, "fetch_from", to.fetchFrom, "save_to", to.saveTo,
-		"late", to.choice.Late, "wait", to.choice.Wait, "read", to.choice.Read, "fetch", to.choice.Fetch, "running", to.work.Running,
-		"last_event", fl.lastEvent, "left", fl.timeLeft().Round(time.Millisecond), "head", time.Since(fl.arrived).Round(time.Millisecond/10))
-}
--- a/internal/gateway/health/health.go
+++ b/internal/gateway/health/health.go
@@ -26,6 +26,11 @@
 	Unreachable
 )
 
+var outcomeNames = map[Outcome]string{Good: "good", Failed: "failed", Broken: "broken", Unreachable: "unreachable"}
+
+// String returns the outcome's name.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 const (
 	// halfLife is the number of outcomes after which an older one counts half.
 	halfLife = 8
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -149,11 +149,10 @@
 	lowest := math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
-		if !usable(q, c) {
+		if filter(q, c) != "" {
 			continue
 		}
-		choice, cost := score(q, c, late)
-		cost += awayStep * float64(away(q.Family, c, candidates))
+		choice, cost := rate(q, c, candidates, late)
 		if cost < lowest {
 			lowest = cost
 			choice.Index, choice.Late = i, late
@@ -163,12 +162,46 @@
 	return best
 }
 
-// usable is the filter.
-func usable(q *Question, c *Candidate) bool {
-	if c.Excluded || c.Loading {
-		return false
+// filter says why a candidate may not run the prompt; nothing when it may.
+func filter(q *Question, c *Candidate) string {
+	switch {
+	case c.Excluded:
+		return "leaves or has failed this request"
+	case c.Loading:
+		return "loads weights"
+	case c.Behind >= q.VersionBound-boundMargin:
+		return "has weights that are too old"
+	default:
+		return ""
 	}
-	return c.Behind < q.VersionBound-boundMargin
+}
+
+// rate is a candidate's score with what it costs to be away from the family's
+// first engine.
+func rate(q *Question, c *Candidate, all []Candidate, late bool) (Choice, float64) {
+	choice, cost := score(q, c, late)
+	return choice, cost + awayStep*float64(away(q.Family, c, all))
+}
+
+// Rating is what a decision makes of one candidate.
+type Rating struct {
+	// Filtered says why the candidate may not run the prompt; empty when it may.
+	Filtered string
+	// Cost in milliseconds; the lowest is chosen.
+	Cost   float64
+	Choice Choice
+}
+
+// Rate returns what Pick makes of each candidate, for people who ask why.
+func Rate(q *Question, candidates []Candidate) []Rating {
+	late := Pick(q, candidates).Late
+	ratings := make([]Rating, len(candidates))
+	for i := range candidates {
+		r := &ratings[i]
+		r.Filtered = filter(q, &candidates[i])
+		r.Choice, r.Cost = rate(q, &candidates[i], candidates, late)
+	}
+	return ratings
 }
 
 // score returns the choice of a candidate with its cost in milliseconds.
--- a/internal/gateway/placement/placement_test.go
+++ b/internal/gateway/placement/placement_test.go
@@ -39,7 +39,7 @@
 		choice := Pick(q, candidates)
 		free := false
 		for i := range candidates {
-			free = free || usable(q, &candidates[i])
+			free = free || filter(q, &candidates[i]) == ""
 		}
 		if choice.Index < 0 {
 			if free {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,10 +15,12 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/burn"
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
+	"github.com/toucanwell/toucanwell/internal/gateway/view"
 	"github.com/toucanwell/toucanwell/internal/logging"
 	"github.com/toucanwell/toucanwell/internal/metrics"
 	"github.com/toucanwell/toucanwell/internal/settings"
@@ -37,8 +40,10 @@
 	settings *Settings
 	platform Platform
 	logger   logr.Logger
+	ordinary logr.Logger
 	log      *logging.Bounded
 	metrics  *metrics.Metrics
+	burn     *burn.Counter
 	clock    *hostclock.Clock
 	loop     *control.Loop
 	beliefs  *beliefs
@@ -57,8 +62,8 @@
 func Start(s *Settings, platform Platform, out io.Writer) (*Process, error) {
 	log := logging.NewBounded(out, s.LogLinesPerSecond)
 	p := &process{
-		settings: s, platform: platform, log: log, logger: logging.New(log, s.Name), metrics: metrics.New(),
-		clock: hostclock.New(), failed: make(chan error, 4),
+		settings: s, platform: platform, log: log, logger: logging.New(log, s.Name), ordinary: logging.New(log.Ordinary(), s.Name), metrics: metrics.New(),
+		clock: hostclock.New(), burn: burn.NewCounter(time.Now), failed: make(chan error, 4),
 	}
 	p.loop = control.NewLoop(s.seed(), p.metrics.Control)
 	peers := &http.Client{Transport: &http.Transport{DialContext: upstream.NewDialer().DialContext, IdleConnTimeout: peerIdle, DisableCompression: true}}
@@ -72,6 +77,7 @@
 		log.Close()
 		return nil, err
 	}
+	p.expose()
 	go p.loop.Run()
 	p.beliefs.mesh.Start()
 	p.beliefs.start()
@@ -86,6 +92,26 @@
 	return &Process{p}, nil
 }
 
+// expose registers the gauges that are read off the newest view.
+func (p *process) expose() {
+	age := func(at func(*view.View) time.Time) func() float64 {
+		return func() float64 {
+			v, ok := p.beliefs.view.Get()
+			if !ok || at(v).IsZero() {
+				return math.NaN()
+			}
+			return p.clock.Now().Sub(at(v)).Seconds()
+		}
+	}
+	p.metrics.Gauge("targets_age_seconds", "Age of the copy of the platform's list of targets.", age(func(v *view.View) time.Time { return v.ListedAt }))
+	p.metrics.Gauge("declarations_age_seconds", "Age of the copy of what operators declare.", age(func(v *view.View) time.Time { return v.DeclaredAt }))
+	p.metrics.Gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(p.log.Dropped()) })
+	p.beliefs.inForce = func(version int64) { p.metrics.ConfigVersion(uint64(version)) }
+	if p.entry != nil {
+		p.metrics.Gauge("requests_in_flight", "Requests being served.", func() float64 { return float64(p.entry.forwarder.InFlight()) })
+	}
+}
+
 func (p *process) woke(pause time.Duration) {
 	p.logger.Info("host_woke", "suspended_for", pause)
 	p.beliefs.operators.Again()
@@ -115,6 +141,9 @@
 	if err := p.serve(p.settings.MetricsListen, metricsMux); err != nil {
 		return err
 	}
+	if err := p.serveAdmin(); err != nil {
+		return err
+	}
 	if p.entry == nil {
 		return nil
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -33,6 +33,14 @@
 	MeshListen string `toml:"mesh_listen"`
 	// MetricsListen serves metrics. Required.
 	MetricsListen string `toml:"metrics_listen"`
+	// AdminListen serves the administration API. Empty for none.
+	AdminListen string `toml:"admin_listen"`
+	// AdminTokenSHA256 is the hex digest of the administration token. Empty closes
+	// the API.
+	AdminTokenSHA256 string `toml:"admin_token_sha256"`
+	// ServiceLevel is the share of requests that are to be answered within their
+	// route's target latency; the report on burn goes by it. Default 0.95.
+	ServiceLevel float64 `toml:"service_level"`
 	// Seeds are addresses on hosts where other processes run; their ports do
 	// not matter.
 	Seeds []string `toml:"seeds"`
@@ -83,12 +91,14 @@
 	defaultLogLines   = 400
 	defaultRetryRatio = 0.1
 	defaultRetrySlack = 10
+	// defaultServiceLevel is the share that operators of large deployments ask for.
+	defaultServiceLevel = 0.95
 )
 
 // ParseSettings checks a settings text; name stands for the file in messages.
 func ParseSettings(name, text string) (*Settings, error) {
 	s := &Settings{
-		MemoryMB: defaultMemoryMB, LogLinesPerSecond: defaultLogLines,
+		MemoryMB: defaultMemoryMB, LogLinesPerSecond: defaultLogLines, ServiceLevel: defaultServiceLevel,
 		Bounds: BoundsSettings{RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack},
 	}
 	if err := tomltext.Decode(name, text, s); err != nil {
@@ -117,6 +127,10 @@
 	address("mesh_listen", s.MeshListen)
 	address("metrics_listen", s.MetricsListen)
 	address("store.address", s.Store.Address)
+	if s.AdminListen != "" {
+		address("admin_listen", s.AdminListen)
+	}
+	report(s.ServiceLevel > 0 && s.ServiceLevel < 1, "service_level: allowed is above 0 and below 1")
 	if s.Role == settings.RoleEntry {
 		address("listen", s.Listen)
 		address("ready_listen", s.ReadyListen)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -15,9 +15,11 @@
 func TestStoppingEntryWaitsForItsSuccessor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		other := &mesh.Member{Leaving: true, Since: began.Add(-time.Hour)}
-		time.AfterFunc(time.Second, func() { other.Leaving, other.Since = false, time.Now() })
-		awaitSuccessor(context.Background(), func() bool { return takesCallers(other, began, time.Now()) })
+		back := began.Add(time.Second)
+		awaitSuccessor(context.Background(), func() bool {
+			other := &mesh.Member{Leaving: time.Now().Before(back), StopsSince: began.Add(-time.Second), Since: back}
+			return takesCallers(other, began, time.Now())
+		})
 		if took := time.Since(began); took < 2200*time.Millisecond || took > 2400*time.Millisecond {
 			t.Errorf("waited %s", took)
 		}
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -28,8 +28,13 @@
 // View is one picture. It does not change.
 type View struct {
 	Estate *estate.Estate
-	// Targets by service.
-	Targets map[string][]fleet.Target
+	// EstateText is the platform's record that the estate was read from.
+	EstateText []byte
+	// DeclaredAt is when what operators declare was last known to be complete.
+	DeclaredAt time.Time
+	// Targets by service, as the list was at ListedAt.
+	Targets  map[string][]fleet.Target
+	ListedAt time.Time
 	// Engines by instance, for those whose sidecars were heard lately.
 	Engines map[string]EngineWord
 	// Silent are the addresses of engines that do not answer their own sidecars.
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -11,6 +11,10 @@
 // a buffer to the output. Those beyond the rate, and those that come while the
 // buffer is full because the output's reader is stuck, are dropped; how many is
 // written when lines get through again.
+//
+// Ordinary lines, of requests that went well, have a part of the rate only. The
+// failure guarded against is a flood of them that leaves no room for the line of
+// the one request that failed.
 type Bounded struct {
 	out     io.Writer
 	perSec  int
@@ -19,14 +23,17 @@
 	ended   chan struct{}
 	mu      sync.Mutex
 	second  int64
-	inSec   int
-	closed  bool
+	// inSec and ordinary count the second's lines, all and ordinary ones.
+	inSec, ordinary int
+	closed          bool
 }
 
 const (
 	// bufferedLines bounds the memory that a stuck reader costs: 1,024 lines of
 	// some 300 bytes.
 	bufferedLines = 1024
+	// ordinaryShare is the part of the rate that ordinary lines may take.
+	ordinaryShare = 0.7
 	// closeTimeout bounds the wait for a stuck reader at the end.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -39,28 +46,44 @@
 }
 
 // Write implements io.Writer; each call is one line. It never fails.
-func (b *Bounded) Write(line []byte) (int, error) {
+func (b *Bounded) Write(line []byte) (int, error) { return b.write(line, false), nil }
+
+// Ordinary returns the writer of ordinary lines.
+func (b *Bounded) Ordinary() io.Writer { return ordinary{b} }
+
+type ordinary struct{ *Bounded }
+
+// Write implements io.Writer.
+func (o ordinary) Write(line []byte) (int, error) { return o.write(line, true), nil }
+
+func (b *Bounded) write(line []byte, ordinary bool) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.closed || !b.allowed(time.Now().Unix()) {
+	if b.closed || !b.allowed(time.Now().Unix(), ordinary) {
 		b.dropped.Add(1)
-		return len(line), nil
+		return len(line)
 	}
 	select {
 	case b.lines <- append([]byte(nil), line...):
 	default:
 		b.dropped.Add(1)
 	}
-	return len(line), nil
+	return len(line)
 }
 
 // allowed counts a line against the second's budget. The caller holds mu.
-func (b *Bounded) allowed(second int64) bool {
+func (b *Bounded) allowed(second int64, ordinary bool) bool {
 	if second != b.second {
-		b.second, b.inSec = second, 0
+		b.second, b.inSec, b.ordinary = second, 0, 0
+	}
+	if ordinary && b.ordinary >= int(ordinaryShare*float64(b.perSec)) || b.inSec >= b.perSec {
+		return false
 	}
 	b.inSec++
-	return b.inSec <= b.perSec
+	if ordinary {
+		b.ordinary++
+	}
+	return true
 }
 
 // Dropped is how many lines were dropped so far.
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -67,3 +67,21 @@
 		}
 	})
 }
+
+// Thousands of requests go well in a second and one fails. The line of the one
+// that failed is written.
+func TestOrdinaryLinesLeaveRoomForFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		b := NewBounded(&out, 10)
+		for range 100 {
+			_, _ = b.Ordinary().Write([]byte("ordinary\n"))
+		}
+		_, _ = b.Write([]byte("failed\n"))
+		b.Close()
+		text := out.String()
+		if n := strings.Count(text, "ordinary\n"); n != 7 || strings.Count(text, "failed\n") != 1 {
+			t.Errorf("%d ordinary lines; in all: %s", n, text)
+		}
+	})
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -31,6 +31,7 @@
 	connections    prometheus.Counter
 	storeCalls     *prometheus.HistogramVec
 	orders         *prometheus.CounterVec
+	waits          *prometheus.HistogramVec
 }
 
 var ttftBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.62, 1, 2, 4, 8, 16, 32}
@@ -63,6 +64,9 @@
 		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "toucanwell", Name: "store_call_seconds", Help: "Calls of the platform's store, by topic and result.", Buckets: ttftBuckets,
 		}, []string{"topic", "result"}),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "toucanwell", Name: "placement_wait_seconds", Help: "Time between a request's arrival and its first send.", Buckets: ttftBuckets,
+		}, labels),
 		orders:        counter("weights_orders_total", "Orders to load weights, by outcome.", "outcome"),
 		queueWaiting:  gauge("queue_waiting", "Requests that wait at this sidecar."),
 		queueRunning:  gauge("queue_running", "Requests that run at this sidecar's target."),
@@ -72,7 +76,7 @@
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.wastedTokens,
 		m.retries, m.resumes, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
-		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.storeCalls, m.orders)
+		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.storeCalls, m.orders, m.waits)
 	return m
 }
 
@@ -89,6 +93,16 @@
 	m.ttft.WithLabelValues(service, class).Observe(d.Seconds())
 }
 
+// Waited records how long a request was kept before its first send.
+func (m *Metrics) Waited(service, class string, d time.Duration) {
+	m.waits.WithLabelValues(service, class).Observe(d.Seconds())
+}
+
+// Gauge registers a gauge that is read when metrics are gathered.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "toucanwell", Name: name, Help: help}, read))
+}
+
 // Tokens counts the prompt tokens of a finished request; wasted are those
 // computed although another target held them.
 func (m *Metrics) Tokens(service, class string, prompt, cached, wasted int) {
