Prompts whose callers would leave before the first event are refused at once

Change: the adapter tells how long callers of a stream wait for an event; a prompt whose estimate lies beyond is refused with the time to come back. Lines of requests tell the shared part, the urgency and the longest pause. Test, red before: TestPromptWhoseCallerWouldLeaveIsRefused.

--- a/internal/gateway/estate/estate.go
+++ b/internal/gateway/estate/estate.go
@@ -66,6 +66,9 @@
 	// GapTarget is the longest pause between the events of a stream that is
 	// still of full use.
 	GapTarget time.Duration
+	// Patience is how long a caller waits for the next event of a stream, the first
+	// one included, before it leaves; zero when that is not known.
+	Patience time.Duration
 	// MaxAttempts is how many targets may run one request.
 	MaxAttempts int
 	// Priority ranks routes; 0 is the most urgent.
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -161,6 +161,11 @@
 	lastEvent string
 	begun     bool
 	firstAt   time.Duration
+	// events counts the events passed on, lastAt is when the last one was, and
+	// longestGap the longest pause between two.
+	events     int
+	lastAt     time.Time
+	longestGap time.Duration
 	// sentAt is when the last send was made.
 	sentAt time.Time
 	last   sendRecord
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire/wiretest"
 )
 
@@ -460,3 +462,21 @@
 		t.Errorf("a request of 0.3 seconds: %v %s %v", resp, body, err)
 	}
 }
+
+// Engines are so full that the first event would come after the caller has left,
+// long before its deadline. The prompt was sent all the same, read, and thrown
+// away. It is refused at once, with the time to come back.
+func TestPromptWhoseCallerWouldLeaveIsRefused(t *testing.T) {
+	tg := startTarget(t, "i1", nil)
+	w := startWorld(t, tg)
+	w.view.Estate.Match(host, "/prompt/").Patience = 300 * time.Millisecond
+	busy := w.Ledger.Begin(fleet.IDOf("i1-engine"), ledger.Work{Running: 1, Reading: time.Second, ReadingLate: time.Second}, time.Hour, time.Now())
+	defer busy.End()
+	resp, body, err := w.ask(t, "/prompt/x", "p", wiretest.Model, model, wiretest.Prompt, "10,1")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, "deadline_unmeetable") || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("%v %s %v", resp, body, err)
+	}
+	if n := tg.runs.Load(); n != 0 {
+		t.Errorf("%d sends", n)
+	}
+}
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -149,12 +149,21 @@
 	if choice.Index < 0 {
 		return nil, errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "no engine of %s may take the request now", fl.service.Name)
 	}
-	if left := fl.timeLeft(); choice.Estimate > left {
+	if left := fl.firstEventWithin(); choice.Estimate > left {
 		return nil, errkind.After(errkind.DeadlineUnmeetable, fl.comeBack(choice.Estimate-left), "the first event would come in %s", choice.Estimate)
 	}
 	return fl.toEngine(fl.view.Targets[fl.service.Name][choice.Index], candidates[choice.Index].Version, choice, q), nil
 }
 
+// firstEventWithin is the time within which the first event must come: callers of
+// streams leave before their deadline when none does.
+func (fl *flow) firstEventWithin() time.Duration {
+	if fl.route.Patience == 0 {
+		return fl.timeLeft()
+	}
+	return min(fl.timeLeft(), fl.route.Patience-time.Since(fl.arrived))
+}
+
 // candidates are the engines of the prompt's service, in the order of the view.
 func (fl *flow) candidates() []placement.Candidate {
 	targets := fl.view.Targets[fl.service.Name]
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -38,8 +38,8 @@
 		"target", to.target.Instance, "address", to.target.Address, "zone", to.target.Zone,
 		"list_age", fl.since(fl.view.ListedAt), "word_age", fl.since(word.HeardAt), "phase", word.Phase.String(),
 		"weights", to.weights, "wanted", fl.view.Wanted[fl.request.Model].Newest(),
-		"prompt", fl.request.PromptTokens, "held", to.choice.Held, "fetched", to.choice.Fetched, "fetch_from", to.fetchFrom, "save_to", to.saveTo,
-		"late", to.choice.Late, "wait", tenth(to.choice.Wait), "read", tenth(to.choice.Read), "fetch", tenth(to.choice.Fetch),
+		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "answer", fl.request.MaxTokens, "held", to.choice.Held, "fetched", to.choice.Fetched, "fetch_from", to.fetchFrom, "save_to", to.saveTo,
+		"late", to.choice.Late, "urgency", fl.urgency(to.choice.Late), "wait", tenth(to.choice.Wait), "read", tenth(to.choice.Read), "fetch", tenth(to.choice.Fetch),
 		"patience", tenth(to.patience), "kept", tenth(time.Since(fl.arrived)), "left", fl.timeLeft().Round(time.Millisecond))
 }
 
@@ -93,6 +93,15 @@
 	return max(tokens-to.choice.Held-to.choice.Fetched, 0)
 }
 
+// sharedTokens is the length of the prompt's parts that others use too.
+func (fl *flow) sharedTokens() int {
+	n := 0
+	for i := range max(len(fl.request.Parts)-1, 0) {
+		n += fl.request.Parts[i].Tokens
+	}
+	return n
+}
+
 func (fl *flow) routeName() string {
 	if fl.route == nil {
 		return ""
@@ -151,5 +160,5 @@
 	log.Info("request_done", "request_id", fl.request.ID, "outcome", outcome, "detail", detail, "retry_after", tenth(back),
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
 		"sends", fl.sends, "runs", fl.runs, "target", fl.last.instance, "status", fl.last.status,
-		"first", tenth(fl.firstAt), "took", tenth(time.Since(fl.arrived)))
+		"first", tenth(fl.firstAt), "events", fl.events, "longest_gap", tenth(fl.longestGap), "took", tenth(time.Since(fl.arrived)))
 }
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -103,12 +103,23 @@
 		if event.HasID {
 			fl.lastEvent = strconv.FormatInt(event.ID, 10)
 		}
+		fl.noteEvent()
 		if err := fl.pass(flusher, event.Raw); err != nil {
 			return verdict{end: true, refusal: errkind.New(errkind.Cancelled, "%v", err)}
 		}
 	}
 }
 
+// noteEvent keeps the longest pause between two events.
+func (fl *flow) noteEvent() {
+	now := time.Now()
+	if fl.events > 0 {
+		fl.longestGap = max(fl.longestGap, now.Sub(fl.lastAt))
+	}
+	fl.events++
+	fl.lastAt = now
+}
+
 func (fl *flow) pass(flusher *http.ResponseController, raw []byte) error {
 	if _, err := fl.w.Write(raw); err != nil {
 		return err
