--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -67,7 +67,7 @@
 // request of which no line is left is told apart from one that went well.
 func TestStoryAdmitsGaps(t *testing.T) {
 	log := "time=2026-01-01T00:00:01Z level=INFO msg=request_sent process=e request_id=r1\n" +
-		"time=2026-01-01T00:00:02Z level=WARN msg=log_lines_dropped lines=7\n" +
+		"time=2026-01-01T00:00:02Z level=WARN msg=log_lines_dropped process=e lines=7\n" +
 		"time=2026-01-01T00:00:03Z level=INFO msg=request_done process=e request_id=r1\n"
 	s, err := Read("r1", strings.NewReader(log))
 	if err != nil || !s.Dropped {
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -87,9 +87,6 @@
 		return false
 	}
 	return s.has(func(own *Line) bool {
-		if l.Event == "log_lines_dropped" {
-			return true // this line names no process
-		}
 		return own.Process == l.Process && (target(l) == "" || target(l) == own.Get("target") || target(l) == own.Get("address"))
 	})
 }
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -65,6 +65,8 @@
 // entry is a listing and what became of it.
 type entry struct {
 	target Target
+	// offset of the record that listed it.
+	offset uint64
 	goneAt time.Time
 }
 
@@ -76,14 +78,14 @@
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory { return &Directory{entries: map[string]*entry{}} }
 
-// List takes in a target's newest listing.
-func (d *Directory) List(l Listing) {
+// List takes in a target's newest listing, from the record at an offset.
+func (d *Directory) List(l Listing, offset uint64) {
 	e := d.entries[l.Instance]
 	if e == nil {
 		e = &entry{}
 		d.entries[l.Instance] = e
 	}
-	e.target = newTarget(l)
+	e.target, e.offset = newTarget(l), offset
 	e.goneAt = time.Time{}
 }
 
@@ -104,8 +106,12 @@
 // of each outage.
 func (d *Directory) Targets(now, outageEnd time.Time) map[string][]Target {
 	byService := map[string][]Target{}
+	newest := d.newestAt()
 	for instance, e := range d.entries {
 		t := e.target
+		if e.offset < newest[t.Address] {
+			continue
+		}
 		if !e.goneAt.IsZero() {
 			if now.Sub(e.goneAt) > goneMemory {
 				delete(d.entries, instance)
@@ -123,6 +129,22 @@
 	return byService
 }
 
+// newestAt returns the offset of the newest listing at each address.
+//
+// The failure guarded against: a target starts again, and its earlier life stays
+// listed for a second or two beside the new one. Requests that name the earlier life
+// are refused, a half of all after all hosts had lost power. The life that ended last
+// wrote before the one that lives.
+func (d *Directory) newestAt() map[netip.AddrPort]uint64 {
+	newest := make(map[netip.AddrPort]uint64, len(d.entries))
+	for _, e := range d.entries {
+		if e.goneAt.IsZero() {
+			newest[e.target.Address] = max(newest[e.target.Address], e.offset)
+		}
+	}
+	return newest
+}
+
 // inDoubt reports whether an entry that went at goneAt may have lapsed through
 // an outage that ended at outageEnd.
 func inDoubt(now, goneAt, outageEnd time.Time) bool {
@@ -178,12 +200,16 @@
 	return e != nil && !e.goneAt.IsZero()
 }
 
-// At returns the listed target at an address.
+// At returns the target that is listed newest at an address.
 func (d *Directory) At(address netip.AddrPort) (Target, bool) {
+	var found *entry
 	for _, e := range d.entries {
-		if e.goneAt.IsZero() && e.target.Address == address {
-			return e.target, true
+		if e.goneAt.IsZero() && e.target.Address == address && (found == nil || e.offset > found.offset) {
+			found = e
 		}
 	}
-	return Target{}, false
+	if found == nil {
+		return Target{}, false
+	}
+	return found.target, true
 }
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -23,7 +23,7 @@
 // A target that leaves the list is not used from then on, however it left.
 func TestDroppedTargetIsNotUsed(t *testing.T) {
 	d := NewDirectory()
-	d.List(listing("x", 1))
+	d.List(listing("x", 1), 1)
 	if !d.Drop("x", start) || d.Drop("x", start) {
 		t.Error("a drop counts once")
 	}
@@ -40,14 +40,14 @@
 // doubtful until they would have reported.
 func TestLapsedTargetsAreDoubtfulForAWhile(t *testing.T) {
 	d := NewDirectory()
-	d.List(listing("x", 1))
-	d.List(listing("y", 2))
+	d.List(listing("x", 1), 1)
+	d.List(listing("y", 2), 1)
 	d.Drop("x", start)
 	d.Drop("y", start)
 	if got := names(d, start.Add(time.Second), start); len(got) != 2 || !got["x"] {
 		t.Errorf("a second after the outage: %v", got)
 	}
-	d.List(listing("x", 1))
+	d.List(listing("x", 1), 1)
 	if got := names(d, start.Add(returnTime+time.Second), start); len(got) != 1 || got["x"] {
 		t.Errorf("later: %v", got)
 	}
@@ -59,7 +59,7 @@
 	d := NewDirectory()
 	l := listing("x", 1)
 	l.Leaving = true
-	d.List(l)
+	d.List(l, 1)
 	d.Drop("x", start)
 	if got := names(d, start, start); len(got) != 0 {
 		t.Errorf("targets %v", got)
@@ -72,8 +72,8 @@
 	d := NewDirectory()
 	old := listing("old", 1)
 	old.Slots = 64
-	d.List(old)
-	d.List(listing("other", 2))
+	d.List(old, 1)
+	d.List(listing("other", 2), 1)
 	byService := d.Targets(start, time.Time{})
 	Correct(byService, []Living{{Instance: "new", Service: "s", Address: old.Address, Zone: "a", Weights: map[string]int64{"m": 2}}})
 	found := map[string]int{}
@@ -83,10 +83,30 @@
 	if len(found) != 2 || found["new"] != 64 {
 		t.Errorf("targets %v", found)
 	}
-	d.List(Listing{Instance: "new", Service: "s", Address: old.Address, Zone: "a"})
+	d.List(Listing{Instance: "new", Service: "s", Address: old.Address, Zone: "a"}, 2)
 	byService = d.Targets(start, time.Time{})
 	Correct(byService, []Living{{Instance: "new", Service: "s", Address: old.Address}})
 	if len(byService["s"]) != 2 {
 		t.Errorf("both lives are used: %v", byService["s"])
 	}
 }
+
+// All hosts lose power and come back. For a second or two the list has two lives of
+// each target at one address, and requests that name the earlier one are refused.
+// Only the newer is used; when it goes, the earlier one does not come back.
+func TestEarlierLifeAtAnAddressIsNotUsed(t *testing.T) {
+	d := NewDirectory()
+	d.List(listing("new", 1), 7)
+	d.List(listing("old", 1), 3)
+	if got := names(d, start, time.Time{}); len(got) != 1 || got["new"] {
+		t.Errorf("targets %v", got)
+	}
+	if at, ok := d.At(listing("new", 1).Address); !ok || at.Instance != "new" {
+		t.Errorf("at the address: %v %v", at, ok)
+	}
+	d.Drop("old", start)
+	d.Drop("new", start)
+	if got := names(d, start, time.Time{}); len(got) != 0 {
+		t.Errorf("targets %v", got)
+	}
+}
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -172,8 +172,8 @@
 	directory := fleet.NewDirectory()
 	for _, tg := range targets {
 		address := netip.MustParseAddrPort(tg.listener.Addr().String())
-		directory.List(fleet.Listing{Instance: tg.instance, Service: "plain", Address: address, Zone: "a", Slots: 4})
-		directory.List(fleet.Listing{Instance: tg.instance + "-engine", Service: "engines", Address: address, Zone: "a", Slots: 4, Weights: map[string]int64{model: 3}})
+		directory.List(fleet.Listing{Instance: tg.instance, Service: "plain", Address: address, Zone: "a", Slots: 4}, 1)
+		directory.List(fleet.Listing{Instance: tg.instance + "-engine", Service: "engines", Address: address, Zone: "a", Slots: 4, Weights: map[string]int64{model: 3}}, 1)
 	}
 	w.view.Targets = directory.Targets(time.Now(), time.Time{})
 	w.view.Wanted = map[string]weights.History{}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -60,7 +60,7 @@
 
 // Start runs a process until Stop or Close.
 func Start(s *Settings, platform Platform, out io.Writer) (*Process, error) {
-	log := logging.NewBounded(out, s.LogLinesPerSecond)
+	log := logging.NewBounded(out, s.Name, s.LogLinesPerSecond)
 	p := &process{
 		settings: s, platform: platform, log: log, logger: logging.New(log, s.Name), ordinary: logging.New(log.Ordinary(), s.Name), metrics: metrics.New(),
 		clock: hostclock.New(), burn: burn.NewCounter(time.Now), failed: make(chan error, 4),
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -50,7 +50,8 @@
 	Service string `toml:"service"`
 	// MemoryMB is the memory that the process may use. Default 256.
 	MemoryMB int64 `toml:"memory_mb"`
-	// LogLinesPerSecond bounds the log's volume. Default 400.
+	// LogLinesPerSecond bounds the log's volume. Default 600: an entry writes two
+	// lines for each request that goes well, and has up to 165 requests a second.
 	LogLinesPerSecond int `toml:"log_lines_per_second"`
 
 	Store  StoreSettings  `toml:"store"`
@@ -88,7 +89,7 @@
 
 const (
 	defaultMemoryMB   = 256
-	defaultLogLines   = 400
+	defaultLogLines   = 600
 	defaultRetryRatio = 0.1
 	defaultRetrySlack = 10
 	// defaultServiceLevel is the share that operators of large deployments ask for.
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -17,6 +17,7 @@
 // the one request that failed.
 type Bounded struct {
 	out     io.Writer
+	process string
 	perSec  int
 	lines   chan []byte
 	dropped atomic.Uint64
@@ -38,9 +39,10 @@
 	closeTimeout = 200 * time.Millisecond
 )
 
-// NewBounded returns a writer of at most perSecond lines a second to out.
-func NewBounded(out io.Writer, perSecond int) *Bounded {
-	b := &Bounded{out: out, perSec: perSecond, lines: make(chan []byte, bufferedLines), ended: make(chan struct{})}
+// NewBounded returns a writer of at most perSecond lines a second to out, for the
+// process of a name.
+func NewBounded(out io.Writer, process string, perSecond int) *Bounded {
+	b := &Bounded{out: out, process: process, perSec: perSecond, lines: make(chan []byte, bufferedLines), ended: make(chan struct{})}
 	go b.run()
 	return b
 }
@@ -94,7 +96,7 @@
 	var told uint64
 	for line := range b.lines {
 		if dropped := b.dropped.Load(); dropped > told {
-			_, _ = io.WriteString(b.out, droppedLine(dropped-told))
+			_, _ = io.WriteString(b.out, droppedLine(b.process, dropped-told))
 			told = dropped
 		}
 		_, _ = b.out.Write(line) // there is nobody left to tell
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -28,7 +28,7 @@
 func TestStuckReaderCostsLinesNotRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		out := &stuck{release: make(chan struct{})}
-		b := NewBounded(out, 1<<20)
+		b := NewBounded(out, "p", 1<<20)
 		const lines = 3 * bufferedLines
 		for range lines {
 			if n, err := b.Write([]byte("line\n")); n != 5 || err != nil {
@@ -44,7 +44,7 @@
 		if written+int(b.Dropped()) != lines+1 || written < bufferedLines {
 			t.Errorf("%d written, %d dropped", written, b.Dropped())
 		}
-		if !strings.Contains(text, "msg=log_lines_dropped") {
+		if !strings.Contains(text, "msg=log_lines_dropped process=\"p\" lines=") {
 			t.Error("what was dropped is not said")
 		}
 	})
@@ -54,7 +54,7 @@
 func TestRateBoundsTheVolume(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
-		b := NewBounded(&out, 10)
+		b := NewBounded(&out, "p", 10)
 		for range 3 {
 			for range 100 {
 				_, _ = b.Write([]byte("line\n"))
@@ -73,7 +73,7 @@
 func TestOrdinaryLinesLeaveRoomForFailures(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
-		b := NewBounded(&out, 10)
+		b := NewBounded(&out, "p", 10)
 		for range 100 {
 			_, _ = b.Ordinary().Write([]byte("ordinary\n"))
 		}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -25,6 +25,6 @@
 	return a
 }
 
-func droppedLine(n uint64) string {
-	return "time=" + time.Now().UTC().Format(time.RFC3339Nano) + " level=WARN msg=log_lines_dropped lines=" + strconv.FormatUint(n, 10) + "\n"
+func droppedLine(process string, n uint64) string {
+	return "time=" + time.Now().UTC().Format(time.RFC3339Nano) + " level=WARN msg=log_lines_dropped process=" + strconv.Quote(process) + " lines=" + strconv.FormatUint(n, 10) + "\n"
 }
