--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -270,7 +270,6 @@
 		}
 	}
 	fleet.Correct(v.Targets, b.living(v.Engines))
-	v.Unconfirmed = b.unconfirmed(v, now)
 	for model, w := range b.wanted {
 		v.Wanted[model] = w
 	}
@@ -278,35 +277,6 @@
 	b.changed()
 }
 
-// confirmFor is how long a sidecar that has just begun is given to tell of its
-// engine. It asks the engine at once, and for its life as soon as it knows the
-// estate: some 0.3 s after its start.
-const confirmFor = 1500 * time.Millisecond
-
-// unconfirmed are the listed engines of which their own sidecars, just begun, have
-// not told yet.
-//
-// The failure guarded against: all hosts lose power and come back. The list still
-// names the engines' earlier lives for a second or two, each request that is sent to
-// one is refused, and the retry budget of a process that has just begun is spent
-// with the first: callers were refused while every engine was idle.
-func (b *beliefs) unconfirmed(v *view.View, now time.Time) map[string]bool {
-	found := map[string]bool{}
-	for _, list := range v.Targets {
-		for i := range list {
-			t := &list[i]
-			m := b.mesh.At(netip.AddrPortFrom(t.Address.Addr(), b.settings.mesh().Port()))
-			if m == nil || m.Beat == nil || m.Entry || now.Sub(m.Since) > confirmFor {
-				continue
-			}
-			if _, told := v.Engines[t.Instance]; !told {
-				found[t.Instance] = true
-			}
-		}
-	}
-	return found
-}
-
 // living are the engines whose sidecars know them. One that the list has
 // dropped is not among them: it has ended or leaves.
 func (b *beliefs) living(words map[string]view.EngineWord) []fleet.Living {
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -6,13 +6,11 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
-	"github.com/toucanwell/toucanwell/internal/gateway/view"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire/wiretest"
 )
 
@@ -482,36 +480,3 @@
 		t.Errorf("%d sends", n)
 	}
 }
-
-// All hosts have lost power and come back. The list names an engine's earlier life;
-// its sidecar has just begun and is about to tell of the new one. The request waits
-// for that word. Sent at once it would be refused, and no budget left to send it on.
-func TestPromptWaitsForWordOfAnEngineThatMayHaveRestarted(t *testing.T) {
-	var tg *target
-	tg = startTarget(t, "i1", func(w io.Writer, r *http.Request, _ string) bool {
-		if r.Header.Get(wiretest.Instance) != "i1-engine" {
-			return tg.refused(w, r, http.StatusMisdirectedRequest)
-		}
-		tg.streamHead(w, r)
-		chunk(w, event(1))
-		fmt.Fprint(w, "0\r\n\r\n")
-		return true
-	})
-	w := startWorld(t, tg)
-	confirmed := *w.view
-	before := *w.view
-	before.Unconfirmed = map[string]bool{"i1-engine": true}
-	var current atomic.Pointer[view.View]
-	current.Store(&before)
-	w.View = func() (*view.View, bool) { return current.Load(), true }
-	timer := time.AfterFunc(60*time.Millisecond, func() { current.Store(&confirmed) })
-	defer timer.Stop()
-	began := time.Now()
-	resp, _, err := w.ask(t, "/prompt/x", "p", wiretest.Model, model, wiretest.Prompt, "10,1")
-	if err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatalf("%v %v", resp, err)
-	}
-	if n, took := tg.runs.Load(), time.Since(began); n != 1 || took < 50*time.Millisecond {
-		t.Errorf("%d sends, after %s", n, took)
-	}
-}
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -181,7 +181,6 @@
 			Excluded: t.Leaving || fl.excluded[t.Instance], Loading: fl.view.Phase(t) == weights.Loading, Emptying: fl.view.Phase(t) == weights.Emptying, Version: fl.view.Version(t, fl.request.Model),
 			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.ID],
 		}
-		c.Unconfirmed = fl.view.Unconfirmed[t.Instance]
 		c.LoadsIn, c.Loads = schedule[t.Instance]
 		c.Pace = fl.paces.Of(t.Instance, fl.Now())
 		c.Behind = wanted.Behind(c.Version, fl.Now())
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -31,9 +31,6 @@
 	// Loading engines load weights and refuse. Emptying ones load next and are
 	// used when no other is left.
 	Loading, Emptying bool
-	// Unconfirmed engines may have begun a new life, of which their sidecars are
-	// about to tell.
-	Unconfirmed bool
 	// Version of the model that the engine has, and for how long it has been
 	// older than one that operators want.
 	Version int64
@@ -172,8 +169,6 @@
 		return "leaves or has failed this request"
 	case c.Loading:
 		return "loads weights"
-	case c.Unconfirmed:
-		return "may have begun a new life"
 	case c.Behind >= q.VersionBound-boundMargin:
 		return "has weights that are too old"
 	default:
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -39,9 +39,6 @@
 	Engines map[string]EngineWord
 	// Silent are the addresses of engines that do not answer their own sidecars.
 	Silent map[netip.AddrPort]bool
-	// Unconfirmed are the instances of engines whose sidecars have just begun and
-	// have not told yet which life their engine is in.
-	Unconfirmed map[string]bool
 	// Wanted versions by model.
 	Wanted map[string]weights.History
 	// Entries is how many entries live, this one included.
