--- a/cmd/toucanwell/config.go
+++ b/cmd/toucanwell/config.go
@@ -14,6 +14,7 @@
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/configlog"
 	"github.com/toucanwell/toucanwell/internal/external"
+	"github.com/toucanwell/toucanwell/platform"
 )
 
 const publishTimeout = 60 * time.Second
@@ -23,7 +24,11 @@
 		Name:      "check",
 		Usage:     "check a configuration text",
 		ArgsUsage: "FILE",
+		Flags:     []cli.Flag{&cli.BoolFlag{Name: "platform", Usage: "the file is the platform's record of the estate"}},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Bool("platform") {
+				return checkEstate(c.Args().First())
+			}
 			_, text, err := readConfig(c)
 			if err != nil {
 				return err
@@ -34,6 +39,20 @@
 	}
 }
 
+// checkEstate checks a record as a gateway would before it takes effect.
+func checkEstate(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return cli.Exit(err.Error(), exitBadInput)
+	}
+	e, err := platform.DecodeEstate(text)
+	if err != nil {
+		return cli.Exit(path+": "+err.Error(), exitBadInput)
+	}
+	fmt.Printf("%s: good, version %d, %d routes, %d services\n", path, e.Version, len(e.Routes()), len(e.Services()))
+	return nil
+}
+
 // readConfig reads and checks the text that the first argument names.
 func readConfig(c *cli.Command) (*config.Config, string, error) {
 	path := c.Args().First()
--- a/cmd/toucanwell/main.go
+++ b/cmd/toucanwell/main.go
@@ -21,10 +21,11 @@
 
 func main() {
 	command := &cli.Command{
-		Name:    "toucanwell",
-		Usage:   "check, publish and watch the router's configuration",
-		Version: version.String(),
-		Description: "Exit codes: 0 done, 1 failed, 2 bad input, 3 another version was published first.\n" +
+		Name:                  "toucanwell",
+		Usage:                 "check, publish and watch the router's configuration",
+		Version:               version.String(),
+		EnableShellCompletion: true,
+		Description: "Exit codes: 0 done, 1 failed, 2 bad input, 3 another version was published first, 4 no log line tells of the request.\n" +
 			"The administration token is read from the environment variable TOUCANWELL_ADMIN_TOKEN.",
 		Commands: []*cli.Command{
 			checkCommand(),
