--- /dev/null
+++ b/internal/gateway/copies.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
+	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+)
+
+// compose fills in a heartbeat with how far the copies are.
+func (b *beliefs) compose(beat *peerv1.Beat) {
+	beat.Leaving = b.stopping
+	beat.Topics = []*peerv1.TopicPosition{
+		b.position(topicOperators, b.operators, 0),
+		b.position(topicTargets, b.targets, b.digest),
+	}
+}
+
+func (b *beliefs) position(name string, f *feed.Follower, digest uint64) *peerv1.TopicPosition {
+	current := b.currentAt(name)
+	return &peerv1.TopicPosition{
+		Topic: name, End: f.Copy().End(), AgeMs: uint32(b.clock.Now().Sub(current).Milliseconds()),
+		Unknown: current.IsZero(), Digest: digest,
+	}
+}
+
+// currentAt is when a copy last was complete. A read of what operators declare
+// that waits at the store is answered by the first record; as long as the store
+// answers other reads, none has come.
+func (b *beliefs) currentAt(topic string) time.Time {
+	own := b.targets.Copy().CurrentAt()
+	if topic == topicTargets {
+		return own
+	}
+	at := b.operators.Copy().CurrentAt()
+	if b.isEntry() && !at.IsZero() && own.After(at) {
+		return own
+	}
+	return at
+}
+
+// heard takes in how far another process's copies are, and fetches what this
+// one lacks.
+func (b *beliefs) heard(m *mesh.Member) {
+	for _, p := range m.Beat.Topics {
+		if p.Unknown {
+			continue
+		}
+		f := b.follower(p.Topic)
+		if f == nil {
+			continue
+		}
+		at := b.clock.Now().Add(-time.Duration(p.AgeMs) * time.Millisecond)
+		same := p.End <= f.Copy().End()
+		if p.Topic == topicTargets {
+			same = p.Digest == b.digest
+		}
+		switch {
+		case same && f.Copy().End() > 0:
+			if p.Topic == topicTargets || p.End == f.Copy().End() {
+				f.Copy().Confirm(at)
+			}
+		case p.End > f.Copy().End():
+			b.pull(m.Address, p.Topic, f)
+		}
+	}
+}
+
+func (b *beliefs) follower(topic string) *feed.Follower {
+	switch topic {
+	case topicOperators:
+		return b.operators
+	case topicTargets:
+		return b.targets
+	default:
+		return nil
+	}
+}
+
+// pull fetches the records of a topic that a peer has and this process lacks.
+func (b *beliefs) pull(from netip.AddrPort, topic string, f *feed.Follower) {
+	if b.pulling[topic] {
+		return
+	}
+	b.pulling[topic] = true
+	offset := f.Copy().End()
+	const timeout = 800 * time.Millisecond
+	control.Do(b.loop, timeout, func(ctx context.Context) (mesh.Answer, error) {
+		return mesh.Fetch(ctx, b.peers, from, topic, offset)
+	}, func(a mesh.Answer, err error) {
+		b.pulling[topic] = false
+		if err != nil {
+			b.logger.Info("fetch_failed", "topic", topic, "peer", from, "error", err.Error())
+			return
+		}
+		if a.End > 0 {
+			f.Adopt(a.Page, offset, b.clock.Now().Add(-a.Age))
+		}
+	})
+}
+
+// answer serves another process's fetch.
+func (b *beliefs) answer(topic string, from uint64) (mesh.Answer, bool) {
+	f := b.follower(topic)
+	if f == nil || f.Copy().CurrentAt().IsZero() {
+		return mesh.Answer{}, false
+	}
+	return mesh.Answer{
+		Page: f.Copy().Since(from), Age: b.clock.Now().Sub(b.currentAt(topic)),
+	}, true
+}
