An entry counts as cut off only when no engine answered while a connection was tried

Cause (found by reading): were all sidecars killed, one dark engine made an entry count as cut off between each failed connection and the next answer. Change: an answer since the failed connection was begun shows that engines are reached. Lines of callers' own mistakes are ordinary ones. Test, red before: the case "one of many" in TestOneSignAloneIsNotEnough.

--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -141,12 +141,18 @@
 // leave, is not held against the service.
 func (fl *flow) failed(e *errkind.Error) {
 	fl.Metrics.Refusal(fl.serviceName(), fl.class(), e.Kind.String())
-	if e.Kind.Row().Status >= http.StatusInternalServerError || e.Kind == errkind.Overloaded {
+	if ofTheService(e) {
 		fl.burn(false)
 	}
 	fl.logDone(e)
 }
 
+// ofTheService reports whether a refusal is the service's doing. What callers do
+// wrong is ordinary: a flood of it must not take the log from the others.
+func ofTheService(e *errkind.Error) bool {
+	return e.Kind.Row().Status >= http.StatusInternalServerError || e.Kind == errkind.Overloaded
+}
+
 // logDone writes the line that ends a request's story.
 func (fl *flow) logDone(e *errkind.Error) {
 	outcome, detail, back := "answered", "", time.Duration(0)
@@ -154,7 +160,7 @@
 	if e != nil {
 		outcome, detail, back = e.Kind.String(), e.Detail, e.RetryAfter
 	}
-	if e != nil || fl.sends > 1 || fl.last.status >= http.StatusInternalServerError {
+	if e != nil && ofTheService(e) || fl.sends > 1 || fl.last.status >= http.StatusInternalServerError {
 		log = fl.Logger
 	}
 	log.Info("request_done", "request_id", fl.request.ID, "outcome", outcome, "detail", detail, "retry_after", tenth(back),
--- a/internal/gateway/reach/reach.go
+++ b/internal/gateway/reach/reach.go
@@ -16,6 +16,9 @@
 	// silence is the time without word of any sidecar from which the host may be
 	// cut off. Each of them sends a heartbeat more than twice a second.
 	silence = 800 * time.Millisecond
+	// attempt is how long a connection is tried, a little less. An answer that came
+	// while one was tried shows that engines are reached.
+	attempt = 200 * time.Millisecond
 	// evidenceFor is how long a failed connection to an engine counts. Without
 	// requests there is no newer word of the engines: the host then counts as
 	// connected again, and the next request tells.
@@ -39,11 +42,12 @@
 func (b *Book) Failed(now time.Time) { b.failed.Store(now.UnixNano()) }
 
 // CutOff reports whether the host reaches no engine: no sidecar was heard
-// lately, and the newest word of engines is a failed connection. Either alone is
-// not enough: heartbeats may be lost, and a single engine may be dark.
+// lately, and no engine has answered since the newest connection that failed was
+// begun. Either alone is not enough: heartbeats may be lost, and a single engine may
+// be dark.
 func (b *Book) CutOff(now time.Time) bool {
 	heard, failed := b.heard.Load(), b.failed.Load()
-	if heard == 0 || failed <= b.answered.Load() {
+	if heard == 0 || failed-b.answered.Load() <= int64(attempt) {
 		return false
 	}
 	at := now.UnixNano()
--- a/internal/gateway/reach/reach_test.go
+++ b/internal/gateway/reach/reach_test.go
@@ -36,7 +36,11 @@
 	deaf.Failed(at(100))
 	deaf.Answered(at(950))
 	alone.Failed(at(950))
-	for name, b := range map[string]*Book{"dark engine": &dark, "lost heartbeats": &deaf, "single process": &alone} {
+	var both Book // all sidecars were killed, one engine is dark, the others answer
+	both.Heard(at(0))
+	both.Answered(at(800))
+	both.Failed(at(950))
+	for name, b := range map[string]*Book{"dark engine": &dark, "lost heartbeats": &deaf, "single process": &alone, "one of many": &both} {
 		if b.CutOff(at(1000)) {
 			t.Errorf("%s: counts as cut off", name)
 		}
