A model of engines that batch continuously, for choosing policies in seconds

Change: package batchmodel, `toucanwell model` with a table and a picture of worth by load; the product's own placement and ledger decide in it, beside random, least work, hash of the family and a greedy oracle.

--- a/cmd/toucanwell/main.go
+++ b/cmd/toucanwell/main.go
@@ -36,6 +36,7 @@
 			explainCommand(),
 			demoCommand(),
 			replayCommand(),
+			modelCommand(),
 			traceCommand(),
 			standinCommand(),
 			versionCommand(),
--- a/cmd/toucanwell/report.go
+++ b/cmd/toucanwell/report.go
@@ -165,6 +165,11 @@
 	graph.Series = append(graph.Series, r.evenBurn())
 	graph.YAxis = chart.YAxis{Name: "burn", Range: &chart.ContinuousRange{Min: 0, Max: highest}}
 	graph.Elements = []chart.Renderable{chart.LegendLeft(&graph)}
+	return writeChart(&graph, path)
+}
+
+// writeChart draws into a file, as PNG by its ending, else as SVG.
+func writeChart(graph *chart.Chart, path string) error {
 	file, err := os.Create(path)
 	if err != nil {
 		return errors.Wrap(err, "plot")
