--- a/internal/batchmodel/model.go
+++ b/internal/batchmodel/model.go
@@ -111,7 +111,7 @@
 	for v, at := range m.spec.Versions {
 		views := make([]weights.EngineView, len(m.engines))
 		for i := range views {
-			views[i] = weights.EngineView{Instance: strconv.Itoa(i)}
+			views[i] = weights.EngineView{Life: fleet.Life{Instance: strconv.Itoa(i)}}
 		}
 		for place, turn := range weights.Turns(views, int64(v+1)) {
 			i, _ := strconv.Atoi(turn.Instance) // it was made from a number above
@@ -188,7 +188,7 @@
 func (m *model) decide(q *request, seen []snapshot) {
 	question := &placement.Question{
 		Family: q.family(), Shared: q.sharedTokens(), Own: q.own, MaxTokens: q.answer, Aim: q.class.Aim,
-		VersionBound: time.Hour, ReadTime: m.readTime, FetchRate: m.spec.Engine.FetchPerMs,
+		VersionBound: time.Hour, ReadTime: m.readTime,
 	}
 	totals := m.ledger.Totals(m.time(q.at))
 	candidates := make([]placement.Candidate, len(m.engines))
@@ -201,7 +201,7 @@
 		if m.policy == "oracle" {
 			c.Work.Reading, c.Work.ReadingLate = m.readTime(e.waitingTokens(q.class.Urgency)), 0
 		}
-		c.Fetchable, c.Peer = m.fetchable(q, i, seen), true
+		c.Fetchable, c.SourceRate = m.fetchable(q, i, seen), m.spec.Engine.FetchPerMs
 		c.SourceNear = true
 	}
 	choice := placement.Pick(question, candidates)
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -68,11 +68,13 @@
 	// estateText is the record that the estate was read from.
 	estateText []byte
 	wanted     map[string]weights.History
-	words      map[string]view.EngineWord
+	words      map[fleet.Life]view.EngineWord
 	// silent holds since when the sidecars of silent engines were heard last.
-	silent   map[netip.AddrPort]time.Time
-	digest   uint64
-	pulling  map[string]bool
+	silent  map[netip.AddrPort]time.Time
+	digest  uint64
+	pulling map[string]bool
+	// refused entries of the list, with what is wrong with them.
+	refused  map[string]string
 	stopping bool
 	// stoppingSince, picksFrom and endsAt are set once the process stops; the
 	// latter two are the view's.
@@ -82,13 +84,15 @@
 	// estate.
 	changed func()
 	inForce func(version int64)
+	// entryRefused is told of each entry of the list that names no target.
+	entryRefused func()
 }
 
 func newBeliefs(s *Settings, p Platform, loop *control.Loop, clock *hostclock.Clock, logger logr.Logger, peers *http.Client, called func(string, time.Duration, error)) *beliefs {
 	b := &beliefs{
 		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
-		directory: fleet.NewDirectory(), wanted: map[string]weights.History{}, words: map[string]view.EngineWord{}, silent: map[netip.AddrPort]time.Time{},
-		pulling: map[string]bool{}, changed: func() {}, inForce: func(int64) {},
+		directory: fleet.NewDirectory(), wanted: map[string]weights.History{}, words: map[fleet.Life]view.EngineWord{}, silent: map[netip.AddrPort]time.Time{},
+		pulling: map[string]bool{}, refused: map[string]string{}, changed: func() {}, inForce: func(int64) {}, entryRefused: func() {},
 	}
 	b.operators = feed.NewFollower(loop, p.Operators(), feed.NewCopy(outageGap), feed.Options{
 		Name: topicOperators, Wait: operatorsWait, Reads: b.readsOperators, Changed: b.operatorsChanged,
@@ -183,6 +187,7 @@
 	for _, key := range keys {
 		r, ok := b.targets.Copy().Get(key)
 		if !ok {
+			delete(b.refused, key)
 			if b.directory.Drop(key, b.clock.Now()) {
 				changed = true
 				b.logger.Info("target_gone", "target", key, "end", b.targets.Copy().End())
@@ -191,26 +196,45 @@
 		}
 		listing, err := b.platform.ReadTarget(r)
 		if err != nil {
-			b.logger.Error(err, "target_refused", "target", key, "offset", r.Offset)
+			b.refuse(key, r.Offset, err)
 			continue
 		}
+		delete(b.refused, key)
 		changed = b.list(listing, r.Offset) || changed
 	}
 	if changed {
 		b.digestTargets()
 		b.post()
+		b.mesh.Introduce()
 	}
 }
 
+// maxRefused bounds the entries of which is remembered that they were refused.
+const maxRefused = 1000
+
+// refuse passes over an entry that names no target. It is counted each time and logged
+// when it is new: another writer may write it anew with each of its heartbeats.
+func (b *beliefs) refuse(key string, offset uint64, err error) {
+	b.entryRefused()
+	if b.refused[key] == err.Error() || len(b.refused) >= maxRefused {
+		return
+	}
+	b.refused[key] = err.Error()
+	b.logger.Info("target_refused", "target", key, "offset", offset, "error", err.Error())
+}
+
 // list takes in a listing and reports whether it changed what matters.
 func (b *beliefs) list(l fleet.Listing, offset uint64) bool {
 	old, known := b.directory.Find(l.Instance)
-	returned := b.directory.Gone(l.Instance)
-	b.directory.List(l, offset)
+	returned := b.directory.Gone(old.Life)
+	if !b.directory.List(l, offset, b.clock.Now()) {
+		b.logger.Info("target_late_word", "target", l.Life, "newest", old.Life, "offset", offset)
+		return false
+	}
 	if known && !returned && listingDigest(&old.Listing) == listingDigest(&l) {
 		return false
 	}
-	b.logger.Info("target_listed", "target", l.Instance, "service", l.Service, "address", l.Address, "zone", l.Zone,
+	b.logger.Info("target_listed", "target", l.Life, "service", l.Service, "address", l.Address, "zone", l.Zone,
 		"leaving", l.Leaving, "weights", l.Weights, "returned", returned, "offset", offset)
 	return true
 }
@@ -230,7 +254,7 @@
 func listingDigest(l *fleet.Listing) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	for _, text := range []string{l.Instance, l.Service, l.Address.String(), l.Zone} {
+	for _, text := range []string{l.Life.String(), l.Service, l.Address.String(), l.Zone} {
 		_, _ = d.WriteString(text + "\x00")
 	}
 	if l.Leaving {
@@ -249,15 +273,15 @@
 func (b *beliefs) post() {
 	now := b.clock.Now()
 	v := &view.View{
-		Estate: b.estate, EstateText: b.estateText, Targets: b.directory.Targets(now, b.targets.Copy().OutageEnd()),
-		ListedAt: b.targets.Copy().CurrentAt(), DeclaredAt: b.currentAt(topicOperators), Engines: map[string]view.EngineWord{}, Silent: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
+		Estate: b.estate, EstateText: b.estateText, Targets: b.directory.Targets(b.declared, now, b.targets.Copy().OutageEnd()),
+		ListedAt: b.targets.Copy().CurrentAt(), DeclaredAt: b.currentAt(topicOperators), Engines: map[fleet.Life]view.EngineWord{}, Silent: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
 		Entries: 1 + len(b.mesh.Live(true)), Stopping: b.stopping, PicksFrom: b.picksFrom, EndsAt: b.endsAt,
 	}
-	for instance, word := range b.words {
+	for life, word := range b.words {
 		if now.Sub(word.HeardAt) <= wordFor {
-			v.Engines[instance] = word
+			v.Engines[life] = word
 		} else {
-			delete(b.words, instance)
+			delete(b.words, life)
 		}
 	}
 	for address, heard := range b.silent {
@@ -275,23 +299,29 @@
 	b.changed()
 }
 
-// living are the engines whose sidecars know them. One that the list has
-// dropped is not among them: it has ended or leaves.
-func (b *beliefs) living(words map[string]view.EngineWord) []fleet.Living {
+// living are the engines whose sidecars know them. One that the list has dropped is
+// not among them: it has ended or leaves. Nor is one of which the list has shown a
+// later life since its sidecar was heard: the sidecar is late, or was suspended.
+func (b *beliefs) living(words map[fleet.Life]view.EngineWord) []fleet.Living {
 	var all []fleet.Living
-	for instance, w := range words {
-		if b.directory.Gone(instance) {
+	for life, w := range words {
+		if b.directory.Gone(life) || b.directory.Succeeded(life, w.HeardAt) {
 			continue
 		}
-		all = append(all, fleet.Living{Instance: instance, Service: w.Service, Address: w.Address, Zone: w.Zone, Weights: w.Weights})
+		all = append(all, fleet.Living{Life: life, Service: w.Service, Address: w.Address, Zone: w.Zone, Weights: w.Weights})
 	}
 	return all
 }
 
+// declared reports whether operators declare a service.
+func (b *beliefs) declared(service string) bool {
+	return b.estate != nil && b.estate.Service(service) != nil
+}
+
 // hosts are those on which sidecars may run: the engines'.
 func (b *beliefs) hosts() []netip.Addr {
 	var hosts []netip.Addr
-	for _, list := range b.directory.Targets(b.clock.Now(), b.targets.Copy().OutageEnd()) {
+	for _, list := range b.directory.Targets(b.declared, b.clock.Now(), b.targets.Copy().OutageEnd()) {
 		for i := range list {
 			if len(list[i].Weights) > 0 {
 				hosts = append(hosts, list[i].Address.Addr())
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"net/http"
 	"time"
@@ -34,15 +35,17 @@
 	reach     *reach.Book
 	pool      *upstream.Pool
 	forwarder *forward.Forwarder
+	// caches are those that were told of, with when they were last.
+	caches map[fleet.ID]time.Time
 	// changed are the targets at which this entry's work has changed since the
 	// others were told.
 	changed map[fleet.ID]bool
 }
 
 func newEntry(p *process) *entry {
-	e := &entry{beliefs: p.beliefs, ledger: ledger.New(), parts: parts.NewBook(), reach: &reach.Book{}, changed: map[fleet.ID]bool{}}
-	e.health = health.NewBook(func(instance string, until time.Time, failures, others float64, outcome health.Outcome) {
-		p.logger.Info("target_rested", "target", instance, "for", until.Sub(p.clock.Now()).Round(time.Millisecond),
+	e := &entry{beliefs: p.beliefs, ledger: ledger.New(), parts: parts.NewBook(), reach: &reach.Book{}, caches: map[fleet.ID]time.Time{}, changed: map[fleet.ID]bool{}}
+	e.health = health.NewBook(func(life fleet.Life, until time.Time, failures, others float64, outcome health.Outcome) {
+		p.logger.Info("target_rested", "target", life, "for", until.Sub(p.clock.Now()).Round(time.Millisecond),
 			"failures", math.Round(100*failures)/100, "others", math.Round(100*others)/100, "outcome", outcome.String())
 	})
 	e.pool = upstream.NewPool(p.metrics.Connection)
@@ -147,11 +150,32 @@
 			e.parts.Told(parts.Fact{Part: parts.Key(p.Part), Target: fleet.ID(p.Target), Done: p.Done}, now)
 		}
 	}
+	e.learnCache(m, now)
 	if e.beliefs.hearEngine(m) {
 		e.beliefs.post()
 	}
 }
 
+// cacheSilence is the silence after which word of a cache is news again. Sidecars tell of
+// each cache twice a second.
+const cacheSilence = 5 * time.Second
+
+// learnCache takes in what a cache holds by its own word.
+func (e *entry) learnCache(m *mesh.Member, now time.Time) {
+	c := m.Beat.Cache
+	if c == nil || len(c.Parts) != len(c.Tokens) {
+		return
+	}
+	if now.Sub(e.caches[fleet.ID(c.Cache)]) > cacheSilence {
+		e.beliefs.logger.Info("cache_told", "cache", c.Cache, "peer", m.Name, "parts", len(c.Parts))
+		maps.DeleteFunc(e.caches, func(_ fleet.ID, at time.Time) bool { return now.Sub(at) > cacheSilence })
+	}
+	e.caches[fleet.ID(c.Cache)] = now
+	for i, part := range c.Parts {
+		e.parts.Learn(fleet.ID(c.Cache), parts.Key(part), int(c.Tokens[i]), now)
+	}
+}
+
 func loadsOf(beat *peerv1.Beat) map[fleet.ID]ledger.Work {
 	loads := make(map[fleet.ID]ledger.Work, len(beat.Loads))
 	for _, l := range beat.Loads {
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -13,11 +13,10 @@
 
 // Listing is one target as the platform's list shows it.
 type Listing struct {
-	// Instance names one life of a target; a restart makes a new one.
-	Instance string
-	Service  string
-	Address  netip.AddrPort
-	Zone     string
+	Life
+	Service string
+	Address netip.AddrPort
+	Zone    string
 	// Slots is how many requests the target works on at once.
 	Slots int
 	// Leaving targets end soon and take no new work.
@@ -39,16 +38,18 @@
 // Target is a target of which traffic may make use.
 type Target struct {
 	Listing
-	// Hash ranks the target for a key, ID names it; both follow from the instance.
+	// Hash ranks the target for a key. It follows from the instance, so that a target
+	// that starts again keeps its place.
 	Hash uint64
-	ID   ID
+	// ID names this life of the target.
+	ID ID
 	// Doubtful targets have left the list after an outage of the store. They may
 	// live and not have reported yet.
 	Doubtful bool
 }
 
 func newTarget(l Listing) Target {
-	return Target{Listing: l, Hash: xxhash.Sum64String(l.Instance), ID: IDOf(l.Instance)}
+	return Target{Listing: l, Hash: xxhash.Sum64String(l.Instance), ID: IDOf(l.Life.String())}
 }
 
 const (
@@ -62,31 +63,48 @@
 	goneMemory = time.Minute
 )
 
-// entry is a listing and what became of it.
+// entry is a target's newest life and what became of it.
 type entry struct {
 	target Target
-	// offset of the record that listed it.
-	offset uint64
-	goneAt time.Time
+	// offset of the record that listed it, and when that was taken in.
+	offset  uint64
+	heardAt time.Time
+	goneAt  time.Time
 }
 
 // Directory follows the list. It is used by one thread.
 type Directory struct {
+	// entries are the newest lives, by instance.
 	entries map[string]*entry
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory { return &Directory{entries: map[string]*entry{}} }
 
-// List takes in a target's newest listing, from the record at an offset.
-func (d *Directory) List(l Listing, offset uint64) {
+// lateWord is for how long after the last word of a life that of an earlier life of
+// the same target is taken for one that comes late. Targets write every second or so;
+// one that is silent for longer has ended, and a later life whose host's clock went
+// back in between looks like an earlier one.
+const lateWord = 4 * time.Second
+
+// List takes in a target's listing, from the record at an offset. It reports whether
+// the listing is of the target's newest life; one that is not is left out.
+//
+// The failure guarded against: a target starts again under its name, and a word of
+// its earlier life reaches the list after one of the new life. Taken for the newest, it
+// would bring back what is believed of a process that has ended.
+func (d *Directory) List(l Listing, offset uint64, now time.Time) bool {
 	e := d.entries[l.Instance]
 	if e == nil {
 		e = &entry{}
 		d.entries[l.Instance] = e
 	}
+	if l.Life.Before(e.target.Life) && now.Sub(e.heardAt) < lateWord {
+		return false
+	}
 	e.target, e.offset = newTarget(l), offset
-	e.goneAt = time.Time{}
+	e.heardAt, e.goneAt = now, time.Time{}
+	return true
 }
 
 // Drop notes that a target has left the list. It reports whether it was known.
@@ -100,16 +118,16 @@
 }
 
 // Targets returns the targets to make use of, by service, each service's in a
-// fixed order. A target that left the list while the store was away, or just
-// after, is doubtful until the time in which it would be back has passed:
-// lapsed entries of living targets would otherwise empty the fleet at the end
-// of each outage.
-func (d *Directory) Targets(now, outageEnd time.Time) map[string][]Target {
+// fixed order; those of services that are not declared are left out. A target that
+// left the list while the store was away, or just after, is doubtful until the time
+// in which it would be back has passed: lapsed entries of living targets would
+// otherwise empty the fleet at the end of each outage.
+func (d *Directory) Targets(declared func(service string) bool, now, outageEnd time.Time) map[string][]Target {
 	byService := map[string][]Target{}
-	newest := d.newestAt()
+	newest := d.newestAt(declared)
 	for instance, e := range d.entries {
 		t := e.target
-		if e.offset < newest[t.Address] {
+		if !declared(t.Service) || newest[t.Address] != nil && e.olderThan(newest[t.Address]) {
 			continue
 		}
 		if !e.goneAt.IsZero() {
@@ -129,22 +147,35 @@
 	return byService
 }
 
-// newestAt returns the offset of the newest listing at each address.
+// newestAt returns the newest listing at each address.
 //
-// The failure guarded against: a target starts again, and its earlier life stays
-// listed for a second or two beside the new one. Requests that name the earlier life
-// are refused, a half of all after all hosts had lost power. The life that ended last
-// wrote before the one that lives.
-func (d *Directory) newestAt() map[netip.AddrPort]uint64 {
-	newest := make(map[netip.AddrPort]uint64, len(d.entries))
+// The failure guarded against: a target starts again under another name, and its
+// earlier life stays listed for a second or two beside the new one. Requests that name
+// the earlier life are refused, a half of all after all hosts had lost power. The life
+// that ended last was born, and wrote, before the one that lives. An entry of a service
+// that nobody declares displaces none.
+func (d *Directory) newestAt(declared func(service string) bool) map[netip.AddrPort]*entry {
+	newest := make(map[netip.AddrPort]*entry, len(d.entries))
 	for _, e := range d.entries {
-		if e.goneAt.IsZero() {
-			newest[e.target.Address] = max(newest[e.target.Address], e.offset)
+		if !e.goneAt.IsZero() || !declared(e.target.Service) {
+			continue
+		}
+		if other := newest[e.target.Address]; other == nil || other.olderThan(e) {
+			newest[e.target.Address] = e
 		}
 	}
 	return newest
 }
 
+// olderThan reports whether e's life began before that of another entry at its
+// address, or wrote before where they do not say.
+func (e *entry) olderThan(o *entry) bool {
+	if e.target.Born != o.target.Born && e.target.Born > 0 && o.target.Born > 0 {
+		return e.target.Born < o.target.Born
+	}
+	return e.offset < o.offset
+}
+
 // inDoubt reports whether an entry that went at goneAt may have lapsed through
 // an outage that ended at outageEnd.
 func inDoubt(now, goneAt, outageEnd time.Time) bool {
@@ -154,13 +185,13 @@
 	return goneAt.Sub(outageEnd) < returnTime && outageEnd.Sub(goneAt) < goneMemory
 }
 
-// Living is the life of a target that its own host has just told of.
+// Living is the life of a target that its own host has told of.
 type Living struct {
-	Instance string
-	Service  string
-	Address  netip.AddrPort
-	Zone     string
-	Weights  map[string]int64
+	Life
+	Service string
+	Address netip.AddrPort
+	Zone    string
+	Weights map[string]int64
 }
 
 // Correct returns the targets with what their own hosts say: a life that the
@@ -171,11 +202,11 @@
 	for _, l := range living {
 		list := byService[l.Service]
 		at := slices.IndexFunc(list, func(t Target) bool { return t.Address == l.Address })
-		if slices.ContainsFunc(list, func(t Target) bool { return t.Instance == l.Instance }) {
-			byService[l.Service] = slices.DeleteFunc(list, func(t Target) bool { return t.Address == l.Address && t.Instance != l.Instance })
+		if slices.ContainsFunc(list, func(t Target) bool { return t.Life == l.Life }) {
+			byService[l.Service] = slices.DeleteFunc(list, func(t Target) bool { return t.Address == l.Address && t.Life != l.Life })
 			continue
 		}
-		t := newTarget(Listing{Instance: l.Instance, Service: l.Service, Address: l.Address, Zone: l.Zone, Weights: l.Weights})
+		t := newTarget(Listing{Life: l.Life, Service: l.Service, Address: l.Address, Zone: l.Zone, Weights: l.Weights})
 		if at >= 0 {
 			t.Slots = list[at].Slots
 			list[at] = t
@@ -194,20 +225,23 @@
 	return e.target, true
 }
 
-// Gone reports whether a target was listed and is not any more.
-func (d *Directory) Gone(instance string) bool {
-	e := d.entries[instance]
-	return e != nil && !e.goneAt.IsZero()
+// Gone reports whether a life was listed and is not any more. A life that was born
+// after the one that has left the list is not gone: it is listed soon.
+func (d *Directory) Gone(life Life) bool {
+	e := d.entries[life.Instance]
+	return e != nil && !e.goneAt.IsZero() && !e.target.Life.Before(life)
 }
 
-// At returns the target that is listed newest at an address.
-func (d *Directory) At(address netip.AddrPort) (Target, bool) {
-	var found *entry
-	for _, e := range d.entries {
-		if e.goneAt.IsZero() && e.target.Address == address && (found == nil || e.offset > found.offset) {
-			found = e
-		}
-	}
+// Succeeded reports whether a later life of the same target was listed after a time.
+func (d *Directory) Succeeded(life Life, since time.Time) bool {
+	e := d.entries[life.Instance]
+	return e != nil && life.Before(e.target.Life) && e.heardAt.After(since)
+}
+
+// At returns the target that is listed newest at an address, of the services that are
+// declared.
+func (d *Directory) At(declared func(service string) bool, address netip.AddrPort) (Target, bool) {
+	found := d.newestAt(declared)[address]
 	if found == nil {
 		return Target{}, false
 	}
--- a/internal/gateway/forward/explain.go
+++ b/internal/gateway/forward/explain.go
@@ -30,7 +30,7 @@
 // Explain decides on a request of a workspace as if it came now. Nothing is sent
 // and nothing is kept of it.
 func (f *Forwarder) Explain(host, path, workspace string, request wire.Request) (*Explanation, *errkind.Error) {
-	fl := &flow{Forwarder: f, arrived: time.Now(), request: request, excluded: map[string]bool{}}
+	fl := &flow{Forwarder: f, arrived: time.Now(), request: request, excluded: map[fleet.Life]bool{}}
 	var ok bool
 	if fl.view, ok = f.View(); !ok || fl.view.Estate == nil {
 		return nil, errkind.After(errkind.ConfigurationMissing, noEstateRetry, "")
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -155,7 +155,7 @@
 	// and runs those that may have run.
 	sends, arrivals, runs int
 	// excluded targets are not tried again.
-	excluded map[string]bool
+	excluded map[fleet.Life]bool
 	// lastEvent is the event that the caller has; begun is set once it has any
 	// byte of the answer.
 	lastEvent string
@@ -326,7 +326,7 @@
 // run sends the request until it is answered, or until no further send is
 // possible. A nil result means that the caller has the answer.
 func (fl *flow) run(ctx context.Context) *errkind.Error {
-	fl.excluded = map[string]bool{}
+	fl.excluded = map[fleet.Life]bool{}
 	fl.lastEvent = fl.request.LastEvent
 	var last *errkind.Error
 	for {
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -68,7 +68,7 @@
 	now := fl.Now()
 	for _, k := range to.keys {
 		held, coming := false, false
-		fl.Parts.Holders(k, now, func(target fleet.ID, s parts.State, _ time.Time) {
+		fl.Parts.Holders(k, now, func(_ fleet.ID, s parts.State) {
 			held = held || s == parts.Held
 			coming = coming || s == parts.Coming
 		})
@@ -98,7 +98,7 @@
 	targets := fl.view.Targets[fl.service.Name]
 	for i := range targets {
 		t := &targets[i]
-		if t.Leaving || fl.excluded[t.Instance] {
+		if t.Leaving || fl.excluded[t.Life] {
 			continue
 		}
 		if cost := fl.plainCost(t, totals[t.ID], rested); cost < lowest {
@@ -124,7 +124,7 @@
 	doubtfulRequests = 100
 )
 
-func (fl *flow) plainCost(t *fleet.Target, w ledger.Work, rested map[string]time.Time) float64 {
+func (fl *flow) plainCost(t *fleet.Target, w ledger.Work, rested map[fleet.Life]time.Time) float64 {
 	cost := float64(w.Running) + fl.uniform()/2
 	if t.Zone != fl.Zone {
 		cost += farRequests
@@ -132,7 +132,7 @@
 	if t.Doubtful {
 		cost += doubtfulRequests
 	}
-	if _, ok := rested[t.Instance]; ok {
+	if _, ok := rested[t.Life]; ok {
 		cost += restedRequests
 	}
 	if over := w.Running + 1 - t.Slots; t.Slots > 0 && over > 0 {
@@ -172,35 +172,36 @@
 	rested := fl.Health.Rested(fl.Now())
 	kept := fl.keptFor(targets, totals)
 	schedule := fl.schedule(targets)
+	prompts := fl.promptsByVersion(kept)
 	for i := range targets {
 		t := &targets[i]
 		c := &candidates[i]
 		*c = placement.Candidate{
-			Instance: t.Instance, Address: t.Address, Hash: t.Hash, Near: t.Zone == fl.Zone,
-			Excluded: t.Leaving || fl.excluded[t.Instance], Loading: fl.view.Phase(t) == weights.Loading, Emptying: fl.view.Phase(t) == weights.Emptying, Version: fl.view.Version(t, fl.request.Model),
+			Address: t.Address, Hash: t.Hash, Near: t.Zone == fl.Zone,
+			Excluded: t.Leaving || fl.excluded[t.Life], Loading: fl.view.Phase(t) == weights.Loading, Emptying: fl.view.Phase(t) == weights.Emptying, Version: fl.view.Version(t, fl.request.Model),
 			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.ID],
 		}
-		c.LoadsIn, c.Loads = schedule[t.Instance]
-		c.Pace = fl.paces.Of(t.Instance, fl.Now())
+		c.LoadsIn, c.Loads = schedule[t.Life]
+		c.Pace = fl.paces.Of(t.Life, fl.Now())
 		c.Behind = wanted.Behind(c.Version, fl.Now())
 		if c.Slots == 0 {
 			c.Slots = fl.service.Engine.Slots
 		}
-		_, c.Rested = rested[t.Instance]
+		_, c.Rested = rested[t.Life]
 		c.Rested = c.Rested || t.Doubtful || fl.view.Silent[t.Address]
-		fl.addParts(c, t, kept)
+		prompts.at(c.Version).addTo(c, t)
 	}
 	return candidates
 }
 
 // schedule returns in how long engines load the weights that operators want.
-func (fl *flow) schedule(targets []fleet.Target) map[string]time.Duration {
+func (fl *flow) schedule(targets []fleet.Target) map[fleet.Life]time.Duration {
 	wanted := fl.view.Wanted[fl.request.Model].Newest()
 	engines := make([]weights.EngineView, len(targets))
 	behind := false
 	for i := range targets {
 		t := &targets[i]
-		engines[i] = weights.EngineView{Instance: t.Instance, Version: fl.view.Version(t, fl.request.Model), Phase: fl.view.Phase(t)}
+		engines[i] = weights.EngineView{Life: t.Life, Version: fl.view.Version(t, fl.request.Model), Phase: fl.view.Phase(t)}
 		behind = behind || engines[i].Version < wanted
 	}
 	if !behind {
@@ -228,8 +229,6 @@
 		}
 	}
 	q.Own = max(fl.request.PromptTokens-q.Shared, 0)
-	engine := fl.service.Engine
-	q.FetchRate = engine.LinkMbps * 1e6 / 8 / 1000 / max(float64(engine.TokenBytes), 1)
 	return q
 }
 
@@ -240,7 +239,7 @@
 func (fl *flow) toEngine(t fleet.Target, version int64, choice placement.Choice, q *placement.Question) *destination {
 	scope := fl.scopeAt(version)
 	keys := parts.Keys(scope, fl.request.Parts)
-	slower := max(fl.paces.Of(t.Instance, fl.Now()), 1)
+	slower := max(fl.paces.Of(t.Life, fl.Now()), 1)
 	to := &destination{
 		expected: time.Duration(float64(choice.Wait+choice.Read)/slower) + choice.Fetch,
 		target:   t, scope: scope, weights: version, choice: choice, fetchFrom: choice.FetchFrom, keys: keys, saveTo: fl.saveTo(keys, q),
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -32,10 +32,10 @@
 	if fl.cause != "" {
 		log = fl.Logger
 	}
-	word := fl.view.Engines[to.target.Instance]
+	word := fl.view.Engines[to.target.Life]
 	log.Info("request_sent", "request_id", fl.request.ID, "send", fl.sends, "cause", fl.cause, "last_event", fl.lastEvent,
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
-		"target", to.target.Instance, "address", to.target.Address, "zone", to.target.Zone,
+		"target", to.target.Life, "address", to.target.Address, "zone", to.target.Zone,
 		"list_age", fl.since(fl.view.ListedAt), "word_age", fl.since(word.HeardAt), "phase", word.Phase.String(),
 		"weights", to.weights, "wanted", fl.view.Wanted[fl.request.Model].Newest(),
 		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "answer", fl.request.MaxTokens, "held", to.choice.Held, "fetched", to.choice.Fetched, "fetch_from", to.fetchFrom, "save_to", to.saveTo,
@@ -55,7 +55,7 @@
 	if err != nil {
 		detail = err.Error()
 	}
-	fl.Logger.Info("send_failed", "request_id", fl.request.ID, "send", fl.sends, "target", to.target.Instance,
+	fl.Logger.Info("send_failed", "request_id", fl.request.ID, "send", fl.sends, "target", to.target.Life,
 		"status", status, "error", detail, "after", tenth(time.Since(fl.sentAt)))
 }
 
@@ -83,7 +83,7 @@
 	tokens := 0
 	for i, k := range to.keys {
 		elsewhere := false
-		fl.Parts.Holders(k, fl.Now(), func(target fleet.ID, s parts.State, _ time.Time) {
+		fl.Parts.Holders(k, fl.Now(), func(target fleet.ID, s parts.State) {
 			elsewhere = elsewhere || s == parts.Held && target != to.target.ID
 		})
 		if elsewhere {
@@ -165,6 +165,6 @@
 	}
 	log.Info("request_done", "request_id", fl.request.ID, "outcome", outcome, "detail", detail, "retry_after", tenth(back),
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
-		"sends", fl.sends, "runs", fl.runs, "target", fl.last.instance, "status", fl.last.status,
+		"sends", fl.sends, "runs", fl.runs, "target", fl.last.life, "status", fl.last.status,
 		"first", tenth(fl.firstAt), "events", fl.events, "longest_gap", tenth(fl.longestGap), "took", tenth(time.Since(fl.arrived)))
 }
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -28,7 +28,7 @@
 		return fl.cut(ctx, to, err)
 	}
 	if resp.Status < http.StatusInternalServerError {
-		fl.Health.Note(fl.service.Name, to.target.Instance, health.Good, fl.Now())
+		fl.Health.Note(fl.service.Name, to.target.Life, health.Good, fl.Now())
 	}
 	fl.firstAt = time.Since(fl.arrived)
 	header := fl.w.Header()
@@ -66,8 +66,8 @@
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errImpatient) {
 		return verdict{end: true, refusal: fl.ended(ctx)}
 	}
-	fl.excluded[to.target.Instance] = true
-	fl.Health.Note(fl.service.Name, to.target.Instance, health.Broken, fl.Now())
+	fl.excluded[to.target.Life] = true
+	fl.Health.Note(fl.service.Name, to.target.Life, health.Broken, fl.Now())
 	kind := errkind.TargetFailed
 	if fl.begun {
 		kind = errkind.StreamBroken
@@ -150,7 +150,7 @@
 // learnReadTime takes in how long an engine took to read a prompt.
 func (fl *flow) learnReadTime(to *destination) {
 	if to.choice.ReadTokens > 0 {
-		fl.paces.Note(to.target.Instance, time.Since(fl.sentAt), to.expected, fl.Now())
+		fl.paces.Note(to.target.Life, time.Since(fl.sentAt), to.expected, fl.Now())
 	}
 	if to.choice.Wait > unhindered || to.choice.ReadTokens == 0 {
 		return
@@ -161,9 +161,9 @@
 // streamEnded judges a stream that came to its end.
 func (fl *flow) streamEnded(to *destination) verdict {
 	if !fl.begun {
-		fl.excluded[to.target.Instance] = true
+		fl.excluded[to.target.Life] = true
 		return verdict{refusal: errkind.New(errkind.TargetFailed, "the stream ended without an event")}
 	}
-	fl.Health.Note(fl.service.Name, to.target.Instance, health.Good, fl.Now())
+	fl.Health.Note(fl.service.Name, to.target.Life, health.Good, fl.Now())
 	return verdict{end: true}
 }
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -41,8 +41,8 @@
 
 // sendRecord is what the log tells of the last send.
 type sendRecord struct {
-	instance string
-	status   int
+	life   fleet.Life
+	status int
 }
 
 // verdict is what became of a send.
@@ -70,7 +70,7 @@
 	// The following are taken back when they turn out not to be so.
 	fl.arrivals++
 	fl.runs++
-	fl.last = sendRecord{instance: to.target.Instance}
+	fl.last = sendRecord{life: to.target.Life}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var patience *time.Timer
@@ -175,24 +175,24 @@
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errImpatient) {
 		return verdict{end: true, refusal: fl.ended(ctx)}
 	}
-	fl.excluded[to.target.Instance] = true
+	fl.excluded[to.target.Life] = true
 	if errors.Is(err, upstream.ErrNotSent) {
 		fl.runs--
 		fl.arrivals--
 		if fl.service.Engine != nil {
 			fl.Reach.Failed(fl.Now())
 		}
-		fl.Health.Note(fl.service.Name, to.target.Instance, health.Unreachable, fl.Now())
+		fl.Health.Note(fl.service.Name, to.target.Life, health.Unreachable, fl.Now())
 		return verdict{notRun: true, refusal: errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "%v", err)}
 	}
-	fl.Health.Note(fl.service.Name, to.target.Instance, health.Broken, fl.Now())
+	fl.Health.Note(fl.service.Name, to.target.Life, health.Broken, fl.Now())
 	return verdict{refusal: errkind.New(errkind.TargetFailed, "%v", err)}
 }
 
 // notRunBy judges a target's word that it did not run the request.
 func (fl *flow) notRunBy(to *destination, resp *upstream.Response, reply wire.Reply) verdict {
 	fl.runs--
-	fl.excluded[to.target.Instance] = true
+	fl.excluded[to.target.Life] = true
 	drain(resp)
 	refusal := errkind.After(errkind.Overloaded, fl.comeBack(retryPause), "the target refused with status %d", resp.Status)
 	if resp.Status == http.StatusMisdirectedRequest {
@@ -214,20 +214,20 @@
 func (fl *flow) unusable(ctx context.Context, to *destination, resp *upstream.Response, reply wire.Reply) (verdict, bool) {
 	success := resp.Status < http.StatusMultipleChoices
 	if reply.Encoded || success && (!reply.Sealed || reply.ID != fl.request.ID) {
-		fl.Health.Note(fl.service.Name, to.target.Instance, health.Broken, fl.Now())
-		fl.excluded[to.target.Instance] = true
+		fl.Health.Note(fl.service.Name, to.target.Life, health.Broken, fl.Now())
+		fl.excluded[to.target.Life] = true
 		return verdict{refusal: errkind.New(errkind.TargetFailed, "the target's answer is not sealed or encoded")}, false
 	}
 	if resp.Status >= http.StatusInternalServerError {
-		fl.Health.Note(fl.service.Name, to.target.Instance, health.Failed, fl.Now())
+		fl.Health.Note(fl.service.Name, to.target.Life, health.Failed, fl.Now())
 		if fl.route.Repeatable() && fl.runs < fl.route.MaxAttempts && !fl.begun && ctx.Err() == nil {
-			fl.excluded[to.target.Instance] = true
+			fl.excluded[to.target.Life] = true
 			drain(resp)
 			return verdict{refusal: errkind.New(errkind.TargetFailed, "the target answered with status %d", resp.Status)}, false
 		}
 	}
 	if fl.begun && !success {
-		fl.excluded[to.target.Instance] = true
+		fl.excluded[to.target.Life] = true
 		return verdict{refusal: errkind.New(errkind.StreamBroken, "continuing gave status %d", resp.Status)}, false
 	}
 	return verdict{}, true
--- a/internal/gateway/forward/sources.go
+++ b/internal/gateway/forward/sources.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,37 +21,120 @@
 	return parts.Scope(fl.request.Model, version, isolated)
 }
 
-// addParts fills in what a candidate holds of the prompt, and from where it can
-// fetch the rest.
-func (fl *flow) addParts(c *placement.Candidate, t *fleet.Target, kept time.Duration) {
-	keys := parts.Keys(fl.scopeAt(c.Version), fl.request.Parts)
-	now := fl.Now()
-	for i, k := range keys {
-		state, used := fl.Parts.At(k, t.ID, now)
-		if state != parts.Held || now.Sub(used) > kept {
-			break
+// prompt is what is believed of a prompt's shared parts at weights of one version.
+type prompt struct {
+	// held is how many tokens of its beginning each target holds.
+	held map[fleet.ID]int
+	// sources are where an engine that lacks some can fetch them from.
+	sources []source
+}
+
+// source is a place other than an engine itself that holds the beginning of a prompt.
+type source struct {
+	id      fleet.ID
+	address netip.AddrPort
+	zone    string
+	// peer sources are engines: they have faster links than stores, and are many.
+	peer   bool
+	tokens int
+	// rate is how many tokens its link carries in a millisecond.
+	rate float64
+}
+
+// prompts holds the prompt at each version of the weights that some engine has.
+type prompts struct {
+	fl        *flow
+	kept      time.Duration
+	byVersion map[int64]*prompt
+}
+
+// promptsByVersion looks the prompt up once for each version; kept is for how long
+// engines keep parts that are not used.
+func (fl *flow) promptsByVersion(kept time.Duration) *prompts {
+	return &prompts{fl: fl, kept: kept, byVersion: map[int64]*prompt{}}
+}
+
+func (p *prompts) at(version int64) *prompt {
+	known := p.byVersion[version]
+	if known == nil {
+		known = p.fl.lookUp(version, p.kept)
+		p.byVersion[version] = known
+	}
+	return known
+}
+
+func (fl *flow) lookUp(version int64, kept time.Duration) *prompt {
+	keys := parts.Keys(fl.scopeAt(version), fl.request.Parts)
+	p := &prompt{held: map[fleet.ID]int{}}
+	if len(keys) == 0 {
+		return p
+	}
+	for _, one := range fl.Parts.Prefixes(keys, fl.request.Parts, kept, fl.Now()) {
+		p.held[one.Target] = one.Tokens
+	}
+	p.addStores(fl, keys)
+	p.addPeers(fl, version)
+	return p
+}
+
+// addStores adds the stores of cached parts. The prompt's own is a source also when it
+// is not known to hold any of it: asking for a part that it lacks costs a millisecond.
+func (p *prompt) addStores(fl *flow, keys []parts.Key) {
+	own := fl.storeOf(keys)
+	for _, s := range fl.view.Estate.Stores() {
+		id := storeID(s.Store.Address.String())
+		if tokens := p.held[id]; tokens > 0 || s == own {
+			rate := fl.linkRate(min(s.Store.LinkMbps, fl.service.Engine.LinkMbps))
+			p.sources = append(p.sources, source{id: id, address: s.Store.Address, zone: s.Store.Zone, tokens: tokens, rate: rate})
 		}
-		c.Held += fl.request.Parts[i].Tokens
 	}
-	fl.addStore(c, t, keys)
-	fl.addPeers(c, t, keys, kept)
 }
 
-// addStore offers the prompt's store of cached parts as a source, also when it
-// is not known to hold any: it holds parts for longer than they are remembered
-// here, and asking for one that it lacks costs a millisecond.
-func (fl *flow) addStore(c *placement.Candidate, t *fleet.Target, keys []parts.Key) {
-	s := fl.storeOf(keys)
-	if s == nil {
-		return
+// addPeers adds the engines that hold some of the prompt.
+func (p *prompt) addPeers(fl *flow, version int64) {
+	targets := fl.view.Targets[fl.service.Name]
+	for i := range targets {
+		t := &targets[i]
+		tokens := p.held[t.ID]
+		if tokens == 0 || fl.view.Silent[t.Address] || fl.view.Version(t, fl.request.Model) != version {
+			continue
+		}
+		p.sources = append(p.sources, source{
+			id: t.ID, address: t.Address, zone: t.Zone, peer: true, tokens: tokens, rate: fl.linkRate(fl.service.Engine.LinkMbps),
+		})
 	}
-	c.Source, c.SourceNear = s.Store.Address, s.Store.Zone == t.Zone
-	for i, k := range keys {
-		if state, _ := fl.Parts.At(k, storeID(s.Store.Address.String()), fl.Now()); state != parts.Held {
-			break
+}
+
+// linkRate is how many of the service's tokens a link carries in a millisecond.
+func (fl *flow) linkRate(mbps float64) float64 {
+	return mbps * 1e6 / 8 / 1000 / max(float64(fl.service.Engine.TokenBytes), 1)
+}
+
+// addTo fills in what a candidate holds of the prompt, and from where it best fetches
+// the rest: from where most of it is, near by, and from an engine before a store.
+func (p *prompt) addTo(c *placement.Candidate, t *fleet.Target) {
+	c.Held = p.held[t.ID]
+	best := -1
+	for i := range p.sources {
+		if p.sources[i].id != t.ID && (best < 0 || p.sources[i].betterThan(&p.sources[best], t.Zone)) {
+			best = i
 		}
-		c.Fetchable += fl.request.Parts[i].Tokens
 	}
+	if best < 0 {
+		return
+	}
+	s := &p.sources[best]
+	c.Source, c.SourceNear, c.SourceRate, c.Fetchable = s.address, s.zone == t.Zone, s.rate, s.tokens
+}
+
+func (s *source) betterThan(o *source, zone string) bool {
+	if s.tokens != o.tokens {
+		return s.tokens > o.tokens
+	}
+	if near := s.zone == zone; near != (o.zone == zone) {
+		return near
+	}
+	return s.peer && !o.peer
 }
 
 // storeOf returns the store of a prompt's parts, or nil. Where there are several
@@ -70,36 +154,6 @@
 	return best
 }
 
-// addPeers offers an engine as a source that has used the innermost shared part
-// lately. Engines have faster links than the store, and many of them.
-func (fl *flow) addPeers(c *placement.Candidate, t *fleet.Target, keys []parts.Key, kept time.Duration) {
-	if len(keys) == 0 {
-		return
-	}
-	targets := fl.view.Targets[fl.service.Name]
-	var newest time.Time
-	fl.Parts.Holders(keys[len(keys)-1], fl.Now(), func(target fleet.ID, s parts.State, at time.Time) {
-		if s != parts.Held || target == t.ID || fl.Now().Sub(at) > kept {
-			return
-		}
-		for i := range targets {
-			p := &targets[i]
-			if p.ID != target || fl.view.Silent[p.Address] || fl.view.Version(p, fl.request.Model) != c.Version {
-				continue
-			}
-			near := p.Zone == t.Zone
-			if c.Peer && (c.SourceNear && !near || c.SourceNear == near && at.Before(newest)) {
-				continue
-			}
-			c.Source, c.SourceNear, c.Peer, newest = p.Address, near, true, at
-			c.Fetchable = 0
-			for j := range keys {
-				c.Fetchable += fl.request.Parts[j].Tokens
-			}
-		}
-	})
-}
-
 // minSharedShare is the least share of a saved prompt that others use too. The
 // prompt's own part is sent with the rest and drives out what others need.
 const minSharedShare = 0.4
--- a/internal/gateway/health/health.go
+++ b/internal/gateway/health/health.go
@@ -9,6 +9,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 )
 
 // Outcome is what a request says of its target.
@@ -64,24 +66,24 @@
 // Book holds the records of all targets. It is safe for concurrent use.
 type Book struct {
 	mu      sync.Mutex
-	records map[string]*record
+	records map[fleet.Life]*record
 	// changed is told when a target begins to rest.
-	changed func(instance string, until time.Time, failures, others float64, outcome Outcome)
+	changed func(life fleet.Life, until time.Time, failures, others float64, outcome Outcome)
 }
 
 // NewBook returns an empty book. changed is told of each rest that begins.
-func NewBook(changed func(instance string, until time.Time, failures, others float64, outcome Outcome)) *Book {
-	return &Book{records: map[string]*record{}, changed: changed}
+func NewBook(changed func(life fleet.Life, until time.Time, failures, others float64, outcome Outcome)) *Book {
+	return &Book{records: map[fleet.Life]*record{}, changed: changed}
 }
 
 // Note takes in an outcome at a target of a service.
-func (b *Book) Note(service, instance string, o Outcome, now time.Time) {
+func (b *Book) Note(service string, life fleet.Life, o Outcome, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.records[instance]
+	r := b.records[life]
 	if r == nil {
 		r = &record{service: service}
-		b.records[instance] = r
+		b.records[life] = r
 	}
 	r.seen = now
 	r.add(o)
@@ -89,14 +91,14 @@
 		r.rest = 0
 		return
 	}
-	others := b.othersFailures(service, instance)
+	others := b.othersFailures(service, life)
 	if !r.bad(o, others) || now.Before(r.restUntil) {
 		return
 	}
 	r.rest = min(max(2*r.rest, firstRest), maxRest)
 	r.restUntil = now.Add(r.rest)
 	if b.changed != nil {
-		b.changed(instance, r.restUntil, r.failures, others, o)
+		b.changed(life, r.restUntil, r.failures, others, o)
 	}
 }
 
@@ -123,10 +125,10 @@
 }
 
 // othersFailures is the mean share of bad outcomes at the other targets.
-func (b *Book) othersFailures(service, instance string) float64 {
+func (b *Book) othersFailures(service string, life fleet.Life) float64 {
 	sum, n := 0.0, 0
-	for name, r := range b.records {
-		if r.service == service && name != instance && r.weight >= minOutcomes {
+	for other, r := range b.records {
+		if r.service == service && other != life && r.weight >= minOutcomes {
 			sum += r.failures
 			n++
 		}
@@ -138,20 +140,20 @@
 }
 
 // Rested returns the targets that rest now, with when each may be tried again.
-func (b *Book) Rested(now time.Time) map[string]time.Time {
+func (b *Book) Rested(now time.Time) map[fleet.Life]time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var rested map[string]time.Time
-	for name, r := range b.records {
+	var rested map[fleet.Life]time.Time
+	for life, r := range b.records {
 		if now.Sub(r.seen) > forgetAfter {
-			delete(b.records, name)
+			delete(b.records, life)
 			continue
 		}
 		if now.Before(r.restUntil) {
 			if rested == nil {
-				rested = map[string]time.Time{}
+				rested = map[fleet.Life]time.Time{}
 			}
-			rested[name] = r.restUntil
+			rested[life] = r.restUntil
 		}
 	}
 	return rested
--- /dev/null
+++ b/internal/gateway/holdings/follow.go
@@ -0,0 +1,100 @@
+package holdings
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/sleep"
+)
+
+const (
+	// waitTime is how long a question waits at the cache for changes. The platform
+	// takes nothing for one that may wait 200 ms or longer.
+	waitTime = 600 * time.Millisecond
+	// callTimeout bounds a question with its wait; a connection that has gone silent
+	// holds up the news for that long.
+	callTimeout = 1500 * time.Millisecond
+	// gatherTime is the least time between two questions: what changes meanwhile is
+	// told together. A cache under load changes some 150 times a second, mostly the
+	// same few parts.
+	gatherTime = 40 * time.Millisecond
+	// failurePause is the wait after a question that failed. A cache answers so many
+	// at once, and refuses others.
+	failurePause = 500 * time.Millisecond
+)
+
+// Follower keeps a Cache true to its feed until it is stopped.
+type Follower struct {
+	// Name of the cache, for the log.
+	Name   string
+	Cache  *Cache
+	feed   Feed
+	loop   *control.Loop
+	logger logr.Logger
+	// changed is called on the control thread after changes were taken in.
+	changed func()
+	cancel  context.CancelFunc
+	failing bool
+}
+
+// Follow begins to follow a feed. changed is called on the control thread.
+func Follow(name string, loop *control.Loop, feed Feed, cache *Cache, changed func(), logger logr.Logger) *Follower {
+	f := &Follower{Name: name, Cache: cache, feed: feed, loop: loop, logger: logger, changed: changed}
+	loop.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		loop.Post(func() { f.cancel = cancel })
+		f.run(ctx)
+	})
+	return f
+}
+
+// Stop ends following. It runs on the control thread.
+func (f *Follower) Stop() {
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+func (f *Follower) run(ctx context.Context) {
+	next, epoch := uint64(0), ""
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		page, err := f.feed.Changes(callCtx, next, waitTime)
+		cancel()
+		pause := gatherTime
+		switch {
+		case err != nil:
+			pause = failurePause
+		case epoch != "" && page.Epoch != epoch:
+			next, epoch = 0, page.Epoch // the new life counts its changes anew
+		default:
+			next, epoch = page.Next, page.Epoch
+		}
+		f.loop.Post(func() { f.take(page, err) })
+		sleep.For(ctx, pause)
+	}
+}
+
+// take runs on the control thread.
+func (f *Follower) take(page Page, err error) {
+	if err != nil {
+		if !f.failing {
+			f.logger.Info("cache_feed_lost", "cache", f.Name, "error", err.Error())
+		}
+		f.failing = true
+		return
+	}
+	if f.failing {
+		f.failing = false
+		f.logger.Info("cache_feed_regained", "cache", f.Name, "held", f.Cache.Len())
+	}
+	anew := f.Cache.Apply(page)
+	if anew || page.Gap {
+		f.logger.Info("cache_feed_broken", "cache", f.Name, "epoch", page.Epoch, "anew", anew, "gap", page.Gap, "next", page.Next, "held", f.Cache.Len())
+	}
+	f.changed()
+}
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -232,6 +232,19 @@
 	})
 }
 
+// Introduce sends a heartbeat to the hosts of which no process is known. A process that
+// has just started hears of all others within a round trip, and not a period later.
+func (m *Mesh) Introduce() { m.send(m.unheard()) }
+
+// TellMember sends one process a whole heartbeat, with what fill adds: one that has
+// just started knows the sender from then on.
+func (m *Mesh) TellMember(to netip.AddrPort, fill func(*peerv1.Beat)) {
+	m.sendBeat([]netip.AddrPort{to}, func(beat *peerv1.Beat) {
+		m.options.Compose(beat)
+		fill(beat)
+	})
+}
+
 // unheard returns the addresses at hosts where a process may run that has not
 // been heard.
 func (m *Mesh) unheard() []netip.AddrPort {
--- a/internal/gateway/parts/parts.go
+++ b/internal/gateway/parts/parts.go
@@ -1,12 +1,15 @@
 // Package parts remembers which targets hold which shared parts of prompts.
 //
-// What it says is a belief: targets evict parts without a word that reaches
-// this process in time. A wrong one costs the time to read a part again, never a
-// wrong answer, because parts are named together with all that decides whether
-// they may be used.
+// What it says is a belief, from two kinds of word. Processes note what they send:
+// that is known at once, and nobody tells when a target drops the part again. Targets
+// tell of their caches, through their sidecars: that comes a tenth of a second later,
+// and is sure until it is told otherwise. A wrong belief costs the time to read a part
+// again, never a wrong answer, because parts are named together with all that decides
+// whether they may be used.
 package parts
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -18,11 +21,21 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/wire"
 )
 
-// Key names a part together with all parts before it and its cache scope. It is
-// short, since processes tell each other of parts all the time; two parts that
-// share one are taken for each other, which costs a fetch that brings nothing.
+// Key names a part within its cache scope, as targets do. A part is of use only where
+// all parts before it are held too; who asks looks at them in their order. It is short,
+// since processes tell each other of parts all the time; two parts that share one are
+// taken for each other, which costs a fetch that brings nothing.
 type Key uint32
 
+// KeyOf returns the key of a part in a cache scope.
+func KeyOf(scope, part string) Key {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(scope)
+	_, _ = d.WriteString("\x00" + part)
+	return Key(d.Sum64())
+}
+
 // Scope returns the cache scope of a prompt: parts are shared within it only.
 // It names the model, its weights, and the workspace where that is isolated.
 // The failure guarded against is an answer made from parts of other weights or
@@ -38,12 +51,8 @@
 		return nil
 	}
 	keys := make([]Key, 0, len(prompt)-1)
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(scope)
 	for _, p := range prompt[:len(prompt)-1] {
-		_, _ = d.WriteString("\x00" + p.ID)
-		keys = append(keys, Key(d.Sum64()))
+		keys = append(keys, KeyOf(scope, p.ID))
 	}
 	return keys
 }
@@ -68,6 +77,10 @@
 	// Engines of the deployments known evict parts that were not used for some
 	// seconds.
 	heldFor = 8 * time.Second
+	// sureFor is how long the word of a target on its own cache counts. Sidecars say
+	// all of it anew in half of that time, so that what was lost on the way is made up
+	// for.
+	sureFor = 10 * time.Second
 	// maxKeys bounds the memory, some 100 bytes each; what was not noted for the
 	// longest time is dropped first.
 	maxKeys = 40_000
@@ -80,10 +93,19 @@
 	Done   bool
 }
 
+// Whole is the number of tokens of a part that is held to its end, for one whose length
+// is not known.
+const Whole = math.MaxInt32
+
 type belief struct {
 	target fleet.ID
-	state  State
-	at     time.Time
+	// state and at are what was noted of sends last, and when.
+	state State
+	at    time.Time
+	// tokens of the part are held, by the target's own word of toldAt; none before
+	// there is any.
+	tokens int
+	toldAt time.Time
 }
 
 // Book holds the beliefs. It is safe for concurrent use.
@@ -162,17 +184,62 @@
 	return true
 }
 
+// Learn takes in a target's own word: so many tokens of a part are in its cache now.
+// What was noted of sends before is overruled, but for a part that is being read.
+func (b *Book) Learn(target fleet.ID, k Key, tokens int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := b.get(k)
+	i := slices.IndexFunc(list, func(one belief) bool { return one.target == target })
+	switch {
+	case i < 0 && tokens > 0:
+		b.put(k, append(believed(list, now), belief{target: target, tokens: tokens, toldAt: now}))
+	case i >= 0 && tokens > 0:
+		list[i].learn(tokens, now)
+		b.put(k, list)
+	case i >= 0 && list[i].current(now) != Coming:
+		b.put(k, slices.Delete(list, i, i+1))
+	}
+}
+
+func (b *belief) learn(tokens int, now time.Time) {
+	if b.current(now) != Coming {
+		b.state = Absent
+	}
+	b.tokens, b.toldAt = tokens, now
+}
+
 // believed drops what is believed no more.
 func believed(list []belief, now time.Time) []belief {
 	return slices.DeleteFunc(list, func(one belief) bool { return one.current(now) == Absent })
 }
 
-func (b belief) current(now time.Time) State {
+// sure reports whether the target's own word counts.
+func (b *belief) sure(now time.Time) bool { return b.tokens > 0 && now.Sub(b.toldAt) <= sureFor }
+
+func (b *belief) current(now time.Time) State {
 	age := now.Sub(b.at)
-	if b.state == Coming && age > comingFor || age > heldFor {
+	switch {
+	case b.state == Coming && age <= comingFor:
+		return Coming
+	case b.sure(now), b.state == Held && age <= heldFor:
+		return Held
+	default:
 		return Absent
 	}
-	return b.state
+}
+
+// held is how many tokens of the part are believed to be held. What was noted of a
+// send counts for the time kept, in which a cache drops what is not used.
+func (b *belief) held(kept time.Duration, now time.Time) int {
+	switch {
+	case b.state == Held && now.Sub(b.at) <= min(kept, heldFor):
+		return Whole
+	case b.sure(now):
+		return b.tokens
+	default:
+		return 0
+	}
 }
 
 // TakeFresh returns up to n facts that others were not told yet.
@@ -199,25 +266,27 @@
 	}
 }
 
-// At returns the state of a part at a target, and when it was used there last.
+// At returns the state of a part at a target, and when it was noted there last.
 func (b *Book) At(k Key, target fleet.ID, now time.Time) (State, time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, one := range b.get(k) {
-		if one.target == target {
-			return one.current(now), one.at
+	list := b.get(k)
+	for i := range list {
+		if list[i].target == target {
+			return list[i].current(now), list[i].at
 		}
 	}
 	return Absent, time.Time{}
 }
 
 // Holders calls visit with each target that holds or reads a part.
-func (b *Book) Holders(k Key, now time.Time, visit func(target fleet.ID, s State, at time.Time)) {
+func (b *Book) Holders(k Key, now time.Time, visit func(target fleet.ID, s State)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, one := range b.get(k) {
-		if s := one.current(now); s != Absent {
-			visit(one.target, s, one.at)
+	list := b.get(k)
+	for i := range list {
+		if s := list[i].current(now); s != Absent {
+			visit(list[i].target, s)
 		}
 	}
 }
--- /dev/null
+++ b/internal/gateway/parts/prefix_test.go
@@ -0,0 +1,92 @@
+package parts
+
+import (
+	"testing"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/wire"
+)
+
+// prefixOf is how many tokens of a prompt's beginning a target is believed to hold.
+func prefixOf(b *Book, target fleet.ID, p []wire.Part, kept time.Duration, at time.Time) int {
+	for _, one := range b.Prefixes(Keys("s", p), p[:len(p)-1], kept, at) {
+		if one.Target == target {
+			return one.Tokens
+		}
+	}
+	return 0
+}
+
+func sized(tokens ...int) []wire.Part {
+	names := []string{"x", "y", "z", "own"}
+	var p []wire.Part
+	for i, n := range tokens {
+		p = append(p, wire.Part{ID: names[i], Tokens: n})
+	}
+	return p
+}
+
+// A part is of no use without those before it: a prompt whose first part was dropped
+// is read from the start, whatever else the engine holds.
+func TestPartsCountOnlyAfterThoseBefore(t *testing.T) {
+	b := NewBook()
+	p := sized(1000, 2000, 500)
+	b.Learn(1, KeyOf("s", "y"), 2000, now)
+	if got := prefixOf(b, 1, p, time.Minute, now); got != 0 {
+		t.Errorf("%d tokens without the first part", got)
+	}
+	b.Learn(1, KeyOf("s", "x"), 992, now)
+	if got := prefixOf(b, 1, p, time.Minute, now); got != 2992 {
+		t.Errorf("%d tokens; a part is whole but for its last block", got)
+	}
+	b.Learn(1, KeyOf("s", "x"), 400, now)
+	if got := prefixOf(b, 1, p, time.Minute, now); got != 400 {
+		t.Errorf("%d tokens of a part that is dropped block by block", got)
+	}
+}
+
+// An engine drops a part a moment after a prompt that used it. The process that sent
+// the prompt would believe it for seconds, and send there what shares the part.
+func TestDroppedPartOverrulesWhatWasSent(t *testing.T) {
+	b := NewBook()
+	p := sized(1000, 500)
+	b.Note(1, Keys("s", p), true, now)
+	if got := prefixOf(b, 1, p, time.Minute, now); got != 1000 {
+		t.Errorf("%d tokens after the send", got)
+	}
+	b.Learn(1, KeyOf("s", "x"), 0, now.Add(time.Second))
+	if got := prefixOf(b, 1, p, time.Minute, now.Add(time.Second)); got != 0 {
+		t.Errorf("%d tokens after the engine's word", got)
+	}
+}
+
+// A process has just started. What an engine says of its cache is all that it knows,
+// and holds for as long as it is repeated.
+func TestEnginesWordAloneIsEnough(t *testing.T) {
+	b := NewBook()
+	p := sized(1000, 500)
+	b.Learn(1, KeyOf("s", "x"), 1000, now)
+	if got := prefixOf(b, 1, p, time.Second, now.Add(sureFor)); got != 1000 {
+		t.Errorf("%d tokens; what is kept for a second only was not guessed here", got)
+	}
+	if got := prefixOf(b, 1, p, time.Second, now.Add(sureFor+1)); got != 0 {
+		t.Errorf("%d tokens by a word that is too old", got)
+	}
+}
+
+// A prompt is being read and its part fills block by block. Others wait for it on, in
+// place of reading the rest themselves.
+func TestPartThatIsReadStaysComing(t *testing.T) {
+	b := NewBook()
+	k := KeyOf("s", "x")
+	b.Note(1, []Key{k}, false, now)
+	b.Learn(1, k, 512, now.Add(time.Millisecond))
+	if got := stateAt(b, k, 1, now.Add(2*time.Millisecond)); got != Coming {
+		t.Errorf("state %v", got)
+	}
+	b.Learn(1, k, 0, now.Add(3*time.Millisecond))
+	if got := stateAt(b, k, 1, now.Add(4*time.Millisecond)); got != Coming {
+		t.Errorf("state %v after the word that an earlier copy was dropped", got)
+	}
+}
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -16,8 +16,7 @@
 
 // Candidate is one engine.
 type Candidate struct {
-	Instance string
-	Address  netip.AddrPort
+	Address netip.AddrPort
 	// Hash ranks the engine for a prompt's family.
 	Hash uint64
 	// Near engines stand in the entry's availability zone.
@@ -55,8 +54,8 @@
 	Source    netip.AddrPort
 	// SourceNear is set when Source stands in the engine's availability zone.
 	SourceNear bool
-	// Peer is set when Source is an engine.
-	Peer bool
+	// SourceRate is how many tokens a millisecond its link carries.
+	SourceRate float64
 }
 
 // Question is what a decision goes by besides the candidates.
@@ -74,8 +73,6 @@
 	VersionBound time.Duration
 	// ReadTime predicts how long an engine takes to read so many tokens.
 	ReadTime func(tokens int) time.Duration
-	// FetchRate is how many tokens a link carries in a millisecond.
-	FetchRate float64
 }
 
 // Choice is a decision.
@@ -216,8 +213,8 @@
 	read := pace(c) * inMs(q.ReadTime(q.Own+missing-fetched))
 	fetch := 0.0
 	choice := Choice{FetchFrom: c.Source, Held: min(c.Held, q.Shared), Fetched: fetched, ReadTokens: q.Own + missing - fetched}
-	if fetched > 0 {
-		fetch = fetchSetup + float64(fetched)/q.FetchRate*sourceDistance(c)
+	if fetched > 0 && c.SourceRate > 0 {
+		fetch = fetchSetup + float64(fetched)/c.SourceRate*sourceDistance(c)
 	}
 	again := read - pace(c)*inMs(q.ReadTime(q.Own))
 	cost := wait + read + fetch + (readPrice-1)*again
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -15,6 +15,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/holdings"
 	"github.com/toucanwell/toucanwell/internal/gateway/weights"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire"
 )
@@ -44,6 +45,8 @@
 	Token(ctx context.Context, holder string) (uint64, error)
 	// Engine returns the control side of an engine.
 	Engine(address netip.AddrPort) weights.Engine
+	// Cache tells what an engine, or a store of cached parts, holds.
+	Cache(address netip.AddrPort) holdings.Feed
 	// Protocol is what callers and targets speak.
 	Protocol() wire.Protocol
 	// ReadyPath is where the balancer asks whether an entry takes callers.
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -106,6 +106,7 @@
 	p.metrics.Gauge("targets_age_seconds", "Age of the copy of the platform's list of targets.", age(func(v *view.View) time.Time { return v.ListedAt }))
 	p.metrics.Gauge("declarations_age_seconds", "Age of the copy of what operators declare.", age(func(v *view.View) time.Time { return v.DeclaredAt }))
 	p.metrics.Gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(p.log.Dropped()) })
+	p.beliefs.entryRefused = p.metrics.TargetRefused
 	p.beliefs.inForce = func(version int64) { p.metrics.ConfigVersion(uint64(version)) }
 	if p.entry != nil {
 		p.metrics.Gauge("requests_in_flight", "Requests being served.", func() float64 { return float64(p.entry.forwarder.InFlight()) })
--- a/internal/gateway/readtime/pace.go
+++ b/internal/gateway/readtime/pace.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 )
 
 const (
@@ -42,21 +44,21 @@
 // health is good. It is safe for concurrent use.
 type Paces struct {
 	mu  sync.Mutex
-	all map[string]pace
+	all map[fleet.Life]pace
 }
 
 // NewPaces returns paces of which nothing is known.
-func NewPaces() *Paces { return &Paces{all: map[string]pace{}} }
+func NewPaces() *Paces { return &Paces{all: map[fleet.Life]pace{}} }
 
 // Note takes in how long the first event of a request took at an engine, and how
 // long was expected.
-func (p *Paces) Note(instance string, took, expected time.Duration, now time.Time) {
+func (p *Paces) Note(life fleet.Life, took, expected time.Duration, now time.Time) {
 	if expected < minExpected {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old, known := p.all[instance]
+	old, known := p.all[life]
 	factor := 1.0
 	if known {
 		factor = old.now(now)
@@ -64,22 +66,22 @@
 		p.sweep(now)
 	}
 	seen := min(max(float64(took)/float64(expected), minPace), maxPace)
-	p.all[instance] = pace{factor: factor + paceSmoothing*(seen-factor), at: now}
+	p.all[life] = pace{factor: factor + paceSmoothing*(seen-factor), at: now}
 }
 
 func (p *Paces) sweep(now time.Time) {
-	for name, one := range p.all {
+	for life, one := range p.all {
 		if now.Sub(one.at) > paceForget {
-			delete(p.all, name)
+			delete(p.all, life)
 		}
 	}
 }
 
 // Of returns by how much an engine is slower than predicted.
-func (p *Paces) Of(instance string, now time.Time) float64 {
+func (p *Paces) Of(life fleet.Life, now time.Time) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	one, known := p.all[instance]
+	one, known := p.all[life]
 	if !known {
 		return 1
 	}
--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -7,6 +7,7 @@
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/weights"
 )
@@ -28,12 +29,13 @@
 	beliefs *beliefs
 	address netip.AddrPort
 	orders  *weights.Controller
-	// instance, report and phase are the engine's as the controller said last.
-	instance string
-	report   weights.Report
-	phase    weights.Phase
-	known    bool
-	token    uint64
+	// life, report and phase are the engine's as the controller said last.
+	life   fleet.Life
+	report weights.Report
+	phase  weights.Phase
+	known  bool
+	token  uint64
+	caches *caches
 }
 
 func newSidecar(p *process) *sidecar {
@@ -47,12 +49,14 @@
 		Ordered: func(o weights.Outcome) { p.metrics.Order(o.String()) },
 	})
 	p.beliefs.changed = s.orders.Nudge
+	s.caches = newCaches(p)
 	return s
 }
 
 func (s *sidecar) start() {
 	s.fetchToken()
 	s.orders.Start()
+	s.caches.start()
 }
 
 // fetchToken gets this life's fencing token, once the store gives one.
@@ -91,13 +95,13 @@
 func (s *sidecar) engines(model string) []weights.EngineView {
 	now := s.process.clock.Now()
 	var all []weights.EngineView
-	for _, t := range s.beliefs.directory.Targets(now, s.beliefs.targets.Copy().OutageEnd())[s.service()] {
-		v := weights.EngineView{Instance: t.Instance, Version: t.Weights[model], Age: never}
-		if word, ok := s.beliefs.words[t.Instance]; ok {
+	for _, t := range s.beliefs.directory.Targets(s.beliefs.declared, now, s.beliefs.targets.Copy().OutageEnd())[s.service()] {
+		v := weights.EngineView{Life: t.Life, Version: t.Weights[model], Age: never}
+		if word, ok := s.beliefs.words[t.Life]; ok {
 			v.Version, v.Age = word.Weights[model], now.Sub(word.HeardAt)
 			v.Phase, v.PhaseAge = word.Phase, now.Sub(word.PhaseSince)
 		}
-		if t.Instance == s.instance {
+		if t.Life == s.life {
 			v.Version, v.Phase, v.Age = s.report.Weights[model], s.phase, 0
 		}
 		all = append(all, v)
@@ -106,7 +110,7 @@
 }
 
 func (s *sidecar) service() string {
-	if t, ok := s.beliefs.directory.At(s.address); ok {
+	if t, ok := s.beliefs.directory.At(s.beliefs.declared, s.address); ok {
 		return t.Service
 	}
 	return s.process.settings.Service
@@ -114,14 +118,15 @@
 
 // changed takes in the engine's newest report, and tells the others at once of
 // what they must not learn late.
-func (s *sidecar) changed(instance string, report weights.Report, phase weights.Phase) {
-	told := !s.known || phase != s.phase || instance != s.instance
+func (s *sidecar) changed(life fleet.Life, report weights.Report, phase weights.Phase) {
+	told := !s.known || phase != s.phase || life != s.life
 	for model, version := range report.Weights {
 		if s.report.Weights[model] != version {
 			told = true
 		}
 	}
-	s.instance, s.report, s.phase, s.known = instance, report, phase, true
+	s.caches.followEngine(s.address, life)
+	s.life, s.report, s.phase, s.known = life, report, phase, true
 	if told {
 		s.beliefs.mesh.Tell()
 	}
@@ -129,11 +134,11 @@
 
 // compose adds the engine's state to a heartbeat.
 func (s *sidecar) compose(beat *peerv1.Beat) {
-	if !s.known || s.instance == "" && s.phase != weights.Silent {
+	if !s.known || s.life.Instance == "" && s.phase != weights.Silent {
 		return
 	}
 	e := &peerv1.EngineState{
-		Instance: s.instance, Service: s.service(), Address: s.address.String(), Phase: peerv1.EnginePhase_ENGINE_PHASE_SERVING,
+		Instance: s.life.Instance, Born: s.life.Born, Service: s.service(), Address: s.address.String(), Phase: peerv1.EnginePhase_ENGINE_PHASE_SERVING,
 		Running: uint32(s.report.Running), Queued: uint32(s.report.Queued),
 		MemoryUsed: uint32(s.report.MemoryUsed), MemoryTotal: uint32(s.report.MemoryTotal),
 	}
@@ -152,6 +157,7 @@
 }
 
 func (s *sidecar) heard(m *mesh.Member) {
+	s.caches.heard(m)
 	if s.beliefs.hearEngine(m) {
 		s.orders.Nudge()
 	}
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -35,8 +35,8 @@
 	// Targets by service, as the list was at ListedAt.
 	Targets  map[string][]fleet.Target
 	ListedAt time.Time
-	// Engines by instance, for those whose sidecars were heard lately.
-	Engines map[string]EngineWord
+	// Engines by life, for those whose sidecars were heard lately.
+	Engines map[fleet.Life]EngineWord
 	// Silent are the addresses of engines that do not answer their own sidecars.
 	Silent map[netip.AddrPort]bool
 	// Wanted versions by model.
@@ -52,7 +52,7 @@
 // Version returns the weights of a model that a target has: as its sidecar
 // says, else as the lagging list shows.
 func (v *View) Version(t *fleet.Target, model string) int64 {
-	if word, ok := v.Engines[t.Instance]; ok {
+	if word, ok := v.Engines[t.Life]; ok {
 		if version, ok := word.Weights[model]; ok {
 			return version
 		}
@@ -61,4 +61,4 @@
 }
 
 // Phase is what a target's sidecar said that it does about weights.
-func (v *View) Phase(t *fleet.Target) weights.Phase { return v.Engines[t.Instance].Phase }
+func (v *View) Phase(t *fleet.Target) weights.Phase { return v.Engines[t.Life].Phase }
--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -7,11 +7,15 @@
 	"github.com/go-logr/logr"
 
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 // Report is an engine's word of itself.
 type Report struct {
+	// Born is when the engine started, in Unix milliseconds by its own clock; zero when
+	// it does not say.
+	Born int64
 	// Weights are the versions of its models.
 	Weights map[string]int64
 	// Busy is set while an order is carried out.
@@ -46,8 +50,8 @@
 	// grows with each holder.
 	Holder string
 	Token  uint64
-	// Instance is the life of the engine that is meant.
-	Instance string
+	// Life of the engine that is meant.
+	Life fleet.Life
 	// Orders is how many orders the engine must have accepted before. An order
 	// that is carried out late, after a newer one, is refused by it.
 	Orders int64
@@ -105,7 +109,7 @@
 	// Engines returns the engines of the service for a model.
 	Engines func(model string) []EngineView
 	// Changed is told of the engine's life, its newest report and its phase.
-	Changed func(instance string, report Report, phase Phase)
+	Changed func(life fleet.Life, report Report, phase Phase)
 	// Token returns the fencing token, once there is one.
 	Token func() (uint64, bool)
 	// Fresh reports whether this process has run without a break lately: one
@@ -200,25 +204,37 @@
 			c.options.Logger.Info("engine_silent", "instance", c.instance, "error", err.Error())
 		}
 		c.known, c.instance = false, ""
-		c.around.Changed("", c.report, Silent)
+		c.around.Changed(fleet.Life{}, c.report, Silent)
 		return reportPeriod
 	}
 	if !c.known {
 		c.options.Logger.Info("engine_heard", "weights", report.Weights, "busy", report.Busy, "orders", report.Orders)
 	}
-	if report.Orders < c.report.Orders {
-		c.instance = "" // it has started anew
+	heardBefore := c.report.Weights != nil
+	if heardBefore && (report.Born != c.report.Born || report.Orders < c.report.Orders) {
+		c.startedAnew(report)
 	}
 	c.known = true
 	c.report = report
 	c.identify()
 	c.step()
-	if c.phase == Loading || c.phase == Emptying {
+	if c.phase != Serving || c.report.Busy {
 		return loadingPeriod
 	}
 	return reportPeriod
 }
 
+// startedAnew forgets what is known of the engine's earlier life: what it was ordered
+// to do has ended with it.
+func (c *Controller) startedAnew(report Report) {
+	c.options.Logger.Info("engine_started_anew", "instance", c.instance, "was_born", c.report.Born, "born", report.Born,
+		"orders", report.Orders, "phase", c.phase.String())
+	c.instance, c.phase, c.loading = "", Serving, Order{}
+}
+
+// life is the engine's present one; its instance is empty until it is identified.
+func (c *Controller) life() fleet.Life { return fleet.Life{Instance: c.instance, Born: c.report.Born} }
+
 // identifyPause is the least time between two questions for the engine's life;
 // they have a price.
 const identifyPause = 300 * time.Millisecond
@@ -232,12 +248,13 @@
 		return
 	}
 	c.identifying = true
+	born := c.report.Born
 	control.Do(c.loop, reportTimeout, func(ctx context.Context) (string, error) {
 		return c.engine.Identify(ctx, path)
 	}, func(instance string, err error) {
-		if err == nil && c.known {
+		if err == nil && c.known && born == c.report.Born {
 			c.instance = instance
-			c.options.Logger.Info("engine_identified", "instance", instance)
+			c.options.Logger.Info("engine_identified", "instance", instance, "born", born)
 			c.step()
 		}
 		if err != nil {
@@ -267,7 +284,17 @@
 	if (c.phase == Serving || c.phase == Emptying) && !c.ordering {
 		c.begin()
 	}
-	c.around.Changed(c.instance, c.report, c.phase)
+	c.around.Changed(c.life(), c.report, c.toldPhase())
+}
+
+// toldPhase is what the entries go by. An engine that carries out an order of which
+// nothing is known here, one that was taken for lost say, loads as well: it refuses
+// what is sent to it until the load ends.
+func (c *Controller) toldPhase() Phase {
+	if c.phase == Serving && c.report.Busy {
+		return Loading
+	}
+	return c.phase
 }
 
 // endLoading goes back to serving when the engine has carried out its order.
@@ -320,12 +347,12 @@
 			continue
 		}
 		q := Question{
-			Self: c.instance, Engines: c.around.Engines(model), Wanted: wanted,
+			Self: c.life(), Engines: c.around.Engines(model), Wanted: wanted,
 			Behind: history.Behind(have, now), Bound: c.options.Bound, LoadTime: c.loadTime,
 		}
 		if turn := Decide(q); turn != Later {
 			return turn, Order{Model: model, Version: wanted, Swap: SwapUnderRuns, Holder: c.options.Holder,
-				Instance: c.instance, Orders: c.report.Orders}
+				Life: c.life(), Orders: c.report.Orders}
 		}
 	}
 	return Later, Order{}
@@ -350,7 +377,10 @@
 		detail = err.Error()
 	}
 	c.options.Logger.Info("weights_ordered", "model", o.Model, "version", o.Version, "token", o.Token,
-		"instance", o.Instance, "orders", o.Orders, "outcome", outcome.String(), "error", detail)
+		"target", o.Life, "orders", o.Orders, "outcome", outcome.String(), "error", detail)
+	if o.Life != c.life() {
+		return // the life that was meant has ended, and its order with it
+	}
 	if outcome == Accepted {
 		c.report.Busy = true
 	}
@@ -360,5 +390,5 @@
 	if outcome == OtherInstance {
 		c.Unknown()
 	}
-	c.around.Changed(c.instance, c.report, c.phase)
+	c.around.Changed(c.life(), c.report, c.phase)
 }
--- a/internal/gateway/weights/plan.go
+++ b/internal/gateway/weights/plan.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 )
 
 // Phase is what an engine is doing about weights.
@@ -36,7 +38,7 @@
 
 // EngineView is what one sidecar knows of an engine of its service.
 type EngineView struct {
-	Instance string
+	fleet.Life
 	// Version of the model that the engine has.
 	Version int64
 	Phase   Phase
@@ -130,8 +132,8 @@
 
 // Question is what Decide goes by.
 type Question struct {
-	// Self is the instance of the deciding sidecar's engine.
-	Self string
+	// Self is the life of the deciding sidecar's engine.
+	Self fleet.Life
 	// Engines of the service, the own one included.
 	Engines []EngineView
 	// Wanted version, and for how long the own engine has been behind.
@@ -170,7 +172,7 @@
 		if e.Version >= q.Wanted && e.Phase == Serving || e.Age > silentAfter {
 			continue
 		}
-		if e.Instance == q.Self {
+		if e.Life == q.Self {
 			return turnAfter(before, places, soon)
 		}
 		soon = soon || e.Phase == Loading && q.LoadTime-e.PhaseAge < emptyLead
@@ -200,8 +202,8 @@
 
 // Schedule returns in how long each engine that lacks the wanted version loads
 // it, by the order of turns. Engines that have it are left out.
-func Schedule(engines []EngineView, wanted int64) map[string]time.Duration {
-	var schedule map[string]time.Duration
+func Schedule(engines []EngineView, wanted int64) map[fleet.Life]time.Duration {
+	var schedule map[fleet.Life]time.Duration
 	places := Parallel(len(engines))
 	before := 0
 	for _, e := range Turns(engines, wanted) {
@@ -209,9 +211,9 @@
 			continue
 		}
 		if schedule == nil {
-			schedule = map[string]time.Duration{}
+			schedule = map[fleet.Life]time.Duration{}
 		}
-		schedule[e.Instance] = time.Duration(before/places) * usualLoadTime
+		schedule[e.Life] = time.Duration(before/places) * usualLoadTime
 		before++
 	}
 	return schedule
--- a/internal/gateway/words.go
+++ b/internal/gateway/words.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
 	"github.com/toucanwell/toucanwell/internal/gateway/weights"
@@ -32,6 +33,7 @@
 		return b.hearSilent(m, address)
 	}
 	delete(b.silent, address)
+	life := fleet.Life{Instance: e.Instance, Born: e.Born}
 	word := view.EngineWord{
 		Service: e.Service, Address: address, Zone: m.Zone,
 		Weights: map[string]int64{}, Phase: phases[e.Phase],
@@ -40,12 +42,15 @@
 	for _, w := range e.Weights {
 		word.Weights[w.Model] = w.Version
 	}
-	old, known := b.words[e.Instance]
+	old, known := b.words[life]
+	if !known {
+		b.dropWordsAt(address)
+	}
 	word.PhaseSince = b.clock.Now()
 	if known && old.Phase == word.Phase {
 		word.PhaseSince = old.PhaseSince
 	}
-	b.words[e.Instance] = word
+	b.words[life] = word
 	changed := !known || old.Phase != word.Phase
 	for model, version := range word.Weights {
 		if old.Weights[model] != version {
@@ -53,7 +58,7 @@
 		}
 	}
 	if changed {
-		b.logger.Info("engine_told", "target", e.Instance, "weights", word.Weights, "phase", word.Phase.String())
+		b.logger.Info("engine_told", "target", life, "peer", m.Name, "weights", word.Weights, "phase", word.Phase.String())
 	}
 	return changed
 }
@@ -68,10 +73,15 @@
 		return false
 	}
 	b.logger.Info("engine_told_silent", "peer", m.Name, "address", address)
-	for instance, w := range b.words {
+	b.dropWordsAt(address)
+	return true
+}
+
+// dropWordsAt forgets what was said of lives at an address: they have ended.
+func (b *beliefs) dropWordsAt(address netip.AddrPort) {
+	for life, w := range b.words {
 		if w.Address == address {
-			delete(b.words, instance)
+			delete(b.words, life)
 		}
 	}
-	return true
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -29,6 +29,7 @@
 	logErrors      *prometheus.CounterVec
 	controlSeconds prometheus.Counter
 	connections    prometheus.Counter
+	refusedTargets prometheus.Counter
 	storeCalls     *prometheus.HistogramVec
 	orders         *prometheus.CounterVec
 	waits          *prometheus.HistogramVec
@@ -61,6 +62,7 @@
 		probes:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "probes_total", Help: "Probes sent to sidecars."}),
 		controlSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "control_seconds_total", Help: "Time spent on the control thread."}),
 		connections:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_connections_total", Help: "Connections opened to targets."}),
+		refusedTargets: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_entries_refused_total", Help: "Entries of the platform's list that name no target."}),
 		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "toucanwell", Name: "store_call_seconds", Help: "Calls of the platform's store, by topic and result.", Buckets: ttftBuckets,
 		}, []string{"topic", "result"}),
@@ -76,7 +78,7 @@
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.wastedTokens,
 		m.retries, m.resumes, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
-		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.storeCalls, m.orders, m.waits)
+		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedTargets, m.storeCalls, m.orders, m.waits)
 	return m
 }
 
@@ -144,6 +146,9 @@
 // Connection counts a connection opened to a target.
 func (m *Metrics) Connection() { m.connections.Inc() }
 
+// TargetRefused counts an entry of the platform's list that names no target.
+func (m *Metrics) TargetRefused() { m.refusedTargets.Inc() }
+
 // StoreCall records a call of the platform's store.
 func (m *Metrics) StoreCall(topic string, took time.Duration, err error) {
 	result := "ok"
