Urgent prompts no longer wait for less urgent ones

Two reasons: all workspaces have a priority, so that the routes' never counted, and late prompts went last of all; and an engine's memory was counted full by all running prompts, shared parts once for each, at a penalty in units of the coming prompt, which is 60 ms for each 800 tokens too many when that is a short one. Change: the rank is the workspace's priority, then the route's; late prompts come behind those in time, in the same order. Work at engines is counted by urgency, reading and memory, and a prompt waits for what is as urgent or more so. Memory counts what a prompt brings in, and is over by requests of the mean size there. The model's simple policies keep the ranks that their classes have.

--- a/internal/batchmodel/engine.go
+++ b/internal/batchmodel/engine.go
@@ -70,7 +70,8 @@
 	engine  *engine
 	// readyAt is when it may be admitted: its fetch has ended by then.
 	readyAt time.Duration
-	late    bool
+	// urgency ranks runs that wait; 0 is first.
+	urgency int
 	// toRead and made count tokens; holds is the memory that it takes.
 	toRead, made, holds int
 	// heldParts is how many of the shared parts were cached at the admission.
@@ -81,14 +82,6 @@
 	onFirst   func(at time.Duration)
 }
 
-// urgency ranks runs that wait; late ones come last.
-func (r *run) urgency() int {
-	if r.late {
-		return 1 << 10
-	}
-	return r.request.class.Urgency
-}
-
 func newEngine(spec EngineSpec, index, zone int) *engine {
 	return &engine{spec: spec, index: index, zone: zone, cache: map[uint64]*part{}}
 }
@@ -132,7 +125,7 @@
 // admit takes waiting requests in, the most urgent first.
 func (e *engine) admit() {
 	slices.SortStableFunc(e.waiting, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(a.readyAt, b.readyAt))
+		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.readyAt, b.readyAt))
 	})
 	left := e.waiting[:0]
 	for _, r := range e.waiting {
@@ -213,7 +206,7 @@
 func (e *engine) step() {
 	budget := e.spec.Chunk
 	pairs := 0.0
-	slices.SortStableFunc(e.running, func(a, b *run) int { return cmp.Compare(a.urgency(), b.urgency()) })
+	slices.SortStableFunc(e.running, func(a, b *run) int { return cmp.Compare(a.urgency, b.urgency) })
 	for _, r := range e.running {
 		n := min(budget, r.toRead)
 		if n == 0 {
@@ -288,12 +281,12 @@
 func (e *engine) waitingTokens(urgency int) int {
 	n := 0
 	for _, r := range e.running {
-		if r.urgency() <= urgency {
+		if r.urgency <= urgency {
 			n += r.toRead
 		}
 	}
 	for _, r := range e.waiting {
-		if r.urgency() <= urgency {
+		if r.urgency <= urgency {
 			n += r.request.prompt() - e.held(r.request)
 		}
 	}
--- a/internal/batchmodel/model.go
+++ b/internal/batchmodel/model.go
@@ -164,11 +164,11 @@
 	seen := m.look(q.at)
 	switch m.policy {
 	case "random":
-		m.send(q, m.engines[m.random.IntN(len(m.engines))], placement.Choice{})
+		m.send(q, m.engines[m.random.IntN(len(m.engines))], placement.Choice{Urgency: q.class.Urgency})
 	case "least work":
-		m.send(q, m.least(q), placement.Choice{})
+		m.send(q, m.least(q), placement.Choice{Urgency: q.class.Urgency})
 	case "hash of the family":
-		m.send(q, m.engines[q.family()%uint64(len(m.engines))], placement.Choice{})
+		m.send(q, m.engines[q.family()%uint64(len(m.engines))], placement.Choice{Urgency: q.class.Urgency})
 	default:
 		m.decide(q, seen)
 	}
@@ -187,7 +187,7 @@
 // decide asks the product's own placement.
 func (m *model) decide(q *request, seen []snapshot) {
 	question := &placement.Question{
-		Family: q.family(), Shared: q.sharedTokens(), Own: q.own, MaxTokens: q.answer, Aim: q.class.Aim,
+		Family: q.family(), Shared: q.sharedTokens(), Own: q.own, MaxTokens: q.answer, Aim: q.class.Aim, Urgency: q.class.Urgency, LateUrgency: ledger.Urgencies/2 + q.class.Urgency,
 		VersionBound: time.Hour, ReadTime: m.readTime,
 	}
 	totals := m.ledger.Totals(m.time(q.at))
@@ -199,7 +199,7 @@
 			Work: totals[fleet.ID(i)], Held: seen[i].tokens(q),
 		}
 		if m.policy == "oracle" {
-			c.Work.Reading, c.Work.ReadingLate = m.readTime(e.waitingTokens(q.class.Urgency)), 0
+			c.Work.Reading = ledger.Lane(0, m.readTime(e.waitingTokens(q.class.Urgency)))
 		}
 		c.Fetchable, c.SourceRate = m.fetchable(q, i, seen), m.spec.Engine.FetchPerMs
 		c.SourceNear = true
@@ -229,15 +229,12 @@
 func (m *model) send(q *request, e *engine, choice placement.Choice) {
 	held := e.held(q)
 	m.stats.shared += q.sharedTokens()
-	r := &run{request: q, engine: e, readyAt: q.at + e.spec.First, late: choice.Late}
+	r := &run{request: q, engine: e, readyAt: q.at + e.spec.First, urgency: choice.Urgency}
 	if choice.Fetched > 0 {
 		m.fetch(r, held+choice.Fetched)
 	}
 	m.count(q, e, held)
-	work := ledger.Work{Running: 1, Reading: choice.Read, Memory: q.prompt() + q.answer}
-	if choice.Late {
-		work.Reading, work.ReadingLate = 0, choice.Read
-	}
+	work := ledger.Work{Running: 1, Reading: ledger.Lane(choice.Urgency, choice.Read), Memory: ledger.Lane(choice.Urgency, choice.ReadTokens+choice.Fetched+q.answer)}
 	item := m.ledger.Begin(fleet.ID(e.index), work, choice.Wait+choice.Fetch, m.time(q.at))
 	q.finish = func(r *run) { item.End(); m.finished(r) }
 	r.onFirst = func(at time.Duration) { item.Read(); m.firstToken(r, choice, at) }
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -133,10 +133,31 @@
 }
 
 func loadOf(target fleet.ID, w ledger.Work) *peerv1.TargetLoad {
-	return &peerv1.TargetLoad{
-		Target: uint32(target), Running: uint32(max(w.Running, 0)), ReadingMs: uint32(w.Reading.Milliseconds()),
-		ReadingLateMs: uint32(w.ReadingLate.Milliseconds()), MemoryTokens: uint32(max(w.Memory, 0)),
+	load := &peerv1.TargetLoad{Target: uint32(target), Running: uint32(max(w.Running, 0))}
+	for urgency := range ledger.Urgencies {
+		load.Reading = appendLane(load.Reading, urgency, int(w.Reading[urgency].Milliseconds()))
+		load.Memory = appendLane(load.Memory, urgency, w.Memory[urgency])
 	}
+	return load
+}
+
+// appendLane adds what is under way of one urgency; nothing is left out.
+func appendLane(lanes []uint32, urgency, amount int) []uint32 {
+	if amount <= 0 {
+		return lanes
+	}
+	return append(lanes, uint32(amount)*ledger.Urgencies+uint32(urgency))
+}
+
+func workOf(l *peerv1.TargetLoad) ledger.Work {
+	w := ledger.Work{Running: int(l.Running)}
+	for _, told := range l.Reading {
+		w.Reading[told%ledger.Urgencies] += time.Duration(told/ledger.Urgencies) * time.Millisecond
+	}
+	for _, told := range l.Memory {
+		w.Memory[told%ledger.Urgencies] += int(told / ledger.Urgencies)
+	}
+	return w
 }
 
 func (e *entry) heard(m *mesh.Member) {
@@ -179,8 +200,7 @@
 func loadsOf(beat *peerv1.Beat) map[fleet.ID]ledger.Work {
 	loads := make(map[fleet.ID]ledger.Work, len(beat.Loads))
 	for _, l := range beat.Loads {
-		loads[fleet.ID(l.Target)] = ledger.Work{Running: int(l.Running), Reading: time.Duration(l.ReadingMs) * time.Millisecond,
-			ReadingLate: time.Duration(l.ReadingLateMs) * time.Millisecond, Memory: int(l.MemoryTokens)}
+		loads[fleet.ID(l.Target)] = workOf(l)
 	}
 	return loads
 }
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -470,7 +470,7 @@
 	tg := startTarget(t, "i1", nil)
 	w := startWorld(t, tg)
 	w.view.Estate.Match(host, "/prompt/").Patience = 300 * time.Millisecond
-	busy := w.Ledger.Begin(fleet.IDOf("i1-engine"), ledger.Work{Running: 1, Reading: time.Second, ReadingLate: time.Second}, time.Hour, time.Now())
+	busy := w.Ledger.Begin(fleet.IDOf("i1-engine"), ledger.Work{Running: 1, Reading: ledger.Lane(0, 2*time.Second)}, time.Hour, time.Now())
 	defer busy.End()
 	resp, body, err := w.ask(t, "/prompt/x", "p", wiretest.Model, model, wiretest.Prompt, "10,1")
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, "deadline_unmeetable") || resp.Header.Get("Retry-After") == "" {
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -214,7 +214,7 @@
 func (fl *flow) keptFor(targets []fleet.Target, totals map[fleet.ID]ledger.Work) time.Duration {
 	running := 0
 	for i := range targets {
-		running += totals[targets[i].ID].Memory
+		running += totals[targets[i].ID].Memory.All()
 	}
 	room := fl.service.Engine.CacheTokens - running/max(len(targets), 1)
 	return fl.turnover.Kept(fl.view.Entries, len(targets), max(room, 0), fl.Now())
@@ -222,6 +222,7 @@
 
 func (fl *flow) question() *placement.Question {
 	q := &placement.Question{Aim: fl.route.TargetLatency - time.Since(fl.arrived), VersionBound: fl.Bounds.Version, ReadTime: fl.readTime.Of, MaxTokens: fl.request.MaxTokens}
+	q.Urgency, q.LateUrgency = fl.urgency(false), fl.urgency(true)
 	for i, p := range fl.request.Parts {
 		if i < len(fl.request.Parts)-1 {
 			q.Shared += p.Tokens
@@ -243,12 +244,10 @@
 	to := &destination{
 		expected: time.Duration(float64(choice.Wait+choice.Read)/slower) + choice.Fetch,
 		target:   t, scope: scope, weights: version, choice: choice, fetchFrom: choice.FetchFrom, keys: keys, saveTo: fl.saveTo(keys, q),
-		work: ledger.Work{Running: 1, Reading: choice.Read, Memory: q.Own + q.Shared + q.MaxTokens},
+		work: ledger.Work{Running: 1, Reading: ledger.Lane(choice.Urgency, choice.Read)},
 	}
 	to.intake = choice.ReadTokens + choice.Fetched + q.MaxTokens/answerShare
-	if choice.Late {
-		to.work.Reading, to.work.ReadingLate = 0, choice.Read
-	}
+	to.work.Memory = ledger.Lane(choice.Urgency, to.intake)
 	if fl.route.Repeatable() && fl.runs+1 < fl.route.MaxAttempts {
 		to.patience = patience(choice, fl.timeLeft())
 	}
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -39,7 +39,7 @@
 		"list_age", fl.since(fl.view.ListedAt), "word_age", fl.since(word.HeardAt), "phase", word.Phase.String(),
 		"weights", to.weights, "wanted", fl.view.Wanted[fl.request.Model].Newest(),
 		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "answer", fl.request.MaxTokens, "held", to.choice.Held, "fetched", to.choice.Fetched, "fetch_from", to.fetchFrom, "save_to", to.saveTo,
-		"late", to.choice.Late, "urgency", fl.urgency(to.choice.Late), "wait", tenth(to.choice.Wait), "read", tenth(to.choice.Read), "fetch", tenth(to.choice.Fetch),
+		"late", to.choice.Late, "urgency", to.choice.Urgency, "wait", tenth(to.choice.Wait), "read", tenth(to.choice.Read), "fetch", tenth(to.choice.Fetch),
 		"patience", tenth(to.patience), "kept", tenth(time.Since(fl.arrived)), "left", fl.timeLeft().Round(time.Millisecond))
 }
 
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -139,7 +139,7 @@
 		send.FetchFrom = to.fetchFrom.String()
 	}
 	if fl.service.Engine != nil {
-		send.Urgency = fl.urgency(to.choice.Late)
+		send.Urgency = to.choice.Urgency
 	}
 	return &upstream.Request{
 		Method: fl.r.Method, Target: fl.r.RequestURI, Host: fl.r.Host,
@@ -152,22 +152,31 @@
 }
 
 const (
-	// lateUrgency is the rank of requests that cannot be in time: the last.
-	lateUrgency = 9
-	// routeRanks is how many ranks the routes of one workspace have.
-	routeRanks = 3
+	// ranks is how many ranks requests that can be in time have; as many follow for
+	// those that cannot.
+	ranks = ledger.Urgencies / 2
+	// routeStep is by how much a workspace's priority outweighs a route's.
+	routeStep = 2
 )
 
-// urgency ranks the request at an engine: by its workspace, then by its route.
+// urgency ranks the request at an engine: those that can be in time come first, among
+// them the workspace's priority decides, and within one workspace the route's.
+//
+// The load pattern that it answers: more prompts come than the engines can read, short
+// ones of an urgent route and long ones of another. Ranked alike, or last once they are
+// late, the short ones wait for all long ones until their callers leave: 5,200 of
+// 10,400 were refused while the long ones were all answered (a quarter of 41 engines
+// dark for 14 s).
 func (fl *flow) urgency(late bool) int {
-	if late {
-		return lateUrgency
-	}
-	rank := min(max(fl.route.Priority, 0), routeRanks-1)
+	rank := max(fl.route.Priority, 0)
 	if fl.workspace != nil && fl.workspace.HasPriority {
-		rank = max(fl.workspace.Priority, 0)
+		rank = routeStep*max(fl.workspace.Priority, 0) + min(rank, routeStep-1)
+	}
+	rank = min(rank, ranks-1)
+	if late {
+		return ranks + rank
 	}
-	return min(rank, lateUrgency-1)
+	return rank
 }
 
 // failedSend judges a send that brought no answer.
--- /dev/null
+++ b/internal/gateway/forward/urgency_test.go
@@ -0,0 +1,36 @@
+package forward
+
+import (
+	"testing"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/estate"
+)
+
+// Requests that can be in time go before all that cannot. Among them a workspace's
+// priority decides, and within one workspace the route's.
+func TestUrgencyOrdersWorkspacesThenRoutes(t *testing.T) {
+	rank := func(workspace, route int, late bool) int {
+		fl := &flow{route: &estate.Route{Priority: route}}
+		if workspace >= 0 {
+			fl.workspace = &estate.Workspace{HasPriority: true, Priority: workspace}
+		}
+		return fl.urgency(late)
+	}
+	ordered := [][]int{{rank(0, 0, false)}, {rank(0, 1, false)}, {rank(1, 0, false)}, {rank(1, 1, false)}, {rank(0, 0, true)}, {rank(1, 1, true)}}
+	for i := 1; i < len(ordered); i++ {
+		if ordered[i-1][0] >= ordered[i][0] {
+			t.Errorf("ranks %v are not in order", ordered)
+		}
+	}
+	if got := rank(-1, 1, false); got != 1 {
+		t.Errorf("without a workspace's priority the rank is %d", got)
+	}
+	for _, workspace := range []int{-1, 0, 1, 50} {
+		if got := rank(workspace, 70, false); got < 0 || got >= ranks {
+			t.Errorf("rank %d", got)
+		}
+		if got := rank(workspace, 70, true); got < ranks || got >= 2*ranks {
+			t.Errorf("late rank %d", got)
+		}
+	}
+}
--- a/internal/gateway/ledger/ledger.go
+++ b/internal/gateway/ledger/ledger.go
@@ -14,19 +14,49 @@
 type Work struct {
 	// Running counts requests that are not finished.
 	Running int
-	// Reading is the time that the target still needs to read prompts, of
-	// requests that can be in time; ReadingLate of those that cannot, which wait
-	// behind the others.
-	Reading, ReadingLate time.Duration
-	// Memory counts the tokens of memory that the requests take.
-	Memory int
+	// Reading is the time that the target still needs to read prompts.
+	Reading Lanes[time.Duration]
+	// Memory counts the tokens of memory that the requests take beside what the
+	// target's cache held before.
+	Memory Lanes[int]
 }
 
 func (w *Work) add(o Work) {
 	w.Running += o.Running
-	w.Reading += o.Reading
-	w.ReadingLate += o.ReadingLate
-	w.Memory += o.Memory
+	w.Reading.add(&o.Reading)
+	w.Memory.add(&o.Memory)
+}
+
+// Urgencies is how many ranks of urgency targets know; 0 is the first.
+const Urgencies = 10
+
+// Lanes is what requests take of a target, by their urgency. A prompt waits for those
+// that are as urgent or more so, and not for the others: they make room for it.
+type Lanes[T ~int | ~int64] [Urgencies]T
+
+// Lane returns what one request of an urgency takes.
+func Lane[T ~int | ~int64](urgency int, amount T) Lanes[T] {
+	var l Lanes[T]
+	l[urgency] = amount
+	return l
+}
+
+// UpTo is what requests take that are as urgent or more so.
+func (l Lanes[T]) UpTo(urgency int) T {
+	sum := T(0)
+	for _, amount := range l[:urgency+1] {
+		sum += amount
+	}
+	return sum
+}
+
+// All is what requests of all urgencies take.
+func (l Lanes[T]) All() T { return l.UpTo(Urgencies - 1) }
+
+func (l *Lanes[T]) add(o *Lanes[T]) {
+	for u := range o {
+		l[u] += o[u]
+	}
 }
 
 // told is what another entry said last.
@@ -77,7 +107,7 @@
 func (i *Item) Read() {
 	i.ledger.mu.Lock()
 	defer i.ledger.mu.Unlock()
-	i.work.Reading, i.work.ReadingLate = 0, 0
+	i.work.Reading = Lanes[time.Duration]{}
 }
 
 // End notes that the request has left the target.
@@ -102,9 +132,8 @@
 	if done < 0 {
 		return w
 	}
-	// A prompt that is being read holds up all others, however late it is.
-	w.Reading = remaining(w.Reading+w.ReadingLate, done)
-	w.ReadingLate = 0
+	// A prompt that is being read holds up all others, however urgent they are.
+	w.Reading = Lane(0, remaining(w.Reading.All(), done))
 	return w
 }
 
--- a/internal/gateway/ledger/ledger_test.go
+++ b/internal/gateway/ledger/ledger_test.go
@@ -17,14 +17,14 @@
 // not read yet, and nothing from the first event on.
 func TestWorkIsCountedWhileItLasts(t *testing.T) {
 	l := New()
-	item := l.Begin(1, Work{Running: 1, Reading: 100 * time.Millisecond, Memory: 120}, 50*time.Millisecond, now)
+	item := l.Begin(1, Work{Running: 1, Reading: Lane(0, 100*time.Millisecond), Memory: Lane(3, 120)}, 50*time.Millisecond, now)
 	for after, want := range map[time.Duration]time.Duration{0: 100, 50: 100, 90: 60, 400: 15} {
-		if got := l.Totals(now.Add(after * time.Millisecond))[1]; got.Reading != want*time.Millisecond || got.Running != 1 || got.Memory != 120 {
+		if got := l.Totals(now.Add(after * time.Millisecond))[1]; got.Reading.All() != want*time.Millisecond || got.Running != 1 || got.Memory.All() != 120 {
 			t.Errorf("after %d ms: %+v", after, got)
 		}
 	}
 	item.Read()
-	if got := l.Totals(now)[1]; got.Reading != 0 || got.Memory != 120 {
+	if got := l.Totals(now)[1]; got.Reading.All() != 0 || got.Memory.All() != 120 {
 		t.Errorf("%+v", got)
 	}
 	item.End()
@@ -34,16 +34,16 @@
 	}
 }
 
-// A prompt that is late waits behind the others until its turn comes. From then
+// A prompt that is not urgent waits behind the others until its turn comes. From then
 // on it holds them up like any other.
-func TestLatePromptHoldsUpOthersOnceItIsRead(t *testing.T) {
+func TestPromptHoldsUpMoreUrgentOnesOnceItIsRead(t *testing.T) {
 	l := New()
-	item := l.Begin(1, Work{Running: 1, ReadingLate: 300 * time.Millisecond}, 100*time.Millisecond, now)
+	item := l.Begin(1, Work{Running: 1, Reading: Lane(9, 300*time.Millisecond)}, 100*time.Millisecond, now)
 	defer item.End()
-	if got := l.Totals(now)[1]; got.Reading != 0 || got.ReadingLate != 300*time.Millisecond {
+	if got := l.Totals(now)[1]; got.Reading.UpTo(8) != 0 || got.Reading.UpTo(9) != 300*time.Millisecond {
 		t.Errorf("before: %+v", got)
 	}
-	if got := l.Totals(now.Add(150 * time.Millisecond))[1]; got.Reading != 250*time.Millisecond || got.ReadingLate != 0 {
+	if got := l.Totals(now.Add(150 * time.Millisecond))[1]; got.Reading.UpTo(0) != 250*time.Millisecond || got.Reading.All() != 250*time.Millisecond {
 		t.Errorf("while it is read: %+v", got)
 	}
 }
@@ -70,3 +70,12 @@
 		t.Errorf("%v", got)
 	}
 }
+
+// A prompt waits for those that are as urgent or more so.
+func TestLanesSumUpToAnUrgency(t *testing.T) {
+	w := Work{Reading: Lane(1, 10*time.Millisecond), Memory: Lane(1, 100)}
+	w.add(Work{Reading: Lane(3, 5*time.Millisecond), Memory: Lane(3, 50)})
+	if w.Reading.UpTo(0) != 0 || w.Reading.UpTo(2) != 10*time.Millisecond || w.Reading.All() != 15*time.Millisecond || w.Memory.UpTo(3) != 150 {
+		t.Errorf("%+v", w)
+	}
+}
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -67,6 +67,9 @@
 	Shared, Own int
 	// MaxTokens is the longest answer.
 	MaxTokens int
+	// Urgency is the prompt's rank at an engine, and LateUrgency that of a prompt like it
+	// which cannot be in time.
+	Urgency, LateUrgency int
 	// Aim is the time within which the first event is of full use.
 	Aim time.Duration
 	// VersionBound is the age from which no request begins on an older version.
@@ -83,6 +86,8 @@
 	FetchFrom netip.AddrPort
 	// Late choices cannot be in time. They wait behind those that can.
 	Late bool
+	// Urgency is the prompt's rank at the engine.
+	Urgency int
 	// Estimate is the expected time to the first event.
 	Estimate time.Duration
 	// Held, Fetched and ReadTokens are the prompt's tokens that the engine is
@@ -201,18 +206,24 @@
 	return ratings
 }
 
+// urgency is the prompt's rank at an engine.
+func (q *Question) urgency(late bool) int {
+	if late {
+		return q.LateUrgency
+	}
+	return q.Urgency
+}
+
 // score returns the choice of a candidate with its cost in milliseconds.
 func score(q *Question, c *Candidate, late bool) (Choice, float64) {
 	missing := max(q.Shared-c.Held, 0)
 	fetched := min(max(c.Fetchable-c.Held, 0), missing)
-	wait := inMs(c.Work.Reading) + stepTime*float64(c.Work.Running)
-	if late {
-		wait += inMs(c.Work.ReadingLate)
-	}
-	wait = wait*pace(c) + fullPenalty*float64(over(c, q))
+	urgency := q.urgency(late)
+	wait := inMs(c.Work.Reading.UpTo(urgency)) + stepTime*float64(c.Work.Running)
+	wait = wait*pace(c) + fullPenalty*float64(over(c, q, urgency, q.Own+missing+q.MaxTokens))
 	read := pace(c) * inMs(q.ReadTime(q.Own+missing-fetched))
 	fetch := 0.0
-	choice := Choice{FetchFrom: c.Source, Held: min(c.Held, q.Shared), Fetched: fetched, ReadTokens: q.Own + missing - fetched}
+	choice := Choice{Urgency: urgency, FetchFrom: c.Source, Held: min(c.Held, q.Shared), Fetched: fetched, ReadTokens: q.Own + missing - fetched}
 	if fetched > 0 && c.SourceRate > 0 {
 		fetch = fetchSetup + float64(fetched)/c.SourceRate*sourceDistance(c)
 	}
@@ -245,13 +256,22 @@
 	return c.Pace
 }
 
-// over is by how many requests an engine is too full for one more.
-func over(c *Candidate, q *Question) int {
+// over is by how many requests an engine is too full for one more, of those that do not
+// make room for it.
+//
+// The load pattern that it answers: an engine's memory is full of long prompts, and a
+// short one of an urgent route comes. It is admitted before those that wait, and of
+// those that run the least urgent make room. Counted as waiting for all of them it was
+// expected to take 2.6 s, and refused; those that were sent began after 0.4 s.
+func over(c *Candidate, q *Question, urgency, intake int) int {
 	n := max(c.Work.Running+1-c.Slots, 0)
-	if need := c.Work.Memory + q.Shared + q.Own + q.MaxTokens; need > c.Memory && c.Memory > 0 {
-		n += 1 + (need-c.Memory)/max(q.Shared+q.Own, 1)
+	taken := c.Work.Memory.UpTo(urgency)
+	excess := taken + intake - c.Memory
+	if excess <= 0 || c.Memory <= 0 {
+		return n
 	}
-	return n
+	mean := max(taken/max(c.Work.Running, 1), intake, 1)
+	return n + 1 + excess/mean
 }
 
 func sourceDistance(c *Candidate) float64 {
--- a/internal/gateway/placement/placement_test.go
+++ b/internal/gateway/placement/placement_test.go
@@ -14,7 +14,7 @@
 func TestMain(m *testing.M) { testseed.Main(m) }
 
 func question() *Question {
-	return &Question{Family: 7, Shared: 5000, Own: 5000, MaxTokens: 500, VersionBound: 8 * time.Second,
+	return &Question{Family: 7, Shared: 5000, Own: 5000, MaxTokens: 500, VersionBound: 8 * time.Second, LateUrgency: 9,
 		ReadTime: func(tokens int) time.Duration { return time.Duration(tokens) * time.Millisecond / 50 }}
 }
 
@@ -32,7 +32,7 @@
 			c.Excluded, c.Loading, c.Rested = rapid.Bool().Draw(rt, "excluded"), rapid.Bool().Draw(rt, "loading"), rapid.Bool().Draw(rt, "rested")
 			c.Behind = time.Duration(rapid.IntRange(0, 12).Draw(rt, "behind")) * time.Second
 			c.Held = rapid.IntRange(0, 5000).Draw(rt, "held")
-			c.Work = ledger.Work{Running: rapid.IntRange(0, 200).Draw(rt, "running"), Reading: time.Duration(rapid.IntRange(0, 2000).Draw(rt, "reading")) * time.Millisecond}
+			c.Work = ledger.Work{Running: rapid.IntRange(0, 200).Draw(rt, "running"), Reading: ledger.Lane(rapid.IntRange(0, 9).Draw(rt, "urgency"), time.Duration(rapid.IntRange(0, 2000).Draw(rt, "reading"))*time.Millisecond)}
 			candidates[i] = c
 		}
 		q := question()
@@ -75,7 +75,7 @@
 func TestHotFamilySpreads(t *testing.T) {
 	candidates := []Candidate{engine(1), engine(2)}
 	candidates[0].Held = 5000
-	candidates[0].Work = ledger.Work{Running: 30, Reading: 1200 * time.Millisecond}
+	candidates[0].Work = ledger.Work{Running: 30, Reading: ledger.Lane(0, 1200*time.Millisecond)}
 	if got := Pick(question(), candidates).Index; got != 1 {
 		t.Errorf("engine %d", got)
 	}
@@ -86,7 +86,7 @@
 	source := netip.MustParseAddrPort("10.0.0.9:80")
 	candidates := []Candidate{engine(1), engine(2)}
 	candidates[0].Held = 5000
-	candidates[0].Work = ledger.Work{Running: 8, Reading: 120 * time.Millisecond}
+	candidates[0].Work = ledger.Work{Running: 8, Reading: ledger.Lane(0, 120*time.Millisecond)}
 	candidates[1].Fetchable, candidates[1].Source, candidates[1].SourceNear, candidates[1].SourceRate = 5000, source, true, 300
 	choice := Pick(question(), candidates)
 	if choice.Index != 1 || choice.FetchFrom != source {
@@ -101,11 +101,11 @@
 func TestOtherZoneIsForOverload(t *testing.T) {
 	near, far := engine(1), engine(2)
 	far.Near = false
-	near.Work.Reading = 60 * time.Millisecond
+	near.Work.Reading = ledger.Lane(0, 60*time.Millisecond)
 	if got := Pick(question(), []Candidate{near, far}).Index; got != 0 {
 		t.Error("left the zone for 60 ms of waiting")
 	}
-	near.Work.Reading = 400 * time.Millisecond
+	near.Work.Reading = ledger.Lane(0, 400*time.Millisecond)
 	if got := Pick(question(), []Candidate{near, far}).Index; got != 1 {
 		t.Error("stayed in the zone for 400 ms of waiting")
 	}
@@ -115,7 +115,7 @@
 func TestRestedEngineIsTheLastResort(t *testing.T) {
 	rested, busy := engine(1), engine(2)
 	rested.Rested = true
-	busy.Work = ledger.Work{Running: 100, Reading: 2000 * time.Millisecond}
+	busy.Work = ledger.Work{Running: 100, Reading: ledger.Lane(0, 2000*time.Millisecond)}
 	if got := Pick(question(), []Candidate{rested, busy}).Index; got != 1 {
 		t.Errorf("engine %d", got)
 	}
@@ -129,7 +129,7 @@
 func TestOlderWeightsYieldAfterTheGrace(t *testing.T) {
 	older, newer := engine(1), engine(2)
 	older.Held, older.Behind = 5000, graceAge/2
-	newer.Work.Reading = 40 * time.Millisecond
+	newer.Work.Reading = ledger.Lane(0, 40*time.Millisecond)
 	if got := Pick(question(), []Candidate{older, newer}).Index; got != 0 {
 		t.Error("left the older weights within the grace")
 	}
@@ -145,12 +145,12 @@
 	q := question()
 	q.Aim = 400 * time.Millisecond
 	busy := engine(1)
-	busy.Work.Reading = 2 * time.Second
+	busy.Work.Reading = ledger.Lane(0, 2*time.Second)
 	if got := Pick(q, []Candidate{busy}); !got.Late {
 		t.Errorf("%+v", got)
 	}
 	behind := engine(1)
-	behind.Work.ReadingLate = 2 * time.Second
+	behind.Work.Reading = ledger.Lane(9, 2*time.Second)
 	if got := Pick(q, []Candidate{behind}); got.Late || got.Wait > 100*time.Millisecond {
 		t.Errorf("a prompt waits for those that are late: %+v", got)
 	}
@@ -162,7 +162,7 @@
 func TestLongPromptAvoidsAnEngineThatIsAboutToLoad(t *testing.T) {
 	about, loaded := engine(1), engine(2)
 	about.Loads, about.LoadsIn = true, 200*time.Millisecond
-	loaded.Work.Reading = 300 * time.Millisecond
+	loaded.Work.Reading = ledger.Lane(0, 300*time.Millisecond)
 	q := question()
 	q.Own = 40_000
 	if got := Pick(q, []Candidate{about, loaded}).Index; got != 1 {
@@ -173,3 +173,22 @@
 		t.Error("a short prompt does not use the engine until it loads")
 	}
 }
+
+// More long prompts come than an engine's memory holds, and short ones of an urgent
+// route beside them. Those are admitted first, and the long ones make room: they are
+// expected at once, and not after all long ones.
+func TestUrgentPromptsDoNotWaitForLongOnes(t *testing.T) {
+	full := engine(1)
+	full.Memory = 100_000
+	full.Work = ledger.Work{Running: 30, Reading: ledger.Lane(1, 3*time.Second), Memory: ledger.Lane(1, 140_000)}
+	q := &Question{Family: 7, Shared: 200, Own: 600, MaxTokens: 100, Aim: 400 * time.Millisecond, VersionBound: 8 * time.Second,
+		Urgency: 0, LateUrgency: 5, ReadTime: question().ReadTime}
+	got := Pick(q, []Candidate{full})
+	if got.Late || got.Estimate > q.Aim || got.Urgency != 0 {
+		t.Errorf("urgent: %+v", got)
+	}
+	q.Urgency, q.LateUrgency = 1, 6
+	if got := Pick(q, []Candidate{full}); !got.Late || got.Estimate < 3*time.Second || got.Urgency != 6 {
+		t.Errorf("less urgent: %+v", got)
+	}
+}
