Caches whose words do not add up are listed, instead of forgetting the oldest

Cause: the sidecar dropped what was said longest ago when more seemed to be held than there is room for. Change: a cache that seems a quarter overfull, or lost changes, is listed, every ten seconds at most; the list replaces what was known.

--- a/internal/gateway/holdings/follow.go
+++ b/internal/gateway/holdings/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -24,6 +25,9 @@
 	// failurePause is the wait after a question that failed. A cache answers so many
 	// at once, and refuses others.
 	failurePause = 500 * time.Millisecond
+	// listPause is the least time between two lists of one cache: each holds up an
+	// engine's work, and words are lost one in a hundred.
+	listPause = 10 * time.Second
 )
 
 // Follower keeps a Cache true to its feed until it is stopped.
@@ -38,6 +42,10 @@
 	changed func()
 	cancel  context.CancelFunc
 	failing bool
+	// begun is set from the first page on.
+	begun bool
+	// doubtful is set when what is known of the cache is to be replaced by a list.
+	doubtful atomic.Bool
 }
 
 // Follow begins to follow a feed. changed is called on the control thread.
@@ -61,29 +69,41 @@
 
 func (f *Follower) run(ctx context.Context) {
 	next, epoch := uint64(0), ""
+	listedAt := time.Now()
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		page, err := f.feed.Changes(callCtx, next, waitTime)
-		cancel()
+		list := f.doubtful.Load() && time.Since(listedAt) > listPause
+		page, err := f.ask(ctx, next, list)
 		pause := gatherTime
 		switch {
 		case err != nil:
 			pause = failurePause
-		case epoch != "" && page.Epoch != epoch:
+		case !list && epoch != "" && page.Epoch != epoch:
 			next, epoch = 0, page.Epoch // the new life counts its changes anew
 		default:
 			next, epoch = page.Next, page.Epoch
 		}
-		f.loop.Post(func() { f.take(page, err) })
+		if list {
+			listedAt = time.Now()
+		}
+		f.loop.Post(func() { f.take(page, list, err) })
 		sleep.For(ctx, pause)
 	}
 }
 
+func (f *Follower) ask(ctx context.Context, next uint64, list bool) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if list {
+		return f.feed.All(ctx)
+	}
+	return f.feed.Changes(ctx, next, waitTime)
+}
+
 // take runs on the control thread.
-func (f *Follower) take(page Page, err error) {
+func (f *Follower) take(page Page, list bool, err error) {
 	if err != nil {
 		if !f.failing {
-			f.logger.Info("cache_feed_lost", "cache", f.Name, "error", err.Error())
+			f.logger.Info("cache_feed_lost", "cache", f.Name, "list", list, "error", err.Error())
 		}
 		f.failing = true
 		return
@@ -92,9 +112,25 @@
 		f.failing = false
 		f.logger.Info("cache_feed_regained", "cache", f.Name, "held", f.Cache.Len())
 	}
+	if list {
+		before := f.Cache.Len()
+		f.Cache.Replace(page)
+		f.doubtful.Store(false)
+		f.logger.Info("cache_listed", "cache", f.Name, "held", f.Cache.Len(), "before", before, "next", page.Next)
+	} else {
+		f.apply(page)
+	}
+	f.changed()
+}
+
+func (f *Follower) apply(page Page) {
+	first := !f.begun
+	f.begun = true
 	anew := f.Cache.Apply(page)
 	if anew || page.Gap {
 		f.logger.Info("cache_feed_broken", "cache", f.Name, "epoch", page.Epoch, "anew", anew, "gap", page.Gap, "next", page.Next, "held", f.Cache.Len())
 	}
-	f.changed()
+	if page.Gap && !first && !anew || f.Cache.Doubtful() {
+		f.doubtful.Store(true)
+	}
 }
--- a/internal/gateway/holdings/holdings.go
+++ b/internal/gateway/holdings/holdings.go
@@ -8,7 +8,7 @@
 
 import (
 	"context"
-	"math"
+	"maps"
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
@@ -38,6 +38,9 @@
 	// Changes returns the changes from a position on, and waits for some when there
 	// are none.
 	Changes(ctx context.Context, from uint64, wait time.Duration) (Page, error)
+	// All returns what the cache holds, and the position from which changes follow. The
+	// question holds up the cache's work.
+	All(ctx context.Context) (Page, error)
 }
 
 // Held is one part that a cache holds.
@@ -46,21 +49,13 @@
 	Tokens int
 }
 
-type holding struct {
-	tokens int
-	// order of the change that said so.
-	order uint64
-}
-
 // Cache is what one cache is known to hold. It is used by one thread.
 type Cache struct {
 	// room is the cache's size in tokens; zero when it is not known.
 	room    int
 	epoch   string
-	next    uint64
-	order   uint64
 	sum     int
-	held    map[parts.Key]holding
+	held    map[parts.Key]int
 	changed map[parts.Key]struct{}
 	// round are the parts that are still to be said in this round.
 	round []parts.Key
@@ -69,12 +64,9 @@
 // NewCache returns a cache of which nothing is known, with room for so many tokens;
 // zero when that is not known.
 func NewCache(room int) *Cache {
-	return &Cache{room: room, held: map[parts.Key]holding{}, changed: map[parts.Key]struct{}{}}
+	return &Cache{room: room, held: map[parts.Key]int{}, changed: map[parts.Key]struct{}{}}
 }
 
-// Next is the position from which the cache's changes are not known.
-func (c *Cache) Next() uint64 { return c.next }
-
 // Len is the number of parts that are held.
 func (c *Cache) Len() int { return len(c.held) }
 
@@ -84,11 +76,10 @@
 	if anew {
 		c.clear()
 	}
-	c.epoch, c.next = p.Epoch, p.Next
+	c.epoch = p.Epoch
 	for _, change := range p.Changes {
 		c.set(parts.KeyOf(change.Scope, change.Part), change.Tokens)
 	}
-	c.trim()
 	return anew
 }
 
@@ -99,32 +90,41 @@
 }
 
 func (c *Cache) set(k parts.Key, tokens int) {
-	c.order++
-	c.sum += tokens - c.held[k].tokens
+	c.sum += tokens - c.held[k]
 	c.changed[k] = struct{}{}
 	if tokens > 0 {
-		c.held[k] = holding{tokens: tokens, order: c.order}
+		c.held[k] = tokens
 	} else {
 		delete(c.held, k)
 	}
 }
 
-// trim drops what was said longest ago while more is held than there is room for.
+// overfull is by how much more than its room a cache may seem to hold before what is
+// known of it counts as wrong.
+const overfull = 1.25
+
+// Doubtful reports whether the cache seems to hold more than it has room for.
 //
 // The failure guarded against: the word that a part was dropped is lost on its way, and
 // the part counts as held for as long as the cache lives. Prompts are sent there for
-// it, and fetched from there in vain.
-func (c *Cache) trim() {
-	for c.room > 0 && c.sum > c.room {
-		var oldest parts.Key
-		order := uint64(math.MaxUint64)
-		for k, h := range c.held {
-			if h.order < order {
-				oldest, order = k, h.order
-			}
+// it, and fetched from there in vain. To drop what was said longest ago instead takes
+// the parts that are used most, which are never said again.
+func (c *Cache) Doubtful() bool { return c.room > 0 && float64(c.sum) > overfull*float64(c.room) }
+
+// Replace takes in all that the cache holds.
+func (c *Cache) Replace(p Page) {
+	left := maps.Clone(c.held)
+	for _, change := range p.Changes {
+		k := parts.KeyOf(change.Scope, change.Part)
+		if c.held[k] != change.Tokens {
+			c.set(k, change.Tokens)
 		}
-		c.set(oldest, 0)
+		delete(left, k)
+	}
+	for k := range left {
+		c.set(k, 0)
 	}
+	c.epoch = p.Epoch
 }
 
 // TakeChanged returns up to n parts that have changed since they were returned last.
@@ -135,7 +135,7 @@
 		if len(all) == n {
 			break
 		}
-		all = append(all, Held{Part: k, Tokens: c.held[k].tokens})
+		all = append(all, Held{Part: k, Tokens: c.held[k]})
 		delete(c.changed, k)
 	}
 	return all
@@ -153,8 +153,8 @@
 	for len(all) < n && len(c.round) > 0 {
 		k := c.round[len(c.round)-1]
 		c.round = c.round[:len(c.round)-1]
-		if h, ok := c.held[k]; ok {
-			all = append(all, Held{Part: k, Tokens: h.tokens})
+		if tokens, ok := c.held[k]; ok {
+			all = append(all, Held{Part: k, Tokens: tokens})
 		}
 	}
 	return all
@@ -163,11 +163,11 @@
 // All returns the parts that are held, up to n.
 func (c *Cache) All(n int) []Held {
 	all := make([]Held, 0, min(n, len(c.held)))
-	for k, h := range c.held {
+	for k, tokens := range c.held {
 		if len(all) == n {
 			break
 		}
-		all = append(all, Held{Part: k, Tokens: h.tokens})
+		all = append(all, Held{Part: k, Tokens: tokens})
 	}
 	return all
 }
