Parts held in part are not taken for whole; the store is asked where nothing is known of it

Besides, a part of which some blocks are left counted as held, so that prompts neither waited for its reader nor saved it again, and late words of a part that is being read overruled that it had been read. Change: a part counts as held when all but its last block is; words within 0.3 s of an own send do not overrule it; a store that nobody tells of is asked first while its link is not full; links' work is told like engines'; who begins to follow a cache lists it when changes were lost.

--- a/internal/batchmodel/model.go
+++ b/internal/batchmodel/model.go
@@ -201,8 +201,8 @@
 		if m.policy == "oracle" {
 			c.Work.Reading = ledger.Lane(0, m.readTime(e.waitingTokens(q.class.Urgency)))
 		}
-		c.Fetchable, c.SourceRate = m.fetchable(q, i, seen), m.spec.Engine.FetchPerMs
-		c.SourceNear = true
+		c.Fetchable, c.Source.Rate = m.fetchable(q, i, seen), m.spec.Engine.FetchPerMs
+		c.Source.Near = true
 	}
 	choice := placement.Pick(question, candidates)
 	if choice.Estimate > q.class.Patience {
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -28,7 +28,7 @@
 	repeatSlices = 10
 	// newcomerParts bounds what an entry that has just started is told at once of one
 	// cache.
-	newcomerParts = 4 * toldParts
+	newcomerParts = 10 * toldParts
 	// storeFollowers is how many sidecars follow each store of cached parts: one, and
 	// another in case that one is lost.
 	storeFollowers = 2
@@ -36,7 +36,7 @@
 	storesCheck = time.Second
 	// meshFormed is the time after a sidecar's start in which it hears of the others.
 	// All would follow every store before, which answers only so many at once.
-	meshFormed = 2 * time.Second
+	meshFormed = time.Second
 )
 
 // caches is a sidecar's knowledge of caches: its engine's, and those of the stores
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -154,6 +154,8 @@
 	// sends counts sends, arrivals those of them that may have reached a target,
 	// and runs those that may have run.
 	sends, arrivals, runs int
+	// totals is the work at all targets, as the last choice saw it.
+	totals map[fleet.ID]ledger.Work
 	// excluded targets are not tried again.
 	excluded map[fleet.Life]bool
 	// lastEvent is the event that the caller has; begun is set once it has any
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -66,9 +66,9 @@
 		return false
 	}
 	now := fl.Now()
-	for _, k := range to.keys {
+	for i, k := range to.keys {
 		held, coming := false, false
-		fl.Parts.Holders(k, now, func(_ fleet.ID, s parts.State) {
+		fl.Parts.Holders(k, fl.request.Parts[i].Tokens, now, func(_ fleet.ID, s parts.State) {
 			held = held || s == parts.Held
 			coming = coming || s == parts.Coming
 		})
@@ -151,7 +151,14 @@
 	if left := fl.firstEventWithin(); choice.Estimate > left {
 		return nil, errkind.After(errkind.DeadlineUnmeetable, fl.comeBack(choice.Estimate-left), "the first event would come in %s", choice.Estimate)
 	}
-	return fl.toEngine(fl.view.Targets[fl.service.Name][choice.Index], candidates[choice.Index].Version, choice, q), nil
+	c := &candidates[choice.Index]
+	to := fl.toEngine(fl.view.Targets[fl.service.Name][choice.Index], c.Version, choice, q)
+	to.carry = choice.Fetch
+	if choice.Fetched == 0 && choice.FetchFrom.IsValid() {
+		missing := probableShare * float64(max(q.Shared-choice.Held, 0))
+		to.carry = time.Duration(c.Source.FetchMs(int(missing)) * float64(time.Millisecond))
+	}
+	return to, nil
 }
 
 // firstEventWithin is the time within which the first event must come: callers of
@@ -169,6 +176,7 @@
 	wanted := fl.view.Wanted[fl.request.Model]
 	candidates := make([]placement.Candidate, len(targets))
 	totals := fl.Ledger.Totals(fl.Now())
+	fl.totals = totals
 	rested := fl.Health.Rested(fl.Now())
 	kept := fl.keptFor(targets, totals)
 	schedule := fl.schedule(targets)
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -83,7 +83,7 @@
 	tokens := 0
 	for i, k := range to.keys {
 		elsewhere := false
-		fl.Parts.Holders(k, fl.Now(), func(target fleet.ID, s parts.State) {
+		fl.Parts.Holders(k, fl.request.Parts[i].Tokens, fl.Now(), func(target fleet.ID, s parts.State) {
 			elsewhere = elsewhere || s == parts.Held && target != to.target.ID
 		})
 		if elsewhere {
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -31,6 +31,8 @@
 	saveTo    string
 	keys      []parts.Key
 	choice    placement.Choice
+	// carry is how long the link of the source probably carries what is fetched.
+	carry time.Duration
 	// intake is how many tokens the engine's memory takes in.
 	intake int
 	// expected is the time to the first event at an engine of ordinary pace.
@@ -81,6 +83,8 @@
 	fl.turnover.Intake(to.intake, fl.Now())
 	item := fl.Ledger.Begin(to.target.ID, to.work, to.choice.Wait+to.choice.Fetch, fl.Now())
 	defer item.End()
+	link := fl.beginFetch(to)
+	defer link.End()
 	if fl.noteParts(to, false) || to.choice.Read > tellFrom {
 		fl.TellWork(to.target.ID)
 	}
@@ -113,6 +117,12 @@
 	return fl.relayWhole(ctx, to, resp)
 }
 
+// beginFetch counts what the send fetches against its source's link, so that others do
+// not all wait for the same one.
+func (fl *flow) beginFetch(to *destination) *ledger.Item {
+	return fl.Ledger.Begin(linkID(to.fetchFrom), ledger.Work{Reading: ledger.Lane(0, to.carry)}, fl.linkQueue(to.fetchFrom), fl.Now())
+}
+
 // noteParts notes that the engine, and the store that it saves to, read the
 // prompt's parts or have read them.
 // It reports whether the other entries should hear of it.
--- a/internal/gateway/forward/sources.go
+++ b/internal/gateway/forward/sources.go
@@ -25,6 +25,8 @@
 type prompt struct {
 	// held is how many tokens of its beginning each target holds.
 	held map[fleet.ID]int
+	// shared is how many tokens they have.
+	shared int
 	// sources are where an engine that lacks some can fetch them from.
 	sources []source
 }
@@ -37,6 +39,9 @@
 	// peer sources are engines: they have faster links than stores, and are many.
 	peer   bool
 	tokens int
+	// unknown sources may hold more than is known: the prompt's store, while nobody
+	// tells of it.
+	unknown bool
 	// rate is how many tokens its link carries in a millisecond.
 	rate float64
 }
@@ -65,7 +70,7 @@
 
 func (fl *flow) lookUp(version int64, kept time.Duration) *prompt {
 	keys := parts.Keys(fl.scopeAt(version), fl.request.Parts)
-	p := &prompt{held: map[fleet.ID]int{}}
+	p := &prompt{held: map[fleet.ID]int{}, shared: fl.sharedTokens()}
 	if len(keys) == 0 {
 		return p
 	}
@@ -85,7 +90,10 @@
 		id := storeID(s.Store.Address.String())
 		if tokens := p.held[id]; tokens > 0 || s == own {
 			rate := fl.linkRate(min(s.Store.LinkMbps, fl.service.Engine.LinkMbps))
-			p.sources = append(p.sources, source{id: id, address: s.Store.Address, zone: s.Store.Zone, tokens: tokens, rate: rate})
+			p.sources = append(p.sources, source{
+				id: id, address: s.Store.Address, zone: s.Store.Zone, tokens: tokens, rate: rate,
+				unknown: !fl.Parts.Known(id, fl.Now()) && fl.linkQueue(s.Store.Address) < fullLink,
+			})
 		}
 	}
 }
@@ -105,6 +113,19 @@
 	}
 }
 
+// linkID names the link of a source among the targets at which work is counted.
+func linkID(address netip.AddrPort) fleet.ID { return fleet.IDOf("link " + address.String()) }
+
+// fullLink is the queue from which a store of which nothing is known is not asked: what
+// it may have would come later than it is read.
+const fullLink = 150 * time.Millisecond
+
+// linkQueue is the time until a link has carried what prompts of all entries wait for.
+func (fl *flow) linkQueue(address netip.AddrPort) time.Duration {
+	work := fl.totals[linkID(address)]
+	return work.Reading.All()
+}
+
 // linkRate is how many of the service's tokens a link carries in a millisecond.
 func (fl *flow) linkRate(mbps float64) float64 {
 	return mbps * 1e6 / 8 / 1000 / max(float64(fl.service.Engine.TokenBytes), 1)
@@ -116,7 +137,7 @@
 	c.Held = p.held[t.ID]
 	best := -1
 	for i := range p.sources {
-		if p.sources[i].id != t.ID && (best < 0 || p.sources[i].betterThan(&p.sources[best], t.Zone)) {
+		if p.sources[i].id != t.ID && (best < 0 || p.betterThan(&p.sources[i], &p.sources[best], t.Zone)) {
 			best = i
 		}
 	}
@@ -124,12 +145,31 @@
 		return
 	}
 	s := &p.sources[best]
-	c.Source, c.SourceNear, c.SourceRate, c.Fetchable = s.address, s.zone == t.Zone, s.rate, s.tokens
+	c.Source = placement.Source{Address: s.address, Near: s.zone == t.Zone, Rate: s.rate}
+	c.Fetchable = s.tokens
+}
+
+// probableShare is the share of a prompt that a store of which nothing is known counts
+// as holding: it has room for most of what is shared.
+const probableShare = 0.6
+
+// probable is how many tokens a source probably has of the prompt.
+func (p *prompt) probable(s *source) int {
+	if s.unknown {
+		return max(s.tokens, int(probableShare*float64(p.shared)))
+	}
+	return s.tokens
 }
 
-func (s *source) betterThan(o *source, zone string) bool {
-	if s.tokens != o.tokens {
-		return s.tokens > o.tokens
+// betterThan compares two sources for an engine in a zone.
+//
+// The failure guarded against: all processes have started again, and know of engines
+// that hold the part that all prompts begin with. Fetched from there, the rest is read
+// again although the store holds all of it: 4.8% of the shared tokens of a day that ends
+// so.
+func (p *prompt) betterThan(s, o *source, zone string) bool {
+	if a, b := p.probable(s), p.probable(o); a != b {
+		return a > b
 	}
 	if near := s.zone == zone; near != (o.zone == zone) {
 		return near
@@ -168,7 +208,8 @@
 	if s == nil {
 		return ""
 	}
-	if state, _ := fl.Parts.At(keys[len(keys)-1], storeID(s.Store.Address.String()), fl.Now()); state != parts.Absent {
+	last := len(keys) - 1
+	if fl.Parts.At(keys[last], fl.request.Parts[last].Tokens, storeID(s.Store.Address.String()), fl.Now()) != parts.Absent {
 		return ""
 	}
 	return s.Store.Address.String()
--- a/internal/gateway/holdings/follow.go
+++ b/internal/gateway/holdings/follow.go
@@ -26,7 +26,9 @@
 	// at once, and refuses others.
 	failurePause = 500 * time.Millisecond
 	// listPause is the least time between two lists of one cache: each holds up an
-	// engine's work, and words are lost one in a hundred.
+	// engine's work, and words are lost one in a hundred. The first is made at once where
+	// it is needed: caches keep half a minute of changes, and who has just begun to follow
+	// lacks the parts that are used most.
 	listPause = 10 * time.Second
 )
 
@@ -42,8 +44,6 @@
 	changed func()
 	cancel  context.CancelFunc
 	failing bool
-	// begun is set from the first page on.
-	begun bool
 	// doubtful is set when what is known of the cache is to be replaced by a list.
 	doubtful atomic.Bool
 }
@@ -69,7 +69,7 @@
 
 func (f *Follower) run(ctx context.Context) {
 	next, epoch := uint64(0), ""
-	listedAt := time.Now()
+	var listedAt time.Time
 	for ctx.Err() == nil {
 		list := f.doubtful.Load() && time.Since(listedAt) > listPause
 		page, err := f.ask(ctx, next, list)
@@ -124,13 +124,11 @@
 }
 
 func (f *Follower) apply(page Page) {
-	first := !f.begun
-	f.begun = true
 	anew := f.Cache.Apply(page)
 	if anew || page.Gap {
 		f.logger.Info("cache_feed_broken", "cache", f.Name, "epoch", page.Epoch, "anew", anew, "gap", page.Gap, "next", page.Next, "held", f.Cache.Len())
 	}
-	if page.Gap && !first && !anew || f.Cache.Doubtful() {
+	if page.Gap && !anew || f.Cache.Doubtful() {
 		f.doubtful.Store(true)
 	}
 }
--- a/internal/gateway/holdings/holdings_test.go
+++ b/internal/gateway/holdings/holdings_test.go
@@ -96,8 +96,8 @@
 	})
 }
 
-// A cache that seems to hold more than it has room for is listed, and not more often
-// than every ten seconds. So is one that lost changes.
+// A cache that seems to hold more than it has room for is listed, at once and then not
+// more often than every ten seconds. So is one that lost changes.
 func TestDoubtfulCacheIsListed(t *testing.T) {
 	for name, page := range map[string]Page{
 		"overfull": {Epoch: "1", Next: 2, Changes: []Change{change("x", 900), change("y", 900)}},
@@ -116,7 +116,7 @@
 				time.Sleep(25 * time.Second)
 				loop.Stop()
 				synctest.Wait()
-				if feed.lists != 2 {
+				if feed.lists != 3 {
 					t.Errorf("%d lists in 25 s", feed.lists)
 				}
 			})
--- a/internal/gateway/parts/parts.go
+++ b/internal/gateway/parts/parts.go
@@ -9,6 +9,7 @@
 package parts
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -81,6 +82,9 @@
 	// all of it anew in half of that time, so that what was lost on the way is made up
 	// for.
 	sureFor = 10 * time.Second
+	// settleTime is how old the word of a target may be when it arrives: some 80 ms until
+	// it tells of a change, and as long again until the processes have heard of it.
+	settleTime = 300 * time.Millisecond
 	// maxKeys bounds the memory, some 100 bytes each; what was not noted for the
 	// longest time is dropped first.
 	maxKeys = 40_000
@@ -117,10 +121,14 @@
 	mu         sync.Mutex
 	young, old map[Key][]belief
 	fresh      []Fact
+	// told is when each target's own word came last.
+	told map[fleet.ID]time.Time
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{young: map[Key][]belief{}, old: map[Key][]belief{}} }
+func NewBook() *Book {
+	return &Book{young: map[Key][]belief{}, old: map[Key][]belief{}, told: map[fleet.ID]time.Time{}}
+}
 
 // get returns what is believed of a key. The caller holds mu.
 func (b *Book) get(k Key) []belief {
@@ -173,7 +181,7 @@
 			continue
 		}
 		was := list[i]
-		if was.current(now) == Held && state == Coming {
+		if was.state == Held && now.Sub(was.at) <= heldFor {
 			state = Held
 		}
 		list[i].state, list[i].at = state, now
@@ -189,21 +197,44 @@
 func (b *Book) Learn(target fleet.ID, k Key, tokens int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.noteWord(target, now)
 	list := b.get(k)
 	i := slices.IndexFunc(list, func(one belief) bool { return one.target == target })
 	switch {
 	case i < 0 && tokens > 0:
 		b.put(k, append(believed(list, now), belief{target: target, tokens: tokens, toldAt: now}))
-	case i >= 0 && tokens > 0:
+	case i >= 0:
 		list[i].learn(tokens, now)
-		b.put(k, list)
-	case i >= 0 && list[i].current(now) != Coming:
-		b.put(k, slices.Delete(list, i, i+1))
+		b.put(k, believed(list, now))
 	}
 }
 
+// noteWord notes that a target's own word came, and forgets those that are silent.
+func (b *Book) noteWord(target fleet.ID, now time.Time) {
+	if _, known := b.told[target]; !known {
+		maps.DeleteFunc(b.told, func(_ fleet.ID, at time.Time) bool { return now.Sub(at) > sureFor })
+	}
+	b.told[target] = now
+}
+
+// Known reports whether a target has told of its cache lately: what it has not named
+// it does not hold.
+func (b *Book) Known(target fleet.ID, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at, ok := b.told[target]
+	return ok && now.Sub(at) <= sureFor
+}
+
+// learn overrules what was noted of sends, unless that is newer than the word can be.
+//
+// The failure guarded against: an engine says block by block that it reads a part, a
+// tenth of a second late. The part's first user has had its answer by then. Were the
+// old word taken, the next prompts would find the part held in part, and read the rest
+// again elsewhere: twice as many tokens after each change of weights.
 func (b *belief) learn(tokens int, now time.Time) {
-	if b.current(now) != Coming {
+	settled := b.state == Held && now.Sub(b.at) > settleTime
+	if settled {
 		b.state = Absent
 	}
 	b.tokens, b.toldAt = tokens, now
@@ -217,18 +248,35 @@
 // sure reports whether the target's own word counts.
 func (b *belief) sure(now time.Time) bool { return b.tokens > 0 && now.Sub(b.toldAt) <= sureFor }
 
+func (b *belief) coming(now time.Time) bool {
+	return b.state == Coming && now.Sub(b.at) <= comingFor
+}
+
+// current is the state of the part, whether it is held in full or in part.
 func (b *belief) current(now time.Time) State {
-	age := now.Sub(b.at)
 	switch {
-	case b.state == Coming && age <= comingFor:
+	case b.coming(now):
 		return Coming
-	case b.sure(now), b.state == Held && age <= heldFor:
+	case b.sure(now), b.state == Held && now.Sub(b.at) <= heldFor:
 		return Held
 	default:
 		return Absent
 	}
 }
 
+// whole is the state of a part of so many tokens. One of which a cache has dropped some
+// blocks is not held: prompts would neither wait for who reads it, nor save it again.
+func (b *belief) whole(tokens int, now time.Time) State {
+	switch {
+	case b.held(heldFor, now) > max(tokens-blockTokens, 0):
+		return Held
+	case b.coming(now):
+		return Coming
+	default:
+		return Absent
+	}
+}
+
 // held is how many tokens of the part are believed to be held. What was noted of a
 // send counts for the time kept, in which a cache drops what is not used.
 func (b *belief) held(kept time.Duration, now time.Time) int {
@@ -266,26 +314,26 @@
 	}
 }
 
-// At returns the state of a part at a target, and when it was noted there last.
-func (b *Book) At(k Key, target fleet.ID, now time.Time) (State, time.Time) {
+// At returns the state of a part of so many tokens at a target.
+func (b *Book) At(k Key, tokens int, target fleet.ID, now time.Time) State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := b.get(k)
 	for i := range list {
 		if list[i].target == target {
-			return list[i].current(now), list[i].at
+			return list[i].whole(tokens, now)
 		}
 	}
-	return Absent, time.Time{}
+	return Absent
 }
 
-// Holders calls visit with each target that holds or reads a part.
-func (b *Book) Holders(k Key, now time.Time, visit func(target fleet.ID, s State)) {
+// Holders calls visit with each target that holds or reads a part of so many tokens.
+func (b *Book) Holders(k Key, tokens int, now time.Time, visit func(target fleet.ID, s State)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := b.get(k)
 	for i := range list {
-		if s := list[i].current(now); s != Absent {
+		if s := list[i].whole(tokens, now); s != Absent {
 			visit(list[i].target, s)
 		}
 	}
--- a/internal/gateway/parts/parts_test.go
+++ b/internal/gateway/parts/parts_test.go
@@ -17,8 +17,7 @@
 
 // stateAt is a part's state at a target.
 func stateAt(b *Book, k Key, target fleet.ID, at time.Time) State {
-	s, _ := b.At(k, target, at)
-	return s
+	return b.At(k, 10, target, at)
 }
 
 func prompt(ids ...string) []wire.Part {
--- a/internal/gateway/parts/prefix_test.go
+++ b/internal/gateway/parts/prefix_test.go
@@ -82,11 +82,69 @@
 	k := KeyOf("s", "x")
 	b.Note(1, []Key{k}, false, now)
 	b.Learn(1, k, 512, now.Add(time.Millisecond))
-	if got := stateAt(b, k, 1, now.Add(2*time.Millisecond)); got != Coming {
+	if got := b.At(k, 5000, 1, now.Add(2*time.Millisecond)); got != Coming {
 		t.Errorf("state %v", got)
 	}
 	b.Learn(1, k, 0, now.Add(3*time.Millisecond))
-	if got := stateAt(b, k, 1, now.Add(4*time.Millisecond)); got != Coming {
+	if got := b.At(k, 5000, 1, now.Add(4*time.Millisecond)); got != Coming {
 		t.Errorf("state %v after the word that an earlier copy was dropped", got)
 	}
 }
+
+// A cache has dropped most blocks of a part. Prompts that share it wait for who reads
+// it again, and save it again, as if it were gone.
+func TestPartThatIsHeldInPartCountsAsGone(t *testing.T) {
+	b := NewBook()
+	k := KeyOf("s", "x")
+	b.Learn(1, k, 512, now)
+	if got := b.At(k, 5000, 1, now); got != Absent {
+		t.Errorf("state %v", got)
+	}
+	if got := b.At(k, 520, 1, now); got != Held {
+		t.Errorf("state %v but for its last block", got)
+	}
+	b.Note(2, []Key{k}, false, now)
+	seen := map[fleet.ID]State{}
+	b.Holders(k, 5000, now, func(target fleet.ID, s State) { seen[target] = s })
+	if len(seen) != 1 || seen[2] != Coming {
+		t.Errorf("holders %v", seen)
+	}
+}
+
+// A part that is held in part is read again. It is coming there, and is no source for
+// others yet.
+func TestReadingAgainWhatIsHeldInPart(t *testing.T) {
+	b := NewBook()
+	k := KeyOf("s", "x")
+	b.Learn(1, k, 512, now)
+	b.Note(1, []Key{k}, false, now)
+	if got := b.At(k, 5000, 1, now); got != Coming {
+		t.Errorf("state %v", got)
+	}
+	if got := prefixOf(b, 1, sized(5000, 10), time.Minute, now); got != 512 {
+		t.Errorf("%d tokens while it is read", got)
+	}
+	b.Learn(1, k, 5000, now)
+	if got := b.At(k, 5000, 1, now); got != Held {
+		t.Errorf("state %v after the engine's word", got)
+	}
+}
+
+// Engines tell of what they read block by block, and late. A part that a prompt has
+// just been answered from is whole, whatever such a word says.
+func TestLateWordOfAPartThatWasReadMeanwhile(t *testing.T) {
+	b := NewBook()
+	k := KeyOf("s", "x")
+	b.Note(1, []Key{k}, false, now)
+	b.Note(1, []Key{k}, true, now.Add(100*time.Millisecond))
+	for _, late := range []int{2048, 0} {
+		b.Learn(1, k, late, now.Add(200*time.Millisecond))
+		if got := b.At(k, 5000, 1, now.Add(200*time.Millisecond)); got != Held {
+			t.Errorf("%d tokens: state %v", late, got)
+		}
+	}
+	b.Learn(1, k, 2048, now.Add(101*time.Millisecond+settleTime))
+	if got := b.At(k, 5000, 1, now.Add(101*time.Millisecond+settleTime)); got != Absent {
+		t.Errorf("state %v by a word that is newer", got)
+	}
+}
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -51,11 +51,28 @@
 	// Fetchable is how many of the shared tokens can be had from Source, the
 	// best place other than the engine itself.
 	Fetchable int
-	Source    netip.AddrPort
-	// SourceNear is set when Source stands in the engine's availability zone.
-	SourceNear bool
-	// SourceRate is how many tokens a millisecond its link carries.
-	SourceRate float64
+	Source    Source
+}
+
+// Source is a place from which an engine fetches parts.
+type Source struct {
+	Address netip.AddrPort
+	// Near is set when it stands in the engine's availability zone.
+	Near bool
+	// Rate is how many tokens a millisecond its link carries.
+	Rate float64
+}
+
+// FetchMs is how long it takes to fetch so many tokens, in milliseconds.
+func (s *Source) FetchMs(tokens int) float64 {
+	if tokens <= 0 || s.Rate <= 0 {
+		return 0
+	}
+	distance := 2.0
+	if s.Near {
+		distance = 1
+	}
+	return fetchSetup + float64(tokens)/s.Rate*distance
 }
 
 // Question is what a decision goes by besides the candidates.
@@ -222,11 +239,8 @@
 	wait := inMs(c.Work.Reading.UpTo(urgency)) + stepTime*float64(c.Work.Running)
 	wait = wait*pace(c) + fullPenalty*float64(over(c, q, urgency, q.Own+missing+q.MaxTokens))
 	read := pace(c) * inMs(q.ReadTime(q.Own+missing-fetched))
-	fetch := 0.0
-	choice := Choice{Urgency: urgency, FetchFrom: c.Source, Held: min(c.Held, q.Shared), Fetched: fetched, ReadTokens: q.Own + missing - fetched}
-	if fetched > 0 && c.SourceRate > 0 {
-		fetch = fetchSetup + float64(fetched)/c.SourceRate*sourceDistance(c)
-	}
+	fetch := c.Source.FetchMs(fetched)
+	choice := Choice{Urgency: urgency, FetchFrom: c.Source.Address, Held: min(c.Held, q.Shared), Fetched: fetched, ReadTokens: q.Own + missing - fetched}
 	again := read - pace(c)*inMs(q.ReadTime(q.Own))
 	cost := wait + read + fetch + (readPrice-1)*again
 	if !c.Near {
@@ -274,13 +288,6 @@
 	return n + 1 + excess/mean
 }
 
-func sourceDistance(c *Candidate) float64 {
-	if c.SourceNear {
-		return 1
-	}
-	return 2
-}
-
 // away counts the candidates in the same zone that rank before c for a family.
 func away(family uint64, c *Candidate, all []Candidate) int {
 	n := 0
--- a/internal/gateway/placement/placement_test.go
+++ b/internal/gateway/placement/placement_test.go
@@ -87,7 +87,7 @@
 	candidates := []Candidate{engine(1), engine(2)}
 	candidates[0].Held = 5000
 	candidates[0].Work = ledger.Work{Running: 8, Reading: ledger.Lane(0, 120*time.Millisecond)}
-	candidates[1].Fetchable, candidates[1].Source, candidates[1].SourceNear, candidates[1].SourceRate = 5000, source, true, 300
+	candidates[1].Fetchable, candidates[1].Source = 5000, Source{Address: source, Near: true, Rate: 300}
 	choice := Pick(question(), candidates)
 	if choice.Index != 1 || choice.FetchFrom != source {
 		t.Errorf("%+v", choice)
