--- a/cmd/toucanwell/main.go
+++ b/cmd/toucanwell/main.go
@@ -34,6 +34,7 @@
 			statusCommand(),
 			reportCommand(),
 			explainCommand(),
+			lossesCommand(),
 			demoCommand(),
 			replayCommand(),
 			modelCommand(),
