--- a/cmd/toucanwell/explain.go
+++ b/cmd/toucanwell/explain.go
@@ -44,19 +44,35 @@
 }
 
 func readStory(id string, paths []string) (*explain.Story, error) {
+	logs, closeLogs, err := openLogs(paths)
+	if err != nil {
+		return nil, err
+	}
+	defer closeLogs()
+	return explain.Read(id, logs...)
+}
+
+// openLogs opens log files, or standard input when none is named.
+func openLogs(paths []string) (logs []io.Reader, closeLogs func(), err error) {
 	if len(paths) == 0 {
-		return explain.Read(id, os.Stdin)
+		return []io.Reader{os.Stdin}, func() {}, nil
+	}
+	var files []*os.File
+	closeLogs = func() {
+		for _, file := range files {
+			_ = file.Close() // it was only read
+		}
 	}
-	var logs []io.Reader
 	for _, path := range paths {
 		file, err := os.Open(path)
 		if err != nil {
-			return nil, cli.Exit(errors.Wrap(err, "explain").Error(), exitBadInput)
+			closeLogs()
+			return nil, nil, cli.Exit(errors.Wrap(err, "logs").Error(), exitBadInput)
 		}
-		defer file.Close()
+		files = append(files, file)
 		logs = append(logs, file)
 	}
-	return explain.Read(id, logs...)
+	return logs, closeLogs, nil
 }
 
 func printStory(s *explain.Story, output string) error {
--- a/cmd/toucanwell/losses.go
+++ b/cmd/toucanwell/losses.go
@@ -74,18 +74,11 @@
 }
 
 func readLosses(o losses.Options, paths []string) ([]losses.Row, error) {
-	if len(paths) == 0 {
-		return losses.Read(o, os.Stdin)
-	}
-	var logs []io.Reader
-	for _, path := range paths {
-		file, err := os.Open(path)
-		if err != nil {
-			return nil, cli.Exit(errors.Wrap(err, "losses").Error(), exitBadInput)
-		}
-		defer file.Close()
-		logs = append(logs, file)
+	logs, closeLogs, err := openLogs(paths)
+	if err != nil {
+		return nil, err
 	}
+	defer closeLogs()
 	return losses.Read(o, logs...)
 }
 
--- a/internal/cluster/process_test.go
+++ b/internal/cluster/process_test.go
@@ -133,7 +133,7 @@
 		if time.Now().After(deadline) {
 			t.Fatalf("never: %s", what)
 		}
-		time.Sleep(5 * time.Millisecond)
+		<-time.After(5 * time.Millisecond)
 	}
 }
 
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -35,7 +35,6 @@
 		}
 		wrong, _ := proto.Marshal(&peerv1.ProbeResponse{Id: request.Id, WaitMs: 999_999})
 		_, _ = c.stranger.WriteToUDPAddrPort(wrong, from)
-		time.Sleep(time.Millisecond)
 		right, _ := proto.Marshal(&peerv1.ProbeResponse{Id: request.Id, WaitMs: request.PromptTokens})
 		_, _ = c.conn.WriteToUDPAddrPort(right, from)
 		if held != nil {
