--- a/internal/cluster/process_bench_test.go
+++ b/internal/cluster/process_bench_test.go
@@ -45,7 +45,7 @@
 		b.Fatal(err)
 	}
 	defer c.Close()
-	time.Sleep(2 * time.Second)
+	<-time.After(2 * time.Second)
 	roles := map[string][]cluster.Process{"entry": c.Entries}
 	for name, p := range c.Sidecars {
 		role := "engine-sidecar"
@@ -61,7 +61,7 @@
 		}
 	}
 	for b.Loop() {
-		time.Sleep(length)
+		<-time.After(length)
 	}
 	for role, list := range roles {
 		var cpu time.Duration
--- a/internal/cluster/spread_bench_test.go
+++ b/internal/cluster/spread_bench_test.go
@@ -49,7 +49,7 @@
 				version = c.Log.AppendNow(configlog.Stream, data)
 				for _, s := range c.SidecarSettings {
 					for versionAt(s.AdminListen) < version {
-						time.Sleep(2 * time.Millisecond)
+						<-time.After(2 * time.Millisecond)
 					}
 				}
 				took := time.Since(start)
