--- a/internal/gateway/weights/remote.go
+++ b/internal/gateway/weights/remote.go
@@ -31,9 +31,10 @@
 // progress is what is known of one engine's newest order.
 type progress struct {
 	version int64
-	// loading is set while an order is under way, until notAfter at most.
-	loading  bool
-	notAfter time.Time
+	// ordering is set until it is known what became of the newest order, loading while
+	// the engine carries it out, until notAfter.
+	ordering, loading bool
+	notAfter          time.Time
 	// failed is set when the newest order was not accepted; the next one waits for
 	// notAfter.
 	failed bool
@@ -115,14 +116,14 @@
 // waits reports whether an engine's order is under way, or its next one is not due.
 func (c *RemoteController) waits(life fleet.Life) bool {
 	p := c.progress[life]
-	return p != nil && (p.loading || p.failed && c.now().Before(p.notAfter))
+	return p != nil && (p.ordering || p.loading || p.failed && c.now().Before(p.notAfter))
 }
 
 // underWay is how many engines load, as far as is known.
 func (c *RemoteController) underWay() int {
 	n := 0
 	for _, p := range c.progress {
-		if p.loading {
+		if p.ordering || p.loading {
 			n++
 		}
 	}
@@ -133,6 +134,7 @@
 func (c *RemoteController) forget() {
 	for life, p := range c.progress {
 		switch {
+		case p.ordering:
 		case p.loading && c.now().After(p.notAfter):
 			p.loading = false
 		case c.now().Sub(p.notAfter) > time.Minute:
@@ -144,7 +146,7 @@
 // begin asks the engine for its count of orders and gives it the next one. The count makes
 // an order harmless that is carried out late: a newer one was accepted before.
 func (c *RemoteController) begin(e *Remote, o Order) {
-	p := &progress{loading: true, notAfter: c.now().Add(remoteLoadTime)}
+	p := &progress{ordering: true}
 	if old := c.progress[e.Life]; old != nil {
 		p.version, p.failed = old.version, old.failed
 	}
@@ -175,12 +177,13 @@
 	}
 	c.logger.Info("weights_ordered", "model", o.Model, "version", o.Version, "token", o.Token, "target", o.Life,
 		"orders", o.Orders, "outcome", outcome.String(), "error", detail, "sidecar", false)
+	p.ordering = false
 	switch outcome {
 	case Accepted:
-		p.failed, p.version, p.notAfter = false, o.Version, c.now().Add(remoteLoadTime)
+		p.loading, p.failed, p.version, p.notAfter = true, false, o.Version, c.now().Add(remoteLoadTime)
 	case Holds:
 		p.failed, p.version, p.notAfter = false, o.Version, c.now()
 	default:
-		p.loading, p.failed, p.notAfter = false, true, c.now().Add(remoteRetry)
+		p.failed, p.notAfter = true, c.now().Add(remoteRetry)
 	}
 }
--- a/internal/gateway/weights/remote_test.go
+++ b/internal/gateway/weights/remote_test.go
@@ -69,6 +69,32 @@
 	})
 }
 
+// The two engines whose turn comes first leave orders unanswered. They must not take both
+// places again and again while the others wait.
+func TestEnginesThatLeaveOrdersUnansweredComeLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startRemoteBench(10)
+		views := make([]EngineView, len(b.list))
+		for i := range b.list {
+			views[i] = EngineView{Life: b.list[i].Life}
+		}
+		silent := Turns(views, 2)[:2]
+		for _, e := range b.engines {
+			if e.life == silent[0].Instance || e.life == silent[1].Instance {
+				e.set(func(e *fakeEngine) { e.late = time.Minute })
+			}
+		}
+		b.run(6500 * time.Millisecond)
+		for _, e := range b.engines {
+			if e.late == 0 && e.version != 2 {
+				t.Errorf("%s has version %d", e.life, e.version)
+			}
+		}
+		b.loop.Stop()
+		time.Sleep(2 * time.Minute) // late orders are carried out within the test
+	})
+}
+
 // One engine does not answer, and one has started again under another name that the list
 // does not show yet. The others load all the same, and neither is ordered without a pause.
 func TestUnreachableEnginesHoldNobodyUp(t *testing.T) {
