--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -1,14 +1,11 @@
 package gateway
 
 import (
-	"encoding/binary"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/toucanwell/toucanwell/internal/blackboard"
@@ -37,20 +34,6 @@
 	operatorsWait = 4 * time.Second
 	// outageGap is the time without word of the store that counts as an outage.
 	outageGap = 1500 * time.Millisecond
-	// Ages of the copy of the targets from which a process reads the store. The
-	// first entry reads, the second when the first is late, and so on: one of them
-	// keeps all others up to date through their heartbeats.
-	firstReads   = 450 * time.Millisecond
-	secondReads  = 800 * time.Millisecond
-	othersRead   = 1100 * time.Millisecond
-	sidecarsRead = 2500 * time.Millisecond
-	// The same in large fleets, in which it takes two or three heartbeats until word that
-	// the list was read has reached all.
-	largeSecondReads  = 1300 * time.Millisecond
-	largeOthersRead   = 2500 * time.Millisecond
-	largeSidecarsRead = 5 * time.Second
-	// sidecarsReadOperators is the same for what operators declare.
-	sidecarsReadOperators = 3 * time.Second
 	// viewPeriod is how often the view is made anew without a change, so that what
 	// became old leaves it.
 	refreshPeriod = 200 * time.Millisecond
@@ -121,27 +104,6 @@
 	return b
 }
 
-// peersPatience is how long a process that has just started waits for the copies of
-// others before it reads the store itself. Were all to read, a start of the fleet would
-// take four calls of each process, more than an hour of its ordinary work.
-const peersPatience = 3 * time.Second
-
-// awaitsPeers reports whether this process leaves its first read to others. Entries do
-// not while callers wait for them, nor do those that the others turn to first.
-func (b *beliefs) awaitsPeers(currentAt time.Time) bool {
-	if !currentAt.IsZero() || b.clock.Now().Sub(b.startedAt) > peersPatience || b.isSeed() {
-		return false
-	}
-	return !b.isEntry() || b.settings.FirstStart
-}
-
-// isSeed reports whether this process's host is one of those that others turn to first;
-// all are when none is named.
-func (b *beliefs) isSeed() bool {
-	seeds := b.settings.seedHosts()
-	return len(seeds) == 0 || slices.Contains(seeds, b.settings.mesh().Addr())
-}
-
 // start begins to follow the store. The mesh is set before.
 func (b *beliefs) start() {
 	b.startedAt = b.clock.Now()
@@ -159,101 +121,6 @@
 
 func (b *beliefs) isEntry() bool { return b.settings.Role == settings.RoleEntry }
 
-const (
-	// Up to largeEntries entries and largeEngines engines, all are told of all work and
-	// of all caches. That grows with entries times engines: at this size it takes some
-	// 300 datagrams a second of each process, a twentieth of a small host's processor.
-	// Past it entries ask the sidecars of the engines that they consider; where there are
-	// none, telling some is all that is left.
-	largeEntries = 24
-	largeEngines = 60
-)
-
-// sizeUp sets whether the fleet is large.
-func (b *beliefs) sizeUp(targets map[string][]fleet.Target) {
-	engines := 0
-	for _, list := range targets {
-		for i := range list {
-			if len(list[i].Weights) > 0 {
-				engines++
-			}
-		}
-	}
-	entries := len(b.mesh.Live(true))
-	answered := len(b.mesh.Live(false)) > 0
-	large := answered && (engines > largeEngines || entries > largeEntries)
-	if b.large.Swap(large) != large {
-		b.logger.Info("fleet_sized", "large", large, "engines", engines, "entries", entries)
-	}
-}
-
-// operatorReaders is how many entries of a large fleet wait at the store for what
-// operators declare. All others hear of it from them, within some 100 ms. Were all to
-// wait, each change would bring as many calls to the store as there are entries.
-const operatorReaders = 6
-
-// waitsForOperators reports whether this process waits at the store for what operators
-// declare.
-func (b *beliefs) waitsForOperators() bool {
-	return b.isEntry() && (!b.large.Load() || b.entriesBefore() < operatorReaders)
-}
-
-// readsOperators reports whether this process reads what operators declare.
-func (b *beliefs) readsOperators(currentAt time.Time) bool {
-	if b.awaitsPeers(currentAt) {
-		return false
-	}
-	return b.waitsForOperators() || b.clock.Now().Sub(currentAt) > sidecarsReadOperators
-}
-
-// readsTargets reports whether this process reads the list of targets now.
-func (b *beliefs) readsTargets(currentAt time.Time) bool {
-	return !b.awaitsPeers(currentAt) && b.clock.Now().Sub(currentAt) > b.patience()
-}
-
-// patience is the age of the copy of the targets at which this process reads.
-func (b *beliefs) patience() time.Duration {
-	if b.large.Load() {
-		return b.largePatience()
-	}
-	if !b.isEntry() {
-		return sidecarsRead
-	}
-	switch b.entriesBefore() {
-	case 0:
-		return firstReads
-	case 1:
-		return secondReads
-	default:
-		return othersRead
-	}
-}
-
-func (b *beliefs) largePatience() time.Duration {
-	if !b.isEntry() {
-		return largeSidecarsRead
-	}
-	switch b.entriesBefore() {
-	case 0:
-		return firstReads
-	case 1:
-		return largeSecondReads
-	default:
-		return largeOthersRead
-	}
-}
-
-// entriesBefore is how many living entries come before this one in the order of names.
-func (b *beliefs) entriesBefore() int {
-	before := 0
-	for _, m := range b.mesh.Live(true) {
-		if m.Name < b.settings.Name && !m.Leaving {
-			before++
-		}
-	}
-	return before
-}
-
 func (b *beliefs) operatorsChanged(keys []string) {
 	for _, key := range keys {
 		r, ok := b.operators.Copy().Get(key)
@@ -314,19 +181,6 @@
 	}
 }
 
-// digestOf sets a listing's part in the digest that tells other processes whether they
-// lack something: heartbeats of targets change records all the time, but rarely what
-// matters. Only what changed is decoded: in a fleet of 180 engines that load new weights
-// one after the other, decoding all for each took 0.3 s of a processor a load.
-func (b *beliefs) digestOf(key string, digest uint64) {
-	b.digest ^= b.digests[key] ^ digest
-	if digest == 0 {
-		delete(b.digests, key)
-		return
-	}
-	b.digests[key] = digest
-}
-
 // maxRefused bounds the entries of which is remembered that they were refused.
 const maxRefused = 1000
 
@@ -357,24 +211,6 @@
 	return true
 }
 
-func listingDigest(l *fleet.Listing) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, text := range []string{l.Life.String(), l.Service, l.Address.String(), l.Zone} {
-		_, _ = d.WriteString(text + "\x00")
-	}
-	if l.Leaving {
-		_, _ = d.WriteString("leaving")
-	}
-	sum := d.Sum64()
-	for model, version := range l.Weights {
-		var v [8]byte
-		binary.BigEndian.PutUint64(v[:], uint64(version))
-		sum ^= xxhash.Sum64String(model + "\x00" + string(v[:]))
-	}
-	return sum
-}
-
 // postSoon makes a new view, in a large fleet with what else changes until the next
 // refresh: engines of which there are some hundred change all the time.
 func (b *beliefs) postSoon() {
