--- a/internal/gateway/probe/probe_test.go
+++ b/internal/gateway/probe/probe_test.go
@@ -214,3 +214,29 @@
 		c.Progressed(at, number, Progress{Ended: true})
 	}
 }
+
+// What a prompt costs in bytes decides what an entry of the largest deployment sends: it
+// stays in a few hundred bytes, and grows with none of the fleet's sizes.
+func TestMessagesOfOnePromptStaySmall(t *testing.T) {
+	answer := Answer{
+		Life: fleet.Life{Instance: "i-7f3a91c2", Born: 1_700_000_000_123}, Weights: map[string]int64{"daka510000": 12}, Running: 20, Queued: 4, Held: 4870,
+		Holder: netip.MustParseAddrPort("10.200.100.207:8000"), Pace: 1.25, ReportAge: 120 * time.Millisecond,
+	}
+	for u := range ledger.Urgencies {
+		answer.Work.Reading[u], answer.Work.Memory[u], answer.Arriving[u] = time.Second, 100_000, 900
+	}
+	real := Prompt{Model: "daka510000", Parts: []wire.Part{{ID: "5c1e07a2", Tokens: 800}, {ID: "91bd3f06", Tokens: 4100}}}
+	sizes := map[string]int{
+		"probe":    proto.Size(&peerv1.EngineMessage{Id: 1, Probe: &peerv1.EngineProbe{Parts: promptOut(real)}}),
+		"answer":   proto.Size(answerOut(&answer)),
+		"send":     proto.Size(&peerv1.EngineMessage{Id: 1, Send: sendOut(Send{Prompt: real, Weights: 12, Wait: time.Second, Read: time.Second, Memory: 20_000, Lifetime: 10 * time.Second})}),
+		"progress": proto.Size(&peerv1.EngineMessage{Id: 1, Progress: progressOut(Progress{Read: true, Took: time.Second, Expected: time.Second})}),
+	}
+	most := map[string]int{"probe": 80, "answer": 240, "send": 100, "progress": 40}
+	for name, size := range sizes {
+		t.Logf("%s: %d bytes", name, size)
+		if size > most[name] {
+			t.Errorf("%s: %d bytes, want at most %d", name, size, most[name])
+		}
+	}
+}
--- a/internal/gateway/tracker/tracker_test.go
+++ b/internal/gateway/tracker/tracker_test.go
@@ -260,3 +260,29 @@
 		t.Errorf("afterwards: %+v", a)
 	}
 }
+
+// BenchmarkProbe is what an answer takes of a sidecar whose engine has 60 prompts.
+func BenchmarkProbe(b *testing.B) {
+	t := newBench()
+	for i := range 60 {
+		t.send(probe.Send{Prompt: promptOf("a", string(rune('b'+i%20))), Urgency: i % 4, Read: 50 * time.Millisecond, Memory: 3000})
+	}
+	p := promptOf("a", "c")
+	b.ReportAllocs()
+	for b.Loop() {
+		t.Probe(p)
+	}
+}
+
+// BenchmarkSend is what a prompt takes of its engine's sidecar: its send, its first event
+// and its end.
+func BenchmarkSend(b *testing.B) {
+	t := newBench()
+	p := promptOf("a", "c")
+	b.ReportAllocs()
+	for b.Loop() {
+		id := t.send(probe.Send{Prompt: p, Urgency: 1, Read: 50 * time.Millisecond, Memory: 3000})
+		t.Progressed(id, probe.Progress{Read: true})
+		t.Progressed(id, probe.Progress{Ended: true})
+	}
+}
