--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -70,7 +70,7 @@
 	startedAt time.Time
 	// welcomed are the lives of the processes that lacked a copy and were told of ours.
 	welcomed map[netip.AddrPort]uint64
-	// large fleets do not tell all entries of all engines: see largeEntries.
+	// large fleets do not tell all entries of all engines: see sizeUp.
 	large atomic.Bool
 	// refused entries of the list, with what is wrong with them.
 	refused  map[string]string
--- a/internal/gateway/forward/explain.go
+++ b/internal/gateway/forward/explain.go
@@ -31,7 +31,7 @@
 // rate fills in what the decision makes of each engine that it considers.
 func (x *Explanation) rate(ctx context.Context, fl *flow) {
 	q := fl.question()
-	if p := fl.probed(ctx, q); p != nil {
+	if p := fl.probeEngines(ctx, q); p != nil {
 		x.Targets, x.Candidates = p.targets, p.candidates
 	} else {
 		x.Candidates = fl.candidates()
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -176,7 +176,7 @@
 // chooseEngine picks the engine of a prompt.
 func (fl *flow) chooseEngine(ctx context.Context) (*destination, *errkind.Error) {
 	q := fl.question()
-	if p := fl.probed(ctx, q); p != nil {
+	if p := fl.probeEngines(ctx, q); p != nil {
 		to, refusal := fl.settle(q, p.candidates, p.targets, p.choice)
 		if to != nil {
 			to.probed, to.first, to.asked = true, p.targets[0].Address, len(p.targets)
--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -32,8 +32,9 @@
 
 // probes is what sidecars said of the engines that they were asked for.
 type probes struct {
-	fl         *flow
-	kept       map[int]bool
+	fl *flow
+	// taken are the engines that were asked, by their index among the service's targets.
+	taken      map[int]bool
 	targets    []fleet.Target
 	answers    []probe.Answer
 	known      []bool
@@ -43,10 +44,10 @@
 	coming bool
 }
 
-// probed asks the sidecars of a prompt's first engines, and of others when those
+// probeEngines asks the sidecars of a prompt's first engines, and of others when those
 // are busy. It returns nil when none answers: entries then go by the list and by what
 // they sent themselves.
-func (fl *flow) probed(ctx context.Context, q *placement.Question) *probes {
+func (fl *flow) probeEngines(ctx context.Context, q *placement.Question) *probes {
 	if !fl.view.Large || fl.Sidecars == nil {
 		return nil
 	}
@@ -58,7 +59,7 @@
 	default:
 		q.MemoryShare = placement.LaterMemoryShare
 	}
-	p := &probes{fl: fl, kept: map[int]bool{}}
+	p := &probes{fl: fl, taken: map[int]bool{}}
 	ranked := fl.ranked()
 	p.askMore(ctx, placement.Shortlist(q.Outer, q.Family, ranked, familyRanks, nearRanks))
 	if !p.any() {
@@ -68,7 +69,7 @@
 	if p.choice.Index >= 0 && !p.choice.Late && p.choice.Estimate <= time.Duration(busyShare*float64(q.Aim)) {
 		return p
 	}
-	p.askMore(ctx, placement.Draw(ranked, p.kept, spreadRanks, fl.uniform))
+	p.askMore(ctx, placement.Draw(ranked, p.taken, spreadRanks, fl.uniform))
 	p.pick(q)
 	return p
 }
@@ -93,7 +94,7 @@
 	targets := p.fl.view.Targets[p.fl.service.Name]
 	var addresses []netip.AddrPort
 	for _, i := range engines {
-		p.kept[i] = true
+		p.taken[i] = true
 		p.targets = append(p.targets, targets[i])
 		addresses = append(addresses, targets[i].Address)
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -37,6 +37,11 @@
 	// of a deployment has the same port. Empty turns probes off: entries then go by what
 	// all tell each other, which carries some tens of hosts.
 	ProbeListen string `toml:"probe_listen"`
+	// LargeEntries and LargeEngines are the sizes up to which all processes are told of all
+	// work and of all caches. In larger fleets entries ask the sidecars of the engines that
+	// they consider. Default 24 and 60.
+	LargeEntries int `toml:"large_entries"`
+	LargeEngines int `toml:"large_engines"`
 	// AdminListen serves the administration API. Empty for none.
 	AdminListen string `toml:"admin_listen"`
 	// AdminTokenSHA256 is the hex digest of the administration token. Empty closes
@@ -99,6 +104,10 @@
 	defaultLogLines   = 600
 	defaultRetryRatio = 0.1
 	defaultRetrySlack = 10
+	// Telling all grows with entries times engines: with 103 and 180 it took most of the
+	// small entries' processors. Up to these sizes it is measured to serve well.
+	defaultLargeEntries = 24
+	defaultLargeEngines = 60
 	// defaultServiceLevel is the share that operators of large deployments ask for.
 	defaultServiceLevel = 0.95
 )
@@ -107,6 +116,7 @@
 func ParseSettings(name, text string) (*Settings, error) {
 	s := &Settings{
 		MemoryMB: defaultMemoryMB, LogLinesPerSecond: defaultLogLines, ServiceLevel: defaultServiceLevel,
+		LargeEntries: defaultLargeEntries, LargeEngines: defaultLargeEngines,
 		Bounds: BoundsSettings{RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack},
 	}
 	if err := tomltext.Decode(name, text, s); err != nil {
@@ -153,6 +163,8 @@
 		address("seeds", seed)
 	}
 	report(s.MemoryMB > 0, "memory_mb: must be above 0")
+	report(s.LargeEntries > 0, "large_entries: must be above 0")
+	report(s.LargeEngines > 0, "large_engines: must be above 0")
 	report(s.LogLinesPerSecond > 0, "log_lines_per_second: must be above 0")
 	report(s.Bounds.GracePeriod.Duration > 0, "bounds.grace_period: missing")
 	report(s.Bounds.Weights.Duration > 0, "bounds.weights: missing")
