Messages between entries and sidecars hold what is used

The time until a prompt is read, and the engine's own counts, were told and read by nobody. The test of silent sidecars shows also that the silence ends by itself.

--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -273,7 +273,7 @@
 		return
 	}
 	to.number = fl.Sidecars.Sent(to.target.Address, probe.Send{
-		Prompt: fl.sharedParts(), Weights: to.weights, Wait: to.choice.Wait + to.choice.Fetch, Read: time.Duration(to.slower * float64(fl.readTime.Occupies(to.choice.ReadTokens))),
+		Prompt: fl.sharedParts(), Weights: to.weights, Read: time.Duration(to.slower * float64(fl.readTime.Occupies(to.choice.ReadTokens))),
 		Urgency: to.choice.Urgency, Memory: to.choice.Held + to.intake, Saved: to.saveTo != "",
 		Lifetime: min(fl.timeLeft(), to.choice.Estimate+time.Duration(fl.request.MaxTokens)*tokenTime+lifetimeMargin),
 	})
--- a/internal/gateway/probe/probe.go
+++ b/internal/gateway/probe/probe.go
@@ -44,8 +44,6 @@
 	// Weights are the versions of its models.
 	Weights map[string]int64
 	Phase   weights.Phase
-	// Running and Queued are the engine's own counts.
-	Running, Queued int
 	// Work of all entries at the engine.
 	Work ledger.Work
 	// Arriving are the thousandths of its time for which the engine is lately given
@@ -73,9 +71,9 @@
 	Prompt Prompt
 	// Weights is the version that was demanded.
 	Weights int64
-	// Wait is until the engine probably begins to read it, Read for how long.
-	Wait, Read time.Duration
-	Urgency    int
+	// Read is for how long reading it holds up others.
+	Read    time.Duration
+	Urgency int
 	// Memory is how many tokens of memory it takes.
 	Memory int
 	// Saved is set when the engine saves the parts to their store.
@@ -157,7 +155,6 @@
 func answerOut(a *Answer) *peerv1.EngineAnswer {
 	e := &peerv1.EngineState{
 		Instance: a.Life.Instance, Born: a.Life.Born, Phase: phasesOut[a.Phase],
-		Running: uint32(a.Running), Queued: uint32(a.Queued),
 	}
 	for model, version := range a.Weights {
 		e.Weights = append(e.Weights, &peerv1.ModelWeights{Model: model, Version: version})
@@ -173,7 +170,6 @@
 	e := in.GetEngine()
 	a := Answer{
 		Life: fleet.Life{Instance: e.GetInstance(), Born: e.GetBorn()}, Phase: phasesIn[e.GetPhase()], Weights: map[string]int64{},
-		Running: int(e.GetRunning()), Queued: int(e.GetQueued()),
 		Held: int(in.Held), Coming: in.Coming, Pace: float64(in.Pace) / paceUnit, Ill: in.Ill, ReportAge: fromMs(in.ReportAgeMs), Saved: in.Saved, Holder: addressIn(in.Holder),
 	}
 	if in.Load != nil {
@@ -190,14 +186,14 @@
 
 func sendOut(s Send) *peerv1.EngineSend {
 	return &peerv1.EngineSend{
-		Parts: promptOut(s.Prompt), Weights: s.Weights, WaitMs: ms(s.Wait), ReadMs: ms(s.Read),
+		Parts: promptOut(s.Prompt), Weights: s.Weights, ReadMs: ms(s.Read),
 		Urgency: uint32(s.Urgency), Memory: uint32(max(s.Memory, 0)), LifetimeMs: ms(s.Lifetime), Saved: s.Saved, Holder: addressOut(s.Holder),
 	}
 }
 
 func sendIn(in *peerv1.EngineSend) Send {
 	return Send{
-		Prompt: promptIn(in.Parts), Weights: in.Weights, Wait: fromMs(in.WaitMs), Read: fromMs(in.ReadMs),
+		Prompt: promptIn(in.Parts), Weights: in.Weights, Read: fromMs(in.ReadMs),
 		Urgency: min(int(in.Urgency), ledger.Urgencies-1), Memory: int(in.Memory), Lifetime: fromMs(in.LifetimeMs), Saved: in.Saved, Holder: addressIn(in.Holder),
 	}
 }
--- a/internal/gateway/probe/probe_test.go
+++ b/internal/gateway/probe/probe_test.go
@@ -74,7 +74,7 @@
 func TestAnswersAndWordsArriveWhole(t *testing.T) {
 	answer := Answer{
 		Life: fleet.Life{Instance: "i-1", Born: 1_700_000_000_123}, Weights: map[string]int64{"m": 3}, Phase: weights.Emptying,
-		Running: 4, Queued: 2, Held: 4870, Saved: true, Holder: netip.MustParseAddrPort("10.0.0.7:8000"), Coming: true,
+		Held: 4870, Saved: true, Holder: netip.MustParseAddrPort("10.0.0.7:8000"), Coming: true,
 		Pace: 1.25, Ill: true, ReportAge: 120 * time.Millisecond,
 		Work:     ledger.Work{Running: 3, Reading: ledger.Lane(2, 80*time.Millisecond), Memory: ledger.Lane(7, 12_000)},
 		Arriving: ledger.Lane(1, 420),
@@ -93,7 +93,7 @@
 		t.Errorf("asked for %+v", p)
 	}
 	send := Send{
-		Prompt: prompt, Weights: 3, Wait: 20 * time.Millisecond, Read: 90 * time.Millisecond, Urgency: 3, Memory: 9000,
+		Prompt: prompt, Weights: 3, Read: 90 * time.Millisecond, Urgency: 3, Memory: 9000,
 		Saved: true, Holder: netip.MustParseAddrPort("10.0.0.8:8000"), Lifetime: 5 * time.Second,
 	}
 	number := c.Sent(at, send)
@@ -155,7 +155,14 @@
 		t.Error("a sidecar that is back is not waited for")
 	}
 	c.end(r, first)
-	now = now.Add(2 * quietFor)
+	for range quietAfter {
+		r, first = c.begin([]netip.AddrPort{silent})
+		c.end(r, first)
+	}
+	now = now.Add(quietFor)
+	if r, _ = c.begin([]netip.AddrPort{silent}); r.awaited != 1 {
+		t.Errorf("a sidecar is not waited for %v after it fell silent", quietFor)
+	}
 }
 
 // An answer comes after its decision was made, and one comes from another host. Taken
@@ -219,7 +226,7 @@
 // stays in a few hundred bytes, and grows with none of the fleet's sizes.
 func TestMessagesOfOnePromptStaySmall(t *testing.T) {
 	answer := Answer{
-		Life: fleet.Life{Instance: "i-7f3a91c2", Born: 1_700_000_000_123}, Weights: map[string]int64{"daka510000": 12}, Running: 20, Queued: 4, Held: 4870,
+		Life: fleet.Life{Instance: "i-7f3a91c2", Born: 1_700_000_000_123}, Weights: map[string]int64{"daka510000": 12}, Held: 4870,
 		Holder: netip.MustParseAddrPort("10.200.100.207:8000"), Pace: 1.25, ReportAge: 120 * time.Millisecond,
 	}
 	for u := range ledger.Urgencies {
@@ -229,7 +236,7 @@
 	sizes := map[string]int{
 		"probe":    proto.Size(&peerv1.EngineMessage{Id: 1, Probe: &peerv1.EngineProbe{Parts: promptOut(real)}}),
 		"answer":   proto.Size(answerOut(&answer)),
-		"send":     proto.Size(&peerv1.EngineMessage{Id: 1, Send: sendOut(Send{Prompt: real, Weights: 12, Wait: time.Second, Read: time.Second, Memory: 20_000, Lifetime: 10 * time.Second})}),
+		"send":     proto.Size(&peerv1.EngineMessage{Id: 1, Send: sendOut(Send{Prompt: real, Weights: 12, Read: time.Second, Memory: 20_000, Lifetime: 10 * time.Second})}),
 		"progress": proto.Size(&peerv1.EngineMessage{Id: 1, Progress: progressOut(Progress{Read: true, Took: time.Second, Expected: time.Second})}),
 	}
 	most := map[string]int{"probe": 80, "answer": 240, "send": 100, "progress": 40}
--- a/internal/gateway/tracker/tracker.go
+++ b/internal/gateway/tracker/tracker.go
@@ -41,9 +41,8 @@
 	Life    fleet.Life
 	Weights map[string]int64
 	Phase   weights.Phase
-	// Running and Queued are the engine's own counts of ReportedAt.
-	Running, Queued int
-	ReportedAt      time.Time
+	// ReportedAt is when the engine last reported.
+	ReportedAt time.Time
 }
 
 // Tracker is safe for concurrent use.
@@ -112,7 +111,7 @@
 	}
 	t.sweep(now)
 	a := probe.Answer{
-		Life: t.state.Life, Weights: t.state.Weights, Phase: t.state.Phase, Running: t.state.Running, Queued: t.state.Queued,
+		Life: t.state.Life, Weights: t.state.Weights, Phase: t.state.Phase,
 		Work: workOf(slices.Collect(maps.Values(t.sends)), t.freeAt, now), Arriving: t.arriving.thousandths(now), Pace: t.paces.Of(t.state.Life, now), ReportAge: now.Sub(t.state.ReportedAt),
 	}
 	_, a.Ill = t.health.Rested(now)[t.state.Life]
