One loop receives datagrams, in place of five

Cause: probes of the gateway, of the own protocol and heartbeats each had their own receive loop, two of them added with the probes of large fleets; three of the five left IPv4 senders as they came. Ruled out: one client for both kinds of probe: one asks many at once and remembers who is silent, the other asks one.

--- a/internal/gateway/forward/probed_test.go
+++ b/internal/gateway/forward/probed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -97,6 +98,23 @@
 	return tg
 }
 
+// streamKeepingHeader answers with a stream of one event, and keeps the header of the last
+// request.
+func streamKeepingHeader(t *testing.T, instance string) (*target, http.Header) {
+	t.Helper()
+	got := http.Header{}
+	var tg *target
+	tg = startTarget(t, instance, func(w io.Writer, r *http.Request, _ string) bool {
+		clear(got)
+		maps.Copy(got, r.Header)
+		tg.streamHead(w, r)
+		chunk(w, event(1))
+		chunk(w, "")
+		return true
+	})
+	return tg, got
+}
+
 func askPrompt(t *testing.T, w *world) *http.Response {
 	t.Helper()
 	resp, _, err := w.ask(t, "/prompt/x", "p", wiretest.Model, model, wiretest.Prompt, "300,10", wiretest.Parts, "a b c")
@@ -137,15 +155,7 @@
 // earlier life for a second or two. The request names the life that the sidecar knows,
 // and demands the weights that it has.
 func TestSidecarsWordOfLifeAndWeightsGoesBeforeTheList(t *testing.T) {
-	var got http.Header
-	var tg *target
-	tg = startTarget(t, "old", func(w io.Writer, r *http.Request, _ string) bool {
-		got = r.Header.Clone()
-		tg.streamHead(w, r)
-		chunk(w, event(1))
-		chunk(w, "")
-		return true
-	})
+	tg, got := streamKeepingHeader(t, "old")
 	w, sidecars := probedWorld(t, tg)
 	sidecars.say(addressOf(tg), probe.Answer{Life: fleet.Life{Instance: "new"}, Weights: map[string]int64{model: 4}, Pace: 1})
 	askPrompt(t, w)
@@ -186,15 +196,7 @@
 // The family's first engine is too busy, but knows that another one has the prompt's
 // parts. They are fetched from there, and neither read again nor saved again.
 func TestPartsAreFetchedFromWhereTheFirstEngineKnowsThem(t *testing.T) {
-	var got http.Header
-	var tg *target
-	tg = startTarget(t, "e", func(w io.Writer, r *http.Request, _ string) bool {
-		got = r.Header.Clone()
-		tg.streamHead(w, r)
-		chunk(w, event(1))
-		chunk(w, "")
-		return true
-	})
+	tg, got := streamKeepingHeader(t, "e")
 	w, sidecars := probedWorld(t, tg)
 	holder := netip.MustParseAddrPort("127.0.0.2:7")
 	listing := w.view.Targets["engines"][0].Listing
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -19,6 +19,7 @@
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/datagram"
 )
 
 const (
@@ -118,22 +119,12 @@
 func (m *Mesh) Close() { _ = m.conn.Close() }
 
 func (m *Mesh) receive() {
-	buffer := make([]byte, maxDatagram)
-	for {
-		n, from, err := m.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue // an ICMP word of an earlier datagram
-		}
+	datagram.Receive(m.conn, maxDatagram, func(data []byte, from netip.AddrPort) {
 		beat := &peerv1.Beat{}
-		if proto.Unmarshal(buffer[:n], beat) != nil {
-			continue
+		if proto.Unmarshal(data, beat) == nil {
+			m.loop.Post(func() { m.hear(from, beat) })
 		}
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		m.loop.Post(func() { m.hear(from, beat) })
-	}
+	})
 }
 
 // hear takes in a heartbeat. The failure guarded against is an older one that
--- a/internal/gateway/probe/client.go
+++ b/internal/gateway/probe/client.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/datagram"
 )
 
 const (
@@ -141,20 +142,12 @@
 
 func (c *Client) receive() {
 	defer c.done.Done()
-	buffer := make([]byte, maxDatagram)
-	for {
-		n, from, err := c.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue // an ICMP word of an earlier datagram
-		}
+	datagram.Receive(c.conn, maxDatagram, func(data []byte, from netip.AddrPort) {
 		in := &peerv1.EngineAnswer{}
-		if proto.Unmarshal(buffer[:n], in) == nil {
-			c.take(from.Addr().Unmap(), in)
+		if proto.Unmarshal(data, in) == nil {
+			c.take(from.Addr(), in)
 		}
-	}
+	})
 }
 
 // take hands an answer to its question. The failure guarded against is an answer that
--- a/internal/gateway/probe/server.go
+++ b/internal/gateway/probe/server.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/datagram"
 )
 
 // SendID names a prompt that was sent: by its entry, and by the entry's own number.
@@ -47,30 +48,22 @@
 
 func (s *Server) serve() {
 	defer s.done.Done()
-	buffer := make([]byte, maxDatagram)
 	var out []byte
-	for {
-		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue // an ICMP word of an earlier datagram
-		}
+	datagram.Receive(s.conn, maxDatagram, func(data []byte, from netip.AddrPort) {
 		message := &peerv1.EngineMessage{}
-		if proto.Unmarshal(buffer[:n], message) != nil {
-			continue
+		if proto.Unmarshal(data, message) != nil {
+			return
 		}
-		answer := s.take(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), message)
+		answer := s.take(from, message)
 		if answer == nil {
-			continue
+			return
 		}
-		out, err = proto.MarshalOptions{}.MarshalAppend(out[:0], answer)
-		if err == nil {
+		var err error
+		if out, err = (proto.MarshalOptions{}).MarshalAppend(out[:0], answer); err == nil {
 			// A datagram that cannot be sent is as good as lost.
 			_, _ = s.conn.WriteToUDPAddrPort(out, from)
 		}
-	}
+	})
 }
 
 // take handles a message and returns the answer to a probe; nil for none.
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/datagram"
 )
 
 // maxDatagram is more than any probe needs.
@@ -52,25 +53,17 @@
 
 func (s *Server) serve() {
 	defer s.done.Done()
-	buffer := make([]byte, maxDatagram)
 	var out []byte
-	for {
-		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
+	datagram.Receive(s.conn, maxDatagram, func(data []byte, from netip.AddrPort) {
 		request := &peerv1.ProbeRequest{}
-		if proto.Unmarshal(buffer[:n], request) != nil {
-			continue
+		if proto.Unmarshal(data, request) != nil {
+			return
 		}
-		out, err = proto.MarshalOptions{}.MarshalAppend(out[:0], s.answer(request))
-		if err == nil {
+		var err error
+		if out, err = (proto.MarshalOptions{}).MarshalAppend(out[:0], s.answer(request)); err == nil {
 			_, _ = s.conn.WriteToUDPAddrPort(out, from)
 		}
-	}
+	})
 }
 
 // Close implements io.Closer.
@@ -117,23 +110,15 @@
 // and sender, and is dropped.
 func (c *Client) receive() {
 	defer c.done.Done()
-	buffer := make([]byte, maxDatagram)
-	for {
-		n, from, err := c.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
+	datagram.Receive(c.conn, maxDatagram, func(data []byte, from netip.AddrPort) {
 		response := &peerv1.ProbeResponse{}
-		if proto.Unmarshal(buffer[:n], response) != nil {
-			continue
+		if proto.Unmarshal(data, response) != nil {
+			return
 		}
 		if w, ok := c.take(response.Id, from); ok {
 			w.answer <- response
 		}
-	}
+	})
 }
 
 func (c *Client) take(id uint32, from netip.AddrPort) (waiter, bool) {
