Log lines name a request across its caller's tries

Cause: ids differ at each try, and neither path nor body is logged, so that nobody could say whether engine after engine ended under one request or under load that moved on. Change: print, a hash of workspace, path with query and body, on the lines of sends, failures and ends. No decision goes by it. Conclusion: the same request can be told in all entries' logs.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -33,6 +33,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
+	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/readtime"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
@@ -163,9 +164,11 @@
 	workspace *estate.Workspace
 	request   wire.Request
 	body      []byte
-	arrived   time.Time
-	deadline  time.Time
-	retries   *retry.Budget
+	// print names the request across its caller's tries.
+	print    quarantine.Print
+	arrived  time.Time
+	deadline time.Time
+	retries  *retry.Budget
 	// returns is set when the caller has probably been refused before.
 	returns bool
 	// sends counts sends, arrivals those of them that may have reached a target,
@@ -257,7 +260,11 @@
 	if refusal := fl.mayOutlast(); refusal != nil {
 		return refusal
 	}
-	return fl.readBody(fl.view.Estate.Limits.BodyBytes)
+	if refusal := fl.readBody(fl.view.Estate.Limits.BodyBytes); refusal != nil {
+		return refusal
+	}
+	fl.print = quarantine.PrintOf(fl.workspaceName(), fl.r.RequestURI, fl.body)
+	return nil
 }
 
 // assign finds the request's route, service, retry budget and deadline.
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -38,7 +38,7 @@
 	if to.probed {
 		phase, age = to.word.Phase, to.word.ReportAge
 	}
-	log.Info("request_sent", "request_id", fl.request.ID, "send", fl.sends, "cause", fl.cause, "last_event", fl.lastEvent,
+	log.Info("request_sent", "request_id", fl.request.ID, "print", fl.print, "send", fl.sends, "cause", fl.cause, "last_event", fl.lastEvent,
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
 		"target", to.target.Life, "address", to.target.Address, "zone", to.target.Zone,
 		"list_age", fl.since(fl.view.ListedAt), "asked", to.asked, "word_age", age, "phase", phase.String(),
@@ -69,7 +69,7 @@
 	if err != nil {
 		detail = err.Error()
 	}
-	fl.Logger.Info("send_failed", "request_id", fl.request.ID, "send", fl.sends, "target", to.target.Life,
+	fl.Logger.Info("send_failed", "request_id", fl.request.ID, "print", fl.print, "send", fl.sends, "target", to.target.Life,
 		"status", status, "error", detail, "after", tenth(time.Since(fl.sentAt)))
 }
 
@@ -177,7 +177,7 @@
 	if e != nil && ofTheService(e) || fl.sends > 1 || fl.last.status >= http.StatusInternalServerError {
 		log = fl.Logger
 	}
-	log.Info("request_done", "request_id", fl.request.ID, "outcome", outcome, "detail", detail, "retry_after", tenth(back),
+	log.Info("request_done", "request_id", fl.request.ID, "print", fl.print, "outcome", outcome, "detail", detail, "retry_after", tenth(back),
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
 		"sends", fl.sends, "runs", fl.runs, "target", fl.last.life, "status", fl.last.status,
 		"first", tenth(fl.firstAt), "events", fl.events, "longest_gap", tenth(fl.longestGap), "took", tenth(time.Since(fl.arrived)))
