--- a/api/admin/oas/oas_cfg_gen.go
+++ b/api/admin/oas/oas_cfg_gen.go
@@ -9,6 +9,7 @@
 	ht "github.com/ogen-go/ogen/http"
 	"github.com/ogen-go/ogen/middleware"
 	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/ogen-go/ogen/ogenregex"
 	"github.com/ogen-go/ogen/otelogen"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -16,6 +17,9 @@
 	"go.opentelemetry.io/otel/trace"
 )
 
+var regexMap = map[string]ogenregex.Regexp{
+	"^[0-9a-f]{16}$": ogenregex.MustCompile("^[0-9a-f]{16}$"),
+}
 var (
 	// Allocate option closure once.
 	clientSpanKind = trace.WithSpanKind(trace.SpanKindClient)
--- a/api/admin/oas/oas_client_gen.go
+++ b/api/admin/oas/oas_client_gen.go
@@ -41,6 +41,10 @@
 	//
 	// GET /admin/v1/placement
 	GetPlacement(ctx context.Context, params GetPlacementParams) (*Placement, error)
+	// GetQuarantine invokes getQuarantine operation.
+	//
+	// GET /admin/v1/quarantine
+	GetQuarantine(ctx context.Context) (*Quarantine, error)
 	// GetState invokes getState operation.
 	//
 	// GET /admin/v1/state
@@ -49,6 +53,10 @@
 	//
 	// GET /admin/v1/targets
 	GetTargets(ctx context.Context) (*TargetList, error)
+	// ReleaseRequest invokes releaseRequest operation.
+	//
+	// DELETE /admin/v1/quarantine/{print}
+	ReleaseRequest(ctx context.Context, params ReleaseRequestParams) error
 }
 
 // Client implements OAS client.
@@ -551,6 +559,117 @@
 	return result, nil
 }
 
+// GetQuarantine invokes getQuarantine operation.
+//
+// GET /admin/v1/quarantine
+func (c *Client) GetQuarantine(ctx context.Context) (*Quarantine, error) {
+	res, err := c.sendGetQuarantine(ctx)
+	return res, err
+}
+
+func (c *Client) sendGetQuarantine(ctx context.Context) (res *Quarantine, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("getQuarantine"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.URLTemplateKey.String("/admin/v1/quarantine"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, GetQuarantineOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/admin/v1/quarantine"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:AdminToken"
+			switch err := c.securityAdminToken(ctx, GetQuarantineOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"AdminToken\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeGetQuarantineResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetState invokes getState operation.
 //
 // GET /admin/v1/state
@@ -772,3 +891,132 @@
 
 	return result, nil
 }
+
+// ReleaseRequest invokes releaseRequest operation.
+//
+// DELETE /admin/v1/quarantine/{print}
+func (c *Client) ReleaseRequest(ctx context.Context, params ReleaseRequestParams) error {
+	_, err := c.sendReleaseRequest(ctx, params)
+	return err
+}
+
+func (c *Client) sendReleaseRequest(ctx context.Context, params ReleaseRequestParams) (res *ReleaseRequestNoContent, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("releaseRequest"),
+		semconv.HTTPRequestMethodKey.String("DELETE"),
+		semconv.URLTemplateKey.String("/admin/v1/quarantine/{print}"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, ReleaseRequestOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/admin/v1/quarantine/"
+	{
+		// Encode "print" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "print",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Print))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "DELETE", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:AdminToken"
+			switch err := c.securityAdminToken(ctx, ReleaseRequestOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"AdminToken\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeReleaseRequestResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
--- a/api/admin/oas/oas_json_gen.go
+++ b/api/admin/oas/oas_json_gen.go
@@ -586,6 +586,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes int64 as json.
+func (o OptInt64) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int64(int64(o.Value))
+}
+
+// Decode decodes int64 from json.
+func (o *OptInt64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt64 to nil")
+	}
+	o.Set = true
+	v, err := d.Int64()
+	if err != nil {
+		return err
+	}
+	o.Value = int64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes string as json.
 func (o OptString) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1307,6 +1342,399 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Quarantine) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Quarantine) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("requests")
+		e.ArrStart()
+		for _, elem := range s.Requests {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfQuarantine = [1]string{
+	0: "requests",
+}
+
+// Decode decodes Quarantine from json.
+func (s *Quarantine) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Quarantine to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "requests":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Requests = make([]QuarantinedRequest, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem QuarantinedRequest
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Requests = append(s.Requests, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"requests\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Quarantine")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfQuarantine) {
+					name = jsonFieldsNameOfQuarantine[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Quarantine) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Quarantine) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *QuarantinedRequest) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *QuarantinedRequest) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("print")
+		e.Str(s.Print)
+	}
+	{
+		e.FieldStart("verdict")
+		s.Verdict.Encode(e)
+	}
+	{
+		e.FieldStart("ends")
+		e.Int(s.Ends)
+	}
+	{
+		e.FieldStart("targets")
+		e.ArrStart()
+		for _, elem := range s.Targets {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("served")
+		e.Int(s.Served)
+	}
+	{
+		e.FieldStart("workspace")
+		e.Str(s.Workspace)
+	}
+	{
+		e.FieldStart("route")
+		e.Str(s.Route)
+	}
+	{
+		e.FieldStart("changed_ms_ago")
+		e.Int64(s.ChangedMsAgo)
+	}
+	{
+		if s.HeldMs.Set {
+			e.FieldStart("held_ms")
+			s.HeldMs.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfQuarantinedRequest = [9]string{
+	0: "print",
+	1: "verdict",
+	2: "ends",
+	3: "targets",
+	4: "served",
+	5: "workspace",
+	6: "route",
+	7: "changed_ms_ago",
+	8: "held_ms",
+}
+
+// Decode decodes QuarantinedRequest from json.
+func (s *QuarantinedRequest) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode QuarantinedRequest to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "print":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Print = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"print\"")
+			}
+		case "verdict":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				if err := s.Verdict.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"verdict\"")
+			}
+		case "ends":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Ends = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"ends\"")
+			}
+		case "targets":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				s.Targets = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Targets = append(s.Targets, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"targets\"")
+			}
+		case "served":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int()
+				s.Served = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"served\"")
+			}
+		case "workspace":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Str()
+				s.Workspace = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"workspace\"")
+			}
+		case "route":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Str()
+				s.Route = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"route\"")
+			}
+		case "changed_ms_ago":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Int64()
+				s.ChangedMsAgo = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"changed_ms_ago\"")
+			}
+		case "held_ms":
+			if err := func() error {
+				s.HeldMs.Reset()
+				if err := s.HeldMs.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"held_ms\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode QuarantinedRequest")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b11111111,
+		0b00000000,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfQuarantinedRequest) {
+					name = jsonFieldsNameOfQuarantinedRequest[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *QuarantinedRequest) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *QuarantinedRequest) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes QuarantinedRequestVerdict as json.
+func (s QuarantinedRequestVerdict) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes QuarantinedRequestVerdict from json.
+func (s *QuarantinedRequestVerdict) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode QuarantinedRequestVerdict to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch QuarantinedRequestVerdict(v) {
+	case QuarantinedRequestVerdictFree:
+		*s = QuarantinedRequestVerdictFree
+	case QuarantinedRequestVerdictApart:
+		*s = QuarantinedRequestVerdictApart
+	case QuarantinedRequestVerdictAlone:
+		*s = QuarantinedRequestVerdictAlone
+	case QuarantinedRequestVerdictRefused:
+		*s = QuarantinedRequestVerdictRefused
+	default:
+		*s = QuarantinedRequestVerdict(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s QuarantinedRequestVerdict) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *QuarantinedRequestVerdict) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *State) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/api/admin/oas/oas_operations_gen.go
+++ b/api/admin/oas/oas_operations_gen.go
@@ -9,6 +9,8 @@
 	GetBurnOperation          OperationName = "GetBurn"
 	GetConfigurationOperation OperationName = "GetConfiguration"
 	GetPlacementOperation     OperationName = "GetPlacement"
+	GetQuarantineOperation    OperationName = "GetQuarantine"
 	GetStateOperation         OperationName = "GetState"
 	GetTargetsOperation       OperationName = "GetTargets"
+	ReleaseRequestOperation   OperationName = "ReleaseRequest"
 )
--- a/api/admin/oas/oas_parameters_gen.go
+++ b/api/admin/oas/oas_parameters_gen.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"net/url"
 
 	"github.com/go-faster/errors"
 	"github.com/ogen-go/ogen/conv"
@@ -428,3 +429,89 @@
 	}
 	return params, nil
 }
+
+// ReleaseRequestParams is parameters of releaseRequest operation.
+type ReleaseRequestParams struct {
+	// Print of the request as logs show it.
+	Print string
+}
+
+func unpackReleaseRequestParams(packed middleware.Parameters) (params ReleaseRequestParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "print",
+			In:   "path",
+		}
+		params.Print = packed[key].(string)
+	}
+	return params
+}
+
+func decodeReleaseRequestParams(args [1]string, argsEscaped bool, r *http.Request) (params ReleaseRequestParams, _ error) {
+	// Decode path: print.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "print",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Print = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     0,
+					MaxLengthSet:  false,
+					Email:         false,
+					Hostname:      false,
+					Regex:         regexMap["^[0-9a-f]{16}$"],
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Print)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "print",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
--- a/api/admin/oas/oas_response_encoders_gen.go
+++ b/api/admin/oas/oas_response_encoders_gen.go
@@ -51,6 +51,19 @@
 	return nil
 }
 
+func encodeGetQuarantineResponse(response *Quarantine, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetStateResponse(response *State, w http.ResponseWriter, span trace.Span) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -77,6 +90,12 @@
 	return nil
 }
 
+func encodeReleaseRequestResponse(response *ReleaseRequestNoContent, w http.ResponseWriter, span trace.Span) error {
+	w.WriteHeader(204)
+
+	return nil
+}
+
 func encodeErrorResponse(response *ProblemStatusCode, w http.ResponseWriter, span trace.Span) error {
 	w.Header().Set("Content-Type", "application/problem+json")
 	code := response.StatusCode
--- a/api/admin/oas/oas_router_gen.go
+++ b/api/admin/oas/oas_router_gen.go
@@ -23,9 +23,15 @@
 	rn5AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
+	rn9AllowedHeaders = map[string]string{
+		"DELETE": "Authorization",
+	}
 	rn6AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
+	rn7AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
 )
 
 func (s *Server) cutPrefix(path string) (string, bool) {
@@ -58,6 +64,7 @@
 		s.notFound(w, r)
 		return
 	}
+	args := [1]string{}
 
 	// Static code generated router with unwrapped path search.
 	switch {
@@ -153,6 +160,68 @@
 					return
 				}
 
+			case 'q': // Prefix: "quarantine"
+
+				if l := len("quarantine"); len(elem) >= l && elem[0:l] == "quarantine" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch r.Method {
+					case "GET":
+						s.handleGetQuarantineRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: rn5AllowedHeaders,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "print"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "DELETE":
+							s.handleReleaseRequestRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "DELETE",
+								allowedHeaders: rn9AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				}
+
 			case 's': // Prefix: "state"
 
 				if l := len("state"); len(elem) >= l && elem[0:l] == "state" {
@@ -169,7 +238,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn5AllowedHeaders,
+							allowedHeaders: rn6AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -194,7 +263,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn6AllowedHeaders,
+							allowedHeaders: rn7AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -218,7 +287,7 @@
 	operationGroup string
 	pathPattern    string
 	count          int
-	args           [0]string
+	args           [1]string
 }
 
 // Name returns ogen operation name.
@@ -378,6 +447,66 @@
 					}
 				}
 
+			case 'q': // Prefix: "quarantine"
+
+				if l := len("quarantine"); len(elem) >= l && elem[0:l] == "quarantine" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch method {
+					case "GET":
+						r.name = GetQuarantineOperation
+						r.summary = ""
+						r.operationID = "getQuarantine"
+						r.operationGroup = ""
+						r.pathPattern = "/admin/v1/quarantine"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "print"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "DELETE":
+							r.name = ReleaseRequestOperation
+							r.summary = ""
+							r.operationID = "releaseRequest"
+							r.operationGroup = ""
+							r.pathPattern = "/admin/v1/quarantine/{print}"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+
+				}
+
 			case 's': // Prefix: "state"
 
 				if l := len("state"); len(elem) >= l && elem[0:l] == "state" {
--- a/api/admin/oas/oas_schemas_gen.go
+++ b/api/admin/oas/oas_schemas_gen.go
@@ -254,6 +254,52 @@
 	return d
 }
 
+// NewOptInt64 returns new OptInt64 with value set to v.
+func NewOptInt64(v int64) OptInt64 {
+	return OptInt64{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt64 is optional int64.
+type OptInt64 struct {
+	Value int64
+	Set   bool
+}
+
+// IsSet returns true if OptInt64 was set.
+func (o OptInt64) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt64) Reset() {
+	var v int64
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt64) SetTo(v int64) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt64) Get() (v int64, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt64) Or(d int64) int64 {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptString returns new OptString with value set to v.
 func NewOptString(v string) OptString {
 	return OptString{
@@ -616,6 +662,188 @@
 	s.Response = val
 }
 
+// Ref: #/components/schemas/Quarantine
+type Quarantine struct {
+	Requests []QuarantinedRequest `json:"requests"`
+}
+
+// GetRequests returns the value of Requests.
+func (s *Quarantine) GetRequests() []QuarantinedRequest {
+	return s.Requests
+}
+
+// SetRequests sets the value of Requests.
+func (s *Quarantine) SetRequests(val []QuarantinedRequest) {
+	s.Requests = val
+}
+
+// Ref: #/components/schemas/QuarantinedRequest
+type QuarantinedRequest struct {
+	Print string `json:"print"`
+	// What the request may do.
+	Verdict QuarantinedRequestVerdict `json:"verdict"`
+	// Targets that ended under it and that no other request explains.
+	Ends int `json:"ends"`
+	// Short names of all targets that ended under it.
+	Targets []string `json:"targets"`
+	// Runs that went well since the first end.
+	Served       int    `json:"served"`
+	Workspace    string `json:"workspace"`
+	Route        string `json:"route"`
+	ChangedMsAgo int64  `json:"changed_ms_ago"`
+	// For how long a refused request is still refused.
+	HeldMs OptInt64 `json:"held_ms"`
+}
+
+// GetPrint returns the value of Print.
+func (s *QuarantinedRequest) GetPrint() string {
+	return s.Print
+}
+
+// GetVerdict returns the value of Verdict.
+func (s *QuarantinedRequest) GetVerdict() QuarantinedRequestVerdict {
+	return s.Verdict
+}
+
+// GetEnds returns the value of Ends.
+func (s *QuarantinedRequest) GetEnds() int {
+	return s.Ends
+}
+
+// GetTargets returns the value of Targets.
+func (s *QuarantinedRequest) GetTargets() []string {
+	return s.Targets
+}
+
+// GetServed returns the value of Served.
+func (s *QuarantinedRequest) GetServed() int {
+	return s.Served
+}
+
+// GetWorkspace returns the value of Workspace.
+func (s *QuarantinedRequest) GetWorkspace() string {
+	return s.Workspace
+}
+
+// GetRoute returns the value of Route.
+func (s *QuarantinedRequest) GetRoute() string {
+	return s.Route
+}
+
+// GetChangedMsAgo returns the value of ChangedMsAgo.
+func (s *QuarantinedRequest) GetChangedMsAgo() int64 {
+	return s.ChangedMsAgo
+}
+
+// GetHeldMs returns the value of HeldMs.
+func (s *QuarantinedRequest) GetHeldMs() OptInt64 {
+	return s.HeldMs
+}
+
+// SetPrint sets the value of Print.
+func (s *QuarantinedRequest) SetPrint(val string) {
+	s.Print = val
+}
+
+// SetVerdict sets the value of Verdict.
+func (s *QuarantinedRequest) SetVerdict(val QuarantinedRequestVerdict) {
+	s.Verdict = val
+}
+
+// SetEnds sets the value of Ends.
+func (s *QuarantinedRequest) SetEnds(val int) {
+	s.Ends = val
+}
+
+// SetTargets sets the value of Targets.
+func (s *QuarantinedRequest) SetTargets(val []string) {
+	s.Targets = val
+}
+
+// SetServed sets the value of Served.
+func (s *QuarantinedRequest) SetServed(val int) {
+	s.Served = val
+}
+
+// SetWorkspace sets the value of Workspace.
+func (s *QuarantinedRequest) SetWorkspace(val string) {
+	s.Workspace = val
+}
+
+// SetRoute sets the value of Route.
+func (s *QuarantinedRequest) SetRoute(val string) {
+	s.Route = val
+}
+
+// SetChangedMsAgo sets the value of ChangedMsAgo.
+func (s *QuarantinedRequest) SetChangedMsAgo(val int64) {
+	s.ChangedMsAgo = val
+}
+
+// SetHeldMs sets the value of HeldMs.
+func (s *QuarantinedRequest) SetHeldMs(val OptInt64) {
+	s.HeldMs = val
+}
+
+// What the request may do.
+type QuarantinedRequestVerdict string
+
+const (
+	QuarantinedRequestVerdictFree    QuarantinedRequestVerdict = "free"
+	QuarantinedRequestVerdictApart   QuarantinedRequestVerdict = "apart"
+	QuarantinedRequestVerdictAlone   QuarantinedRequestVerdict = "alone"
+	QuarantinedRequestVerdictRefused QuarantinedRequestVerdict = "refused"
+)
+
+// AllValues returns all QuarantinedRequestVerdict values.
+func (QuarantinedRequestVerdict) AllValues() []QuarantinedRequestVerdict {
+	return []QuarantinedRequestVerdict{
+		QuarantinedRequestVerdictFree,
+		QuarantinedRequestVerdictApart,
+		QuarantinedRequestVerdictAlone,
+		QuarantinedRequestVerdictRefused,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s QuarantinedRequestVerdict) MarshalText() ([]byte, error) {
+	switch s {
+	case QuarantinedRequestVerdictFree:
+		return []byte(s), nil
+	case QuarantinedRequestVerdictApart:
+		return []byte(s), nil
+	case QuarantinedRequestVerdictAlone:
+		return []byte(s), nil
+	case QuarantinedRequestVerdictRefused:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *QuarantinedRequestVerdict) UnmarshalText(data []byte) error {
+	switch QuarantinedRequestVerdict(data) {
+	case QuarantinedRequestVerdictFree:
+		*s = QuarantinedRequestVerdictFree
+		return nil
+	case QuarantinedRequestVerdictApart:
+		*s = QuarantinedRequestVerdictApart
+		return nil
+	case QuarantinedRequestVerdictAlone:
+		*s = QuarantinedRequestVerdictAlone
+		return nil
+	case QuarantinedRequestVerdictRefused:
+		*s = QuarantinedRequestVerdictRefused
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
+// ReleaseRequestNoContent is response for ReleaseRequest operation.
+type ReleaseRequestNoContent struct{}
+
 // Ref: #/components/schemas/State
 type State struct {
 	Name             string `json:"name"`
--- a/api/admin/oas/oas_security_gen.go
+++ b/api/admin/oas/oas_security_gen.go
@@ -37,8 +37,10 @@
 	GetBurnOperation:          []string{},
 	GetConfigurationOperation: []string{},
 	GetPlacementOperation:     []string{},
+	GetQuarantineOperation:    []string{},
 	GetStateOperation:         []string{},
 	GetTargetsOperation:       []string{},
+	ReleaseRequestOperation:   []string{},
 }
 
 // GetRolesForAdminToken returns the required roles for the given operation.
--- a/api/admin/oas/oas_server_gen.go
+++ b/api/admin/oas/oas_server_gen.go
@@ -20,6 +20,10 @@
 	//
 	// GET /admin/v1/placement
 	GetPlacement(ctx context.Context, params GetPlacementParams) (*Placement, error)
+	// GetQuarantine implements getQuarantine operation.
+	//
+	// GET /admin/v1/quarantine
+	GetQuarantine(ctx context.Context) (*Quarantine, error)
 	// GetState implements getState operation.
 	//
 	// GET /admin/v1/state
@@ -28,6 +32,10 @@
 	//
 	// GET /admin/v1/targets
 	GetTargets(ctx context.Context) (*TargetList, error)
+	// ReleaseRequest implements releaseRequest operation.
+	//
+	// DELETE /admin/v1/quarantine/{print}
+	ReleaseRequest(ctx context.Context, params ReleaseRequestParams) error
 	// NewError creates *ProblemStatusCode from error returned by handler.
 	//
 	// Used for common default response.
--- a/api/admin/oas/oas_unimplemented_gen.go
+++ b/api/admin/oas/oas_unimplemented_gen.go
@@ -34,6 +34,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// GetQuarantine implements getQuarantine operation.
+//
+// GET /admin/v1/quarantine
+func (UnimplementedHandler) GetQuarantine(ctx context.Context) (r *Quarantine, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // GetState implements getState operation.
 //
 // GET /admin/v1/state
@@ -48,6 +55,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// ReleaseRequest implements releaseRequest operation.
+//
+// DELETE /admin/v1/quarantine/{print}
+func (UnimplementedHandler) ReleaseRequest(ctx context.Context, params ReleaseRequestParams) error {
+	return ht.ErrNotImplemented
+}
+
 // NewError creates *ProblemStatusCode from error returned by handler.
 //
 // Used for common default response.
--- a/api/admin/oas/oas_validators_gen.go
+++ b/api/admin/oas/oas_validators_gen.go
@@ -176,6 +176,95 @@
 	return nil
 }
 
+func (s *Quarantine) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Requests == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Requests {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "requests",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *QuarantinedRequest) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Verdict.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "verdict",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Targets == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "targets",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s QuarantinedRequestVerdict) Validate() error {
+	switch s {
+	case "free":
+		return nil
+	case "apart":
+		return nil
+	case "alone":
+		return nil
+	case "refused":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *Target) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/cmd/toucanwell/explain.go
+++ b/cmd/toucanwell/explain.go
@@ -19,9 +19,10 @@
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "tell one request's story from the logs of any number of processes",
-		ArgsUsage: "REQUEST_ID [LOG_FILE ...]",
+		ArgsUsage: "REQUEST_ID|PRINT [LOG_FILE ...]",
 		Description: "Reads the files, or standard input when none is named, in any order. Prints what was decided about\n" +
-			"the request with the inputs, and what its entry had learned in the 5 s before.\n" +
+			"the request with the inputs, what its entry had learned in the 5 s before, and what is held against\n" +
+			"it. A print, as on the request's lines, stands for all tries of its caller.\n" +
 			"Exit code 4: no line tells of the request.",
 		Flags: []cli.Flag{outputFlag()},
 		Action: func(_ context.Context, c *cli.Command) error {
--- a/cmd/toucanwell/main.go
+++ b/cmd/toucanwell/main.go
@@ -35,6 +35,7 @@
 			reportCommand(),
 			explainCommand(),
 			lossesCommand(),
+			quarantineCommand(),
 			demoCommand(),
 			replayCommand(),
 			modelCommand(),
--- /dev/null
+++ b/cmd/toucanwell/quarantine.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/toucanwell/toucanwell/api/admin/oas"
+)
+
+func quarantineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "quarantine",
+		Usage: "show requests under which targets ended, and let one go",
+		Commands: []*cli.Command{
+			{
+				Name:  "list",
+				Usage: "list what one entry refuses or suspects, and why; all entries know the same within a second",
+				Flags: []cli.Flag{adminFlag(), outputFlag()},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return withFirst(func(ctx context.Context, client *oas.Client) error {
+						q, err := client.GetQuarantine(ctx)
+						if err != nil {
+							return err
+						}
+						return printQuarantine(q, c.String("output"))
+					})(ctx, c)
+				},
+			},
+			{
+				Name:      "release",
+				Usage:     "let a request go, by its print: at all entries it counts as one that was never seen",
+				ArgsUsage: "PRINT",
+				Flags:     []cli.Flag{adminFlag()},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					if c.Args().Len() != 1 {
+						return cli.Exit("name the request: toucanwell quarantine release PRINT", exitBadInput)
+					}
+					return withFirst(func(ctx context.Context, client *oas.Client) error {
+						return client.ReleaseRequest(ctx, oas.ReleaseRequestParams{Print: c.Args().First()})
+					})(ctx, c)
+				},
+			},
+		},
+	}
+}
+
+func printQuarantine(q *oas.Quarantine, output string) error {
+	if output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(q)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "PRINT\tVERDICT\tENDS\tSERVED\tWORKSPACE\tROUTE\tLAST CHANGE\tHELD FOR")
+	for _, r := range q.Requests {
+		held := ""
+		if ms, ok := r.HeldMs.Get(); ok {
+			held = inMs(ms).String()
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\t%s ago\t%s\n", r.Print, r.Verdict, r.Ends, r.Served, r.Workspace, r.Route, inMs(r.ChangedMsAgo), held)
+	}
+	return w.Flush()
+}
+
+// inMs is a time in milliseconds, rounded for people.
+func inMs(ms int64) time.Duration {
+	return (time.Duration(ms) * time.Millisecond).Round(time.Second)
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -37,6 +37,11 @@
 	Goals func() []burn.Goal
 	// Placement says where a request would go; nil for processes that place none.
 	Placement func(context.Context, oas.GetPlacementParams) (*oas.Placement, error)
+	// Quarantine lists the requests under which targets ended, and Release lets one go; it
+	// reports whether anything was held against it. Both are nil for processes that keep no
+	// records of requests.
+	Quarantine func() []oas.QuarantinedRequest
+	Release    func(print string) bool
 	// Ready tells whether the process can serve.
 	Ready func() bool
 	// Burn may be nil.
@@ -125,6 +130,28 @@
 	return s.Placement(ctx, params)
 }
 
+// errNoRecords is what processes answer that keep no records of requests.
+var errNoRecords = errkind.New(errkind.UnknownRoute, "this process keeps no records of requests; ask an entry of a gateway")
+
+// GetQuarantine implements oas.Handler.
+func (s *server) GetQuarantine(context.Context) (*oas.Quarantine, error) {
+	if s.Quarantine == nil {
+		return nil, errNoRecords
+	}
+	return &oas.Quarantine{Requests: append([]oas.QuarantinedRequest{}, s.Quarantine()...)}, nil
+}
+
+// ReleaseRequest implements oas.Handler.
+func (s *server) ReleaseRequest(_ context.Context, params oas.ReleaseRequestParams) error {
+	if s.Release == nil {
+		return errNoRecords
+	}
+	if !s.Release(params.Print) {
+		return errkind.New(errkind.UnknownRun, "nothing is held against request %s", params.Print)
+	}
+	return nil
+}
+
 // NewError implements oas.Handler.
 func (s *server) NewError(_ context.Context, err error) *oas.ProblemStatusCode { return problem(err) }
 
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -53,6 +53,7 @@
 	HeaderTooLarge
 	CutOff
 	Stopping
+	Quarantined
 )
 
 // Row is the answer to one kind.
@@ -103,6 +104,7 @@
 	HeaderTooLarge:       {"header_too_large", "The request's headers are too large.", http.StatusRequestHeaderFieldsTooLarge, false},
 	CutOff:               {"cut_off", "This entry reaches no engine; another one does.", http.StatusServiceUnavailable, false},
 	Stopping:             {"stopping", "This entry stops before the request could be answered; another one serves.", http.StatusServiceUnavailable, false},
+	Quarantined:          {"quarantined", "The request has ended the targets that ran it, and is not run for now.", http.StatusServiceUnavailable, false},
 }
 
 // Row returns the answer to k; an unknown number reads as Internal.
@@ -125,7 +127,7 @@
 // All returns every kind but None, in the order of their numbers.
 func All() []Kind {
 	kinds := make([]Kind, 0, len(table))
-	for k := BadRequest; k <= Stopping; k++ {
+	for k := BadRequest; k <= Quarantined; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -79,3 +79,29 @@
 		t.Errorf("%v: %s", err, told.String())
 	}
 }
+
+// A caller comes three times, at two entries, and is refused at last. The story of the
+// last try tells the ends under the earlier ones; asked for by what the tries have in
+// common, it tells all of them.
+func TestStoryTellsWhatIsHeldAgainstARequest(t *testing.T) {
+	var one, two strings.Builder
+	entry, other := logging.New(&one, "entry-1"), logging.New(&two, "entry-2")
+	other.Info("request_sent", "request_id", "r1", "print", "p", "target", "i-1")
+	other.Info("request_blamed", "print", "p", "ends", 1)
+	entry.Info("request_blamed", "print", "q", "ends", 1)
+	entry.Info("request_quarantined", "print", "p", "ends", 3)
+	entry.Info("request_done", "request_id", "r2", "print", "p", "outcome", "quarantined")
+	read := func(id string) *Story {
+		s, err := Read(id, strings.NewReader(two.String()), strings.NewReader(one.String()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	if s := read("r2"); len(s.Lines) != 1 || len(s.Beliefs) != 2 || s.Beliefs[0].Process != "entry-2" || s.Beliefs[1].Event != "request_quarantined" {
+		t.Errorf("%+v", s)
+	}
+	if s := read("p"); len(s.Lines) != 2 || len(s.Beliefs) != 2 {
+		t.Errorf("%+v", s)
+	}
+}
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// requestField names the request on its lines.
+	// requestField names the request on its lines, and printField what its caller's other
+	// tries have in common with it.
 	requestField = "request_id"
+	printField   = "print"
 	// maxLine is the longest line that is read; longer ones are no lines of ours.
 	maxLine = 1 << 20
 	// Before is how long before a request's first line beliefs are told.
@@ -28,8 +30,13 @@
 	"cache_told", "cache_feed_lost", "cache_feed_regained", "cache_feed_broken", "cache_listed", "store_followed", "store_left",
 }
 
+// suspectEvents are the lines that tell what is held against a request. They may be older
+// than the try that is asked for, and concern all tries of it.
+var suspectEvents = []string{"request_blamed", "request_blame_told", "request_quarantined", "request_not_quarantined", "request_cleared", "quarantine_kept"}
+
 // Story is what the logs tell of one request.
 type Story struct {
+	// ID is that of one try, or the print of all tries of the request.
 	ID string `json:"id"`
 	// Lines are the request's own, in the order of time.
 	Lines []Line `json:"lines"`
@@ -45,7 +52,7 @@
 // Read gathers a request's story from logs.
 func Read(id string, logs ...io.Reader) (*Story, error) {
 	s := &Story{ID: id, Lines: []Line{}, Beliefs: []Line{}}
-	var beliefs []Line
+	var beliefs, held []Line
 	for _, log := range logs {
 		scanner := bufio.NewScanner(log)
 		scanner.Buffer(nil, maxLine)
@@ -53,8 +60,10 @@
 			l, ok := Parse(scanner.Text())
 			switch {
 			case !ok:
-			case l.Get(requestField) == id:
+			case l.Get(requestField) == id || l.Get(requestField) != "" && l.Get(printField) == id:
 				s.Lines = append(s.Lines, l)
+			case slices.Contains(suspectEvents, l.Event):
+				held = append(held, l)
 			case slices.Contains(beliefEvents, l.Event):
 				beliefs = append(beliefs, l)
 			}
@@ -65,12 +74,18 @@
 	}
 	byTime(s.Lines)
 	byTime(beliefs)
+	for _, l := range held {
+		if s.has(func(own *Line) bool { return own.Get(printField) == l.Get(printField) }) {
+			s.Beliefs = append(s.Beliefs, l)
+		}
+	}
 	for _, l := range beliefs {
 		if s.concerns(&l) {
 			s.Beliefs = append(s.Beliefs, l)
 			s.Dropped = s.Dropped || l.Event == "log_lines_dropped"
 		}
 	}
+	byTime(s.Beliefs)
 	return s, nil
 }
 
--- /dev/null
+++ b/internal/gateway/adminquarantine.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"strconv"
+
+	"github.com/toucanwell/toucanwell/api/admin/oas"
+	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
+)
+
+// listSuspects lists the requests under which targets ended, for operators.
+func (p *process) listSuspects() []oas.QuarantinedRequest {
+	now := p.clock.Now()
+	var all []oas.QuarantinedRequest
+	for _, l := range p.entry.suspects.book.List(now) {
+		row := oas.QuarantinedRequest{
+			Print: l.Print.String(), Verdict: oas.QuarantinedRequestVerdict(l.Verdict.String()), Ends: l.Standing.Ends, Targets: []string{}, Served: l.Served,
+			Workspace: l.Workspace, Route: l.Route, ChangedMsAgo: now.Sub(l.ChangedAt).Milliseconds(),
+		}
+		for _, e := range l.Record.Ends {
+			row.Targets = append(row.Targets, strconv.FormatUint(uint64(e.Target), 16))
+		}
+		if l.Verdict == quarantine.Refused {
+			row.HeldMs = oas.NewOptInt64(max(l.Until.Sub(now).Milliseconds(), 0))
+		}
+		all = append(all, row)
+	}
+	return all
+}
+
+// releaseRequest lets a request go by its print as logs show it.
+func (p *process) releaseRequest(text string) bool {
+	print, err := strconv.ParseUint(text, 16, 64)
+	return err == nil && p.entry.suspects.release(quarantine.Print(print))
+}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -16,6 +16,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
+	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
@@ -36,6 +37,7 @@
 	reach     *reach.Book
 	pool      *upstream.Pool
 	forwarder *forward.Forwarder
+	suspects  *suspects
 	// caches are those that were told of, with when they were last.
 	caches map[fleet.ID]time.Time
 	// probes asks sidecars; nil where probes are off.
@@ -52,8 +54,10 @@
 			"failures", math.Round(100*failures)/100, "others", math.Round(100*others)/100, "outcome", outcome.String())
 	})
 	e.pool = upstream.NewPool(p.metrics.Connection)
+	e.suspects = newSuspects(p)
 	e.forwarder = forward.New(forward.Deps{
 		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach,
+		Quarantine: e.suspects.book, Endings: quarantine.NewEndings(func(ctx context.Context, t *fleet.Target) bool { return e.pool.Refuses(ctx, t.Address) }),
 		Bounds: forward.Bounds{
 			RetryRatio: p.settings.Bounds.RetryRatio, RetrySlack: p.settings.Bounds.RetrySlack, Version: p.settings.Bounds.Weights.Duration,
 		},
@@ -104,6 +108,11 @@
 
 // compose adds to a heartbeat what other entries want to know.
 func (e *entry) compose(beat *peerv1.Beat) {
+	e.composeWork(beat)
+	e.suspects.compose(beat)
+}
+
+func (e *entry) composeWork(beat *peerv1.Beat) {
 	if e.beliefs.large.Load() {
 		e.parts.DropFresh()
 		return
@@ -172,6 +181,7 @@
 		for _, p := range m.Beat.Parts {
 			e.parts.Told(parts.Fact{Part: parts.Key(p.Part), Target: fleet.ID(p.Target), Done: p.Done}, now)
 		}
+		e.suspects.heard(m)
 	}
 	e.learnCache(m, now)
 	if e.beliefs.hearEngine(m) {
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -62,6 +62,10 @@
 	Parts    *parts.Book
 	Health   *health.Book
 	Reach    *reach.Book
+	// Quarantine holds what is known of requests that were under way when targets ended,
+	// Endings tells such ends from others.
+	Quarantine *quarantine.Book
+	Endings    *quarantine.Endings
 	// Sidecars answer for engines in large fleets; nil where probes are off.
 	Sidecars Sidecars
 	Bounds   Bounds
@@ -165,7 +169,9 @@
 	request   wire.Request
 	body      []byte
 	// print names the request across its caller's tries.
-	print    quarantine.Print
+	print quarantine.Print
+	// standing is what was held against it at the last look.
+	standing quarantine.Standing
 	arrived  time.Time
 	deadline time.Time
 	retries  *retry.Budget
@@ -264,7 +270,7 @@
 		return refusal
 	}
 	fl.print = quarantine.PrintOf(fl.workspaceName(), fl.r.RequestURI, fl.body)
-	return nil
+	return fl.mayRun()
 }
 
 // assign finds the request's route, service, retry budget and deadline.
@@ -367,6 +373,7 @@
 			return fl.worse(last, refusal)
 		}
 		if fl.arrivals > 0 && !fl.retries.Spend() {
+			fl.endTrial(to)
 			return fl.worse(last, errkind.After(errkind.Overloaded, fl.comeBack(retryPause), "the retry budget is spent"))
 		}
 		v := fl.send(ctx, to)
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +23,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
+	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
@@ -44,6 +46,13 @@
 func (noMetrics) Retry(string)                             {}
 func (noMetrics) Resume()                                  {}
 
+type noObserver struct{}
+
+func (noObserver) Blamed(*quarantine.Record, quarantine.End, bool) {}
+func (noObserver) Judged(*quarantine.Record, bool, bool)           {}
+func (noObserver) Renewed(*quarantine.Record, string)              {}
+func (noObserver) Evicted(*quarantine.Record)                      {}
+
 // target is a target whose answers a test writes byte by byte.
 type target struct {
 	listener net.Listener
@@ -181,7 +190,9 @@
 	w.Forwarder = New(Deps{
 		Protocol: wiretest.Protocol{}, View: func() (*view.View, bool) { return w.view, true }, Pool: w.pool,
 		Ledger: ledger.New(), Parts: parts.NewBook(), Health: health.NewBook(nil), Reach: &reach.Book{},
-		Bounds: Bounds{RetryRatio: 0.5, RetrySlack: 100, Version: 5 * time.Second}, Zone: "a",
+		Quarantine: quarantine.NewBook(quarantine.Limits{Ends: 3, SuspectFor: time.Hour, HoldFor: time.Hour, Records: 100}, noObserver{}),
+		Endings:    quarantine.NewEndings(func(ctx context.Context, t *fleet.Target) bool { return w.pool.Refuses(ctx, t.Address) }),
+		Bounds:     Bounds{RetryRatio: 0.5, RetrySlack: 100, Version: 5 * time.Second}, Zone: "a",
 		Logger: logr.Discard(), Ordinary: logr.Discard(), Metrics: noMetrics{}, TellWork: func(fleet.ID) {}, Now: time.Now, Seed: 1,
 	})
 	w.server = httptest.NewServer(w.Forwarder)
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -12,6 +12,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/placement"
+	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/gateway/weights"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
@@ -31,17 +32,17 @@
 
 // place chooses the target of the next send.
 func (fl *flow) place(ctx context.Context) (*destination, *errkind.Error) {
-	until := time.Now().Add(fl.placeWait())
+	began := time.Now()
 	for {
 		v, ok := fl.View()
 		if ok {
 			fl.view = v
 		}
-		to, refusal := fl.choose(ctx)
-		if refusal != nil && (refusal.Kind != errkind.NoTarget || time.Now().After(until)) {
+		to, refusal := fl.chooseForStanding(ctx)
+		if refusal != nil && (refusal.Kind != errkind.NoTarget || time.Since(began) > fl.placeWait()) {
 			return nil, refusal
 		}
-		if refusal == nil && !fl.awaitsParts(to) {
+		if refusal == nil && (to.trial || !fl.awaitsParts(to)) {
 			return to, nil
 		}
 		pause := placePause
@@ -58,6 +59,9 @@
 // finds no room is told soon to come back: it waits no longer than its caller would not
 // notice.
 func (fl *flow) placeWait() time.Duration {
+	if fl.standing.Verdict == quarantine.Alone {
+		return min(aloneWait, time.Duration(aloneShare*float64(fl.timeLeft())))
+	}
 	wait := min(maxPlaceWait, time.Duration(waitShare*float64(fl.timeLeft())))
 	if fl.view.Large && fl.route.Prompted && fl.route.TargetLatency > 0 {
 		wait = min(wait, time.Duration(unnoticedShare*float64(fl.route.TargetLatency)))
@@ -126,6 +130,9 @@
 		if t.Leaving || fl.excluded[t.Life] {
 			continue
 		}
+		if fl.mustAvoid(t) {
+			continue
+		}
 		if cost := fl.plainCost(t, totals[t.ID], rested); cost < lowest {
 			best, lowest = i, cost
 		}
@@ -155,10 +162,12 @@
 
 func (fl *flow) plainCost(t *fleet.Target, w ledger.Work, rested map[fleet.Life]time.Time) float64 {
 	cost := float64(w.Running) + fl.uniform()/2
-	if fl.view.Large {
+	if key := fl.apartKey(); key != 0 {
+		cost = placement.Rank(key, t.Hash)
+	} else if fl.view.Large {
 		cost += fl.uniform() * blindSpread
 	}
-	if t.Zone != fl.Zone {
+	if t.Zone != fl.Zone && fl.apartKey() == 0 {
 		cost += farRequests
 	}
 	if t.Doubtful {
@@ -247,7 +256,7 @@
 		c := &candidates[i]
 		*c = placement.Candidate{
 			Address: t.Address, Hash: t.Hash, Near: t.Zone == fl.Zone,
-			Excluded: t.Leaving || fl.excluded[t.Life], Loading: fl.view.Phase(t) == weights.Loading, Emptying: fl.view.Phase(t) == weights.Emptying, Version: fl.view.Version(t, fl.request.Model),
+			Excluded: t.Leaving || fl.excluded[t.Life] || fl.mustAvoid(t), Loading: fl.view.Phase(t) == weights.Loading, Emptying: fl.view.Phase(t) == weights.Emptying, Version: fl.view.Version(t, fl.request.Model),
 			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.ID],
 		}
 		c.LoadsIn, c.Loads = schedule[t.Life]
@@ -292,6 +301,7 @@
 func (fl *flow) question() *placement.Question {
 	q := &placement.Question{Aim: fl.route.TargetLatency - time.Since(fl.arrived), VersionBound: fl.Bounds.Version, FarCost: placement.FarCost, ReadTime: fl.readTime.Of, MaxTokens: fl.request.MaxTokens}
 	q.Urgency, q.LateUrgency = fl.urgency(false), fl.urgency(true)
+	q.Apart = fl.apartKey()
 	for i, p := range fl.request.Parts {
 		if i < len(fl.request.Parts)-1 {
 			q.Shared += p.Tokens
--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -61,6 +61,9 @@
 	}
 	p := &probes{fl: fl, taken: map[int]bool{}}
 	ranked := fl.ranked()
+	if q.Apart != 0 {
+		return p.askApart(ctx, q, ranked)
+	}
 	p.askMore(ctx, placement.Shortlist(q.Outer, q.Family, ranked, familyRanks, nearRanks))
 	if !p.any() {
 		return nil
@@ -74,6 +77,17 @@
 	return p
 }
 
+// askApart asks for the engines that rank first for a request that is kept apart, the same
+// ones at every entry.
+func (p *probes) askApart(ctx context.Context, q *placement.Question, ranked []placement.Ranked) *probes {
+	p.askMore(ctx, placement.Shortlist(q.Apart, q.Apart, ranked, familyRanks, 0))
+	if !p.any() {
+		return nil
+	}
+	p.pick(q)
+	return p
+}
+
 // ranked are the engines of the prompt's service, as the ranking needs them.
 func (fl *flow) ranked() []placement.Ranked {
 	targets := fl.view.Targets[fl.service.Name]
@@ -147,7 +161,7 @@
 func (p *probes) candidate(i int) placement.Candidate {
 	fl, t, a := p.fl, &p.targets[i], &p.answers[i]
 	c := placement.Candidate{
-		Address: t.Address, Hash: t.Hash, Near: t.Zone == fl.Zone, Excluded: t.Leaving || fl.excluded[t.Life],
+		Address: t.Address, Hash: t.Hash, Near: t.Zone == fl.Zone, Excluded: t.Leaving || fl.excluded[t.Life] || fl.mustAvoid(t),
 		Version: fl.view.Version(t, fl.request.Model), Slots: t.Slots, Memory: fl.service.Engine.CacheTokens,
 	}
 	if c.Slots == 0 {
--- /dev/null
+++ b/internal/gateway/forward/quarantined.go
@@ -0,0 +1,135 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
+)
+
+const (
+	// aloneWait is how long a request waits for its turn to run alone, and aloneShare the
+	// most of its time left: a run that ends its engine takes a few hundred milliseconds,
+	// and a caller who is refused needs the rest to come back.
+	aloneWait  = time.Second
+	aloneShare = 0.5
+	// longestHold bounds the time to come back that callers of a refused request are told:
+	// an operator may let it go before it would be forgotten.
+	longestHold = time.Hour
+)
+
+// errApart is the cause of sends that were given up because another target has ended under
+// the same request.
+var errApart = errors.New("another target has ended under the same request")
+
+// mayRun looks up what is held against the request, and refuses one that has ended enough
+// targets. It is refused at once: it waits for no place, and takes nothing of the retry
+// budget.
+func (fl *flow) mayRun() *errkind.Error {
+	fl.standing = fl.Quarantine.Standing(fl.print, fl.Now())
+	if fl.standing.Verdict != quarantine.Refused {
+		return nil
+	}
+	hold := min(fl.standing.Until.Sub(fl.Now()), longestHold)
+	return errkind.After(errkind.Quarantined, fl.comeBack(hold), "%d targets ended under request %s; it is held until %s", fl.standing.Ends, fl.print, hold.Round(time.Second))
+}
+
+// apartKey ranks the targets for a request that is kept apart; zero for all others.
+func (fl *flow) apartKey() uint64 {
+	if fl.standing.Verdict == quarantine.Free {
+		return 0
+	}
+	return uint64(fl.print)
+}
+
+// mustAvoid reports whether another suspect runs at a target to which this one may not go
+// at the same time: if the target ended, neither could be told from the other.
+func (fl *flow) mustAvoid(t *fleet.Target) bool {
+	return fl.standing.Verdict == quarantine.Alone && fl.Quarantine.Occupied(t.ID, fl.print, fl.Now())
+}
+
+// chooseForStanding chooses a target by what is held against the request now, and begins
+// the trial of one that may only run alone.
+func (fl *flow) chooseForStanding(ctx context.Context) (*destination, *errkind.Error) {
+	if refusal := fl.mayRun(); refusal != nil {
+		return nil, refusal
+	}
+	to, refusal := fl.choose(ctx)
+	if refusal != nil || fl.standing.Verdict != quarantine.Alone {
+		return to, refusal
+	}
+	if !fl.Quarantine.Begin(fl.print, to.target.ID, fl.Now()) {
+		return nil, errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "%d targets ended under the request, and another try of it runs", fl.standing.Ends)
+	}
+	to.trial = true
+	return to, nil
+}
+
+// startRun notes the send, so that it can be given up when another target ends under the
+// same request. One that runs at most once is kept: it may have begun.
+func (fl *flow) startRun(to *destination, cancel context.CancelCauseFunc) *quarantine.Run {
+	var giveUp func()
+	if fl.route.Repeatable() {
+		giveUp = func() { cancel(errApart) }
+	}
+	return fl.Quarantine.Start(fl.print, to.target.ID, giveUp)
+}
+
+// endRun notes that the send has ended.
+func (fl *flow) endRun(to *destination, run *quarantine.Run) {
+	fl.Quarantine.Done(run)
+	fl.endTrial(to)
+}
+
+func (fl *flow) endTrial(to *destination) {
+	if to.trial {
+		fl.Quarantine.End(fl.print, to.target.ID)
+	}
+}
+
+// servedBy notes that the target answered the request whole, and lives.
+func (fl *flow) servedBy(to *destination) {
+	if to.standing.Verdict != quarantine.Free {
+		fl.Quarantine.Served(fl.print, fl.Now())
+	}
+}
+
+// blame holds it against the request if its target has ended and did not only break the
+// connection off. It is called before the next send is placed, which goes by it.
+func (fl *flow) blame(ctx context.Context, to *destination, err error) {
+	if ctx.Err() != nil || errors.Is(err, upstream.ErrForeign) {
+		return
+	}
+	v, ok := fl.View()
+	if !ok {
+		return
+	}
+	d := quarantine.Doubt{
+		Print: fl.print, Who: quarantine.Who{Workspace: fl.workspaceName(), Route: fl.routeName()},
+		Target: to.target, Unlisted: !quarantine.Lists(fl.view, &to.target), Step: to.standing.Step, At: fl.Now(), RequestID: fl.request.ID,
+	}
+	evidence := fl.Endings.Ended(ctx, v, d)
+	fl.Logger.Info("target_broke_off", "request_id", fl.request.ID, "print", fl.print, "target", to.target.Life, "evidence", string(evidence),
+		"list_age", fl.since(v.ListedAt), "step", d.Step, "ran", tenth(time.Since(fl.sentAt)))
+	if evidence != quarantine.NoEvidence {
+		fl.Quarantine.Blame(d.Print, d.Who, quarantine.End{Target: d.Target.ID, Step: d.Step, At: d.At})
+	}
+}
+
+// Settle looks again at requests whose targets may have ended, by the newest view.
+func (f *Forwarder) Settle() {
+	v, ok := f.View()
+	if !ok {
+		return
+	}
+	doubts, evidence := f.Endings.Settle(v, f.Now())
+	for i, d := range doubts {
+		f.Logger.Info("target_had_ended", "request_id", d.RequestID, "print", d.Print, "target", d.Target.Life, "evidence", string(evidence[i]), "after", f.Now().Sub(d.At).Round(time.Millisecond))
+		f.Quarantine.Blame(d.Print, d.Who, quarantine.End{Target: d.Target.ID, Step: d.Step, At: d.At})
+	}
+}
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -11,6 +11,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/events"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
+	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 )
 
@@ -27,6 +28,7 @@
 	}
 	if resp.Status < http.StatusInternalServerError {
 		fl.judge(to, health.Good)
+		fl.servedBy(to)
 	}
 	fl.firstAt = time.Since(fl.arrived)
 	header := fl.w.Header()
@@ -65,7 +67,7 @@
 		return verdict{end: true, refusal: fl.ended(ctx)}
 	}
 	fl.excluded[to.target.Life] = true
-	fl.judge(to, health.Broken)
+	fl.judgeBroken(ctx, to, err)
 	kind := errkind.TargetFailed
 	if fl.begun {
 		kind = errkind.StreamBroken
@@ -75,7 +77,7 @@
 
 // relayStream passes a stream on event by event. The head is held until the
 // first event, so that a target that fails before it costs the caller nothing.
-func (fl *flow) relayStream(ctx context.Context, to *destination, resp *upstream.Response, item *ledger.Item, patience *time.Timer, watch *darkWatch) verdict {
+func (fl *flow) relayStream(ctx context.Context, to *destination, resp *upstream.Response, item *ledger.Item, patience *time.Timer, watch *darkWatch, run *quarantine.Run) verdict {
 	reader := events.NewReader(resp)
 	flusher := http.NewResponseController(fl.w)
 	first := true
@@ -89,6 +91,7 @@
 		}
 		if first {
 			first = false
+			fl.Quarantine.Begun(run)
 			item.Read()
 			fl.tellRead(to)
 			if fl.noteParts(to, true) {
@@ -165,5 +168,6 @@
 		return verdict{refusal: errkind.New(errkind.TargetFailed, "the stream ended without an event")}
 	}
 	fl.judge(to, health.Good)
+	fl.servedBy(to)
 	return verdict{end: true}
 }
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -17,6 +17,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/placement"
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
+	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire"
 )
@@ -38,6 +39,10 @@
 	intake int
 	// expected is the time to the first event at an engine of ordinary pace.
 	expected time.Duration
+	// standing is what was held against the request when the target was chosen, and trial
+	// is set when the send is the only one of it that may run.
+	standing quarantine.Standing
+	trial    bool
 	// probed is set when sidecars were asked, coming when an engine among theirs reads
 	// what the prompt lacks.
 	probed, coming bool
@@ -81,7 +86,7 @@
 // gaveUp reports whether the send was given up, and not the request.
 func gaveUp(ctx context.Context) bool {
 	cause := context.Cause(ctx)
-	return errors.Is(cause, errImpatient) || errors.Is(cause, errDark)
+	return errors.Is(cause, errImpatient) || errors.Is(cause, errDark) || errors.Is(cause, errApart)
 }
 
 // errImpatient is the cause of sends that were given up for another target.
@@ -96,6 +101,9 @@
 	fl.last = sendRecord{life: to.target.Life}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	to.standing = fl.standing
+	run := fl.startRun(to, cancel)
+	defer fl.endRun(to, run)
 	var patience *time.Timer
 	if to.patience > 0 {
 		patience = time.AfterFunc(to.patience, func() { cancel(errImpatient) })
@@ -137,7 +145,7 @@
 		return v
 	}
 	if fl.route.Kind == estate.Stream && resp.Status < http.StatusMultipleChoices {
-		return fl.relayStream(ctx, to, resp, item, patience, watch)
+		return fl.relayStream(ctx, to, resp, item, patience, watch, run)
 	}
 	return fl.relayWhole(ctx, to, resp)
 }
@@ -229,10 +237,20 @@
 		fl.judge(to, health.Unreachable)
 		return verdict{notRun: true, refusal: errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "%v", err)}
 	}
-	fl.judge(to, health.Broken)
+	fl.judgeBroken(ctx, to, err)
 	return verdict{refusal: errkind.New(errkind.TargetFailed, "%v", err)}
 }
 
+// judgeBroken takes in that a send brought no answer, or half of one. A send that was
+// given up for the sake of another target says nothing of its own.
+func (fl *flow) judgeBroken(ctx context.Context, to *destination, err error) {
+	if errors.Is(context.Cause(ctx), errApart) {
+		return
+	}
+	fl.judge(to, health.Broken)
+	fl.blame(ctx, to, err)
+}
+
 // notRunBy judges a target's word that it did not run the request.
 func (fl *flow) notRunBy(to *destination, resp *upstream.Response, reply wire.Reply) verdict {
 	fl.runs--
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -23,23 +23,23 @@
 )
 
 const (
-	// maxDatagram bounds a heartbeat; longer ones are not sent. It fits into one
+	// MaxDatagram bounds a heartbeat; longer ones are not sent. It fits into one
 	// packet of an Ethernet network.
-	maxDatagram = 1400
+	MaxDatagram = 1400
 	// liveFor is how long a process counts as living after its last heartbeat.
 	liveFor = 2500 * time.Millisecond
 	// forgetAfter is how long a silent process is still sent heartbeats: it may
 	// be cut off and come back.
 	forgetAfter = 30 * time.Second
-	// fanOut bounds the receivers of one round. In larger fleets rounds go to one part
+	// FanOut bounds the receivers of one round. In larger fleets rounds go to one part
 	// of the processes after the other, so that each is reached by every so many.
-	fanOut = 24
+	FanOut = 24
 	// missedRotations is how many times a process that sends to so many as this one may
 	// fail to be heard before it counts as silent: a datagram is lost now and then.
 	missedRotations = 3
 	// mostReceivers bounds the datagrams that are sent at once, when something has
 	// changed or a process has just started: who is left out hears of it from the others.
-	mostReceivers = fanOut
+	mostReceivers = FanOut
 	// toldMembers is how many other processes a heartbeat names.
 	toldMembers = 3
 )
@@ -119,7 +119,7 @@
 func (m *Mesh) Close() { _ = m.conn.Close() }
 
 func (m *Mesh) receive() {
-	datagram.Receive(m.conn, maxDatagram, func(data []byte, from netip.AddrPort) {
+	datagram.Receive(m.conn, MaxDatagram, func(data []byte, from netip.AddrPort) {
 		beat := &peerv1.Beat{}
 		if proto.Unmarshal(data, beat) == nil {
 			m.loop.Post(func() { m.hear(from, beat) })
@@ -196,7 +196,7 @@
 // liveFor is how long a process of a role counts as living after its last heartbeat. It
 // sends to all processes of this one's role in turn, as many a round as this one does.
 func (m *Mesh) liveFor(entry bool) time.Duration {
-	rounds := (m.same + fanOut) / fanOut
+	rounds := (m.same + FanOut) / FanOut
 	return max(liveFor, missedRotations*time.Duration(rounds)*m.options.Period(entry))
 }
 
@@ -213,7 +213,7 @@
 			to = append(to, member.Address)
 		}
 	}
-	if len(to) > fanOut {
+	if len(to) > FanOut {
 		to = m.nextDue(entries, to)
 	}
 	if !entries {
@@ -232,7 +232,7 @@
 		due = all
 		rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	}
-	n := min(fanOut, len(due))
+	n := min(FanOut, len(due))
 	m.due[entries] = due[n:]
 	return due[:n:n]
 }
@@ -329,7 +329,7 @@
 	beat.Sequence = m.sequence
 	fill(beat)
 	data, err := proto.Marshal(beat)
-	if err != nil || len(data) > maxDatagram {
+	if err != nil || len(data) > MaxDatagram {
 		m.options.Logger.Info("beat_not_sent", "bytes", len(data), "error", err)
 		return
 	}
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -98,6 +98,9 @@
 	// MemoryShare is the share of an engine's memory that all requests may take for this
 	// one to be sent there; zero where that is not asked for.
 	MemoryShare float64
+	// Apart ranks the engines in place of what they cost, for a request that is to go to one
+	// engine whoever holds it; zero for all others.
+	Apart uint64
 	// VersionBound is the age from which no request begins on an older version.
 	VersionBound time.Duration
 	// ReadTime predicts how long an engine takes to read so many tokens.
@@ -168,7 +171,7 @@
 // they came, one burst would make every later prompt late too.
 func Pick(q *Question, candidates []Candidate) Choice {
 	choice := pick(q, candidates, false)
-	if q.Aim <= 0 || choice.Index < 0 || choice.Estimate <= 3*q.Aim/2 {
+	if q.Aim <= 0 || choice.Index < 0 || float64(choice.Estimate) <= lateFactor*float64(q.Aim) {
 		return choice
 	}
 	return pick(q, candidates, true)
@@ -241,9 +244,33 @@
 // first engine.
 func rate(q *Question, c *Candidate, all []Candidate, late bool) (Choice, float64) {
 	choice, cost := score(q, c, late)
+	if q.Apart != 0 {
+		return choice, rankApart(q, c, &choice)
+	}
 	return choice, cost + awayStep*float64(away(q.Family, c, all))
 }
 
+// rankApart is the rank of an engine for a request that is kept apart, in place of its
+// cost: the lowest is chosen by all entries alike. Engines that cannot do it come last, in
+// the same order.
+func rankApart(q *Question, c *Candidate, choice *Choice) float64 {
+	rank := Rank(q.Apart, c.Hash)
+	if c.Rested || c.Emptying {
+		rank += 2
+	}
+	if q.Aim > 0 && float64(choice.Estimate) > lateFactor*float64(q.Aim) {
+		rank++
+	}
+	return rank
+}
+
+// Rank is a target's place for a key, between 0 and 1, by a hash of both.
+func Rank(key, hash uint64) float64 { return float64(Mix(key^hash)>>11) / (1 << 53) }
+
+// lateFactor is how many times the objective a prompt may be expected to take before it
+// counts as one that cannot be in time.
+const lateFactor = 3.0 / 2
+
 // Rating is what a decision makes of one candidate.
 type Rating struct {
 	// Filtered says why the candidate may not run the prompt; empty when it may.
--- a/internal/gateway/placement/shortlist.go
+++ b/internal/gateway/placement/shortlist.go
@@ -39,7 +39,7 @@
 
 // serves reports whether an engine is among those that serve an outermost part.
 func serves(outer uint64, e *Ranked) bool {
-	return float64(Mix(outer^e.Hash)>>11)/(1<<53) < servedShare
+	return Rank(outer, e.Hash) < servedShare
 }
 
 // top returns up to n of the engines that are allowed, the highest ranked first.
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -49,6 +49,10 @@
 	// whether it was added. An error leaves that open.
 	Lease(ctx context.Context) (lease.Record, error)
 	TakeLease(ctx context.Context, holder string, end uint64) (offset uint64, added bool, err error)
+	// Quarantined returns the stored records of requests that are refused, or were let go;
+	// KeepQuarantined stores one in place of an earlier one of the same key.
+	Quarantined(ctx context.Context) ([][]byte, error)
+	KeepQuarantined(ctx context.Context, key string, record []byte) error
 	// Engine returns the control side of an engine.
 	Engine(address netip.AddrPort) weights.Engine
 	// Cache tells what an engine, or a store of cached parts, holds.
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -93,6 +93,7 @@
 	}
 	if p.entry != nil {
 		p.loop.Go(p.entry.pool.Reap)
+		p.entry.suspects.start()
 		p.deputy = newDeputy(p)
 		p.deputy.start()
 	}
@@ -185,6 +186,7 @@
 	p.listener = listener
 	p.callers = newCallers(p.entry.forwarder, listener.Addr(), p.logger)
 	p.beliefs.changed = func() {
+		p.entry.forwarder.Settle()
 		if p.beliefs.estate != nil {
 			p.callers.apply(p.beliefs.estate.Limits)
 		}
--- /dev/null
+++ b/internal/gateway/quarantine/endings.go
@@ -0,0 +1,224 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/view"
+)
+
+const (
+	// askFor is how long a target that broke a connection off is waited for to say whether
+	// it still listens. A process that has ended refuses within a round trip.
+	askFor = 50 * time.Millisecond
+	// doubtFor is how long the end of a target may take to show in the list, or in its
+	// sidecar's word, when it could not be told at once: the list drops a target after
+	// three of its heartbeats.
+	doubtFor = 5 * time.Second
+	// askAgain is how long a target that was found to listen is believed to.
+	askAgain = 200 * time.Millisecond
+	// rememberFor is how long it is remembered that a target has ended. All that it worked
+	// on breaks off within some milliseconds.
+	rememberFor = 10 * time.Second
+)
+
+// Evidence is what says that a target has ended.
+type Evidence string
+
+// The kinds of evidence; empty for none.
+const (
+	// NoEvidence means that the target lives, or that nobody knows.
+	NoEvidence Evidence = ""
+	// RefusesConnections means that its host answers and no process listens.
+	RefusesConnections Evidence = "refuses connections"
+	// SilentToSidecar means that it does not answer its own sidecar.
+	SilentToSidecar Evidence = "silent to its sidecar"
+	// OtherLife means that another life is at its address.
+	OtherLife Evidence = "another life at its address"
+	// Unlisted means that it has left the list without a word of leaving.
+	Unlisted Evidence = "left the list"
+)
+
+// Endings tells targets that have ended from those that only broke a connection off.
+//
+// The failure guarded against: connections break for many reasons. A target that resets
+// some of them, a link that is cut, a target that leaves as planned say nothing of the
+// requests that it worked on.
+type Endings struct {
+	// refuses asks whether an address refuses connections.
+	refuses func(ctx context.Context, t *fleet.Target) bool
+
+	mu sync.Mutex
+	// asked are the lives that were asked, doubted the requests whose target may have
+	// ended.
+	asked   map[fleet.ID]*ending
+	doubted []Doubt
+}
+
+type ending struct {
+	at      time.Time
+	known   chan struct{}
+	refuses bool
+}
+
+// Doubt is a request whose target may have ended under it.
+type Doubt struct {
+	Print  Print
+	Who    Who
+	Target fleet.Target
+	// Unlisted is set when the list had not shown the target yet when the request was sent:
+	// its sidecar had told of it.
+	Unlisted bool
+	Step     int
+	At       time.Time
+	// RequestID is that of the try, for the log.
+	RequestID string
+}
+
+// NewEndings returns one that asks by refuses.
+func NewEndings(refuses func(ctx context.Context, t *fleet.Target) bool) *Endings {
+	return &Endings{refuses: refuses, asked: map[fleet.ID]*ending{}}
+}
+
+// Ended reports what says that a target which broke a request off has ended. Without
+// evidence the doubt is kept, and looked at again by Settle.
+func (e *Endings) Ended(ctx context.Context, v *view.View, d Doubt) Evidence {
+	listed, known := find(v, &d.Target)
+	switch {
+	case known && listed.Leaving:
+		return NoEvidence
+	case v.Silent[d.Target.Address]:
+		return SilentToSidecar
+	case !known && !d.Unlisted && !replaced(v, &d.Target):
+		return NoEvidence // it was taken off the list before it ended: as planned
+	case !known && !d.Unlisted:
+		return OtherLife
+	case e.ask(ctx, &d.Target, d.At):
+		return RefusesConnections
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.doubted = append(e.doubted, d)
+	return NoEvidence
+}
+
+// ask asks a target once for all requests that broke off with it.
+func (e *Endings) ask(ctx context.Context, t *fleet.Target, now time.Time) bool {
+	e.mu.Lock()
+	a := e.asked[t.ID]
+	first := a == nil || a.outdated(now)
+	if first {
+		a = &ending{at: now, known: make(chan struct{})}
+		e.asked[t.ID] = a
+		e.forget(now)
+	}
+	e.mu.Unlock()
+	// The answer is for all requests of the target, not only for the first one's caller.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askFor)
+	defer cancel()
+	if first {
+		a.refuses = e.refuses(ctx, t)
+		close(a.known)
+	}
+	select {
+	case <-a.known:
+		return a.refuses
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// outdated reports whether a target that was found to listen may have ended since.
+func (a *ending) outdated(now time.Time) bool {
+	select {
+	case <-a.known:
+		return !a.refuses && now.Sub(a.at) > askAgain
+	default:
+		return false
+	}
+}
+
+func (e *Endings) forget(now time.Time) {
+	for id, a := range e.asked {
+		if now.Sub(a.at) > rememberFor {
+			delete(e.asked, id)
+		}
+	}
+}
+
+// Settle returns the doubts that the view settles, with the evidence. Those that it shows
+// to have left as planned, or that are too old, are dropped.
+func (e *Endings) Settle(v *view.View, now time.Time) ([]Doubt, []Evidence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var settled []Doubt
+	var why []Evidence
+	left := e.doubted[:0]
+	for _, d := range e.doubted {
+		listed, known := find(v, &d.Target)
+		d.Unlisted = d.Unlisted && !known
+		evidence := told(v, &d, known)
+		switch {
+		case known && listed.Leaving || now.Sub(d.At) > doubtFor:
+		case evidence != NoEvidence:
+			settled, why = append(settled, d), append(why, evidence)
+		default:
+			left = append(left, d)
+		}
+	}
+	e.doubted = left
+	return settled, why
+}
+
+// told is what the view says of the end of a doubt's target.
+func told(v *view.View, d *Doubt, known bool) Evidence {
+	switch {
+	case v.Silent[d.Target.Address]:
+		return SilentToSidecar
+	case known || d.Unlisted:
+		return NoEvidence
+	case replaced(v, &d.Target):
+		return OtherLife
+	case v.ListedAt.After(d.At):
+		return Unlisted
+	default:
+		return NoEvidence
+	}
+}
+
+// replaced reports whether another life is at a target's address.
+func replaced(v *view.View, t *fleet.Target) bool {
+	for _, list := range v.Targets {
+		for i := range list {
+			if list[i].Address == t.Address && !same(list[i].Life, t.Life) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Lists reports whether a view shows a life.
+func Lists(v *view.View, t *fleet.Target) bool {
+	_, known := find(v, t)
+	return known
+}
+
+// find returns a life as the view lists it.
+func find(v *view.View, t *fleet.Target) (*fleet.Target, bool) {
+	list := v.Targets[t.Service]
+	for i := range list {
+		if same(list[i].Life, t.Life) {
+			return &list[i], true
+		}
+	}
+	return nil, false
+}
+
+// same reports whether two names are of one life. A target may not say everywhere when it
+// was born.
+func same(a, b fleet.Life) bool {
+	return a.Instance == b.Instance && (a.Born == b.Born || a.Born == 0 || b.Born == 0)
+}
--- /dev/null
+++ b/internal/gateway/quarantine/judge_test.go
@@ -0,0 +1,65 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// at is a time in milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// rec returns a record with the ends of some lives: one a step, 500 ms apart from ms on.
+func rec(p Print, ms int, lives ...fleet.ID) *Record {
+	r := &Record{Print: p}
+	for i, life := range lives {
+		r.addEnd(End{Target: life, Step: i, At: at(ms + 500*i)})
+	}
+	return r
+}
+
+// sameMoment returns a record whose ends all came under sends of one step.
+func sameMoment(p Print, ms int, lives ...fleet.ID) *Record {
+	r := &Record{Print: p}
+	for _, life := range lives {
+		r.addEnd(End{Target: life, At: at(ms)})
+	}
+	return r
+}
+
+func TestJudge(t *testing.T) {
+	for _, c := range []struct {
+		story   string
+		records []*Record
+		refused []Print
+	}{
+		{"two ends are no proof", []*Record{rec(1, 0, 10, 11)}, nil},
+		{"three ends in a row are", []*Record{rec(1, 0, 10, 11, 12)}, []Print{1}},
+		{
+			"requests that shared engines with the cause have some of its ends, and none is left against them",
+			[]*Record{rec(1, 0, 10, 11, 12, 13), rec(2, 0, 10, 11, 12), rec(3, 0, 10), rec(4, 0, 10, 11)}, []Print{1},
+		},
+		{"two causes are told apart by the ends that each has alone", []*Record{rec(1, 0, 10, 11, 12, 13), rec(2, 0, 10, 20, 21, 22)}, []Print{1, 2}},
+		{"two requests with the same ends are both left to run alone", []*Record{rec(1, 0, 10, 11, 12), rec(2, 0, 10, 11, 12)}, nil},
+		{"one more end tells them apart", []*Record{rec(1, 0, 10, 11, 12, 13), rec(2, 0, 10, 11, 12)}, []Print{1}},
+		{
+			"power is lost everywhere while one request runs at three engines at once: others end without it",
+			[]*Record{sameMoment(1, 0, 10, 11, 12), sameMoment(2, 100, 13), sameMoment(3, 100, 14)}, nil,
+		},
+		{"a request ends the three engines that it runs at at once, and no other ends", []*Record{sameMoment(1, 0, 10, 11, 12), sameMoment(2, 0, 10)}, []Print{1}},
+		{"an end long before or after has a cause of its own", []*Record{sameMoment(1, 5000, 10, 11, 12), sameMoment(2, 0, 13), sameMoment(3, 9000, 14)}, []Print{1}},
+	} {
+		refused := Judge(c.records, 3)
+		if len(refused) != len(c.refused) {
+			t.Errorf("%s: refused are %v, want %v", c.story, refused, c.refused)
+		}
+		for _, p := range c.refused {
+			if !refused[p] {
+				t.Errorf("%s: refused are %v, want %v", c.story, refused, c.refused)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/quarantine/message.go
@@ -0,0 +1,55 @@
+package quarantine
+
+import (
+	"time"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+)
+
+// longestName bounds the names of workspace and route in a message: records of several
+// requests fit into one datagram.
+const longestName = 48
+
+// Message is a record as other processes are told it. Clocks of two processes differ, so
+// that it holds ages.
+func Message(r *Record, now time.Time) *peerv1.Suspect {
+	m := &peerv1.Suspect{
+		Print: uint64(r.Print), Generation: r.Generation, Served: uint32(r.Served), Trial: r.Trial.Number,
+		AgeMs: age(r.ChangedAt, now),
+	}
+	if r.Trial.Target != 0 {
+		m.TrialTarget, m.TrialAgeMs = uint32(r.Trial.Target), age(r.Trial.Since, now)
+	}
+	for _, e := range r.Ends {
+		m.Ends = append(m.Ends, &peerv1.TargetEnd{Target: uint32(e.Target), Step: uint32(e.Step), AgeMs: age(e.At, now)})
+	}
+	if len(r.Ends) > 1 {
+		m.Workspace, m.Route = r.Workspace[:min(len(r.Workspace), longestName)], r.Route[:min(len(r.Route), longestName)]
+	}
+	return m
+}
+
+// FromMessage is the record of a message that came now.
+func FromMessage(m *peerv1.Suspect, now time.Time) Record {
+	r := Record{
+		Print: Print(m.Print), Generation: m.Generation, Served: int(m.Served), Workspace: m.Workspace, Route: m.Route,
+		Trial: Trial{Number: m.Trial, Target: fleet.ID(m.TrialTarget)}, ChangedAt: ago(m.AgeMs, now),
+	}
+	if r.Trial.Target != 0 {
+		r.Trial.Since = ago(m.TrialAgeMs, now)
+	}
+	for _, e := range m.Ends[:min(len(m.Ends), maxEnds)] {
+		r.Ends = append(r.Ends, End{Target: fleet.ID(e.Target), Step: int(e.Step), At: ago(e.AgeMs, now)})
+	}
+	return r
+}
+
+func age(at, now time.Time) uint64 { return uint64(max(now.Sub(at), 0).Milliseconds()) }
+
+// longestAge keeps ages within what a duration holds.
+const longestAge = 100 * 365 * 24 * time.Hour
+
+func ago(ms uint64, now time.Time) time.Time {
+	return now.Add(-time.Duration(min(ms, uint64(longestAge.Milliseconds()))) * time.Millisecond)
+}
--- a/internal/gateway/quarantine/print.go
+++ b/internal/gateway/quarantine/print.go
@@ -1,4 +1,25 @@
-// Package quarantine keeps requests from ending one engine after the other.
+// Package quarantine keeps a request that ends every target which runs it (a "query of
+// death") from ending one after the other.
+//
+// # What it guards against
+//
+// A target that ends takes everything with it that it works on. Its requests are sent
+// elsewhere, and their callers come again at other entries. If one of them is the cause,
+// each of these sends ends another target, until none is left.
+//
+// # Why it holds
+//
+// Entries keep a [Record] of each request that was under way at a target when it ended,
+// and tell it to each other. Records merge like sets: a fact that is lost, late, doubled or
+// out of order does no harm, and there is nothing to agree on. From its first end on a
+// request is sent only to the target that its [Print] ranks first, so that repeats which
+// several entries hold at the same time meet at one target. From its second on one of them
+// runs at a time, at a target where no other suspect runs. What has ended three targets is
+// refused.
+//
+// Requests that only stood beside the cause meet the same ends. They part from it at their
+// next send, because their prints rank other targets first, and the ends that a refused
+// request explains no longer count against them: see [Judge].
 package quarantine
 
 import (
--- /dev/null
+++ b/internal/gateway/quarantine/record.go
@@ -0,0 +1,177 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+)
+
+// End is a target that ended while it worked on a request.
+type End struct {
+	// Target is the life that ended.
+	Target fleet.ID
+	// Step is how many steps the sender knew of when it sent the request. Sends that were
+	// under way at the same time are of one step: whatever ended their targets at once, one
+	// cause is enough for all.
+	Step int
+	// At is when the end became known.
+	At time.Time
+}
+
+// Trial is a run of a suspect, of which there is one at a time.
+type Trial struct {
+	// Number grows with each beginning and each end of a trial.
+	Number uint32
+	// Target is where it runs; zero while none does.
+	Target fleet.ID
+	// Since is when it began.
+	Since time.Time
+}
+
+// Record is what is known of one request.
+type Record struct {
+	Print Print
+	// Workspace and Route are the caller's, for operators.
+	Workspace, Route string
+	// Generation grows each time the record begins anew: when the request was served often
+	// enough, or an operator let it go. A higher one replaces all of a lower one.
+	Generation uint32
+	// Ends are in the order in which they became known.
+	Ends []End
+	// Served is how many of its runs went well since the first end.
+	Served int
+	Trial  Trial
+	// ChangedAt is when an end was added, or the record began anew.
+	ChangedAt time.Time
+}
+
+const (
+	// maxEnds bounds the ends that a record holds: far more than it takes to refuse a
+	// request, so that it explains the ends of those that stood beside it.
+	maxEnds = 16
+	// servedPerStep is how many runs must go well for each step to clear a request. A
+	// request that ends a target on every third run is not cleared by the two between.
+	servedPerStep = 3
+	// trialFor is how long a trial counts when its end is not told: its entry has ended or
+	// was cut off. Few answers take longer.
+	trialFor = 20 * time.Second
+)
+
+// end reports whether the record holds a life's end.
+func (r *Record) end(target fleet.ID) bool {
+	return slices.ContainsFunc(r.Ends, func(e End) bool { return e.Target == target })
+}
+
+// change is what taking in a word has changed.
+type change uint8
+
+const (
+	// nothing was changed, a detail, or something that the others should hear of.
+	nothing change = iota
+	detail
+	news
+)
+
+// addEnd adds an end. Of two words of the same life the earlier counts, and the lower step:
+// it makes no difference who is heard first.
+func (r *Record) addEnd(e End) change {
+	if e.At.After(r.ChangedAt) {
+		r.ChangedAt = e.At
+	}
+	i := slices.IndexFunc(r.Ends, func(o End) bool { return o.Target == e.Target })
+	if i < 0 {
+		if len(r.Ends) >= maxEnds {
+			return nothing
+		}
+		r.Ends = append(r.Ends, e)
+		return news
+	}
+	known := &r.Ends[i]
+	changed := nothing
+	if e.At.Before(known.At) {
+		known.At, changed = e.At, detail
+	}
+	if e.Step < known.Step {
+		known.Step, changed = e.Step, news
+	}
+	return changed
+}
+
+// merge takes in what another process knows.
+func (r *Record) merge(o *Record) change {
+	if o.Generation < r.Generation {
+		return nothing
+	}
+	if o.Generation > r.Generation {
+		workspace, route := r.Workspace, r.Route
+		*r = o.clone()
+		r.describe(workspace, route)
+		return news
+	}
+	changed := nothing
+	if o.ChangedAt.After(r.ChangedAt) {
+		r.ChangedAt = o.ChangedAt
+	}
+	for _, e := range o.Ends {
+		changed = max(changed, r.addEnd(e))
+	}
+	if o.Served > r.Served {
+		r.Served, changed = o.Served, news
+	}
+	if o.Trial.Number > r.Trial.Number {
+		r.Trial, changed = o.Trial, news
+	}
+	r.describe(o.Workspace, o.Route)
+	return changed
+}
+
+// describe fills in whose request it is where that is not known.
+func (r *Record) describe(workspace, route string) {
+	if r.Workspace == "" {
+		r.Workspace = workspace
+	}
+	if r.Route == "" {
+		r.Route = route
+	}
+}
+
+func (r *Record) clone() Record {
+	c := *r
+	c.Ends = slices.Clone(r.Ends)
+	return c
+}
+
+// renew begins the record anew: nothing is held against the request any more.
+func (r *Record) renew(now time.Time) {
+	r.Generation++
+	r.Ends, r.Served, r.Trial, r.ChangedAt = nil, 0, Trial{}, now
+}
+
+// tried reports whether a trial is under way.
+func (r *Record) tried(now time.Time) bool {
+	return r.Trial.Target != 0 && now.Sub(r.Trial.Since) < trialFor
+}
+
+// steps counts the ends that came one after the other, of those that nothing else
+// explains.
+func (r *Record) steps(explained func(fleet.ID) bool) int {
+	var seen []int
+	for _, e := range r.Ends {
+		if !explained(e.Target) && !slices.Contains(seen, e.Step) {
+			seen = append(seen, e.Step)
+		}
+	}
+	return len(seen)
+}
+
+// open counts the ends that nothing else explains.
+func (r *Record) open(explained func(fleet.ID) bool) int {
+	n := 0
+	for _, e := range r.Ends {
+		if !explained(e.Target) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -66,8 +66,25 @@
 	// lines for each request that goes well, and has up to 165 requests a second.
 	LogLinesPerSecond int `toml:"log_lines_per_second"`
 
-	Store  StoreSettings  `toml:"store"`
-	Bounds BoundsSettings `toml:"bounds"`
+	Store      StoreSettings      `toml:"store"`
+	Bounds     BoundsSettings     `toml:"bounds"`
+	Quarantine QuarantineSettings `toml:"quarantine"`
+}
+
+// QuarantineSettings say what becomes of requests under which targets ended.
+type QuarantineSettings struct {
+	// Ends is how many targets may end under a request before it is refused. Default 3:
+	// two ends may have a cause of their own, and each further one costs all that the
+	// target works on.
+	Ends int `toml:"ends"`
+	// SuspectFor is how long after its last end a request is a suspect. Default 1h.
+	SuspectFor settings.Duration `toml:"suspect_for"`
+	// HoldFor is how long a request is refused after its last end. Default 24h: long enough
+	// for the targets' owners to mend them.
+	HoldFor settings.Duration `toml:"hold_for"`
+	// Records is how many requests an entry keeps a record of, of some 300 bytes each. The
+	// least suspected are dropped first. Default 2000.
+	Records int `toml:"records"`
 }
 
 // StoreSettings say where the platform's store is.
@@ -110,6 +127,11 @@
 	defaultLargeEngines = 60
 	// defaultServiceLevel is the share that operators of large deployments ask for.
 	defaultServiceLevel = 0.95
+	// The defaults of the quarantine; its settings say why.
+	defaultEnds       = 3
+	defaultSuspectFor = time.Hour
+	defaultHoldFor    = 24 * time.Hour
+	defaultRecords    = 2000
 )
 
 // ParseSettings checks a settings text; name stands for the file in messages.
@@ -118,6 +140,9 @@
 		MemoryMB: defaultMemoryMB, LogLinesPerSecond: defaultLogLines, ServiceLevel: defaultServiceLevel,
 		LargeEntries: defaultLargeEntries, LargeEngines: defaultLargeEngines,
 		Bounds: BoundsSettings{RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack},
+		Quarantine: QuarantineSettings{
+			Ends: defaultEnds, SuspectFor: settings.Duration{Duration: defaultSuspectFor}, HoldFor: settings.Duration{Duration: defaultHoldFor}, Records: defaultRecords,
+		},
 	}
 	if err := tomltext.Decode(name, text, s); err != nil {
 		return nil, err
@@ -168,6 +193,10 @@
 	report(s.LogLinesPerSecond > 0, "log_lines_per_second: must be above 0")
 	report(s.Bounds.GracePeriod.Duration > 0, "bounds.grace_period: missing")
 	report(s.Bounds.Weights.Duration > 0, "bounds.weights: missing")
+	report(s.Quarantine.Ends > 0, "quarantine.ends: must be above 0")
+	report(s.Quarantine.SuspectFor.Duration > 0, "quarantine.suspect_for: must be above 0")
+	report(s.Quarantine.HoldFor.Duration >= s.Quarantine.SuspectFor.Duration, "quarantine.hold_for: must not be below quarantine.suspect_for")
+	report(s.Quarantine.Records > 0, "quarantine.records: must be above 0")
 	report(s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "bounds.retry_ratio: allowed is 0 to 1")
 	report(s.Bounds.RetrySlack >= 0, "bounds.retry_slack: must not be below 0")
 	return problems
--- /dev/null
+++ b/internal/gateway/suspects.go
@@ -0,0 +1,292 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
+	"github.com/toucanwell/toucanwell/internal/metrics"
+	"github.com/toucanwell/toucanwell/internal/sleep"
+)
+
+const (
+	// suspectsGather is how long news of suspects is gathered before it is told: all that a
+	// target worked on breaks off within some milliseconds.
+	suspectsGather = 5 * time.Millisecond
+	// suspectsBytes is the most that a datagram holds of them, beside the rest of a partial
+	// heartbeat.
+	suspectsBytes = 1100
+	// suspectsRoom is left free of them in a whole heartbeat.
+	suspectsRoom = 100
+	// suspectsTold is how many are looked at for each heartbeat.
+	suspectsTold = 8
+	// suspectsTimeout bounds a call of the store, and suspectsAgain is when one that failed
+	// is made again.
+	suspectsTimeout = 2 * time.Second
+	suspectsAgain   = 2 * time.Second
+)
+
+// suspects tells the other entries of requests under which targets ended, hears of theirs,
+// and keeps those that are refused in the platform's store.
+//
+// # Why the store
+//
+// The others tell an entry that starts. When all entries start anew at once nobody knows
+// anything, and a request that was refused would end three targets more. A record is
+// written when a request is refused or let go, which is seldom, and all are read once at
+// an entry's start.
+type suspects struct {
+	process *process
+	book    *quarantine.Book
+	watch   *suspectWatch
+}
+
+func newSuspects(p *process) *suspects {
+	limits := p.settings.Quarantine
+	watch := &suspectWatch{logger: p.logger, ordinary: p.ordinary, metrics: p.metrics}
+	s := &suspects{process: p, watch: watch, book: quarantine.NewBook(quarantine.Limits{
+		Ends: limits.Ends, SuspectFor: limits.SuspectFor.Duration, HoldFor: limits.HoldFor.Duration, Records: limits.Records,
+	}, watch)}
+	p.metrics.Gauge("quarantined_requests", "Requests that are refused because targets ended under them.", func() float64 {
+		refused, _ := s.book.Count()
+		return float64(refused)
+	})
+	p.metrics.Gauge("suspect_requests", "Requests under which targets ended and that may still run.", func() float64 {
+		_, suspects := s.book.Count()
+		return float64(suspects)
+	})
+	return s
+}
+
+func (s *suspects) start() {
+	s.process.loop.Go(s.tellNews)
+	s.load()
+}
+
+// tellNews tells the other entries what is new.
+func (s *suspects) tellNews(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.book.News():
+		}
+		if !sleep.For(ctx, suspectsGather) {
+			return
+		}
+		s.process.loop.Post(s.tell)
+		s.keepJudged()
+	}
+}
+
+func (s *suspects) tell() {
+	var batch []*peerv1.Suspect
+	size := 0
+	flush := func() {
+		if len(batch) > 0 {
+			s.process.beliefs.mesh.TellEntries(func(beat *peerv1.Beat) { beat.Suspects = batch })
+		}
+		batch, size = nil, 0
+	}
+	now := s.process.clock.Now()
+	for {
+		records := s.book.TakeFresh(1)
+		if len(records) == 0 {
+			break
+		}
+		m := quarantine.Message(&records[0], now)
+		if size += proto.Size(m); size > suspectsBytes {
+			flush()
+			size = proto.Size(m)
+		}
+		batch = append(batch, m)
+	}
+	flush()
+}
+
+// compose adds some of the records to a heartbeat, in turn: what was lost is told again.
+func (s *suspects) compose(beat *peerv1.Beat) {
+	now := s.process.clock.Now()
+	room := mesh.MaxDatagram - suspectsRoom - proto.Size(beat)
+	for _, r := range s.book.Next(suspectsTold, now) {
+		m := quarantine.Message(&r, now)
+		if room -= proto.Size(m); room < 0 {
+			return
+		}
+		beat.Suspects = append(beat.Suspects, m)
+	}
+}
+
+// heard takes in what another entry knows. In fleets in which an entry does not reach all
+// others at once, each passes news on: all know after a few hops.
+func (s *suspects) heard(m *mesh.Member) {
+	now := s.process.clock.Now()
+	passOn := len(m.Beat.Suspects) > 0 && len(s.process.beliefs.mesh.Live(true)) > mesh.FanOut
+	for _, told := range m.Beat.Suspects {
+		s.book.Merge(quarantine.FromMessage(told, now), passOn, now)
+	}
+}
+
+// load reads what was refused before this process started, until it has.
+func (s *suspects) load() {
+	p := s.process
+	began := time.Now()
+	control.Do(p.loop, suspectsTimeout, p.platform.Quarantined, func(records [][]byte, err error) {
+		p.metrics.StoreCall(topicQuarantine, time.Since(began), err)
+		if err != nil {
+			p.logger.Info("quarantine_not_read", "error", err.Error())
+			p.loop.Go(func(ctx context.Context) {
+				if sleep.For(ctx, p.loop.Spread(suspectsAgain)) {
+					p.loop.Post(s.load)
+				}
+			})
+			return
+		}
+		taken := 0
+		for _, text := range records {
+			if s.restore(text) {
+				taken++
+			}
+		}
+		p.logger.Info("quarantine_read", "records", len(records), "in_force", taken)
+	})
+}
+
+// topicQuarantine is the name of the topic in logs and metrics.
+const topicQuarantine = "quarantine"
+
+// restore takes in a stored record. Its ages are counted by wall clocks, which differ by
+// seconds: records are kept for hours.
+func (s *suspects) restore(text []byte) bool {
+	m := &peerv1.Suspect{}
+	if err := proto.Unmarshal(text, m); err != nil {
+		s.process.logger.Info("quarantine_record_refused", "bytes", len(text), "error", err.Error())
+		return false
+	}
+	since := uint64(max(time.Now().UnixMilli()-m.WrittenUnixMs, 0))
+	m.AgeMs += since
+	for _, e := range m.Ends {
+		e.AgeMs += since
+	}
+	m.Trial, m.TrialTarget = 0, 0
+	now := s.process.clock.Now()
+	return s.book.Merge(quarantine.FromMessage(m, now), false, now)
+}
+
+// keepJudged writes the records of requests that are refused, or no longer, since the last
+// call. Where the word of another process led to that, one entry does.
+func (s *suspects) keepJudged() {
+	for _, j := range s.watch.take() {
+		s.process.loop.Post(func() {
+			if !j.told || s.process.beliefs.entriesBefore() == 0 {
+				s.keep(j.print)
+			}
+		})
+	}
+}
+
+func (s *suspects) keep(print quarantine.Print) {
+	p := s.process
+	r, ok := s.book.Get(print)
+	if !ok {
+		return
+	}
+	m := quarantine.Message(&r, p.clock.Now())
+	m.WrittenUnixMs = time.Now().UnixMilli()
+	text, err := proto.Marshal(m)
+	if err != nil {
+		p.logger.Error(err, "quarantine_not_kept", "print", print)
+		return
+	}
+	began := time.Now()
+	control.Do(p.loop, suspectsTimeout, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, p.platform.KeepQuarantined(ctx, print.String(), text)
+	}, func(_ struct{}, err error) {
+		p.metrics.StoreCall(topicQuarantine, time.Since(began), err)
+		if err == nil {
+			p.logger.Info("quarantine_kept", "print", print, "generation", r.Generation, "ends", len(r.Ends))
+			return
+		}
+		p.logger.Info("quarantine_not_kept", "print", print, "error", err.Error())
+		p.loop.Go(func(ctx context.Context) {
+			if sleep.For(ctx, p.loop.Spread(suspectsAgain)) {
+				p.loop.Post(func() { s.keep(print) })
+			}
+		})
+	})
+}
+
+// release lets a request go, here and everywhere.
+func (s *suspects) release(print quarantine.Print) bool {
+	released := s.book.Release(print, s.process.clock.Now())
+	if released {
+		s.process.loop.Post(func() { s.keep(print) })
+	}
+	return released
+}
+
+// suspectWatch writes down what the book decides.
+type suspectWatch struct {
+	logger, ordinary logr.Logger
+	metrics          *metrics.Metrics
+
+	mu     sync.Mutex
+	judged []judgedRequest
+}
+
+type judgedRequest struct {
+	print quarantine.Print
+	told  bool
+}
+
+// Blamed implements quarantine.Observer.
+func (w *suspectWatch) Blamed(r *quarantine.Record, e quarantine.End, told bool) {
+	log, event := w.logger, "request_blamed"
+	if told {
+		log, event = w.ordinary, "request_blame_told"
+	}
+	w.metrics.Blamed(told)
+	log.Info(event, "print", r.Print, "ends", len(r.Ends), "step", e.Step, "target_id", uint32(e.Target), "workspace", r.Workspace, "route", r.Route, "generation", r.Generation)
+}
+
+// Judged implements quarantine.Observer.
+func (w *suspectWatch) Judged(r *quarantine.Record, refused, told bool) {
+	event := "request_quarantined"
+	if !refused {
+		event = "request_not_quarantined"
+	}
+	w.logger.Info(event, "print", r.Print, "ends", len(r.Ends), "workspace", r.Workspace, "route", r.Route, "told", told)
+	if !refused {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.judged = append(w.judged, judgedRequest{r.Print, told})
+}
+
+// take returns the requests that were refused since the last call.
+func (w *suspectWatch) take() []judgedRequest {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	judged := w.judged
+	w.judged = nil
+	return judged
+}
+
+// Renewed implements quarantine.Observer.
+func (w *suspectWatch) Renewed(r *quarantine.Record, why string) {
+	w.logger.Info("request_cleared", "print", r.Print, "why", why, "generation", r.Generation, "workspace", r.Workspace, "route", r.Route)
+}
+
+// Evicted implements quarantine.Observer.
+func (w *suspectWatch) Evicted(r *quarantine.Record) {
+	w.metrics.SuspectEvicted()
+	w.ordinary.Info("suspect_evicted", "print", r.Print, "ends", len(r.Ends))
+}
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -135,6 +135,17 @@
 	return &conn{pool: p, address: address, net: c, reader: bufio.NewReaderSize(c, bufferSize)}, nil
 }
 
+// Refuses reports whether the host at an address answers that no process listens there. A
+// connection that is made is kept for the next request.
+func (p *Pool) Refuses(ctx context.Context, address netip.AddrPort) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(c)
+	return false
+}
+
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -33,6 +33,8 @@
 	storeCalls     *prometheus.HistogramVec
 	orders         *prometheus.CounterVec
 	waits          *prometheus.HistogramVec
+	blamed         *prometheus.CounterVec
+	evicted        prometheus.Counter
 }
 
 var ttftBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.62, 1, 2, 4, 8, 16, 32}
@@ -69,6 +71,8 @@
 		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "toucanwell", Name: "placement_wait_seconds", Help: "Time between a request's arrival and its first send.", Buckets: ttftBuckets,
 		}, labels),
+		blamed:        counter("blamed_requests_total", "Ends of targets held against a request, by whose word: own or told.", "word"),
+		evicted:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "suspects_evicted_total", Help: "Records of suspects dropped for want of room."}),
 		orders:        counter("weights_orders_total", "Orders to load weights, by outcome.", "outcome"),
 		queueWaiting:  gauge("queue_waiting", "Requests that wait at this sidecar."),
 		queueRunning:  gauge("queue_running", "Requests that run at this sidecar's target."),
@@ -78,7 +82,7 @@
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.wastedTokens,
 		m.retries, m.resumes, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
-		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedTargets, m.storeCalls, m.orders, m.waits)
+		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedTargets, m.storeCalls, m.orders, m.waits, m.blamed, m.evicted)
 	return m
 }
 
@@ -160,3 +164,16 @@
 
 // Order counts an order to load weights.
 func (m *Metrics) Order(outcome string) { m.orders.WithLabelValues(outcome).Inc() }
+
+// Blamed counts an end of a target that is held against a request, by this process's own
+// word or as another one told it.
+func (m *Metrics) Blamed(told bool) {
+	word := "own"
+	if told {
+		word = "told"
+	}
+	m.blamed.WithLabelValues(word).Inc()
+}
+
+// SuspectEvicted counts a record that was dropped for want of room.
+func (m *Metrics) SuspectEvicted() { m.evicted.Inc() }
