--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,7 +11,6 @@
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
-	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 )
 
 const (
@@ -99,10 +100,16 @@
 	}
 }
 
+// brokeOff reports whether an error is how the end of a target's process shows: its host
+// closes or resets the connection. A host that is dark or cut off answers nothing at all.
+func brokeOff(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+}
+
 // blame holds it against the request if its target has ended and did not only break the
 // connection off. It is called before the next send is placed, which goes by it.
 func (fl *flow) blame(ctx context.Context, to *destination, err error) {
-	if ctx.Err() != nil || errors.Is(err, upstream.ErrForeign) {
+	if ctx.Err() != nil || !brokeOff(err) {
 		return
 	}
 	v, ok := fl.View()
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -164,6 +164,9 @@
 // ofTheService reports whether a refusal is the service's doing. What callers do
 // wrong is ordinary: a flood of it must not take the log from the others.
 func ofTheService(e *errkind.Error) bool {
+	if e.Kind == errkind.Quarantined {
+		return false // the request ends what runs it
+	}
 	return e.Kind.Row().Status >= http.StatusInternalServerError || e.Kind == errkind.Overloaded
 }
 
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -47,6 +47,7 @@
 		return verdict{end: true}
 	}
 	if _, err := io.Copy(fl.w, resp); err != nil {
+		fl.blame(ctx, to, err)
 		return verdict{end: true, refusal: errkind.New(errkind.StreamBroken, "%v", err)}
 	}
 	return verdict{end: true}
