--- /dev/null
+++ b/internal/gateway/quarantine/endings_test.go
@@ -0,0 +1,146 @@
+package quarantine
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/view"
+)
+
+var engineAt = netip.MustParseAddrPort("10.0.0.1:80")
+
+func life(instance string, born int64) fleet.Target {
+	return fleet.NewTarget(fleet.Listing{Life: fleet.Life{Instance: instance, Born: born}, Service: "engines", Address: engineAt})
+}
+
+// shows is a view with some targets, as listed at a time.
+func shows(listedAt time.Time, targets ...fleet.Target) *view.View {
+	return &view.View{Targets: map[string][]fleet.Target{"engines": targets}, Silent: map[netip.AddrPort]bool{}, ListedAt: listedAt}
+}
+
+func leaving(t fleet.Target) fleet.Target {
+	t.Leaving = true
+	return t
+}
+
+func silent(v *view.View) *view.View {
+	v.Silent[engineAt] = true
+	return v
+}
+
+// A connection broke off. Whether its target has ended is told by whether anything listens
+// there, by its sidecar, and by the list; a target that leaves as planned, one that reset a
+// connection, and one that is cut off have not ended under a request.
+func TestEndedTellsEndsFromBrokenConnections(t *testing.T) {
+	one := life("i-1", 0)
+	for _, c := range []struct {
+		story    string
+		refuses  bool
+		unlisted bool
+		view     *view.View
+		want     Evidence
+	}{
+		{"the process is gone", true, false, shows(start, one), RefusesConnections},
+		{"it listens: it reset a connection, or sent nonsense", false, false, shows(start, one), NoEvidence},
+		{"its sidecar finds it silent", false, false, silent(shows(start, one)), SilentToSidecar},
+		{"it leaves as planned, and ends", true, false, shows(start, leaving(one)), NoEvidence},
+		{"it was taken off the list before it ended", true, false, shows(start), NoEvidence},
+		{"the list has the next life at its address already", true, false, shows(start, life("i-2", 0)), OtherLife},
+		{"the list has not shown this life yet, and it is gone", true, true, shows(start, life("i-0", 0)), RefusesConnections},
+		{"the list has not shown this life yet, and it listens", false, true, shows(start, life("i-0", 0)), NoEvidence},
+		{"the list names when it was born, its sidecar does not", false, false, shows(start, life("i-1", 7)), NoEvidence},
+	} {
+		e := NewEndings(func(context.Context, *fleet.Target) bool { return c.refuses })
+		if got := e.Ended(context.Background(), c.view, Doubt{Target: one, Unlisted: c.unlisted, At: at(0)}); got != c.want {
+			t.Errorf("%s: evidence %q, want %q", c.story, got, c.want)
+		}
+	}
+}
+
+// Nothing could be told at once. What the sidecar or the list says soon after settles it;
+// a target that is still there after some seconds lives.
+func TestDoubtsAreSettledLater(t *testing.T) {
+	one := life("i-1", 0)
+	for _, c := range []struct {
+		story string
+		later *view.View
+		after time.Duration
+		want  Evidence
+	}{
+		{"its sidecar finds it silent", silent(shows(at(100), one)), 100 * time.Millisecond, SilentToSidecar},
+		{"another life is at its address", shows(at(100), life("i-2", 0)), 100 * time.Millisecond, OtherLife},
+		{"its entry has run out", shows(at(3600)), 3600 * time.Millisecond, Unlisted},
+		{"an older list lacks it", shows(at(-1)), 100 * time.Millisecond, NoEvidence},
+		{"it is still there", shows(at(4000), one), 4 * time.Second, NoEvidence},
+		{"it began to leave", shows(at(100), leaving(one)), 100 * time.Millisecond, NoEvidence},
+		{"its entry has run out, long after", shows(at(8000)), 8 * time.Second, NoEvidence},
+	} {
+		e := NewEndings(func(context.Context, *fleet.Target) bool { return false })
+		e.Ended(context.Background(), shows(start, one), Doubt{Print: 7, Target: one, At: at(0)})
+		doubts, why := e.Settle(c.later, start.Add(c.after))
+		if c.want == NoEvidence {
+			if len(doubts) != 0 {
+				t.Errorf("%s: %+v for %v", c.story, doubts, why)
+			}
+			continue
+		}
+		if len(doubts) != 1 || doubts[0].Print != 7 || why[0] != c.want {
+			t.Errorf("%s: %+v for %v, want %q", c.story, doubts, why, c.want)
+		}
+		if again, _ := e.Settle(c.later, start.Add(c.after)); len(again) != 0 {
+			t.Errorf("%s: settled twice", c.story)
+		}
+	}
+}
+
+// Sixty requests break off with their engine. It is asked once, and all wait for the
+// answer, but not for long when its host answers nothing. One that was found to listen may
+// end later, and is asked again.
+func TestATargetIsAskedOnceForAllItsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		answer := make(chan bool)
+		e := NewEndings(func(ctx context.Context, _ *fleet.Target) bool {
+			asked++
+			select {
+			case a := <-answer:
+				return a
+			case <-ctx.Done():
+				return false
+			}
+		})
+		one := life("i-1", 0)
+		v := shows(time.Now(), one)
+		const requests = 60
+		got := make(chan Evidence, requests)
+		ask := func() { got <- e.Ended(context.Background(), v, Doubt{Target: one, At: time.Now()}) }
+		for range requests {
+			go ask()
+		}
+		synctest.Wait()
+		answer <- true
+		for range requests {
+			if evidence := <-got; evidence != RefusesConnections {
+				t.Fatalf("evidence %q", evidence)
+			}
+		}
+		if asked != 1 {
+			t.Errorf("asked %d times", asked)
+		}
+		two := life("i-2", 0)
+		v = shows(time.Now(), two)
+		began := time.Now()
+		if evidence := e.Ended(context.Background(), v, Doubt{Target: two, At: began}); evidence != NoEvidence || time.Since(began) > askFor {
+			t.Errorf("a dark host: %q after %v", evidence, time.Since(began))
+		}
+		time.Sleep(askAgain + time.Millisecond)
+		go func() { answer <- true }()
+		if evidence := e.Ended(context.Background(), v, Doubt{Target: two, At: time.Now()}); evidence != RefusesConnections {
+			t.Errorf("later it has ended: %q", evidence)
+		}
+	})
+}
