Requests are held for a second before they are refused

Cause: a test with real processes showed requests refused that were always under way while engines crashed one after the other: the first three crashes met one of them, and only the next ones came without it. Ruled out: one end more as soon as any target ended without the request (four fatal ones then end 9 to 12 engines each); good runs that erase ends (one that ends a third of the engines ended 42). Change: a request with enough ends is held for a second after the last one: nothing of it runs, so that it ends nothing, and other ends have the time to come. Held ones are written to the store already, and dropped from it when they may run again. Good runs are counted on from what others told.

--- a/api/admin/oas/oas_json_gen.go
+++ b/api/admin/oas/oas_json_gen.go
@@ -1713,6 +1713,8 @@
 		*s = QuarantinedRequestVerdictApart
 	case QuarantinedRequestVerdictAlone:
 		*s = QuarantinedRequestVerdictAlone
+	case QuarantinedRequestVerdictHeld:
+		*s = QuarantinedRequestVerdictHeld
 	case QuarantinedRequestVerdictRefused:
 		*s = QuarantinedRequestVerdictRefused
 	default:
--- a/api/admin/oas/oas_schemas_gen.go
+++ b/api/admin/oas/oas_schemas_gen.go
@@ -792,6 +792,7 @@
 	QuarantinedRequestVerdictFree    QuarantinedRequestVerdict = "free"
 	QuarantinedRequestVerdictApart   QuarantinedRequestVerdict = "apart"
 	QuarantinedRequestVerdictAlone   QuarantinedRequestVerdict = "alone"
+	QuarantinedRequestVerdictHeld    QuarantinedRequestVerdict = "held"
 	QuarantinedRequestVerdictRefused QuarantinedRequestVerdict = "refused"
 )
 
@@ -801,6 +802,7 @@
 		QuarantinedRequestVerdictFree,
 		QuarantinedRequestVerdictApart,
 		QuarantinedRequestVerdictAlone,
+		QuarantinedRequestVerdictHeld,
 		QuarantinedRequestVerdictRefused,
 	}
 }
@@ -814,6 +816,8 @@
 		return []byte(s), nil
 	case QuarantinedRequestVerdictAlone:
 		return []byte(s), nil
+	case QuarantinedRequestVerdictHeld:
+		return []byte(s), nil
 	case QuarantinedRequestVerdictRefused:
 		return []byte(s), nil
 	default:
@@ -833,6 +837,9 @@
 	case QuarantinedRequestVerdictAlone:
 		*s = QuarantinedRequestVerdictAlone
 		return nil
+	case QuarantinedRequestVerdictHeld:
+		*s = QuarantinedRequestVerdictHeld
+		return nil
 	case QuarantinedRequestVerdictRefused:
 		*s = QuarantinedRequestVerdictRefused
 		return nil
--- a/api/admin/oas/oas_validators_gen.go
+++ b/api/admin/oas/oas_validators_gen.go
@@ -258,6 +258,8 @@
 		return nil
 	case "alone":
 		return nil
+	case "held":
+		return nil
 	case "refused":
 		return nil
 	default:
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -32,7 +32,7 @@
 
 // suspectEvents are the lines that tell what is held against a request. They may be older
 // than the try that is asked for, and concern all tries of it.
-var suspectEvents = []string{"request_blamed", "request_blame_told", "request_quarantined", "request_not_quarantined", "request_cleared", "request_released", "quarantine_kept"}
+var suspectEvents = []string{"request_blamed", "request_blame_told", "request_held", "request_quarantined", "request_not_quarantined", "request_cleared", "request_released", "quarantine_kept"}
 
 // Story is what the logs tell of one request.
 type Story struct {
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -59,7 +59,7 @@
 // finds no room is told soon to come back: it waits no longer than its caller would not
 // notice.
 func (fl *flow) placeWait() time.Duration {
-	if fl.standing.Verdict == quarantine.Alone {
+	if v := fl.standing.Verdict; v == quarantine.Alone || v == quarantine.Held {
 		return min(aloneWait, time.Duration(aloneShare*float64(fl.timeLeft())))
 	}
 	wait := min(maxPlaceWait, time.Duration(waitShare*float64(fl.timeLeft())))
--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -14,14 +14,11 @@
 )
 
 const (
-	// aloneWait is how long a request waits for its turn to run alone, and aloneShare the
-	// most of its time left: a run that ends its engine takes a few hundred milliseconds,
+	// aloneWait is how long a request waits for its turn to run alone, or until it is settled
+	// what ended its targets, and aloneShare the most of its time left: a run that ends its engine takes a few hundred milliseconds,
 	// and a caller who is refused needs the rest to come back.
 	aloneWait  = time.Second
 	aloneShare = 0.5
-	// settledAfter is how long after its last end a refusal may still be taken back: more
-	// targets may end without the request, which speaks for another cause.
-	settledAfter = 2 * time.Second
 	// longestHold bounds the time to come back that callers of a refused request are told:
 	// an operator may let it go before it would be forgotten.
 	longestHold = time.Hour
@@ -40,9 +37,6 @@
 		return nil
 	}
 	hold := min(fl.standing.Until.Sub(fl.Now()), longestHold)
-	if unsettled := fl.standing.LastEnd.Add(settledAfter).Sub(fl.Now()); unsettled > 0 {
-		hold = min(hold, unsettled)
-	}
 	return errkind.After(errkind.Quarantined, fl.comeBack(hold), "%d targets ended under request %s; it is held until %s", fl.standing.Ends, fl.print, hold.Round(time.Second))
 }
 
@@ -66,6 +60,9 @@
 	if refusal := fl.mayRun(); refusal != nil {
 		return nil, refusal
 	}
+	if fl.standing.Verdict == quarantine.Held {
+		return nil, errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "%d targets ended under the request, and others without it: it is held for a moment", fl.standing.Ends)
+	}
 	to, refusal := fl.choose(ctx)
 	if refusal != nil || fl.standing.Verdict != quarantine.Alone {
 		return to, refusal
@@ -134,8 +131,10 @@
 	}
 }
 
-// Settle looks again at requests whose targets may have ended, by the newest view.
+// Settle looks again at requests whose targets may have ended, by the newest view, and at
+// those that are held.
 func (f *Forwarder) Settle() {
+	defer func() { f.Quarantine.Settle(f.Now()) }()
 	v, ok := f.View()
 	if !ok {
 		return
--- a/internal/gateway/quarantine/book.go
+++ b/internal/gateway/quarantine/book.go
@@ -32,11 +32,13 @@
 	Apart
 	// Alone requests do the same, one of them at a time, where no other of them runs.
 	Alone
+	// Held requests wait for a moment, until it is settled what ended their targets.
+	Held
 	// Refused requests are not sent.
 	Refused
 )
 
-var verdictNames = map[Verdict]string{Free: "free", Apart: "apart", Alone: "alone", Refused: "refused"}
+var verdictNames = map[Verdict]string{Free: "free", Apart: "apart", Alone: "alone", Held: "held", Refused: "refused"}
 
 // String returns the verdict's name.
 func (v Verdict) String() string { return verdictNames[v] }
@@ -48,9 +50,8 @@
 	Step int
 	// Ends is how many targets ended under it.
 	Ends int
-	// LastEnd is when the last of them became known, Until when a refused request may run
-	// again.
-	LastEnd, Until time.Time
+	// Until is when a refused request may run again.
+	Until time.Time
 }
 
 // Observer is told of what the book decides. It is called while the book is locked, and
@@ -59,9 +60,9 @@
 	// Blamed tells of an end that is held against a request, by this process or as another
 	// one told it.
 	Blamed(r *Record, e End, told bool)
-	// Judged tells that a request is refused from now on, or no longer; told is set when
-	// another process's word led to it.
-	Judged(r *Record, refused, told bool)
+	// Judged tells that another finding than before holds for a request; told is set when no
+	// end that this process saw led to it.
+	Judged(r *Record, before, now Finding, told bool)
 	// Cleared tells that a request was served so often that nothing is held against it for
 	// now, Released that it was let go, here or as another process told it.
 	Cleared(r *Record)
@@ -77,7 +78,9 @@
 
 	mu      sync.Mutex
 	records map[Print]*Record
-	refused map[Print]bool
+	found   map[Print]Finding
+	// judgeAt is when a request that is held is judged anew; zero while none is.
+	judgeAt time.Time
 	// explained are the lives that refused requests have ended.
 	explained map[fleet.ID]bool
 	// fresh are the records that the other processes are to be told of, and turn is where
@@ -97,10 +100,10 @@
 
 // NewBook returns an empty book.
 func NewBook(limits Limits, observer Observer) *Book {
-	return &Book{limits: limits, observer: observer, records: map[Print]*Record{}, refused: map[Print]bool{}, explained: map[fleet.ID]bool{}, runs: map[Print][]*Run{}, news: make(chan struct{}, 1), tried: map[Print]*Record{}, touched: map[Print]bool{}}
+	return &Book{limits: limits, observer: observer, records: map[Print]*Record{}, found: map[Print]Finding{}, explained: map[fleet.ID]bool{}, runs: map[Print][]*Run{}, news: make(chan struct{}, 1), tried: map[Print]*Record{}, touched: map[Print]bool{}}
 }
 
-// News yields when there is something to tell the other processes.
+// News yields when there is something to tell the other processes, or a finding changed.
 func (b *Book) News() <-chan struct{} { return b.news }
 
 func (b *Book) isExplained(target fleet.ID) bool { return b.explained[target] }
@@ -120,8 +123,10 @@
 func (b *Book) standing(r *Record) Standing {
 	s := Standing{Step: r.steps(b.isExplained), Ends: r.open(b.isExplained)}
 	switch {
-	case b.refused[r.Print]:
-		s.Verdict, s.Ends, s.LastEnd, s.Until = Refused, len(r.Ends), r.ChangedAt(), r.ChangedAt().Add(b.limits.HoldFor)
+	case b.found[r.Print] == MustNotRun:
+		s.Verdict, s.Ends, s.Until = Refused, len(r.Ends), r.ChangedAt().Add(b.limits.HoldFor)
+	case b.found[r.Print] == MustWait:
+		s.Verdict = Held
 	case r.served(servedPerStep, b.isExplained):
 	case s.Ends > 1:
 		s.Verdict = Alone
@@ -160,7 +165,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[p]
-	if r == nil || len(r.Ends) == 0 || b.refused[p] {
+	if r == nil || len(r.Ends) == 0 || b.found[p] == MustNotRun {
 		return
 	}
 	r.Served++
@@ -168,8 +173,10 @@
 		b.observer.Cleared(r)
 	}
 	b.touch(p, true)
-	if len(r.Ends) > 1 && r.Served <= servedPerStep*len(r.Ends) {
-		b.tell(p) // more of them change nothing
+	// The others count on from here. Requests that come once are not told of, and more than
+	// it takes to be innocent change nothing.
+	if (len(r.Ends) > 1 || r.Served > 1) && r.Served <= innocentPerStep*len(r.Ends) {
+		b.tell(p)
 	}
 }
 
@@ -295,10 +302,11 @@
 
 // settle judges anew, and gives up runs that suspects should not have made.
 func (b *Book) settle(now time.Time) {
-	if len(b.touched) == 0 {
+	due := !b.judgeAt.IsZero() && !now.Before(b.judgeAt)
+	if len(b.touched) == 0 && !due {
 		return
 	}
-	b.judge(!b.ownChange)
+	b.judge(!b.ownChange, now)
 	for _, p := range slices.Sorted(maps.Keys(b.touched)) {
 		if r := b.records[p]; r != nil && b.standing(r).Verdict != Free {
 			b.giveUp(r, now)
@@ -308,34 +316,54 @@
 	b.ownChange = false
 }
 
-func (b *Book) judge(told bool) {
+func (b *Book) judge(told bool, now time.Time) {
 	all := make([]*Record, 0, len(b.records))
 	for _, r := range b.records {
 		all = append(all, r)
 	}
-	before := b.refused
-	b.refused = Judge(all, b.limits.Ends)
-	b.explained = map[fleet.ID]bool{}
-	for p := range b.refused {
-		for _, e := range b.records[p].Ends {
+	before := b.found
+	b.found = Judge(all, b.limits.Ends, now)
+	b.explained, b.judgeAt = map[fleet.ID]bool{}, time.Time{}
+	for p, f := range b.found {
+		r := b.records[p]
+		if f == MustWait {
+			b.judgeBy(r.ChangedAt().Add(settleFor))
+			continue
+		}
+		for _, e := range r.Ends {
 			b.explained[e.Target] = true
 		}
 	}
-	for p := range b.refused {
-		if !before[p] {
-			b.observer.Judged(b.records[p], true, told)
-		}
+	b.report(before, told)
+}
+
+// judgeBy judges anew at a time, or before.
+func (b *Book) judgeBy(at time.Time) {
+	if b.judgeAt.IsZero() || at.Before(b.judgeAt) {
+		b.judgeAt = at
 	}
+}
+
+// report tells the observer what has changed.
+func (b *Book) report(before map[Print]Finding, told bool) {
+	changed := map[Print]bool{}
 	for p := range before {
-		if r := b.records[p]; r != nil && !b.refused[p] {
-			b.observer.Judged(r, false, told)
+		changed[p] = b.found[p] != before[p]
+	}
+	for p := range b.found {
+		changed[p] = b.found[p] != before[p]
+	}
+	for _, p := range slices.Sorted(maps.Keys(changed)) {
+		if r := b.records[p]; r != nil && changed[p] {
+			b.observer.Judged(r, before[p], b.found[p], told)
+			b.signal()
 		}
 	}
 }
 
 func (b *Book) expired(r *Record, now time.Time) bool {
 	keep := b.limits.SuspectFor
-	if b.refused[r.Print] || len(r.Ends) >= b.limits.Ends {
+	if len(r.Ends) >= b.limits.Ends {
 		keep = b.limits.HoldFor
 	}
 	return now.Sub(r.ChangedAt()) > keep
@@ -380,7 +408,7 @@
 
 func (b *Book) lessSuspect(x, y *Record) bool {
 	weight := func(r *Record) int {
-		if b.refused[r.Print] {
+		if b.found[r.Print] == MustNotRun {
 			return maxEnds + 1
 		}
 		return len(r.Ends)
@@ -395,6 +423,11 @@
 	if !slices.Contains(b.fresh, p) {
 		b.fresh = append(b.fresh, p)
 	}
+	b.signal()
+}
+
+// signal says that there is news.
+func (b *Book) signal() {
 	select {
 	case b.news <- struct{}{}:
 	default: // it is known already
@@ -488,7 +521,7 @@
 	defer b.mu.Unlock()
 	for p, r := range b.records {
 		switch {
-		case b.refused[p]:
+		case b.found[p] == MustNotRun:
 			refused++
 		case r.open(b.isExplained) > 0:
 			suspects++
--- a/internal/gateway/quarantine/record.go
+++ b/internal/gateway/quarantine/record.go
@@ -39,8 +39,8 @@
 	Generation uint32
 	// Ends are in the order in which they became known.
 	Ends []End
-	// Served is how many of its runs went well since the first end, as the process counted
-	// them that saw most.
+	// Served is how many of its runs went well since the first end. Each process counts on
+	// from what it has heard; two that count at once count one.
 	Served int
 	Trial  Trial
 	// RenewedAt is when the request was let go last; zero when it never was.
@@ -70,11 +70,14 @@
 	// servedPerStep is how many runs must go well for each step so that a request may run
 	// anywhere again.
 	servedPerStep = 3
-	// innocentPerStep is how many must for a request not to be refused although no more
-	// targets end without it than with it. What is asked for all the time is under way
-	// whenever a target crashes, and is served hundreds of times between; one that ends a
-	// third of the targets is served a dozen times while those it ended start again.
+	// innocentPerStep is how many must for a request not to be refused although no target
+	// ended without it. What is asked for all the time is under way whenever a target
+	// crashes, and is served hundreds of times between; one that ends a third of the targets
+	// is served a dozen times while those it ended start again.
 	innocentPerStep = 30
+	// besidePerStep is the same when others ended without it: one that ends its target on
+	// every second run is served once, or hardly more often, for each end.
+	besidePerStep = 2
 	// trialFor is how long a trial counts when its end is not told: its entry has ended or
 	// was cut off. Few answers take longer.
 	trialFor = 20 * time.Second
--- a/internal/gateway/quarantine/runs.go
+++ b/internal/gateway/quarantine/runs.go
@@ -59,7 +59,7 @@
 // on: it was begun with all that was known, and is the one that tells.
 func (b *Book) giveUp(r *Record, now time.Time) {
 	for _, run := range b.runs[r.Print] {
-		trial := r.tried(now) && run.target == r.Trial.Target && !b.refused[r.Print]
+		trial := r.tried(now) && run.target == r.Trial.Target && b.found[r.Print] == 0
 		if run.giveUp == nil || run.begun || trial || run.known >= len(r.Ends) || r.end(run.target) {
 			continue
 		}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -40,7 +40,7 @@
 //
 // The others tell an entry that starts. When all entries start anew at once nobody knows
 // anything, and a request that was refused would end three targets more. A record is
-// written when a request is refused or let go, which is seldom, and all are read once at
+// written when a request is held, and dropped when it may run again, which is seldom, and all are read once at
 // an entry's start.
 type suspects struct {
 	process *process
@@ -181,30 +181,31 @@
 	return s.book.Merge(quarantine.FromMessage(m, now), false, now)
 }
 
-// keepJudged writes the records of requests that are refused, or no longer, since the last
-// call. Where the word of another process led to that, one entry does.
+// keepJudged writes the records of requests that may not run any more since the last call,
+// and drops those of requests that may again. Where no end that this process saw led to
+// that, one entry does.
 func (s *suspects) keepJudged() {
 	for _, j := range s.watch.take() {
 		s.process.loop.Post(func() {
 			if !j.told || s.process.beliefs.entriesBefore() == 0 {
-				s.keep(j.print)
+				s.keep(j.print, j.free)
 			}
 		})
 	}
 }
 
-func (s *suspects) keep(print quarantine.Print) {
+// keep writes a request's record, or drops the one that stands.
+func (s *suspects) keep(print quarantine.Print, drop bool) {
 	p := s.process
-	r, ok := s.book.Get(print)
-	if !ok {
-		return
-	}
-	m := quarantine.Message(&r, p.clock.Now())
-	m.WrittenUnixMs = time.Now().UnixMilli()
-	text, err := proto.Marshal(m)
-	if err != nil {
-		p.logger.Error(err, "quarantine_not_kept", "print", print)
-		return
+	var text []byte
+	if r, ok := s.book.Get(print); ok && !drop {
+		m := quarantine.Message(&r, p.clock.Now())
+		m.WrittenUnixMs = time.Now().UnixMilli()
+		var err error
+		if text, err = proto.Marshal(m); err != nil {
+			p.logger.Error(err, "quarantine_not_kept", "print", print)
+			return
+		}
 	}
 	began := time.Now()
 	control.Do(p.loop, suspectsTimeout, func(ctx context.Context) (struct{}, error) {
@@ -212,23 +213,30 @@
 	}, func(_ struct{}, err error) {
 		p.metrics.StoreCall(topicQuarantine, time.Since(began), err)
 		if err == nil {
-			p.logger.Info("quarantine_kept", "print", print, "generation", r.Generation, "ends", len(r.Ends))
+			p.logger.Info("quarantine_kept", "print", print, "dropped", len(text) == 0)
 			return
 		}
 		p.logger.Info("quarantine_not_kept", "print", print, "error", err.Error())
 		p.loop.Go(func(ctx context.Context) {
 			if sleep.For(ctx, p.loop.Spread(suspectsAgain)) {
-				p.loop.Post(func() { s.keep(print) })
+				p.loop.Post(func() { s.keepNow(print) })
 			}
 		})
 	})
 }
 
+// keepNow writes or drops a record by what is found now: a call that failed may be
+// overtaken by the next finding.
+func (s *suspects) keepNow(print quarantine.Print) {
+	standing := s.book.Standing(print, s.process.clock.Now())
+	s.keep(print, standing.Verdict < quarantine.Held)
+}
+
 // release lets a request go, here and everywhere.
 func (s *suspects) release(print quarantine.Print) bool {
 	released := s.book.Release(print, s.process.clock.Now())
 	if released {
-		s.process.loop.Post(func() { s.keep(print) })
+		s.process.loop.Post(func() { s.keep(print, true) })
 	}
 	return released
 }
@@ -242,9 +250,11 @@
 	judged []judgedRequest
 }
 
+// judgedRequest is a request for which another finding holds than before.
 type judgedRequest struct {
 	print quarantine.Print
-	told  bool
+	// told is set when no end that this process saw led to it, free when it may run again.
+	told, free bool
 }
 
 // Blamed implements quarantine.Observer.
@@ -257,22 +267,22 @@
 	log.Info(event, "print", r.Print, "ends", len(r.Ends), "step", e.Step, "target_id", uint32(e.Target), "workspace", r.Workspace, "route", r.Route, "generation", r.Generation)
 }
 
-// Judged implements quarantine.Observer.
-func (w *suspectWatch) Judged(r *quarantine.Record, refused, told bool) {
-	event := "request_quarantined"
-	if !refused {
-		event = "request_not_quarantined"
-	}
-	w.logger.Info(event, "print", r.Print, "ends", len(r.Ends), "workspace", r.Workspace, "route", r.Route, "told", told)
-	if !refused {
+// findingEvents are the log lines of findings.
+var findingEvents = map[quarantine.Finding]string{0: "request_not_quarantined", quarantine.MustWait: "request_held", quarantine.MustNotRun: "request_quarantined"}
+
+// Judged implements quarantine.Observer. A request that must wait is written already: should
+// all entries end within the second until it is refused, it would end three targets more.
+func (w *suspectWatch) Judged(r *quarantine.Record, before, now quarantine.Finding, told bool) {
+	w.logger.Info(findingEvents[now], "print", r.Print, "ends", len(r.Ends), "served", r.Served, "workspace", r.Workspace, "route", r.Route, "told", told)
+	if before == quarantine.MustWait && now == quarantine.MustNotRun {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.judged = append(w.judged, judgedRequest{r.Print, told})
+	w.judged = append(w.judged, judgedRequest{r.Print, told, now == 0})
 }
 
-// take returns the requests that were refused since the last call.
+// take returns the requests that were judged anew since the last call.
 func (w *suspectWatch) take() []judgedRequest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
