What is asked for all the time is counted as served also while it may run anywhere

Good runs were counted only while a request was a suspect. One that is always under way would have been refused after its third crash within an hour, however often it was served between: a test with 40 good runs between two crashes showed it, refused after the third (503, held for more than an hour). Change: all good runs of a request with a record count, against the steps between its ends. Ruled out: looking at the crash's neighbours only; here no other request ends with it.

--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -15,8 +15,9 @@
 
 const (
 	// aloneWait is how long a request waits for its turn to run alone, or until it is settled
-	// what ended its targets, and aloneShare the most of its time left: a run that ends its engine takes a few hundred milliseconds,
-	// and a caller who is refused needs the rest to come back.
+	// what ended its targets, and aloneShare the most of its time left: a run that ends its
+	// engine takes a few hundred milliseconds, and a caller who is refused needs the rest to
+	// come back.
 	aloneWait  = time.Second
 	aloneShare = 0.5
 	// longestHold bounds the time to come back that callers of a refused request are told:
@@ -61,7 +62,7 @@
 		return nil, refusal
 	}
 	if fl.standing.Verdict == quarantine.Held {
-		return nil, errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "%d targets ended under the request, and others without it: it is held for a moment", fl.standing.Ends)
+		return nil, errkind.After(errkind.NoTarget, fl.comeBack(retryPause), "%d targets ended under the request: it is held for a moment", fl.standing.Ends)
 	}
 	to, refusal := fl.choose(ctx)
 	if refusal != nil || fl.standing.Verdict != quarantine.Alone {
@@ -96,12 +97,10 @@
 	}
 }
 
-// servedBy notes that the target answered the request whole, and lives.
-func (fl *flow) servedBy(to *destination) {
-	if to.standing.Verdict != quarantine.Free {
-		fl.Quarantine.Served(fl.print, fl.Now())
-	}
-}
+// served notes that a target answered the request whole, and lives. It is counted for
+// requests that may run anywhere, too: one that is asked for all the time would otherwise
+// be refused after its third crash within the hour, whatever it was served between.
+func (fl *flow) served() { fl.Quarantine.Served(fl.print) }
 
 // brokeOff reports whether an error is how the end of a target's process shows: its host
 // closes or resets the connection. A host that is dark or cut off answers nothing at all.
--- a/internal/gateway/forward/quarantined_test.go
+++ b/internal/gateway/forward/quarantined_test.go
@@ -109,3 +109,37 @@
 		t.Errorf("held against requests: %+v", listed)
 	}
 }
+
+// A question is asked all the time, and a target crashes now and then: it is under way each
+// time, and no other request is there to end with it. It is served some forty times between
+// two crashes, and never refused.
+func TestAQuestionThatIsAskedAllTheTimeIsNotRefused(t *testing.T) {
+	const between, crashes = 40, 5
+	var targets []*target
+	runs := 0
+	for i := range 24 {
+		var tg *target
+		tg = startTarget(t, fmt.Sprintf("t%d", i), func(w io.Writer, r *http.Request, _ string) bool {
+			if runs++; runs%between == 0 {
+				tg.listener.Close()
+				return false
+			}
+			return tg.whole(w, r, http.StatusOK, "fine")
+		})
+		targets = append(targets, tg)
+	}
+	w := startWorld(t, targets...)
+	failed := 0
+	for n := range between * crashes {
+		resp, body, err := w.ask(t, "/again/x", "question")
+		if err != nil || resp.StatusCode == http.StatusServiceUnavailable {
+			t.Fatalf("question %d: %v, %q, %v", n, resp, body, err)
+		}
+		if resp.StatusCode != http.StatusOK {
+			failed++
+		}
+	}
+	if failed > crashes {
+		t.Errorf("%d questions were not answered", failed)
+	}
+}
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -28,7 +28,7 @@
 	}
 	if resp.Status < http.StatusInternalServerError {
 		fl.judge(to, health.Good)
-		fl.servedBy(to)
+		fl.served()
 	}
 	fl.firstAt = time.Since(fl.arrived)
 	header := fl.w.Header()
@@ -169,6 +169,6 @@
 		return verdict{refusal: errkind.New(errkind.TargetFailed, "the stream ended without an event")}
 	}
 	fl.judge(to, health.Good)
-	fl.servedBy(to)
+	fl.served()
 	return verdict{end: true}
 }
--- a/internal/gateway/quarantine/book.go
+++ b/internal/gateway/quarantine/book.go
@@ -87,8 +87,9 @@
 	// the next of all records is told again.
 	fresh []Print
 	turn  Print
-	runs  map[Print][]*Run
 	news  chan struct{}
+	// runs are the sends that are under way.
+	runs map[Print][]*Run
 	// tried are the records of which a trial was begun.
 	tried map[Print]*Record
 	// touched are the records that changed since all were judged last, and ownChange is set
@@ -100,7 +101,11 @@
 
 // NewBook returns an empty book.
 func NewBook(limits Limits, observer Observer) *Book {
-	return &Book{limits: limits, observer: observer, records: map[Print]*Record{}, found: map[Print]Finding{}, explained: map[fleet.ID]bool{}, runs: map[Print][]*Run{}, news: make(chan struct{}, 1), tried: map[Print]*Record{}, touched: map[Print]bool{}}
+	return &Book{
+		limits: limits, observer: observer, news: make(chan struct{}, 1),
+		records: map[Print]*Record{}, found: map[Print]Finding{}, explained: map[fleet.ID]bool{},
+		runs: map[Print][]*Run{}, tried: map[Print]*Record{}, touched: map[Print]bool{},
+	}
 }
 
 // News yields when there is something to tell the other processes, or a finding changed.
@@ -127,7 +132,7 @@
 		s.Verdict, s.Ends, s.Until = Refused, len(r.Ends), r.ChangedAt().Add(b.limits.HoldFor)
 	case b.found[r.Print] == MustWait:
 		s.Verdict = Held
-	case r.served(servedPerStep, b.isExplained):
+	case r.cleared(b.isExplained):
 	case s.Ends > 1:
 		s.Verdict = Alone
 	case s.Ends == 1:
@@ -161,7 +166,7 @@
 }
 
 // Served takes in that a run of a request went well.
-func (b *Book) Served(p Print, now time.Time) {
+func (b *Book) Served(p Print) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[p]
@@ -172,7 +177,9 @@
 	if r.Served == servedPerStep*max(r.steps(b.isExplained), 1) {
 		b.observer.Cleared(r)
 	}
-	b.touch(p, true)
+	if len(r.Ends) >= b.limits.Ends {
+		b.touch(p, true) // before, no judgement goes by it
+	}
 	// The others count on from here. Requests that come once are not told of, and more than
 	// it takes to be innocent change nothing.
 	if (len(r.Ends) > 1 || r.Served > 1) && r.Served <= innocentPerStep*len(r.Ends) {
--- a/internal/gateway/quarantine/book_test.go
+++ b/internal/gateway/quarantine/book_test.go
@@ -82,14 +82,14 @@
 	b := newBook()
 	b.blameAt(1, 10, 0, 0)
 	for range servedPerStep {
-		b.Served(1, at(100))
+		b.Served(1)
 	}
 	if v := verdict(b, 1, 200); v != Free {
 		t.Errorf("served: %v", v)
 	}
 	for i := range 5 {
 		for range 50 {
-			b.Served(1, at(1000*i+500))
+			b.Served(1)
 		}
 		b.blameAt(1, fleet.ID(20+i), b.Standing(1, at(1000*i+1000)).Step, 1000*i+1000)
 	}
@@ -101,7 +101,7 @@
 		for i := range 3 {
 			b.blameAt(p, fleet.ID(100*int(p)+i), b.Standing(p, at(5000*i)).Step, 5000*i)
 			for range servedBetween {
-				b.Served(p, at(5000*i+100))
+				b.Served(p)
 			}
 		}
 		if v := verdict(b, p, 20000); v != Refused {
@@ -231,7 +231,7 @@
 			case 0:
 				b.Release(p, at(i*100))
 			case 1:
-				b.Served(p, at(i*100))
+				b.Served(p)
 			default:
 				b.blameAt(p, life, b.Standing(p, at(i*100)).Step, i*100)
 			}
--- a/internal/gateway/quarantine/fleet_test.go
+++ b/internal/gateway/quarantine/fleet_test.go
@@ -299,7 +299,7 @@
 		if t.sends == sends && e.running[t] {
 			delete(e.running, t)
 			s.stop(t)
-			t.entry.Served(t.print, s.clock())
+			t.entry.Served(t.print)
 			s.news(t.entry)
 		}
 	})
--- a/internal/gateway/quarantine/judge.go
+++ b/internal/gateway/quarantine/judge.go
@@ -148,7 +148,8 @@
 	if others >= ends {
 		need += moreEnds
 	}
-	if r.served(perStep, j.isExplained) {
+	// Runs are counted from the first end on: there is one step less than ends in them.
+	if r.Served >= perStep*max(r.steps(j.isExplained)-1, 1) {
 		return false
 	}
 	return r.steps(j.isExplained) >= need || ends >= need && j.beside(r, momentWindow) == 0
--- a/internal/gateway/quarantine/record.go
+++ b/internal/gateway/quarantine/record.go
@@ -70,7 +70,7 @@
 	// servedPerStep is how many runs must go well for each step so that a request may run
 	// anywhere again.
 	servedPerStep = 3
-	// innocentPerStep is how many must for a request not to be refused although no target
+	// innocentPerStep is how many must between two steps for a request not to be refused although no target
 	// ended without it. What is asked for all the time is under way whenever a target
 	// crashes, and is served hundreds of times between; one that ends a third of the targets
 	// is served a dozen times while those it ended start again.
@@ -187,9 +187,9 @@
 	return len(seen)
 }
 
-// served reports whether at least so many runs went well for each step.
-func (r *Record) served(perStep int, explained func(fleet.ID) bool) bool {
-	return r.Served >= perStep*max(r.steps(explained), 1)
+// cleared reports whether so many runs went well that the request may run anywhere.
+func (r *Record) cleared(explained func(fleet.ID) bool) bool {
+	return r.Served >= servedPerStep*max(r.steps(explained), 1)
 }
 
 // open counts the ends that nothing else explains.
