--- a/internal/gateway/quarantine/book.go
+++ b/internal/gateway/quarantine/book.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -108,9 +107,6 @@
 	}
 }
 
-// News yields when there is something to tell the other processes, or a finding changed.
-func (b *Book) News() <-chan struct{} { return b.news }
-
 func (b *Book) isExplained(target fleet.ID) bool { return b.explained[target] }
 
 // Standing returns what is held against a request.
@@ -248,199 +244,6 @@
 	return false
 }
 
-// Merge takes in what another process knows of a request, and reports whether it is news.
-// With passOn the others are told in turn. What follows from it is found out with the next
-// question, or by Settle: a datagram holds several records.
-func (b *Book) Merge(o Record, passOn bool, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.expired(&o, now) {
-		return false
-	}
-	r := b.records[o.Print]
-	if r == nil {
-		if len(o.Ends) == 0 && o.Generation == 0 {
-			return false
-		}
-		r = &Record{Print: o.Print}
-		b.records[o.Print] = r
-	}
-	known, generation := len(r.Ends), r.Generation
-	switch r.merge(&o) {
-	case nothing:
-		return false
-	case detail:
-		b.touch(o.Print, false)
-		return false
-	}
-	if r.Generation != generation {
-		known = 0 // all its ends are news
-		if len(r.Ends) == 0 {
-			b.observer.Released(r, true)
-		}
-	}
-	for _, e := range r.Ends[known:] {
-		b.observer.Blamed(r, e, true)
-	}
-	if r.Trial.Target != 0 {
-		b.tried[o.Print] = r
-	} else {
-		delete(b.tried, o.Print)
-	}
-	b.touch(o.Print, false)
-	if passOn {
-		b.tell(o.Print)
-	}
-	b.makeRoom()
-	return true
-}
-
-func (b *Book) touch(p Print, own bool) {
-	b.touched[p] = true
-	b.ownChange = b.ownChange || own
-}
-
-// Settle finds out what follows from the changes since the last time.
-func (b *Book) Settle(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.settle(now)
-}
-
-// settle judges anew, and gives up runs that suspects should not have made.
-func (b *Book) settle(now time.Time) {
-	due := !b.judgeAt.IsZero() && !now.Before(b.judgeAt)
-	if len(b.touched) == 0 && !due {
-		return
-	}
-	b.judge(!b.ownChange, now)
-	for _, p := range slices.Sorted(maps.Keys(b.touched)) {
-		if r := b.records[p]; r != nil && b.standing(r).Verdict != Free {
-			b.giveUp(r, now)
-		}
-	}
-	clear(b.touched)
-	b.ownChange = false
-}
-
-func (b *Book) judge(told bool, now time.Time) {
-	all := make([]*Record, 0, len(b.records))
-	for _, r := range b.records {
-		all = append(all, r)
-	}
-	before := b.found
-	b.found = Judge(all, b.limits.Ends, now)
-	b.explained, b.judgeAt = map[fleet.ID]bool{}, time.Time{}
-	for p, f := range b.found {
-		r := b.records[p]
-		if f == MustWait {
-			b.judgeBy(r.ChangedAt().Add(settleFor))
-			continue
-		}
-		for _, e := range r.Ends {
-			b.explained[e.Target] = true
-		}
-	}
-	b.report(before, told)
-}
-
-// judgeBy judges anew at a time, or before.
-func (b *Book) judgeBy(at time.Time) {
-	if b.judgeAt.IsZero() || at.Before(b.judgeAt) {
-		b.judgeAt = at
-	}
-}
-
-// report tells the observer what has changed.
-func (b *Book) report(before map[Print]Finding, told bool) {
-	changed := map[Print]bool{}
-	for p := range before {
-		changed[p] = b.found[p] != before[p]
-	}
-	for p := range b.found {
-		changed[p] = b.found[p] != before[p]
-	}
-	for _, p := range slices.Sorted(maps.Keys(changed)) {
-		if r := b.records[p]; r != nil && changed[p] {
-			b.observer.Judged(r, before[p], b.found[p], told)
-			b.signal()
-		}
-	}
-}
-
-func (b *Book) expired(r *Record, now time.Time) bool {
-	keep := b.limits.SuspectFor
-	if len(r.Ends) >= b.limits.Ends {
-		keep = b.limits.HoldFor
-	}
-	return now.Sub(r.ChangedAt()) > keep
-}
-
-// sweepPeriod is how often old records are looked for.
-const sweepPeriod = 10 * time.Second
-
-// sweep drops what is too old.
-func (b *Book) sweep(now time.Time) {
-	if now.Sub(b.sweptAt) < sweepPeriod {
-		return
-	}
-	b.sweptAt = now
-	for p, r := range b.records {
-		if b.expired(r, now) {
-			b.drop(p)
-		}
-	}
-}
-
-func (b *Book) drop(p Print) {
-	delete(b.records, p)
-	delete(b.tried, p)
-	b.touch(p, false)
-}
-
-// makeRoom drops the least suspected records beyond the limit: a flood of requests that
-// each end one target pushes out others like them, and not those that are refused.
-func (b *Book) makeRoom() {
-	for len(b.records) > b.limits.Records {
-		var least *Record
-		for _, r := range b.records {
-			if least == nil || b.lessSuspect(r, least) {
-				least = r
-			}
-		}
-		b.drop(least.Print)
-		b.observer.Evicted(least)
-	}
-}
-
-func (b *Book) lessSuspect(x, y *Record) bool {
-	weight := func(r *Record) int {
-		if b.found[r.Print] == MustNotRun {
-			return maxEnds + 1
-		}
-		return len(r.Ends)
-	}
-	if c := cmp.Compare(weight(x), weight(y)); c != 0 {
-		return c < 0
-	}
-	return x.ChangedAt().Before(y.ChangedAt())
-}
-
-func (b *Book) tell(p Print) {
-	if !slices.Contains(b.fresh, p) {
-		b.fresh = append(b.fresh, p)
-	}
-	b.signal()
-}
-
-// signal says that there is news.
-func (b *Book) signal() {
-	select {
-	case b.news <- struct{}{}:
-	default: // it is known already
-	}
-}
-
 // Get returns a request's record.
 func (b *Book) Get(p Print) (Record, bool) {
 	b.mu.Lock()
@@ -452,50 +255,6 @@
 	return r.clone(), true
 }
 
-// TakeFresh returns up to n records of which the others are to be told at once.
-func (b *Book) TakeFresh(n int) []Record {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var taken []Record
-	for len(taken) < n && len(b.fresh) > 0 {
-		p := b.fresh[0]
-		b.fresh = b.fresh[1:]
-		if r := b.records[p]; r != nil {
-			taken = append(taken, r.clone())
-		}
-	}
-	return taken
-}
-
-// retellFor is how long a request with one end is told again and again, for processes
-// that the first word did not reach. Its caller has come again by then; the others matter
-// for as long as they are kept.
-const retellFor = 10 * time.Second
-
-// Next returns up to n of the records that the others should know, in turn.
-func (b *Book) Next(n int, now time.Time) []Record {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var prints []Print
-	for p, r := range b.records {
-		if (len(r.Ends) > 1 || r.Generation > 0 || now.Sub(r.ChangedAt()) < retellFor) && !b.expired(r, now) {
-			prints = append(prints, p)
-		}
-	}
-	if len(prints) == 0 {
-		return nil
-	}
-	slices.Sort(prints)
-	from, _ := slices.BinarySearch(prints, b.turn+1)
-	var next []Record
-	for i := range min(n, len(prints)) {
-		p := prints[(from+i)%len(prints)]
-		next = append(next, b.records[p].clone())
-		b.turn = p
-	}
-	return next
-}
-
 // Listed is a record with what is held against it.
 type Listed struct {
 	Record
