--- a/cmd/toucanwell/quarantine.go
+++ b/cmd/toucanwell/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -28,7 +29,7 @@
 						if err != nil {
 							return err
 						}
-						return printQuarantine(q, c.String("output"))
+						return printQuarantine(os.Stdout, q, c.String("output"))
 					})(ctx, c)
 				},
 			},
@@ -50,11 +51,11 @@
 	}
 }
 
-func printQuarantine(q *oas.Quarantine, output string) error {
+func printQuarantine(out io.Writer, q *oas.Quarantine, output string) error {
 	if output == "json" {
-		return json.NewEncoder(os.Stdout).Encode(q)
+		return json.NewEncoder(out).Encode(q)
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "PRINT\tVERDICT\tENDS\tSERVED\tWORKSPACE\tROUTE\tLAST CHANGE\tHELD FOR")
 	for _, r := range q.Requests {
 		held := ""
