An entry that hears nobody looks into the store after a second end

An entry that is cut off from the others, and reaches the store, finds out for itself: three engines more under a request that the others have refused. Change: a second end under a request makes an entry read the refused ones, every 2 s at most. Conclusion: bounded by one try for each entry that hears nobody.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -31,6 +31,9 @@
 	// is made again.
 	suspectsTimeout = 2 * time.Second
 	suspectsAgain   = 2 * time.Second
+	// suspectsPause is the least time between two looks into the store: in a storm of
+	// crashes some requests meet a second end all the time.
+	suspectsPause = 2 * time.Second
 )
 
 // suspects tells the other entries of requests under which targets ended, hears of theirs,
@@ -42,10 +45,15 @@
 // anything, and a request that was refused would end three targets more. A record is
 // written when a request is held, and dropped when it may run again, which is seldom, and all are read once at
 // an entry's start.
+//
+// An entry that hears nothing of the others may still reach the store. It looks there
+// again when a request has met its second end here: the others may have refused it.
 type suspects struct {
 	process *process
 	book    *quarantine.Book
 	watch   *suspectWatch
+	// lookedAt is when the store was read last for a second end.
+	lookedAt time.Time
 }
 
 func newSuspects(p *process) *suspects {
@@ -83,6 +91,9 @@
 		}
 		s.process.loop.Post(s.tell)
 		s.keepJudged()
+		if s.watch.takeSecondEnd() {
+			s.process.loop.Post(s.lookAgain)
+		}
 	}
 }
 
@@ -135,7 +146,16 @@
 	s.book.Settle(now)
 }
 
-// load reads what was refused before this process started, until it has.
+// lookAgain reads the store when that was not done lately.
+func (s *suspects) lookAgain() {
+	now := s.process.clock.Now()
+	if now.Sub(s.lookedAt) > suspectsPause {
+		s.lookedAt = now
+		s.load()
+	}
+}
+
+// load reads what is refused, until it has.
 func (s *suspects) load() {
 	p := s.process
 	began := time.Now()
@@ -248,6 +268,8 @@
 
 	mu     sync.Mutex
 	judged []judgedRequest
+	// secondEnd is set when a request met its second end here.
+	secondEnd bool
 }
 
 // judgedRequest is a request for which another finding holds than before.
@@ -264,6 +286,11 @@
 		log, event = w.ordinary, "request_blame_told"
 	}
 	w.metrics.Blamed(told)
+	if !told && len(r.Ends) == 2 {
+		w.mu.Lock()
+		w.secondEnd = true
+		w.mu.Unlock()
+	}
 	log.Info(event, "print", r.Print, "ends", len(r.Ends), "step", e.Step, "target_id", uint32(e.Target), "workspace", r.Workspace, "route", r.Route, "generation", r.Generation)
 }
 
@@ -291,6 +318,15 @@
 	return judged
 }
 
+// takeSecondEnd reports whether a request met its second end here since the last call.
+func (w *suspectWatch) takeSecondEnd() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	met := w.secondEnd
+	w.secondEnd = false
+	return met
+}
+
 // Cleared implements quarantine.Observer.
 func (w *suspectWatch) Cleared(r *quarantine.Record) {
 	w.ordinary.Info("request_cleared", "print", r.Print, "ends", len(r.Ends), "served", r.Served)
