Old records of refused requests leave the store; one read of it at a time

The store keeps the newest record of a key for ever, so that a record which nobody dropped would have stayed; and while the store is down each second end would have begun one more row of reads that are made again until one is answered. Change: one entry drops records that are too old when it reads them; a read is begun only while none is under way. Conclusion: calls and records stay bounded.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -54,6 +54,8 @@
 	watch   *suspectWatch
 	// lookedAt is when the store was read last for a second end.
 	lookedAt time.Time
+	// loading is set while the store is read, or is to be read again after a failure.
+	loading bool
 }
 
 func newSuspects(p *process) *suspects {
@@ -149,7 +151,7 @@
 // lookAgain reads the store when that was not done lately.
 func (s *suspects) lookAgain() {
 	now := s.process.clock.Now()
-	if now.Sub(s.lookedAt) > suspectsPause {
+	if !s.loading && now.Sub(s.lookedAt) > suspectsPause {
 		s.lookedAt = now
 		s.load()
 	}
@@ -158,39 +160,56 @@
 // load reads what is refused, until it has.
 func (s *suspects) load() {
 	p := s.process
+	s.loading = true
 	began := time.Now()
 	control.Do(p.loop, suspectsTimeout, p.platform.Quarantined, func(records [][]byte, err error) {
 		p.metrics.StoreCall(topicQuarantine, time.Since(began), err)
-		if err != nil {
-			p.logger.Info("quarantine_not_read", "error", err.Error())
-			p.loop.Go(func(ctx context.Context) {
-				if sleep.For(ctx, p.loop.Spread(suspectsAgain)) {
-					p.loop.Post(s.load)
-				}
-			})
+		if err == nil {
+			s.loading = false
+			s.restoreAll(records)
 			return
 		}
-		taken := 0
-		for _, text := range records {
-			if s.restore(text) {
-				taken++
+		p.logger.Info("quarantine_not_read", "error", err.Error())
+		p.loop.Go(func(ctx context.Context) {
+			if sleep.For(ctx, p.loop.Spread(suspectsAgain)) {
+				p.loop.Post(s.load)
 			}
-		}
-		p.logger.Info("quarantine_read", "records", len(records), "in_force", taken)
+		})
 	})
 }
 
+// restoreAll takes in the stored records. Those that are too old are dropped from the store
+// by one entry: the store keeps the newest record of a key for ever.
+func (s *suspects) restoreAll(records [][]byte) {
+	taken, dropped := 0, 0
+	for _, text := range records {
+		m := &peerv1.Suspect{}
+		if err := proto.Unmarshal(text, m); err != nil {
+			s.process.logger.Info("quarantine_record_refused", "bytes", len(text), "error", err.Error())
+			continue
+		}
+		if s.restore(m) {
+			taken++
+			continue
+		}
+		age := time.Since(time.UnixMilli(m.WrittenUnixMs))
+		if dropped < mostDropped && age > s.process.settings.Quarantine.HoldFor.Duration && s.process.beliefs.entriesBefore() == 0 {
+			dropped++
+			s.keep(quarantine.Print(m.Print), true)
+		}
+	}
+	s.process.logger.Info("quarantine_read", "records", len(records), "in_force", taken, "dropped", dropped)
+}
+
+// mostDropped bounds the calls of the store after one read of it.
+const mostDropped = 16
+
 // topicQuarantine is the name of the topic in logs and metrics.
 const topicQuarantine = "quarantine"
 
-// restore takes in a stored record. Its ages are counted by wall clocks, which differ by
-// seconds: records are kept for hours.
-func (s *suspects) restore(text []byte) bool {
-	m := &peerv1.Suspect{}
-	if err := proto.Unmarshal(text, m); err != nil {
-		s.process.logger.Info("quarantine_record_refused", "bytes", len(text), "error", err.Error())
-		return false
-	}
+// restore takes in a stored record and reports whether it was news. Its ages are counted by
+// wall clocks, which differ by seconds: records are kept for hours.
+func (s *suspects) restore(m *peerv1.Suspect) bool {
 	since := uint64(max(time.Now().UnixMilli()-m.WrittenUnixMs, 0))
 	m.RenewedAgeMs += since
 	for _, e := range m.Ends {
