Ends of targets at which a send was given up, and of those that are just closing

Traced: the engine had closed the connection and not yet its listener when it was asked, so that the entry sent the request on at once; 30 ms later the end was known and that send given up, but the second engine had begun to run it, ended, and counted as one that ended without it. The request was let go. Change: a target that takes a connection and closes it at once is asked again, 5 ms later, three times at most; a target at which a send was given up is watched for a second.

--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -108,6 +108,14 @@
 	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
 }
 
+// doubt is that the target has ended under the request now.
+func (fl *flow) doubt(to *destination) quarantine.Doubt {
+	return quarantine.Doubt{
+		Print: fl.print, Who: quarantine.Who{Workspace: fl.workspaceName(), Route: fl.routeName()},
+		Target: to.target, Unlisted: !quarantine.Lists(fl.view, &to.target), Step: to.standing.Step, At: fl.Now(), RequestID: fl.request.ID,
+	}
+}
+
 // blame holds it against the request if its target has ended and did not only break the
 // connection off. It is called before the next send is placed, which goes by it.
 func (fl *flow) blame(ctx context.Context, to *destination, err error) {
@@ -118,10 +126,7 @@
 	if !ok {
 		return
 	}
-	d := quarantine.Doubt{
-		Print: fl.print, Who: quarantine.Who{Workspace: fl.workspaceName(), Route: fl.routeName()},
-		Target: to.target, Unlisted: !quarantine.Lists(fl.view, &to.target), Step: to.standing.Step, At: fl.Now(), RequestID: fl.request.ID,
-	}
+	d := fl.doubt(to)
 	evidence := fl.Endings.Ended(ctx, v, d)
 	fl.Logger.Info("target_broke_off", "request_id", fl.request.ID, "print", fl.print, "target", to.target.Life, "evidence", string(evidence),
 		"list_age", fl.since(v.ListedAt), "step", d.Step, "ran", tenth(time.Since(fl.sentAt)))
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -245,6 +245,7 @@
 // given up for the sake of another target says nothing of its own.
 func (fl *flow) judgeBroken(ctx context.Context, to *destination, err error) {
 	if errors.Is(context.Cause(ctx), errApart) {
+		fl.Endings.GivenUp(fl.doubt(to))
 		return
 	}
 	fl.judge(to, health.Broken)
--- a/internal/gateway/quarantine/endings.go
+++ b/internal/gateway/quarantine/endings.go
@@ -19,6 +19,9 @@
 	doubtFor = 5 * time.Second
 	// askAgain is how long a target that was found to listen is believed to.
 	askAgain = 200 * time.Millisecond
+	// givenUpFor is the same for a target at which a send was given up: it may have begun to
+	// run the request, and ends within some hundred milliseconds then.
+	givenUpFor = time.Second
 	// rememberFor is how long it is remembered that a target has ended. All that it worked
 	// on breaks off within some milliseconds.
 	rememberFor = 10 * time.Second
@@ -75,6 +78,8 @@
 	At       time.Time
 	// RequestID is that of the try, for the log.
 	RequestID string
+	// until is when the doubt is dropped.
+	until time.Time
 }
 
 // NewEndings returns one that asks by refuses.
@@ -98,10 +103,22 @@
 	case e.ask(ctx, &d.Target, d.At):
 		return RefusesConnections
 	}
+	e.keep(d, doubtFor)
+	return NoEvidence
+}
+
+// GivenUp keeps the doubt of a send that was given up before its target answered.
+//
+// The failure guarded against: the target had begun to run the request and ends under it,
+// while nobody waits for the answer. Its end would count as one without the request, and
+// speak for another cause than it.
+func (e *Endings) GivenUp(d Doubt) { e.keep(d, givenUpFor) }
+
+func (e *Endings) keep(d Doubt, within time.Duration) {
+	d.until = d.At.Add(within)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.doubted = append(e.doubted, d)
-	return NoEvidence
 }
 
 // ask asks a target once for all requests that broke off with it.
@@ -140,6 +157,16 @@
 	}
 }
 
+// refused reports whether the target was found to refuse connections.
+func (a *ending) refused() bool {
+	select {
+	case <-a.known:
+		return a.refuses
+	default:
+		return false
+	}
+}
+
 func (e *Endings) forget(now time.Time) {
 	for id, a := range e.asked {
 		if now.Sub(a.at) > rememberFor {
@@ -160,8 +187,11 @@
 		listed, known := find(v, &d.Target)
 		d.Unlisted = d.Unlisted && !known
 		evidence := told(v, &d, known)
+		if a := e.asked[d.Target.ID]; a != nil && a.refused() {
+			evidence = RefusesConnections
+		}
 		switch {
-		case known && listed.Leaving || now.Sub(d.At) > doubtFor:
+		case known && listed.Leaving || now.After(d.until):
 		case evidence != NoEvidence:
 			settled, why = append(settled, d), append(why, evidence)
 		default:
--- a/internal/gateway/quarantine/endings_test.go
+++ b/internal/gateway/quarantine/endings_test.go
@@ -144,3 +144,26 @@
 		}
 	})
 }
+
+// A request waits at a target when another one ends under it, and its send there is given
+// up. But the target has begun to run it, and ends a moment later with others, who find it
+// gone. That end counts against the request, too; one long after does not.
+func TestTargetThatEndsAfterItsSendWasGivenUp(t *testing.T) {
+	one := life("i-1", 0)
+	v := shows(start, one)
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{100 * time.Millisecond, 1}, {2 * time.Second, 0}} {
+		e := NewEndings(func(context.Context, *fleet.Target) bool { return true })
+		e.GivenUp(Doubt{Print: 7, Target: one, Step: 2, At: at(0)})
+		if doubts, _ := e.Settle(v, at(10)); len(doubts) != 0 {
+			t.Errorf("blamed while it lives: %+v", doubts)
+		}
+		e.Ended(context.Background(), v, Doubt{Print: 8, Target: one, At: start.Add(c.after)})
+		doubts, why := e.Settle(v, start.Add(c.after+10*time.Millisecond))
+		if len(doubts) != c.want || c.want == 1 && (doubts[0].Print != 7 || doubts[0].Step != 2 || why[0] != RefusesConnections) {
+			t.Errorf("ended after %v: %+v for %v", c.after, doubts, why)
+		}
+	}
+}
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 const (
@@ -135,14 +137,30 @@
 	return &conn{pool: p, address: address, net: c, reader: bufio.NewReaderSize(c, bufferSize)}, nil
 }
 
+const (
+	// refuseTries and refusePause are how often, and after which time, a target is asked
+	// again that took a connection and closed it at once.
+	refuseTries = 3
+	refusePause = 5 * time.Millisecond
+)
+
 // Refuses reports whether the host at an address answers that no process listens there. A
-// connection that is made is kept for the next request.
+// connection that is made and stays is kept for the next request.
+//
+// The failure guarded against: a process that ends closes its connections and its listener
+// one after the other. A connection that is made in between is closed a moment later.
 func (p *Pool) Refuses(ctx context.Context, address netip.AddrPort) bool {
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	for range refuseTries {
+		c, err := p.dial(ctx, address)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		if !sleep.For(ctx, refusePause) || c.alive() {
+			p.put(c)
+			return false
+		}
+		c.close()
 	}
-	p.put(c)
 	return false
 }
 
--- a/internal/gateway/upstream/pool_test.go
+++ b/internal/gateway/upstream/pool_test.go
@@ -157,3 +157,47 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// A process ends: it closes a connection that it has just taken, and its listener a moment
+// later. It counts as gone. One that closes no more than that connection lives, and so does
+// one that keeps it.
+func TestListenerThatClosesAMomentLaterRefuses(t *testing.T) {
+	for _, c := range []struct {
+		story         string
+		taken, closes int
+		want          bool
+	}{{"ends after one connection", 1, 1, true}, {"closes one connection and keeps the next", 9, 1, false}, {"keeps it", 9, 0, false}} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := netip.MustParseAddrPort(l.Addr().String())
+		var kept []net.Conn
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for n := 1; n <= c.taken; n++ {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if n <= c.closes {
+					conn.Close()
+				} else {
+					kept = append(kept, conn)
+				}
+			}
+			l.Close()
+		}()
+		p := NewPool(func() {})
+		if got := p.Refuses(t.Context(), address); got != c.want {
+			t.Errorf("%s: refuses %v", c.story, got)
+		}
+		l.Close()
+		<-done
+		for _, conn := range kept {
+			conn.Close()
+		}
+		p.CloseIdle()
+	}
+}
