--- a/internal/gateway/quarantine/print.go
+++ b/internal/gateway/quarantine/print.go
@@ -15,7 +15,7 @@
 // request is sent only to the target that its [Print] ranks first, so that repeats which
 // several entries hold at the same time meet at one target. From its second on one of them
 // runs at a time, at a target where no other suspect runs. What has ended three targets is
-// refused.
+// held for a second, in which other ends may speak for another cause, and then refused.
 //
 // Requests that only stood beside the cause meet the same ends. They part from it at their
 // next send, because their prints rank other targets first, and the ends that a refused
