A refused request runs on probation once nothing has ended for ten seconds

Change: once no target has ended for 10 s one run of it is made, by one entry at a time; a run that goes well forgives the ends so far, the next end refuses it again at once. The wait grows by six with each run; two runs at most until one goes well, counted over all entries and kept in the store.

Ruled out: fewer refusals by more evidence (the records are equal); release by time alone (three ends more each time); a run at each entry (as many ends).

In the fleet model a fatal request over 90 s ends three, what was under way and two more, and is sent at most three times later than 3 s after its third end.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -225,7 +225,7 @@
 	v := &view.View{
 		Estate: b.estate, EstateText: b.estateText, Targets: b.directory.Targets(b.declared, now, b.targets.Copy().OutageEnd()),
 		ListedAt: b.targets.Copy().CurrentAt(), DeclaredAt: b.currentAt(topicOperators), Engines: map[fleet.Life]view.EngineWord{}, Silent: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
-		Entries: 1 + len(b.mesh.Live(true)), Stopping: b.stopping, PicksFrom: b.picksFrom, EndsAt: b.endsAt,
+		Entries: 1 + len(b.mesh.Live(true)), EntriesBefore: b.entriesBefore(), Stopping: b.stopping, PicksFrom: b.picksFrom, EndsAt: b.endsAt,
 	}
 	b.sizeUp(v.Targets)
 	v.Large = b.large.Load()
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -55,6 +55,7 @@
 func (noObserver) Cleared(*quarantine.Record)        {}
 func (noObserver) Released(*quarantine.Record, bool) {}
 func (noObserver) Evicted(*quarantine.Record)        {}
+func (noObserver) Probation(*quarantine.Record)      {}
 
 // target is a target whose answers a test writes byte by byte.
 type target struct {
--- a/internal/gateway/quarantine/book.go
+++ b/internal/gateway/quarantine/book.go
@@ -18,6 +18,9 @@
 	SuspectFor, HoldFor time.Duration
 	// Records is the most that are kept. The least suspected go first.
 	Records int
+	// Turn is how much later than the first of all processes this one may put a request on
+	// probation; nil for at once.
+	Turn func(Print) time.Duration
 }
 
 // Verdict is what a request may do.
@@ -66,6 +69,8 @@
 	// now, Released that it was let go, here or as another process told it.
 	Cleared(r *Record)
 	Released(r *Record, told bool)
+	// Probation tells that a run of a refused request is begun.
+	Probation(r *Record)
 	// Evicted tells that a record was dropped for want of room.
 	Evicted(r *Record)
 }
@@ -96,6 +101,8 @@
 	touched   map[Print]bool
 	ownChange bool
 	sweptAt   time.Time
+	// endedAt is when the last end of any target became known.
+	endedAt time.Time
 }
 
 // NewBook returns an empty book.
@@ -118,14 +125,16 @@
 	if r == nil || b.expired(r, now) {
 		return Standing{}
 	}
-	return b.standing(r)
+	return b.standing(r, now)
 }
 
-func (b *Book) standing(r *Record) Standing {
+func (b *Book) standing(r *Record, now time.Time) Standing {
 	s := Standing{Step: r.steps(b.isExplained), Ends: r.open(b.isExplained)}
 	switch {
+	case b.found[r.Print] == MustNotRun && b.onProbation(r, now):
+		s.Verdict, s.Step, s.Ends = Alone, len(r.Ends), len(r.Ends)
 	case b.found[r.Print] == MustNotRun:
-		s.Verdict, s.Ends, s.Until = Refused, len(r.Ends), r.ChangedAt().Add(b.limits.HoldFor)
+		s.Verdict, s.Ends, s.Until = Refused, len(r.Ends), b.heldUntil(r)
 	case b.found[r.Print] == MustWait:
 		s.Verdict = Held
 	case r.cleared(b.isExplained):
@@ -155,6 +164,7 @@
 		return
 	}
 	b.observer.Blamed(r, e, false)
+	b.noteEnd(e.At)
 	b.touch(p, true)
 	b.tell(p)
 	b.makeRoom()
@@ -166,7 +176,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[p]
-	if r == nil || len(r.Ends) == 0 || b.found[p] == MustNotRun {
+	if r == nil || len(r.Ends) == 0 {
+		return
+	}
+	if b.found[p] == MustNotRun && !b.pardon(r) {
 		return
 	}
 	r.Served++
@@ -211,6 +224,13 @@
 	if r.tried(now) || b.occupied(target, p, now) {
 		return false
 	}
+	if b.found[p] == MustNotRun {
+		if !b.onProbation(r, now) {
+			return false
+		}
+		r.Probations++
+		b.observer.Probation(r)
+	}
 	r.Trial = Trial{Number: r.Trial.Number + 1, Target: target, Since: now}
 	b.tried[p] = r
 	b.tell(p)
@@ -269,7 +289,7 @@
 	var all []Listed
 	for _, r := range b.records {
 		if len(r.Ends) > 0 && !b.expired(r, now) {
-			all = append(all, Listed{r.clone(), b.standing(r)})
+			all = append(all, Listed{r.clone(), b.standing(r, now)})
 		}
 	}
 	slices.SortFunc(all, func(x, y Listed) int {
--- a/internal/gateway/quarantine/message.go
+++ b/internal/gateway/quarantine/message.go
@@ -16,6 +16,7 @@
 func Message(r *Record, now time.Time) *peerv1.Suspect {
 	m := &peerv1.Suspect{
 		Print: uint64(r.Print), Generation: r.Generation, Served: uint32(r.Served), Trial: r.Trial.Number,
+		Probations: uint32(r.Probations), Pardoned: uint32(r.Pardoned), Forgiven: uint32(r.Forgiven),
 	}
 	if !r.RenewedAt.IsZero() {
 		m.RenewedAgeMs = age(r.RenewedAt, now)
@@ -36,7 +37,8 @@
 func FromMessage(m *peerv1.Suspect, now time.Time) Record {
 	r := Record{
 		Print: Print(m.Print), Generation: m.Generation, Served: int(m.Served), Workspace: m.Workspace, Route: m.Route,
-		Trial: Trial{Number: m.Trial, Target: fleet.ID(m.TrialTarget)},
+		Trial:      Trial{Number: m.Trial, Target: fleet.ID(m.TrialTarget)},
+		Probations: int(m.Probations), Pardoned: int(m.Pardoned), Forgiven: int(m.Forgiven),
 	}
 	if r.Generation > 0 {
 		r.RenewedAt = ago(m.RenewedAgeMs, now)
--- a/internal/gateway/quarantine/model_test.go
+++ b/internal/gateway/quarantine/model_test.go
@@ -60,6 +60,8 @@
 	simGather  = 5 * time.Millisecond
 	simPause   = 10 * time.Millisecond
 	simWait    = time.Second // the longest wait for a turn to run alone
+	// lateAfter is how long after the third end users do not count what is sent.
+	lateAfter = 3 * time.Second
 )
 
 // sim plays a fleet with the real books on a virtual clock.
@@ -75,6 +77,7 @@
 	// what came of it.
 	endedBy          map[Print]int
 	fatalSent        int
+	sentLate         int
 	innocents        int
 	innocentRefused  int
 	innocentFailed   int
@@ -152,6 +155,7 @@
 		limits.Ends = 1 << 30
 	}
 	for i := range l.entries {
+		limits.Turn = func(Print) time.Duration { return min(time.Duration(i)*200*time.Millisecond, 3*time.Second) }
 		s.nodes = append(s.nodes, &simEntry{Book: NewBook(limits, simWatch{s}), id: i})
 	}
 	for range l.engines {
@@ -191,6 +195,7 @@
 func (w simWatch) Cleared(*Record)        {}
 func (w simWatch) Released(*Record, bool) {}
 func (w simWatch) Evicted(*Record)        {}
+func (w simWatch) Probation(*Record)      {}
 
 func (s *sim) bear(e *simEngine) {
 	s.births++
@@ -253,6 +258,9 @@
 	t.sends++
 	if t.fatal {
 		s.fatalSent++
+		if third, ok := s.thirdAt[t.print]; ok && s.now > third+lateAfter {
+			s.sentLate++
+		}
 	}
 	var giveUp func()
 	if s.giveUp {
--- a/internal/gateway/quarantine/record.go
+++ b/internal/gateway/quarantine/record.go
@@ -45,6 +45,10 @@
 	Trial  Trial
 	// RenewedAt is when the request was let go last; zero when it never was.
 	RenewedAt time.Time
+	// Probations is how many runs of it were begun while it was refused. Pardoned is how many
+	// had been when one of them went well last, and Forgiven how many ends were known then:
+	// those are no longer held against it.
+	Probations, Pardoned, Forgiven int
 }
 
 // ChangedAt is when the last end became known, or when the request was let go after it.
@@ -141,6 +145,10 @@
 	if o.Served > r.Served {
 		r.Served, changed = o.Served, news
 	}
+	if o.Probations > r.Probations || o.Pardoned > r.Pardoned || o.Forgiven > r.Forgiven {
+		r.Probations, r.Pardoned, r.Forgiven = max(r.Probations, o.Probations), max(r.Pardoned, o.Pardoned), max(r.Forgiven, o.Forgiven)
+		changed = news
+	}
 	if o.Trial.Number > r.Trial.Number {
 		r.Trial, changed = o.Trial, news
 	}
@@ -168,6 +176,7 @@
 func (r *Record) renew(now time.Time) {
 	r.Generation++
 	r.Ends, r.Served, r.Trial, r.RenewedAt = nil, 0, Trial{}, now
+	r.Probations, r.Pardoned, r.Forgiven = 0, 0, 0
 }
 
 // tried reports whether a trial is under way.
--- a/internal/gateway/quarantine/runs.go
+++ b/internal/gateway/quarantine/runs.go
@@ -15,6 +15,8 @@
 	known int
 	// giveUp ends the send; nil for one that may not be made twice.
 	giveUp func()
+	// probation is set for the run of a refused request.
+	probation bool
 	// begun is set once its answer has begun: the target runs it, and to leave now saves
 	// nothing.
 	begun bool
@@ -28,6 +30,7 @@
 	defer b.mu.Unlock()
 	if r := b.records[p]; r != nil {
 		run.known = len(r.Ends)
+		run.probation = b.found[p] == MustNotRun
 	}
 	b.runs[p] = append(b.runs[p], run)
 	return run
@@ -59,7 +62,7 @@
 // on: it was begun with all that was known, and is the one that tells.
 func (b *Book) giveUp(r *Record, now time.Time) {
 	for _, run := range b.runs[r.Print] {
-		trial := r.tried(now) && run.target == r.Trial.Target && b.found[r.Print] == 0
+		trial := r.tried(now) && run.target == r.Trial.Target && (b.found[r.Print] == 0 || run.probation)
 		if run.giveUp == nil || run.begun || trial || run.known >= len(r.Ends) || r.end(run.target) {
 			continue
 		}
--- a/internal/gateway/quarantine/settling.go
+++ b/internal/gateway/quarantine/settling.go
@@ -28,7 +28,7 @@
 	}
 	b.judge(!b.ownChange, now)
 	for _, p := range slices.Sorted(maps.Keys(b.touched)) {
-		if r := b.records[p]; r != nil && b.standing(r).Verdict != Free {
+		if r := b.records[p]; r != nil && b.standing(r, now).Verdict != Free {
 			b.giveUp(r, now)
 		}
 	}
--- a/internal/gateway/quarantine/telling.go
+++ b/internal/gateway/quarantine/telling.go
@@ -41,6 +41,7 @@
 	}
 	for _, e := range r.Ends[known:] {
 		b.observer.Blamed(r, e, true)
+		b.noteEnd(e.At)
 	}
 	if r.Trial.Target != 0 {
 		b.tried[o.Print] = r
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -62,7 +62,7 @@
 	limits := p.settings.Quarantine
 	watch := &suspectWatch{logger: p.logger, ordinary: p.ordinary, metrics: p.metrics}
 	s := &suspects{process: p, watch: watch, book: quarantine.NewBook(quarantine.Limits{
-		Ends: limits.Ends, SuspectFor: limits.SuspectFor.Duration, HoldFor: limits.HoldFor.Duration, Records: limits.Records,
+		Ends: limits.Ends, SuspectFor: limits.SuspectFor.Duration, HoldFor: limits.HoldFor.Duration, Records: limits.Records, Turn: p.beliefs.probationTurn,
 	}, watch)}
 	p.metrics.Gauge("quarantined_requests", "Requests that are refused because targets ended under them.", func() float64 {
 		refused, _ := s.book.Count()
@@ -75,6 +75,24 @@
 	return s
 }
 
+const (
+	// turnTime is by how much later than the entry before it one may put a refused request on
+	// probation: by then it has been told of that one's. longestTurn bounds it in fleets of
+	// hundreds.
+	turnTime    = 200 * time.Millisecond
+	longestTurn = 3 * time.Second
+)
+
+// probationTurn is how much later than the first entry this one may put a refused request
+// on probation.
+func (b *beliefs) probationTurn(quarantine.Print) time.Duration {
+	v, ok := b.view.Get()
+	if !ok {
+		return longestTurn
+	}
+	return min(turnTime*time.Duration(v.EntriesBefore), longestTurn)
+}
+
 func (s *suspects) start() {
 	s.process.loop.Go(s.tellNews)
 	s.load()
@@ -356,6 +374,15 @@
 	w.logger.Info("request_released", "print", r.Print, "told", told, "generation", r.Generation, "workspace", r.Workspace, "route", r.Route)
 }
 
+// Probation implements quarantine.Observer. The run is written down before it may end its
+// target: should all entries end with it, they would begin as many anew.
+func (w *suspectWatch) Probation(r *quarantine.Record) {
+	w.logger.Info("request_on_probation", "print", r.Print, "ends", len(r.Ends), "probations", r.Probations, "pardoned", r.Pardoned, "workspace", r.Workspace, "route", r.Route)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.judged = append(w.judged, judgedRequest{print: r.Print})
+}
+
 // Evicted implements quarantine.Observer.
 func (w *suspectWatch) Evicted(r *quarantine.Record) {
 	w.metrics.SuspectEvicted()
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -44,8 +44,9 @@
 	// Large fleets do not tell all entries of all engines: entries ask the sidecars of
 	// the engines that they consider.
 	Large bool
-	// Entries is how many entries live, this one included.
-	Entries int
+	// Entries is how many entries live, this one included, and EntriesBefore how many of them
+	// come before it in the order of their names.
+	Entries, EntriesBefore int
 	// Stopping is set when the process ends soon; EndsAt is when, and PicksFrom
 	// is from when on it takes only requests that will have ended by then.
 	Stopping          bool
