How long a request ran, and whether it was answered, decide on its ends

Change: an end says for how long the request had been under way. Three ends right after the send outweigh as many crashes before; one that was answered between is doubted more while crashes are so frequent that they may have met it.

--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -112,7 +112,7 @@
 func (fl *flow) doubt(to *destination) quarantine.Doubt {
 	return quarantine.Doubt{
 		Print: fl.print, Who: quarantine.Who{Workspace: fl.workspaceName(), Route: fl.routeName()},
-		Target: to.target, Unlisted: !quarantine.Lists(fl.view, &to.target), Step: to.standing.Step, At: fl.Now(), RequestID: fl.request.ID,
+		Target: to.target, Unlisted: !quarantine.Lists(fl.view, &to.target), Step: to.standing.Step, At: fl.Now(), Ran: time.Since(fl.sentAt), RequestID: fl.request.ID,
 	}
 }
 
@@ -131,7 +131,7 @@
 	fl.Logger.Info("target_broke_off", "request_id", fl.request.ID, "print", fl.print, "target", to.target.Life, "evidence", string(evidence),
 		"list_age", fl.since(v.ListedAt), "step", d.Step, "ran", tenth(time.Since(fl.sentAt)))
 	if evidence != quarantine.NoEvidence {
-		fl.Quarantine.Blame(d.Print, d.Who, quarantine.End{Target: d.Target.ID, Step: d.Step, At: d.At})
+		fl.Quarantine.Blame(d.Print, d.Who, quarantine.End{Target: d.Target.ID, Step: d.Step, At: d.At, Ran: d.Ran})
 	}
 }
 
@@ -146,6 +146,6 @@
 	doubts, evidence := f.Endings.Settle(v, f.Now())
 	for i, d := range doubts {
 		f.Logger.Info("target_had_ended", "request_id", d.RequestID, "print", d.Print, "target", d.Target.Life, "evidence", string(evidence[i]), "after", f.Now().Sub(d.At).Round(time.Millisecond))
-		f.Quarantine.Blame(d.Print, d.Who, quarantine.End{Target: d.Target.ID, Step: d.Step, At: d.At})
+		f.Quarantine.Blame(d.Print, d.Who, quarantine.End{Target: d.Target.ID, Step: d.Step, At: d.At, Ran: d.Ran})
 	}
 }
--- a/internal/gateway/quarantine/endings.go
+++ b/internal/gateway/quarantine/endings.go
@@ -76,6 +76,8 @@
 	Unlisted bool
 	Step     int
 	At       time.Time
+	// Ran is how long the request had been under way there.
+	Ran time.Duration
 	// RequestID is that of the try, for the log.
 	RequestID string
 	// until is when the doubt is dropped.
--- a/internal/gateway/quarantine/judge.go
+++ b/internal/gateway/quarantine/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -145,7 +146,7 @@
 	if others > 0 {
 		perStep = besidePerStep
 	}
-	if others >= ends {
+	if others >= ends && !j.beyondChance(r, others) || r.Served > 0 && j.byChance(r, others) {
 		need += moreEnds
 	}
 	// Runs are counted from the first end on: there is one step less than ends in them.
@@ -155,18 +156,73 @@
 	return r.steps(j.isExplained) >= need || ends >= need && j.beside(r, momentWindow) == 0
 }
 
-// beside counts the targets that ended without the request, from a time before its first
-// end until a moment after its last.
-func (j *judgement) beside(r *Record, before time.Duration) int {
-	first, last := r.Ends[0].At, r.Ends[0].At
+// The chance that a request which did nothing met all its ends, given how often targets ended
+// at that time: below unlikely it did not, above likely it may well have.
+const (
+	unlikely = 0.0001
+	likely   = 0.02
+)
+
+// beyondChance reports whether it is known that a request which did nothing would not have
+// met all its ends, byChance whether it is known that it may have.
+//
+// The load patterns that they answer: some targets crash by themselves, seconds apart, and a
+// request ends three more, each within some milliseconds of its send; in a storm of crashes,
+// one in each run of an answer, a request that is always under way meets three in a row, and
+// is served now and then. One that is never served is given no such doubt.
+func (j *judgement) beyondChance(r *Record, others int) bool {
+	chance, known := j.chance(r, others)
+	return known && chance < unlikely
+}
+
+func (j *judgement) byChance(r *Record, others int) bool {
+	chance, known := j.chance(r, others)
+	return known && chance > likely
+}
+
+// chance is the chance that ends as frequent as those around the request's would have met
+// each of its runs that ended, whichever their targets; false where it is not known for how
+// long it ran.
+func (j *judgement) chance(r *Record, others int) (float64, bool) {
+	first, last := j.around(r, usualWindow)
+	span := max(last.Sub(first), shortestSpan)
+	perSecond := float64(others+r.open(j.isExplained)) / span.Seconds()
+	chance := 1.0
 	for _, e := range r.Ends {
-		if e.At.Before(first) {
-			first = e.At
+		if j.explained[e.Target] {
+			continue
 		}
-		if e.At.After(last) {
-			last = e.At
+		if e.Ran == 0 {
+			return 0, false
 		}
+		chance *= 1 - math.Exp(-perSecond*e.Ran.Seconds())
 	}
+	return chance, true
+}
+
+// shortestSpan is the least time over which ends are counted as a rate.
+const shortestSpan = 100 * time.Millisecond
+
+// around returns the first and the last end of any target from a time before the request's
+// first one until a moment after its last.
+func (j *judgement) around(r *Record, before time.Duration) (first, last time.Time) {
+	from, to := r.span()
+	for _, e := range j.ordered() {
+		if e.At.Before(from.Add(-before)) || e.At.After(to.Add(momentWindow)) || j.explained[e.Target] {
+			continue
+		}
+		if first.IsZero() {
+			first = e.At
+		}
+		last = e.At
+	}
+	return first, last
+}
+
+// beside counts the targets that ended without the request, from a time before its first
+// end until a moment after its last.
+func (j *judgement) beside(r *Record, before time.Duration) int {
+	first, last := r.span()
 	all := j.ordered()
 	from, _ := slices.BinarySearchFunc(all, first.Add(-before), func(e End, t time.Time) int { return e.At.Compare(t) })
 	n := 0
--- a/internal/gateway/quarantine/judge_test.go
+++ b/internal/gateway/quarantine/judge_test.go
@@ -88,6 +88,46 @@
 	}
 }
 
+// ran states how long the request was under way at each of its ends.
+func ran(d time.Duration, r *Record) *Record {
+	for i := range r.Ends {
+		r.Ends[i].Ran = d
+	}
+	return r
+}
+
+// Three targets crashed by themselves within the last ten seconds. Then three more end, each
+// 60 ms after the same request was sent to it: at that rate of crashes a request that did
+// nothing would meet three of them once in thirty thousand times. It was run a fourth time,
+// since as many targets had ended without it as with it:
+//
+//	request_blamed ... ends=3 step=2
+//	request_held ... ends=4 served=0
+func TestEndsRightAfterTheSendOutweighEarlierCrashes(t *testing.T) {
+	records := []*Record{ran(60*time.Millisecond, rec(1, 10_000, 10, 11, 12)), rec(2, 1000, 20), rec(3, 6500, 21), rec(4, 7500, 22)}
+	if f := Judge(records, 3, at(60_000))[1]; f != MustNotRun {
+		t.Errorf("found %v", f)
+	}
+	records[0] = ran(2*time.Second, rec(1, 10_000, 10, 11, 12))
+	if f := Judge(records, 3, at(60_000))[1]; f != 0 {
+		t.Errorf("under way for two seconds each time: found %v", f)
+	}
+}
+
+// Targets crash every 300 ms. A prompt that is always under way, for 200 ms each time, meets
+// three of the crashes, and is answered once between: it takes two ends more than one that
+// is never answered.
+func TestAnsweredBetweenCrashesInAStorm(t *testing.T) {
+	r := ran(200*time.Millisecond, rec(1, 1000, 10, 11, 12))
+	if f := Judge([]*Record{r}, 3, at(60_000))[1]; f != MustNotRun {
+		t.Errorf("never answered: found %v", f)
+	}
+	r.Served = 1
+	if f := Judge([]*Record{r}, 3, at(60_000))[1]; f != 0 {
+		t.Errorf("answered once between: found %v", f)
+	}
+}
+
 // What it costs to judge anew after a change, with a book that is full of suspects with one
 // end, and a few that may be refused.
 func BenchmarkJudge(b *testing.B) {
--- a/internal/gateway/quarantine/message.go
+++ b/internal/gateway/quarantine/message.go
@@ -7,6 +7,9 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 )
 
+// longestRan bounds how long a request is said to have been under way.
+const longestRan = time.Hour
+
 // longestName bounds the names of workspace and route in a message: records of several
 // requests fit into one datagram.
 const longestName = 48
@@ -25,7 +28,7 @@
 		m.TrialTarget, m.TrialAgeMs = uint32(r.Trial.Target), age(r.Trial.Since, now)
 	}
 	for _, e := range r.Ends {
-		m.Ends = append(m.Ends, &peerv1.TargetEnd{Target: uint32(e.Target), Step: uint32(e.Step), AgeMs: age(e.At, now)})
+		m.Ends = append(m.Ends, &peerv1.TargetEnd{Target: uint32(e.Target), Step: uint32(e.Step), AgeMs: age(e.At, now), RanMs: uint32(min(e.Ran, longestRan).Milliseconds())})
 	}
 	if len(r.Ends) > 1 {
 		m.Workspace, m.Route = r.Workspace[:min(len(r.Workspace), longestName)], r.Route[:min(len(r.Route), longestName)]
@@ -47,7 +50,7 @@
 		r.Trial.Since = ago(m.TrialAgeMs, now)
 	}
 	for _, e := range m.Ends[:min(len(m.Ends), maxEnds)] {
-		r.Ends = append(r.Ends, End{Target: fleet.ID(e.Target), Step: int(e.Step), At: ago(e.AgeMs, now)})
+		r.Ends = append(r.Ends, End{Target: fleet.ID(e.Target), Step: int(e.Step), At: ago(e.AgeMs, now), Ran: min(time.Duration(e.RanMs)*time.Millisecond, longestRan)})
 	}
 	return r
 }
--- a/internal/gateway/quarantine/model_test.go
+++ b/internal/gateway/quarantine/model_test.go
@@ -112,6 +112,7 @@
 	since  time.Duration
 	step   int
 	trial  bool
+	sentAt time.Duration
 	engine *simEngine
 	run    *Run
 	sends  int
@@ -252,7 +253,7 @@
 		}
 		return
 	}
-	t.engine, t.step, t.trial = e, st.Step, alone
+	t.engine, t.step, t.trial, t.sentAt = e, st.Step, alone, s.now
 	e.running[t] = true
 	t.left--
 	t.sends++
@@ -356,7 +357,7 @@
 		t.entry.Done(t.run)
 		t.engine = nil
 		s.after(simHop, func() {
-			t.entry.Blame(t.print, Who{}, End{Target: life, Step: t.step, At: s.clock()})
+			t.entry.Blame(t.print, Who{}, End{Target: life, Step: t.step, At: s.clock(), Ran: s.now - t.sentAt})
 			if trial {
 				t.entry.End(t.print, life)
 			}
--- a/internal/gateway/quarantine/record.go
+++ b/internal/gateway/quarantine/record.go
@@ -17,6 +17,9 @@
 	Step int
 	// At is when the end became known.
 	At time.Time
+	// Ran is how long the request had been under way at the target; zero when that is not
+	// known.
+	Ran time.Duration
 }
 
 // Trial is a run of a suspect, of which there is one at a time.
@@ -87,6 +90,20 @@
 	trialFor = 20 * time.Second
 )
 
+// span is from the request's first end to its last; there is one at least.
+func (r *Record) span() (first, last time.Time) {
+	first, last = r.Ends[0].At, r.Ends[0].At
+	for _, e := range r.Ends {
+		if e.At.Before(first) {
+			first = e.At
+		}
+		if e.At.After(last) {
+			last = e.At
+		}
+	}
+	return first, last
+}
+
 // end reports whether the record holds a life's end.
 func (r *Record) end(target fleet.ID) bool {
 	return slices.ContainsFunc(r.Ends, func(e End) bool { return e.Target == target })
@@ -118,6 +135,9 @@
 	if e.At.Before(known.At) {
 		known.At, changed = e.At, detail
 	}
+	if e.Ran > 0 && (known.Ran == 0 || e.Ran < known.Ran) {
+		known.Ran, changed = e.Ran, detail
+	}
 	if e.Step < known.Step {
 		known.Step, changed = e.Step, news
 	}
