--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -207,9 +207,7 @@
 //
 // The load pattern that it answers: more prompts come than the engines can read, short
 // ones of an urgent route and long ones of another. Ranked alike, or last once they are
-// late, the short ones wait for all long ones until their callers leave: 5,200 of
-// 10,400 were refused while nine in ten long ones were answered (a quarter of 41 engines
-// dark for 14 s).
+// late, the short ones wait for all long ones until their callers leave.
 func (fl *flow) urgency(late bool) int {
 	rank := max(fl.route.Priority, 0)
 	if fl.workspace != nil && fl.workspace.HasPriority {
--- a/internal/gateway/forward/sources.go
+++ b/internal/gateway/forward/sources.go
@@ -174,8 +174,7 @@
 //
 // The failure guarded against: all processes have started again, and know of engines
 // that hold the part that all prompts begin with. Fetched from there, the rest is read
-// again although the store holds all of it: 4.8% of the shared tokens of a day that ends
-// so.
+// again although the store holds all of it.
 func (p *prompt) betterThan(s, o *source, zone string) bool {
 	if a, b := p.probable(s), p.probable(o); a != b {
 		return a > b
--- a/internal/gateway/parts/parts.go
+++ b/internal/gateway/parts/parts.go
@@ -231,7 +231,7 @@
 // The failure guarded against: an engine says block by block that it reads a part, a
 // tenth of a second late. The part's first user has had its answer by then. Were the
 // old word taken, the next prompts would find the part held in part, and read the rest
-// again elsewhere. No gain in worth was measured.
+// again elsewhere.
 func (b *belief) learn(tokens int, now time.Time) {
 	settled := b.state == Held && now.Sub(b.at) > settleTime
 	if settled {
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -218,8 +218,7 @@
 	LaterMemoryShare  = 0.85
 	ReturnMemoryShare = 0.92
 	// largestShare bounds what a prompt counts as, as a share of an engine's memory. The
-	// longest ones would otherwise find room nowhere while shorter ones come: of them 0.38
-	// were served, of all 0.76.
+	// longest ones would otherwise find room nowhere while shorter ones come.
 	largestShare = 0.125
 )
 
@@ -228,9 +227,7 @@
 // The load pattern that it answers: long prompts come faster than the answers to earlier
 // ones end, and wait at engines. Each engine admits one as soon as its prompt fits, and
 // has to preempt it when an urgent one comes or answers grow: it then reads the same
-// prompt again. 1,500 of 3,300 long prompts met that in 34 s at 45 engines of which a
-// quarter was dark, and a tenth of all reading was of shared parts that had been read
-// before.
+// prompt again.
 func full(q *Question, c *Candidate) bool {
 	taken := c.Work.Memory.All()
 	if q.MemoryShare <= 0 || c.Memory <= 0 || taken == 0 {
@@ -340,8 +337,8 @@
 // yet to come. They are read first.
 //
 // The load pattern that it answers: long prompts wait at an engine that is given short
-// urgent ones all the time. Reckoned without those they were expected after 0.93 s and
-// began after 1.48 s (medians), too late for what their callers were promised.
+// urgent ones all the time. Reckoned without those they begin later than expected, too late
+// for what their callers were promised.
 func free(c *Candidate, urgency int) float64 {
 	if urgency == 0 {
 		return 1
@@ -361,8 +358,8 @@
 //
 // The load pattern that it answers: an engine's memory is full of long prompts, and a
 // short one of an urgent route comes. It is admitted before those that wait, and of
-// those that run the least urgent make room. Counted as waiting for all of them it was
-// expected to take 2.6 s, and refused; those that were sent began after 0.4 s.
+// those that run the least urgent make room. Counted as waiting for all of them it would be
+// refused although it could begin at once.
 func over(c *Candidate, q *Question, urgency, intake int) int {
 	n := max(c.Work.Running+1-c.Slots, 0)
 	taken := c.Work.Memory.UpTo(urgency)
--- a/internal/gateway/probe/probe.go
+++ b/internal/gateway/probe/probe.go
@@ -5,9 +5,8 @@
 //
 // A sidecar is the one that can know its engine exactly: the work of all entries there,
 // what its cache holds, its weights and whether it answers. Telling that to all entries
-// costs entries times engines: with 103 entries and 180 engines it took 100,000
-// datagrams a second and most of the entries' processors, and each change still reached
-// one entry in twelve at once. Asked for by those who need it, it costs a few datagrams
+// costs entries times engines; with a hundred of each it takes most of the entries'
+// processors, and each change still reaches few of them at once. Asked for by those who need it, it costs a few datagrams
 // for each prompt, whatever the size of the fleet, and is never old.
 //
 // Each message is one datagram. There is no retry: who does not answer in time is
--- a/internal/gateway/quarantine/judge.go
+++ b/internal/gateway/quarantine/judge.go
@@ -19,7 +19,7 @@
 	usualWindow = 10 * time.Second
 	// moreEnds is how many ends more it takes while as many targets end without a request as
 	// with it. Where every third run ends because targets crash by themselves, a request that
-	// is tried four times meets three ends now and then: 11 of 13,000 were refused in error.
+	// is tried four times meets three ends now and then.
 	moreEnds = 2
 	// settleFor is how long after its last end a request is held, and not refused yet: more
 	// targets may end without it, and speak for another cause. The first three crashes of a
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -124,8 +124,8 @@
 	defaultLogLines   = 600
 	defaultRetryRatio = 0.1
 	defaultRetrySlack = 10
-	// Telling all grows with entries times engines: with 103 and 180 it took most of the
-	// small entries' processors. Up to these sizes it is measured to serve well.
+	// Telling all grows with entries times engines, and takes most of a small entry's
+	// processor with a hundred of each.
 	defaultLargeEntries = 24
 	defaultLargeEngines = 60
 	// defaultServiceLevel is the share that operators of large deployments ask for.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -89,8 +89,7 @@
 //
 // The failure guarded against is a roll that is quicker than the stops: while
 // every entry stops, the balancer has nowhere to turn, and callers find closed
-// ports for a second and more. A roll of four entries by twos, two seconds apart,
-// left 1,182 tries of 3,400 requests without a connection.
+// ports for a second and more.
 func awaitSuccessor(ctx context.Context, taken func() bool) {
 	for !taken() && sleep.For(ctx, successorPeriod) {
 		continue
--- a/internal/gateway/tracker/queue.go
+++ b/internal/gateway/tracker/queue.go
@@ -50,9 +50,8 @@
 // The load pattern that it answers: short urgent prompts and long ones of another route
 // share engines that read all the time. Only one prompt is being read, and holds up all
 // others; the rest hold up those that are as urgent or less so. Were each that should
-// have begun by now to count as being read, the urgent ones would be expected after 470
-// ms where 180 ms pass (medians, 45 engines of which a quarter is dark), and be put
-// behind the others as late.
+// have begun by now to count as being read, the urgent ones would be expected much later
+// than they begin, and be put behind the others as late.
 func workOf(sends []*send, freeAt, now time.Time) ledger.Work {
 	var w ledger.Work
 	var head *send
--- a/internal/gateway/weights/plan.go
+++ b/internal/gateway/weights/plan.go
@@ -193,9 +193,9 @@
 // list of engines and learn of a version within some 100 ms of each other, so that each
 // can reckon when its turn comes.
 //
-// The load pattern that it answers: 180 engines load weights, 36 at once. Each sidecar
-// heard one in seven of the others lately, took the rest for silent, and passed them
-// over: all loaded in disorder. A load that takes longer than usual overlaps with the
+// The load pattern that it answers: hundreds of engines load weights, a fifth at once. Each
+// sidecar hears few of the others lately, takes the rest for silent, and passes them over:
+// all load in disorder. A load that takes longer than usual overlaps with the
 // next ones, which makes them slower and breaks nothing.
 func turnByTime(q Question) Turn {
 	places := Parallel(len(q.Engines))
