--- a/internal/gateway/ratelimit/members.go
+++ b/internal/gateway/ratelimit/members.go
@@ -100,7 +100,6 @@
 // a moment after a start, and stays so where the process has started out of touch with many.
 func (m *Members) ofTold() float64 { return min(float64(m.Known-m.Silent)/float64(max(m.Told, 1)), 1) }
 
-
 // sharesFor is how long a share holds down those that follow: as long as others may take
 // entries for living that they no longer hear.
 const sharesFor = 3 * time.Second
