--- /dev/null
+++ b/internal/gateway/ratelimit/bench_test.go
@@ -0,0 +1,81 @@
+package ratelimit
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+)
+
+// benchLimiter is an entry among many; whom it coordinates it answers itself.
+func benchLimiter(entries int) *Limiter {
+	self := netip.MustParseAddrPort("10.0.0.1:7")
+	limit := Limit{PerSecond: 1e12, Burst: 1e12}
+	l := newLimiter(Options{Listen: self, Incarnation: 1, LimitOf: func(string) Limit { return limit }, Now: time.Now}, func([]byte, netip.AddrPort) {})
+	m := &Members{At: time.Now().Add(time.Hour), StartedAt: time.Now().Add(-time.Hour), Self: self, Known: entries, Heard: true}
+	for i := range entries {
+		m.Live = append(m.Live, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i + 1)}), 7))
+	}
+	l.SetMembers(m)
+	return l
+}
+
+// What the limit adds to an ordinary request whose tokens are leased already.
+func BenchmarkAdmitLeased(b *testing.B) {
+	l := benchLimiter(420)
+	r := Request{Workspace: "w", Limit: l.options.LimitOf("w"), Cost: 2400}
+	l.credit("w").leases = []holding{{tokens: 1e18, until: time.Now().Add(time.Hour)}}
+	for b.Loop() {
+		if !l.Admit(context.Background(), r).Admitted {
+			b.Fatal("refused")
+		}
+	}
+}
+
+// What a question costs at the coordinator, with as many entries as hold leases.
+func BenchmarkCoordinatorAnswers(b *testing.B) {
+	for _, entries := range []int{30, 420} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			l := benchLimiter(entries)
+			now := time.Now()
+			c := NewCoordinator(keepFor)
+			limit := Limit{PerSecond: 1e9, Burst: 1e9}
+			n := uint32(0)
+			for b.Loop() {
+				n++
+				from := Holder{Address: l.members.Load().Live[int(n)%entries], Incarnation: 1}
+				c.Answer("w", from, Ask{Number: n, Need: 2400, Want: 10_000, Spent: float64(n)}, limit, now, now)
+			}
+		})
+	}
+}
+
+// What it costs to find a workspace's coordinator.
+func BenchmarkRank(b *testing.B) {
+	for _, entries := range []int{30, 420} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			l := benchLimiter(entries)
+			for b.Loop() {
+				l.members.Load().First("workspace-17")
+			}
+		})
+	}
+}
+
+// A question and its answer each take less than a hundred bytes beside the workspace's name.
+func TestMessagesStaySmall(t *testing.T) {
+	ask := &peerv1.RateMessage{Id: 1 << 31, Incarnation: 1 << 63, Workspace: "w", Known: 420, Ask: askOut(Ask{Need: 70_000, Want: 300_000, Spent: 1e12, Returned: 70_000, Extra: 70_000, ComesBack: true, Patience: 5 * time.Second}, true)}
+	answer := &peerv1.RateMessage{Id: 1 << 31, Incarnation: 1 << 63, Workspace: "w", Known: 420, Answer: answerOut(Answer{Admitted: true, Leased: 300_000, Wait: 5 * time.Second, Level: 1e6})}
+	for _, m := range []*peerv1.RateMessage{ask, answer} {
+		if n := proto.Size(m); n > 100 {
+			t.Errorf("%d bytes: %v", n, m)
+		} else {
+			t.Logf("%d bytes", n)
+		}
+	}
+}
