A workspace's coordinator is found without strings

Cause: ranking 420 entries made a string for each: 73 us a question. Ranks change with it: all processes of a deployment run one version.

--- a/internal/gateway/ratelimit/members.go
+++ b/internal/gateway/ratelimit/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"net/netip"
 	"slices"
 	"time"
@@ -44,17 +45,24 @@
 	unheardShare = 1.0 / 8
 )
 
-// rank is where an entry stands for a workspace; the highest is its coordinator.
-func rank(workspace string, entry netip.AddrPort) uint64 {
-	return xxhash.Sum64String(workspace + "\x00" + entry.String())
+// rank is where an entry stands for a workspace, by the hash of its name; the highest is its
+// coordinator.
+func rank(workspace uint64, entry netip.AddrPort) uint64 {
+	var key [8 + 16 + 2]byte
+	host := entry.Addr().As16()
+	binary.LittleEndian.PutUint64(key[:8], workspace)
+	copy(key[8:24], host[:])
+	binary.LittleEndian.PutUint16(key[24:], entry.Port())
+	return xxhash.Sum64(key[:])
 }
 
 // First is the workspace's coordinator; not valid when no entry is known.
 func (m *Members) First(workspace string) netip.AddrPort {
 	var first netip.AddrPort
 	var highest uint64
+	name := xxhash.Sum64String(workspace)
 	for _, entry := range m.Live {
-		if r := rank(workspace, entry); !first.IsValid() || r > highest {
+		if r := rank(name, entry); !first.IsValid() || r > highest {
 			first, highest = entry, r
 		}
 	}
@@ -68,8 +76,9 @@
 		rank  uint64
 	}
 	all := make([]ranked, len(m.Live))
+	name := xxhash.Sum64String(workspace)
 	for i, entry := range m.Live {
-		all[i] = ranked{entry, rank(workspace, entry)}
+		all[i] = ranked{entry, rank(name, entry)}
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	first := make([]netip.AddrPort, 0, n)
