A bucket is not drained when entries come back: the lowered part covers it

Cause: with the part of a group held down for three seconds, draining buckets at the return of silent entries could be switched off and no test saw it.

Change: removed. A test holds that a coordinator which stood still gives out no burst; guards of the limits each have a mutation that is seen red.

--- a/internal/gateway/ratelimit/coordinator.go
+++ b/internal/gateway/ratelimit/coordinator.go
@@ -271,16 +271,6 @@
 	}
 }
 
-// Drain takes a part of each bucket's size out of it: entries that were not heard for a
-// while may have used as much.
-func (c *Coordinator) Drain(part float64, limitOf func(workspace string) Limit) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for workspace, b := range c.buckets {
-		b.level = math.Min(b.level, math.Max(b.level-part*limitOf(workspace).size(), 0))
-	}
-}
-
 // Use is what a coordinator knows of one workspace.
 type Use struct {
 	Workspace string
--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -288,7 +289,8 @@
 }
 
 // SetMembers takes in which entries live. Those that come back after a silence may have used
-// their share of each limit meanwhile.
+// their part of each limit meanwhile: the part that this entry gives out was lowered when
+// they fell silent, and rises late.
 func (l *Limiter) SetMembers(m *Members) {
 	l.mu.Lock()
 	m.Told = l.told.most(m.At)
@@ -296,32 +298,16 @@
 	l.shares.add(m.inTouch(), m.At)
 	part := min(l.shares.least(), m.Share(m.At), m.ofTold())
 	l.share.Store(&part)
-	before := l.members.Swap(m)
-	back := 0
-	for _, entry := range m.Live {
-		if !contains(before.Live, entry) {
-			back++
-		}
-	}
-	if back == 0 && len(m.Live) == len(before.Live) {
+	if before := l.members.Swap(m); sameEntries(before.Live, m.Live) {
 		return
 	}
 	l.since.Store(&m.At)
-	if back > 0 && len(before.Live) > 0 {
-		l.mine.Drain(float64(back)/float64(len(m.Live)), l.options.LimitOf)
-	}
-	l.mine.Retain(func(workspace string) bool {
-		return m.First(workspace) == m.Self
-	})
+	l.mine.Retain(func(workspace string) bool { return m.First(workspace) == m.Self })
 }
 
-func contains(entries []netip.AddrPort, entry netip.AddrPort) bool {
-	for _, e := range entries {
-		if e == entry {
-			return true
-		}
-	}
-	return false
+// sameEntries reports whether two lists without repeats hold the same entries.
+func sameEntries(a, b []netip.AddrPort) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(entry netip.AddrPort) bool { return !slices.Contains(b, entry) })
 }
 
 // Uses returns what this entry knows of the workspaces that it coordinates, and the part of
--- a/internal/gateway/ratelimit/records_test.go
+++ b/internal/gateway/ratelimit/records_test.go
@@ -119,3 +119,60 @@
 		last = a.Wait
 	}
 }
+
+// A coordinator stands still for some seconds; another has given out the rate meanwhile. When
+// it goes on and hears the others again, its bucket is empty, whatever the rate would have
+// brought in the time.
+func TestCoordinatorThatStoodStillBeginsEmpty(t *testing.T) {
+	now := noon
+	self, other := netip.MustParseAddrPort("10.0.0.1:7"), netip.MustParseAddrPort("10.0.0.2:7")
+	l := newLimiter(Options{Listen: self, Incarnation: 1, LimitOf: func(string) Limit { return small }, Now: func() time.Time { return now }}, func([]byte, netip.AddrPort) {})
+	see := func(live ...netip.AddrPort) {
+		l.SetMembers(&Members{At: now, StartedAt: noon.Add(-time.Hour), Self: self, Live: live, Known: 2, Silent: 2 - len(live), Heard: true})
+	}
+	workspace := "w"
+	for (&Members{Live: []netip.AddrPort{self, other}}).First(workspace) != self {
+		workspace += "w"
+	}
+	see(self, other)
+	now = now.Add(10 * time.Second)
+	see(self, other)
+	if a, ok := l.answerFor(workspace, holder2, Ask{Number: 1}, false, now); !ok || a.Level != small.Burst {
+		t.Fatalf("%+v, %v", a, ok)
+	}
+	see(self)
+	now = now.Add(time.Millisecond)
+	see(self, other)
+	if a, _ := l.answerFor(workspace, holder2, Ask{Number: 2}, false, now); a.Level > small.Burst/2+1 {
+		t.Errorf("the bucket holds %.0f of %.0f when the other entry is back", a.Level, small.Burst)
+	}
+}
+
+// A workspace's coordinator has ended, and another takes its place, which does not know what
+// was used. Its bucket holds what the rate has brought since then, and no burst.
+func TestNewBucketHoldsWhatTheRateHasBroughtSince(t *testing.T) {
+	for _, c := range []struct {
+		since time.Duration
+		level float64
+	}{{0, 0}, {300 * time.Millisecond, 30}, {time.Hour, 100}} {
+		a := NewCoordinator(time.Hour).Answer("w", holder1, Ask{Number: 1}, small, noon.Add(-c.since), noon)
+		if a.Level != c.level {
+			t.Errorf("coordinating for %s: the bucket holds %.0f", c.since, a.Level)
+		}
+	}
+}
+
+// A group that was cut off hears others again. It gives out more only when those have had
+// time to notice whom they no longer hear: both groups would count the same entries.
+func TestPartThatRoseIsHeldDown(t *testing.T) {
+	s := &shares{}
+	s.add(0.5, noon)
+	s.add(1, noon.Add(time.Second))
+	if got := s.least(); got != 0.5 {
+		t.Errorf("a second after it rose: %.2f", got)
+	}
+	s.add(1, noon.Add(sharesFor+time.Millisecond))
+	if got := s.least(); got != 1 {
+		t.Errorf("three seconds after it was low: %.2f", got)
+	}
+}
