One place caps a bucket

Change: refill takes in what was given back, and caps once. The same sums as before.

Measured: the mutation of a lower limit and that of ends right after the send are red now; tests of the package green.

--- a/internal/gateway/ratelimit/coordinator.go
+++ b/internal/gateway/ratelimit/coordinator.go
@@ -131,8 +131,8 @@
 		return known
 	}
 	h.report(ask.Spent)
-	b.refill(limit, now)
-	b.level = math.Min(b.level+ask.Returned, b.ceiling(limit, now)) - ask.Extra
+	b.refill(limit, ask.Returned, now)
+	b.level -= ask.Extra
 	a := Answer{Number: ask.Number}
 	if ask.Need > 0 {
 		a.Admitted, a.Wait = b.admit(ask, limit, now)
@@ -145,10 +145,10 @@
 	return a
 }
 
-// refill adds what the rate has brought since the last time.
-func (b *bucket) refill(limit Limit, now time.Time) {
+// refill adds what the rate has brought since the last time, and what was given back.
+func (b *bucket) refill(limit Limit, returned float64, now time.Time) {
 	brought := limit.PerSecond * math.Max(now.Sub(b.at).Seconds(), 0)
-	b.level = math.Min(b.level+brought, b.ceiling(limit, now))
+	b.level = math.Min(b.level+brought+returned, b.ceiling(limit, now))
 	b.queued = math.Max(b.queued-brought, 0)
 	b.at = now
 }
