--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -248,7 +248,7 @@
 }
 
 // rankApart is the rank of an engine for a request that is kept apart, in place of its
-// cost: the lowest is chosen by all entries alike. Engines that cannot do it come last, in
+// cost: all entries choose the lowest alike. Engines that cannot do it come last, in
 // the same order.
 func rankApart(q *Question, c *Candidate, choice *Choice) float64 {
 	rank := Rank(q.Apart, c.Hash)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -260,7 +260,7 @@
 	Content, Miss time.Duration
 }
 
-// DefaultPolicy was chosen by replay; see docs/DESIGN.md.
+// DefaultPolicy is the policy of entries whose settings name none; see docs/DESIGN.md.
 var DefaultPolicy = Policy{
 	Rounds:      []int{4, 10, 16},
 	WasteFactor: [config.Classes]float64{0.05, 1, 1},
