--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -67,7 +67,7 @@
 	since atomic.Pointer[time.Time]
 	// share is the part of each limit that this entry gives out.
 	share atomic.Pointer[float64]
-	// shares are used where members are taken in.
+	// shares are those of the last seconds; SetMembers alone uses them.
 	shares shares
 	// mine keeps the buckets that this entry coordinates, inPlace those that it keeps for
 	// entries whose coordinator does not answer, own those of its own callers when nobody
@@ -143,14 +143,16 @@
 
 // The sources.
 const (
-	// Leased tokens were held here; Coordinator is the workspace's, InPlace the next in rank,
-	// Own the share that this entry has while nobody answers it; Known is a refusal that
-	// was just given to another caller.
-	Leased      Source = "leased"
+	// Leased tokens were held here.
+	Leased Source = "leased"
+	// Coordinated decisions are those of the workspace's coordinator.
 	Coordinated Source = "coordinator"
-	InPlace     Source = "in_place"
-	Own         Source = "own_share"
-	Known       Source = "known_empty"
+	// InPlace ones are those of the next in rank, where the coordinator did not answer.
+	InPlace Source = "in_place"
+	// Own is the share that this entry has while nobody answers it.
+	Own Source = "own_share"
+	// Known is a refusal that was given to another caller a moment ago.
+	Known Source = "known_empty"
 )
 
 // Decision is whether a request may go on.
