--- a/internal/gateway/ratelimit/faults_test.go
+++ b/internal/gateway/ratelimit/faults_test.go
@@ -41,7 +41,7 @@
 func TestEntriesCutOffKeepToTheirShare(t *testing.T) {
 	inFleet(t, 30, func(f *fleetModel) {
 		f.run(20*time.Second, heavy(30), once(4*time.Second, func() {
-			f.cut = func(a, b int) bool { return a < 10 || b < 10 }
+			f.part(func(a, b int) bool { return a < 10 || b < 10 })
 		}))
 	})
 }
@@ -51,10 +51,10 @@
 func TestTwoHalvesHaveHalfTheLimitEach(t *testing.T) {
 	inFleet(t, 30, func(f *fleetModel) {
 		f.run(20*time.Second, heavy(30), once(4*time.Second, func() {
-			f.cut = func(a, b int) bool { return (a < 15) != (b < 15) }
+			f.part(func(a, b int) bool { return (a < 15) != (b < 15) })
 		}))
 		before := len(f.used)
-		f.cut = func(int, int) bool { return false }
+		f.together()
 		f.run(15*time.Second, heavy(30), nothing)
 		if len(f.used) == before {
 			t.Error("nothing ran after the halves met")
@@ -70,7 +70,7 @@
 		f.run(12*time.Second, heavy(30), func(at time.Duration) {
 			switch at {
 			case 4 * time.Second:
-				first.alive = false
+				f.kill(first)
 			case 7 * time.Second:
 				f.start(first)
 			}
@@ -86,7 +86,7 @@
 		f := newFleet(t, 30, usual, 7)
 		f.run(2*time.Second, callers(0, 0), nothing)
 		first := f.coordinator()
-		f.run(12*time.Second, callers(135_000, 10), once(4*time.Second, func() { first.alive = false }))
+		f.run(12*time.Second, callers(135_000, 10), once(4*time.Second, func() { f.kill(first) }))
 		killed, meanwhile := 6*time.Second, f.asked/4 // three of twelve seconds
 		if f.lastRefused > killed+3*time.Second {
 			t.Errorf("a request that came %s after the kill was refused", f.lastRefused-killed)
@@ -140,7 +140,7 @@
 		}))
 		f.run(16*time.Second, heavy(53), once(2*time.Second, func() {
 			for i := range 18 {
-				f.entries[i*3-i*3%2].alive = false
+				f.kill(f.entries[i*3-i*3%2])
 			}
 		}))
 	})
@@ -200,7 +200,7 @@
 	f.story = append(f.story, fmt.Sprintf("%s: %s", time.Since(f.began).Round(modelStep), [...]string{"kill", "freeze", "restart", "cut in two", "heal", "all well"}[kind]))
 	switch kind {
 	case 0:
-		e.alive = false
+		f.kill(e)
 	case 1:
 		f.mu.Lock()
 		e.frozen = e.alive
@@ -209,9 +209,9 @@
 		f.start(e)
 	case 3:
 		side := random.Perm(len(f.entries))
-		f.cut = func(a, b int) bool { return a != b && (side[a%len(side)]%2 != side[b%len(side)]%2) }
+		f.part(func(a, b int) bool { return a != b && (side[a%len(side)]%2 != side[b%len(side)]%2) })
 	case 4:
-		f.cut = func(int, int) bool { return false }
+		f.together()
 	case 5:
 		for _, e := range f.entries {
 			if e.frozen {
--- a/internal/gateway/ratelimit/fleet_test.go
+++ b/internal/gateway/ratelimit/fleet_test.go
@@ -84,13 +84,17 @@
 func (f *fleetModel) add() *entryModel {
 	i := len(f.entries)
 	e := &entryModel{index: i, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7)}
+	f.mu.Lock()
 	f.entries = append(f.entries, e)
+	f.mu.Unlock()
 	f.start(e)
 	return e
 }
 
 // start begins a life of an entry, which knows nothing.
 func (f *fleetModel) start(e *entryModel) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	e.life++
 	e.alive, e.frozen, e.heard, e.started, e.limit = true, false, map[int]time.Time{}, time.Now(), f.limit
 	e.limiter = newLimiter(Options{Listen: e.address, Incarnation: uint64(e.index)<<16 | e.life, LimitOf: func(string) Limit {
@@ -139,6 +143,25 @@
 	}
 }
 
+// kill ends an entry's life.
+func (f *fleetModel) kill(entries ...*entryModel) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range entries {
+		e.alive = false
+	}
+}
+
+// part puts entries out of touch with each other.
+func (f *fleetModel) part(cut func(a, b int) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+// together brings all in touch.
+func (f *fleetModel) together() { f.part(func(int, int) bool { return false }) }
+
 // thaw lets a frozen entry go on, with all that was sent to it meanwhile.
 func (f *fleetModel) thaw(e *entryModel) {
 	f.mu.Lock()
