--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -59,6 +59,8 @@
 	estateText []byte
 	wanted     map[string]weights.History
 	words      map[fleet.Life]view.EngineWord
+	// unlisted are the lives in use that the list lacks.
+	unlisted map[fleet.Life]bool
 	// silent holds since when the sidecars of silent engines were heard last.
 	silent map[netip.AddrPort]time.Time
 	// digest of all listings, and of each.
@@ -90,7 +92,7 @@
 func newBeliefs(s *Settings, p Platform, loop *control.Loop, clock *hostclock.Clock, logger logr.Logger, peers *http.Client, called func(string, time.Duration, error)) *beliefs {
 	b := &beliefs{
 		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
-		directory: fleet.NewDirectory(), wanted: map[string]weights.History{}, words: map[fleet.Life]view.EngineWord{}, silent: map[netip.AddrPort]time.Time{},
+		directory: fleet.NewDirectory(), wanted: map[string]weights.History{}, words: map[fleet.Life]view.EngineWord{}, unlisted: map[fleet.Life]bool{}, silent: map[netip.AddrPort]time.Time{},
 		welcomed: map[netip.AddrPort]uint64{}, pulling: map[string]bool{}, pulledAt: map[string]time.Time{}, digests: map[string]uint64{}, refused: map[string]string{}, changed: func() {}, inForce: func(int64) {}, entryRefused: func() {},
 	}
 	b.operators = feed.NewFollower(loop, p.Operators(), feed.NewCopy(outageGap), feed.Options{
@@ -244,6 +246,7 @@
 		}
 	}
 	fleet.Correct(v.Targets, b.living(v.Engines))
+	b.noteUnlisted(v)
 	for model, w := range b.wanted {
 		v.Wanted[model] = w
 	}
@@ -251,6 +254,40 @@
 	b.changed()
 }
 
+// noteUnlisted logs the targets that are taken into use, or out of it, without the list.
+func (b *beliefs) noteUnlisted(v *view.View) {
+	used := map[fleet.Life]bool{}
+	for _, list := range v.Targets {
+		for i := range list {
+			if t := &list[i]; t.Unlisted {
+				used[t.Life] = true
+				if !b.unlisted[t.Life] {
+					b.logUnlisted(t.Life, "used", v)
+				}
+			}
+		}
+	}
+	for life := range b.unlisted {
+		if !used[life] {
+			b.logUnlisted(life, "ended", v)
+		}
+	}
+	b.unlisted = used
+}
+
+func (b *beliefs) logUnlisted(life fleet.Life, outcome string, v *view.View) {
+	b.logger.Info("target_unlisted", "target", life, "outcome", outcome, "word_age", b.age(v.Engines[life].HeardAt),
+		"list_age", b.age(v.ListedAt), "list_followed_for", b.age(b.targets.Copy().FollowedSince()), "started", b.age(b.startedAt))
+}
+
+// age is how long ago something was, for the log.
+func (b *beliefs) age(at time.Time) string {
+	if at.IsZero() {
+		return "never"
+	}
+	return b.clock.Now().Sub(at).Round(time.Millisecond).String()
+}
+
 // living are the engines whose sidecars know them. One that the list has dropped is
 // not among them: it has ended or leaves. Nor is one of which the list has shown a
 // later life since its sidecar was heard: the sidecar is late, or was suspended.
--- a/internal/gateway/feed/feed.go
+++ b/internal/gateway/feed/feed.go
@@ -49,7 +49,10 @@
 	// outageEnd is when the copy last became current again after it had not
 	// been for longer than outageGap.
 	outageEnd time.Time
-	outageGap time.Duration
+	// followedSince is the time since which the copy has missed no change: when it was
+	// first current, or the end of the last outage.
+	followedSince time.Time
+	outageGap     time.Duration
 }
 
 // NewCopy returns an empty copy. A time without word of the store that exceeds
@@ -69,6 +72,10 @@
 // zero when there was none.
 func (c *Copy) OutageEnd() time.Time { return c.outageEnd }
 
+// FollowedSince is the time since which the copy has seen every change: when it was first
+// current, or the end of the last outage; zero when it never was.
+func (c *Copy) FollowedSince() time.Time { return c.followedSince }
+
 // Get returns the newest record of a key.
 func (c *Copy) Get(key string) (Record, bool) {
 	r, ok := c.records[key]
@@ -182,8 +189,11 @@
 	if !at.After(c.currentAt) {
 		return
 	}
-	if !c.currentAt.IsZero() && at.Sub(c.currentAt) > c.outageGap {
-		c.outageEnd = at
+	switch {
+	case c.currentAt.IsZero():
+		c.followedSince = at
+	case at.Sub(c.currentAt) > c.outageGap:
+		c.outageEnd, c.followedSince = at, at
 	}
 	c.currentAt = at
 }
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -46,6 +46,8 @@
 	// Doubtful targets have left the list after an outage of the store. They may
 	// live and not have reported yet.
 	Doubtful bool
+	// Unlisted targets are known from their own hosts alone.
+	Unlisted bool
 }
 
 // NewTarget returns the target of a listing.
@@ -219,6 +221,7 @@
 			continue
 		}
 		t := NewTarget(Listing{Life: l.Life, Service: l.Service, Address: l.Address, Zone: l.Zone, Weights: l.Weights})
+		t.Unlisted = true
 		if at >= 0 {
 			t.Slots = list[at].Slots
 			list[at] = t
