A reported target that the list lacks is used only while it is new or in doubt

What callers saw: nothing; their requests were answered by an engine that had left the platform's list and ended a moment later.

An entry that started took each engine that a sidecar reported, and that it had not seen dropped itself, for one that is not listed yet. An engine whose entry is removed serves on for seconds, and its sidecar reports it as long. The list alone says who belongs to the fleet; a report was taken for membership.

Mend: a reported life that the list lacks is used when its sidecar has seen another life at the address before it, since this process follows the list: the list then would have shown it come and go, and shows it soon. It is used last for 2.2 s after the process has started or the store has come back, in which a lapsed entry returns, and while the store is away. Otherwise it is left out. One that replaced a listed life at its address, and any while there is no copy of the list, are used at once as before. Sidecars say in their heartbeats within which time the life has begun: 2 to 4 bytes for engines that have started anew, none for others.

Why it holds: an engine that has left is used for 2.2 s after a start at most, and only where no other can take the request, whichever processes started and however late its sidecar is heard.

Ruled out: a copy of the list that is older than it claims (the entries had no target_listed for the engine).

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -59,8 +59,8 @@
 	estateText []byte
 	wanted     map[string]weights.History
 	words      map[fleet.Life]view.EngineWord
-	// unlisted are the lives in use that the list lacks.
-	unlisted map[fleet.Life]bool
+	// unlisted are the reported lives that the list lacks.
+	unlisted map[fleet.Life]fleet.Standing
 	// silent holds since when the sidecars of silent engines were heard last.
 	silent map[netip.AddrPort]time.Time
 	// digest of all listings, and of each.
@@ -92,7 +92,7 @@
 func newBeliefs(s *Settings, p Platform, loop *control.Loop, clock *hostclock.Clock, logger logr.Logger, peers *http.Client, called func(string, time.Duration, error)) *beliefs {
 	b := &beliefs{
 		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
-		directory: fleet.NewDirectory(), wanted: map[string]weights.History{}, words: map[fleet.Life]view.EngineWord{}, unlisted: map[fleet.Life]bool{}, silent: map[netip.AddrPort]time.Time{},
+		directory: fleet.NewDirectory(), wanted: map[string]weights.History{}, words: map[fleet.Life]view.EngineWord{}, unlisted: map[fleet.Life]fleet.Standing{}, silent: map[netip.AddrPort]time.Time{},
 		welcomed: map[netip.AddrPort]uint64{}, pulling: map[string]bool{}, pulledAt: map[string]time.Time{}, digests: map[string]uint64{}, refused: map[string]string{}, changed: func() {}, inForce: func(int64) {}, entryRefused: func() {},
 	}
 	b.operators = feed.NewFollower(loop, p.Operators(), feed.NewCopy(outageGap), feed.Options{
@@ -224,8 +224,9 @@
 // post makes a new view of all beliefs.
 func (b *beliefs) post() {
 	now := b.clock.Now()
+	following := b.following(now)
 	v := &view.View{
-		Estate: b.estate, EstateText: b.estateText, Targets: b.directory.Targets(b.declared, now, b.targets.Copy().OutageEnd()),
+		Estate: b.estate, EstateText: b.estateText, Targets: b.directory.Targets(b.declared, now, following),
 		ListedAt: b.targets.Copy().CurrentAt(), DeclaredAt: b.currentAt(topicOperators), Engines: map[fleet.Life]view.EngineWord{}, Silent: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
 		Entries: 1 + len(b.mesh.Live(true)), EntriesBefore: b.entriesBefore(), Stopping: b.stopping, PicksFrom: b.picksFrom, EndsAt: b.endsAt,
 	}
@@ -245,8 +246,7 @@
 			delete(b.silent, address)
 		}
 	}
-	fleet.Correct(v.Targets, b.living(v.Engines))
-	b.noteUnlisted(v)
+	b.noteUnlisted(v, b.directory.Correct(v.Targets, living(v.Engines), following, now))
 	for model, w := range b.wanted {
 		v.Wanted[model] = w
 	}
@@ -254,30 +254,34 @@
 	b.changed()
 }
 
-// noteUnlisted logs the targets that are taken into use, or out of it, without the list.
-func (b *beliefs) noteUnlisted(v *view.View) {
-	used := map[fleet.Life]bool{}
-	for _, list := range v.Targets {
-		for i := range list {
-			if t := &list[i]; t.Unlisted {
-				used[t.Life] = true
-				if !b.unlisted[t.Life] {
-					b.logUnlisted(t.Life, "used", v)
-				}
-			}
-		}
+// following is how far this process has followed the list of targets.
+func (b *beliefs) following(now time.Time) fleet.Following {
+	c := b.targets.Copy()
+	f := fleet.Following{
+		Started: b.startedAt, Since: c.FollowedSince(), OutageEnded: c.OutageEnd(),
+		Current: now.Sub(c.CurrentAt()) <= b.patience()+outageGap,
 	}
-	for life := range b.unlisted {
-		if !used[life] {
-			b.logUnlisted(life, "ended", v)
-		}
+	if first := c.FirstCurrentAt(); first.Sub(b.startedAt) > outageGap {
+		f.Started = first // the store was away at the start
 	}
-	b.unlisted = used
+	return f
 }
 
-func (b *beliefs) logUnlisted(life fleet.Life, outcome string, v *view.View) {
-	b.logger.Info("target_unlisted", "target", life, "outcome", outcome, "word_age", b.age(v.Engines[life].HeardAt),
-		"list_age", b.age(v.ListedAt), "list_followed_for", b.age(b.targets.Copy().FollowedSince()), "started", b.age(b.startedAt))
+// noteUnlisted logs the reported lives that the list lacks and whether they are used. Before
+// the first copy of the list it lacks all of them, which is not said.
+func (b *beliefs) noteUnlisted(v *view.View, unlisted map[fleet.Life]fleet.Standing) {
+	if b.targets.Copy().FollowedSince().IsZero() {
+		return
+	}
+	for life, standing := range unlisted {
+		if before, known := b.unlisted[life]; known && before == standing {
+			continue
+		}
+		word := v.Engines[life]
+		b.logger.Info("target_unlisted", "target", life, "outcome", standing.String(), "began_within", b.age(word.BeganAfter), "word_age", b.age(word.HeardAt),
+			"list_age", b.age(v.ListedAt), "list_followed_for", b.age(b.targets.Copy().FollowedSince()), "started", b.age(b.startedAt))
+	}
+	b.unlisted = unlisted
 }
 
 // age is how long ago something was, for the log.
@@ -288,16 +292,13 @@
 	return b.clock.Now().Sub(at).Round(time.Millisecond).String()
 }
 
-// living are the engines whose sidecars know them. One that the list has dropped is
-// not among them: it has ended or leaves. Nor is one of which the list has shown a
-// later life since its sidecar was heard: the sidecar is late, or was suspended.
-func (b *beliefs) living(words map[fleet.Life]view.EngineWord) []fleet.Living {
-	var all []fleet.Living
+// living are the engines that their sidecars report.
+func living(words map[fleet.Life]view.EngineWord) []fleet.Living {
+	all := make([]fleet.Living, 0, len(words))
 	for life, w := range words {
-		if b.directory.Gone(life) || b.directory.Succeeded(life, w.HeardAt) {
-			continue
-		}
-		all = append(all, fleet.Living{Life: life, Service: w.Service, Address: w.Address, Zone: w.Zone, Weights: w.Weights})
+		all = append(all, fleet.Living{
+			Life: life, Service: w.Service, Address: w.Address, Zone: w.Zone, Weights: w.Weights, BeganAfter: w.BeganAfter, HeardAt: w.HeardAt,
+		})
 	}
 	return all
 }
--- a/internal/gateway/feed/feed.go
+++ b/internal/gateway/feed/feed.go
@@ -49,8 +49,10 @@
 	// outageEnd is when the copy last became current again after it had not
 	// been for longer than outageGap.
 	outageEnd time.Time
-	// followedSince is the time since which the copy has missed no change: when it was
-	// first current, or the end of the last outage.
+	// firstCurrentAt is when the copy was current for the first time.
+	firstCurrentAt time.Time
+	// followedSince is the time since which the copy has missed no change: that of the
+	// last snapshot.
 	followedSince time.Time
 	outageGap     time.Duration
 }
@@ -72,8 +74,12 @@
 // zero when there was none.
 func (c *Copy) OutageEnd() time.Time { return c.outageEnd }
 
-// FollowedSince is the time since which the copy has seen every change: when it was first
-// current, or the end of the last outage; zero when it never was.
+// FirstCurrentAt is when the copy held all that the store had acknowledged for the first
+// time; zero when it never did.
+func (c *Copy) FirstCurrentAt() time.Time { return c.firstCurrentAt }
+
+// FollowedSince is the time since which the copy has seen every change: that of the last
+// snapshot. Keys that came and went before it were never seen. It is zero before the first.
 func (c *Copy) FollowedSince() time.Time { return c.followedSince }
 
 // Get returns the newest record of a key.
@@ -168,6 +174,9 @@
 		}
 	}
 	c.dropsFrom = s.End
+	if current.After(c.followedSince) {
+		c.followedSince = current
+	}
 	return c.Merge(records, s.End, current)
 }
 
@@ -191,9 +200,9 @@
 	}
 	switch {
 	case c.currentAt.IsZero():
-		c.followedSince = at
+		c.firstCurrentAt = at
 	case at.Sub(c.currentAt) > c.outageGap:
-		c.outageEnd, c.followedSince = at, at
+		c.outageEnd = at
 	}
 	c.currentAt = at
 }
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -125,7 +125,7 @@
 // left the list while the store was away, or just after, is doubtful until the time
 // in which it would be back has passed: lapsed entries of living targets would
 // otherwise empty the fleet at the end of each outage.
-func (d *Directory) Targets(declared func(service string) bool, now, outageEnd time.Time) map[string][]Target {
+func (d *Directory) Targets(declared func(service string) bool, now time.Time, f Following) map[string][]Target {
 	byService := map[string][]Target{}
 	newest := d.newestAt(declared)
 	for instance, e := range d.entries {
@@ -137,7 +137,7 @@
 			if now.Sub(e.goneAt) > goneMemory {
 				delete(d.entries, instance)
 			}
-			if t.Leaving || !inDoubt(now, e.goneAt, outageEnd) {
+			if t.Leaving || !inDoubt(now, e.goneAt, f.OutageEnded) {
 				continue
 			}
 			t.Doubtful = true
@@ -188,49 +188,6 @@
 	return goneAt.Sub(outageEnd) < returnTime && outageEnd.Sub(goneAt) < goneMemory
 }
 
-// Living is the life of a target that its own host has told of.
-type Living struct {
-	Life
-	Service string
-	Address netip.AddrPort
-	Zone    string
-	Weights map[string]int64
-}
-
-// Correct returns the targets with what their own hosts say: a life that the
-// list does not show yet is added, and one that it replaced at its address is
-// left out. Without it, requests name a life that has ended for the second or
-// two by which the list lags, and each is refused.
-func Correct(byService map[string][]Target, living []Living) {
-	listed := map[Life]netip.AddrPort{}
-	shared := map[netip.AddrPort]int{}
-	for _, list := range byService {
-		for i := range list {
-			listed[list[i].Life] = list[i].Address
-			shared[list[i].Address]++
-		}
-	}
-	for _, l := range living {
-		list := byService[l.Service]
-		if address, ok := listed[l.Life]; ok && address == l.Address && shared[address] == 1 {
-			continue // as the list says: nearly all, and nothing to look for
-		}
-		at := slices.IndexFunc(list, func(t Target) bool { return t.Address == l.Address })
-		if slices.ContainsFunc(list, func(t Target) bool { return t.Life == l.Life }) {
-			byService[l.Service] = slices.DeleteFunc(list, func(t Target) bool { return t.Address == l.Address && t.Life != l.Life })
-			continue
-		}
-		t := NewTarget(Listing{Life: l.Life, Service: l.Service, Address: l.Address, Zone: l.Zone, Weights: l.Weights})
-		t.Unlisted = true
-		if at >= 0 {
-			t.Slots = list[at].Slots
-			list[at] = t
-			continue
-		}
-		byService[l.Service] = append(list, t)
-	}
-}
-
 // Find returns the target of an instance, whether listed or gone lately.
 func (d *Directory) Find(instance string) (Target, bool) {
 	e := d.entries[instance]
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -8,6 +8,13 @@
 
 var start = time.Unix(1000, 0)
 
+// followed is a list that has been followed without a gap since start, and later a time
+// at which no doubt is left from then.
+var (
+	followed = Following{Started: start, Since: start, Current: true}
+	later    = start.Add(time.Minute)
+)
+
 // declared services are those of the tests.
 func declared(service string) bool { return service == "s" }
 
@@ -17,7 +24,7 @@
 
 func names(d *Directory, now, outageEnd time.Time) map[string]bool {
 	doubtful := map[string]bool{}
-	for _, t := range d.Targets(declared, now, outageEnd)["s"] {
+	for _, t := range d.Targets(declared, now, Following{OutageEnded: outageEnd})["s"] {
 		doubtful[t.Instance] = t.Doubtful
 	}
 	return doubtful
@@ -77,8 +84,8 @@
 	old.Slots = 64
 	d.List(old, 1, start)
 	d.List(listing("other", 2), 1, start)
-	byService := d.Targets(declared, start, time.Time{})
-	Correct(byService, []Living{{Life: Life{Instance: "new"}, Service: "s", Address: old.Address, Zone: "a", Weights: map[string]int64{"m": 2}}})
+	byService := d.Targets(declared, start, Following{})
+	d.Correct(byService, []Living{{Life: Life{Instance: "new"}, Service: "s", Address: old.Address, Zone: "a", Weights: map[string]int64{"m": 2}}}, followed, later)
 	found := map[string]int{}
 	for _, t := range byService["s"] {
 		found[t.Instance] = t.Slots
@@ -87,8 +94,8 @@
 		t.Errorf("targets %v", found)
 	}
 	d.List(listing("new", 1), 2, start)
-	byService = d.Targets(declared, start, time.Time{})
-	Correct(byService, []Living{{Life: Life{Instance: "new"}, Service: "s", Address: old.Address}})
+	byService = d.Targets(declared, start, Following{})
+	d.Correct(byService, []Living{{Life: Life{Instance: "new"}, Service: "s", Address: old.Address}}, followed, later)
 	if len(byService["s"]) != 2 {
 		t.Errorf("both lives are used: %v", byService["s"])
 	}
--- a/internal/gateway/fleet/life_test.go
+++ b/internal/gateway/fleet/life_test.go
@@ -22,7 +22,7 @@
 
 func only(t *testing.T, d *Directory, now time.Time) Target {
 	t.Helper()
-	list := d.Targets(declared, now, time.Time{})["s"]
+	list := d.Targets(declared, now, Following{})["s"]
 	if len(list) != 1 {
 		t.Fatalf("targets %v", list)
 	}
@@ -114,7 +114,7 @@
 	if at, ok := d.At(declared, foreign.Address); !ok || at.Instance != "x" {
 		t.Errorf("at the address: %v, %v", at.Life, ok)
 	}
-	if _, ok := d.Targets(declared, start, time.Time{})["nobody's"]; ok {
+	if _, ok := d.Targets(declared, start, Following{})["nobody's"]; ok {
 		t.Error("the undeclared service has targets")
 	}
 }
@@ -176,7 +176,7 @@
 
 func checkLives(rt *rapid.T, d *Directory, oracles map[string]*oracle, now time.Time) {
 	used := map[Life]netip.AddrPort{}
-	for _, t := range d.Targets(declared, now, time.Time{})["s"] {
+	for _, t := range d.Targets(declared, now, Following{})["s"] {
 		used[t.Life] = t.Address
 	}
 	want := 0
--- /dev/null
+++ b/internal/gateway/fleet/reported_test.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+// reportOf is a host's report of the life of a listing, which it saw begin after a time.
+func reportOf(l Listing, beganAfter time.Time) Living {
+	return Living{Life: l.Life, Service: l.Service, Address: l.Address, Zone: l.Zone, BeganAfter: beganAfter, HeardAt: start}
+}
+
+// used returns how a directory that has listed "other" uses a reported life.
+func used(d *Directory, l Living, f Following, now time.Time) (t Target, ok bool) {
+	byService := d.Targets(declared, now, f)
+	d.Correct(byService, []Living{l}, f, now)
+	for _, t := range byService["s"] {
+		if t.Life == l.Life {
+			return t, true
+		}
+	}
+	return Target{}, false
+}
+
+func directoryOf(listings ...Listing) *Directory {
+	d := NewDirectory()
+	for i, l := range listings {
+		d.List(l, uint64(i), start)
+	}
+	return d
+}
+
+// Guards against new work at a target that left before this process read the list. A
+// snapshot does not show that it was ever there, and its host reports it while it ends
+// its requests.
+func TestReportedTargetThatLeftBeforeTheSnapshot(t *testing.T) {
+	d := directoryOf(listing("other", 1))
+	left := reportOf(listing("left", 2), time.Time{})
+	if target, ok := used(d, left, followed, start.Add(returnTime-time.Millisecond)); !ok || !target.Doubtful {
+		t.Errorf("within the time in which a lapsed entry returns: used %v, %+v", ok, target)
+	}
+	for _, after := range []time.Duration{returnTime, time.Minute, time.Hour} {
+		if _, ok := used(d, left, followed, start.Add(after)); ok {
+			t.Errorf("used %s after the start", after)
+		}
+	}
+}
+
+// Guards against the same where the host saw the life begin, long before the list was read.
+func TestReportedTargetThatBeganBeforeTheSnapshot(t *testing.T) {
+	d := directoryOf(listing("other", 1))
+	if _, ok := used(d, reportOf(listing("left", 2), start.Add(-time.Second)), followed, later); ok {
+		t.Error("used")
+	}
+}
+
+// A target that began since the list is followed is used before the list shows it.
+func TestNewTargetIsUsedBeforeItIsListed(t *testing.T) {
+	d := directoryOf(listing("other", 1))
+	target, ok := used(d, reportOf(listing("new", 2), later.Add(-time.Second)), followed, later)
+	if !ok || target.Doubtful || !target.Unlisted {
+		t.Errorf("used %v, %+v", ok, target)
+	}
+}
+
+// A process that starts while the store is away has the reports alone.
+func TestReportedTargetsAreUsedWithoutAList(t *testing.T) {
+	target, ok := used(NewDirectory(), reportOf(listing("x", 1), time.Time{}), Following{Started: start}, later)
+	if !ok || target.Doubtful {
+		t.Errorf("used %v, %+v", ok, target)
+	}
+}
+
+// The store is away, or was just now: a target that the list lacks may have lapsed. It is
+// used last.
+func TestReportedTargetIsInDoubtThroughAnOutage(t *testing.T) {
+	d := directoryOf(listing("other", 1))
+	report := reportOf(listing("x", 2), time.Time{})
+	away, back := followed, followed
+	away.Current, back.OutageEnded = false, later.Add(-time.Second)
+	for name, f := range map[string]Following{"away": away, "back": back} {
+		if target, ok := used(d, report, f, later); !ok || !target.Doubtful {
+			t.Errorf("%s: used %v, %+v", name, ok, target)
+		}
+	}
+	if _, ok := used(d, report, back, later.Add(returnTime)); ok {
+		t.Error("used for longer than a lapsed entry takes to return")
+	}
+}
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -188,7 +188,7 @@
 		directory.List(fleet.Listing{Life: fleet.Life{Instance: tg.instance}, Service: "plain", Address: address, Zone: "a", Slots: 4}, 1, time.Now())
 		directory.List(fleet.Listing{Life: fleet.Life{Instance: tg.instance + "-engine"}, Service: "engines", Address: address, Zone: "a", Slots: 4, Weights: map[string]int64{model: 3}}, 1, time.Now())
 	}
-	w.view.Targets = directory.Targets(func(string) bool { return true }, time.Now(), time.Time{})
+	w.view.Targets = directory.Targets(func(string) bool { return true }, time.Now(), fleet.Following{})
 	w.view.Wanted = map[string]weights.History{}
 	w.pool = upstream.NewPool(func() {})
 	w.Forwarder = New(Deps{
--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -177,6 +177,9 @@
 	case weights.Silent:
 		e.Phase = peerv1.EnginePhase_ENGINE_PHASE_SILENT
 	}
+	if after := s.orders.BeganAfter(); !after.IsZero() {
+		e.BeganWithinMs = uint64(max(1, s.process.clock.Now().Sub(after).Milliseconds()))
+	}
 	for model, version := range s.report.Weights {
 		e.Weights = append(e.Weights, &peerv1.ModelWeights{Model: model, Version: version})
 	}
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -22,7 +22,10 @@
 	PhaseSince time.Time
 	// Running and Queued are the engine's own counts.
 	Running, Queued int
-	HeardAt         time.Time
+	// BeganAfter is when the sidecar last saw another life at the address; zero when it
+	// has seen none.
+	BeganAfter time.Time
+	HeardAt    time.Time
 }
 
 // View is one picture. It does not change.
--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -168,6 +168,11 @@
 	// instance is the engine's life; empty until it has been identified.
 	instance    string
 	identifying bool
+	// seen is the life that was reported last under its name, seenAt when, and beganAfter
+	// when the one before it was; zero when none was.
+	seen       fleet.Life
+	seenAt     time.Time
+	beganAfter time.Time
 	// loading is the order that was given last.
 	loading Order
 	begunAt time.Time
@@ -285,7 +290,24 @@
 	}
 }
 
+// BeganAfter is when the engine's life before the present one was reported last; zero when
+// this process has known none.
+func (c *Controller) BeganAfter() time.Time { return c.beganAfter }
+
+// noteLife takes in that the engine's present life was reported.
+func (c *Controller) noteLife() {
+	life := c.life()
+	if life.Instance == "" {
+		return
+	}
+	if life != c.seen {
+		c.beganAfter = c.seenAt
+	}
+	c.seen, c.seenAt = life, c.report.At
+}
+
 func (c *Controller) step() {
+	c.noteLife()
 	c.endLoading()
 	if (c.phase == Serving || c.phase == Emptying) && !c.ordering {
 		c.begin()
--- a/internal/gateway/weights/controller_test.go
+++ b/internal/gateway/weights/controller_test.go
@@ -316,3 +316,33 @@
 		}
 	})
 }
+
+// Guards against a life that passes for a new one: only another life at the address before
+// it shows when it began, silence does not.
+func TestBeganAfterTheLifeBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBench()
+		beganAfter := func() time.Time {
+			at := make(chan time.Time, 1)
+			b.loop.Post(func() { at <- b.orders.BeganAfter() })
+			return <-at
+		}
+		time.Sleep(time.Second)
+		b.engine.set(func(e *fakeEngine) { e.down = true })
+		time.Sleep(time.Second)
+		b.engine.set(func(e *fakeEngine) { e.down = false })
+		time.Sleep(time.Second)
+		if at := beganAfter(); !at.IsZero() {
+			t.Errorf("the first life that is known began after %v", at)
+		}
+		last := time.Now()
+		b.engine.set(func(e *fakeEngine) { e.down = true })
+		time.Sleep(time.Second)
+		b.engine.set(func(e *fakeEngine) { e.down, e.life = false, "i2" })
+		time.Sleep(2 * time.Second)
+		if early := last.Sub(beganAfter()); early < 0 || early > reportPeriod {
+			t.Errorf("the second life began after a time that is %s before the first was heard last", early)
+		}
+		b.stop()
+	})
+}
--- a/internal/gateway/words.go
+++ b/internal/gateway/words.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
@@ -42,6 +43,9 @@
 	for _, w := range e.Weights {
 		word.Weights[w.Model] = w.Version
 	}
+	if within := time.Duration(e.BeganWithinMs) * time.Millisecond; within > 0 {
+		word.BeganAfter = word.HeardAt.Add(-within)
+	}
 	old, known := b.words[life]
 	if !known {
 		b.dropWordsAt(address)
