A target that left stays gone for as long as its host reports it

What was remembered of a target that left the list was forgotten after a minute, whoever still reported it: it was then taken for one that is not listed yet, and got new work until it ended.

The memory now lasts for a minute after the last report. It stays bounded by the targets that left or were reported within a minute.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -60,9 +60,9 @@
 	// target may be missing. The platform states about two seconds; targets that
 	// are missing for longer are gone.
 	returnTime = 2200 * time.Millisecond
-	// goneMemory is how long a target that left the list is remembered. It
-	// exceeds returnTime and the longest time that one of its requests may be
-	// looked up in.
+	// goneMemory is how long a target that left the list is remembered after it left,
+	// and after its own host reported it last. It exceeds returnTime and the longest
+	// time that one of its requests may be looked up in.
 	goneMemory = time.Minute
 )
 
@@ -73,6 +73,8 @@
 	offset  uint64
 	heardAt time.Time
 	goneAt  time.Time
+	// reportedAt is when the target's own host reported it last, since it is gone.
+	reportedAt time.Time
 }
 
 // Directory follows the list. It is used by one thread.
@@ -134,7 +136,7 @@
 			continue
 		}
 		if !e.goneAt.IsZero() {
-			if now.Sub(e.goneAt) > goneMemory {
+			if now.Sub(e.goneAt) > goneMemory && now.Sub(e.reportedAt) > goneMemory {
 				delete(d.entries, instance)
 			}
 			if t.Leaving || !inDoubt(now, e.goneAt, f.OutageEnded) {
--- a/internal/gateway/fleet/reported.go
+++ b/internal/gateway/fleet/reported.go
@@ -79,14 +79,23 @@
 	}
 	for i := range living {
 		l := &living[i]
-		if d.Gone(l.Life) || d.Succeeded(l.Life, l.HeardAt) {
-			continue // it has ended, or leaves
+		if d.replacedOrGone(l, now) {
+			continue
 		}
 		c.take(l, f.standing(l, now))
 	}
 	return c.unlisted
 }
 
+// replacedOrGone reports whether the list has shown the end of a reported life: it has
+// dropped it, or has shown a later one since the report.
+func (d *Directory) replacedOrGone(l *Living, now time.Time) bool {
+	if e := d.entries[l.Instance]; e != nil {
+		e.reportedAt = now
+	}
+	return d.Gone(l.Life) || d.Succeeded(l.Life, l.HeardAt)
+}
+
 // correction is one pass over the reported lives.
 type correction struct {
 	byService map[string][]Target
--- a/internal/gateway/fleet/reported_test.go
+++ b/internal/gateway/fleet/reported_test.go
@@ -87,3 +87,27 @@
 		t.Error("used for longer than a lapsed entry takes to return")
 	}
 }
+
+// Guards against new work at a target whose leaving was forgotten while its host still
+// reported it.
+func TestReportedTargetStaysGone(t *testing.T) {
+	d := directoryOf(listing("other", 1), listing("left", 2))
+	d.Drop("left", start)
+	report := reportOf(listing("left", 2), start.Add(time.Second))
+	for now := start; now.Before(start.Add(3 * goneMemory)); now = now.Add(time.Second) {
+		if _, ok := used(d, report, followed, now); ok {
+			t.Fatalf("used %s after it left", now.Sub(start))
+		}
+	}
+}
+
+// What was remembered of a target ends once nobody has reported it for a while.
+func TestGoneTargetIsForgotten(t *testing.T) {
+	d := directoryOf(listing("left", 2))
+	d.Drop("left", start)
+	used(d, reportOf(listing("left", 2), time.Time{}), followed, start.Add(time.Second))
+	d.Targets(declared, start.Add(goneMemory+2*time.Second), followed)
+	if len(d.entries) != 0 {
+		t.Errorf("remembered are %d", len(d.entries))
+	}
+}
