A target that left before an outage of the store is not brought back by its end

For 2.2 s after an outage of the store each target that had left in the minute before was used again where no other could take a request, as were those whose entries had lapsed meanwhile: both were told apart by the age of the drop alone.

A drop that the list showed before the outage is none that the outage caused, and is final. When a drop is dated by the list's own time, one that is taken in with the first read after the outage is dated after its beginning.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -161,7 +161,7 @@
 		if !ok {
 			delete(b.refused, key)
 			b.digestOf(key, 0)
-			if b.directory.Drop(key, b.clock.Now()) {
+			if b.directory.Drop(key, b.listedAt()) {
 				changed = true
 				b.logger.Info("target_gone", "target", key, "end", b.targets.Copy().End())
 			}
@@ -183,6 +183,14 @@
 	}
 }
 
+// listedAt is the time of what the copy of the list shows.
+func (b *beliefs) listedAt() time.Time {
+	if at := b.targets.Copy().CurrentAt(); !at.IsZero() {
+		return at
+	}
+	return b.clock.Now()
+}
+
 // maxRefused bounds the entries of which is remembered that they were refused.
 const maxRefused = 1000
 
@@ -258,7 +266,7 @@
 func (b *beliefs) following(now time.Time) fleet.Following {
 	c := b.targets.Copy()
 	f := fleet.Following{
-		Started: b.startedAt, Since: c.FollowedSince(), OutageEnded: c.OutageEnd(),
+		Started: b.startedAt, Since: c.FollowedSince(), OutageBegan: c.OutageBegin(), OutageEnded: c.OutageEnd(),
 		Current: now.Sub(c.CurrentAt()) <= b.patience()+outageGap,
 	}
 	if first := c.FirstCurrentAt(); first.Sub(b.startedAt) > outageGap {
--- a/internal/gateway/feed/feed.go
+++ b/internal/gateway/feed/feed.go
@@ -49,6 +49,8 @@
 	// outageEnd is when the copy last became current again after it had not
 	// been for longer than outageGap.
 	outageEnd time.Time
+	// outageBegin is when the copy was current last before that.
+	outageBegin time.Time
 	// firstCurrentAt is when the copy was current for the first time.
 	firstCurrentAt time.Time
 	// followedSince is the time since which the copy has missed no change: that of the
@@ -74,6 +76,10 @@
 // zero when there was none.
 func (c *Copy) OutageEnd() time.Time { return c.outageEnd }
 
+// OutageBegin is when the copy was current last before the last outage; zero when there was
+// none.
+func (c *Copy) OutageBegin() time.Time { return c.outageBegin }
+
 // FirstCurrentAt is when the copy held all that the store had acknowledged for the first
 // time; zero when it never did.
 func (c *Copy) FirstCurrentAt() time.Time { return c.firstCurrentAt }
@@ -202,7 +208,7 @@
 	case c.currentAt.IsZero():
 		c.firstCurrentAt = at
 	case at.Sub(c.currentAt) > c.outageGap:
-		c.outageEnd = at
+		c.outageBegin, c.outageEnd = c.currentAt, at
 	}
 	c.currentAt = at
 }
--- a/internal/gateway/feed/feed_test.go
+++ b/internal/gateway/feed/feed_test.go
@@ -198,8 +198,8 @@
 		t.Errorf("outage end %v, current at %v", c.OutageEnd(), c.CurrentAt())
 	}
 	c.Confirm(at(7))
-	if c.OutageEnd() != at(7) {
-		t.Errorf("outage end %v", c.OutageEnd())
+	if c.OutageBegin() != at(2) || c.OutageEnd() != at(7) {
+		t.Errorf("outage from %v to %v", c.OutageBegin(), c.OutageEnd())
 	}
 }
 
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -139,7 +139,7 @@
 			if now.Sub(e.goneAt) > goneMemory && now.Sub(e.reportedAt) > goneMemory {
 				delete(d.entries, instance)
 			}
-			if t.Leaving || !inDoubt(now, e.goneAt, f.OutageEnded) {
+			if t.Leaving || !f.mayHaveLapsed(e.goneAt, now) {
 				continue
 			}
 			t.Doubtful = true
@@ -181,13 +181,13 @@
 	return e.offset < o.offset
 }
 
-// inDoubt reports whether an entry that went at goneAt may have lapsed through
-// an outage that ended at outageEnd.
-func inDoubt(now, goneAt, outageEnd time.Time) bool {
-	if outageEnd.IsZero() || now.Sub(outageEnd) > returnTime {
+// mayHaveLapsed reports whether an entry that went at goneAt may have lapsed because its
+// target did not reach the store. One that went before the outage has left.
+func (f *Following) mayHaveLapsed(goneAt, now time.Time) bool {
+	if f.OutageEnded.IsZero() || now.Sub(f.OutageEnded) > returnTime {
 		return false
 	}
-	return goneAt.Sub(outageEnd) < returnTime && outageEnd.Sub(goneAt) < goneMemory
+	return goneAt.After(f.OutageBegan) && goneAt.Sub(f.OutageEnded) < returnTime
 }
 
 // Find returns the target of an instance, whether listed or gone lately.
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -63,6 +63,21 @@
 	}
 }
 
+// Guards against new work at a target that had left seconds before the store went away:
+// the end of the outage made it count as one whose entry had lapsed.
+func TestTargetThatLeftBeforeAnOutageIsNotDoubtful(t *testing.T) {
+	d := NewDirectory()
+	d.List(listing("left", 1), 1, start)
+	d.List(listing("lapsed", 2), 2, start)
+	d.Drop("left", start.Add(4*time.Second))
+	f := Following{OutageBegan: start.Add(4 * time.Second), OutageEnded: start.Add(9 * time.Second)}
+	d.Drop("lapsed", f.OutageEnded)
+	targets := d.Targets(declared, f.OutageEnded.Add(time.Second), f)["s"]
+	if len(targets) != 1 || targets[0].Instance != "lapsed" || !targets[0].Doubtful {
+		t.Errorf("targets %v", targets)
+	}
+}
+
 // A target that announced its leaving before the outage is not brought back by
 // the doubt.
 func TestLeavingTargetIsNotDoubtful(t *testing.T) {
--- a/internal/gateway/fleet/reported.go
+++ b/internal/gateway/fleet/reported.go
@@ -26,8 +26,9 @@
 	Started time.Time
 	// Since is the time since which it has seen every change; zero while it has no copy.
 	Since time.Time
-	// OutageEnded is when the last outage of the store ended; zero for none.
-	OutageEnded time.Time
+	// OutageBegan is when the list was known last before the last outage of the store, and
+	// OutageEnded when it was known again; zero for none.
+	OutageBegan, OutageEnded time.Time
 	// Current is set while the copy is as new as the store lets it be.
 	Current bool
 }
