A target that left is not taken for a later life where its entry names no birth

A target may say when it started in its report and not in its entry. Once the entry was dropped, the report passed for that of a later life, which was used until the target ended. Without a birth in the entry the name decides.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -200,10 +200,11 @@
 }
 
 // Gone reports whether a life was listed and is not any more. A life that was born
-// after the one that has left the list is not gone: it is listed soon.
+// after the one that has left the list is not gone: it is listed soon. Where the list did
+// not say when that was born, they are taken for one.
 func (d *Directory) Gone(life Life) bool {
 	e := d.entries[life.Instance]
-	return e != nil && !e.goneAt.IsZero() && !e.target.Life.Before(life)
+	return e != nil && !e.goneAt.IsZero() && (e.target.Born == 0 || !e.target.Life.Before(life))
 }
 
 // Succeeded reports whether a later life of the same target was listed after a time.
--- a/internal/gateway/fleet/reported_test.go
+++ b/internal/gateway/fleet/reported_test.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// Guards against new work at a target that left, where its report says when it was born and
+// its entry did not: the report was taken for that of a later life.
+func TestReportedTargetWhoseEntryDidNotSayItsBirthStaysGone(t *testing.T) {
+	d := directoryOf(listing("other", 1), listing("left", 2))
+	d.Drop("left", later.Add(-time.Second))
+	if _, ok := used(d, reportOf(born("left", 2, 300), later.Add(-2*time.Second)), followed, later); ok {
+		t.Error("used")
+	}
+}
+
 // What was remembered of a target ends once nobody has reported it for a while.
 func TestGoneTargetIsForgotten(t *testing.T) {
 	d := directoryOf(listing("left", 2))
