A leaving target stays leaving where its entry does not name its birth

A target may say when it started in its report and not in its entry. The report then passed for that of another life which had replaced the listed one, and hid that the target leaves: it got new work until its entry was dropped. Found by reading; no platform that we know of mixes the two.

Lives of one name are the same where one of them names no birth; the listed target takes over the birth that its host reports.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -55,6 +55,15 @@
 	return Target{Listing: l, Hash: xxhash.Sum64String(l.Instance), ID: IDOf(l.Life.String())}
 }
 
+// withLife returns the target with a life that names its birth.
+func (t Target) withLife(life Life) Target {
+	listing := t.Listing
+	listing.Life = life
+	named := NewTarget(listing)
+	named.Doubtful, named.Unlisted = t.Doubtful, t.Unlisted
+	return named
+}
+
 const (
 	// returnTime is how long after an outage of the store the entry of a living
 	// target may be missing. The platform states about two seconds; targets that
--- a/internal/gateway/fleet/life.go
+++ b/internal/gateway/fleet/life.go
@@ -23,3 +23,9 @@
 
 // Before reports whether l is an earlier life than o of the same target.
 func (l Life) Before(o Life) bool { return l.Instance == o.Instance && l.Born < o.Born }
+
+// Same reports whether l and o may be one life. A target may not say everywhere when it was
+// born; its name decides then.
+func (l Life) Same(o Life) bool {
+	return l.Instance == o.Instance && (l.Born == o.Born || l.Born == 0 || o.Born == 0)
+}
--- a/internal/gateway/fleet/reported.go
+++ b/internal/gateway/fleet/reported.go
@@ -115,9 +115,14 @@
 		c.byService[l.Service] = slices.DeleteFunc(list, func(t Target) bool { return t.Address == l.Address && t.Life != l.Life })
 		return
 	}
+	at := slices.IndexFunc(list, func(t Target) bool { return t.Address == l.Address })
+	if at >= 0 && list[at].Same(l.Life) {
+		list[at] = list[at].withLife(l.Life)
+		return
+	}
 	t := NewTarget(Listing{Life: l.Life, Service: l.Service, Address: l.Address, Zone: l.Zone, Weights: l.Weights})
 	t.Unlisted = true
-	if at := slices.IndexFunc(list, func(t Target) bool { return t.Address == l.Address }); at >= 0 {
+	if at >= 0 {
 		t.Slots = list[at].Slots
 		list[at] = t
 		c.unlisted[l.Life] = Awaited
--- a/internal/gateway/fleet/reported_test.go
+++ b/internal/gateway/fleet/reported_test.go
@@ -111,6 +111,18 @@
 	}
 }
 
+// Guards against new work at a target that announced its leaving, where its report says when
+// it was born and its entry does not: the report replaced the entry.
+func TestReportOfALeavingTargetWhoseEntryDoesNotSayItsBirth(t *testing.T) {
+	leaving := listing("leaving", 2)
+	leaving.Leaving, leaving.Slots = true, 8
+	d := directoryOf(listing("other", 1), leaving)
+	target, ok := used(d, reportOf(born("leaving", 2, 300), time.Time{}), followed, later)
+	if !ok || !target.Leaving || target.Unlisted || target.Slots != 8 {
+		t.Errorf("used %v, %+v", ok, target)
+	}
+}
+
 // What was remembered of a target ends once nobody has reported it for a while.
 func TestGoneTargetIsForgotten(t *testing.T) {
 	d := directoryOf(listing("left", 2))
--- a/internal/gateway/quarantine/endings.go
+++ b/internal/gateway/quarantine/endings.go
@@ -224,7 +224,7 @@
 func replaced(v *view.View, t *fleet.Target) bool {
 	for _, list := range v.Targets {
 		for i := range list {
-			if list[i].Address == t.Address && !same(list[i].Life, t.Life) {
+			if list[i].Address == t.Address && !list[i].Life.Same(t.Life) {
 				return true
 			}
 		}
@@ -242,15 +242,9 @@
 func find(v *view.View, t *fleet.Target) (*fleet.Target, bool) {
 	list := v.Targets[t.Service]
 	for i := range list {
-		if same(list[i].Life, t.Life) {
+		if list[i].Life.Same(t.Life) {
 			return &list[i], true
 		}
 	}
 	return nil, false
 }
-
-// same reports whether two names are of one life. A target may not say everywhere when it
-// was born.
-func same(a, b fleet.Life) bool {
-	return a.Instance == b.Instance && (a.Born == b.Born || a.Born == 0 || b.Born == 0)
-}
