An engine that leaves is given no weights

Callers of a leaving engine's last runs got answers that were made on two versions of its weights. One that started anew did not know that its engine leaves.

Orders are given to an engine that is listed and stays, that has replaced a listed life at its address, or that is new; one in doubt waits for the list.

--- a/internal/gateway/fleet/reported.go
+++ b/internal/gateway/fleet/reported.go
@@ -97,6 +97,19 @@
 	return d.Gone(l.Life) || d.Succeeded(l.Life, l.HeardAt)
 }
 
+// Stays reports whether a reported life belongs to the fleet and does not leave, as far as
+// the list shows: it is listed, has replaced a listed one, or is new.
+func (d *Directory) Stays(declared func(service string) bool, l *Living, f Following, now time.Time) bool {
+	if e := d.entries[l.Instance]; e != nil && e.goneAt.IsZero() && e.target.Same(l.Life) {
+		return !e.target.Leaving
+	}
+	if d.Gone(l.Life) {
+		return false
+	}
+	_, replaced := d.At(declared, l.Address)
+	return replaced || f.standing(l, now) == Awaited
+}
+
 // correction is one pass over the reported lives.
 type correction struct {
 	byService map[string][]Target
--- a/internal/gateway/fleet/reported_test.go
+++ b/internal/gateway/fleet/reported_test.go
@@ -123,6 +123,34 @@
 	}
 }
 
+// Which reported lives stay, for what is decided beside the target.
+func TestStays(t *testing.T) {
+	leaving := listing("leaving", 2)
+	leaving.Leaving = true
+	d := directoryOf(listing("listed", 1), leaving, listing("gone", 3), listing("before", 4))
+	d.Drop("gone", start)
+	for _, c := range []struct {
+		story string
+		life  Living
+		want  bool
+	}{
+		{"listed", reportOf(listing("listed", 1), time.Time{}), true},
+		{"announced", reportOf(listing("leaving", 2), time.Time{}), false},
+		{"dropped", reportOf(listing("gone", 3), time.Time{}), false},
+		{"in the place of another", reportOf(listing("after", 4), time.Time{}), true},
+		{"new", reportOf(listing("new", 5), later.Add(-time.Second)), true},
+		{"left before the list was read", reportOf(listing("left", 6), time.Time{}), false},
+	} {
+		if got := d.Stays(declared, &c.life, followed, later); got != c.want {
+			t.Errorf("%s: stays %v", c.story, got)
+		}
+	}
+	inDoubt := reportOf(listing("left", 6), time.Time{})
+	if d.Stays(declared, &inDoubt, followed, start.Add(time.Second)) {
+		t.Error("stays while it is in doubt")
+	}
+}
+
 // What was remembered of a target ends once nobody has reported it for a while.
 func TestGoneTargetIsForgotten(t *testing.T) {
 	d := directoryOf(listing("left", 2))
--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -47,7 +47,7 @@
 func newSidecar(p *process) *sidecar {
 	s := &sidecar{process: p, beliefs: p.beliefs, address: netip.MustParseAddrPort(p.settings.Engine)}
 	s.orders = weights.NewController(p.loop, p.platform.Engine(s.address), weights.Surroundings{
-		Wanted: func() map[string]weights.History { return s.beliefs.wanted }, HealthPath: s.healthPath, Engines: s.engines, Unheard: s.beliefs.large.Load, Changed: s.changed,
+		Wanted: s.wanted, HealthPath: s.healthPath, Engines: s.engines, Unheard: s.beliefs.large.Load, Changed: s.changed,
 		Token: func() (uint64, bool) { return s.token, s.token > 0 },
 		Fresh: func() bool { p.clock.Check(); return p.clock.SinceWoken() > freshAfter },
 	}, weights.Options{
@@ -60,6 +60,16 @@
 	return s
 }
 
+// wanted are the weights that the engine is to have: none while it may be leaving. A load
+// would change the weights under its last runs, whose answers are worth nothing then.
+func (s *sidecar) wanted() map[string]weights.History {
+	life := fleet.Living{Life: s.life, Service: s.service(), Address: s.address, BeganAfter: s.orders.BeganAfter()}
+	if b := s.beliefs; !b.directory.Stays(b.declared, &life, b.following(b.clock.Now()), b.clock.Now()) {
+		return nil
+	}
+	return s.beliefs.wanted
+}
+
 // open begins to answer probes.
 func (s *sidecar) open() error {
 	address, ok := s.process.settings.probe()
