An engine that starts after its sidecar is used before the list shows it

On a new host the sidecar may run before its engine. The engine's life was then left out until the list showed it, 0.2 to 0.6 s later in a start of a whole fleet, as if it might have left before. That nothing listened at its address for half a second says that it has begun since. A shorter refusal does not: an engine with too many connections refuses some.

--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	"github.com/toucanwell/toucanwell/internal/control"
@@ -168,10 +170,13 @@
 	// instance is the engine's life; empty until it has been identified.
 	instance    string
 	identifying bool
-	// seen is the life that was reported last under its name, seenAt when, and beganAfter
-	// when the one before it was; zero when none was.
-	seen       fleet.Life
-	seenAt     time.Time
+	// seen is the life that was reported last under its name, and seenAt when.
+	seen   fleet.Life
+	seenAt time.Time
+	// refusedSince and refusedAt are the first and the last of the reports in a row for which
+	// nothing listened.
+	refusedSince, refusedAt time.Time
+	// beganAfter is when the address was known last not to be the present life's.
 	beganAfter time.Time
 	// loading is the order that was given last.
 	loading Order
@@ -209,6 +214,7 @@
 
 // take handles a report and returns the pause until the next.
 func (c *Controller) take(report Report, err error) time.Duration {
+	c.noteRefusal(err)
 	if err != nil {
 		if c.known {
 			c.options.Logger.Info("engine_silent", "instance", c.instance, "error", err.Error())
@@ -290,10 +296,26 @@
 	}
 }
 
-// BeganAfter is when the engine's life before the present one was reported last; zero when
-// this process has known none.
+// BeganAfter is when another life had the engine's address last, or none; zero when this
+// process has known the present life only.
 func (c *Controller) BeganAfter() time.Time { return c.beganAfter }
 
+// absentFor is for how long nothing must have listened for the engine to count as not
+// running: one that has too many connections refuses some, too.
+const absentFor = 500 * time.Millisecond
+
+// noteRefusal takes in whether something listened for a report.
+func (c *Controller) noteRefusal(err error) {
+	switch {
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		c.refusedSince = time.Time{}
+	case c.refusedSince.IsZero():
+		c.refusedSince = c.options.Now()
+	case c.options.Now().Sub(c.refusedSince) >= absentFor:
+		c.refusedAt = c.options.Now()
+	}
+}
+
 // noteLife takes in that the engine's present life was reported.
 func (c *Controller) noteLife() {
 	life := c.life()
@@ -302,6 +324,9 @@
 	}
 	if life != c.seen {
 		c.beganAfter = c.seenAt
+		if c.refusedAt.After(c.seenAt) {
+			c.beganAfter = c.refusedAt
+		}
 	}
 	c.seen, c.seenAt = life, c.report.At
 }
--- a/internal/gateway/weights/controller_test.go
+++ b/internal/gateway/weights/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,14 +25,19 @@
 	orders   int64
 	busyTill time.Time
 	// late holds up orders: they get no answer and are carried out after it.
-	late  time.Duration
-	down  bool
-	given []Order
+	late time.Duration
+	down bool
+	// absent engines have no process: nothing listens.
+	absent bool
+	given  []Order
 }
 
 func (e *fakeEngine) Report(context.Context) (Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.absent {
+		return Report{}, errors.Wrap(syscall.ECONNREFUSED, "dial")
+	}
 	if e.down {
 		return Report{}, errors.New("connection refused")
 	}
@@ -95,8 +101,10 @@
 	unheard bool
 }
 
-func startBench() *bench {
-	b := &bench{engine: &fakeEngine{life: "i1", version: 1}, loop: control.NewLoop(1, func(time.Duration) {}), token: 7, fresh: true}
+func startBench() *bench { return startBeside(&fakeEngine{life: "i1", version: 1}) }
+
+func startBeside(engine *fakeEngine) *bench {
+	b := &bench{engine: engine, loop: control.NewLoop(1, func(time.Duration) {}), token: 7, fresh: true}
 	b.orders = NewController(b.loop, b.engine, Surroundings{
 		Unheard:    func() bool { return b.unheard },
 		Wanted:     func() map[string]History { return map[string]History{"m": b.history} },
@@ -346,3 +354,24 @@
 		b.stop()
 	})
 }
+
+// The host's engine starts after its sidecar: it has begun since nothing listened. One
+// that refused a few connections may have run before.
+func TestBeganAfterNothingListened(t *testing.T) {
+	for absent, known := range map[time.Duration]bool{2 * time.Second: true, 300 * time.Millisecond: false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := startBeside(&fakeEngine{life: "i1", version: 1, absent: true})
+			time.Sleep(absent)
+			last := time.Now()
+			b.engine.set(func(e *fakeEngine) { e.absent = false })
+			time.Sleep(time.Second)
+			began := make(chan time.Time, 1)
+			b.loop.Post(func() { began <- b.orders.BeganAfter() })
+			at := <-began
+			if early := last.Sub(at); known && (early < 0 || early > reportPeriod) || !known && !at.IsZero() {
+				t.Errorf("absent for %s: began after %v, %s before it listened", absent, at, early)
+			}
+			b.stop()
+		})
+	}
+}
