A target that its sidecar reports has not ended when the list lacks it

A request that broke off at a target was held to have ended it when the target's entry was gone within the next five seconds. A target that leaves without an announcement goes from the list in the same way and serves on: a connection that it reset, or an answer that it lost, counted against the request, which is refused after three such ends.

The report of its sidecar, heard more than 300 ms after the request broke off, says that it lives. Found by reading, with a failing test.

--- a/internal/gateway/quarantine/endings.go
+++ b/internal/gateway/quarantine/endings.go
@@ -17,6 +17,9 @@
 	// sidecar's word, when it could not be told at once: the list drops a target after
 	// three of its heartbeats.
 	doubtFor = 5 * time.Second
+	// silenceShows is within which time a sidecar tells of the end of its target: it asks ten
+	// times a second, and tells at once.
+	silenceShows = 300 * time.Millisecond
 	// askAgain is how long a target that was found to listen is believed to.
 	askAgain = 200 * time.Millisecond
 	// givenUpFor is the same for a target at which a send was given up: it may have begun to
@@ -213,6 +216,8 @@
 		return NoEvidence
 	case replaced(v, &d.Target):
 		return OtherLife
+	case v.Engines[d.Target.Life].HeardAt.Sub(d.At) > silenceShows:
+		return NoEvidence // its sidecar still reports it: it has left and serves on
 	case v.ListedAt.After(d.At):
 		return Unlisted
 	default:
--- a/internal/gateway/quarantine/endings_test.go
+++ b/internal/gateway/quarantine/endings_test.go
@@ -61,6 +61,12 @@
 	}
 }
 
+// reported adds a sidecar's word of a target that was heard at a time.
+func reported(v *view.View, t fleet.Target, heardAt time.Time) *view.View {
+	v.Engines = map[fleet.Life]view.EngineWord{t.Life: {HeardAt: heardAt}}
+	return v
+}
+
 // Nothing could be told at once. What the sidecar or the list says soon after settles it;
 // a target that is still there after some seconds lives.
 func TestDoubtsAreSettledLater(t *testing.T) {
@@ -74,6 +80,8 @@
 		{"its sidecar finds it silent", silent(shows(at(100), one)), 100 * time.Millisecond, SilentToSidecar},
 		{"another life is at its address", shows(at(100), life("i-2", 0)), 100 * time.Millisecond, OtherLife},
 		{"its entry has run out", shows(at(3600)), 3600 * time.Millisecond, Unlisted},
+		{"its entry is gone and its sidecar reports it", reported(shows(at(3600)), one, at(3500)), 3600 * time.Millisecond, NoEvidence},
+		{"its entry is gone and its sidecar was heard before it could know", reported(shows(at(3600)), one, at(100)), 3600 * time.Millisecond, Unlisted},
 		{"an older list lacks it", shows(at(-1)), 100 * time.Millisecond, NoEvidence},
 		{"it is still there", shows(at(4000), one), 4 * time.Second, NoEvidence},
 		{"it began to leave", shows(at(100), leaving(one)), 100 * time.Millisecond, NoEvidence},
