A copy that began with records says since when it is followed

A copy that began with these did not say since when it had been followed, and each reported target that the list lacks was used, as without a list. Found by reading, with a failing test.

--- a/internal/gateway/feed/feed.go
+++ b/internal/gateway/feed/feed.go
@@ -54,7 +54,7 @@
 	// firstCurrentAt is when the copy was current for the first time.
 	firstCurrentAt time.Time
 	// followedSince is the time since which the copy has missed no change: that of the
-	// last snapshot.
+	// last snapshot, or of the first records.
 	followedSince time.Time
 	outageGap     time.Duration
 }
@@ -85,7 +85,7 @@
 func (c *Copy) FirstCurrentAt() time.Time { return c.firstCurrentAt }
 
 // FollowedSince is the time since which the copy has seen every change: that of the last
-// snapshot. Keys that came and went before it were never seen. It is zero before the first.
+// snapshot, or of the first records where there was none. It is zero before either.
 func (c *Copy) FollowedSince() time.Time { return c.followedSince }
 
 // Get returns the newest record of a key.
@@ -156,6 +156,9 @@
 	if end >= c.end {
 		c.noteCurrent(current)
 	}
+	if c.followedSince.IsZero() {
+		c.followedSince = current
+	}
 	return changed
 }
 
--- a/internal/gateway/feed/feed_test.go
+++ b/internal/gateway/feed/feed_test.go
@@ -203,6 +203,31 @@
 	}
 }
 
+// What came and went before a copy's first records, or between two snapshots, it has not
+// seen, whichever way these came.
+func TestFollowedSinceTheFirstRecordsOrTheLastSnapshot(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	peer := NewCopy(time.Second) // began when the topic was empty
+	peer.Replace(Snapshot{}, at(1))
+	peer.Merge([]Record{{Key: "a", Value: []byte("1")}}, 1, at(2))
+	c := NewCopy(time.Second)
+	if !c.FollowedSince().IsZero() {
+		t.Error("an empty copy is followed")
+	}
+	page := peer.Since(0)
+	if c.Take(page, at(3)); page.Whole || c.FollowedSince() != at(3) {
+		t.Errorf("followed since %v after the first records", c.FollowedSince())
+	}
+	c.Merge([]Record{{Key: "b", Value: []byte("1"), Offset: 1}}, 2, at(4))
+	if c.FollowedSince() != at(3) {
+		t.Errorf("followed since %v after more", c.FollowedSince())
+	}
+	c.Replace(Snapshot{End: 9}, at(5))
+	if c.FollowedSince() != at(5) {
+		t.Errorf("followed since %v after a snapshot", c.FollowedSince())
+	}
+}
+
 // silentSource is a store that leaves reads unanswered while it is silent.
 type silentSource struct {
 	mu     sync.Mutex
