A host that left the list stays leaving until it is listed as live

On the product's own protocol an entry took a target for live again as soon as its host, listed as leaving before, had gone from the list: it got new work while it served on for its open requests. The entry remembers it while operators name the target. One that starts after the host has gone does not know it: open.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -166,11 +166,22 @@
 			e.logger.Info("hosts_read_failed", "error", err.Error())
 			return
 		}
-		e.board.Hosts.Post(hosts, time.Now())
+		before, _ := e.board.Hosts.Get()
+		e.board.Hosts.Post(withDeparted(before, hosts, e.targetNamed), time.Now())
 		e.buildView()
 	})
 }
 
+// targetNamed reports whether the configuration in force has a target of a name.
+func (e *Entry) targetNamed(name string) bool {
+	s, ok := e.board.Config.Get()
+	if !ok {
+		return true
+	}
+	service, _ := s.Config.TargetNamed(name)
+	return service != nil
+}
+
 // client returns the client of a sidecar.
 func (e *Entry) client(address string) peerv1.GateClient {
 	if c, ok := e.clients.Load(address); ok {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +52,23 @@
 	return view
 }
 
+// withDeparted returns the list of hosts with those that were leaving before and are not
+// listed any more: a host that has left the list may serve on, and takes no new work until it
+// is listed as live. Those of which no target is named are dropped.
+func withDeparted(before, listed []external.Host, named func(string) bool) []external.Host {
+	present := make(map[string]bool, len(listed))
+	for _, h := range listed {
+		present[h.Name] = true
+	}
+	all := slices.Clone(listed)
+	for _, h := range before {
+		if h.State == external.HostLeaving && !present[h.Name] && named(h.Name) {
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
 const (
 	// suspectFor is how long a target that could not be reached is asked last.
 	suspectFor = 2 * time.Second
