--- a/internal/gateway/fleet/reported.go
+++ b/internal/gateway/fleet/reported.go
@@ -50,11 +50,9 @@
 // String returns the standing as it stands in logs.
 func (s Standing) String() string { return standingNames[s] }
 
-// standing returns what the list implies for a reported life that it does not show.
-//
-// A snapshot of the list does not show which targets have left, and one that has left is
-// still reported while it ends its requests. So the report alone does not show that a life
-// is new: its host must have seen it begin since the list is followed.
+// standing returns what the list implies for a reported life that it does not show. One that
+// left before the list was read is reported too, until it ends: only a life that its host
+// saw begin since then is surely new.
 func (f *Following) standing(l *Living, now time.Time) Standing {
 	switch {
 	case f.Since.IsZero() || l.BeganAfter.After(f.Since):
