--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -43,6 +43,7 @@
 	}
 	logBoth("target_listed", "target", "i-1", "leaving", true)
 	logBoth("target_listed", "target", "i-2", "leaving", false)
+	logBoth("target_unlisted", "target", "i-1", "outcome", "in_doubt")
 	logBoth("store_lost", "topic", "targets")
 	entry.Info("request_sent", "request_id", "r1", "target", "i-1", "list_age", "2s")
 	entry.Info("request_sent", "request_id", "r2", "target", "i-2")
@@ -54,7 +55,7 @@
 	if len(s.Lines) != 2 || s.Lines[1].Event != "request_done" {
 		t.Errorf("lines %+v", s.Lines)
 	}
-	if len(s.Beliefs) != 2 || s.Beliefs[0].Get("target") != "i-1" || s.Beliefs[1].Event != "store_lost" {
+	if len(s.Beliefs) != 3 || s.Beliefs[0].Get("target") != "i-1" || s.Beliefs[1].Get("outcome") != "in_doubt" || s.Beliefs[2].Event != "store_lost" {
 		t.Errorf("beliefs %+v", s.Beliefs)
 	}
 	var told strings.Builder
