A sidecar looks its service up once a step

Whether the engine stays does not depend on its service, which was looked up among all targets for it: ten times a second, at 300 hosts before 3,000 targets.

--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -63,7 +63,7 @@
 // wanted are the weights that the engine is to have: none while it may be leaving. A load
 // would change the weights under its last runs, whose answers are worth nothing then.
 func (s *sidecar) wanted() map[string]weights.History {
-	life := fleet.Living{Life: s.life, Service: s.service(), Address: s.address, BeganAfter: s.orders.BeganAfter()}
+	life := fleet.Living{Life: s.life, Address: s.address, BeganAfter: s.orders.BeganAfter()}
 	if b := s.beliefs; !b.directory.Stays(b.declared, &life, b.following(b.clock.Now()), b.clock.Now()) {
 		return nil
 	}
