A target that was listed and dropped between two reads has left

What callers would see: nothing; their requests go to an engine that has left.

Cause: a copy of the list shows the newest record of each key. Of a target that was listed and dropped since the last read it shows the drop alone, and a drop of a target that was never seen was passed over. Its sidecar had seen it begin since the list was followed, so that it counted as not listed yet until it ended. The model had missed it since its entries read the list at each step.

Mend: such a drop is remembered by name. Targets that are gone are forgotten whoever has their address now: those that were replaced there were kept for ever.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -121,10 +121,15 @@
 	return true
 }
 
-// Drop notes that a target has left the list. It reports whether it was known.
+// Drop notes that a target has left the list. It reports whether that was news. A target
+// that was listed and dropped between two reads has left, too, though it was never seen.
 func (d *Directory) Drop(instance string, now time.Time) bool {
 	e := d.entries[instance]
-	if e == nil || !e.goneAt.IsZero() {
+	if e == nil {
+		e = &entry{target: Target{Listing: Listing{Life: Life{Instance: instance}}}}
+		d.entries[instance] = e
+	}
+	if !e.goneAt.IsZero() {
 		return false
 	}
 	e.goneAt = now
@@ -137,17 +142,15 @@
 // in which it would be back has passed: lapsed entries of living targets would
 // otherwise empty the fleet at the end of each outage.
 func (d *Directory) Targets(declared func(service string) bool, now time.Time, f Following) map[string][]Target {
+	d.forget(now)
 	byService := map[string][]Target{}
 	newest := d.newestAt(declared)
-	for instance, e := range d.entries {
+	for _, e := range d.entries {
 		t := e.target
 		if !declared(t.Service) || newest[t.Address] != nil && e.olderThan(newest[t.Address]) {
 			continue
 		}
 		if !e.goneAt.IsZero() {
-			if now.Sub(e.goneAt) > goneMemory && now.Sub(e.reportedAt) > goneMemory {
-				delete(d.entries, instance)
-			}
 			if t.Leaving || !f.mayHaveLapsed(e.goneAt, now) {
 				continue
 			}
@@ -161,6 +164,15 @@
 	return byService
 }
 
+// forget drops the targets that left long ago and that nobody reports.
+func (d *Directory) forget(now time.Time) {
+	for instance, e := range d.entries {
+		if !e.goneAt.IsZero() && now.Sub(e.goneAt) > goneMemory && now.Sub(e.reportedAt) > goneMemory {
+			delete(d.entries, instance)
+		}
+	}
+}
+
 // newestAt returns the newest listing at each address.
 //
 // The failure guarded against: a target starts again under another name, and its
--- a/internal/gateway/fleet/model_test.go
+++ b/internal/gateway/fleet/model_test.go
@@ -37,6 +37,8 @@
 	beganAt time.Time
 	// leftAt is when it was dropped for good; it serves until endsAt.
 	leftAt, endsAt time.Time
+	// brief lives leave as soon as they are listed.
+	brief bool
 	// sidecar is when its sidecar started; it knows from when on this life has run.
 	sidecar    time.Time
 	beganAfter time.Time
@@ -47,7 +49,9 @@
 	copy      *feed.Copy
 	directory *Directory
 	startedAt time.Time
-	heard     map[Life]time.Time
+	// readAt is when it reads the list next.
+	readAt time.Time
+	heard  map[Life]time.Time
 }
 
 type model struct {
@@ -121,7 +125,7 @@
 	e := m.engines[i]
 	m.lives++
 	seenBefore := e.name != "" && !e.sidecar.After(m.now.Add(-modelStep))
-	*e = modelEngine{name: fmt.Sprintf("e%d-%d", i, m.lives), up: true, beganAt: m.now, sidecar: e.sidecar}
+	*e = modelEngine{name: fmt.Sprintf("e%d-%d", i, m.lives), up: true, beganAt: m.now, sidecar: e.sidecar, brief: m.random.IntN(4) == 0}
 	if seenBefore {
 		e.beganAfter = m.now.Add(-modelStep)
 	}
@@ -154,8 +158,9 @@
 		m.live(i, e)
 	}
 	for _, e := range m.entries {
-		if !m.storeAway() {
+		if !m.storeAway() && !m.now.Before(e.readAt) {
 			m.read(e)
+			e.readAt = m.now.Add(time.Duration(200+m.random.IntN(900)) * time.Millisecond)
 		}
 		m.check(e)
 	}
@@ -171,8 +176,7 @@
 		}
 	case 1, 2: // it leaves without a word, and serves on
 		if e.up && e.listed && !m.storeAway() {
-			e.leftAt, e.endsAt = m.now, m.now.Add(leftBound+time.Duration(m.random.IntN(90000))*time.Millisecond)
-			m.drop(i)
+			m.leave(i)
 		}
 	case 3:
 		m.startEntry(m.random.IntN(modelEntries))
@@ -191,6 +195,13 @@
 	}
 }
 
+// leave drops an engine for good, which serves on for up to a minute and a half.
+func (m *model) leave(i int) {
+	e := m.engines[i]
+	e.leftAt, e.endsAt = m.now, m.now.Add(leftBound+time.Duration(m.random.IntN(90000))*time.Millisecond)
+	m.drop(i)
+}
+
 // live plays an engine's own part: its entry, its end, its next life.
 func (m *model) live(i int, e *modelEngine) {
 	if m.storeAway() {
@@ -207,6 +218,9 @@
 		m.begin(i)
 	case e.up && !e.listed && e.leftAt.IsZero() && !m.storeAway() && m.now.Sub(e.beganAt) >= heartbeat && m.now.Sub(m.back) >= heartbeat:
 		m.list(i)
+		if e.brief {
+			m.leave(i)
+		}
 	}
 }
 
--- a/internal/gateway/fleet/reported.go
+++ b/internal/gateway/fleet/reported.go
@@ -64,6 +64,19 @@
 	}
 }
 
+// standing returns the same where the list has dropped the target's name: a life that began
+// before that may have been listed in between, and be the one that was dropped.
+func (d *Directory) standing(l *Living, f Following, now time.Time) Standing {
+	e := d.entries[l.Instance]
+	if e == nil || e.goneAt.IsZero() || l.BeganAfter.After(e.goneAt) {
+		return f.standing(l, now)
+	}
+	if now.Sub(e.goneAt) < returnTime {
+		return InDoubt
+	}
+	return Left
+}
+
 // Correct adds to the listed targets what their own hosts report, and returns the
 // reported lives that the list does not show. A life that replaced another at its address
 // takes its place, since the list shows that a second or two late; requests that name the
@@ -81,7 +94,7 @@
 		if d.replacedOrGone(l, now) {
 			continue
 		}
-		c.take(l, f.standing(l, now))
+		c.take(l, d.standing(l, f, now))
 	}
 	return c.unlisted
 }
@@ -105,7 +118,7 @@
 		return false
 	}
 	_, replaced := d.At(declared, l.Address)
-	return replaced || f.standing(l, now) == Awaited
+	return replaced || d.standing(l, f, now) == Awaited
 }
 
 // correction is one pass over the reported lives.
--- a/internal/gateway/fleet/reported_test.go
+++ b/internal/gateway/fleet/reported_test.go
@@ -151,6 +151,49 @@
 	}
 }
 
+// Guards against new work at a target that was listed and dropped between two reads: the
+// copy shows the drop alone, of a target that was never seen.
+func TestReportedTargetThatWasListedBetweenTwoReads(t *testing.T) {
+	d := directoryOf(listing("other", 1))
+	d.Drop("brief", later.Add(-time.Second))
+	if _, ok := used(d, reportOf(listing("brief", 2), later.Add(-3*time.Second)), followed, later); ok {
+		t.Error("used")
+	}
+}
+
+// The same for a life that began under the name of the one before it: the drop may be of
+// either. One that began after the drop is new.
+func TestReportedLifeThatBeganBeforeItsNameWasDropped(t *testing.T) {
+	dropped := later.Add(-time.Second)
+	for _, c := range []struct {
+		began, now time.Time
+		want       bool
+		doubtful   bool
+	}{
+		{dropped.Add(-time.Second), later, true, true},
+		{dropped.Add(-time.Second), dropped.Add(returnTime), false, false},
+		{dropped.Add(time.Millisecond), later, true, false},
+	} {
+		d := directoryOf(listing("other", 1), born("x", 2, 100))
+		d.Drop("x", dropped)
+		target, ok := used(d, reportOf(born("x", 2, 200), c.began), followed, c.now)
+		if ok != c.want || target.Doubtful != c.doubtful {
+			t.Errorf("began %s from the drop: used %v, doubtful %v", c.began.Sub(dropped), ok, target.Doubtful)
+		}
+	}
+}
+
+// Guards against memory that grows with each target that was replaced at its address.
+func TestGoneTargetWhoseAddressIsUsedAgainIsForgotten(t *testing.T) {
+	d := directoryOf(listing("before", 1), listing("after", 1))
+	d.Drop("before", start)
+	d.Drop("undeclared", start)
+	d.Targets(declared, start.Add(goneMemory+time.Second), followed)
+	if len(d.entries) != 1 {
+		t.Errorf("remembered are %d", len(d.entries))
+	}
+}
+
 // What was remembered of a target ends once nobody has reported it for a while.
 func TestGoneTargetIsForgotten(t *testing.T) {
 	d := directoryOf(listing("left", 2))
