A process that does not read the list itself learns of every drop

What callers would see: nothing; their requests go to an engine that has left.

Cause: a process that hears an equal digest of the listed targets from a peer takes its copy for current. A target that was listed and dropped since its own last read is in neither digest: only the process that reads the list knew that it had left, all others used it until it ended.

Mend: processes tell with the digest the offset of the newest drop that they know, and from which on they have seen every change. An equal digest counts where this copy has reached the drop, and the peer has seen all since this copy's end; a drop that it lacks is fetched. Two numbers more in a heartbeat; one read of each process after the one that reads has started anew.

--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -21,9 +21,9 @@
 }
 
 func (b *beliefs) position(name string, f *feed.Follower, digest uint64) *peerv1.TopicPosition {
-	current := b.currentAt(name)
+	current, at := b.currentAt(name), f.Copy().Position()
 	return &peerv1.TopicPosition{
-		Topic: name, End: f.Copy().End(), AgeMs: uint32(b.clock.Now().Sub(current).Milliseconds()),
+		Topic: name, End: at.End, SeenFrom: at.SeenFrom, DropEnd: at.DropEnd, AgeMs: uint32(b.clock.Now().Sub(current).Milliseconds()),
 		Unknown: current.IsZero(), Digest: digest,
 	}
 }
@@ -55,19 +55,25 @@
 		if f == nil {
 			continue
 		}
-		at := b.clock.Now().Add(-time.Duration(p.AgeMs) * time.Millisecond)
-		same := p.End <= f.Copy().End()
-		if p.Topic == topicTargets {
-			same = p.Digest == b.digest
-		}
-		switch {
-		case same && f.Copy().End() > 0:
-			if p.Topic == topicTargets || p.End == f.Copy().End() {
-				f.Copy().Confirm(at)
-			}
-		case p.End > f.Copy().End():
-			b.pull(m.Address, p.Topic, f)
-		}
+		b.compare(m.Address, f, p)
+	}
+}
+
+// compare takes in how far a peer's copy of a topic is: this one is as new as the peer's, or
+// fetches what it lacks.
+func (b *beliefs) compare(peer netip.AddrPort, f *feed.Follower, p *peerv1.TopicPosition) {
+	c := f.Copy()
+	at := b.clock.Now().Add(-time.Duration(p.AgeMs) * time.Millisecond)
+	theirs := feed.Position{End: p.End, SeenFrom: p.SeenFrom, DropEnd: p.DropEnd}
+	same := p.End == c.End()
+	if p.Topic == topicTargets {
+		same = p.Digest == b.digest && !c.LacksDrop(theirs)
+	}
+	switch {
+	case same && c.End() > 0 && c.CoveredBy(theirs):
+		c.Confirm(at)
+	case !same && p.End > c.End():
+		b.pull(peer, p.Topic, f)
 	}
 }
 
--- a/internal/gateway/feed/feed.go
+++ b/internal/gateway/feed/feed.go
@@ -43,6 +43,8 @@
 	// dropsFrom is the offset from which on the copy knows which keys were
 	// dropped. A snapshot lacks the keys that were dropped before it.
 	dropsFrom uint64
+	// dropEnd is the offset after that of the newest drop.
+	dropEnd uint64
 	// currentAt is the latest time at which the copy was known to hold all
 	// that the store had acknowledged.
 	currentAt time.Time
@@ -68,6 +70,29 @@
 // End is the offset from which to read on.
 func (c *Copy) End() uint64 { return c.end }
 
+// Position is how far a copy has got.
+type Position struct {
+	// End is the offset up to which nothing is missing.
+	End uint64
+	// SeenFrom is the offset from which on every change was seen.
+	SeenFrom uint64
+	// DropEnd is the offset after that of the newest drop that was seen.
+	DropEnd uint64
+}
+
+// Position is how far the copy has got.
+func (c *Copy) Position() Position {
+	return Position{End: c.end, SeenFrom: c.dropsFrom, DropEnd: c.dropEnd}
+}
+
+// LacksDrop reports whether a copy at a position knows a drop that this one has not reached:
+// of a key that came and went since, perhaps, which neither holds.
+func (c *Copy) LacksDrop(p Position) bool { return p.DropEnd > c.end }
+
+// CoveredBy reports whether a copy at a position has seen every change since this one's end.
+// One that has not may miss drops, and its word shows nothing of them.
+func (c *Copy) CoveredBy(p Position) bool { return p.SeenFrom <= c.end }
+
 // CurrentAt is when the copy last held all that the store had acknowledged;
 // zero when it never did.
 func (c *Copy) CurrentAt() time.Time { return c.currentAt }
@@ -198,6 +223,9 @@
 		return false
 	}
 	c.records[r.Key] = r
+	if r.Value == nil {
+		c.dropEnd = max(c.dropEnd, r.Offset+1)
+	}
 	return true
 }
 
--- a/internal/gateway/feed/feed_test.go
+++ b/internal/gateway/feed/feed_test.go
@@ -228,6 +228,31 @@
 	}
 }
 
+// A key comes and goes between two reads of one copy. Neither that copy nor one that has
+// read the drop, or began with a snapshot after it, holds it: only their positions differ.
+func TestPositionsShowADropThatNoRecordShows(t *testing.T) {
+	a := Record{Key: "a", Value: []byte("1"), Offset: 3}
+	behind, reader, late := NewCopy(time.Second), NewCopy(time.Second), NewCopy(time.Second)
+	for _, c := range []*Copy{behind, reader} {
+		c.Replace(Snapshot{Records: []Record{a}, End: 5}, time.Unix(1, 0))
+	}
+	if behind.LacksDrop(reader.Position()) || !behind.CoveredBy(reader.Position()) {
+		t.Error("copies that are alike differ")
+	}
+	reader.Merge([]Record{{Key: "b", Value: []byte("1"), Offset: 5}, {Key: "b", Offset: 6}, {Key: "a", Value: []byte("2"), Offset: 7}}, 8, time.Unix(2, 0))
+	if !behind.LacksDrop(reader.Position()) {
+		t.Error("a drop that was read does not show")
+	}
+	late.Replace(Snapshot{Records: []Record{a}, End: 8}, time.Unix(2, 0))
+	if behind.CoveredBy(late.Position()) {
+		t.Error("a copy that began after the drop passes for one that would know of it")
+	}
+	behind.Merge(nil, 8, time.Unix(3, 0))
+	if behind.LacksDrop(reader.Position()) || !behind.CoveredBy(late.Position()) {
+		t.Error("a copy that has read on is held back")
+	}
+}
+
 // silentSource is a store that leaves reads unanswered while it is silent.
 type silentSource struct {
 	mu     sync.Mutex
