--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -24,7 +24,7 @@
 // beliefEvents are the lines that tell of a changed belief or dependency.
 var beliefEvents = []string{
 	"estate_in_force", "weights_wanted", "target_listed", "target_unlisted", "target_gone", "engine_told", "engine_told_silent", "target_rested",
-	"store_lost", "store_regained", "feed_trimmed", "fetch_failed", "peer_heard", "peer_silent", "host_woke", "declaration_refused",
+	"store_lost", "store_regained", "list_regained", "feed_trimmed", "fetch_failed", "peer_heard", "peer_silent", "host_woke", "declaration_refused",
 	"settings_reloaded", "settings_refused", "started", "stopping", "stopped", "stop_cut_requests", "log_lines_dropped",
 	"weights_ordered", "weights_loaded", "engine_silent", "engine_heard", "engine_started_anew", "target_late_word", "target_refused",
 	"cache_told", "cache_feed_lost", "cache_feed_regained", "cache_feed_broken", "cache_listed", "store_followed", "store_left",
