The usable targets are evaluated when the list changes, not for each view

Cause: each process built a view five times a second from all listed targets: two maps, a copy and a sort of the whole list, in 981 processes of the whole fleet. Ruled out by the profile as the larger part: datagrams. Change: the directory keeps its last evaluation until a listing, the declared services or the state of an outage changes; reports replace a service's list where they change it. The rank and the number of live entries are counted without sorting all members.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -144,6 +144,7 @@
 func (c *clusterState) applyDeclaration(d Declaration, r feed.Record) {
 	if d.Estate != nil && (c.estate == nil || d.Estate.Version > c.estate.Version) {
 		c.estate, c.rawEstate = d.Estate, r.Value
+		c.directory.Invalidate()
 		c.onEstateChange(d.Estate.Version)
 		c.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", r.Offset, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
 	}
@@ -229,7 +230,7 @@
 	v := &view.View{
 		Estate: c.estate, RawEstate: c.rawEstate, Targets: c.directory.Targets(c.isDeclared, now, syncState),
 		TargetsCurrentAt: c.targets.Replica().CurrentAt(), EstateCurrentAt: c.currentAt(topicOperators), Engines: map[fleet.Incarnation]view.EngineReport{}, Unresponsive: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
-		EntryCount: 1 + len(c.mesh.Live(true)), EntryRank: c.entryRank(), Stopping: c.stopping, SelectiveFrom: c.selectiveFrom, ShutdownAt: c.shutdownAt,
+		EntryCount: 1 + c.mesh.LiveCount(true), EntryRank: c.entryRank(), Stopping: c.stopping, SelectiveFrom: c.selectiveFrom, ShutdownAt: c.shutdownAt,
 	}
 	c.updateFleetSize(v.Targets)
 	v.LargeFleet = c.large.Load()
--- a/internal/gateway/deputy.go
+++ b/internal/gateway/deputy.go
@@ -59,7 +59,7 @@
 func (d *deputy) step() {
 	now := d.process.clock.Now()
 	state := d.process.state
-	d.sidecarSeen = d.sidecarSeen || len(state.mesh.Live(false)) > 0
+	d.sidecarSeen = d.sidecarSeen || state.mesh.LiveCount(false) > 0
 	if d.sidecarSeen || state.estate == nil || state.stopping || now.Sub(d.startedAt) < sidecarDiscoveryTime {
 		return
 	}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -158,7 +158,7 @@
 		if !first {
 			return
 		}
-		delay := announceDelay + announceDelayPerEntry*time.Duration(len(e.state.mesh.Live(true)))
+		delay := announceDelay + announceDelayPerEntry*time.Duration(e.state.mesh.LiveCount(true))
 		e.state.loop.Go(func(ctx context.Context) {
 			if sleep.For(ctx, delay) {
 				e.state.loop.Post(e.announceChangedWork)
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -89,11 +90,28 @@
 type Directory struct {
 	// states by instance.
 	states map[string]*targetState
+	// usable is the last result of Targets, and nil once it is outdated.
+	usable *usableTargets
+}
+
+// usableTargets are the targets of the list that may be used, before any reports.
+type usableTargets struct {
+	byService map[string][]Target
+	// addresses of the incarnations, and how many there are at each address.
+	addresses  map[Incarnation]netip.AddrPort
+	perAddress map[netip.AddrPort]int
+	// outageEnded and relisting are the parts of SyncState that the targets depend on.
+	outageEnded time.Time
+	relisting   bool
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory { return &Directory{states: map[string]*targetState{}} }
 
+// Invalidate makes the next call of Targets evaluate all targets again. It must be called after
+// a change of the declared services.
+func (d *Directory) Invalidate() { d.usable = nil }
+
 // staleListingWindow is how long after an incarnation's last listing a listing of an
 // earlier one is ignored as delayed. Targets renew their entry about every second, so after
 // a longer silence the "earlier" incarnation is a restart on a host whose clock went back.
@@ -113,6 +131,7 @@
 	}
 	s.target, s.offset = NewTarget(l), offset
 	s.listedAt, s.removedAt = now, time.Time{}
+	d.Invalidate()
 	return true
 }
 
@@ -128,6 +147,7 @@
 		return false
 	}
 	s.removedAt = now
+	d.Invalidate()
 	return true
 }
 
@@ -135,8 +155,31 @@
 // instance. A target whose entry disappeared during or just after a store outage stays as
 // unconfirmed until relistTimeout has passed. Otherwise the expired entries of live targets
 // would empty the fleet at the end of each outage.
+//
+// The lists are shared with other results and must not be modified.
 func (d *Directory) Targets(declared func(service string) bool, now time.Time, sync SyncState) map[string][]Target {
 	d.prune(now)
+	relisting := sync.relisting(now)
+	if d.usable == nil || d.usable.relisting != relisting || !d.usable.outageEnded.Equal(sync.OutageEnded) {
+		d.usable = newUsableTargets(d.evaluate(declared, now, sync))
+		d.usable.relisting, d.usable.outageEnded = relisting, sync.OutageEnded
+	}
+	return maps.Clone(d.usable.byService)
+}
+
+func newUsableTargets(byService map[string][]Target) *usableTargets {
+	u := &usableTargets{byService: byService, addresses: map[Incarnation]netip.AddrPort{}, perAddress: map[netip.AddrPort]int{}}
+	for _, list := range byService {
+		for i := range list {
+			u.addresses[list[i].Incarnation] = list[i].Address
+			u.perAddress[list[i].Address]++
+		}
+	}
+	return u
+}
+
+// evaluate returns the usable targets of the declared services.
+func (d *Directory) evaluate(declared func(service string) bool, now time.Time, sync SyncState) map[string][]Target {
 	byService := map[string][]Target{}
 	newest := d.newestByAddress(declared)
 	for _, s := range d.states {
@@ -196,10 +239,12 @@
 // mayHaveExpired reports whether an entry removed at removedAt may have expired because its
 // target could not reach the store. An entry removed before the outage has left.
 func (s *SyncState) mayHaveExpired(removedAt, now time.Time) bool {
-	if s.OutageEnded.IsZero() || now.Sub(s.OutageEnded) > relistTimeout {
-		return false
-	}
-	return removedAt.After(s.OutageBegan) && removedAt.Sub(s.OutageEnded) < relistTimeout
+	return s.relisting(now) && removedAt.After(s.OutageBegan) && removedAt.Sub(s.OutageEnded) < relistTimeout
+}
+
+// relisting reports whether live targets may still be missing from the list after an outage.
+func (s *SyncState) relisting(now time.Time) bool {
+	return !s.OutageEnded.IsZero() && now.Sub(s.OutageEnded) <= relistTimeout
 }
 
 // Find returns the target of an instance that is listed or was recently removed.
--- a/internal/gateway/fleet/reports.go
+++ b/internal/gateway/fleet/reports.go
@@ -82,14 +82,10 @@
 // reported incarnations that the list does not show. A reported incarnation replaces the listed
 // one at its address: the list shows a restart a second or two late, and the new process
 // refuses requests that name the earlier incarnation.
+//
+// byService is the last result of Targets. Its lists are replaced where they change.
 func (d *Directory) ApplyReports(byService map[string][]Target, reports []Report, sync SyncState, now time.Time) map[Incarnation]UnlistedState {
-	p := reportPass{byService: byService, addresses: map[Incarnation]netip.AddrPort{}, listedPerAddr: map[netip.AddrPort]int{}, unlisted: map[Incarnation]UnlistedState{}}
-	for _, list := range byService {
-		for i := range list {
-			p.addresses[list[i].Incarnation] = list[i].Address
-			p.listedPerAddr[list[i].Address]++
-		}
-	}
+	p := reportPass{byService: byService, listed: d.usable, owned: map[string]bool{}, unlisted: map[Incarnation]UnlistedState{}}
 	for i := range reports {
 		r := &reports[i]
 		if d.goneOrSuperseded(r, now) {
@@ -125,17 +121,26 @@
 // reportPass is the state of one ApplyReports call.
 type reportPass struct {
 	byService map[string][]Target
-	// addresses of the listed incarnations, and how many are listed at each address.
-	addresses     map[Incarnation]netip.AddrPort
-	listedPerAddr map[netip.AddrPort]int
-	unlisted      map[Incarnation]UnlistedState
+	listed    *usableTargets
+	// owned are the services whose lists are not shared.
+	owned    map[string]bool
+	unlisted map[Incarnation]UnlistedState
+}
+
+// list returns a service's targets, which the caller may modify.
+func (p *reportPass) list(service string) []Target {
+	if !p.owned[service] {
+		p.owned[service] = true
+		p.byService[service] = slices.Clone(p.byService[service])
+	}
+	return p.byService[service]
 }
 
 func (p *reportPass) apply(r *Report, state UnlistedState) {
-	list := p.byService[r.Service]
-	if address, ok := p.addresses[r.Incarnation]; ok && address == r.Address && p.listedPerAddr[address] == 1 {
+	if address, ok := p.listed.addresses[r.Incarnation]; ok && address == r.Address && p.listed.perAddress[address] == 1 {
 		return // the report agrees with the list, as nearly all do
 	}
+	list := p.list(r.Service)
 	if slices.ContainsFunc(list, func(t Target) bool { return t.Incarnation == r.Incarnation }) {
 		p.byService[r.Service] = slices.DeleteFunc(list, func(t Target) bool { return t.Address == r.Address && t.Incarnation != r.Incarnation })
 		return
--- a/internal/gateway/fleetsize.go
+++ b/internal/gateway/fleetsize.go
@@ -14,8 +14,8 @@
 			}
 		}
 	}
-	entries := len(c.mesh.Live(true))
-	hasSidecars := len(c.mesh.Live(false)) > 0
+	entries := c.mesh.LiveCount(true)
+	hasSidecars := c.mesh.LiveCount(false) > 0
 	large := hasSidecars && (engines > c.settings.LargeEngines || entries > c.settings.LargeEntries)
 	if c.large.Swap(large) != large {
 		c.logger.Info("fleet_sized", "large", large, "engines", engines, "entries", entries)
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -176,9 +176,9 @@
 // Live returns the live entries or the live sidecars, sorted by name.
 func (m *Mesh) Live(entries bool) []*Member {
 	var live []*Member
-	within := m.heartbeatTimeout(entries)
+	within, now := m.heartbeatTimeout(entries), m.options.Now()
 	for _, member := range m.members {
-		if member.Heartbeat != nil && member.Entry == entries && m.options.Now().Sub(member.LastSeen) <= within {
+		if member.Heartbeat != nil && member.Entry == entries && now.Sub(member.LastSeen) <= within {
 			live = append(live, member)
 		}
 	}
@@ -186,6 +186,29 @@
 	return live
 }
 
+// LiveCount returns the number of live entries or of live sidecars.
+func (m *Mesh) LiveCount(entries bool) int {
+	count, within, now := 0, m.heartbeatTimeout(entries), m.options.Now()
+	for _, member := range m.members {
+		if member.Heartbeat != nil && member.Entry == entries && now.Sub(member.LastSeen) <= within {
+			count++
+		}
+	}
+	return count
+}
+
+// EntryRank returns the number of live entries that are not stopping and whose names sort before
+// name.
+func (m *Mesh) EntryRank(name string) int {
+	rank, within, now := 0, m.heartbeatTimeout(true), m.options.Now()
+	for _, member := range m.members {
+		if member.Entry && !member.Leaving && member.Name < name && member.Heartbeat != nil && now.Sub(member.LastSeen) <= within {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Known returns the number of known processes of a role that are not stopping, and how many of
 // them have sent no heartbeat for half the heartbeat timeout.
 func (m *Mesh) Known(entries bool) (known, overdue int) {
--- a/internal/gateway/quarantinesync.go
+++ b/internal/gateway/quarantinesync.go
@@ -158,7 +158,7 @@
 // others at once, the receivers forward new records.
 func (s *quarantineSync) onHeartbeat(m *mesh.Member) {
 	now := s.process.clock.Now()
-	forward := len(m.Heartbeat.Suspects) > 0 && len(s.process.state.mesh.Live(true)) > mesh.FanOut
+	forward := len(m.Heartbeat.Suspects) > 0 && s.process.state.mesh.LiveCount(true) > mesh.FanOut
 	for _, suspect := range m.Heartbeat.Suspects {
 		s.registry.Merge(quarantine.FromMessage(suspect, now), forward, now)
 	}
--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -99,12 +99,4 @@
 }
 
 // entryRank returns the number of live entries whose names sort before this one's.
-func (c *clusterState) entryRank() int {
-	before := 0
-	for _, m := range c.mesh.Live(true) {
-		if m.Name < c.settings.Name && !m.Leaving {
-			before++
-		}
-	}
-	return before
-}
+func (c *clusterState) entryRank() int { return c.mesh.EntryRank(c.settings.Name) }
