A sidecar fetches its fencing token when it needs one

Change: the token is fetched once the engine's weights are outdated, before the load is due, or else at a random moment within ten minutes, so that loads can also be ordered in a later outage. Test: TestTokenIsFetchedOnDemand, which fails with the fetch at the start.

--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -12,11 +12,16 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
 	"github.com/toucanwell/toucanwell/internal/gateway/tracker"
 	"github.com/toucanwell/toucanwell/internal/gateway/weights"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 const (
 	tokenTimeout = 2 * time.Second
 	tokenRetry   = 500 * time.Millisecond
+	// tokenSpread is the time after the start within which a sidecar fetches its fencing token if it
+	// has not needed it yet. It can then request loads during a store outage, and the sidecars of
+	// a fleet that starts don't all write to the store at once.
+	tokenSpread = 10 * time.Minute
 	// resumeSettleTime is how long after a suspension of the host no orders are given, until
 	// the cluster state is up to date again.
 	resumeSettleTime = 600 * time.Millisecond
@@ -36,8 +41,10 @@
 	report      weights.Report
 	phase       weights.Phase
 	known       bool
-	token       uint64
-	caches      *cacheFollowers
+	// token is the fencing token of this process, fetched for its first load request.
+	token         uint64
+	fetchingToken bool
+	caches        *cacheFollowers
 	// tracker keeps the engine's state for probes.
 	tracker *tracker.Tracker
 	probes  *probe.Server
@@ -47,7 +54,7 @@
 	s := &sidecar{process: p, state: p.state, address: netip.MustParseAddrPort(p.settings.Engine)}
 	s.controller = weights.NewController(p.loop, p.platform.Engine(s.address), weights.Environment{
 		Wanted: s.wantedWeights, HealthPath: s.healthPath, Engines: s.engineViews, PartialView: s.state.large.Load, OnChange: s.engineChanged,
-		Token:    func() (uint64, bool) { return s.token, s.token > 0 },
+		Token:    s.fencingToken,
 		UpToDate: func() bool { p.clock.Check(); return p.clock.SinceResume() > resumeSettleTime },
 	}, weights.Options{
 		Holder: p.settings.Name, MaxStaleness: p.settings.Bounds.MaxStaleness.Duration, Logger: p.logger, Now: p.clock.Now,
@@ -87,9 +94,22 @@
 }
 
 func (s *sidecar) start() {
-	s.fetchToken()
 	s.controller.Start()
 	s.caches.start()
+	s.process.loop.Go(func(ctx context.Context) {
+		if sleep.For(ctx, time.Duration(s.process.loop.Intn(int(tokenSpread)))) {
+			s.process.loop.Post(func() { s.fencingToken() })
+		}
+	})
+}
+
+// fencingToken returns the fencing token of this process. It begins to fetch one if there is none.
+func (s *sidecar) fencingToken() (uint64, bool) {
+	if s.token == 0 && !s.fetchingToken {
+		s.fetchingToken = true
+		s.fetchToken()
+	}
+	return s.token, s.token > 0
 }
 
 // fetchToken fetches the fencing token of this process and retries until it succeeds.
--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -116,7 +116,7 @@
 	PartialView func() bool
 	// OnChange receives the engine's incarnation, newest report and phase.
 	OnChange func(incarnation fleet.Incarnation, report Report, phase Phase)
-	// Token returns the fencing token, once there is one.
+	// Token returns the fencing token, once there is one. The first call begins to fetch it.
 	Token func() (uint64, bool)
 	// UpToDate reports whether the process has run without suspension for long enough to
 	// have refreshed its state. A process that was suspended must not send load requests
@@ -375,8 +375,7 @@
 	if now.Before(c.nextRequestAt) || c.report.Busy || !c.env.UpToDate() {
 		return
 	}
-	token, ok := c.env.Token()
-	if !ok || c.instance == "" {
+	if c.instance == "" {
 		return
 	}
 	action, req := c.nextAction(now)
@@ -384,6 +383,10 @@
 		c.phase = Serving
 		return
 	}
+	token, ok := c.env.Token()
+	if !ok {
+		return
+	}
 	if c.phase != Draining {
 		c.phase, c.drainingSince = Draining, now
 	}
@@ -402,6 +405,7 @@
 		if !served || loaded >= wanted {
 			continue
 		}
+		_, _ = c.env.Token() // begins to fetch it before the load is due
 		in := Input{
 			Self: c.incarnation(), Engines: c.env.Engines(model), Wanted: wanted,
 			StaleFor: history.StaleFor(loaded, now), MaxStaleness: c.options.MaxStaleness, LoadTime: c.loadTime,
--- a/internal/gateway/weights/controller_test.go
+++ b/internal/gateway/weights/controller_test.go
@@ -99,6 +99,8 @@
 	token       uint64
 	upToDate    bool
 	partialView bool
+	// tokenAsked counts the calls of Environment.Token.
+	tokenAsked int
 }
 
 func startHarness() *harness { return startHarnessWith(&fakeEngine{instance: "i1", version: 1}) }
@@ -117,7 +119,10 @@
 				h.phases = append(h.phases, p)
 			}
 		},
-		Token:    func() (uint64, bool) { return h.token, h.token > 0 },
+		Token: func() (uint64, bool) {
+			h.tokenAsked++
+			return h.token, h.token > 0
+		},
 		UpToDate: func() bool { return h.upToDate },
 	}, Options{Holder: "side-1", MaxStaleness: 8 * time.Second, Logger: logr.Discard(), Now: time.Now, OnOutcome: func(Outcome) {}})
 	go h.loop.Run()
@@ -246,6 +251,29 @@
 	})
 }
 
+// Guards against a write to the store by every sidecar of a fleet that starts: a fencing token is
+// fetched only for an engine with outdated weights, and then before its load is due.
+func TestTokenIsFetchedOnDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := startHarness()
+		time.Sleep(time.Second)
+		h.publish(1)
+		time.Sleep(time.Second)
+		asked := make(chan int, 1)
+		h.loop.Post(func() { asked <- h.tokenAsked })
+		if n := <-asked; n != 0 {
+			t.Errorf("token asked for %d times although the weights are up to date", n)
+		}
+		h.publish(2)
+		h.loop.Post(func() { asked <- h.tokenAsked })
+		if n := <-asked; n == 0 {
+			t.Error("token not asked for although the weights are outdated")
+		}
+		time.Sleep(time.Second)
+		h.stop()
+	})
+}
+
 // Guards against waiting for a load that ended with a crash: an engine that restarts under the
 // same instance name while it loads must get another load request.
 func TestEngineRestartsUnderItsNameWhileLoading(t *testing.T) {
