A page of hundreds of listings is logged as one line

Cause: in the first five seconds of the whole fleet each of 981 processes logged each of 645 targets: 628,000 lines, 190 MB. In a large fleet each report of a serving engine was logged whenever the one before it had expired: 223,000 lines in the first 18 s. Change: pages of over 100 records are logged as one line, and the targets that leave or return; in a large fleet the first report of a serving engine is not news.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -156,7 +156,8 @@
 }
 
 func (c *clusterState) targetsChanged(keys []string) {
-	changed := false
+	changed, listed := false, 0
+	bulk := len(keys) > maxListingsLogged
 	for _, key := range keys {
 		r, ok := c.targets.Replica().Get(key)
 		if !ok {
@@ -176,7 +177,13 @@
 		}
 		delete(c.rejectedListings, key)
 		c.setListingDigest(key, listingDigest(&listing))
-		changed = c.applyListing(listing, r.Offset) || changed
+		if c.applyListing(listing, r.Offset, bulk) {
+			changed = true
+			listed++
+		}
+	}
+	if bulk {
+		c.logger.Info("targets_listed", "records", len(keys), "changed", listed, "end", c.targets.Replica().End())
 	}
 	if changed {
 		c.publishViewSoon()
@@ -198,8 +205,13 @@
 	c.logger.Info("target_refused", "target", key, "offset", offset, "error", err.Error())
 }
 
-// applyListing applies a listing and reports whether a relevant field changed.
-func (c *clusterState) applyListing(l fleet.Listing, offset uint64) bool {
+// maxListingsLogged is the number of records up to which each new listing is logged. Larger pages,
+// as at the start of a process, are logged as one line and the targets that leave or return.
+const maxListingsLogged = 100
+
+// applyListing applies a listing and reports whether a relevant field changed. An ordinary listing in
+// a bulk update is not logged.
+func (c *clusterState) applyListing(l fleet.Listing, offset uint64, bulk bool) bool {
 	old, known := c.directory.Find(l.Instance)
 	returned := c.directory.Gone(old.Incarnation)
 	if !c.directory.Add(l, offset, c.clock.Now()) {
@@ -209,6 +221,9 @@
 	if known && !returned && listingDigest(&old.Listing) == listingDigest(&l) {
 		return false
 	}
+	if bulk && !l.Leaving && !returned {
+		return true
+	}
 	c.logger.Info("target_listed", "target", l.Incarnation, "service", l.Service, "address", l.Address, "zone", l.Zone,
 		"leaving", l.Leaving, "weights", l.Weights, "returned", returned, "offset", offset)
 	return true
--- a/internal/gateway/enginereports.go
+++ b/internal/gateway/enginereports.go
@@ -62,7 +62,9 @@
 			changed = true
 		}
 	}
-	if changed {
+	// In a large fleet a report expires before the sidecar's next one, so most are the first.
+	ordinary := c.large.Load() && !known && report.Phase == weights.Serving
+	if changed && !ordinary {
 		c.logger.Info("engine_told", "target", incarnation, "peer", m.Name, "weights", report.Weights, "phase", report.Phase.String())
 	}
 	return changed
