Heartbeats in large fleets tell which other entries are live

Cause: each process sent to 24 others in turn, so that with 356 entries a death was known after three rotations, 18 s (45 and 81 s for sidecars), which is longer than the 30 s after which a silent member was forgotten: deaths were never logged, members that other processes named were deleted before they were used, and each process met the others again and again (21,000 peer_heard lines a second in the whole fleet). Change: a heartbeat to entries names 32 of them with the age of their newest heartbeat, in turn; a sighting refreshes a member where no full mesh is possible (over 24 entries). Rounds go to 10 entries and 5 sidecars. A member is forgotten 30 s after it counts as dead. Hosts without a known process get as many heartbeats at once as a round. Ranks go by address, which sightings include. Files of one concern each. TestLostHeartbeatDoesNotEndMember asked that a member of a large fleet lives through 4 s without any heartbeat, which sightings shorten; TestLostHeartbeatsDoNotEndMembers asks for as much with the network: no false death in 10 s at 10% loss, and a death known within 10 s.

--- a/internal/gateway/cachefollowers.go
+++ b/internal/gateway/cachefollowers.go
@@ -137,7 +137,7 @@
 	own := rank(c.process.settings.Name)
 	higherRanked := 0
 	for _, m := range c.process.state.mesh.Live(false) {
-		if !m.Leaving && rank(m.Name) > own {
+		if !m.Leaving && m.Name != "" && rank(m.Name) > own {
 			higherRanked++
 		}
 	}
--- /dev/null
+++ b/internal/gateway/mesh/rounds.go
@@ -0,0 +1,138 @@
+package mesh
+
+import (
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+)
+
+const (
+	// FanOut is the maximum number of receivers of a broadcast. The other processes get the update
+	// from those that were reached.
+	FanOut = 24
+)
+
+// sendRound sends a heartbeat to the members of a role. The sidecars' round also goes to hosts
+// without a known process.
+func (m *Mesh) sendRound(entries bool) {
+	m.expireMembers()
+	var to []netip.AddrPort
+	for _, member := range m.members {
+		if member.Entry == entries {
+			to = append(to, member.Address)
+		}
+	}
+	if len(to) > m.options.RoundSize(entries) {
+		to = m.nextReceivers(entries, to)
+	}
+	if !entries {
+		to = append(to, m.unknownHosts()...)
+	}
+	m.sendFull(to, entries)
+}
+
+// nextReceivers returns the receivers of this round, up to the size of a round. It goes through all members
+// in a random order before it starts again, so that none is left out for several rounds.
+func (m *Mesh) nextReceivers(entries bool, all []netip.AddrPort) []netip.AddrPort {
+	due := m.pendingReceivers[entries]
+	if len(due) == 0 {
+		due = all
+		rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	}
+	n := min(m.options.RoundSize(entries), len(due))
+	m.pendingReceivers[entries] = due[n:]
+	return due[:n:n]
+}
+
+// Broadcast sends a heartbeat to the live processes at once, for changes that should not wait
+// for the next round.
+func (m *Mesh) Broadcast() {
+	var to []netip.AddrPort
+	for _, member := range m.members {
+		if m.isLive(member) {
+			to = append(to, member.Address)
+		}
+	}
+	m.sendFull(sample(to, FanOut), false)
+}
+
+// BroadcastToEntries sends the live entries a partial heartbeat with only what fill adds.
+func (m *Mesh) BroadcastToEntries(fill func(*peerv1.Beat)) {
+	var to []netip.AddrPort
+	for _, member := range m.members {
+		if member.Entry && m.isLive(member) {
+			to = append(to, member.Address)
+		}
+	}
+	m.sendHeartbeat(sample(to, FanOut), func(heartbeat *peerv1.Beat) {
+		heartbeat.Partial, heartbeat.Name, heartbeat.Zone = true, "", ""
+		fill(heartbeat)
+	})
+}
+
+// Introduce sends a heartbeat to the hosts without a known process. A process that has just
+// started thus learns of the others within a round trip.
+func (m *Mesh) Introduce() { m.sendFull(m.unknownHosts(), false) }
+
+// SendTo sends one process a full heartbeat with what fill adds. The receiver may not know this
+// process yet.
+func (m *Mesh) SendTo(to netip.AddrPort, fill func(*peerv1.Beat)) {
+	m.sendHeartbeat([]netip.AddrPort{to}, func(heartbeat *peerv1.Beat) {
+		m.options.Compose(heartbeat)
+		fill(heartbeat)
+	})
+}
+
+// unknownHosts returns the addresses of some configured hosts without a known process, as many as
+// a round has receivers.
+func (m *Mesh) unknownHosts() []netip.AddrPort {
+	unknown := map[netip.AddrPort]bool{}
+	for _, host := range append(m.options.Hosts(), m.options.Seeds...) {
+		address := netip.AddrPortFrom(host, m.options.Listen.Port())
+		if address != m.options.Listen && m.members[address] == nil {
+			unknown[address] = true
+		}
+	}
+	return sample(slices.Collect(maps.Keys(unknown)), m.options.RoundSize(false))
+}
+
+// sample returns n random addresses, or all of them if there are no more.
+func sample(addresses []netip.AddrPort, n int) []netip.AddrPort {
+	if len(addresses) <= n {
+		return addresses
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:n]
+}
+
+// sendFull sends a full heartbeat. toEntries is set if all receivers are entries.
+func (m *Mesh) sendFull(to []netip.AddrPort, toEntries bool) {
+	m.sendHeartbeat(to, func(heartbeat *peerv1.Beat) {
+		m.options.Compose(heartbeat)
+		heartbeat.Peers = m.sightings(toEntries, MaxDatagram-proto.Size(heartbeat))
+	})
+}
+
+func (m *Mesh) sendHeartbeat(to []netip.AddrPort, fill func(*peerv1.Beat)) {
+	if len(to) == 0 || m.stopped {
+		return
+	}
+	heartbeat := proto.Clone(m.options.Self).(*peerv1.Beat)
+	m.sequence++
+	heartbeat.Sequence = m.sequence
+	fill(heartbeat)
+	data, err := proto.Marshal(heartbeat)
+	if err != nil || len(data) > MaxDatagram {
+		m.options.Logger.Info("beat_not_sent", "bytes", len(data), "error", err)
+		return
+	}
+	for _, address := range to {
+		// A datagram that cannot be sent counts as lost. The next round sends another.
+		m.write(data, address)
+	}
+}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -36,6 +36,10 @@
 	// topic replicas.
 	largeEntryHeartbeatPeriod = 400 * time.Millisecond
 	largeHeartbeatPeriod      = time.Second
+	// The number of receivers of a round of heartbeats in large fleets. Which entries are live and
+	// which replicas are current is passed on from process to process.
+	largeRoundToEntries  = 10
+	largeRoundToSidecars = 5
 	// peerIdleTimeout is how long idle connections to peers are kept open.
 	peerIdleTimeout = 5 * time.Second
 )
@@ -141,7 +145,7 @@
 			Name: p.settings.Name, Incarnation: p.incarnation, Entry: p.entry != nil, Zone: p.settings.AvailabilityZone,
 		},
 		Listen: p.settings.meshAddress(), Seeds: p.settings.seedHosts(), Hosts: p.state.sidecarHosts,
-		Compose: p.compose, OnHeartbeat: p.onHeartbeat, Period: p.heartbeatPeriod, Logger: p.logger, Now: p.clock.Now,
+		Compose: p.compose, OnHeartbeat: p.onHeartbeat, Period: p.heartbeatPeriod, RoundSize: p.heartbeatRoundSize, Logger: p.logger, Now: p.clock.Now,
 	})
 	if err != nil {
 		return err
@@ -236,6 +240,17 @@
 	}
 }
 
+func (p *process) heartbeatRoundSize(entries bool) int {
+	switch {
+	case !p.state.large.Load():
+		return mesh.FanOut
+	case entries:
+		return largeRoundToEntries
+	default:
+		return largeRoundToSidecars
+	}
+}
+
 // Reload applies changed settings to the running process. Only the seeds can change; other
 // settings keep their values until a restart.
 func (p *process) Reload(next *Settings) {
--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -7,7 +7,7 @@
 
 const (
 	// A process reads the target list from the store when its replica is older than this. The
-	// first entry in name order reads regularly; the others only step in if it fails, and
+	// first entry in address order reads regularly; the others only step in if it fails, and
 	// otherwise learn of changes through heartbeats.
 	firstEntryReadAge   = 450 * time.Millisecond
 	secondEntryReadAge  = 800 * time.Millisecond
@@ -98,5 +98,5 @@
 	}
 }
 
-// entryRank returns the number of live entries whose names sort before this one's.
-func (c *clusterState) entryRank() int { return c.mesh.EntryRank(c.settings.Name) }
+// entryRank returns the number of live entries whose addresses precede this one's.
+func (c *clusterState) entryRank() int { return c.mesh.EntryRank() }
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -48,7 +48,7 @@
 	// sidecars of the engines that they consider.
 	LargeFleet bool
 	// EntryCount is the number of live entries, including this process if it is one. EntryRank
-	// is the number of those that precede it by name and are not leaving.
+	// is the number of those that precede it by address and are not leaving.
 	EntryCount, EntryRank int
 	// Stopping is set while the process shuts down, which ends at ShutdownAt. From
 	// SelectiveFrom on it accepts only requests that it can finish by then.
