A process that starts gets its replicas and quarantine records from peers

Cause: when the whole fleet starts, all ask the three seeds at once, whose links carry no replica in time; after 3 s most processes read the store themselves, seven calls each, and each entry read the quarantine records, two calls. An entry that restarted read all of it in any case. Change: a process serves four fetches at once and refuses more, so that the first that were served serve the next; a new process waits for up to 8 s while peers announce replicas; an entry that may have callers waits 0.3 s, and not at all for peers that have none; quarantine records are fetched from an entry that has them, and from the store where none has.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -69,6 +69,10 @@
 	// fetchedAt is when each topic was last fetched from a peer.
 	fetchedAt map[string]time.Time
 	startedAt time.Time
+	// replicaSeenAt is when a peer last announced a replica of each topic. emptyPeerSeen is set once
+	// a peer has announced that it has none.
+	replicaSeenAt map[string]time.Time
+	emptyPeerSeen bool
 	// replicaAnnouncedTo holds the incarnations of the processes without a replica to which
 	// this process has announced its own.
 	replicaAnnouncedTo map[netip.AddrPort]uint64
@@ -83,7 +87,9 @@
 	view                                     blackboard.Fact[*view.View]
 	// onViewChange is called after each new view, onEstateChange for each new version of the
 	// estate.
-	onViewChange   func()
+	onViewChange func()
+	// quarantinePage returns the quarantine records for a process that starts.
+	quarantinePage func() (mesh.TopicPage, bool)
 	onEstateChange func(version int64)
 	// onListingRejected is called for each invalid record of the target list.
 	onListingRejected func()
@@ -93,7 +99,7 @@
 	c := &clusterState{
 		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
 		directory: fleet.NewDirectory(), wantedWeights: map[string]weights.History{}, engineReports: map[fleet.Incarnation]view.EngineReport{}, unlisted: map[fleet.Incarnation]fleet.UnlistedState{}, unresponsive: map[netip.AddrPort]time.Time{},
-		replicaAnnouncedTo: map[netip.AddrPort]uint64{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, onEstateChange: func(int64) {}, onListingRejected: func() {},
+		replicaAnnouncedTo: map[netip.AddrPort]uint64{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onListingRejected: func() {},
 	}
 	c.declarations = feed.NewFollower(loop, p.Declarations(), feed.NewReplica(outageGap), feed.Options{
 		Name: topicOperators, Wait: declarationsWait, ShouldRead: c.shouldReadDeclarations, OnChange: c.declarationsChanged,
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -57,6 +57,7 @@
 	})
 	e.pool = upstream.NewPool(p.metrics.Connection)
 	e.quarantine = newQuarantineSync(p)
+	p.state.quarantinePage = e.quarantine.page
 	e.forwarder = forward.New(forward.Deps{
 		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach,
 		Quarantine: e.quarantine.registry, CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) bool { return e.pool.RefusesConnections(ctx, t.Address) }),
--- a/internal/gateway/mesh/fetch.go
+++ b/internal/gateway/mesh/fetch.go
@@ -13,7 +13,13 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 )
 
-const fetchTimeout = 700 * time.Millisecond
+const (
+	fetchTimeout = 700 * time.Millisecond
+	// maxFetches is the number of fetches that a process serves at once. When a whole fleet starts,
+	// all processes ask the seeds, whose links would carry none of the replicas in time; those
+	// that are refused fetch from the first that were served.
+	maxFetches = 4
+)
 
 // TopicPage is a page of a process's replica of a topic.
 type TopicPage struct {
@@ -22,20 +28,46 @@
 	Age time.Duration
 }
 
+// Values returns the values of the page's records.
+func (p *TopicPage) Values() [][]byte {
+	values := make([][]byte, 0, len(p.Records))
+	for _, r := range p.Records {
+		values = append(values, r.Value)
+	}
+	return values
+}
+
 // Server serves pages of topics to other processes.
 type Server struct {
 	loop *control.Loop
 	// lookup is called on the control thread.
 	lookup func(topic string, from uint64) (TopicPage, bool)
+	// places limits the fetches in progress.
+	places chan struct{}
 }
 
 // NewServer returns a server. It calls lookup on the control thread.
 func NewServer(loop *control.Loop, lookup func(topic string, from uint64) (TopicPage, bool)) *Server {
-	return &Server{loop: loop, lookup: lookup}
+	return &Server{loop: loop, lookup: lookup, places: make(chan struct{}, maxFetches)}
+}
+
+// Handler returns the path and the handler for the Mesh service. It refuses requests while
+// maxFetches responses are being sent.
+func (s *Server) Handler() (string, http.Handler) {
+	path, handler := peerv1.NewMeshHandler(s)
+	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case s.places <- struct{}{}:
+			defer func() { <-s.places }()
+			handler.ServeHTTP(w, r)
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
 }
 
-// Handler returns the path and the handler for the Mesh service.
-func (s *Server) Handler() (string, http.Handler) { return peerv1.NewMeshHandler(s) }
+// IsBusy reports whether a fetch failed because the other process serves too many.
+func IsBusy(err error) bool { return connect.CodeOf(err) == connect.CodeUnavailable }
 
 // Fetch implements the Mesh service.
 func (s *Server) Fetch(ctx context.Context, req *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchResponse], error) {
--- /dev/null
+++ b/internal/gateway/mesh/fetch_test.go
@@ -0,0 +1,52 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
+)
+
+// Guards against a process that serves so many fetches at once that none ends in time: those beyond
+// the limit must be refused at once, and be served once there is room again.
+func TestFetchesBeyondTheLimitAreRefused(t *testing.T) {
+	loop := control.NewLoop(1, func(time.Duration) {})
+	go loop.Run()
+	defer loop.Stop()
+	release := make(chan struct{})
+	server := NewServer(loop, func(string, uint64) (TopicPage, bool) {
+		<-release
+		return TopicPage{Page: feed.Page{Snapshot: feed.Snapshot{End: 7}}}, true
+	})
+	mux := http.NewServeMux()
+	mux.Handle(server.Handler())
+	listener := httptest.NewServer(mux)
+	defer listener.Close()
+	peer := netip.MustParseAddrPort(listener.Listener.Addr().String())
+
+	var served sync.WaitGroup
+	for range maxFetches {
+		served.Go(func() {
+			if page, err := Fetch(context.Background(), http.DefaultClient, peer, "t", 0); err != nil || page.End != 7 {
+				t.Errorf("fetch within the limit: %v, %v", page, err)
+			}
+		})
+	}
+	for len(server.places) < maxFetches {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := Fetch(context.Background(), http.DefaultClient, peer, "t", 0); !IsBusy(err) {
+		t.Errorf("fetch beyond the limit: %v, want busy", err)
+	}
+	close(release)
+	served.Wait()
+	if _, err := Fetch(context.Background(), http.DefaultClient, peer, "t", 0); err != nil {
+		t.Errorf("fetch after the others: %v", err)
+	}
+}
--- a/internal/gateway/quarantinesync.go
+++ b/internal/gateway/quarantinesync.go
@@ -10,6 +10,7 @@
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/metrics"
@@ -38,10 +39,10 @@
 // quarantineSync exchanges quarantine records with the other entries and keeps the records
 // of refused requests in the platform's store.
 //
-// An entry that starts receives the records from the others. The store preserves them
+// An entry that starts fetches the records from another one. The store preserves them
 // across a restart of all entries, after which a refused request would otherwise crash
 // targets again. Records are written when a request is held, deleted when it may run again,
-// and read when an entry starts.
+// and read when an entry starts and no other has them.
 //
 // A partitioned entry may still reach the store. It reloads the records when it has
 // attributed a second crash to a request, because other entries may have refused that
@@ -54,6 +55,8 @@
 	reloadedAt time.Time
 	// loading is set while the records are being loaded, including retries.
 	loading bool
+	// loaded is set once the records were loaded for the first time.
+	loaded bool
 }
 
 func newQuarantineSync(p *process) *quarantineSync {
@@ -93,7 +96,7 @@
 
 func (s *quarantineSync) start() {
 	s.process.loop.Go(s.announceUpdates)
-	s.load()
+	s.process.loop.Post(func() { s.loadFirst(s.process.clock.Now()) })
 }
 
 // announceUpdates announces changed records to the other entries.
@@ -182,8 +185,7 @@
 	control.Do(p.loop, quarantineCallTimeout, p.platform.QuarantineRecords, func(records [][]byte, err error) {
 		p.metrics.StoreCall(topicQuarantine, time.Since(start), err)
 		if err == nil {
-			s.loading = false
-			s.restoreAll(records)
+			s.finishLoading(records)
 			return
 		}
 		p.logger.Info("quarantine_not_read", "error", err.Error())
@@ -195,8 +197,73 @@
 	})
 }
 
-// restoreAll merges the stored records. The first entry deletes expired ones from the
-// store, which would otherwise keep them forever.
+const (
+	// firstLoadRetry is the pause between two attempts to load the records from a peer at the start.
+	firstLoadRetry = 100 * time.Millisecond
+	// peerLoadTimeout limits one attempt.
+	peerLoadTimeout = 300 * time.Millisecond
+)
+
+// loadFirst loads the records at the start of the process: from an entry that has them, which spares
+// the store when many entries start, or else from the store.
+func (s *quarantineSync) loadFirst(startedAt time.Time) {
+	state := s.process.state
+	s.loading = true
+	wait := restartPeerWait
+	if state.settings.FirstStart {
+		wait = maxPeerWait
+	}
+	if state.isSeed() || s.process.clock.Now().Sub(startedAt) > wait {
+		s.load()
+		return
+	}
+	peer, ok := state.mesh.AnyEntry()
+	control.Do(s.process.loop, peerLoadTimeout, func(ctx context.Context) (mesh.TopicPage, error) {
+		if !ok {
+			return mesh.TopicPage{}, nil
+		}
+		return mesh.Fetch(ctx, state.peers, peer, topicQuarantine, 0)
+	}, func(page mesh.TopicPage, err error) {
+		if err == nil && page.End > 0 {
+			s.process.logger.Info("quarantine_fetched", "peer", peer, "records", len(page.Records))
+			s.finishLoading(page.Values())
+			return
+		}
+		s.process.loop.Go(func(ctx context.Context) {
+			if sleep.For(ctx, firstLoadRetry) {
+				s.process.loop.Post(func() { s.loadFirst(startedAt) })
+			}
+		})
+	})
+}
+
+func (s *quarantineSync) finishLoading(records [][]byte) {
+	s.loading, s.loaded = false, true
+	s.restoreAll(records)
+}
+
+// page returns all records for an entry that starts; ok is false before this one has loaded them.
+func (s *quarantineSync) page() (page mesh.TopicPage, ok bool) {
+	if !s.loaded {
+		return mesh.TopicPage{}, false
+	}
+	now := s.process.clock.Now()
+	page.End, page.Full = 1, true
+	for _, r := range s.registry.List(now) {
+		m := quarantine.ToMessage(&r.Record, now)
+		m.WrittenUnixMs = time.Now().UnixMilli()
+		data, err := proto.Marshal(m)
+		if err != nil {
+			s.process.logger.Error(err, "quarantine_not_sent", "print", r.Fingerprint)
+			continue
+		}
+		page.Records = append(page.Records, feed.Record{Key: r.Fingerprint.String(), Value: data})
+	}
+	return page, true
+}
+
+// restoreAll merges the stored records. The first entry and the seeds, which read the store when
+// they start, delete expired ones from it, which would otherwise keep them forever.
 func (s *quarantineSync) restoreAll(records [][]byte) {
 	restored, dropped := 0, 0
 	for _, data := range records {
@@ -210,7 +277,7 @@
 			continue
 		}
 		age := time.Since(time.UnixMilli(m.WrittenUnixMs))
-		if dropped < maxDropped && age > s.process.settings.Quarantine.RefuseFor.Duration && s.process.state.entryRank() == 0 {
+		if dropped < maxDropped && age > s.process.settings.Quarantine.RefuseFor.Duration && s.removesExpired() {
 			dropped++
 			s.store(quarantine.Fingerprint(m.Print), true)
 		}
@@ -218,6 +285,10 @@
 	s.process.logger.Info("quarantine_read", "records", len(records), "in_force", restored, "dropped", dropped)
 }
 
+func (s *quarantineSync) removesExpired() bool {
+	return s.process.state.isSeed() || s.process.state.entryRank() == 0
+}
+
 // maxDropped limits the deletions after one load.
 const maxDropped = 16
 
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -47,9 +47,11 @@
 func (c *clusterState) onHeartbeat(m *mesh.Member) {
 	for _, p := range m.Heartbeat.Topics {
 		if p.Unknown {
+			c.emptyPeerSeen = true
 			c.announceReplica(m, p.Topic)
 			continue
 		}
+		c.replicaSeenAt[p.Topic] = c.clock.Now()
 		f := c.follower(p.Topic)
 		if f == nil {
 			continue
@@ -117,7 +119,9 @@
 	}, func(a mesh.TopicPage, err error) {
 		c.fetching[topic] = false
 		if err != nil {
-			c.logger.Info("fetch_failed", "topic", topic, "peer", from, "error", err.Error())
+			if !mesh.IsBusy(err) {
+				c.logger.Info("fetch_failed", "topic", topic, "peer", from, "error", err.Error())
+			}
 			return
 		}
 		if a.End > 0 {
@@ -128,6 +132,9 @@
 
 // topicPage serves a peer's fetch.
 func (c *clusterState) topicPage(topic string, from uint64) (mesh.TopicPage, bool) {
+	if topic == topicQuarantine {
+		return c.quarantinePage()
+	}
 	f := c.follower(topic)
 	if f == nil || f.Replica().CurrentAt().IsZero() {
 		return mesh.TopicPage{}, false
--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -22,17 +22,56 @@
 	sidecarDeclarationsReadAge = 3 * time.Second
 )
 
-// maxPeerWait is how long a new process waits for its peers' replicas before it reads the
-// store itself. This limits the load on the store when the whole fleet starts.
-const maxPeerWait = 3 * time.Second
+const (
+	// maxPeerWait is how long a new process waits for its peers' replicas before it reads the store
+	// itself. This limits the load on the store when the whole fleet starts.
+	maxPeerWait = 3 * time.Second
+	// maxFetchWait is the same once a peer has announced a replica in the last replicaSeenTTL: the
+	// process only has to wait until one has time for its fetch.
+	maxFetchWait   = 8 * time.Second
+	replicaSeenTTL = 1500 * time.Millisecond
+	// restartPeerWait is how long an entry that may already have callers waits for a replica. A
+	// live seed answers within milliseconds.
+	restartPeerWait = 300 * time.Millisecond
+)
+
+// peerWait is what a new process knows of its peers' replicas of a topic.
+type peerWait struct {
+	// sinceStart is the time since the process started.
+	sinceStart time.Duration
+	// mayHaveCallers is set for an entry that starts while others serve.
+	mayHaveCallers bool
+	// replicaSeen is set if a peer with a replica was heard lately, emptySeen if one without.
+	replicaSeen, emptySeen bool
+}
+
+// shouldWait reports whether the process should get its first replica from a peer. An entry that may
+// have callers does not wait for peers that have just started, too.
+func (w peerWait) shouldWait() bool {
+	switch {
+	case w.mayHaveCallers && w.emptySeen && !w.replicaSeen:
+		return false
+	case w.mayHaveCallers:
+		return w.sinceStart <= restartPeerWait
+	case w.replicaSeen:
+		return w.sinceStart <= maxFetchWait
+	default:
+		return w.sinceStart <= maxPeerWait
+	}
+}
 
-// shouldAwaitPeers reports whether this process should get its first replica from a peer.
-// Seeds should not, nor should entries that may already have callers.
-func (c *clusterState) shouldAwaitPeers(currentAt time.Time) bool {
-	if !currentAt.IsZero() || c.clock.Now().Sub(c.startedAt) > maxPeerWait || c.isSeed() {
+// shouldAwaitPeers reports whether this process should get its first replica of a topic from a peer.
+// Seeds should not.
+func (c *clusterState) shouldAwaitPeers(topic string, currentAt time.Time) bool {
+	if !currentAt.IsZero() || c.isSeed() {
 		return false
 	}
-	return !c.isEntry() || c.settings.FirstStart
+	now := c.clock.Now()
+	w := peerWait{
+		sinceStart: now.Sub(c.startedAt), mayHaveCallers: c.isEntry() && !c.settings.FirstStart,
+		replicaSeen: now.Sub(c.replicaSeenAt[topic]) < replicaSeenTTL, emptySeen: c.emptyPeerSeen,
+	}
+	return w.shouldWait()
 }
 
 // isSeed reports whether this process runs on a seed host. Without configured seeds all
@@ -54,7 +93,7 @@
 
 // shouldReadDeclarations reports whether this process should read the declarations now.
 func (c *clusterState) shouldReadDeclarations(currentAt time.Time) bool {
-	if c.shouldAwaitPeers(currentAt) {
+	if c.shouldAwaitPeers(topicOperators, currentAt) {
 		return false
 	}
 	return c.longPollsDeclarations() || c.clock.Now().Sub(currentAt) > sidecarDeclarationsReadAge
@@ -62,7 +101,8 @@
 
 // shouldReadTargets reports whether this process should read the target list now.
 func (c *clusterState) shouldReadTargets(currentAt time.Time) bool {
-	return !c.shouldAwaitPeers(currentAt) && c.clock.Now().Sub(currentAt) > c.targetsReadAge()
+	age := c.clock.Now().Sub(currentAt)
+	return age > firstEntryReadAge && !c.shouldAwaitPeers(topicTargets, currentAt) && age > c.targetsReadAge()
 }
 
 // targetsReadAge returns the age of the replica of the target list at which this process
