Sidecars follow no store of cached parts before they know the fleet's size

Cause: a sidecar that had no list of targets took the fleet for small: 3,600 times a sidecar began to follow a store in the first seconds of the whole fleet (log), and 3,700 polls failed. Change: stores are followed once the list is known; a sidecar counts itself as one. Test: TestNoCacheBroadcastBeforeTheFleetSizeIsKnown.

--- a/internal/gateway/cachefollowers.go
+++ b/internal/gateway/cachefollowers.go
@@ -114,7 +114,7 @@
 	assigned := map[netip.AddrPort]bool{}
 	for _, s := range state.estate.Stores() {
 		address := s.Store.Address
-		if state.large.Load() || !c.isAssigned(address) {
+		if !state.broadcastsCaches() || !c.isAssigned(address) {
 			continue
 		}
 		assigned[address] = true
