Heartbeats name the entries with the youngest news first

Cause: the model of a fleet of 1,000 processes had 395 false deaths in 646,200 samples with sightings in a random order and eight missed ones as the bound: an entry's newest heartbeat was passed on once in 4.5 s by each process, to ten receivers at once. Change: three quarters of the entries in a heartbeat are those whose newest heartbeats are the youngest and were not named yet.

--- a/internal/gateway/mesh/fleet_test.go
+++ b/internal/gateway/mesh/fleet_test.go
@@ -17,6 +17,8 @@
 
 var largestFleet = flag.Int("fleet", 300, "number of processes in the largest fleet of TestFleetMembership")
 
+var compareRotations = flag.Bool("rotations", false, "also measure heartbeats to all others in turn in TestFleetMembership")
+
 // policy is a way in which processes learn of each other.
 type policy struct {
 	name         string
@@ -365,7 +367,7 @@
 			break
 		}
 		policies := []policy{sightings}
-		if *largestFleet > 300 {
+		if *compareRotations {
 			policies = []policy{rotations, sightings}
 		}
 		for _, p := range policies {
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -48,6 +48,8 @@
 	Heartbeat *peerv1.Beat
 	// shortIncarnation is the low half of Incarnation, which sightings include.
 	shortIncarnation uint32
+	// named is LastSeen as it was when a heartbeat of this process last named the member.
+	named time.Time
 	// silent is set once the heartbeat timeout was logged.
 	silent bool
 }
@@ -91,8 +93,6 @@
 	sameRole, knownEntries int
 	// fullMeshSize is the number of entries up to which each hears all others directly.
 	fullMeshSize int
-	// dueSightings are the entries that the current rotation has yet to include in a heartbeat.
-	dueSightings []*Member
 	// pendingReceivers holds, by role, the members that the current rotation has yet to reach.
 	pendingReceivers map[bool][]netip.AddrPort
 }
--- a/internal/gateway/mesh/sightings.go
+++ b/internal/gateway/mesh/sightings.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
@@ -16,6 +17,8 @@
 	partialSightings     = 32
 	partialIntroductions = 6
 	fullSightings        = 3
+	// youngShare is the share of the entries in a heartbeat that are chosen by their age.
+	youngShare = 0.75
 	// sightingSize is the largest encoded size of a sighting, sightingsOverhead that of the
 	// surrounding fields.
 	sightingSize      = 4 + 4 + 3
@@ -62,25 +65,28 @@
 	}
 }
 
-// nextSightings returns the live members that the next heartbeat names. Without a full mesh it goes
-// through all live entries in a random order before it starts again.
+// nextSightings returns the live members that the next heartbeat names. Without a full mesh these are
+// the entries whose newest heartbeats are the youngest and were not named yet, so that each
+// heartbeat reaches all processes in a few hops, and some others at random.
 func (m *Mesh) nextSightings(limit int) []*Member {
-	if !m.isPartial() {
+	if !m.isPartial() || limit <= 0 {
 		return m.randomLive(limit)
 	}
-	if len(m.dueSightings) == 0 {
-		m.eachLive(true, func(member *Member) { m.dueSightings = append(m.dueSightings, member) })
-		rand.Shuffle(len(m.dueSightings), func(i, j int) {
-			m.dueSightings[i], m.dueSightings[j] = m.dueSightings[j], m.dueSightings[i]
-		})
-	}
-	var next []*Member
-	for len(next) < limit && len(m.dueSightings) > 0 {
-		member := m.dueSightings[0]
-		m.dueSightings = m.dueSightings[1:]
-		if m.isLive(member) {
-			next = append(next, member)
+	var fresh, rest []*Member
+	m.eachLive(true, func(member *Member) {
+		if member.LastSeen.After(member.named) {
+			fresh = append(fresh, member)
+		} else {
+			rest = append(rest, member)
 		}
+	})
+	slices.SortFunc(fresh, func(a, b *Member) int { return b.LastSeen.Compare(a.LastSeen) })
+	young := min(len(fresh), int(youngShare*float64(limit)))
+	rest = append(rest, fresh[young:]...)
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	next := append(fresh[:young:young], rest[:min(len(rest), limit-young)]...)
+	for _, member := range next {
+		member.named = member.LastSeen
 	}
 	return next
 }
