A new entry does not take itself for the first of all

Cause: an entry reads the list each 0.45 s and polls the declarations if no other entry precedes it; for some seconds after its start it knows of none, so that all entries of a fleet that starts did so. Change: for 2.5 s after its start an entry that is no seed reads as the others do. Test: TestNewEntryDoesNotTakeItselfForTheFirst.

--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -88,7 +88,18 @@
 
 // longPollsDeclarations reports whether this process long-polls the store for declarations.
 func (c *clusterState) longPollsDeclarations() bool {
-	return c.isEntry() && (!c.large.Load() || c.entryRank() < declarationReaders)
+	return c.isEntry() && !c.isSettling() && (!c.large.Load() || c.entryRank() < declarationReaders)
+}
+
+// settleTime is how long after its start an entry may not know the other entries yet. It is shorter
+// than the time after which callers expect a new process to be up to date.
+const settleTime = 2500 * time.Millisecond
+
+// isSettling reports whether this process may not know the other entries yet and must not conclude
+// that it is the first of them. If all entries of a fleet that starts did, all would read the
+// store. Seeds, which are known to all, read it meanwhile.
+func (c *clusterState) isSettling() bool {
+	return !c.isSeed() && c.clock.Now().Sub(c.startedAt) < settleTime
 }
 
 // shouldReadDeclarations reports whether this process should read the declarations now.
@@ -111,8 +122,11 @@
 	if c.large.Load() {
 		return c.largeTargetsReadAge()
 	}
-	if !c.isEntry() {
+	switch {
+	case !c.isEntry():
 		return sidecarReadAge
+	case c.isSettling():
+		return otherEntriesReadAge
 	}
 	switch c.entryRank() {
 	case 0:
@@ -125,8 +139,11 @@
 }
 
 func (c *clusterState) largeTargetsReadAge() time.Duration {
-	if !c.isEntry() {
+	switch {
+	case !c.isEntry():
 		return largeSidecarReadAge
+	case c.isSettling():
+		return largeOtherEntriesReadAge
 	}
 	switch c.entryRank() {
 	case 0:
--- a/internal/gateway/storereads_test.go
+++ b/internal/gateway/storereads_test.go
@@ -1,8 +1,15 @@
 package gateway
 
 import (
+	"net/netip"
 	"testing"
 	"time"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
+	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+	"github.com/toucanwell/toucanwell/internal/settings"
 )
 
 // Guards against a store that is read by every process of a fleet that starts, and against entries
@@ -28,3 +35,47 @@
 		}
 	}
 }
+
+// Guards against a store that all entries of a fleet read for some seconds after their start because
+// each knows of no other yet and takes itself for the first.
+func TestNewEntryDoesNotTakeItselfForTheFirst(t *testing.T) {
+	clock := hostclock.New()
+	entry := func(name, address string, startedAgo time.Duration) *clusterState {
+		return &clusterState{
+			settings: &Settings{Name: name, Role: settings.RoleEntry, MeshListen: address, Seeds: []string{"10.0.0.1:1"}}, clock: clock,
+			startedAt: clock.Now().Add(-startedAgo), mesh: emptyMesh(t),
+		}
+	}
+	for name, c := range map[string]struct {
+		state *clusterState
+		first bool
+	}{
+		"new entry":     {entry("a", "10.0.0.9:7000", time.Second), false},
+		"seed":          {entry("b", "10.0.0.1:7000", time.Second), true},
+		"settled entry": {entry("c", "10.0.0.9:7000", 3*time.Second), true},
+	} {
+		for _, large := range []bool{false, true} {
+			c.state.large.Store(large)
+			if reads := c.state.targetsReadAge() == firstEntryReadAge; reads != c.first {
+				t.Errorf("%s, large %v: reads the list as the first %v", name, large, reads)
+			}
+			if polls := c.state.longPollsDeclarations(); polls != c.first {
+				t.Errorf("%s, large %v: polls the declarations %v", name, large, polls)
+			}
+		}
+	}
+}
+
+// emptyMesh returns a mesh without members.
+func emptyMesh(t *testing.T) *mesh.Mesh {
+	t.Helper()
+	m, err := mesh.New(control.NewLoop(1, func(time.Duration) {}), mesh.Options{
+		Self: &peerv1.Beat{}, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Now: time.Now,
+		Period: func(bool) time.Duration { return time.Second }, RoundSize: func(bool) int { return mesh.FanOut },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	return m
+}
