In large fleets sidecars poll serving engines and check for reads less often

Cause: at rest a sidecar wakes some hundred times a second: ten polls of its engine, twenty checks whether it should read the store, ten of the clock. Change: a serving engine of a large fleet is polled each 150 ms, well within the 350 ms after which entries take its report for old; processes that step in after seconds only check each 300 ms. Test: TestLargeFleetPollsServingEnginesLess.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -102,11 +102,11 @@
 		replicaAnnouncedTo: map[netip.AddrPort]uint64{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onListingRejected: func() {},
 	}
 	c.declarations = feed.NewFollower(loop, p.Declarations(), feed.NewReplica(outageGap), feed.Options{
-		Name: topicOperators, Wait: declarationsWait, ShouldRead: c.shouldReadDeclarations, OnChange: c.declarationsChanged,
+		Name: topicOperators, Wait: declarationsWait, ShouldRead: c.shouldReadDeclarations, IdlePeriod: c.readCheckPeriod, OnChange: c.declarationsChanged,
 		OnCall: onCall, OnRecovered: func() {}, Logger: logger, Now: clock.Now,
 	})
 	c.targets = feed.NewFollower(loop, p.Targets(), feed.NewReplica(outageGap), feed.Options{
-		Name: topicTargets, ShouldRead: c.shouldReadTargets, OnChange: c.targetsChanged,
+		Name: topicTargets, ShouldRead: c.shouldReadTargets, IdlePeriod: c.readCheckPeriod, OnChange: c.targetsChanged,
 		OnCall: onCall, OnRecovered: c.declarations.RestartCall, Logger: logger, Now: clock.Now,
 	})
 	return c
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -36,6 +36,9 @@
 	// ShouldRead reports whether this process reads the store now; if not, it gets records
 	// from peers. It is called on the control thread. Nil means always.
 	ShouldRead func(currentAt time.Time) bool
+	// IdlePeriod returns the interval at which a process that does not read checks ShouldRead. Nil
+	// means defaultIdlePeriod.
+	IdlePeriod func() time.Duration
 	// OnChange is called on the control thread with the keys that have new records.
 	OnChange func(keys []string)
 	// OnCall is called after each call to the store.
@@ -52,8 +55,8 @@
 	// firstRetry and maxRetry bound the exponential backoff after failed calls.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 800 * time.Millisecond
-	// idlePeriod is the interval at which a process that does not read checks ShouldRead.
-	idlePeriod = 100 * time.Millisecond
+	// defaultIdlePeriod is the interval at which a process that does not read checks ShouldRead.
+	defaultIdlePeriod = 100 * time.Millisecond
 )
 
 // Follower keeps a replica up to date from the store. The replica is used on the control
@@ -99,7 +102,7 @@
 			return
 		}
 		if !next.shouldRead {
-			sleep.For(ctx, idlePeriod)
+			sleep.For(ctx, f.idlePeriod())
 			continue
 		}
 		err := f.call(ctx, next)
@@ -113,6 +116,13 @@
 	}
 }
 
+func (f *Follower) idlePeriod() time.Duration {
+	if f.options.IdlePeriod == nil {
+		return defaultIdlePeriod
+	}
+	return f.options.IdlePeriod()
+}
+
 func (f *Follower) nextRequest() request {
 	return request{
 		shouldRead:   f.options.ShouldRead == nil || f.options.ShouldRead(f.replica.CurrentAt()),
--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -102,6 +102,22 @@
 	return !c.isSeed() && c.clock.Now().Sub(c.startedAt) < settleTime
 }
 
+const (
+	// readCheckPeriod is how often a process that does not read the store checks whether it should.
+	// In large fleets most processes step in after seconds only and check less often.
+	readCheckPeriod      = 100 * time.Millisecond
+	largeReadCheckPeriod = 300 * time.Millisecond
+)
+
+// readCheckPeriod returns how often this process checks whether it should read the store. It may be
+// called on any goroutine.
+func (c *clusterState) readCheckPeriod() time.Duration {
+	if v, ok := c.view.Get(); ok && v.LargeFleet && (!c.isEntry() || v.EntryRank >= declarationReaders) {
+		return largeReadCheckPeriod
+	}
+	return readCheckPeriod
+}
+
 // shouldReadDeclarations reports whether this process should read the declarations now.
 func (c *clusterState) shouldReadDeclarations(currentAt time.Time) bool {
 	if c.shouldAwaitPeers(topicOperators, currentAt) {
--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -136,9 +136,11 @@
 }
 
 const (
-	// pollInterval is how often the engine is polled for a report, loadingPollInterval how
-	// often while it loads, so that it gets requests again soon after the load.
+	// pollInterval is how often the engine is polled for a report, largePollInterval how often in
+	// large fleets, where entries ask the sidecar for the report's age, and loadingPollInterval
+	// how often while the engine loads, so that it gets requests again soon after the load.
 	pollInterval        = 100 * time.Millisecond
+	largePollInterval   = 150 * time.Millisecond
 	loadingPollInterval = 20 * time.Millisecond
 	reportTimeout       = time.Second
 	loadRequestTimeout  = 800 * time.Millisecond
@@ -238,6 +240,14 @@
 	if c.phase != Serving || c.report.Busy {
 		return loadingPollInterval
 	}
+	return c.restPollInterval()
+}
+
+// restPollInterval returns how often an engine that serves, or does not respond, is polled.
+func (c *Controller) restPollInterval() time.Duration {
+	if c.env.PartialView() && c.reachable {
+		return largePollInterval
+	}
 	return pollInterval
 }
 
--- a/internal/gateway/weights/controller_test.go
+++ b/internal/gateway/weights/controller_test.go
@@ -399,3 +399,20 @@
 		})
 	}
 }
+
+// In a large fleet a serving engine is polled less often. An engine that does not respond, and one
+// that loads, are polled as often as in a small fleet: their return must not be noticed late.
+func TestLargeFleetPollsServingEnginesLess(t *testing.T) {
+	c := &Controller{env: Environment{PartialView: func() bool { return true }}, reachable: true}
+	if got := c.restPollInterval(); got != largePollInterval {
+		t.Errorf("serving engine of a large fleet: %v", got)
+	}
+	c.reachable = false
+	if got := c.restPollInterval(); got != pollInterval {
+		t.Errorf("unresponsive engine of a large fleet: %v", got)
+	}
+	c.reachable, c.env.PartialView = true, func() bool { return false }
+	if got := c.restPollInterval(); got != pollInterval {
+		t.Errorf("serving engine of a small fleet: %v", got)
+	}
+}
