A refusal that promises that the request did not run is true over all ends of its sends

Cause, found by a test over every pair of ends of two sends on four kinds of routes: a target's own 429, 503 or 408 that does not state "not run" was relayed, also for requests that run at most once; and after a run that broke off, a second target's "not run" replaced the first failure, so that a repeatable request that had run was answered with 429 or 503. Change: such a status of a target is answered with 502; a later refusal does not replace the failure of a run.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -398,7 +398,9 @@
 		if result.final {
 			return result.refusal
 		}
-		lastRefusal = result.refusal
+		if !result.notRun || fl.runs == 0 {
+			lastRefusal = result.refusal // a refusal after a run would say that it did not happen
+		}
 		if !fl.mayRetry(result) {
 			return lastRefusal
 		}
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -269,6 +269,17 @@
 
 func drain(resp *upstream.Response) { _, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDrain)) }
 
+// impliesNotRun reports whether a status tells callers that the request did not run and never will. A
+// target's own response with such a status is not relayed unless it states as much.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // checkResponse reports whether a response may be relayed to the caller, and returns the
 // result of the send if not.
 func (fl *flow) checkResponse(ctx context.Context, dst *destination, resp *upstream.Response, reply wire.Reply) (sendResult, bool) {
@@ -278,6 +289,12 @@
 		fl.excluded[dst.target.Incarnation] = true
 		return sendResult{refusal: errkind.New(errkind.TargetFailed, "the target's response is not sealed or is encoded")}, false
 	}
+	if impliesNotRun(resp.Status) {
+		fl.recordOutcome(dst, health.Failed)
+		fl.excluded[dst.target.Incarnation] = true
+		drain(resp)
+		return sendResult{refusal: errkind.New(errkind.TargetFailed, "the target answered with status %d and does not state that it did not run the request", resp.Status)}, false
+	}
 	if resp.Status >= http.StatusInternalServerError {
 		fl.recordOutcome(dst, health.Failed)
 		if fl.route.Retryable() && fl.runs < fl.route.MaxAttempts && !fl.responseStarted && ctx.Err() == nil {
