A caller that does not read holds nothing for good, and its engine is not blamed

Cause: writes to callers had no deadline, so that a caller that stopped reading held its connection, its buffers and its engine's stream for as long as it liked; an engine that broke off the unread response after some seconds was counted as failing and could be ejected. Change: writes end ten seconds after the request's deadline (late answers are still delivered); after a write that blocked for over a second, a broken response counts neither against the engine's health nor as a crash, and is logged as caller_stalled.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -203,6 +203,8 @@
 	eventCount  int
 	lastEventAt time.Time
 	longestGap  time.Duration
+	// callerStalled is set once a write to the caller has blocked for stalledAfter.
+	callerStalled bool
 	// sentAt is the time of the last send.
 	sentAt   time.Time
 	lastSend sendRecord
@@ -221,11 +223,14 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	fl := &flow{Forwarder: f, w: w, r: r, arrived: time.Now()}
+	fl.deadline = fl.arrived.Add(defaultTimeout)
+	fl.limitWrites()
 	defer fl.refund()
 	if refusal := fl.admit(); refusal != nil {
 		fl.refuse(refusal)
 		return
 	}
+	fl.limitWrites()
 	f.Metrics.Request(fl.service.Name, fl.class())
 	fl.retries.Earn(f.Bounds.RetryRatio)
 	ctx, cancel := context.WithDeadlineCause(r.Context(), fl.deadline, errDeadline)
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -46,8 +46,10 @@
 	if len(body) <= maxBuffered {
 		return sendResult{final: true}
 	}
-	if _, err := io.Copy(fl.w, resp); err != nil {
-		fl.attributeCrash(ctx, dst, err)
+	if err := fl.deliver(func() error { _, err := io.Copy(fl.w, resp); return err }); err != nil {
+		if !fl.callerStalled {
+			fl.attributeCrash(ctx, dst, err)
+		}
 		return sendResult{final: true, refusal: errkind.New(errkind.StreamBroken, "%v", err)}
 	}
 	return sendResult{final: true}
@@ -125,10 +127,12 @@
 }
 
 func (fl *flow) writeEvent(flusher *http.ResponseController, raw []byte) error {
-	if _, err := fl.w.Write(raw); err != nil {
-		return err
-	}
-	return flusher.Flush()
+	return fl.deliver(func() error {
+		if _, err := fl.w.Write(raw); err != nil {
+			return err
+		}
+		return flusher.Flush()
+	})
 }
 
 // writeHead writes the response head, unless the stream is being resumed.
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -239,8 +239,13 @@
 }
 
 // recordBroken records the outcome of a send with no response or a truncated one. A send
-// that was cancelled because of another target's crash says nothing about its target.
+// that was cancelled because of another target's crash says nothing about its target, and
+// neither does a response that the target broke off because the caller did not read it.
 func (fl *flow) recordBroken(ctx context.Context, dst *destination, err error) {
+	if fl.callerStalled {
+		fl.Logger.Info("caller_stalled", "request_id", fl.request.ID, "target", dst.target.Incarnation, "error", err.Error())
+		return
+	}
 	if errors.Is(context.Cause(ctx), errCrashedElsewhere) {
 		fl.CrashDetector.AddCancelled(fl.suspectedCrash(dst))
 		return
