--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -24,16 +24,16 @@
 // stateChangeEvents are the events that record a change in what a process knows of targets,
 // or in the availability of a dependency.
 var stateChangeEvents = []string{
-	"estate_in_force", "weights_wanted", "target_listed", "target_unlisted", "target_gone", "engine_told", "engine_told_silent", "target_rested",
-	"store_lost", "store_regained", "list_regained", "feed_trimmed", "fetch_failed", "peer_heard", "peer_silent", "host_woke", "declaration_refused",
+	"estate_in_force", "weights_wanted", "target_listed", "target_unlisted", "target_gone", "engine_reported", "engine_reported_unresponsive", "target_rested",
+	"store_lost", "store_regained", "list_regained", "feed_trimmed", "fetch_failed", "peer_live", "peer_silent", "host_woke", "declaration_refused",
 	"settings_reloaded", "settings_refused", "started", "stopping", "stopped", "stop_cut_requests", "log_lines_dropped",
-	"weights_ordered", "weights_loaded", "engine_silent", "engine_heard", "engine_started_anew", "target_late_word", "target_refused",
-	"cache_told", "cache_feed_lost", "cache_feed_regained", "cache_feed_broken", "cache_listed", "store_followed", "store_left",
+	"weights_ordered", "weights_loaded", "engine_silent", "engine_heard", "engine_started_anew", "target_listing_delayed", "target_refused",
+	"cache_reported", "cache_feed_lost", "cache_feed_regained", "cache_feed_broken", "cache_listed", "store_followed", "store_left",
 }
 
 // quarantineEvents are the events that record a request's quarantine status. They concern all
 // attempts with the same fingerprint, so they may precede the attempt in question.
-var quarantineEvents = []string{"request_blamed", "request_blame_told", "request_held", "request_quarantined", "request_not_quarantined", "request_cleared", "request_released", "quarantine_kept"}
+var quarantineEvents = []string{"request_blamed", "request_crash_reported", "request_held", "request_quarantined", "request_not_quarantined", "request_cleared", "request_released", "quarantine_kept"}
 
 // Story is what the logs contain about one request.
 type Story struct {
@@ -112,7 +112,7 @@
 	if t := l.Get("target"); t != "" {
 		return t
 	}
-	if l.Event == "engine_told_silent" {
+	if l.Event == "engine_reported_unresponsive" {
 		return l.Get("address")
 	}
 	return ""
--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -221,7 +221,7 @@
 	old, known := c.directory.Find(l.Instance)
 	returned := c.directory.Gone(old.Incarnation)
 	if !c.directory.Add(l, offset, c.clock.Now()) {
-		c.logger.Info("target_late_word", "target", l.Incarnation, "newest", old.Incarnation, "offset", offset)
+		c.logger.Info("target_listing_delayed", "target", l.Incarnation, "newest", old.Incarnation, "offset", offset)
 		return false
 	}
 	if known && !returned && listingDigest(&old.Listing) == listingDigest(&l) {
--- a/internal/gateway/enginereports.go
+++ b/internal/gateway/enginereports.go
@@ -28,7 +28,7 @@
 	}
 	address, err := netip.ParseAddrPort(e.Address)
 	if err != nil {
-		c.logger.Info("engine_word_refused", "peer", m.Name, "address", e.Address, "error", err.Error())
+		c.logger.Info("engine_report_refused", "peer", m.Name, "address", e.Address, "error", err.Error())
 		return false
 	}
 	if e.Phase == peerv1.EnginePhase_ENGINE_PHASE_SILENT {
@@ -65,7 +65,7 @@
 	// In a large fleet a report expires before the sidecar's next one, so most are the first.
 	ordinary := c.large.Load() && !known && report.Phase == weights.Serving
 	if changed && !ordinary {
-		c.logger.Info("engine_told", "target", incarnation, "peer", m.Name, "weights", report.Weights, "phase", report.Phase.String())
+		c.logger.Info("engine_reported", "target", incarnation, "peer", m.Name, "weights", report.Weights, "phase", report.Phase.String())
 	}
 	return changed
 }
@@ -79,7 +79,7 @@
 	if known {
 		return false
 	}
-	c.logger.Info("engine_told_silent", "peer", m.Name, "address", address)
+	c.logger.Info("engine_reported_unresponsive", "peer", m.Name, "address", address)
 	c.dropReportsAt(address)
 	return true
 }
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -220,7 +220,7 @@
 		return
 	}
 	if now.Sub(e.cacheReportedAt[fleet.ID(c.Cache)]) > cacheReportTimeout {
-		e.state.logger.Info("cache_told", "cache", c.Cache, "peer", m.Name, "parts", len(c.Parts))
+		e.state.logger.Info("cache_reported", "cache", c.Cache, "peer", m.Name, "parts", len(c.Parts))
 		maps.DeleteFunc(e.cacheReportedAt, func(_ fleet.ID, at time.Time) bool { return now.Sub(at) > cacheReportTimeout })
 	}
 	e.cacheReportedAt[fleet.ID(c.Cache)] = now
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -40,7 +40,7 @@
 	log.Info("request_sent", "request_id", fl.request.ID, "print", fl.fingerprint, "send", fl.sends, "cause", fl.retryCause, "last_event", fl.lastEvent,
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
 		"target", dst.target.Incarnation, "address", dst.target.Address, "zone", dst.target.Zone,
-		"list_age", fl.age(fl.view.TargetsCurrentAt), "listed", !dst.target.Unlisted, "asked", dst.probeCount, "word_age", age, "phase", phase.String(),
+		"list_age", fl.age(fl.view.TargetsCurrentAt), "listed", !dst.target.Unlisted, "asked", dst.probeCount, "report_age", age, "phase", phase.String(),
 		"weights", dst.weightsVersion, "wanted", fl.view.Wanted[fl.request.Model].Newest(),
 		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "family", familyName(dst), "answer", fl.request.MaxTokens, "held", dst.choice.CachedTokens, "fetched", dst.choice.FetchedTokens, "fetch_from", dst.fetchFrom, "save_to", dst.offloadTo,
 		"late", dst.choice.Late, "urgency", dst.choice.Priority, "wait", roundForLog(dst.choice.Wait), "read", roundForLog(dst.choice.Prefill), "fetch", roundForLog(dst.choice.Fetch),
--- a/internal/gateway/mesh/members.go
+++ b/internal/gateway/mesh/members.go
@@ -157,6 +157,6 @@
 // Without a full mesh the members that a process meets for the first time are not logged one by one.
 func (m *Mesh) logHeard(member *Member, met bool) {
 	if !m.isPartial() || member.Entry && met {
-		m.options.Logger.Info("peer_heard", "peer", cmp.Or(member.Name, "unnamed"), "address", member.Address, "entry", member.Entry, "incarnation", member.Incarnation)
+		m.options.Logger.Info("peer_live", "peer", cmp.Or(member.Name, "unnamed"), "address", member.Address, "entry", member.Entry, "incarnation", member.Incarnation)
 	}
 }
--- a/internal/gateway/mesh/rounds.go
+++ b/internal/gateway/mesh/rounds.go
@@ -128,7 +128,7 @@
 	fill(heartbeat)
 	data, err := proto.Marshal(heartbeat)
 	if err != nil || len(data) > MaxDatagram {
-		m.options.Logger.Info("beat_not_sent", "bytes", len(data), "error", err)
+		m.options.Logger.Info("heartbeat_not_sent", "bytes", len(data), "error", err)
 		return
 	}
 	for _, address := range to {
--- a/internal/gateway/quarantinesync.go
+++ b/internal/gateway/quarantinesync.go
@@ -391,7 +391,7 @@
 func (o *quarantineObserver) CrashAttributed(r *quarantine.Record, e quarantine.Crash, remote bool) {
 	log, event := o.logger, "request_blamed"
 	if remote {
-		log, event = o.routineLogger, "request_blame_told"
+		log, event = o.routineLogger, "request_crash_reported"
 	}
 	o.metrics.CrashAttributed(remote)
 	if !remote && len(r.Crashes) == 2 {
--- a/internal/gateway/syncstate.go
+++ b/internal/gateway/syncstate.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		report := v.Engines[incarnation]
-		c.logger.Info("target_unlisted", "target", incarnation, "outcome", state.String(), "began_within", c.age(report.StartedAfter), "word_age", c.age(report.ReceivedAt),
+		c.logger.Info("target_unlisted", "target", incarnation, "outcome", state.String(), "began_within", c.age(report.StartedAfter), "report_age", c.age(report.ReceivedAt),
 			"list_age", c.age(v.TargetsCurrentAt), "list_followed_for", c.age(c.targets.Replica().CompleteSince()), "started", c.age(c.startedAt))
 	}
 	c.unlisted = unlisted
