Replicas are announced again to who lacks one, and new sidecars read late

A fetch that was refused while others were served was not repeated, because a replica was announced once to each process; and the entries of a fleet that starts do not know the sidecars before the engines are listed, so that nothing told these of changes. Change: replicas are announced for each heartbeat of a process that lacks one, 100 ms apart at least; in its first ten seconds a sidecar reads after 8 s without news in place of 2.5 to 5.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -73,9 +73,9 @@
 	// a peer has announced that it has none.
 	replicaSeenAt map[string]time.Time
 	emptyPeerSeen bool
-	// replicaAnnouncedTo holds the incarnations of the processes without a replica to which
-	// this process has announced its own.
-	replicaAnnouncedTo map[netip.AddrPort]uint64
+	// replicaAnnouncedTo holds when this process last announced its replicas to each process without
+	// one.
+	replicaAnnouncedTo map[netip.AddrPort]time.Time
 	// large is set in large fleets; see updateFleetSize.
 	large atomic.Bool
 	// rejectedListings holds the error of each invalid record of the target list.
@@ -99,7 +99,7 @@
 	c := &clusterState{
 		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
 		directory: fleet.NewDirectory(), wantedWeights: map[string]weights.History{}, engineReports: map[fleet.Incarnation]view.EngineReport{}, unlisted: map[fleet.Incarnation]fleet.UnlistedState{}, unresponsive: map[netip.AddrPort]time.Time{},
-		replicaAnnouncedTo: map[netip.AddrPort]uint64{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onListingRejected: func() {},
+		replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onListingRejected: func() {},
 	}
 	c.declarations = feed.NewFollower(loop, p.Declarations(), feed.NewReplica(outageGap), feed.Options{
 		Name: topicOperators, Wait: declarationsWait, ShouldRead: c.shouldReadDeclarations, IdlePeriod: c.readCheckPeriod, OnChange: c.declarationsChanged,
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -78,14 +79,20 @@
 	}
 }
 
-// announceReplica sends a heartbeat to a process that has no replica yet, so that it
-// fetches this process's replica and does not read the store.
+// minAnnounceInterval is the minimum time between two announcements of replicas to one process. Its
+// heartbeats name all topics that it lacks.
+const minAnnounceInterval = 100 * time.Millisecond
+
+// announceReplica sends a heartbeat to a process that has no replica yet, so that it fetches this
+// process's replica and does not read the store. It does so for each heartbeat of that process,
+// because the fetch may be refused while too many others are served.
 func (c *clusterState) announceReplica(m *mesh.Member, topic string) {
-	f := c.follower(topic)
-	if f == nil || f.Replica().CurrentAt().IsZero() || c.replicaAnnouncedTo[m.Address] == m.Incarnation {
+	f, now := c.follower(topic), c.clock.Now()
+	if f == nil || f.Replica().CurrentAt().IsZero() || now.Sub(c.replicaAnnouncedTo[m.Address]) < minAnnounceInterval {
 		return
 	}
-	c.replicaAnnouncedTo[m.Address] = m.Incarnation
+	maps.DeleteFunc(c.replicaAnnouncedTo, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) >= minAnnounceInterval })
+	c.replicaAnnouncedTo[m.Address] = now
 	c.mesh.SendTo(m.Address, func(*peerv1.Beat) {})
 }
 
--- /dev/null
+++ b/internal/gateway/replicas_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
+	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
+	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+)
+
+// Guards against a process that waits in vain for a replica: its first fetch may be refused while too
+// many others are served, so a replica must be announced to it again, though not for each topic.
+func TestReplicaIsAnnouncedAgain(t *testing.T) {
+	receiver, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer receiver.Close()
+	m, err := mesh.New(control.NewLoop(1, func(time.Duration) {}), mesh.Options{
+		Self: &peerv1.Beat{}, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Now: time.Now, Compose: func(*peerv1.Beat) {},
+		Period: func(bool) time.Duration { return time.Second }, RoundSize: func(bool) int { return mesh.FanOut },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Close()
+	replica := feed.NewReplica(outageGap)
+	replica.MarkCurrent(time.Now())
+	follower := feed.NewFollower(nil, nil, replica, feed.Options{})
+	c := &clusterState{clock: hostclock.New(), mesh: m, targets: follower, declarations: follower, replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, replicaSeenAt: map[string]time.Time{}}
+	lacking := &mesh.Member{Address: receiver.LocalAddr().(*net.UDPAddr).AddrPort(), Incarnation: 1, Heartbeat: &peerv1.Beat{
+		Topics: []*peerv1.TopicPosition{{Topic: topicOperators, Unknown: true}, {Topic: topicTargets, Unknown: true}},
+	}}
+	announced := func() int {
+		c.onHeartbeat(lacking)
+		n, buffer := 0, make([]byte, mesh.MaxDatagram)
+		for receiver.SetReadDeadline(time.Now().Add(20*time.Millisecond)) == nil {
+			if _, err := receiver.Read(buffer); err != nil {
+				break
+			}
+			n++
+		}
+		return n
+	}
+	if n := announced(); n != 1 {
+		t.Errorf("announced %d times to a process that lacks two topics, want once", n)
+	}
+	c.replicaAnnouncedTo[lacking.Address] = c.replicaAnnouncedTo[lacking.Address].Add(-minAnnounceInterval)
+	if n := announced(); n != 1 {
+		t.Errorf("announced %d times to the same process later, want once", n)
+	}
+}
--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -20,8 +20,17 @@
 	largeSidecarReadAge      = 5 * time.Second
 	// sidecarDeclarationsReadAge is the same for sidecars and the declarations.
 	sidecarDeclarationsReadAge = 3 * time.Second
+	// newSidecarReadAge is the same for sidecars and both topics in the first newSidecarTime after the
+	// start. The entries of a fleet that starts do not know most sidecars before the engines are
+	// listed, so that a sidecar hears little of what changes.
+	newSidecarReadAge = 8 * time.Second
+	newSidecarTime    = 10 * time.Second
 )
 
+func (c *clusterState) isNewSidecar() bool {
+	return !c.isEntry() && c.clock.Now().Sub(c.startedAt) < newSidecarTime
+}
+
 const (
 	// maxPeerWait is how long a new process waits for its peers' replicas before it reads the store
 	// itself. This limits the load on the store when the whole fleet starts.
@@ -123,7 +132,11 @@
 	if c.shouldAwaitPeers(topicOperators, currentAt) {
 		return false
 	}
-	return c.longPollsDeclarations() || c.clock.Now().Sub(currentAt) > sidecarDeclarationsReadAge
+	readAge := sidecarDeclarationsReadAge
+	if c.isNewSidecar() {
+		readAge = newSidecarReadAge
+	}
+	return c.longPollsDeclarations() || c.clock.Now().Sub(currentAt) > readAge
 }
 
 // shouldReadTargets reports whether this process should read the target list now.
@@ -135,6 +148,9 @@
 // targetsReadAge returns the age of the replica of the target list at which this process
 // reads the store.
 func (c *clusterState) targetsReadAge() time.Duration {
+	if c.isNewSidecar() {
+		return newSidecarReadAge
+	}
 	if c.large.Load() {
 		return c.largeTargetsReadAge()
 	}
