--- a/internal/gateway/mesh/sightings.go
+++ b/internal/gateway/mesh/sightings.go
@@ -17,7 +17,7 @@
 	partialSightings     = 32
 	partialIntroductions = 6
 	fullSightings        = 3
-	// youngShare is the share of the entries in a heartbeat that are chosen by their age.
+	// youngShare is the share of a heartbeat's entries that goes to the youngest news.
 	youngShare = 0.75
 	// sightingSize is the largest encoded size of a sighting, sightingsOverhead that of the
 	// surrounding fields.
