One empty mesh for the tests, and a constant and a method of different names

Cause: two tests built the same mesh; readCheckPeriod was a constant and a method. Change: emptyMesh is used by both; the constant is defaultReadCheckPeriod. No check and no behaviour changed.

--- a/internal/gateway/replicas_test.go
+++ b/internal/gateway/replicas_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
-	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
@@ -21,18 +20,10 @@
 		t.Fatal(err)
 	}
 	defer receiver.Close()
-	m, err := mesh.New(control.NewLoop(1, func(time.Duration) {}), mesh.Options{
-		Self: &peerv1.Beat{}, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Now: time.Now, Compose: func(*peerv1.Beat) {},
-		Period: func(bool) time.Duration { return time.Second }, RoundSize: func(bool) int { return mesh.FanOut },
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer m.Close()
 	replica := feed.NewReplica(outageGap)
 	replica.MarkCurrent(time.Now())
 	follower := feed.NewFollower(nil, nil, replica, feed.Options{})
-	c := &clusterState{clock: hostclock.New(), mesh: m, targets: follower, declarations: follower, replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, replicaSeenAt: map[string]time.Time{}}
+	c := &clusterState{clock: hostclock.New(), mesh: emptyMesh(t), targets: follower, declarations: follower, replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, replicaSeenAt: map[string]time.Time{}}
 	lacking := &mesh.Member{Address: receiver.LocalAddr().(*net.UDPAddr).AddrPort(), Incarnation: 1, Heartbeat: &peerv1.Beat{
 		Topics: []*peerv1.TopicPosition{{Topic: topicOperators, Unknown: true}, {Topic: topicTargets, Unknown: true}},
 	}}
--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -112,10 +112,10 @@
 }
 
 const (
-	// readCheckPeriod is how often a process that does not read the store checks whether it should.
-	// In large fleets most processes step in after seconds only and check less often.
-	readCheckPeriod      = 100 * time.Millisecond
-	largeReadCheckPeriod = 300 * time.Millisecond
+	// defaultReadCheckPeriod is how often a process that does not read the store checks whether it
+	// should. In large fleets most processes step in after seconds only and check less often.
+	defaultReadCheckPeriod = 100 * time.Millisecond
+	largeReadCheckPeriod   = 300 * time.Millisecond
 )
 
 // readCheckPeriod returns how often this process checks whether it should read the store. It may be
@@ -124,7 +124,7 @@
 	if v, ok := c.view.Get(); ok && v.LargeFleet && (!c.isEntry() || v.EntryRank >= declarationReaders) {
 		return largeReadCheckPeriod
 	}
-	return readCheckPeriod
+	return defaultReadCheckPeriod
 }
 
 // shouldReadDeclarations reports whether this process should read the declarations now.
--- a/internal/gateway/storereads_test.go
+++ b/internal/gateway/storereads_test.go
@@ -70,7 +70,7 @@
 func emptyMesh(t *testing.T) *mesh.Mesh {
 	t.Helper()
 	m, err := mesh.New(control.NewLoop(1, func(time.Duration) {}), mesh.Options{
-		Self: &peerv1.Beat{}, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Now: time.Now,
+		Self: &peerv1.Beat{}, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Now: time.Now, Compose: func(*peerv1.Beat) {},
 		Period: func(bool) time.Duration { return time.Second }, RoundSize: func(bool) int { return mesh.FanOut },
 	})
 	if err != nil {
