--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -203,8 +203,8 @@
 	eventCount  int
 	lastEventAt time.Time
 	longestGap  time.Duration
-	// callerStalled is set once a write to the caller has blocked for stalledAfter.
-	callerStalled bool
+	// stalledAt is the end of the last write to the caller that blocked for stalledAfter.
+	stalledAt time.Time
 	// sentAt is the time of the last send.
 	sentAt   time.Time
 	lastSend sendRecord
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -46,8 +46,8 @@
 	if len(body) <= maxBuffered {
 		return sendResult{final: true}
 	}
-	if err := fl.deliver(func() error { _, err := io.Copy(fl.w, resp); return err }); err != nil {
-		if !fl.callerStalled {
+	if _, err := io.Copy(callerWriter{fl}, resp); err != nil {
+		if !fl.callerStalled() {
 			fl.attributeCrash(ctx, dst, err)
 		}
 		return sendResult{final: true, refusal: errkind.New(errkind.StreamBroken, "%v", err)}
@@ -127,12 +127,11 @@
 }
 
 func (fl *flow) writeEvent(flusher *http.ResponseController, raw []byte) error {
-	return fl.deliver(func() error {
-		if _, err := fl.w.Write(raw); err != nil {
-			return err
-		}
-		return flusher.Flush()
-	})
+	caller := callerWriter{fl}
+	if _, err := caller.Write(raw); err != nil {
+		return err
+	}
+	return caller.flush(flusher)
 }
 
 // writeHead writes the response head, unless the stream is being resumed.
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -242,7 +242,7 @@
 // that was cancelled because of another target's crash says nothing about its target, and
 // neither does a response that the target broke off because the caller did not read it.
 func (fl *flow) recordBroken(ctx context.Context, dst *destination, err error) {
-	if fl.callerStalled {
+	if fl.callerStalled() {
 		fl.Logger.Info("caller_stalled", "request_id", fl.request.ID, "target", dst.target.Incarnation, "error", err.Error())
 		return
 	}
