--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -76,6 +76,9 @@
 	// replicaAnnouncedTo holds when this process last announced its replicas to each process without
 	// one.
 	replicaAnnouncedTo map[netip.AddrPort]time.Time
+	// seesLarge is set if this process itself knows enough processes and engines for a large fleet,
+	// which it announces. peerSaysLarge is set once a peer has announced that.
+	seesLarge, peerSaysLarge bool
 	// large is set in large fleets; see updateFleetSize.
 	large atomic.Bool
 	// rejectedListings holds the error of each invalid record of the target list.
--- a/internal/gateway/fleetsize_test.go
+++ b/internal/gateway/fleetsize_test.go
@@ -4,7 +4,11 @@
 	"testing"
 	"time"
 
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
+	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
+	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+	"github.com/toucanwell/toucanwell/internal/settings"
 )
 
 // Guards against hundreds of sidecars that follow every store of cached parts while a fleet starts,
@@ -24,3 +28,27 @@
 		t.Error("caches are broadcast in a large fleet")
 	}
 }
+
+// Guards against a new process of a large fleet that broadcasts as in a small one until its list and its
+// members are complete, and against processes that keep each other in a belief that none can see.
+func TestNewProcessTakesTheFleetSizeFromPeers(t *testing.T) {
+	clock := hostclock.New()
+	c := &clusterState{settings: &Settings{Role: settings.RoleSidecar, LargeEngines: 60, LargeEntries: 24}, clock: clock, mesh: emptyMesh(t), startedAt: clock.Now()}
+	c.updateFleetSize(nil)
+	if c.large.Load() {
+		t.Error("a process that knows nobody takes the fleet for large")
+	}
+	c.onHeartbeat(&mesh.Member{Heartbeat: &peerv1.Beat{LargeFleet: true}})
+	c.updateFleetSize(nil)
+	if !c.large.Load() {
+		t.Error("a new process does not go by what a peer says")
+	}
+	if c.seesLarge {
+		t.Error("a process passes on what it does not see itself")
+	}
+	c.startedAt = clock.Now().Add(-fleetSizeSettleTime)
+	c.updateFleetSize(nil)
+	if c.large.Load() {
+		t.Error("a process goes by what a peer said long after its start")
+	}
+}
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -14,7 +14,7 @@
 
 // compose adds the positions of the topic replicas to a heartbeat.
 func (c *clusterState) compose(heartbeat *peerv1.Beat) {
-	heartbeat.Leaving = c.stopping
+	heartbeat.Leaving, heartbeat.LargeFleet = c.stopping, c.seesLarge
 	heartbeat.Topics = []*peerv1.TopicPosition{
 		c.position(topicOperators, c.declarations, 0),
 		c.position(topicTargets, c.targets, c.listingsDigest),
@@ -46,6 +46,7 @@
 
 // onHeartbeat compares a peer's replicas with this process's and fetches missing records.
 func (c *clusterState) onHeartbeat(m *mesh.Member) {
+	c.peerSaysLarge = c.peerSaysLarge || m.Heartbeat.LargeFleet
 	for _, p := range m.Heartbeat.Topics {
 		if p.Unknown {
 			c.emptyPeerSeen = true
