--- a/internal/gateway/mesh/fetch.go
+++ b/internal/gateway/mesh/fetch.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	fetchTimeout = 700 * time.Millisecond
-	// maxFetches is the number of fetches that a process serves at once. When a whole fleet starts,
+	// FetchTimeout limits one fetch.
+	FetchTimeout = 700 * time.Millisecond
+	// MaxFetches is the number of fetches that a process serves at once. When a whole fleet starts,
 	// all processes ask the seeds, whose links would carry none of the replicas in time; those
 	// that are refused fetch from the first that were served.
-	maxFetches = 4
+	MaxFetches = 4
 )
 
 // TopicPage is a page of a process's replica of a topic.
@@ -48,11 +49,11 @@
 
 // NewServer returns a server. It calls lookup on the control thread.
 func NewServer(loop *control.Loop, lookup func(topic string, from uint64) (TopicPage, bool)) *Server {
-	return &Server{loop: loop, lookup: lookup, places: make(chan struct{}, maxFetches)}
+	return &Server{loop: loop, lookup: lookup, places: make(chan struct{}, MaxFetches)}
 }
 
 // Handler returns the path and the handler for the Mesh service. It refuses requests while
-// maxFetches responses are being sent.
+// MaxFetches responses are being sent.
 func (s *Server) Handler() (string, http.Handler) {
 	path, handler := peerv1.NewMeshHandler(s)
 	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -95,7 +96,7 @@
 
 // Fetch fetches the records of a topic from an offset on from another process.
 func Fetch(ctx context.Context, client *http.Client, peer netip.AddrPort, topic string, offset uint64) (TopicPage, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, FetchTimeout)
 	defer cancel()
 	rpc := peerv1.NewMeshClient(client, "http://"+peer.String())
 	resp, err := rpc.Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{Topic: topic, From: offset}))
--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -20,24 +20,13 @@
 	largeSidecarReadAge      = 5 * time.Second
 	// sidecarDeclarationsReadAge is the same for sidecars and the declarations.
 	sidecarDeclarationsReadAge = 3 * time.Second
-	// newSidecarReadAge is the same for sidecars and both topics in the first newSidecarTime after the
-	// start. The entries of a fleet that starts do not know most sidecars before the engines are
-	// listed, so that a sidecar hears little of what changes.
-	newSidecarReadAge = 8 * time.Second
-	newSidecarTime    = 10 * time.Second
 )
 
-func (c *clusterState) isNewSidecar() bool {
-	return !c.isEntry() && c.clock.Now().Sub(c.startedAt) < newSidecarTime
-}
-
 const (
 	// maxPeerWait is how long a new process waits for its peers' replicas before it reads the store
 	// itself. This limits the load on the store when the whole fleet starts.
 	maxPeerWait = 3 * time.Second
-	// maxFetchWait is the same once a peer has announced a replica in the last replicaSeenTTL: the
-	// process only has to wait until one has time for its fetch.
-	maxFetchWait   = 8 * time.Second
+	// replicaSeenTTL is how long a peer's announcement of a replica counts.
 	replicaSeenTTL = 1500 * time.Millisecond
 	// restartPeerWait is how long an entry that may already have callers waits for a replica. A
 	// live seed answers within milliseconds.
@@ -62,8 +51,6 @@
 		return false
 	case w.mayHaveCallers:
 		return w.sinceStart <= restartPeerWait
-	case w.replicaSeen:
-		return w.sinceStart <= maxFetchWait
 	default:
 		return w.sinceStart <= maxPeerWait
 	}
@@ -132,11 +119,7 @@
 	if c.shouldAwaitPeers(topicOperators, currentAt) {
 		return false
 	}
-	readAge := sidecarDeclarationsReadAge
-	if c.isNewSidecar() {
-		readAge = newSidecarReadAge
-	}
-	return c.longPollsDeclarations() || c.clock.Now().Sub(currentAt) > readAge
+	return c.longPollsDeclarations() || c.clock.Now().Sub(currentAt) > sidecarDeclarationsReadAge
 }
 
 // shouldReadTargets reports whether this process should read the target list now.
@@ -148,9 +131,6 @@
 // targetsReadAge returns the age of the replica of the target list at which this process
 // reads the store.
 func (c *clusterState) targetsReadAge() time.Duration {
-	if c.isNewSidecar() {
-		return newSidecarReadAge
-	}
 	if c.large.Load() {
 		return c.largeTargetsReadAge()
 	}
