Logs tell why a request is held or refused, and what the probe of a broken target found

Cause: two known failures could not be traced. A line of a finding did not hold what decided it, and target_broke_off did not say whether the probe of the target was refused, accepted or came to nothing.

No decision changes; a probe whose context ends while it checks an accepted connection is now unknown instead of accepted, which are treated alike.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -60,7 +60,9 @@
 	p.state.quarantinePage = e.quarantine.page
 	e.forwarder = forward.New(forward.Deps{
 		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach,
-		Quarantine: e.quarantine.registry, CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) bool { return e.pool.RefusesConnections(ctx, t.Address) }),
+		Quarantine: e.quarantine.registry, CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
+			return e.pool.ProbeListener(ctx, t.Address)
+		}),
 		Bounds: forward.Bounds{
 			RetryRatio: p.settings.Bounds.RetryRatio, RetrySlack: p.settings.Bounds.RetrySlack, MaxStaleness: p.settings.Bounds.MaxStaleness.Duration,
 		},
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -50,7 +50,7 @@
 type noObserver struct{}
 
 func (noObserver) CrashAttributed(*quarantine.Record, quarantine.Crash, bool) {}
-func (noObserver) FindingChanged(*quarantine.Record, quarantine.Finding, quarantine.Finding, bool) {
+func (noObserver) FindingChanged(*quarantine.Record, quarantine.Finding, quarantine.Finding, quarantine.Assessment, bool) {
 }
 func (noObserver) Cleared(*quarantine.Record)          {}
 func (noObserver) Released(*quarantine.Record, bool)   {}
@@ -193,9 +193,11 @@
 	env.Forwarder = New(Deps{
 		Protocol: wiretest.Protocol{}, View: func() (*view.View, bool) { return env.view, true }, Pool: env.pool,
 		Ledger: ledger.New(), Parts: parts.NewIndex(), Health: health.NewMonitor(nil), Reach: &reach.Monitor{},
-		Quarantine:    quarantine.NewRegistry(quarantine.Limits{MaxCrashes: 3, SuspectFor: time.Hour, RefuseFor: time.Hour, MaxRecords: 100}, noObserver{}),
-		CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) bool { return env.pool.RefusesConnections(ctx, t.Address) }),
-		Bounds:        Bounds{RetryRatio: 0.5, RetrySlack: 100, MaxStaleness: 5 * time.Second}, Zone: "a",
+		Quarantine: quarantine.NewRegistry(quarantine.Limits{MaxCrashes: 3, SuspectFor: time.Hour, RefuseFor: time.Hour, MaxRecords: 100}, noObserver{}),
+		CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
+			return env.pool.ProbeListener(ctx, t.Address)
+		}),
+		Bounds: Bounds{RetryRatio: 0.5, RetrySlack: 100, MaxStaleness: 5 * time.Second}, Zone: "a",
 		Logger: logr.Discard(), RoutineLogger: logr.Discard(), Metrics: noMetrics{}, AnnounceWork: func(fleet.ID) {}, Now: time.Now, Seed: 1,
 	})
 	env.server = httptest.NewServer(env.Forwarder)
--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -131,10 +131,17 @@
 		return
 	}
 	d := fl.suspectedCrash(dst)
-	evidence := fl.CrashDetector.Detect(ctx, v, d)
-	fl.Logger.Info("target_broke_off", "request_id", fl.request.ID, "print", fl.fingerprint, "target", dst.target.Incarnation, "evidence", string(evidence),
-		"list_age", fl.age(v.TargetsCurrentAt), "step", d.Step, "ran", roundForLog(time.Since(fl.sentAt)))
-	if evidence != quarantine.NoEvidence {
+	found := fl.CrashDetector.Detect(ctx, v, d)
+	listener, probeError := "not probed", ""
+	if found.Probed {
+		listener = found.Listener.String()
+	}
+	if found.ProbeError != nil {
+		probeError = found.ProbeError.Error()
+	}
+	fl.Logger.Info("target_broke_off", "request_id", fl.request.ID, "print", fl.fingerprint, "target", dst.target.Incarnation, "evidence", string(found.Evidence),
+		"listener", listener, "probe_error", probeError, "probe_took", roundForLog(found.ProbeTook), "list_age", fl.age(v.TargetsCurrentAt), "step", d.Step, "ran", roundForLog(time.Since(fl.sentAt)))
+	if found.Evidence != quarantine.NoEvidence {
 		fl.Quarantine.AttributeCrash(d.Fingerprint, d.Caller, quarantine.Crash{Target: d.Target.ID, Step: d.Step, At: d.At, Elapsed: d.Elapsed})
 	}
 }
--- a/internal/gateway/quarantine/crashdetector.go
+++ b/internal/gateway/quarantine/crashdetector.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
 )
 
@@ -48,8 +49,9 @@
 // CrashDetector tells crashed targets from broken connections. Targets that reset connections,
 // network failures and planned shutdowns must not count against the requests in flight.
 type CrashDetector struct {
-	// refuses reports whether a target's address refuses connections.
-	refuses func(ctx context.Context, t *fleet.Target) bool
+	// probeListener returns whether a process listens at a target's address, and why this is
+	// unknown.
+	probeListener func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error)
 
 	mu sync.Mutex
 	// probes holds the recent probe of each incarnation, suspected the crashes that are not
@@ -61,7 +63,16 @@
 type refusalProbe struct {
 	startedAt time.Time
 	done      chan struct{}
-	refuses   bool
+	// result is set when done is closed.
+	result probeResult
+}
+
+// probeResult is the result of a probe of a target.
+type probeResult struct {
+	listener upstream.ListenerState
+	// err is why the state of the listener is unknown.
+	err  error
+	took time.Duration
 }
 
 // SuspectedCrash is a request whose target may have crashed while running it.
@@ -82,29 +93,44 @@
 	expiresAt time.Time
 }
 
-// NewCrashDetector returns a detector that probes targets with refuses.
-func NewCrashDetector(refuses func(ctx context.Context, t *fleet.Target) bool) *CrashDetector {
-	return &CrashDetector{refuses: refuses, probes: map[fleet.ID]*refusalProbe{}}
+// NewCrashDetector returns a detector that probes targets with probeListener.
+func NewCrashDetector(probeListener func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error)) *CrashDetector {
+	return &CrashDetector{probeListener: probeListener, probes: map[fleet.ID]*refusalProbe{}}
+}
+
+// Detection is the result of Detect.
+type Detection struct {
+	Evidence Evidence
+	// Probed is set if the target was probed, which took ProbeTook. ProbeError is why the state of
+	// its listener is unknown.
+	Probed     bool
+	Listener   upstream.ListenerState
+	ProbeError error
+	ProbeTook  time.Duration
 }
 
 // Detect returns the evidence that a target which broke off a request has crashed. Without
 // evidence it keeps the suspected crash for Resolve.
-func (d *CrashDetector) Detect(ctx context.Context, v *view.View, s SuspectedCrash) Evidence {
+func (d *CrashDetector) Detect(ctx context.Context, v *view.View, s SuspectedCrash) Detection {
 	listed, found := findListed(v, &s.Target)
 	switch {
 	case found && listed.Leaving:
-		return NoEvidence
+		return Detection{}
 	case v.Unresponsive[s.Target.Address]:
-		return UnresponsiveToSidecar
+		return Detection{Evidence: UnresponsiveToSidecar}
 	case !found && !s.Unlisted && !replaced(v, &s.Target):
-		return NoEvidence // unlisted before the crash: planned shutdown
+		return Detection{} // unlisted before the crash: planned shutdown
 	case !found && !s.Unlisted:
-		return OtherIncarnation
-	case d.probe(ctx, &s.Target, s.At):
-		return RefusesConnections
+		return Detection{Evidence: OtherIncarnation}
+	}
+	p := d.probe(ctx, &s.Target, s.At)
+	result := Detection{Probed: true, Listener: p.listener, ProbeError: p.err, ProbeTook: p.took}
+	if result.Listener == upstream.ListenerRefuses {
+		result.Evidence = RefusesConnections
+		return result
 	}
 	d.add(s, suspicionTimeout)
-	return NoEvidence
+	return result
 }
 
 // AddCancelled keeps a suspected crash for a run that was cancelled before its target responded.
@@ -119,9 +145,9 @@
 	d.suspected = append(d.suspected, s)
 }
 
-// probe reports whether a target refuses connections. Concurrent calls for the same target share
-// one probe.
-func (d *CrashDetector) probe(ctx context.Context, t *fleet.Target, now time.Time) bool {
+// probe probes whether a process listens at a target's address. Concurrent calls for the same
+// target share one probe.
+func (d *CrashDetector) probe(ctx context.Context, t *fleet.Target, now time.Time) probeResult {
 	d.mu.Lock()
 	p := d.probes[t.ID]
 	first := p == nil || p.outdated(now)
@@ -136,14 +162,16 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	if first {
-		p.refuses = d.refuses(ctx, t)
+		start := time.Now()
+		p.result.listener, p.result.err = d.probeListener(ctx, t)
+		p.result.took = time.Since(start)
 		close(p.done)
 	}
 	select {
 	case <-p.done:
-		return p.refuses
+		return p.result
 	case <-ctx.Done():
-		return false
+		return probeResult{err: context.Cause(ctx), took: probeTimeout}
 	}
 }
 
@@ -151,7 +179,7 @@
 func (p *refusalProbe) outdated(now time.Time) bool {
 	select {
 	case <-p.done:
-		return !p.refuses && now.Sub(p.startedAt) > reprobeAfter
+		return p.result.listener != upstream.ListenerRefuses && now.Sub(p.startedAt) > reprobeAfter
 	default:
 		return false
 	}
@@ -161,7 +189,7 @@
 func (p *refusalProbe) foundRefusing() bool {
 	select {
 	case <-p.done:
-		return p.refuses
+		return p.result.listener == upstream.ListenerRefuses
 	default:
 		return false
 	}
--- a/internal/gateway/quarantine/crashdetector_test.go
+++ b/internal/gateway/quarantine/crashdetector_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
 )
 
@@ -17,6 +18,14 @@
 	return fleet.NewTarget(fleet.Listing{Incarnation: fleet.Incarnation{Instance: instance, StartedMs: startTime}, Service: "engines", Address: engineAddress})
 }
 
+// listenerState returns the probe result of a target that refuses connections or accepts them.
+func listenerState(refuses bool) upstream.ListenerState {
+	if refuses {
+		return upstream.ListenerRefuses
+	}
+	return upstream.ListenerAccepts
+}
+
 // newView returns a view of the targets in a list that was read at listedAt.
 func newView(listedAt time.Time, targets ...fleet.Target) *view.View {
 	return &view.View{Targets: map[string][]fleet.Target{"engines": targets}, Unresponsive: map[netip.AddrPort]bool{}, TargetsCurrentAt: listedAt}
@@ -53,8 +62,10 @@
 		{"not listed yet, listening", false, true, newView(testStart, newTarget("i-0", 0)), NoEvidence},
 		{"start time known to the list only", false, false, newView(testStart, newTarget("i-1", 7)), NoEvidence},
 	} {
-		d := NewCrashDetector(func(context.Context, *fleet.Target) bool { return c.refuses })
-		if got := d.Detect(context.Background(), c.view, SuspectedCrash{Target: target, Unlisted: c.unlisted, At: atMs(0)}); got != c.want {
+		d := NewCrashDetector(func(context.Context, *fleet.Target) (upstream.ListenerState, error) {
+			return listenerState(c.refuses), nil
+		})
+		if got := d.Detect(context.Background(), c.view, SuspectedCrash{Target: target, Unlisted: c.unlisted, At: atMs(0)}).Evidence; got != c.want {
 			t.Errorf("%s: evidence %q, want %q", c.name, got, c.want)
 		}
 	}
@@ -86,7 +97,9 @@
 		{"draining", newView(atMs(100), withDraining(target)), 100 * time.Millisecond, NoEvidence},
 		{"list entry expired after the timeout", newView(atMs(8000)), 8 * time.Second, NoEvidence},
 	} {
-		d := NewCrashDetector(func(context.Context, *fleet.Target) bool { return false })
+		d := NewCrashDetector(func(context.Context, *fleet.Target) (upstream.ListenerState, error) {
+			return upstream.ListenerAccepts, nil
+		})
 		d.Detect(context.Background(), newView(testStart, target), SuspectedCrash{Fingerprint: 7, Target: target, At: atMs(0)})
 		resolved, reasons := d.Resolve(c.later, testStart.Add(c.after))
 		if c.want == NoEvidence {
@@ -110,20 +123,22 @@
 	synctest.Test(t, func(t *testing.T) {
 		probes := 0
 		result := make(chan bool)
-		d := NewCrashDetector(func(ctx context.Context, _ *fleet.Target) bool {
+		d := NewCrashDetector(func(ctx context.Context, _ *fleet.Target) (upstream.ListenerState, error) {
 			probes++
 			select {
 			case refuses := <-result:
-				return refuses
+				return listenerState(refuses), nil
 			case <-ctx.Done():
-				return false
+				return upstream.ListenerUnknown, ctx.Err()
 			}
 		})
 		target := newTarget("i-1", 0)
 		v := newView(time.Now(), target)
 		const requests = 60
 		got := make(chan Evidence, requests)
-		detect := func() { got <- d.Detect(context.Background(), v, SuspectedCrash{Target: target, At: time.Now()}) }
+		detect := func() {
+			got <- d.Detect(context.Background(), v, SuspectedCrash{Target: target, At: time.Now()}).Evidence
+		}
 		for range requests {
 			go detect()
 		}
@@ -140,12 +155,12 @@
 		second := newTarget("i-2", 0)
 		v = newView(time.Now(), second)
 		started := time.Now()
-		if evidence := d.Detect(context.Background(), v, SuspectedCrash{Target: second, At: started}); evidence != NoEvidence || time.Since(started) > probeTimeout {
+		if evidence := d.Detect(context.Background(), v, SuspectedCrash{Target: second, At: started}).Evidence; evidence != NoEvidence || time.Since(started) > probeTimeout {
 			t.Errorf("unresponsive host: got evidence %q after %v", evidence, time.Since(started))
 		}
 		time.Sleep(reprobeAfter + time.Millisecond)
 		go func() { result <- true }()
-		if evidence := d.Detect(context.Background(), v, SuspectedCrash{Target: second, At: time.Now()}); evidence != RefusesConnections {
+		if evidence := d.Detect(context.Background(), v, SuspectedCrash{Target: second, At: time.Now()}).Evidence; evidence != RefusesConnections {
 			t.Errorf("crashed later: got evidence %q", evidence)
 		}
 	})
@@ -160,7 +175,9 @@
 		after time.Duration
 		want  int
 	}{{100 * time.Millisecond, 1}, {2 * time.Second, 0}} {
-		d := NewCrashDetector(func(context.Context, *fleet.Target) bool { return true })
+		d := NewCrashDetector(func(context.Context, *fleet.Target) (upstream.ListenerState, error) {
+			return upstream.ListenerRefuses, nil
+		})
 		d.AddCancelled(SuspectedCrash{Fingerprint: 7, Target: target, Step: 2, At: atMs(0)})
 		if resolved, _ := d.Resolve(v, atMs(10)); len(resolved) != 0 {
 			t.Errorf("resolved while the target is alive: %+v", resolved)
--- a/internal/gateway/quarantine/evaluate.go
+++ b/internal/gateway/quarantine/evaluate.go
@@ -48,7 +48,11 @@
 // no longer count against others. Two requests that can't be told apart are both left to run
 // alone, where only one of them crashes its target.
 func Evaluate(records []*Record, maxCrashes int, now time.Time) map[Fingerprint]Finding {
-	e := evaluation{records: records, maxCrashes: maxCrashes, findings: map[Fingerprint]Finding{}, explained: map[fleet.ID]bool{}}
+	return evaluate(records, maxCrashes, now).findings
+}
+
+func evaluate(records []*Record, maxCrashes int, now time.Time) *evaluation {
+	e := &evaluation{records: records, maxCrashes: maxCrashes, findings: map[Fingerprint]Finding{}, assessments: map[Fingerprint]Assessment{}, explained: map[fleet.ID]bool{}}
 	for _, r := range records {
 		if len(r.Crashes) >= maxCrashes && len(r.Crashes) > r.ForgivenCrashes {
 			e.candidates = append(e.candidates, r)
@@ -56,6 +60,7 @@
 	}
 	slices.SortFunc(e.candidates, func(a, b *Record) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	for r := e.takeMostSuspect(); r != nil; r = e.takeMostSuspect() {
+		e.assessments[r.Fingerprint] = e.assess(r)
 		if tied := e.tied(r); tied != nil {
 			e.drop(tied)
 			continue
@@ -69,7 +74,10 @@
 			e.explained[c.Target] = true
 		}
 	}
-	return e.findings
+	for _, r := range e.candidates {
+		e.assessments[r.Fingerprint] = e.assess(r)
+	}
+	return e
 }
 
 // evaluation is the state of one call of Evaluate.
@@ -77,6 +85,8 @@
 	records    []*Record
 	maxCrashes int
 	findings   map[Fingerprint]Finding
+	// assessments holds the inputs of each candidate's finding.
+	assessments map[Fingerprint]Assessment
 	// explained holds the incarnations whose crash is attributed to a refused request.
 	explained map[fleet.ID]bool
 	// candidates are the requests with enough crashes that are not evaluated yet.
@@ -133,21 +143,51 @@
 	return n
 }
 
-// shouldRefuse reports whether a candidate's unexplained crashes suffice to refuse it.
-func (e *evaluation) shouldRefuse(r *Record) bool {
-	crashes, need, perStep := r.unexplainedCrashes(e.isExplained), e.maxCrashes, exemptServedPerStep
-	otherCrashes := e.crashesWithout(r, backgroundWindow)
-	if otherCrashes > 0 {
-		perStep = exemptServedPerStepAmongCrashes
+// Assessment holds the inputs of a request's finding, for logs.
+type Assessment struct {
+	// Crashes and Steps are the request's crashes that no refused request explains, and their
+	// steps; Served is the number of its successful runs since the first.
+	Crashes, Steps, Served int
+	// OtherCrashes is the number of targets that crashed without the request within
+	// backgroundWindow, ConcurrentCrashes within concurrentWindow.
+	OtherCrashes, ConcurrentCrashes int
+	// NeededCrashes is the number of crashes that refuse the request, ExemptServed the number of
+	// successful runs that exempts it.
+	NeededCrashes, ExemptServed int
+	// Coincidence is the probability that the request met its crashes by chance; negative if the
+	// duration of a run is unknown.
+	Coincidence float64
+}
+
+// assess returns the inputs of a candidate's finding.
+func (e *evaluation) assess(r *Record) Assessment {
+	a := Assessment{
+		Crashes: r.unexplainedCrashes(e.isExplained), Steps: r.unexplainedSteps(e.isExplained), Served: r.Served,
+		OtherCrashes: e.crashesWithout(r, backgroundWindow), ConcurrentCrashes: e.crashesWithout(r, concurrentWindow),
+		NeededCrashes: e.maxCrashes, Coincidence: -1,
 	}
-	if otherCrashes >= crashes && !e.coincidenceUnlikely(r, otherCrashes) || r.Served > 0 && e.coincidenceLikely(r, otherCrashes) {
-		need += extraCrashes
+	if probability, known := e.coincidenceProbability(r, a.OtherCrashes); known {
+		a.Coincidence = probability
+	}
+	perStep := exemptServedPerStep
+	if a.OtherCrashes > 0 {
+		perStep = exemptServedPerStepAmongCrashes
 	}
 	// Served counts from the first crash on, which spans one step less.
-	if r.Served >= perStep*max(r.unexplainedSteps(e.isExplained)-1, 1) {
+	a.ExemptServed = perStep * max(a.Steps-1, 1)
+	if a.OtherCrashes >= a.Crashes && !a.coincidenceUnlikely() || a.Served > 0 && a.coincidenceLikely() {
+		a.NeededCrashes += extraCrashes
+	}
+	return a
+}
+
+// shouldRefuse reports whether a candidate's unexplained crashes suffice to refuse it.
+func (e *evaluation) shouldRefuse(r *Record) bool {
+	a := e.assess(r)
+	if a.Served >= a.ExemptServed {
 		return false
 	}
-	return r.unexplainedSteps(e.isExplained) >= need || crashes >= need && e.crashesWithout(r, concurrentWindow) == 0
+	return a.Steps >= a.NeededCrashes || a.Crashes >= a.NeededCrashes && a.ConcurrentCrashes == 0
 }
 
 // Bounds on the probability that all of a request's crashes are coincidences, given the crash
@@ -161,15 +201,11 @@
 // no coincidence, or known to be a plausible one. The first matters if targets also crash on
 // their own while a request crashes its targets right after each send, the second in a series of
 // crashes that a popular request meets by chance.
-func (e *evaluation) coincidenceUnlikely(r *Record, otherCrashes int) bool {
-	probability, known := e.coincidenceProbability(r, otherCrashes)
-	return known && probability < unlikelyProbability
+func (a *Assessment) coincidenceUnlikely() bool {
+	return a.Coincidence >= 0 && a.Coincidence < unlikelyProbability
 }
 
-func (e *evaluation) coincidenceLikely(r *Record, otherCrashes int) bool {
-	probability, known := e.coincidenceProbability(r, otherCrashes)
-	return known && probability > likelyProbability
-}
+func (a *Assessment) coincidenceLikely() bool { return a.Coincidence > likelyProbability }
 
 // coincidenceProbability returns the probability that a crash hits each of the request's crashed
 // runs by chance, at the crash rate around them. It returns false if the duration of a run is
--- a/internal/gateway/quarantine/reevaluate.go
+++ b/internal/gateway/quarantine/reevaluate.go
@@ -42,7 +42,8 @@
 		all = append(all, r)
 	}
 	before := q.findings
-	q.findings = Evaluate(all, q.limits.MaxCrashes, now)
+	e := evaluate(all, q.limits.MaxCrashes, now)
+	q.findings = e.findings
 	q.explained, q.evaluateAt = map[fleet.ID]bool{}, time.Time{}
 	for fp, f := range q.findings {
 		r := q.records[fp]
@@ -54,7 +55,7 @@
 			q.explained[c.Target] = true
 		}
 	}
-	q.notifyFindings(before, remote)
+	q.notifyFindings(before, e.assessments, remote)
 }
 
 // evaluateBy schedules an evaluation at the given time at the latest.
@@ -65,7 +66,7 @@
 }
 
 // notifyFindings reports changed findings to the observer.
-func (q *Registry) notifyFindings(before map[Fingerprint]Finding, remote bool) {
+func (q *Registry) notifyFindings(before map[Fingerprint]Finding, assessments map[Fingerprint]Assessment, remote bool) {
 	changed := map[Fingerprint]bool{}
 	for fp := range before {
 		changed[fp] = q.findings[fp] != before[fp]
@@ -75,7 +76,7 @@
 	}
 	for _, fp := range slices.Sorted(maps.Keys(changed)) {
 		if r := q.records[fp]; r != nil && changed[fp] {
-			q.observer.FindingChanged(r, before[fp], q.findings[fp], remote)
+			q.observer.FindingChanged(r, before[fp], q.findings[fp], assessments[fp], remote)
 			q.signal()
 		}
 	}
--- a/internal/gateway/quarantine/registry.go
+++ b/internal/gateway/quarantine/registry.go
@@ -62,8 +62,9 @@
 type Observer interface {
 	// CrashAttributed reports a crash that was attributed to a request.
 	CrashAttributed(r *Record, c Crash, remote bool)
-	// FindingChanged reports a new finding for a request.
-	FindingChanged(r *Record, before, now Finding, remote bool)
+	// FindingChanged reports a new finding for a request, and its inputs; these are zero if the
+	// request has too few crashes to be evaluated.
+	FindingChanged(r *Record, before, now Finding, a Assessment, remote bool)
 	// Cleared reports a request that was served often enough to run on any target again,
 	// Released one that was released by an operator.
 	Cleared(r *Record)
--- a/internal/gateway/quarantine/registry_test.go
+++ b/internal/gateway/quarantine/registry_test.go
@@ -20,11 +20,13 @@
 		o.remote++
 	}
 }
-func (o *countingObserver) FindingChanged(*Record, Finding, Finding, bool) { o.findingChanges++ }
-func (o *countingObserver) Cleared(*Record)                                { o.cleared++ }
-func (o *countingObserver) Released(*Record, bool)                         { o.released++ }
-func (o *countingObserver) Evicted(*Record)                                { o.evicted++ }
-func (o *countingObserver) ProbationStarted(*Record)                       {}
+func (o *countingObserver) FindingChanged(*Record, Finding, Finding, Assessment, bool) {
+	o.findingChanges++
+}
+func (o *countingObserver) Cleared(*Record)          { o.cleared++ }
+func (o *countingObserver) Released(*Record, bool)   { o.released++ }
+func (o *countingObserver) Evicted(*Record)          { o.evicted++ }
+func (o *countingObserver) ProbationStarted(*Record) {}
 
 var testLimits = Limits{MaxCrashes: 3, SuspectFor: time.Hour, RefuseFor: 24 * time.Hour, MaxRecords: 100}
 
--- a/internal/gateway/quarantine/simulation_test.go
+++ b/internal/gateway/quarantine/simulation_test.go
@@ -190,7 +190,7 @@
 type simObserver struct{ s *sim }
 
 func (o simObserver) CrashAttributed(*Record, Crash, bool) {}
-func (o simObserver) FindingChanged(r *Record, _, now Finding, _ bool) {
+func (o simObserver) FindingChanged(r *Record, _, now Finding, _ Assessment, _ bool) {
 	if now == MustNotRun {
 		o.s.refusedAt[r.Fingerprint] = append(o.s.refusedAt[r.Fingerprint], o.s.now)
 	}
--- a/internal/gateway/quarantinesync.go
+++ b/internal/gateway/quarantinesync.go
@@ -408,8 +408,9 @@
 // Judged implements quarantine.Observer. The record is stored when the request is first
 // held, not when it is refused a moment later, so that a restart of all entries in between
 // does not lose it.
-func (o *quarantineObserver) FindingChanged(r *quarantine.Record, before, now quarantine.Finding, remote bool) {
-	o.logger.Info(findingEvents[now], "print", r.Fingerprint, "ends", len(r.Crashes), "served", r.Served, "workspace", r.Workspace, "route", r.Route, "told", remote)
+func (o *quarantineObserver) FindingChanged(r *quarantine.Record, before, now quarantine.Finding, a quarantine.Assessment, remote bool) {
+	o.logger.Info(findingEvents[now], "print", r.Fingerprint, "ends", len(r.Crashes), "served", r.Served, "workspace", r.Workspace, "route", r.Route, "told", remote,
+		"unexplained", a.Crashes, "steps", a.Steps, "needed", a.NeededCrashes, "exempt_served", a.ExemptServed, "others", a.OtherCrashes, "others_beside", a.ConcurrentCrashes, "coincidence", a.Coincidence)
 	if before == quarantine.MustWait && now == quarantine.MustNotRun {
 		return
 	}
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -143,24 +143,51 @@
 	refusedRetryDelay = 5 * time.Millisecond
 )
 
-// RefusesConnections reports whether the host at an address refuses connections, because no
-// process listens there. A connection that stays open is added to the pool.
+// ListenerState is the result of a probe of a target's address.
+type ListenerState uint8
+
+const (
+	// ListenerUnknown means that the probe got no answer in time.
+	ListenerUnknown ListenerState = iota
+	// ListenerAccepts means that the host accepted a connection that stayed open.
+	ListenerAccepts
+	// ListenerRefuses means that the host is up but no process listens.
+	ListenerRefuses
+)
+
+var listenerStateNames = map[ListenerState]string{ListenerUnknown: "unknown", ListenerAccepts: "accepts", ListenerRefuses: "refuses"}
+
+// String returns the state's name.
+func (s ListenerState) String() string { return listenerStateNames[s] }
+
+// errClosedAtOnce is why the state of a listener is unknown whose connections were closed at once.
+var errClosedAtOnce = errors.New("each connection was closed at once")
+
+// ProbeListener returns whether a process listens at an address, and why this is unknown. A
+// connection that stays open is added to the pool.
 //
 // An exiting process closes its connections and its listener one after the other. A
 // connection that it accepts in between is closed a moment later, so dialing is repeated.
-func (p *Pool) RefusesConnections(ctx context.Context, address netip.AddrPort) bool {
+func (p *Pool) ProbeListener(ctx context.Context, address netip.AddrPort) (ListenerState, error) {
 	for range refusedAttempts {
 		c, err := p.dial(ctx, address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return ListenerRefuses, nil
+		}
 		if err != nil {
-			return errors.Is(err, syscall.ECONNREFUSED)
+			return ListenerUnknown, err
 		}
-		if !sleep.For(ctx, refusedRetryDelay) || c.alive() {
+		inTime := sleep.For(ctx, refusedRetryDelay)
+		if c.alive() {
 			p.put(c)
-			return false
+			return ListenerAccepts, nil
 		}
 		c.close()
+		if !inTime {
+			return ListenerUnknown, context.Cause(ctx)
+		}
 	}
-	return false
+	return ListenerUnknown, errClosedAtOnce
 }
 
 // put adds a connection to the pool, or closes it if the pool is full or closed.
--- a/internal/gateway/upstream/pool_test.go
+++ b/internal/gateway/upstream/pool_test.go
@@ -189,8 +189,8 @@
 			l.Close()
 		}()
 		p := NewPool(func() {})
-		if got := p.RefusesConnections(t.Context(), address); got != c.want {
-			t.Errorf("%s: RefusesConnections is %v", c.name, got)
+		if got, err := p.ProbeListener(t.Context(), address); (got == ListenerRefuses) != c.want {
+			t.Errorf("%s: the listener's state is %v, error %v", c.name, got, err)
 		}
 		l.Close()
 		<-done
