A probe whose dial is reset is repeated: the listener is closing

Cause: a crash without evidence. The probe of the engine that had broken off ended after 0.2 ms in the state unknown (target_broke_off listener=unknown probe_took=200us). That is no timeout (50 ms) and no accepted connection: the dial itself failed. A connection that waits in the queue of a listener that closes is reset, and where the reset comes before the dial returns, the dial fails with ECONNRESET. The probe took only ECONNREFUSED for evidence and gave up at any other error, so that the crash counted for nothing until the list or the sidecar showed it 0.7 to 1.4 s later.

Change: a reset dial is repeated after 5 ms like a connection that is closed at once. Three attempts as before, within the same 50 ms.

Test: TestProbeIsRepeatedAfterResetDial; without the change it gets unknown after one dial in four of its five cases.

--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -37,10 +37,10 @@
 
 // Pool manages connections to targets. It is safe for concurrent use.
 type Pool struct {
-	dialer *net.Dialer
-	onDial func()
-	mu     sync.Mutex
-	idle   map[netip.AddrPort][]*conn
+	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	onDial      func()
+	mu          sync.Mutex
+	idle        map[netip.AddrPort][]*conn
 	// idleLimits are the limits for targets that have announced their idle timeout.
 	idleLimits map[netip.AddrPort]time.Duration
 	closed     bool
@@ -49,10 +49,10 @@
 // NewPool returns an empty pool. onDial is called for each new connection.
 func NewPool(onDial func()) *Pool {
 	return &Pool{
-		dialer:     NewDialer(),
-		onDial:     onDial,
-		idle:       map[netip.AddrPort][]*conn{},
-		idleLimits: map[netip.AddrPort]time.Duration{},
+		dialContext: NewDialer().DialContext,
+		onDial:      onDial,
+		idle:        map[netip.AddrPort][]*conn{},
+		idleLimits:  map[netip.AddrPort]time.Duration{},
 	}
 }
 
@@ -128,7 +128,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
-	c, err := p.dialer.DialContext(ctx, "tcp", address.String())
+	c, err := p.dialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
@@ -138,7 +138,7 @@
 
 const (
 	// refusedAttempts and refusedRetryDelay control how often a target is dialed again that
-	// accepted a connection and closed it at once.
+	// closed or reset a connection at once.
 	refusedAttempts   = 3
 	refusedRetryDelay = 5 * time.Millisecond
 )
@@ -166,23 +166,27 @@
 // ProbeListener returns whether a process listens at an address, and why this is unknown. A
 // connection that stays open is added to the pool.
 //
-// An exiting process closes its connections and its listener one after the other. A
-// connection that it accepts in between is closed a moment later, so dialing is repeated.
+// An exiting process closes its connections and its listener one after the other. A connection
+// that it accepts in between is closed a moment later, and one that is still in the listener's
+// queue is reset when the listener closes, even before the dial returns. Dialing is repeated in
+// both cases.
 func (p *Pool) ProbeListener(ctx context.Context, address netip.AddrPort) (ListenerState, error) {
 	for range refusedAttempts {
 		c, err := p.dial(ctx, address)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return ListenerRefuses, nil
 		}
-		if err != nil {
+		if err != nil && !errors.Is(err, syscall.ECONNRESET) {
 			return ListenerUnknown, err
 		}
 		inTime := sleep.For(ctx, refusedRetryDelay)
-		if c.alive() {
+		if c != nil && c.alive() {
 			p.put(c)
 			return ListenerAccepts, nil
 		}
-		c.close()
+		if c != nil {
+			c.close()
+		}
 		if !inTime {
 			return ListenerUnknown, context.Cause(ctx)
 		}
--- a/internal/gateway/upstream/pool_test.go
+++ b/internal/gateway/upstream/pool_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -158,6 +161,43 @@
 	}
 }
 
+// The dial of a probe may be reset because the listener closes while the connection is in its
+// queue. The process then counts as refusing connections, unless it listens again.
+func TestProbeIsRepeatedAfterResetDial(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.1:9")
+	for _, c := range []struct {
+		name string
+		// results are the errors of the dials; the connection of one without an error stays open.
+		results []error
+		want    ListenerState
+	}{
+		{"reset, then refused", []error{syscall.ECONNRESET, syscall.ECONNREFUSED}, ListenerRefuses},
+		{"reset twice, then refused", []error{syscall.ECONNRESET, syscall.ECONNRESET, syscall.ECONNREFUSED}, ListenerRefuses},
+		{"reset, then accepted", []error{syscall.ECONNRESET, nil}, ListenerAccepts},
+		{"always reset", []error{syscall.ECONNRESET, syscall.ECONNRESET, syscall.ECONNRESET}, ListenerUnknown},
+		{"unreachable", []error{syscall.EHOSTUNREACH}, ListenerUnknown},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := NewPool(func() {})
+		dials := 0
+		p.dialContext = func(ctx context.Context, network, _ string) (net.Conn, error) {
+			dials++
+			if err := c.results[dials-1]; err != nil {
+				return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", err)}
+			}
+			return NewDialer().DialContext(ctx, network, l.Addr().String())
+		}
+		if got, err := p.ProbeListener(t.Context(), address); got != c.want || dials != len(c.results) {
+			t.Errorf("%s: got %v after %d dials, error %v, want %v after %d", c.name, got, dials, err, c.want, len(c.results))
+		}
+		p.CloseIdle()
+		l.Close()
+	}
+}
+
 // A process that exits may accept a connection and close it just before its listener. It
 // counts as refusing connections, unlike one that closes one connection or none and goes on.
 func TestRefusesConnectionsOfExitingProcess(t *testing.T) {
