A crash that is not confirmed yet counts where the next run is decided

A crash without evidence at its time counted for nothing until the list or the sidecar showed it, at the entry that had seen it and at the others; meanwhile one more run was sent.

Change: a target that breaks a request off without evidence is probed again, after 25 ms and then every 100 ms, until it refuses (the crash is attributed at once), has accepted twice (it is alive) or a second has passed. Until that is known the request counts as if it had crashed the target: it runs alone from two crashes on, confirmed or not, and waits from three on. Entries announce this where it restricts the request, so that a single broken connection costs nobody a message. A run that was cancelled after another target's crash counts in the same way for its second.

Why innocents do not pay: one broken run restricts nothing, and a target that is alive is known to be after 125 ms. On a network that resets connections a request waits only from its third reset within that time on.

Ruled out by the same model: waiting with the retry until the first new probe is done (delays every retry after a reset, and does little at other entries), counting at one entry only.

--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -33,7 +33,7 @@
 
 // quarantineEvents are the events that record a request's quarantine status. They concern all
 // attempts with the same fingerprint, so they may precede the attempt in question.
-var quarantineEvents = []string{"request_blamed", "request_crash_reported", "request_held", "request_quarantined", "request_not_quarantined", "request_cleared", "request_released", "quarantine_kept"}
+var quarantineEvents = []string{"request_suspected", "suspicion_dismissed", "request_blamed", "request_crash_reported", "request_held", "request_quarantined", "request_not_quarantined", "request_cleared", "request_released", "quarantine_kept"}
 
 // Story is what the logs contain about one request.
 type Story struct {
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -134,6 +134,7 @@
 func New(d Deps) *Forwarder {
 	f := &Forwarder{Deps: d, prefillTime: readtime.NewPredictor(), paces: readtime.NewSlowdowns()}
 	f.random.Store(d.Seed)
+	d.CrashDetector.OnRecheck(f.Now, f.RecheckCrashes)
 	return f
 }
 
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -52,10 +52,12 @@
 func (noObserver) CrashAttributed(*quarantine.Record, quarantine.Crash, bool) {}
 func (noObserver) FindingChanged(*quarantine.Record, quarantine.Finding, quarantine.Finding, quarantine.Assessment, bool) {
 }
-func (noObserver) Cleared(*quarantine.Record)          {}
-func (noObserver) Released(*quarantine.Record, bool)   {}
-func (noObserver) Evicted(*quarantine.Record)          {}
-func (noObserver) ProbationStarted(*quarantine.Record) {}
+func (noObserver) CrashSuspected(*quarantine.Record, quarantine.UnconfirmedCrash) {}
+func (noObserver) CrashDismissed(*quarantine.Record, quarantine.UnconfirmedCrash) {}
+func (noObserver) Cleared(*quarantine.Record)                                     {}
+func (noObserver) Released(*quarantine.Record, bool)                              {}
+func (noObserver) Evicted(*quarantine.Record)                                     {}
+func (noObserver) ProbationStarted(*quarantine.Record)                            {}
 
 // fakeTarget is a target whose responses a test writes byte by byte.
 type fakeTarget struct {
--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -63,14 +63,14 @@
 		return nil, refusal
 	}
 	if fl.quarantineStatus.Verdict == quarantine.Held {
-		return nil, errkind.NewRetryAfter(errkind.NoTarget, fl.jitter(busyRetryAfter), "%d targets crashed while they ran the request; it is on hold until the crashes are attributed", fl.quarantineStatus.Crashes)
+		return nil, errkind.NewRetryAfter(errkind.NoTarget, fl.jitter(busyRetryAfter), "%d targets crashed while they ran the request, and %d may have; it is on hold until the crashes are attributed", fl.quarantineStatus.Crashes, fl.quarantineStatus.Unconfirmed)
 	}
 	dst, refusal := fl.choose(ctx)
 	if refusal != nil || fl.quarantineStatus.Verdict != quarantine.Alone {
 		return dst, refusal
 	}
 	if !fl.Quarantine.StartProbationRun(fl.fingerprint, dst.target.ID, fl.Now()) {
-		return nil, errkind.NewRetryAfter(errkind.NoTarget, fl.jitter(busyRetryAfter), "%d targets crashed while they ran the request, and another run of it is in progress", fl.quarantineStatus.Crashes)
+		return nil, errkind.NewRetryAfter(errkind.NoTarget, fl.jitter(busyRetryAfter), "%d targets crashed while they ran the request, %d may have, and another run of it is in progress", fl.quarantineStatus.Crashes, fl.quarantineStatus.Unconfirmed)
 	}
 	dst.probation = true
 	return dst, nil
@@ -141,19 +141,30 @@
 	}
 	fl.Logger.Info("target_broke_off", "request_id", fl.request.ID, "print", fl.fingerprint, "target", dst.target.Incarnation, "evidence", string(found.Evidence),
 		"listener", listener, "probe_error", probeError, "probe_took", roundForLog(found.ProbeTook), "list_age", fl.age(v.TargetsCurrentAt), "step", d.Step, "ran", roundForLog(time.Since(fl.sentAt)))
+	if found.Suspected {
+		fl.suspectCrash(&d)
+	}
 	if found.Evidence != quarantine.NoEvidence {
 		fl.Quarantine.AttributeCrash(d.Fingerprint, d.Caller, quarantine.Crash{Target: d.Target.ID, Step: d.Step, At: d.At, Elapsed: d.Elapsed})
 	}
 }
 
-// RecheckCrashes checks suspected crashes against the current view, and updates the
-// requests that are on hold. Call it when the view has changed.
+// suspectCrash restricts the request until it is known whether its target has crashed.
+func (fl *flow) suspectCrash(s *quarantine.SuspectedCrash) {
+	fl.Quarantine.SuspectCrash(s.Fingerprint, s.Caller, quarantine.UnconfirmedCrash{Target: s.Target.ID, Step: s.Step, At: s.At})
+}
+
+// RecheckCrashes checks suspected crashes against the current view and the results of repeated
+// probes, and updates the requests that are on hold. Call it when the view has changed.
 func (f *Forwarder) RecheckCrashes() {
 	defer func() { f.Quarantine.Reevaluate(f.Now()) }()
 	v, ok := f.View()
 	if !ok {
 		return
 	}
+	for _, d := range f.CrashDetector.TakeDismissed() {
+		f.Quarantine.DismissCrash(d.Fingerprint, d.Target.ID, f.Now())
+	}
 	doubts, evidence := f.CrashDetector.Resolve(v, f.Now())
 	for i, d := range doubts {
 		f.Logger.Info("target_had_ended", "request_id", d.RequestID, "print", d.Fingerprint, "target", d.Target.Incarnation, "evidence", string(evidence[i]), "after", f.Now().Sub(d.At).Round(time.Millisecond))
--- a/internal/gateway/forward/quarantined_test.go
+++ b/internal/gateway/forward/quarantined_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/toucanwell/toucanwell/internal/gateway/wire/wiretest"
 )
@@ -66,6 +67,42 @@
 	}
 }
 
+// A request that crashes targets whose listeners close only some time after their connections, so
+// that the first probe finds no evidence, must crash three of them at most.
+func TestCrashWithLateEvidence(t *testing.T) {
+	const listenerDelay = 50 * time.Millisecond
+	var targets []*fakeTarget
+	for i := range 12 {
+		var tg *fakeTarget
+		tg = startTarget(t, fmt.Sprintf("t%d", i), func(w io.Writer, r *http.Request, body string) bool {
+			time.AfterFunc(listenerDelay, func() { tg.listener.Close() })
+			return false
+		})
+		targets = append(targets, tg)
+	}
+	env := newTestEnv(t, targets...)
+	quarantined := false
+	for n := range 6 {
+		_, body, err := env.post(t, "/again/x", "fatal", wiretest.ID, fmt.Sprintf("r%d", n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		quarantined = strings.Contains(body, "quarantined")
+	}
+	if !quarantined {
+		t.Error("the request was not quarantined")
+	}
+	crashed := 0
+	for _, tg := range targets {
+		if tg.runs.Load() > 0 {
+			crashed++
+		}
+	}
+	if crashed != 3 {
+		t.Errorf("%d targets crashed; want 3", crashed)
+	}
+}
+
 // Requests that differ in path, body or workspace from a quarantined one must be run.
 func TestQuarantineMatchesOnlyTheSameRequest(t *testing.T) {
 	targets := startCrashingTargets(t, 24)
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -44,7 +44,7 @@
 		"weights", dst.weightsVersion, "wanted", fl.view.Wanted[fl.request.Model].Newest(),
 		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "family", familyName(dst), "answer", fl.request.MaxTokens, "held", dst.choice.CachedTokens, "fetched", dst.choice.FetchedTokens, "fetch_from", dst.fetchFrom, "save_to", dst.offloadTo,
 		"late", dst.choice.Late, "urgency", dst.choice.Priority, "wait", roundForLog(dst.choice.Wait), "read", roundForLog(dst.choice.Prefill), "fetch", roundForLog(dst.choice.Fetch),
-		"verdict", dst.quarantineStatus.Verdict.String(), "ends", dst.quarantineStatus.Crashes, "patience", roundForLog(dst.maxWait), "kept", roundForLog(time.Since(fl.arrived)), "left", fl.timeLeft().Round(time.Millisecond))
+		"verdict", dst.quarantineStatus.Verdict.String(), "ends", dst.quarantineStatus.Crashes, "unconfirmed", dst.quarantineStatus.Unconfirmed, "patience", roundForLog(dst.maxWait), "kept", roundForLog(time.Since(fl.arrived)), "left", fl.timeLeft().Round(time.Millisecond))
 }
 
 // familyName returns the log's name for the prompt's shared parts at the version of the
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -247,7 +247,9 @@
 		return
 	}
 	if errors.Is(context.Cause(ctx), errCrashedElsewhere) {
-		fl.CrashDetector.AddCancelled(fl.suspectedCrash(dst))
+		s := fl.suspectedCrash(dst)
+		fl.CrashDetector.AddCancelled(s)
+		fl.suspectCrash(&s)
 		return
 	}
 	fl.recordOutcome(dst, health.Broken)
--- a/internal/gateway/quarantine/announce.go
+++ b/internal/gateway/quarantine/announce.go
@@ -18,14 +18,10 @@
 	if q.expired(&other, now) {
 		return false
 	}
-	r := q.records[other.Fingerprint]
-	if r == nil {
-		if len(other.Crashes) == 0 && other.Generation == 0 {
-			return false
-		}
-		r = &Record{Fingerprint: other.Fingerprint}
-		q.records[other.Fingerprint] = r
+	if q.records[other.Fingerprint] == nil && len(other.Crashes) == 0 && len(other.Unconfirmed) == 0 && other.Generation == 0 {
+		return false
 	}
+	r := q.recordOf(other.Fingerprint)
 	knownCrashes, generation := len(r.Crashes), r.Generation
 	switch r.merge(&other) {
 	case unchanged:
--- a/internal/gateway/quarantine/crashdetector.go
+++ b/internal/gateway/quarantine/crashdetector.go
@@ -22,6 +22,17 @@
 	sidecarReportDelay = 300 * time.Millisecond
 	// reprobeAfter is how long a target that accepted a probe counts as alive.
 	reprobeAfter = 200 * time.Millisecond
+	// firstRecheck is how long after a broken run its target is probed again if there was no
+	// evidence of a crash: a process that crashes closes its connections and its listener within
+	// a few milliseconds. On a busy host it takes longer, so more probes follow every
+	// recheckInterval.
+	firstRecheck    = 25 * time.Millisecond
+	recheckInterval = 100 * time.Millisecond
+	// acceptsToDismiss is the number of rechecks that must find a target listening to take it
+	// for alive.
+	acceptsToDismiss = 2
+	// maxRechecks bounds the rechecks of a target that can't be reached.
+	maxRechecks = int(unconfirmedTimeout / recheckInterval)
 	// cancelledTimeout replaces suspicionTimeout after a run was cancelled. The target may have
 	// started it and then crashes within a few hundred milliseconds.
 	cancelledTimeout = time.Second
@@ -58,6 +69,13 @@
 	// confirmed yet.
 	probes    map[fleet.ID]*refusalProbe
 	suspected []SuspectedCrash
+	// rechecking holds the targets that will be probed again.
+	rechecking map[fleet.ID]bool
+	// dismissed are the suspected crashes for TakeDismissed.
+	dismissed []SuspectedCrash
+	// now is the clock of the times that callers pass. onRecheck is called after rechecks.
+	now       func() time.Time
+	onRecheck func()
 }
 
 type refusalProbe struct {
@@ -91,11 +109,15 @@
 	RequestID string
 	// expiresAt is when an unconfirmed crash is dropped.
 	expiresAt time.Time
+	// recheck is set if the target is probed again until it is known to be alive. accepts counts
+	// the rechecks that found it listening.
+	recheck bool
+	accepts int
 }
 
 // NewCrashDetector returns a detector that probes targets with probeListener.
 func NewCrashDetector(probeListener func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error)) *CrashDetector {
-	return &CrashDetector{probeListener: probeListener, probes: map[fleet.ID]*refusalProbe{}}
+	return &CrashDetector{probeListener: probeListener, probes: map[fleet.ID]*refusalProbe{}, rechecking: map[fleet.ID]bool{}, now: time.Now, onRecheck: func() {}}
 }
 
 // Detection is the result of Detect.
@@ -107,6 +129,8 @@
 	Listener   upstream.ListenerState
 	ProbeError error
 	ProbeTook  time.Duration
+	// Suspected is set if the crash is kept for Resolve.
+	Suspected bool
 }
 
 // Detect returns the evidence that a target which broke off a request has crashed. Without
@@ -123,13 +147,15 @@
 	case !found && !s.Unlisted:
 		return Detection{Evidence: OtherIncarnation}
 	}
-	p := d.probe(ctx, &s.Target, s.At)
+	p := d.probe(ctx, &s.Target, s.At, reprobeAfter)
 	result := Detection{Probed: true, Listener: p.listener, ProbeError: p.err, ProbeTook: p.took}
 	if result.Listener == upstream.ListenerRefuses {
 		result.Evidence = RefusesConnections
 		return result
 	}
+	s.recheck, result.Suspected = true, true
 	d.add(s, suspicionTimeout)
+	d.scheduleRecheck(s.Target)
 	return result
 }
 
@@ -146,11 +172,11 @@
 }
 
 // probe probes whether a process listens at a target's address. Concurrent calls for the same
-// target share one probe.
-func (d *CrashDetector) probe(ctx context.Context, t *fleet.Target, now time.Time) probeResult {
+// target share one probe; a completed one that was not refused is used again up to maxAge.
+func (d *CrashDetector) probe(ctx context.Context, t *fleet.Target, now time.Time, maxAge time.Duration) probeResult {
 	d.mu.Lock()
 	p := d.probes[t.ID]
-	first := p == nil || p.outdated(now)
+	first := p == nil || p.outdated(now, maxAge)
 	if first {
 		p = &refusalProbe{startedAt: now, done: make(chan struct{})}
 		d.probes[t.ID] = p
@@ -175,11 +201,11 @@
 	}
 }
 
-// outdated reports whether the target accepted the probe too long ago to rely on it.
-func (p *refusalProbe) outdated(now time.Time) bool {
+// outdated reports whether the probe completed without being refused and is older than maxAge.
+func (p *refusalProbe) outdated(now time.Time, maxAge time.Duration) bool {
 	select {
 	case <-p.done:
-		return p.result.listener != upstream.ListenerRefuses && now.Sub(p.startedAt) > reprobeAfter
+		return p.result.listener != upstream.ListenerRefuses && now.Sub(p.startedAt) > maxAge
 	default:
 		return false
 	}
--- a/internal/gateway/quarantine/eviction.go
+++ b/internal/gateway/quarantine/eviction.go
@@ -2,10 +2,14 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
 func (q *Registry) expired(r *Record, now time.Time) bool {
+	if len(r.Crashes) == 0 && r.Generation == 0 {
+		return !slices.ContainsFunc(r.Unconfirmed, func(u UnconfirmedCrash) bool { return now.Sub(u.At) <= unconfirmedTimeout })
+	}
 	retention := q.limits.SuspectFor
 	if len(r.Crashes) >= q.limits.MaxCrashes {
 		retention = q.limits.RefuseFor
--- a/internal/gateway/quarantine/message.go
+++ b/internal/gateway/quarantine/message.go
@@ -30,6 +30,11 @@
 	for _, c := range r.Crashes {
 		m.Ends = append(m.Ends, &peerv1.TargetEnd{Target: uint32(c.Target), Step: uint32(c.Step), AgeMs: age(c.At, now), RanMs: uint32(min(c.Elapsed, maxElapsed).Milliseconds())})
 	}
+	for i := range r.Unconfirmed {
+		if u := &r.Unconfirmed[i]; now.Sub(u.At) <= unconfirmedTimeout {
+			m.Unconfirmed = append(m.Unconfirmed, &peerv1.UnconfirmedEnd{Target: uint32(u.Target), Step: uint32(u.Step), AgeMs: age(u.At, now), Dismissed: u.Dismissed})
+		}
+	}
 	if len(r.Crashes) > 1 {
 		m.Workspace, m.Route = r.Workspace[:min(len(r.Workspace), maxNameLength)], r.Route[:min(len(r.Route), maxNameLength)]
 	}
@@ -52,6 +57,9 @@
 	for _, c := range m.Ends[:min(len(m.Ends), maxRecordedCrashes)] {
 		r.Crashes = append(r.Crashes, Crash{Target: fleet.ID(c.Target), Step: int(c.Step), At: ago(c.AgeMs, now), Elapsed: min(time.Duration(c.RanMs)*time.Millisecond, maxElapsed)})
 	}
+	for _, u := range m.Unconfirmed[:min(len(m.Unconfirmed), maxUnconfirmed)] {
+		r.Unconfirmed = append(r.Unconfirmed, UnconfirmedCrash{Target: fleet.ID(u.Target), Step: int(u.Step), At: ago(u.AgeMs, now), Dismissed: u.Dismissed})
+	}
 	return r
 }
 
--- /dev/null
+++ b/internal/gateway/quarantine/recheck_test.go
@@ -0,0 +1,100 @@
+package quarantine
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
+)
+
+// A target that still listens, or does not answer, when it breaks off a request is probed again,
+// so that its crash is known before the list or its sidecar shows it.
+func TestTargetIsProbedAgain(t *testing.T) {
+	const accepts, refuses, unknown = upstream.ListenerAccepts, upstream.ListenerRefuses, upstream.ListenerUnknown
+	for _, c := range []struct {
+		name string
+		// states are the results of the probes; the last one repeats.
+		states []upstream.ListenerState
+		// confirmed or dismissed after is when it is known whether the target has crashed.
+		confirmedAfter, dismissedAfter time.Duration
+		probes                         int
+	}{
+		{"its listener closes later", []upstream.ListenerState{accepts, refuses}, firstRecheck, 0, 2},
+		{"its listener closes after a recheck", []upstream.ListenerState{accepts, accepts, refuses}, firstRecheck + recheckInterval, 0, 3},
+		{"the first probe came to nothing", []upstream.ListenerState{unknown, refuses}, firstRecheck, 0, 2},
+		{"alive", []upstream.ListenerState{accepts}, 0, firstRecheck + recheckInterval, 3},
+		{"alive, but slow", []upstream.ListenerState{unknown, unknown, accepts}, 0, firstRecheck + 2*recheckInterval, 4},
+		{"unreachable", []upstream.ListenerState{unknown}, 0, 0, 1 + maxRechecks},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			probes := 0
+			d := NewCrashDetector(func(context.Context, *fleet.Target) (upstream.ListenerState, error) {
+				probes++
+				return c.states[min(probes, len(c.states))-1], nil
+			})
+			target := newTarget("i-1", 0)
+			v := newView(time.Now(), target)
+			start := time.Now()
+			var confirmedAfter, dismissedAfter time.Duration
+			d.OnRecheck(time.Now, func() {
+				if resolved, _ := d.Resolve(v, time.Now()); len(resolved) == 1 {
+					confirmedAfter = time.Since(start)
+				}
+				if len(d.TakeDismissed()) == 1 {
+					dismissedAfter = time.Since(start)
+				}
+			})
+			if got := d.Detect(t.Context(), v, SuspectedCrash{Fingerprint: 7, Target: target, At: start}); !got.Suspected {
+				t.Fatalf("%s: got %+v", c.name, got)
+			}
+			time.Sleep(suspicionTimeout)
+			synctest.Wait()
+			if confirmedAfter != c.confirmedAfter || dismissedAfter != c.dismissedAfter || probes != c.probes {
+				t.Errorf("%s: confirmed after %v, dismissed after %v, %d probes", c.name, confirmedAfter, dismissedAfter, probes)
+			}
+		})
+	}
+}
+
+// Many requests that one target broke off share its probes.
+func TestRechecksAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		probes := 0
+		d := NewCrashDetector(func(context.Context, *fleet.Target) (upstream.ListenerState, error) {
+			probes++
+			return upstream.ListenerAccepts, nil
+		})
+		target := newTarget("i-1", 0)
+		v := newView(time.Now(), target)
+		const requests = 50
+		for i := range requests {
+			d.Detect(t.Context(), v, SuspectedCrash{Fingerprint: Fingerprint(i), Target: target, At: time.Now()})
+		}
+		time.Sleep(time.Second)
+		if n := len(d.TakeDismissed()); n != requests || probes != 1+acceptsToDismiss {
+			t.Errorf("%d dismissed after %d probes", n, probes)
+		}
+	})
+}
+
+// A target that was found alive may have been another incarnation at the address; the list still
+// shows the crash.
+func TestDismissedCrashIsConfirmedByTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := NewCrashDetector(func(context.Context, *fleet.Target) (upstream.ListenerState, error) {
+			return upstream.ListenerAccepts, nil
+		})
+		target := newTarget("i-1", 0)
+		d.Detect(t.Context(), newView(time.Now(), target), SuspectedCrash{Fingerprint: 7, Target: target, At: time.Now()})
+		time.Sleep(time.Second)
+		if n := len(d.TakeDismissed()); n != 1 {
+			t.Fatalf("%d dismissed", n)
+		}
+		if resolved, reasons := d.Resolve(newView(time.Now(), newTarget("i-2", 0)), time.Now()); len(resolved) != 1 || reasons[0] != OtherIncarnation {
+			t.Errorf("got %+v with evidence %v", resolved, reasons)
+		}
+	})
+}
--- a/internal/gateway/quarantine/record.go
+++ b/internal/gateway/quarantine/record.go
@@ -41,6 +41,8 @@
 	Generation uint32
 	// Crashes are in the order in which they were observed.
 	Crashes []Crash
+	// Unconfirmed are in the order in which they were observed.
+	Unconfirmed []UnconfirmedCrash
 	// Served is the number of successful runs since the first crash. Merging takes the maximum,
 	// so that concurrent runs at two processes may count once.
 	Served       int
@@ -121,6 +123,7 @@
 // addCrash adds a crash. For a known incarnation it keeps the earlier time and the lower step,
 // so that the order of calls does not matter.
 func (r *Record) addCrash(c Crash) change {
+	r.removeUnconfirmed(c.Target)
 	i := slices.IndexFunc(r.Crashes, func(other Crash) bool { return other.Target == c.Target })
 	if i < 0 {
 		if len(r.Crashes) >= maxRecordedCrashes {
@@ -161,6 +164,9 @@
 	for _, c := range other.Crashes {
 		changed = max(changed, r.addCrash(c))
 	}
+	for _, u := range other.Unconfirmed {
+		changed = max(changed, r.addUnconfirmed(u))
+	}
 	if other.Served > r.Served {
 		r.Served, changed = other.Served, majorChange
 	}
@@ -187,14 +193,14 @@
 
 func (r *Record) clone() Record {
 	c := *r
-	c.Crashes = slices.Clone(r.Crashes)
+	c.Crashes, c.Unconfirmed = slices.Clone(r.Crashes), slices.Clone(r.Unconfirmed)
 	return c
 }
 
 // reset starts a new generation without crashes.
 func (r *Record) reset(now time.Time) {
 	r.Generation++
-	r.Crashes, r.Served, r.ProbationRun, r.ReleasedAt = nil, 0, ProbationRun{}, now
+	r.Crashes, r.Unconfirmed, r.Served, r.ProbationRun, r.ReleasedAt = nil, nil, 0, ProbationRun{}, now
 	r.Probations, r.PardonedProbations, r.ForgivenCrashes = 0, 0, 0
 }
 
@@ -203,15 +209,21 @@
 	return r.ProbationRun.Target != 0 && now.Sub(r.ProbationRun.StartedAt) < probationRunTimeout
 }
 
-// unexplainedSteps counts the steps with crashes that are not attributed to a refused request.
-func (r *Record) unexplainedSteps(isExplained func(fleet.ID) bool) int {
+// unexplainedStepNumbers returns the steps with crashes that are not attributed to a refused
+// request.
+func (r *Record) unexplainedStepNumbers(isExplained func(fleet.ID) bool) []int {
 	var seen []int
 	for _, c := range r.Crashes {
 		if !isExplained(c.Target) && !slices.Contains(seen, c.Step) {
 			seen = append(seen, c.Step)
 		}
 	}
-	return len(seen)
+	return seen
+}
+
+// unexplainedSteps counts the steps with crashes that are not attributed to a refused request.
+func (r *Record) unexplainedSteps(isExplained func(fleet.ID) bool) int {
+	return len(r.unexplainedStepNumbers(isExplained))
 }
 
 // cleared reports whether enough runs succeeded for the request to run on any target.
--- a/internal/gateway/quarantine/registry.go
+++ b/internal/gateway/quarantine/registry.go
@@ -34,7 +34,8 @@
 	// Alone requests run like Apart ones, but one run at a time and not on a target that runs
 	// another suspect.
 	Alone
-	// Held requests wait until it is decided whether they caused their targets' crashes.
+	// Held requests wait until it is known whether their targets have crashed, and decided whether
+	// the requests caused it.
 	Held
 	// Refused requests do not run.
 	Refused
@@ -50,8 +51,9 @@
 	Verdict Verdict
 	// Step is the [Crash.Step] of the next run.
 	Step int
-	// Crashes is the number of crashes attributed to the request.
-	Crashes int
+	// Crashes is the number of crashes attributed to the request, Unconfirmed that of further
+	// runs of which it is not known yet whether their targets have crashed.
+	Crashes, Unconfirmed int
 	// Until is when a refused request may run again.
 	Until time.Time
 }
@@ -62,6 +64,9 @@
 type Observer interface {
 	// CrashAttributed reports a crash that was attributed to a request.
 	CrashAttributed(r *Record, c Crash, remote bool)
+	// CrashSuspected reports an unconfirmed crash, CrashDismissed one whose target is alive.
+	CrashSuspected(r *Record, u UnconfirmedCrash)
+	CrashDismissed(r *Record, u UnconfirmedCrash)
 	// FindingChanged reports a new finding for a request, and its inputs; these are zero if the
 	// request has too few crashes to be evaluated.
 	FindingChanged(r *Record, before, now Finding, a Assessment, remote bool)
@@ -131,7 +136,7 @@
 }
 
 func (q *Registry) status(r *Record, now time.Time) Status {
-	s := Status{Step: r.unexplainedSteps(q.isExplained), Crashes: r.unexplainedCrashes(q.isExplained)}
+	s := Status{Step: r.nextStep(q.isExplained, now), Crashes: r.unexplainedCrashes(q.isExplained), Unconfirmed: r.pendingCrashes(now)}
 	switch {
 	case q.findings[r.Fingerprint] == MustNotRun && q.probationDue(r, now):
 		s.Verdict, s.Step, s.Crashes = Alone, len(r.Crashes), len(r.Crashes)
@@ -140,7 +145,9 @@
 	case q.findings[r.Fingerprint] == MustWait:
 		s.Verdict = Held
 	case r.cleared(q.isExplained):
-	case s.Crashes > 1:
+	case s.Unconfirmed > 0 && s.Crashes+s.Unconfirmed >= q.limits.MaxCrashes:
+		s.Verdict = Held
+	case s.Crashes+s.Unconfirmed > 1:
 		s.Verdict = Alone
 	case s.Crashes == 1:
 		s.Verdict = Apart
@@ -156,11 +163,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.sweep(c.At)
-	r := q.records[fp]
-	if r == nil {
-		r = &Record{Fingerprint: fp}
-		q.records[fp] = r
-	}
+	r := q.recordOf(fp)
 	r.fillCaller(caller.Workspace, caller.Route)
 	if r.addCrash(c) != majorChange {
 		return
@@ -173,6 +176,16 @@
 	q.reevaluate(c.At)
 }
 
+// recordOf returns the record of a request, a new one if there is none.
+func (q *Registry) recordOf(fp Fingerprint) *Record {
+	r := q.records[fp]
+	if r == nil {
+		r = &Record{Fingerprint: fp}
+		q.records[fp] = r
+	}
+	return r
+}
+
 // MarkServed records that a run of a request succeeded.
 func (q *Registry) MarkServed(fp Fingerprint) {
 	q.mu.Lock()
--- a/internal/gateway/quarantine/registry_test.go
+++ b/internal/gateway/quarantine/registry_test.go
@@ -12,7 +12,9 @@
 )
 
 // countingObserver counts notifications.
-type countingObserver struct{ attributed, remote, findingChanges, cleared, released, evicted int }
+type countingObserver struct {
+	attributed, remote, suspected, dismissed, findingChanges, cleared, released, evicted int
+}
 
 func (o *countingObserver) CrashAttributed(_ *Record, _ Crash, remote bool) {
 	o.attributed++
@@ -23,10 +25,12 @@
 func (o *countingObserver) FindingChanged(*Record, Finding, Finding, Assessment, bool) {
 	o.findingChanges++
 }
-func (o *countingObserver) Cleared(*Record)          { o.cleared++ }
-func (o *countingObserver) Released(*Record, bool)   { o.released++ }
-func (o *countingObserver) Evicted(*Record)          { o.evicted++ }
-func (o *countingObserver) ProbationStarted(*Record) {}
+func (o *countingObserver) CrashSuspected(*Record, UnconfirmedCrash) { o.suspected++ }
+func (o *countingObserver) CrashDismissed(*Record, UnconfirmedCrash) { o.dismissed++ }
+func (o *countingObserver) Cleared(*Record)                          { o.cleared++ }
+func (o *countingObserver) Released(*Record, bool)                   { o.released++ }
+func (o *countingObserver) Evicted(*Record)                          { o.evicted++ }
+func (o *countingObserver) ProbationStarted(*Record)                 {}
 
 var testLimits = Limits{MaxCrashes: 3, SuspectFor: time.Hour, RefuseFor: 24 * time.Hour, MaxRecords: 100}
 
--- a/internal/gateway/quarantine/scenarios_test.go
+++ b/internal/gateway/quarantine/scenarios_test.go
@@ -127,6 +127,71 @@
 	}
 }
 
+// lateEvidenceLoad is a fatal request whose crashes often show only after its retry.
+func lateEvidenceLoad(entries, engines int, hidden float64) workload {
+	return workload{entries: entries, engines: engines, fatal: 1, fatalEvery: 200 * time.Millisecond, requestsPerEngine: 5, loss: 0.01, lateEvidence: 0.5, hiddenEvidence: hidden, duration: 9 * time.Second}
+}
+
+// A fatal request must not crash more engines because there is no evidence of a crash when its
+// retry is placed, at the same entry or at another one.
+func TestLateEvidenceCrashesFewEngines(t *testing.T) {
+	for _, size := range []struct{ entries, engines int }{{2, 9}, {4, 18}, {30, 60}} {
+		for seed := range uint64(10) {
+			s := simulate(fullQuarantine, lateEvidenceLoad(size.entries, size.engines, 0.2), seed)
+			const inFlight = 2
+			if n := s.crashesBy[1]; n > 3+inFlight {
+				t.Errorf("%d entries, seed %d: %d engines crashed", size.entries, seed, n)
+			}
+			if s.ordinaryRefused > 0 {
+				t.Errorf("%d entries, seed %d: %d other requests were refused", size.entries, seed, s.ordinaryRefused)
+			}
+		}
+	}
+}
+
+// TestCompareLateEvidence prints the engines crashed by a request whose crashes often show only
+// after its retry, for the ways to deal with it.
+//
+//	go test -run TestCompareLateEvidence -v ./internal/gateway/quarantine
+func TestCompareLateEvidence(t *testing.T) {
+	if !testing.Verbose() {
+		t.Skip("prints a comparison table; run with -v")
+	}
+	ways := []struct {
+		name string
+		set  func(*strategy)
+	}{
+		{"the list alone, nothing counts until then", func(*strategy) {}},
+		{"probe again", func(s *strategy) { s.recheck = true }},
+		{"probe again, retry after the first recheck", func(s *strategy) { s.recheck, s.awaitEvidence = true, true }},
+		{"unconfirmed crashes count, no probe again", func(s *strategy) { s.countUnconfirmed, s.announceUnconfirmed = true, true }},
+		{"probe again, unconfirmed crashes count here", func(s *strategy) { s.recheck, s.countUnconfirmed = true, true }},
+		{"probe again, unconfirmed crashes count everywhere", func(s *strategy) { s.recheck, s.countUnconfirmed, s.announceUnconfirmed = true, true, true }},
+		{"the same, and retry after the first recheck", func(s *strategy) {
+			s.recheck, s.countUnconfirmed, s.announceUnconfirmed, s.awaitEvidence = true, true, true, true
+		}},
+	}
+	for _, load := range []workload{lateEvidenceLoad(2, 9, 0), lateEvidenceLoad(2, 9, 0.2), lateEvidenceLoad(4, 18, 0.2), lateEvidenceLoad(30, 60, 0.2)} {
+		t.Logf("%d entries, %d engines, %.0f %% of crashes without evidence at first, %.0f %% of these not found by probes", load.entries, load.engines, 100*load.lateEvidence, 100*load.hiddenEvidence)
+		for _, way := range ways {
+			strat := fullQuarantine
+			strat.recheck, strat.countUnconfirmed, strat.announceUnconfirmed = false, false, false
+			way.set(&strat)
+			const seeds = 40
+			crashed, beyond, failed, ordinary := 0, 0, 0, 0
+			for seed := range uint64(seeds) {
+				s := simulate(strat, load, seed)
+				crashed += s.crashesBy[1]
+				if s.crashesBy[1] > 3 {
+					beyond++
+				}
+				failed, ordinary = failed+s.ordinaryFailed, ordinary+s.ordinarySent
+			}
+			t.Logf("%-52s %4.2f engines crashed, over three in %2d of %d plays; %.1f of %d other requests failed", way.name, float64(crashed)/seeds, beyond, seeds, float64(failed)/seeds, ordinary/seeds)
+		}
+	}
+}
+
 // TestCompareStrategies prints the effect of each strategy: engines crashed per fatal request,
 // other requests refused or failed, and announcement traffic.
 //
--- a/internal/gateway/quarantine/simulation_test.go
+++ b/internal/gateway/quarantine/simulation_test.go
@@ -20,6 +20,10 @@
 	// suspects with two crashes one at a time, and cancelQueued cancels their queued runs
 	// elsewhere. Without evaluate no request is refused.
 	evaluate, announce, apart, alone, cancelQueued bool
+	// recheck probes engines again that crashed without evidence, awaitEvidence retries only
+	// after the first recheck, countUnconfirmed restricts requests by their unconfirmed crashes,
+	// and announceUnconfirmed shares these between entries.
+	recheck, awaitEvidence, countUnconfirmed, announceUnconfirmed bool
 }
 
 var (
@@ -28,7 +32,7 @@
 	announceOnly   = strategy{name: "announce", evaluate: true, announce: true}
 	withApart      = strategy{name: "announce, apart", evaluate: true, announce: true, apart: true}
 	withAlone      = strategy{name: "announce, apart, alone", evaluate: true, announce: true, apart: true, alone: true}
-	fullQuarantine = strategy{name: "announce, apart, alone, cancel", evaluate: true, announce: true, apart: true, alone: true, cancelQueued: true}
+	fullQuarantine = strategy{name: "announce, apart, alone, cancel", evaluate: true, announce: true, apart: true, alone: true, cancelQueued: true, recheck: true, countUnconfirmed: true, announceUnconfirmed: true}
 )
 
 // workload is the size of the deployment, the requests and the faults.
@@ -51,7 +55,10 @@
 	partitionFor time.Duration
 	// immuneShare is the fraction of engines that serve fatal requests without crashing.
 	immuneShare float64
-	duration    time.Duration
+	// lateEvidence is the fraction of crashes without evidence at first, hiddenEvidence that of
+	// those which rechecks don't find either.
+	lateEvidence, hiddenEvidence float64
+	duration                     time.Duration
 }
 
 const (
@@ -62,6 +69,8 @@
 	simAnnounceDelay = 5 * time.Millisecond
 	simRetryPause    = 10 * time.Millisecond
 	simMaxWait       = time.Second // for a probation run
+	// The target list shows a crash between simListDelay and twice as late.
+	simListDelay = 700 * time.Millisecond
 	// lateMargin is how long after its third crash sends of a fatal request count as late.
 	lateMargin = 3 * time.Second
 )
@@ -195,10 +204,12 @@
 		o.s.refusedAt[r.Fingerprint] = append(o.s.refusedAt[r.Fingerprint], o.s.now)
 	}
 }
-func (o simObserver) Cleared(*Record)          {}
-func (o simObserver) Released(*Record, bool)   {}
-func (o simObserver) Evicted(*Record)          {}
-func (o simObserver) ProbationStarted(*Record) {}
+func (o simObserver) CrashSuspected(*Record, UnconfirmedCrash) {}
+func (o simObserver) CrashDismissed(*Record, UnconfirmedCrash) {}
+func (o simObserver) Cleared(*Record)                          {}
+func (o simObserver) Released(*Record, bool)                   {}
+func (o simObserver) Evicted(*Record)                          {}
+func (o simObserver) ProbationStarted(*Record)                 {}
 
 func (s *sim) startEngine(e *simEngine) {
 	s.sequence++
@@ -353,22 +364,54 @@
 		attempts = append(attempts, a)
 	}
 	slices.SortFunc(attempts, func(a, b *simAttempt) int { return cmp.Compare(a.number, b.number) })
+	evidenceDelay := s.drawEvidenceDelay()
 	for _, a := range attempts {
 		probationRun := a.probationRun
 		a.probationRun = false
 		a.entry.EndRun(a.run)
 		a.engine = nil
 		s.schedule(simLatency, func() {
-			a.entry.AttributeCrash(a.fingerprint, Caller{}, Crash{Target: incarnation, Step: a.step, At: s.clock(), Elapsed: s.now - a.sentAt})
+			s.recordCrash(a, Crash{Target: incarnation, Step: a.step, At: s.clock(), Elapsed: s.now - a.sentAt}, evidenceDelay)
 			if probationRun {
 				a.entry.EndProbationRun(a.fingerprint, incarnation)
 			}
 			s.announceSoon(a.entry)
+			if evidenceDelay > 0 && s.awaitEvidence {
+				s.schedule(firstRecheck, func() { s.retryOrFail(a) })
+				return
+			}
 			s.retryOrFail(a)
 		})
 	}
 }
 
+// drawEvidenceDelay returns how long after a crash there is evidence of it.
+func (s *sim) drawEvidenceDelay() time.Duration {
+	switch {
+	case s.lateEvidence == 0 || s.random.Float64() >= s.lateEvidence:
+		return 0
+	case s.recheck && s.random.Float64() >= s.hiddenEvidence:
+		return firstRecheck
+	default:
+		return simListDelay + time.Duration(s.random.Int64N(int64(simListDelay)))
+	}
+}
+
+// recordCrash attributes a crash to an attempt, once there is evidence.
+func (s *sim) recordCrash(a *simAttempt, c Crash, evidenceDelay time.Duration) {
+	if evidenceDelay == 0 {
+		a.entry.AttributeCrash(a.fingerprint, Caller{}, c)
+		return
+	}
+	if s.countUnconfirmed {
+		a.entry.SuspectCrash(a.fingerprint, Caller{}, UnconfirmedCrash{Target: c.Target, Step: c.Step, At: c.At})
+	}
+	s.schedule(evidenceDelay, func() {
+		a.entry.AttributeCrash(a.fingerprint, Caller{}, c)
+		s.announceSoon(a.entry)
+	})
+}
+
 // retryOrFail sends a broken attempt again if it has sends left.
 func (s *sim) retryOrFail(a *simAttempt) {
 	if a.sendsLeft > 0 {
@@ -448,6 +491,9 @@
 		}
 		s.schedule(simLatency, func() {
 			for i := range records {
+				if !s.announceUnconfirmed {
+					records[i].Unconfirmed = nil
+				}
 				to.Merge(FromMessage(ToMessage(&records[i], sentAt), s.clock()), len(s.nodes) > simFanOut, s.clock())
 			}
 			to.Reevaluate(s.clock())
--- a/internal/gateway/quarantinesync.go
+++ b/internal/gateway/quarantinesync.go
@@ -303,7 +303,7 @@
 	for _, e := range m.Ends {
 		e.AgeMs += elapsed
 	}
-	m.Trial, m.TrialTarget = 0, 0
+	m.Trial, m.TrialTarget, m.Unconfirmed = 0, 0, nil
 	now := s.process.clock.Now()
 	return s.registry.Merge(quarantine.FromMessage(m, now), false, now)
 }
@@ -402,6 +402,16 @@
 	log.Info(event, "print", r.Fingerprint, "ends", len(r.Crashes), "step", e.Step, "target_id", uint32(e.Target), "workspace", r.Workspace, "route", r.Route, "generation", r.Generation)
 }
 
+// CrashSuspected implements quarantine.Observer.
+func (o *quarantineObserver) CrashSuspected(r *quarantine.Record, u quarantine.UnconfirmedCrash) {
+	o.logger.Info("request_suspected", "print", r.Fingerprint, "ends", len(r.Crashes), "unconfirmed", len(r.Unconfirmed), "step", u.Step, "target_id", uint32(u.Target), "workspace", r.Workspace, "route", r.Route)
+}
+
+// CrashDismissed implements quarantine.Observer.
+func (o *quarantineObserver) CrashDismissed(r *quarantine.Record, u quarantine.UnconfirmedCrash) {
+	o.logger.Info("suspicion_dismissed", "print", r.Fingerprint, "ends", len(r.Crashes), "target_id", uint32(u.Target))
+}
+
 // findingEvents are the log events of findings.
 var findingEvents = map[quarantine.Finding]string{0: "request_not_quarantined", quarantine.MustWait: "request_held", quarantine.MustNotRun: "request_quarantined"}
 
