A served request that met crashes among others may be a bystander

The number rises only if others are as many, or if the product of the probabilities to meet each crash is above 0.02; that product falls with each factor even for a bystander (0.0000059 to 0.017 seen, with 3 to 5 crashes of 6 to 8). Ruled out: crashes that no request met and that are therefore unknown (6 to 8 of the eight were known); runs on targets that stood all along do count as served, as they should.

Change: a request that was served while other targets crashed is a bystander as long as one that is always in flight would meet as many of the crashes by chance, with a probability above 0.002; each crash meets it with the share of its target among the targets of the service, which a crash now carries. Requests that were never served, or met all crashes, are judged as before.

--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -115,7 +115,8 @@
 func (fl *flow) suspectedCrash(dst *destination) quarantine.SuspectedCrash {
 	return quarantine.SuspectedCrash{
 		Fingerprint: fl.fingerprint, Caller: quarantine.Caller{Workspace: fl.workspaceName(), Route: fl.routeName()},
-		Target: dst.target, Unlisted: !quarantine.IsListed(fl.view, &dst.target), Step: dst.quarantineStatus.Step, At: fl.Now(), Elapsed: time.Since(fl.sentAt), RequestID: fl.request.ID,
+		Target: dst.target, Unlisted: !quarantine.IsListed(fl.view, &dst.target), Step: dst.quarantineStatus.Step, At: fl.Now(), Elapsed: time.Since(fl.sentAt),
+		ServiceTargets: len(fl.view.Targets[dst.target.Service]), RequestID: fl.request.ID,
 	}
 }
 
@@ -142,18 +143,13 @@
 	fl.Logger.Info("target_broke_off", "request_id", fl.request.ID, "print", fl.fingerprint, "target", dst.target.Incarnation, "evidence", string(found.Evidence),
 		"listener", listener, "probe_error", probeError, "probe_took", roundForLog(found.ProbeTook), "list_age", fl.age(v.TargetsCurrentAt), "step", d.Step, "ran", roundForLog(time.Since(fl.sentAt)))
 	if found.Suspected {
-		fl.suspectCrash(&d)
+		fl.Quarantine.SuspectCrash(d.Fingerprint, d.Caller, d.Unconfirmed())
 	}
 	if found.Evidence != quarantine.NoEvidence {
-		fl.Quarantine.AttributeCrash(d.Fingerprint, d.Caller, quarantine.Crash{Target: d.Target.ID, Step: d.Step, At: d.At, Elapsed: d.Elapsed})
+		fl.Quarantine.AttributeCrash(d.Fingerprint, d.Caller, d.Crash())
 	}
 }
 
-// suspectCrash restricts the request until it is known whether its target has crashed.
-func (fl *flow) suspectCrash(s *quarantine.SuspectedCrash) {
-	fl.Quarantine.SuspectCrash(s.Fingerprint, s.Caller, quarantine.UnconfirmedCrash{Target: s.Target.ID, Step: s.Step, At: s.At})
-}
-
 // RecheckCrashes checks suspected crashes against the current view and the results of repeated
 // probes, and updates the requests that are on hold. Call it when the view has changed.
 func (f *Forwarder) RecheckCrashes() {
@@ -168,6 +164,6 @@
 	doubts, evidence := f.CrashDetector.Resolve(v, f.Now())
 	for i, d := range doubts {
 		f.Logger.Info("target_had_ended", "request_id", d.RequestID, "print", d.Fingerprint, "target", d.Target.Incarnation, "evidence", string(evidence[i]), "after", f.Now().Sub(d.At).Round(time.Millisecond))
-		f.Quarantine.AttributeCrash(d.Fingerprint, d.Caller, quarantine.Crash{Target: d.Target.ID, Step: d.Step, At: d.At, Elapsed: d.Elapsed})
+		f.Quarantine.AttributeCrash(d.Fingerprint, d.Caller, d.Crash())
 	}
 }
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -249,7 +249,7 @@
 	if errors.Is(context.Cause(ctx), errCrashedElsewhere) {
 		s := fl.suspectedCrash(dst)
 		fl.CrashDetector.AddCancelled(s)
-		fl.suspectCrash(&s)
+		fl.Quarantine.SuspectCrash(s.Fingerprint, s.Caller, s.Unconfirmed())
 		return
 	}
 	fl.recordOutcome(dst, health.Broken)
--- a/internal/gateway/quarantine/crashdetector.go
+++ b/internal/gateway/quarantine/crashdetector.go
@@ -105,6 +105,8 @@
 	At       time.Time
 	// Elapsed is how long the request had been in flight on the target.
 	Elapsed time.Duration
+	// ServiceTargets is the number of targets of the target's service.
+	ServiceTargets int
 	// RequestID identifies the attempt in logs.
 	RequestID string
 	// expiresAt is when an unconfirmed crash is dropped.
@@ -115,6 +117,16 @@
 	accepts int
 }
 
+// Crash returns the crash to attribute to the request.
+func (s *SuspectedCrash) Crash() Crash {
+	return Crash{Target: s.Target.ID, Step: s.Step, At: s.At, Elapsed: s.Elapsed, Targets: s.ServiceTargets}
+}
+
+// Unconfirmed returns the crash as long as there is no evidence of it.
+func (s *SuspectedCrash) Unconfirmed() UnconfirmedCrash {
+	return UnconfirmedCrash{Target: s.Target.ID, Step: s.Step, At: s.At}
+}
+
 // NewCrashDetector returns a detector that probes targets with probeListener.
 func NewCrashDetector(probeListener func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error)) *CrashDetector {
 	return &CrashDetector{probeListener: probeListener, probes: map[fleet.ID]*refusalProbe{}, rechecking: map[fleet.ID]bool{}, now: time.Now, onRecheck: func() {}}
--- a/internal/gateway/quarantine/evaluate.go
+++ b/internal/gateway/quarantine/evaluate.go
@@ -41,7 +41,8 @@
 // A request is refused if maxCrashes targets crashed under it in as many steps. If they crashed
 // in fewer steps, it is refused only if no other target crashed at about the same time. It takes
 // extraCrashes more while targets crash as often without the request. A request that is served
-// far more often than its targets crash is not refused.
+// far more often than its targets crash is not refused, and neither is one that was served and may
+// well have met its crashes by chance among those of other targets.
 //
 // Requests that run beside the cause share some of its crashes, but the cause has all of them.
 // The request with the most crashes is therefore evaluated first, and crashes that it explains
@@ -157,6 +158,9 @@
 	// Coincidence is the probability that the request met its crashes by chance; negative if the
 	// duration of a run is unknown.
 	Coincidence float64
+	// Chance is the probability that a request which is always in flight meets as many of the
+	// crashes by chance.
+	Chance float64
 }
 
 // assess returns the inputs of a candidate's finding.
@@ -166,6 +170,7 @@
 		OtherCrashes: e.crashesWithout(r, backgroundWindow), ConcurrentCrashes: e.crashesWithout(r, concurrentWindow),
 		NeededCrashes: e.maxCrashes, Coincidence: -1,
 	}
+	a.Chance = chanceOfCrashes(a.Crashes, a.OtherCrashes, r.fewestTargets())
 	if probability, known := e.coincidenceProbability(r, a.OtherCrashes); known {
 		a.Coincidence = probability
 	}
@@ -184,12 +189,45 @@
 // shouldRefuse reports whether a candidate's unexplained crashes suffice to refuse it.
 func (e *evaluation) shouldRefuse(r *Record) bool {
 	a := e.assess(r)
-	if a.Served >= a.ExemptServed {
+	if a.Served >= a.ExemptServed || a.mayBeBystander() {
 		return false
 	}
 	return a.Steps >= a.NeededCrashes || a.Crashes >= a.NeededCrashes && a.ConcurrentCrashes == 0
 }
 
+// plausibleChance is the chance above which a request that was served may have met its crashes as a
+// bystander. It is low because each of a service's requests is evaluated after each of its crashes,
+// so that a series of crashes has many occasions to single one out.
+const plausibleChance = 0.002
+
+// mayBeBystander reports whether a request that was served while other targets crashed may have met
+// its own crashes by chance, as one that is always in flight does in a series of crashes.
+func (a *Assessment) mayBeBystander() bool {
+	return a.Served > 0 && a.OtherCrashes > 0 && a.Chance > plausibleChance
+}
+
+// chanceOfCrashes returns the probability that a request which is always in flight on one of the
+// targets meets at least this many of the crashes, if others is the number of those it did not
+// meet. The first one is left out, because a request's record begins with it.
+func chanceOfCrashes(crashes, others, targets int) float64 {
+	return binomialTail(crashes-1+others, crashes-1, 1/float64(max(targets, 1)))
+}
+
+// binomialTail returns the probability of at least least successes in n trials.
+func binomialTail(n, least int, p float64) float64 {
+	if least <= 0 || p >= 1 {
+		return 1
+	}
+	tail, term := 0.0, math.Pow(1-p, float64(n))
+	for k := range n + 1 {
+		if k >= least {
+			tail += term
+		}
+		term *= float64(n-k) / float64(k+1) * p / (1 - p)
+	}
+	return min(tail, 1)
+}
+
 // Bounds on the probability that all of a request's crashes are coincidences, given the crash
 // rate at the time: below the first they are not, above the second they may well be.
 const (
--- a/internal/gateway/quarantine/evaluate_test.go
+++ b/internal/gateway/quarantine/evaluate_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -122,6 +123,48 @@
 	}
 }
 
+// A request that was served between its crashes, and met no more of a series of crashes than one
+// that is always in flight may, must not be refused; in a large fleet as many are no coincidence.
+func TestServedRequestAmongOtherCrashes(t *testing.T) {
+	for _, c := range []struct {
+		name                     string
+		targets, served, crashes int
+		others                   int
+		want                     Finding
+	}{
+		{"five of eight crashes of three targets", 3, 4, 5, 3, 0},
+		{"three of four crashes of three targets", 3, 1, 3, 1, 0},
+		{"never served", 3, 0, 3, 1, MustNotRun},
+		{"no other target crashed", 3, 1, 3, 0, MustNotRun},
+		{"three of four crashes of sixty targets", 60, 1, 3, 1, MustNotRun},
+		{"nine of ten crashes of three targets", 3, 5, 9, 1, MustNotRun},
+		{"number of targets unknown", 0, 1, 3, 1, 0},
+	} {
+		r := &Record{Fingerprint: 1, Served: c.served}
+		for i := range c.crashes {
+			r.addCrash(Crash{Target: fleet.ID(10 + i), Step: i, At: atMs(1000 + 1000*i), Elapsed: 60 * time.Millisecond, Targets: c.targets})
+		}
+		records := []*Record{r}
+		for i := range c.others {
+			records = append(records, sequentialCrashes(Fingerprint(100+i), 900+1000*i, fleet.ID(100+i)))
+		}
+		if f := Evaluate(records, 3, atMs(60_000))[1]; f != c.want {
+			t.Errorf("%s: got finding %v, want %v", c.name, f, c.want)
+		}
+	}
+}
+
+func TestBinomialTail(t *testing.T) {
+	for _, c := range []struct {
+		n, least int
+		p, want  float64
+	}{{7, 4, 0.5, 0.5}, {3, 0, 0.1, 1}, {5, 3, 1, 1}, {4, 4, 0.5, 0.0625}, {2, 3, 0.5, 0}} {
+		if got := binomialTail(c.n, c.least, c.p); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%d of %d with probability %v: got %v, want %v", c.least, c.n, c.p, got, c.want)
+		}
+	}
+}
+
 // BenchmarkEvaluate measures an evaluation with a registry full of single-crash suspects and
 // some requests to refuse.
 func BenchmarkEvaluate(b *testing.B) {
--- a/internal/gateway/quarantine/message.go
+++ b/internal/gateway/quarantine/message.go
@@ -10,6 +10,9 @@
 // maxElapsed bounds the elapsed time of a run in a message.
 const maxElapsed = time.Hour
 
+// maxTargets bounds the number of targets in a message.
+const maxTargets = 1 << 20
+
 // maxNameLength bounds the names of workspace and route in a message, so that several records
 // fit into a datagram.
 const maxNameLength = 48
@@ -28,7 +31,7 @@
 		m.TrialTarget, m.TrialAgeMs = uint32(r.ProbationRun.Target), age(r.ProbationRun.StartedAt, now)
 	}
 	for _, c := range r.Crashes {
-		m.Ends = append(m.Ends, &peerv1.TargetEnd{Target: uint32(c.Target), Step: uint32(c.Step), AgeMs: age(c.At, now), RanMs: uint32(min(c.Elapsed, maxElapsed).Milliseconds())})
+		m.Ends = append(m.Ends, &peerv1.TargetEnd{Target: uint32(c.Target), Step: uint32(c.Step), AgeMs: age(c.At, now), RanMs: uint32(min(c.Elapsed, maxElapsed).Milliseconds()), Targets: uint32(c.Targets)})
 	}
 	for i := range r.Unconfirmed {
 		if u := &r.Unconfirmed[i]; now.Sub(u.At) <= unconfirmedTimeout {
@@ -55,7 +58,7 @@
 		r.ProbationRun.StartedAt = ago(m.TrialAgeMs, now)
 	}
 	for _, c := range m.Ends[:min(len(m.Ends), maxRecordedCrashes)] {
-		r.Crashes = append(r.Crashes, Crash{Target: fleet.ID(c.Target), Step: int(c.Step), At: ago(c.AgeMs, now), Elapsed: min(time.Duration(c.RanMs)*time.Millisecond, maxElapsed)})
+		r.Crashes = append(r.Crashes, Crash{Target: fleet.ID(c.Target), Step: int(c.Step), At: ago(c.AgeMs, now), Elapsed: min(time.Duration(c.RanMs)*time.Millisecond, maxElapsed), Targets: int(min(c.Targets, maxTargets))})
 	}
 	for _, u := range m.Unconfirmed[:min(len(m.Unconfirmed), maxUnconfirmed)] {
 		r.Unconfirmed = append(r.Unconfirmed, UnconfirmedCrash{Target: fleet.ID(u.Target), Step: int(u.Step), At: ago(u.AgeMs, now), Dismissed: u.Dismissed})
--- a/internal/gateway/quarantine/record.go
+++ b/internal/gateway/quarantine/record.go
@@ -19,6 +19,8 @@
 	At time.Time
 	// Elapsed is how long the request had been in flight on the target; zero if unknown.
 	Elapsed time.Duration
+	// Targets is the number of targets of the same service at the time; zero if unknown.
+	Targets int
 }
 
 // ProbationRun is the only run of a suspect in flight.
@@ -105,6 +107,18 @@
 	return first, last
 }
 
+// fewestTargets returns the lowest known number of targets at the request's crashes; zero if none
+// is known.
+func (r *Record) fewestTargets() int {
+	fewest := 0
+	for _, c := range r.Crashes {
+		if c.Targets > 0 && (fewest == 0 || c.Targets < fewest) {
+			fewest = c.Targets
+		}
+	}
+	return fewest
+}
+
 // hasCrash reports whether the crash of an incarnation is attributed to the request.
 func (r *Record) hasCrash(target fleet.ID) bool {
 	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Target == target })
@@ -140,6 +154,9 @@
 	if c.Elapsed > 0 && (known.Elapsed == 0 || c.Elapsed < known.Elapsed) {
 		known.Elapsed, changed = c.Elapsed, minorChange
 	}
+	if c.Targets > 0 && (known.Targets == 0 || c.Targets < known.Targets) {
+		known.Targets, changed = c.Targets, minorChange
+	}
 	if c.Step < known.Step {
 		known.Step, changed = c.Step, majorChange
 	}
--- a/internal/gateway/quarantine/scenarios_test.go
+++ b/internal/gateway/quarantine/scenarios_test.go
@@ -192,6 +192,65 @@
 	}
 }
 
+// Requests that are always in flight meet several of a series of unrelated crashes, and must not be
+// refused for it.
+func TestAlwaysRunningRequestsAreNotRefused(t *testing.T) {
+	for _, engines := range []int{3, 9, 18} {
+		for seed := range uint64(20) {
+			s := simulate(fullQuarantine, workload{entries: 2, engines: engines, popular: 8, crashEvery: 300 * time.Millisecond, crashes: 1, requestsPerEngine: 1, restartTime: time.Millisecond, duration: 10 * time.Second}, seed)
+			if s.popularRefused > 0 {
+				t.Errorf("%d engines, seed %d: %d of %d attempts were refused", engines, seed, s.popularRefused, s.popularSent)
+			}
+		}
+	}
+}
+
+// A request that crashes its engine on every second run must be refused although other engines
+// crash, too.
+func TestSometimesFatalRequestAmongOtherCrashes(t *testing.T) {
+	for seed := range uint64(10) {
+		s := simulate(fullQuarantine, workload{entries: 4, engines: 18, fatal: 1, fatalEvery: 200 * time.Millisecond, servedShare: 0.5, crashEvery: 2 * time.Second, crashes: 1, requestsPerEngine: 5, duration: 30 * time.Second}, seed)
+		const inFlight = 2
+		if n := s.crashesBy[1]; n > 3+extraCrashes+inFlight {
+			t.Errorf("seed %d: %d engines crashed", seed, n)
+		}
+	}
+}
+
+// TestCompareSeriesOfCrashes prints, for a series of unrelated crashes, in how many plays a request
+// that is always in flight is refused, and how many engines a request crashes that does so on every
+// second run.
+//
+//	go test -run TestCompareSeriesOfCrashes -v ./internal/gateway/quarantine
+func TestCompareSeriesOfCrashes(t *testing.T) {
+	if !testing.Verbose() {
+		t.Skip("prints a comparison table; run with -v")
+	}
+	const seeds = 60
+	for _, engines := range []int{3, 9, 18, 60} {
+		refused, sent, plays := 0, 0, 0
+		var crashed, most [2]int
+		for seed := range uint64(seeds) {
+			series := workload{entries: 2, engines: engines, crashEvery: 300 * time.Millisecond, crashes: 1, requestsPerEngine: 1, restartTime: time.Millisecond, duration: 10 * time.Second}
+			series.popular = 8
+			s := simulate(fullQuarantine, series, seed)
+			refused, sent = refused+s.popularRefused, sent+s.popularSent
+			if s.popularRefused > 0 {
+				plays++
+			}
+			series.popular, series.fatal, series.fatalEvery, series.servedShare = 0, 1, 200*time.Millisecond, 0.5
+			series.duration = 30 * time.Second
+			for i, crashEvery := range []time.Duration{2 * time.Second, 300 * time.Millisecond} {
+				series.crashEvery = crashEvery
+				s = simulate(fullQuarantine, series, seed)
+				crashed[i], most[i] = crashed[i]+s.crashesBy[1], max(most[i], s.crashesBy[1])
+			}
+		}
+		t.Logf("%2d engines: refused in %2d of %d plays, %5.2f %% of attempts; crashed %5.2f engines, %d at most, among a crash in 2 s; %5.2f, %d at most, among one in 0.3 s",
+			engines, plays, seeds, 100*float64(refused)/float64(sent), float64(crashed[0])/seeds, most[0], float64(crashed[1])/seeds, most[1])
+	}
+}
+
 // TestCompareStrategies prints the effect of each strategy: engines crashed per fatal request,
 // other requests refused or failed, and announcement traffic.
 //
--- a/internal/gateway/quarantine/simulation_test.go
+++ b/internal/gateway/quarantine/simulation_test.go
@@ -48,6 +48,12 @@
 	crashes    int
 	// requestsPerEngine is the rate of other requests per second and engine.
 	requestsPerEngine int
+	// popular is the number of requests that are always in flight, each once.
+	popular int
+	// servedShare is the fraction of a fatal request's runs that succeed.
+	servedShare float64
+	// restartTime is how long a crashed engine is down; zero means simRestartTime.
+	restartTime time.Duration
 	// loss is the fraction of lost datagrams.
 	loss float64
 	// partitionFor is how long the two halves of the entries can't reach each other, from the
@@ -92,6 +98,8 @@
 	ordinarySent     int
 	ordinaryRefused  int
 	ordinaryFailed   int
+	popularSent      int
+	popularRefused   int
 	datagrams, bytes int
 	refusedAt        map[Fingerprint][]time.Duration
 	firstCrashAt     map[Fingerprint]time.Duration
@@ -118,6 +126,7 @@
 	fingerprint   Fingerprint
 	family        uint64
 	fatal         bool
+	popular       bool
 	callerRetries bool
 	sendsLeft     int
 	waitingSince  time.Duration
@@ -179,6 +188,9 @@
 		s.schedule(time.Second, func() { s.sendFatal(Fingerprint(1 + i)) })
 	}
 	s.schedule(0, s.sendOrdinary)
+	for i := range load.popular {
+		s.schedule(0, func() { s.sendPopular(Fingerprint(1000 + i)) })
+	}
 	if load.crashEvery > 0 {
 		s.schedule(load.crashEvery, s.crashEngines)
 	}
@@ -229,6 +241,19 @@
 	s.schedule(time.Duration(float64(mean)*2*s.random.Float64()), s.sendOrdinary)
 }
 
+// sendPopular sends a request that is sent again as soon as it has ended.
+func (s *sim) sendPopular(fp Fingerprint) {
+	s.popularSent++
+	s.dispatch(&simAttempt{entry: s.nodes[s.random.IntN(len(s.nodes))], fingerprint: fp, family: 7, popular: true, sendsLeft: 2, waitingSince: s.now})
+}
+
+// endAttempt sends a popular request again.
+func (s *sim) endAttempt(a *simAttempt) {
+	if a.popular {
+		s.schedule(simRetryPause, func() { s.sendPopular(a.fingerprint) })
+	}
+}
+
 // crashEngines crashes random engines for an unrelated reason.
 func (s *sim) crashEngines() {
 	for range s.crashes {
@@ -245,9 +270,13 @@
 	}
 	st := a.entry.Status(a.fingerprint, s.clock())
 	if st.Verdict == Refused {
-		if !a.fatal {
+		switch {
+		case a.popular:
+			s.popularRefused++
+		case !a.fatal:
 			s.ordinaryRefused++
 		}
+		s.endAttempt(a)
 		return
 	}
 	key, alone := a.family, false
@@ -306,7 +335,7 @@
 	if a.engine != e || a.sends != sends || !e.running[a] {
 		return
 	}
-	if a.fatal && placement.Rank(1, e.hash) >= s.immuneShare {
+	if a.fatal && placement.Rank(1, e.hash) >= s.immuneShare && (s.servedShare == 0 || s.random.Float64() >= s.servedShare) {
 		incarnation := e.incarnation
 		s.schedule(simCrashDelay, func() {
 			if e.incarnation == incarnation && s.now >= e.upAt {
@@ -321,6 +350,7 @@
 			s.finishRun(a)
 			a.entry.MarkServed(a.fingerprint)
 			s.announceSoon(a.entry)
+			s.endAttempt(a)
 		}
 	})
 }
@@ -358,20 +388,20 @@
 	}
 	incarnation, running := e.incarnation, e.running
 	s.startEngine(e)
-	e.upAt = s.now + simRestartTime
+	e.upAt = s.now + cmp.Or(s.restartTime, simRestartTime)
 	attempts := make([]*simAttempt, 0, len(running))
 	for a := range running {
 		attempts = append(attempts, a)
 	}
 	slices.SortFunc(attempts, func(a, b *simAttempt) int { return cmp.Compare(a.number, b.number) })
-	evidenceDelay := s.drawEvidenceDelay()
+	evidenceDelay, targets := s.drawEvidenceDelay(), len(s.simEngines)
 	for _, a := range attempts {
 		probationRun := a.probationRun
 		a.probationRun = false
 		a.entry.EndRun(a.run)
 		a.engine = nil
 		s.schedule(simLatency, func() {
-			s.recordCrash(a, Crash{Target: incarnation, Step: a.step, At: s.clock(), Elapsed: s.now - a.sentAt}, evidenceDelay)
+			s.recordCrash(a, Crash{Target: incarnation, Step: a.step, At: s.clock(), Elapsed: s.now - a.sentAt, Targets: targets}, evidenceDelay)
 			if probationRun {
 				a.entry.EndProbationRun(a.fingerprint, incarnation)
 			}
@@ -424,7 +454,8 @@
 
 // failAttempt fails an attempt. Its caller may retry at another entry.
 func (s *sim) failAttempt(a *simAttempt) {
-	if a.fatal {
+	s.endAttempt(a)
+	if a.fatal || a.popular {
 		return
 	}
 	if !a.callerRetries {
--- a/internal/gateway/quarantinesync.go
+++ b/internal/gateway/quarantinesync.go
@@ -420,7 +420,7 @@
 // does not lose it.
 func (o *quarantineObserver) FindingChanged(r *quarantine.Record, before, now quarantine.Finding, a quarantine.Assessment, remote bool) {
 	o.logger.Info(findingEvents[now], "print", r.Fingerprint, "ends", len(r.Crashes), "served", r.Served, "workspace", r.Workspace, "route", r.Route, "told", remote,
-		"unexplained", a.Crashes, "steps", a.Steps, "needed", a.NeededCrashes, "exempt_served", a.ExemptServed, "others", a.OtherCrashes, "others_beside", a.ConcurrentCrashes, "coincidence", a.Coincidence)
+		"unexplained", a.Crashes, "steps", a.Steps, "needed", a.NeededCrashes, "exempt_served", a.ExemptServed, "others", a.OtherCrashes, "others_beside", a.ConcurrentCrashes, "coincidence", a.Coincidence, "chance", a.Chance)
 	if before == quarantine.MustWait && now == quarantine.MustNotRun {
 		return
 	}
