A crash right after the caller left counts against its request

A request whose caller leaves, or whose time is up, before it crashes its target left no trace: a caller with less patience than the crash takes ended one target after the other, without bound.

Cause: a send whose context had ended returned before anything about its target was kept; only runs that were cancelled after another target's crash were watched. The same held for a run that was given up for another target.

Change: such a run is kept for a second as it is for cancelled ones, and its target is probed once, half a second later (one probe for all runs that left it). Nothing is suspected before that. Only a refused connection or another incarnation at the address is evidence: a target that hangs makes many callers leave and must not count against them.

Cost: one connection at most for each target and half second in which callers leave, which the pool keeps for the next request.

--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -150,6 +150,14 @@
 	}
 }
 
+// watchAbandoned records that the request left its target while it ran, because the caller left,
+// its time was up, or another target is tried: the target may crash only now.
+func (fl *flow) watchAbandoned(ctx context.Context, dst *destination) {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errCrashedElsewhere) {
+		fl.CrashDetector.AddAbandoned(fl.suspectedCrash(dst))
+	}
+}
+
 // RecheckCrashes checks suspected crashes against the current view and the results of repeated
 // probes, and updates the requests that are on hold. Call it when the view has changed.
 func (f *Forwarder) RecheckCrashes() {
--- a/internal/gateway/forward/quarantined_test.go
+++ b/internal/gateway/forward/quarantined_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -103,6 +104,52 @@
 	}
 }
 
+// A request whose callers leave before it crashes its target must not crash one target after the
+// other.
+func TestCrashAfterCallerLeft(t *testing.T) {
+	const patience, crashAfter = 20 * time.Millisecond, 40 * time.Millisecond
+	var targets []*fakeTarget
+	for i := range 6 {
+		var tg *fakeTarget
+		tg = startTarget(t, fmt.Sprintf("t%d", i), func(w io.Writer, r *http.Request, body string) bool {
+			<-time.After(crashAfter)
+			tg.listener.Close()
+			return false
+		})
+		targets = append(targets, tg)
+	}
+	env := newTestEnv(t, targets...)
+	for n := 1; n <= 3; n++ {
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, env.server.URL+"/again/x", strings.NewReader("fatal"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = host
+		req.Header = http.Header{wiretest.ID: {fmt.Sprintf("r%d", n)}, wiretest.Key: {"town-key"}}
+		if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+			t.Fatalf("attempt %d: got %v although the caller left", n, resp)
+		}
+		cancel()
+		deadline := time.Now().Add(5 * time.Second)
+		for crashes := 0; crashes < n; {
+			if listed := env.Quarantine.List(env.Now()); len(listed) > 0 {
+				crashes = len(listed[0].Record.Crashes)
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("attempt %d: %d crashes were attributed", n, crashes)
+			}
+			<-time.After(time.Millisecond)
+		}
+	}
+	if _, body, err := env.post(t, "/again/x", "fatal"); err != nil || !strings.Contains(body, "quarantined") {
+		t.Errorf("after three crashes: got %q, error %v", body, err)
+	}
+	if runs := totalRuns(targets); runs != 3 {
+		t.Errorf("%d runs; want 3", runs)
+	}
+}
+
 // Requests that differ in path, body or workspace from a quarantined one must be run.
 func TestQuarantineMatchesOnlyTheSameRequest(t *testing.T) {
 	targets := startCrashingTargets(t, 24)
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -66,6 +66,7 @@
 
 // handleBroken handles a response that was truncated.
 func (fl *flow) handleBroken(ctx context.Context, dst *destination, err error) sendResult {
+	fl.watchAbandoned(ctx, dst)
 	if ctx.Err() != nil && !abandoned(ctx) {
 		return sendResult{final: true, refusal: fl.contextRefusal(ctx)}
 	}
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -221,6 +221,9 @@
 
 // handleFailedSend handles a send that got no response.
 func (fl *flow) handleFailedSend(ctx context.Context, dst *destination, err error) sendResult {
+	if !errors.Is(err, upstream.ErrNotSent) {
+		fl.watchAbandoned(ctx, dst)
+	}
 	if ctx.Err() != nil && !abandoned(ctx) {
 		return sendResult{final: true, refusal: fl.contextRefusal(ctx)}
 	}
--- a/internal/gateway/quarantine/crashdetector.go
+++ b/internal/gateway/quarantine/crashdetector.go
@@ -33,7 +33,10 @@
 	acceptsToDismiss = 2
 	// maxRechecks bounds the rechecks of a target that can't be reached.
 	maxRechecks = int(unconfirmedTimeout / recheckInterval)
-	// cancelledTimeout replaces suspicionTimeout after a run was cancelled. The target may have
+	// abandonedProbeDelay is how long after a run was abandoned its target is probed. A request
+	// that crashes its target does so within a few hundred milliseconds.
+	abandonedProbeDelay = 500 * time.Millisecond
+	// cancelledTimeout replaces suspicionTimeout after a run was cancelled or abandoned. The target may have
 	// started it and then crashes within a few hundred milliseconds.
 	cancelledTimeout = time.Second
 	// probeRetention is how long probe results are kept. All requests of a crashed target fail
@@ -71,6 +74,8 @@
 	suspected []SuspectedCrash
 	// rechecking holds the targets that will be probed again.
 	rechecking map[fleet.ID]bool
+	// abandonedProbes holds the targets that will be probed because of an abandoned run.
+	abandonedProbes map[fleet.ID]bool
 	// dismissed are the suspected crashes for TakeDismissed.
 	dismissed []SuspectedCrash
 	// now is the clock of the times that callers pass. onRecheck is called after rechecks.
@@ -115,6 +120,8 @@
 	// the rechecks that found it listening.
 	recheck bool
 	accepts int
+	// abandoned is set if the run was given up before its target broke it off.
+	abandoned bool
 }
 
 // Crash returns the crash to attribute to the request.
@@ -129,7 +136,7 @@
 
 // NewCrashDetector returns a detector that probes targets with probeListener.
 func NewCrashDetector(probeListener func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error)) *CrashDetector {
-	return &CrashDetector{probeListener: probeListener, probes: map[fleet.ID]*refusalProbe{}, rechecking: map[fleet.ID]bool{}, now: time.Now, onRecheck: func() {}}
+	return &CrashDetector{probeListener: probeListener, probes: map[fleet.ID]*refusalProbe{}, rechecking: map[fleet.ID]bool{}, abandonedProbes: map[fleet.ID]bool{}, now: time.Now, onRecheck: func() {}}
 }
 
 // Detection is the result of Detect.
@@ -176,6 +183,15 @@
 // without the request.
 func (d *CrashDetector) AddCancelled(s SuspectedCrash) { d.add(s, cancelledTimeout) }
 
+// AddAbandoned keeps a suspected crash for a run whose caller has left or whose time is up. If the
+// target crashes a moment later, a caller who comes back would otherwise crash one target after the
+// other. Most such targets are alive, so nothing is suspected before there is evidence.
+func (d *CrashDetector) AddAbandoned(s SuspectedCrash) {
+	s.abandoned = true
+	d.add(s, cancelledTimeout)
+	d.scheduleAbandonedProbe(s.Target)
+}
+
 func (d *CrashDetector) add(s SuspectedCrash, timeout time.Duration) {
 	s.expiresAt = s.At.Add(timeout)
 	d.mu.Lock()
@@ -253,6 +269,9 @@
 		listed, found := findListed(v, &s.Target)
 		s.Unlisted = s.Unlisted && !found
 		evidence := viewEvidence(v, &s, found)
+		if s.abandoned && evidence == UnresponsiveToSidecar {
+			evidence = NoEvidence // a target that hangs makes many callers leave
+		}
 		if p := d.probes[s.Target.ID]; p != nil && p.foundRefusing() {
 			evidence = RefusesConnections
 		}
--- a/internal/gateway/quarantine/recheck.go
+++ b/internal/gateway/quarantine/recheck.go
@@ -38,6 +38,26 @@
 	}
 }
 
+// scheduleAbandonedProbe probes the target of an abandoned run once, after abandonedProbeDelay.
+func (d *CrashDetector) scheduleAbandonedProbe(t fleet.Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.abandonedProbes[t.ID] {
+		return
+	}
+	d.abandonedProbes[t.ID] = true
+	time.AfterFunc(abandonedProbeDelay, func() { d.probeAbandoned(t) })
+}
+
+func (d *CrashDetector) probeAbandoned(t fleet.Target) {
+	d.mu.Lock()
+	delete(d.abandonedProbes, t.ID)
+	d.mu.Unlock()
+	if d.probe(context.Background(), &t, d.now(), reprobeAfter).listener == upstream.ListenerRefuses {
+		d.onRecheck()
+	}
+}
+
 // applyRecheck updates the suspected crashes of a target with the result of a probe, and reports
 // whether to probe again.
 func (d *CrashDetector) applyRecheck(t *fleet.Target, listener upstream.ListenerState, remaining int) bool {
--- a/internal/gateway/quarantine/recheck_test.go
+++ b/internal/gateway/quarantine/recheck_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
+	"github.com/toucanwell/toucanwell/internal/gateway/view"
 )
 
 // A target that still listens, or does not answer, when it breaks off a request is probed again,
@@ -98,3 +99,41 @@
 		}
 	})
 }
+
+// A target that a caller left is probed once. Only a crash counts: a target that hangs makes many
+// callers leave.
+func TestAbandonedRun(t *testing.T) {
+	target := newTarget("i-1", 0)
+	for _, c := range []struct {
+		name  string
+		state upstream.ListenerState
+		view  func() *view.View
+		want  Evidence
+	}{
+		{"crashed", upstream.ListenerRefuses, func() *view.View { return newView(time.Now(), target) }, RefusesConnections},
+		{"replaced", upstream.ListenerAccepts, func() *view.View { return newView(time.Now(), newTarget("i-2", 0)) }, OtherIncarnation},
+		{"alive", upstream.ListenerAccepts, func() *view.View { return newView(time.Now(), target) }, NoEvidence},
+		{"silent", upstream.ListenerAccepts, func() *view.View { return withUnresponsive(newView(time.Now(), target)) }, NoEvidence},
+		{"unreachable", upstream.ListenerUnknown, func() *view.View { return newView(time.Now(), target) }, NoEvidence},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			probes := 0
+			d := NewCrashDetector(func(context.Context, *fleet.Target) (upstream.ListenerState, error) {
+				probes++
+				return c.state, nil
+			})
+			for range 3 {
+				d.AddAbandoned(SuspectedCrash{Fingerprint: 7, Target: target, At: time.Now()})
+			}
+			time.Sleep(abandonedProbeDelay + time.Millisecond)
+			synctest.Wait()
+			resolved, reasons := d.Resolve(c.view(), time.Now())
+			if probes != 1 || (c.want == NoEvidence) != (len(resolved) == 0) || len(resolved) > 0 && reasons[0] != c.want {
+				t.Errorf("%s: %d probes, evidence %v", c.name, probes, reasons)
+			}
+			if len(d.TakeDismissed()) != 0 {
+				t.Errorf("%s: a suspicion was dismissed that there never was", c.name)
+			}
+		})
+	}
+}
