A request waits a moment for the first configuration of an entry that starts

What callers saw: for some milliseconds after each restart of an entry, and up to 0.7 s after one of all entries while the store is away, every request was refused with configuration_missing and told to come back after half a second or more, although the configuration was there much sooner.

Ruled out: a stretch in which targets were missing, quarantine (no such outcome in the logs).

Change: in the first three seconds of an entry a request waits for the configuration, 250 ms and a quarter of its time at most. Later it is refused at once as before. Way ruled out: opening the callers' port only with a configuration, which shows callers closed ports.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -128,11 +128,12 @@
 	paces          *readtime.Slowdowns
 	turnover       parts.RetentionEstimator
 	callerTimeouts timeoutTracker
+	startedAt      time.Time
 }
 
 // New returns a Forwarder.
 func New(d Deps) *Forwarder {
-	f := &Forwarder{Deps: d, prefillTime: readtime.NewPredictor(), paces: readtime.NewSlowdowns()}
+	f := &Forwarder{Deps: d, prefillTime: readtime.NewPredictor(), paces: readtime.NewSlowdowns(), startedAt: time.Now()}
 	f.random.Store(d.Seed)
 	d.CrashDetector.OnRecheck(f.Now, f.RecheckCrashes)
 	return f
@@ -267,15 +268,14 @@
 // admit validates a request, resolves its route, workspace, service and deadline, and
 // checks its limits.
 func (fl *flow) admit() *errkind.Error {
-	var ok bool
-	fl.view, ok = fl.View()
-	if !ok || fl.view.Estate == nil {
-		return errkind.NewRetryAfter(errkind.ConfigurationMissing, noEstateRetryAfter, "")
-	}
 	var err error
 	if fl.request, err = fl.Protocol.ReadRequest(fl.r.Header); err != nil {
 		return errkind.New(errkind.BadRequest, "%v", err)
 	}
+	var refusal *errkind.Error
+	if fl.view, refusal = fl.configuredView(fl.r.Context()); refusal != nil {
+		return refusal
+	}
 	path, _, _ := strings.Cut(fl.r.RequestURI, "?")
 	if refusal := fl.resolveRoute(fl.r.Host, path); refusal != nil {
 		return refusal
