A restarted entry introduces itself to sidecars at once

What callers saw: for up to 0.4 s after an entry had started, its prompts went to engines without their parts although others held them, and were read again there.

Cause, from the logs of those runs: the sidecar heard the new entry only 97 to 400 ms after it had started, in the next round of heartbeats between entries and sidecars (every 400 ms), and sends the contents of its cache when it first hears an entry. The heartbeat that should reach new hosts at once left out each host that another process had already named (the three sightings of a peer's heartbeat make it a known member), and was not sent when the services became known after the list.

Change: a host counts as introduced once a full heartbeat was sent to it, not when it is known; a process that is heard and was not sent any is answered at once, also after its restart; hosts are introduced when the services become known, too. All in fleets with a full mesh only, and at most one round's receivers between two rounds, so that nothing changes in large fleets.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -148,6 +148,7 @@
 	}
 	c.publishView()
 	c.mesh.Broadcast()
+	c.mesh.Introduce() // the hosts of targets are known with their services only
 }
 
 func (c *clusterState) applyDeclaration(d Declaration, r feed.Record) {
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -50,6 +50,9 @@
 	shortIncarnation uint32
 	// named is LastSeen as it was when a heartbeat of this process last named the member.
 	named time.Time
+	// introduced is set once a full heartbeat was sent to this incarnation, or to an address whose
+	// process has not been heard yet.
+	introduced bool
 	// silent is set once the heartbeat timeout was logged.
 	silent bool
 }
@@ -87,7 +90,9 @@
 	write    func(data []byte, to netip.AddrPort)
 	members  map[netip.AddrPort]*Member
 	sequence uint64
-	stopped  bool
+	// introductions counts the heartbeats that introduceTo has sent since the last round.
+	introductions int
+	stopped       bool
 	// sameRole is the number of members with this process's role, knownEntries that of entries, as
 	// of the last round.
 	sameRole, knownEntries int
@@ -141,6 +146,9 @@
 		member = &Member{Address: from}
 		m.members[from] = member
 	}
+	if member.Incarnation != heartbeat.Incarnation && member.Incarnation != 0 {
+		member.introduced = false
+	}
 	alive := member.shortIncarnation == uint32(heartbeat.Incarnation) && m.isLive(member)
 	if !heartbeat.Partial {
 		member.setStopping(heartbeat.Leaving, now)
@@ -154,6 +162,7 @@
 	member.LastSeen, member.Heartbeat = now, heartbeat
 	m.applySightings(heartbeat.Peers)
 	m.options.OnHeartbeat(member)
+	m.introduceTo(member)
 }
 
 func (m *Member) setStopping(stopping bool, now time.Time) {
--- a/internal/gateway/mesh/mesh_test.go
+++ b/internal/gateway/mesh/mesh_test.go
@@ -22,9 +22,10 @@
 		options: Options{
 			Self: &peerv1.Beat{Name: "self", Entry: true}, Listen: netip.MustParseAddrPort("10.0.0.1:7000"),
 			OnHeartbeat: func(*Member) {}, Period: func(bool) time.Duration { return period }, RoundSize: func(bool) int { return FanOut },
+			Hosts: func() []netip.Addr { return nil }, Compose: func(*peerv1.Beat) {},
 			Now: func() time.Time { return f.now }, Logger: logr.Discard(),
 		},
-		members: map[netip.AddrPort]*Member{}, pendingReceivers: map[bool][]netip.AddrPort{}, fullMeshSize: FanOut,
+		write: func([]byte, netip.AddrPort) {}, members: map[netip.AddrPort]*Member{}, pendingReceivers: map[bool][]netip.AddrPort{}, fullMeshSize: FanOut,
 	}
 	return f
 }
@@ -75,6 +76,76 @@
 	}
 }
 
+// receivers returns the receivers of the heartbeats that send writes.
+func (f *fakeMesh) receivers(send func()) []netip.AddrPort {
+	var to []netip.AddrPort
+	f.write = func(_ []byte, address netip.AddrPort) { to = append(to, address) }
+	send()
+	return to
+}
+
+func (f *fakeMesh) hostsAt(numbers ...int) {
+	f.options.Hosts = func() []netip.Addr {
+		var hosts []netip.Addr
+		for _, i := range numbers {
+			hosts = append(hosts, address(i).Addr())
+		}
+		return hosts
+	}
+}
+
+// A host that another process has named must be sent a heartbeat as soon as it is known to run a
+// target. Otherwise its sidecar learns of a restarted entry, and tells it the contents of its cache,
+// only in the next round.
+func TestNamedHostIsIntroduced(t *testing.T) {
+	f := newFakeMesh(400 * time.Millisecond)
+	f.hostsAt(1, 2)
+	f.applySighting(address(1), 7, 1)
+	if to := f.receivers(f.Introduce); len(to) != 2 {
+		t.Errorf("first introduction: sent to %v", to)
+	}
+	f.handleHeartbeat(address(2), &peerv1.Beat{Name: "sidecar", Incarnation: 1, Sequence: 1})
+	if to := f.receivers(f.Introduce); len(to) != 0 {
+		t.Errorf("second introduction: sent to %v", to)
+	}
+}
+
+// A process that is heard for the first time, or again after its restart, must be sent a heartbeat
+// at once: it may know only this process's earlier incarnation.
+func TestHeardProcessIsAnswered(t *testing.T) {
+	f := newFakeMesh(400 * time.Millisecond)
+	for _, c := range []struct {
+		name                  string
+		incarnation, sequence uint64
+		want                  int
+	}{{"first heartbeat", 1, 1, 1}, {"second heartbeat", 1, 2, 0}, {"next incarnation", 2, 1, 1}, {"its second heartbeat", 2, 2, 0}} {
+		to := f.receivers(func() {
+			f.handleHeartbeat(address(3), &peerv1.Beat{Name: "sidecar", Incarnation: c.incarnation, Sequence: c.sequence})
+		})
+		if len(to) != c.want {
+			t.Errorf("%s: sent to %v", c.name, to)
+		}
+	}
+}
+
+// In a large fleet a new process hears hundreds of others and must not answer each of them.
+func TestHeardProcessIsNotAnsweredInALargeFleet(t *testing.T) {
+	f := newFakeMesh(400 * time.Millisecond)
+	hearAll := func() {
+		for i := range 300 {
+			f.heartbeat(i, 1)
+		}
+	}
+	if to := f.receivers(hearAll); len(to) > FanOut {
+		t.Errorf("before the first round: answered %d", len(to))
+	}
+	f = newFakeMesh(400 * time.Millisecond)
+	f.knownEntries = FanOut + 1
+	if to := f.receivers(hearAll); len(to) != 0 {
+		t.Errorf("answered %d", len(to))
+	}
+}
+
 // A delayed heartbeat must not overwrite the state of a newer one.
 func TestDelayedHeartbeatIsIgnored(t *testing.T) {
 	f := newFakeMesh(100 * time.Millisecond)
--- a/internal/gateway/mesh/rounds.go
+++ b/internal/gateway/mesh/rounds.go
@@ -31,6 +31,7 @@
 		to = m.nextReceivers(entries, to)
 	}
 	if !entries {
+		m.introductions = 0
 		to = append(to, m.unknownHosts()...)
 	}
 	m.sendFull(to, entries)
@@ -79,6 +80,16 @@
 // started thus learns of the others within a round trip.
 func (m *Mesh) Introduce() { m.sendFull(m.unknownHosts(), false) }
 
+// introduceTo sends a heartbeat to a member that was heard and has not been sent any yet. It may
+// know this process's earlier incarnation only. In fleets without a full mesh nothing depends on it,
+// and a new process hears hundreds of others, perhaps before it knows the size of the fleet.
+func (m *Mesh) introduceTo(member *Member) {
+	if !member.introduced && !m.isPartial() && m.introductions < m.options.RoundSize(false) {
+		m.introductions++
+		m.sendFull([]netip.AddrPort{member.Address}, false)
+	}
+}
+
 // SendTo sends one process a full heartbeat with what fill adds. The receiver may not know this
 // process yet.
 func (m *Mesh) SendTo(to netip.AddrPort, fill func(*peerv1.Beat)) {
@@ -89,12 +100,14 @@
 }
 
 // unknownHosts returns the addresses of some configured hosts without a known process, as many as
-// a round has receivers.
+// a round has receivers. In a full mesh these include hosts that another process has named and that
+// were not sent a heartbeat yet.
 func (m *Mesh) unknownHosts() []netip.AddrPort {
 	unknown := map[netip.AddrPort]bool{}
 	for _, host := range append(m.options.Hosts(), m.options.Seeds...) {
 		address := netip.AddrPortFrom(host, m.options.Listen.Port())
-		if address != m.options.Listen && m.members[address] == nil {
+		member := m.members[address]
+		if address != m.options.Listen && (member == nil || !member.introduced && !m.isPartial()) {
 			unknown[address] = true
 		}
 	}
@@ -116,6 +129,11 @@
 		m.options.Compose(heartbeat)
 		heartbeat.Peers = m.sightings(toEntries, MaxDatagram-proto.Size(heartbeat))
 	})
+	for _, address := range to {
+		if member := m.members[address]; member != nil {
+			member.introduced = true
+		}
+	}
 }
 
 func (m *Mesh) sendHeartbeat(to []netip.AddrPort, fill func(*peerv1.Beat)) {
