Reasons that the wording had dropped stand in comments again

Most reasons are still there; eleven were gone: what an engine does with queued prompts that makes a full memory dear, what counting lower priorities would refuse, how many engines a shortlist needs, the platform's two seconds after an outage, what a lapsed incarnation costs after a loss of power, why a call's timeout and its backoff are bounded, what an ejection's bounds answer, why half of the stated output counts, what a store without the part costs, why crashes among others need two more, and what a slowdown below one is.

Change: one or two sentences each, facts of the old comments that are still true. No code: the diff has comment lines only.

Left out: that each sidecar sends to every entry within a few seconds, which no longer holds in large fleets.

--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -50,9 +50,11 @@
 }
 
 const (
-	// callTimeout is the timeout of a call, in addition to a read's wait.
+	// callTimeout is the timeout of a call, in addition to a read's wait. A slow store answers
+	// within it; one that is silent or partitioned does not.
 	callTimeout = 1500 * time.Millisecond
-	// firstRetry and maxRetry bound the exponential backoff after failed calls.
+	// firstRetry and maxRetry bound the exponential backoff after failed calls: a store that is
+	// back is used soon, and not all processes press one that is down.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 800 * time.Millisecond
 	// defaultIdlePeriod is the interval at which a process that does not read checks ShouldRead.
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -66,7 +66,7 @@
 
 const (
 	// relistTimeout is how long after a store outage a live target's entry may be missing.
-	// A target that is missing for longer has left.
+	// A target that is missing for longer has left. The platform states about two seconds.
 	relistTimeout = 2200 * time.Millisecond
 	// removedRetention is how long a removed target is remembered, counted from its removal
 	// and from its host's last report. It exceeds relistTimeout and the longest time after
@@ -213,7 +213,8 @@
 // newestByAddress returns the newest listed target of a declared service at each address.
 //
 // A target that restarts under another name stays listed under the earlier one for a second or
-// two. The new process refuses requests that name the earlier incarnation.
+// two. The new process refuses requests that name the earlier incarnation, which are half of all
+// requests after all hosts have lost power.
 func (d *Directory) newestByAddress(declared func(service string) bool) map[netip.AddrPort]*targetState {
 	newest := make(map[netip.AddrPort]*targetState, len(d.states))
 	for _, s := range d.states {
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -319,7 +319,8 @@
 	return in
 }
 
-// meanOutputDivisor divides max tokens to estimate the mean length of an output.
+// meanOutputDivisor divides max tokens to estimate the mean length of an output: callers state
+// limits, not lengths.
 const meanOutputDivisor = 2
 
 // engineDestination returns the destination for a chosen candidate.
--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -188,7 +188,8 @@
 // the probed engines and in the stores.
 //
 // A store is a source only for prompts that are offloaded. Its content isn't known here, so
-// that it would otherwise be preferred to engines that do have the parts.
+// that it would otherwise be preferred to engines that do have the parts. A fetch from it would
+// bring nothing, and each engine would prefill a route's first part again after a weight load.
 func (p *probeRound) lookUp(in *placement.Input, version int64) *promptLocations {
 	fl := p.fl
 	out := &promptLocations{cached: map[fleet.ID]int{}, sharedTokens: fl.sharedTokens()}
--- a/internal/gateway/health/health.go
+++ b/internal/gateway/health/health.go
@@ -43,7 +43,8 @@
 	// maxBrokenInRow consecutive broken requests eject a target whatever its failure rate.
 	maxBrokenInRow = 3
 	// baseEjection and maxEjection bound an ejection, which doubles while the target keeps
-	// failing.
+	// failing. An unreachable target may be back within a second; one that is replaced leaves
+	// the list.
 	baseEjection = 400 * time.Millisecond
 	maxEjection  = 4 * time.Second
 	// recordTTL is how long a target's record is kept after its last outcome.
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -212,7 +212,8 @@
 // memoryFull reports whether an engine's memory has no space for a prompt.
 //
 // This handles long prompts that arrive faster than earlier ones finish: an engine that
-// admitted them all would preempt some and prefill them again.
+// admitted them all would preempt some and prefill them again. It admits a queued prompt as soon
+// as that fits, and preempts it when one of a higher priority arrives or when outputs grow.
 func memoryFull(in *Input, c *Candidate) bool {
 	used := c.Work.Memory.Total()
 	if in.MaxMemoryShare <= 0 || c.Memory <= 0 || used == 0 {
@@ -333,7 +334,8 @@
 
 // excessRequests returns the number of requests by which an engine is too full for
 // another one of a priority. Requests of lower priority do not count against its memory:
-// the engine preempts them.
+// the engine preempts them. If they counted, a short prompt of a high-priority route would be
+// refused while long prompts fill the memory, although it could start at once.
 func excessRequests(c *Candidate, in *Input, priority, tokens int) int {
 	n := max(c.Work.Running+1-c.Slots, 0)
 	used := c.Work.Memory.UpTo(priority)
--- a/internal/gateway/placement/shortlist.go
+++ b/internal/gateway/placement/shortlist.go
@@ -14,7 +14,8 @@
 // entries compute the same ranking, so that they find what others had cached.
 //
 // Engines are taken from the subset that serves the prompt's first part, where it has
-// enough. This bounds how many engines prefill each first part after a weight load.
+// enough. This bounds how many engines prefill each first part after a weight load. Three of a family's first
+// engines with current state place prompts as well as all engines.
 func Shortlist(firstPart, family uint64, engines []RankedEngine, fleetCount, zoneCount int) []int {
 	var chosen []int
 	listed := map[int]bool{}
--- a/internal/gateway/quarantine/evaluate.go
+++ b/internal/gateway/quarantine/evaluate.go
@@ -17,7 +17,8 @@
 	// count toward the background crash rate.
 	backgroundWindow = 10 * time.Second
 	// extraCrashes is the number of additional crashes needed to refuse a request while at least
-	// as many targets crash without it.
+	// as many targets crash without it. Where crashes break off every third run, a request that
+	// is tried four times meets three of them now and then.
 	extraCrashes = 2
 	// decisionDelay is how long a request is held after its last crash before it is refused.
 	// More targets may crash without it meanwhile: at the start of a series of unrelated
--- a/internal/gateway/readtime/slowdown.go
+++ b/internal/gateway/readtime/slowdown.go
@@ -14,8 +14,8 @@
 	// slowdownHalfLife is the time after which a slowdown has decayed halfway to 1, so that
 	// an engine avoided as slow is tried again.
 	slowdownHalfLife = 3 * time.Second
-	// minSample and maxSample bound one sample. An engine that hangs is left to package
-	// health.
+	// minSample and maxSample bound one sample. A lower one is a prediction that was too high; an
+	// engine that hangs is left to package health.
 	minSample = 0.7
 	maxSample = 10.0
 	// minPredicted is the shortest predicted latency that yields a sample.
