Served runs count from an unconfirmed crash on

What callers would see: a request that many callers send alike (one path, one body) and whose connections to live targets broke three times at once would wait for up to 125 ms although it is served all the time.

Cause: successful runs are counted from the first attributed crash on, so that a record with unconfirmed ones only is never cleared.

Change: they are counted from the first unconfirmed crash on, and from zero again where the targets of all earlier ones were found alive, so that what was served before a crash does not excuse it. A test of the evaluation set the count before it added the crashes and now sets it after them.

Test: TestBrokenConnectionsOfServedRequest (verdict held without the change).";

--- a/internal/gateway/quarantine/evaluate_test.go
+++ b/internal/gateway/quarantine/evaluate_test.go
@@ -140,10 +140,11 @@
 		{"nine of ten crashes of three targets", 3, 5, 9, 1, MustNotRun},
 		{"number of targets unknown", 0, 1, 3, 1, 0},
 	} {
-		r := &Record{Fingerprint: 1, Served: c.served}
+		r := &Record{Fingerprint: 1}
 		for i := range c.crashes {
 			r.addCrash(Crash{Target: fleet.ID(10 + i), Step: i, At: atMs(1000 + 1000*i), Elapsed: 60 * time.Millisecond, Targets: c.targets})
 		}
+		r.Served = c.served
 		records := []*Record{r}
 		for i := range c.others {
 			records = append(records, sequentialCrashes(Fingerprint(100+i), 900+1000*i, fleet.ID(100+i)))
--- a/internal/gateway/quarantine/record.go
+++ b/internal/gateway/quarantine/record.go
@@ -45,8 +45,9 @@
 	Crashes []Crash
 	// Unconfirmed are in the order in which they were observed.
 	Unconfirmed []UnconfirmedCrash
-	// Served is the number of successful runs since the first crash. Merging takes the maximum,
-	// so that concurrent runs at two processes may count once.
+	// Served is the number of successful runs since the first crash, which may have been
+	// unconfirmed at the time. Merging takes the maximum, so that concurrent runs at two processes
+	// may count once.
 	Served       int
 	ProbationRun ProbationRun
 	// ReleasedAt is when the request was last released; zero if never.
@@ -137,6 +138,7 @@
 // addCrash adds a crash. For a known incarnation it keeps the earlier time and the lower step,
 // so that the order of calls does not matter.
 func (r *Record) addCrash(c Crash) change {
+	r.resetServed(c.Target, c.At)
 	r.removeUnconfirmed(c.Target)
 	i := slices.IndexFunc(r.Crashes, func(other Crash) bool { return other.Target == c.Target })
 	if i < 0 {
--- a/internal/gateway/quarantine/registry.go
+++ b/internal/gateway/quarantine/registry.go
@@ -191,14 +191,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.records[fp]
-	if r == nil || len(r.Crashes) == 0 {
+	if r == nil || len(r.Crashes) == 0 && len(r.Unconfirmed) == 0 {
 		return
 	}
 	if q.findings[fp] == MustNotRun && !q.pardon(r) {
 		return
 	}
 	r.Served++
-	if r.Served == servedPerStep*max(r.unexplainedSteps(q.isExplained), 1) {
+	if len(r.Crashes) > 0 && r.Served == servedPerStep*max(r.unexplainedSteps(q.isExplained), 1) {
 		q.observer.Cleared(r)
 	}
 	if len(r.Crashes) >= q.limits.MaxCrashes {
--- a/internal/gateway/quarantine/unconfirmed.go
+++ b/internal/gateway/quarantine/unconfirmed.go
@@ -41,6 +41,7 @@
 	}
 	i := slices.IndexFunc(r.Unconfirmed, func(other UnconfirmedCrash) bool { return other.Target == u.Target })
 	if i < 0 {
+		r.resetServed(u.Target, u.At)
 		if len(r.Unconfirmed) >= maxUnconfirmed {
 			r.Unconfirmed = slices.Delete(r.Unconfirmed, 0, 1)
 		}
@@ -58,6 +59,15 @@
 	return unchanged
 }
 
+// resetServed starts to count successful runs if a crash, confirmed or not, is the record's first: the
+// targets of all earlier ones were found alive.
+func (r *Record) resetServed(target fleet.ID, at time.Time) {
+	known := slices.ContainsFunc(r.Unconfirmed, func(u UnconfirmedCrash) bool { return u.Target == target })
+	if len(r.Crashes) == 0 && !known && r.pendingCrashes(at) == 0 {
+		r.Served = 0
+	}
+}
+
 // removeUnconfirmed removes the unconfirmed crash of an incarnation.
 func (r *Record) removeUnconfirmed(target fleet.ID) {
 	r.Unconfirmed = slices.DeleteFunc(r.Unconfirmed, func(u UnconfirmedCrash) bool { return u.Target == target })
--- a/internal/gateway/quarantine/unconfirmed_test.go
+++ b/internal/gateway/quarantine/unconfirmed_test.go
@@ -91,6 +91,28 @@
 	}
 }
 
+// A popular request that is served must not be restricted because its connections to some live
+// targets broke; nor must what was served before a crash excuse it.
+func TestBrokenConnectionsOfServedRequest(t *testing.T) {
+	q := newRegistry()
+	for i := range 3 {
+		q.suspectAt(1, fleet.ID(10+i), i, 10*i)
+	}
+	for range servedPerStep {
+		q.MarkServed(1)
+	}
+	if v := verdictAt(q, 1, 50); v != Free {
+		t.Errorf("served between broken runs: got verdict %v", v)
+	}
+	for i := range 3 {
+		q.DismissCrash(1, fleet.ID(10+i), atMs(200))
+	}
+	q.crashAt(1, 20, 0, 500)
+	if v := verdictAt(q, 1, 600); v != Apart {
+		t.Errorf("after a crash: got verdict %v", v)
+	}
+}
+
 // Other entries must know of an unconfirmed crash, or a retry there crashes another target, and
 // also that it was dismissed.
 func TestUnconfirmedCrashIsAnnounced(t *testing.T) {
