A report from before a restart no longer replaces the later listing

Requests sent to the ended engine would be refused by its successor.

Cause: a sidecar's report replaces the listed incarnation at its address. In a large fleet a report from before a restart is still valid when the list shows the successor, and was preferred. The rule that drops outdated reports compares names; the successor had another one.

Evidence: target_listed of the successor at 20.059, then target_unlisted of the ended engine at 20.150 with outcome=awaited, report_age=938ms, began_within=never and list_followed_for=1.607s. Of the three causes of awaited only the replacement fits. With the ended engine still listed there was no evidence of its crash.

Change: a report does not replace a listing that was received after it and whose incarnation started later. Ruled out: comparing start times alone, which would keep the ended incarnation on a host whose clock went back.

--- a/internal/gateway/fleet/reports.go
+++ b/internal/gateway/fleet/reports.go
@@ -44,9 +44,11 @@
 	Unconfirmed
 	// Departed incarnations left the list before this process read it.
 	Departed
+	// Replaced incarnations have ended: the list shows a later one at their address.
+	Replaced
 )
 
-var unlistedStateNames = map[UnlistedState]string{NotYetListed: "awaited", Unconfirmed: "in_doubt", Departed: "left"}
+var unlistedStateNames = map[UnlistedState]string{NotYetListed: "awaited", Unconfirmed: "in_doubt", Departed: "left", Replaced: "replaced"}
 
 // String returns the state's name in logs.
 func (s UnlistedState) String() string { return unlistedStateNames[s] }
@@ -85,7 +87,7 @@
 //
 // byService is the last result of Targets. Its lists are replaced where they change.
 func (d *Directory) ApplyReports(byService map[string][]Target, reports []Report, sync SyncState, now time.Time) map[Incarnation]UnlistedState {
-	p := reportPass{byService: byService, listed: d.usable, owned: map[string]bool{}, unlisted: map[Incarnation]UnlistedState{}}
+	p := reportPass{directory: d, byService: byService, listed: d.usable, owned: map[string]bool{}, unlisted: map[Incarnation]UnlistedState{}}
 	for i := range reports {
 		r := &reports[i]
 		if d.goneOrSuperseded(r, now) {
@@ -105,6 +107,14 @@
 	return d.Gone(r.Incarnation) || d.Superseded(r.Incarnation, r.ReceivedAt)
 }
 
+// outdates reports whether a listed target is a later incarnation, under any name, of the one that
+// a report from before its listing states at the same address. Where sidecars report seldom, such
+// a report outlives the restart; requests sent to the ended incarnation are refused.
+func (d *Directory) outdates(listed *Target, r *Report) bool {
+	s := d.states[listed.Instance]
+	return s != nil && r.StartedMs > 0 && r.StartedMs < listed.StartedMs && s.listedAt.After(r.ReceivedAt)
+}
+
 // Active reports whether a reported incarnation is a member of the fleet and not leaving: it is
 // listed, has replaced a listed one at its address, or is new.
 func (d *Directory) Active(declared func(service string) bool, r *Report, sync SyncState, now time.Time) bool {
@@ -120,6 +130,7 @@
 
 // reportPass is the state of one ApplyReports call.
 type reportPass struct {
+	directory *Directory
 	byService map[string][]Target
 	listed    *usableTargets
 	// owned are the services whose lists are not shared.
@@ -150,6 +161,10 @@
 		list[i] = list[i].withIncarnation(r.Incarnation)
 		return
 	}
+	if i >= 0 && p.directory.outdates(&list[i], r) {
+		p.unlisted[r.Incarnation] = Replaced
+		return
+	}
 	t := NewTarget(Listing{Incarnation: r.Incarnation, Service: r.Service, Address: r.Address, Zone: r.Zone, Weights: r.Weights})
 	t.Unlisted = true
 	if i >= 0 {
--- a/internal/gateway/fleet/reports_test.go
+++ b/internal/gateway/fleet/reports_test.go
@@ -180,6 +180,31 @@
 	}
 }
 
+// A report from before a restart must not put the ended incarnation in the place of the one that the
+// list shows by now.
+func TestReportFromBeforeRestartUnderAnotherName(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		reported, listed    int64
+		reportedAfterListed time.Duration
+		replaced            bool
+	}{
+		{"report from before the restart", 100, 200, -time.Second, false},
+		{"report from after the restart", 200, 100, time.Second, true},
+		{"report from after the restart, the list was read later", 200, 100, -time.Second, true},
+		{"restart on a host whose clock went back", 100, 200, time.Second, true},
+		{"start time of the listing unknown", 100, 0, -time.Second, true},
+		{"start time of the report unknown", 0, 200, -time.Second, true},
+	} {
+		d := directoryOf(startedListing("listed", 2, c.listed))
+		report := reportOf(startedListing("reported", 2, c.reported), time.Time{})
+		report.ReceivedAt = start.Add(c.reportedAfterListed)
+		if _, ok := targetAfterReport(d, report, currentSync, later); ok != c.replaced {
+			t.Errorf("%s: the reported incarnation is used: %v", c.name, ok)
+		}
+	}
+}
+
 // The state of replaced and undeclared targets must not accumulate.
 func TestReplacedTargetIsPruned(t *testing.T) {
 	d := directoryOf(listing("before", 1), listing("after", 1))
