The target of a cancelled run is probed until its crash no longer counts

Cause: when a crash is attributed late, the run that was sent meanwhile is cancelled. If it has begun, its target crashes all the same. That crash counted as unconfirmed for a second, but nobody probed the target: only the list or its sidecar could confirm it, and they were later than that.

Evidence, from the logs of that run: target_broke_off of the first engine with probe_error=i/o timeout, target_had_ended of it 26 ms later, request_suspected for the second one at the same time (its run is cancelled), no target_had_ended for it although its sidecar was refused by it, and the fourth run 1.02 s after the suspicion began. Ruled out: an announcement that was late (the other entry waited for it), a dismissal (no suspicion_dismissed).

Change: such a target is probed every 100 ms for the second in which its crash counts. A listener does not dismiss the suspicion, since it may crash later. The number of rechecks follows from that second instead of a count. target_end_unknown is logged where no evidence came. Ruled out, by the model: one probe after 500 ms and two as for broken runs, each as bad as the list alone at some time of crash and restart.

TestCrashAfterRunWasCancelled runs in a bubble, so that the new probes cannot come between its steps on a slow machine.

--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -170,6 +170,9 @@
 		f.Quarantine.DismissCrash(d.Fingerprint, d.Target.ID, f.Now())
 	}
 	doubts, evidence := f.CrashDetector.Resolve(v, f.Now())
+	for _, d := range f.CrashDetector.TakeExpired() {
+		f.Logger.Info("target_end_unknown", "request_id", d.RequestID, "print", d.Fingerprint, "target", d.Target.Incarnation, "after", f.Now().Sub(d.At).Round(time.Millisecond))
+	}
 	for i, d := range doubts {
 		f.Logger.Info("target_had_ended", "request_id", d.RequestID, "print", d.Fingerprint, "target", d.Target.Incarnation, "evidence", string(evidence[i]), "after", f.Now().Sub(d.At).Round(time.Millisecond))
 		f.Quarantine.AttributeCrash(d.Fingerprint, d.Caller, d.Crash())
--- a/internal/gateway/forward/quarantined_test.go
+++ b/internal/gateway/forward/quarantined_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -104,6 +105,58 @@
 	}
 }
 
+// A run that is cancelled after another target's crash may crash its own target all the same. That crash
+// counts, so that the request crashes three targets at most.
+func TestCrashOfCancelledRun(t *testing.T) {
+	const crashAfter = 60 * time.Millisecond
+	var started atomic.Int32
+	second := make(chan struct{})
+	var targets []*fakeTarget
+	for i := range 6 {
+		var tg *fakeTarget
+		tg = startTarget(t, fmt.Sprintf("t%d", i), func(w io.Writer, r *http.Request, body string) bool {
+			if started.Add(1) == 2 {
+				close(second)
+				<-time.After(crashAfter)
+			} else {
+				<-second
+			}
+			tg.listener.Close()
+			return false
+		})
+		targets = append(targets, tg)
+	}
+	env := newTestEnv(t, targets...)
+	var callers sync.WaitGroup
+	for n := range 2 {
+		callers.Go(func() {
+			_, _, _ = env.post(t, "/again/x", "fatal", wiretest.ID, fmt.Sprintf("first%d", n))
+		})
+	}
+	callers.Wait()
+	quarantined := false
+	deadline := time.Now().Add(10 * time.Second)
+	for n := 0; !quarantined && time.Now().Before(deadline); n++ {
+		_, body, err := env.post(t, "/again/x", "fatal", wiretest.ID, fmt.Sprintf("r%d", n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		quarantined = strings.Contains(body, "quarantined")
+	}
+	if !quarantined {
+		t.Error("the request was not quarantined")
+	}
+	crashed := 0
+	for _, tg := range targets {
+		if tg.runs.Load() > 0 {
+			crashed++
+		}
+	}
+	if crashed != 3 {
+		t.Errorf("%d targets crashed; want 3", crashed)
+	}
+}
+
 // A request whose callers leave before it crashes its target must not crash one target after the
 // other.
 func TestCrashAfterCallerLeft(t *testing.T) {
--- a/internal/gateway/quarantine/crashdetector.go
+++ b/internal/gateway/quarantine/crashdetector.go
@@ -31,14 +31,12 @@
 	// acceptsToDismiss is the number of rechecks that must find a target listening to take it
 	// for alive.
 	acceptsToDismiss = 2
-	// maxRechecks bounds the rechecks of a target that can't be reached.
-	maxRechecks = int(unconfirmedTimeout / recheckInterval)
 	// abandonedProbeDelay is how long after a run was abandoned its target is probed. A request
 	// that crashes its target does so within a few hundred milliseconds.
 	abandonedProbeDelay = 500 * time.Millisecond
 	// cancelledTimeout replaces suspicionTimeout after a run was cancelled or abandoned. The target may have
 	// started it and then crashes within a few hundred milliseconds.
-	cancelledTimeout = time.Second
+	cancelledTimeout = unconfirmedTimeout
 	// probeRetention is how long probe results are kept. All requests of a crashed target fail
 	// within milliseconds.
 	probeRetention = 10 * time.Second
@@ -76,8 +74,8 @@
 	rechecking map[fleet.ID]bool
 	// abandonedProbes holds the targets that will be probed because of an abandoned run.
 	abandonedProbes map[fleet.ID]bool
-	// dismissed are the suspected crashes for TakeDismissed.
-	dismissed []SuspectedCrash
+	// dismissed are the suspected crashes for TakeDismissed, expired those for TakeExpired.
+	dismissed, expired []SuspectedCrash
 	// now is the clock of the times that callers pass. onRecheck is called after rechecks.
 	now       func() time.Time
 	onRecheck func()
@@ -120,8 +118,9 @@
 	// the rechecks that found it listening.
 	recheck bool
 	accepts int
-	// abandoned is set if the run was given up before its target broke it off.
-	abandoned bool
+	// cancelled is set if the run was cancelled after another target's crash, abandoned if it was
+	// given up for another reason, before its target broke it off.
+	cancelled, abandoned bool
 }
 
 // Crash returns the crash to attribute to the request.
@@ -178,10 +177,14 @@
 	return result
 }
 
-// AddCancelled keeps a suspected crash for a run that was cancelled before its target responded.
-// If the target had already started the run and crashes, the crash would otherwise count as one
-// without the request.
-func (d *CrashDetector) AddCancelled(s SuspectedCrash) { d.add(s, cancelledTimeout) }
+// AddCancelled keeps a suspected crash for a run that was cancelled before its target responded, and
+// probes the target until cancelledTimeout has passed. If the target had already started the run and
+// crashes, the crash would otherwise count as one without the request, or as none.
+func (d *CrashDetector) AddCancelled(s SuspectedCrash) {
+	s.cancelled, s.recheck = true, true
+	d.add(s, cancelledTimeout)
+	d.scheduleRecheck(s.Target)
+}
 
 // AddAbandoned keeps a suspected crash for a run whose caller has left or whose time is up. If the
 // target crashes a moment later, a caller who comes back would otherwise crash one target after the
@@ -276,7 +279,11 @@
 			evidence = RefusesConnections
 		}
 		switch {
-		case found && listed.Leaving || now.After(s.expiresAt):
+		case found && listed.Leaving:
+		case now.After(s.expiresAt):
+			if s.recheck {
+				d.expired = append(d.expired, s)
+			}
 		case evidence != NoEvidence:
 			resolved, reasons = append(resolved, s), append(reasons, evidence)
 		default:
--- a/internal/gateway/quarantine/crashdetector_test.go
+++ b/internal/gateway/quarantine/crashdetector_test.go
@@ -175,17 +175,19 @@
 		after time.Duration
 		want  int
 	}{{100 * time.Millisecond, 1}, {2 * time.Second, 0}} {
-		d := NewCrashDetector(func(context.Context, *fleet.Target) (upstream.ListenerState, error) {
-			return upstream.ListenerRefuses, nil
+		synctest.Test(t, func(t *testing.T) {
+			d := NewCrashDetector(func(context.Context, *fleet.Target) (upstream.ListenerState, error) {
+				return upstream.ListenerRefuses, nil
+			})
+			d.AddCancelled(SuspectedCrash{Fingerprint: 7, Target: target, Step: 2, At: atMs(0)})
+			if resolved, _ := d.Resolve(v, atMs(10)); len(resolved) != 0 {
+				t.Errorf("resolved while the target is alive: %+v", resolved)
+			}
+			d.Detect(context.Background(), v, SuspectedCrash{Fingerprint: 8, Target: target, At: testStart.Add(c.after)})
+			resolved, reasons := d.Resolve(v, testStart.Add(c.after+10*time.Millisecond))
+			if len(resolved) != c.want || c.want == 1 && (resolved[0].Fingerprint != 7 || resolved[0].Step != 2 || reasons[0] != RefusesConnections) {
+				t.Errorf("crash after %v: got %+v with evidence %v", c.after, resolved, reasons)
+			}
 		})
-		d.AddCancelled(SuspectedCrash{Fingerprint: 7, Target: target, Step: 2, At: atMs(0)})
-		if resolved, _ := d.Resolve(v, atMs(10)); len(resolved) != 0 {
-			t.Errorf("resolved while the target is alive: %+v", resolved)
-		}
-		d.Detect(context.Background(), v, SuspectedCrash{Fingerprint: 8, Target: target, At: testStart.Add(c.after)})
-		resolved, reasons := d.Resolve(v, testStart.Add(c.after+10*time.Millisecond))
-		if len(resolved) != c.want || c.want == 1 && (resolved[0].Fingerprint != 7 || resolved[0].Step != 2 || reasons[0] != RefusesConnections) {
-			t.Errorf("crash after %v: got %+v with evidence %v", c.after, resolved, reasons)
-		}
 	}
 }
--- a/internal/gateway/quarantine/recheck.go
+++ b/internal/gateway/quarantine/recheck.go
@@ -23,15 +23,14 @@
 		return
 	}
 	d.rechecking[t.ID] = true
-	time.AfterFunc(firstRecheck, func() { d.recheck(t, maxRechecks-1) })
+	time.AfterFunc(firstRecheck, func() { d.recheck(t) })
 }
 
-// recheck probes a target until it is known to be alive or to have crashed, remaining times at
-// most after this one.
-func (d *CrashDetector) recheck(t fleet.Target, remaining int) {
+// recheck probes a target until it is known whether it has crashed, or no longer matters.
+func (d *CrashDetector) recheck(t fleet.Target) {
 	listener := d.probe(context.Background(), &t, d.now(), 0).listener
-	if d.applyRecheck(&t, listener, remaining) {
-		time.AfterFunc(recheckInterval, func() { d.recheck(t, remaining-1) })
+	if d.applyRecheck(&t, listener) {
+		time.AfterFunc(recheckInterval, func() { d.recheck(t) })
 	}
 	if listener != upstream.ListenerUnknown {
 		d.onRecheck()
@@ -60,10 +59,10 @@
 
 // applyRecheck updates the suspected crashes of a target with the result of a probe, and reports
 // whether to probe again.
-func (d *CrashDetector) applyRecheck(t *fleet.Target, listener upstream.ListenerState, remaining int) bool {
+func (d *CrashDetector) applyRecheck(t *fleet.Target, listener upstream.ListenerState) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.updateSuspected(t, listener) && remaining > 0 {
+	if d.updateSuspected(t, listener, d.now().Add(recheckInterval)) {
 		return true
 	}
 	delete(d.rechecking, t.ID)
@@ -71,8 +70,9 @@
 }
 
 // updateSuspected dismisses the suspected crashes of a target that was found alive, and reports
-// whether it is unknown of others.
-func (d *CrashDetector) updateSuspected(t *fleet.Target, listener upstream.ListenerState) bool {
+// whether others will still be unconfirmed at the time of the next probe. A target of a cancelled
+// run is not known to be alive: it may crash later.
+func (d *CrashDetector) updateSuspected(t *fleet.Target, listener upstream.ListenerState, next time.Time) bool {
 	unknown := false
 	for i := range d.suspected {
 		s := &d.suspected[i]
@@ -85,8 +85,8 @@
 		case upstream.ListenerAccepts:
 			s.accepts++
 		}
-		if s.accepts < acceptsToDismiss {
-			unknown = true
+		if s.cancelled || s.accepts < acceptsToDismiss {
+			unknown = unknown || next.Sub(s.At) <= unconfirmedTimeout
 			continue
 		}
 		s.recheck = false
@@ -105,3 +105,13 @@
 	d.dismissed = nil
 	return dismissed
 }
+
+// TakeExpired removes and returns the suspected crashes that were dropped since the last call without
+// it being known whether the targets had crashed.
+func (d *CrashDetector) TakeExpired() []SuspectedCrash {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	expired := d.expired
+	d.expired = nil
+	return expired
+}
--- a/internal/gateway/quarantine/recheck_test.go
+++ b/internal/gateway/quarantine/recheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,7 +29,7 @@
 		{"the first probe came to nothing", []upstream.ListenerState{unknown, refuses}, firstRecheck, 0, 2},
 		{"alive", []upstream.ListenerState{accepts}, 0, firstRecheck + recheckInterval, 3},
 		{"alive, but slow", []upstream.ListenerState{unknown, unknown, accepts}, 0, firstRecheck + 2*recheckInterval, 4},
-		{"unreachable", []upstream.ListenerState{unknown}, 0, 0, 1 + maxRechecks},
+		{"unreachable", []upstream.ListenerState{unknown}, 0, 0, 1 + int(unconfirmedTimeout/recheckInterval)},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			probes := 0
@@ -100,6 +101,52 @@
 	})
 }
 
+// A target may crash some time after a run on it was cancelled, and listen again soon after. The crash
+// counts against the request.
+func TestTargetOfCancelledRunIsProbed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// crashAfter and restartAfter are the times from the cancellation; zero for none.
+		crashAfter, restartAfter time.Duration
+		want                     bool
+	}{
+		{"crashes at once", time.Millisecond, 300 * time.Millisecond, true},
+		{"crashes after two probes found it listening", 200 * time.Millisecond, 500 * time.Millisecond, true},
+		{"crashes late", 900 * time.Millisecond, 2 * time.Second, true},
+		{"alive", 0, 0, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			start, probes := time.Now(), 0
+			var confirmed atomic.Bool
+			d := NewCrashDetector(func(context.Context, *fleet.Target) (upstream.ListenerState, error) {
+				probes++
+				since := time.Since(start)
+				return listenerState(c.crashAfter > 0 && since >= c.crashAfter && since < c.restartAfter), nil
+			})
+			target := newTarget("i-1", 0)
+			v := newView(start, target)
+			d.OnRecheck(time.Now, func() {
+				if resolved, _ := d.Resolve(v, time.Now()); len(resolved) > 0 {
+					confirmed.Store(true)
+				}
+			})
+			d.AddCancelled(SuspectedCrash{Fingerprint: 7, Target: target, At: start})
+			time.Sleep(suspicionTimeout)
+			synctest.Wait()
+			if confirmed.Load() != c.want {
+				t.Errorf("%s: confirmed %v", c.name, confirmed.Load())
+			}
+			if most := int(unconfirmedTimeout / recheckInterval); probes > most {
+				t.Errorf("%s: %d probes, want %d at most", c.name, probes, most)
+			}
+			d.Resolve(v, time.Now())
+			if dismissed, expired := len(d.TakeDismissed()), len(d.TakeExpired()); dismissed > 0 || (expired == 1) == c.want {
+				t.Errorf("%s: %d dismissed, %d expired", c.name, dismissed, expired)
+			}
+		})
+	}
+}
+
 // A target that a caller left is probed once. Only a crash counts: a target that hangs makes many
 // callers leave.
 func TestAbandonedRun(t *testing.T) {
--- a/internal/gateway/quarantine/scenarios_test.go
+++ b/internal/gateway/quarantine/scenarios_test.go
@@ -192,6 +192,66 @@
 	}
 }
 
+// cancelledRunsLoad is a fatal request on idle engines, which start its retry before there is evidence
+// of its first crash and the retry is cancelled.
+func cancelledRunsLoad(entries, engines int, crashDelay, restartTime time.Duration) workload {
+	return workload{entries: entries, engines: engines, fatal: 1, fatalEvery: 200 * time.Millisecond, idle: true, requestsPerEngine: 5, loss: 0.01, lateEvidence: 0.5, crashDelay: crashDelay, restartTime: restartTime, duration: 9 * time.Second}
+}
+
+// The crash of an engine on which a run was cancelled must count, so that a fatal request on idle
+// engines crashes few of them.
+func TestCancelledRunsCrashFewEngines(t *testing.T) {
+	for _, crashDelay := range []time.Duration{simCrashDelay, 400 * time.Millisecond} {
+		for seed := range uint64(10) {
+			s := simulate(fullQuarantine, cancelledRunsLoad(4, 18, crashDelay, 300*time.Millisecond), seed)
+			const inFlight = 2
+			if n := s.crashesBy[1]; n > 3+inFlight {
+				t.Errorf("crash after %s, seed %d: %d engines crashed", crashDelay, seed, n)
+			}
+			if s.ordinaryRefused > 0 {
+				t.Errorf("crash after %s, seed %d: %d other requests were refused", crashDelay, seed, s.ordinaryRefused)
+			}
+		}
+	}
+}
+
+// TestCompareCancelledRuns prints the engines crashed by such a request, for the ways to find the
+// crash of an engine on which a run was cancelled.
+//
+//	go test -run TestCompareCancelledRuns -v ./internal/gateway/quarantine
+func TestCompareCancelledRuns(t *testing.T) {
+	if !testing.Verbose() {
+		t.Skip("prints a comparison table; run with -v")
+	}
+	ways := []struct {
+		name   string
+		probes []time.Duration
+	}{
+		{"the list alone", nil},
+		{"one probe after 500 ms", []time.Duration{abandonedProbeDelay}},
+		{"two probes, as for broken runs", repeatedProbes()[:acceptsToDismiss]},
+		{"probes until the crash no longer counts", repeatedProbes()},
+	}
+	for _, size := range []struct{ entries, engines int }{{4, 18}, {30, 60}} {
+		for _, crashDelay := range []time.Duration{simCrashDelay, 400 * time.Millisecond} {
+			for _, restartTime := range []time.Duration{300 * time.Millisecond, simRestartTime} {
+				t.Logf("%d entries, %d engines that crash after %s and are down for %s", size.entries, size.engines, crashDelay, restartTime)
+				for _, way := range ways {
+					strat := fullQuarantine
+					strat.cancelledProbes = way.probes
+					const seeds = 40
+					crashed, most := 0, 0
+					for seed := range uint64(seeds) {
+						s := simulate(strat, cancelledRunsLoad(size.entries, size.engines, crashDelay, restartTime), seed)
+						crashed, most = crashed+s.crashesBy[1], max(most, s.crashesBy[1])
+					}
+					t.Logf("%-42s %4.2f engines crashed, %d at most", way.name, float64(crashed)/seeds, most)
+				}
+			}
+		}
+	}
+}
+
 // Requests that are always in flight meet several of a series of unrelated crashes, and must not be
 // refused for it.
 func TestAlwaysRunningRequestsAreNotRefused(t *testing.T) {
--- a/internal/gateway/quarantine/simulation_test.go
+++ b/internal/gateway/quarantine/simulation_test.go
@@ -24,6 +24,17 @@
 	// after the first recheck, countUnconfirmed restricts requests by their unconfirmed crashes,
 	// and announceUnconfirmed shares these between entries.
 	recheck, awaitEvidence, countUnconfirmed, announceUnconfirmed bool
+	// cancelledProbes are the times after a run was cancelled at which its engine is probed.
+	cancelledProbes []time.Duration
+}
+
+// repeatedProbes are the times of probes at the recheck interval until a crash no longer counts as
+// unconfirmed.
+func repeatedProbes() (times []time.Duration) {
+	for at := firstRecheck; at <= unconfirmedTimeout; at += recheckInterval {
+		times = append(times, at)
+	}
+	return times
 }
 
 var (
@@ -32,7 +43,7 @@
 	announceOnly   = strategy{name: "announce", evaluate: true, announce: true}
 	withApart      = strategy{name: "announce, apart", evaluate: true, announce: true, apart: true}
 	withAlone      = strategy{name: "announce, apart, alone", evaluate: true, announce: true, apart: true, alone: true}
-	fullQuarantine = strategy{name: "announce, apart, alone, cancel", evaluate: true, announce: true, apart: true, alone: true, cancelQueued: true, recheck: true, countUnconfirmed: true, announceUnconfirmed: true}
+	fullQuarantine = strategy{name: "announce, apart, alone, cancel", evaluate: true, announce: true, apart: true, alone: true, cancelQueued: true, recheck: true, countUnconfirmed: true, announceUnconfirmed: true, cancelledProbes: repeatedProbes()}
 )
 
 // workload is the size of the deployment, the requests and the faults.
@@ -54,6 +65,10 @@
 	servedShare float64
 	// restartTime is how long a crashed engine is down; zero means simRestartTime.
 	restartTime time.Duration
+	// crashDelay is the time from the start of a fatal run to the crash; zero means simCrashDelay.
+	crashDelay time.Duration
+	// idle engines start each run at once; others have a queue.
+	idle bool
 	// loss is the fraction of lost datagrams.
 	loss float64
 	// partitionFor is how long the two halves of the entries can't reach each other, from the
@@ -117,6 +132,8 @@
 	incarnation fleet.ID
 	upAt        time.Duration
 	running     map[*simAttempt]bool
+	// onListed are called when the target list shows the crash of the incarnation.
+	onListed []func()
 }
 
 // simAttempt is one attempt of a caller.
@@ -225,7 +242,7 @@
 
 func (s *sim) startEngine(e *simEngine) {
 	s.sequence++
-	e.incarnation, e.upAt, e.running = fleet.ID(s.sequence), s.now, map[*simAttempt]bool{}
+	e.incarnation, e.upAt, e.running, e.onListed = fleet.ID(s.sequence), s.now, map[*simAttempt]bool{}, nil
 }
 
 func (s *sim) sendFatal(fp Fingerprint) {
@@ -312,8 +329,14 @@
 	}
 	a.run = a.entry.StartRun(a.fingerprint, e.incarnation, cancel)
 	sends := a.sends
-	queueTime := time.Duration(20+s.random.IntN(280)) * time.Millisecond
-	s.schedule(queueTime, func() { s.execute(a, e, sends) })
+	s.schedule(s.drawQueueTime(), func() { s.execute(a, e, sends) })
+}
+
+func (s *sim) drawQueueTime() time.Duration {
+	if s.idle {
+		return simLatency
+	}
+	return time.Duration(20+s.random.IntN(280)) * time.Millisecond
 }
 
 // pickEngine returns the running engine that ranks first for a key.
@@ -337,7 +360,7 @@
 	}
 	if a.fatal && placement.Rank(1, e.hash) >= s.immuneShare && (s.servedShare == 0 || s.random.Float64() >= s.servedShare) {
 		incarnation := e.incarnation
-		s.schedule(simCrashDelay, func() {
+		s.schedule(cmp.Or(s.crashDelay, simCrashDelay), func() {
 			if e.incarnation == incarnation && s.now >= e.upAt {
 				s.crashEngine(e, a)
 			}
@@ -369,9 +392,34 @@
 	}
 	delete(a.engine.running, a)
 	s.finishRun(a)
+	if a.fatal && s.countUnconfirmed {
+		s.watchCancelled(a)
+	}
 	s.retryOrFail(a)
 }
 
+// watchCancelled keeps a suspected crash for a cancelled run, whose engine may have started it.
+func (s *sim) watchCancelled(a *simAttempt) {
+	e, entry, cancelledAt := a.engine, a.entry, s.now
+	crash := Crash{Target: e.incarnation, Step: a.step, At: s.clock(), Elapsed: s.now - a.sentAt, Targets: len(s.simEngines)}
+	attribute := func() {
+		if s.now-cancelledAt <= cancelledTimeout {
+			entry.AttributeCrash(a.fingerprint, Caller{}, crash)
+			s.announceSoon(entry)
+		}
+	}
+	entry.SuspectCrash(a.fingerprint, Caller{}, UnconfirmedCrash{Target: crash.Target, Step: crash.Step, At: crash.At})
+	s.announceSoon(entry)
+	e.onListed = append(e.onListed, attribute)
+	for _, after := range s.cancelledProbes {
+		s.schedule(after, func() {
+			if e.incarnation != crash.Target && s.now < e.upAt {
+				attribute()
+			}
+		})
+	}
+}
+
 // crashEngine crashes an engine; by is the fatal attempt or nil.
 func (s *sim) crashEngine(e *simEngine, by *simAttempt) {
 	if s.now < e.upAt {
@@ -387,6 +435,9 @@
 		}
 	}
 	incarnation, running := e.incarnation, e.running
+	for _, notify := range e.onListed {
+		s.schedule(s.drawListDelay(), notify)
+	}
 	s.startEngine(e)
 	e.upAt = s.now + cmp.Or(s.restartTime, simRestartTime)
 	attempts := make([]*simAttempt, 0, len(running))
@@ -423,10 +474,15 @@
 	case s.recheck && s.random.Float64() >= s.hiddenEvidence:
 		return firstRecheck
 	default:
-		return simListDelay + time.Duration(s.random.Int64N(int64(simListDelay)))
+		return s.drawListDelay()
 	}
 }
 
+// drawListDelay returns how long after a crash the target list shows it.
+func (s *sim) drawListDelay() time.Duration {
+	return simListDelay + time.Duration(s.random.Int64N(int64(simListDelay)))
+}
+
 // recordCrash attributes a crash to an attempt, once there is evidence.
 func (s *sim) recordCrash(a *simAttempt, c Crash, evidenceDelay time.Duration) {
 	if evidenceDelay == 0 {
