--- a/internal/gateway/mesh/fleet_test.go
+++ b/internal/gateway/mesh/fleet_test.go
@@ -366,7 +366,9 @@
 	checkFleetMembership(t, 100, 300)
 }
 
-// The same in fleets that take minutes to simulate: -fleet 2000 -v prints the table.
+// The same in fleets that take minutes to simulate; -v prints the table.
+//
+//	go test ./internal/gateway/mesh -run HugeFleet -v -timeout 30m -args -fleet 2000
 func TestHugeFleetMembership(t *testing.T) {
 	if *largestFleet < 1000 {
 		t.Skip("takes minutes; run with -fleet 1000 or 2000")
