Entries that have just started are named in each heartbeat for two seconds

What was seen: at 2,000 processes of the model an entry that started was known to all others after 12 s, ten are allowed (TestHugeFleetMembership, 1 of 3 runs on; the model draws in part from an unseeded source, so that runs differ). Until then others take too large a part of retry budgets and rate limits.

Cause: a heartbeat names 32 of 720 entries, mostly at random. A new entry is one of 720, and the longest of 719 random gaps is over ten seconds now and then.

Evidence: 48 starts in three fleets of 2,000, every sighting of the new entry counted that reached an entry which did not hold it live: of some 715 sightings 0 to 3 were refused, so that no rule keeps it out; half knew it after 0.6 to 5.4 s, all after 4.4 to 10.7 s, two of 48 after more than ten.

Change: an entry is named in each heartbeat for two seconds after a process has learned that it is live, in a quarter of the places at most. Ruled out: a new entry that writes to more others at first, 12 s for 720 at 24 a round; passing each start on at once, 17,000 datagrams.

TestHugeFleetMembership is unchanged.

--- a/internal/gateway/mesh/fleet_test.go
+++ b/internal/gateway/mesh/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -316,6 +317,69 @@
 	}
 }
 
+// An entry that has just started must be named in each heartbeat for a while. Named at random, some
+// entries of a large fleet hear of it only after more than ten seconds.
+func TestNewcomersAreNamed(t *testing.T) {
+	f := newFakeMesh(400 * time.Millisecond)
+	for i := range 720 {
+		f.heartbeat(i, 1)
+	}
+	f.expireMembers()
+	f.now = f.now.Add(newcomerPeriod)
+	const newcomers = 3
+	for i := range newcomers {
+		f.heartbeat(800+i, 1)
+	}
+	named := func(i int) bool {
+		sightings := f.sightings(true, MaxDatagram)
+		if len(sightings.Addresses) != partialSightings {
+			t.Errorf("%d members named, want %d", len(sightings.Addresses), partialSightings)
+		}
+		a := address(i).Addr().As4()
+		return slices.Contains(sightings.Addresses, uint32(a[0])<<24|uint32(a[1])<<16|uint32(a[2])<<8|uint32(a[3]))
+	}
+	for range 10 {
+		for i := range newcomers {
+			if !named(800 + i) {
+				t.Errorf("newcomer %d is not named", i)
+			}
+		}
+	}
+	f.now = f.now.Add(newcomerPeriod)
+	for i := range 720 {
+		f.heartbeat(i, 2)
+	}
+	times := 0
+	for range 10 {
+		if named(800) {
+			times++
+		}
+	}
+	if times == 10 {
+		t.Error("the newcomer is still named in each heartbeat after its period")
+	}
+}
+
+// Many entries that start at the same time must not crowd out all others.
+func TestNewcomersLeaveRoomForOthers(t *testing.T) {
+	f := newFakeMesh(400 * time.Millisecond)
+	for i := range 300 {
+		f.heartbeat(i, 1)
+	}
+	f.expireMembers()
+	f.now = f.now.Add(newcomerPeriod)
+	for i := range 300 {
+		f.heartbeat(400+i, 1)
+	}
+	for i := range 300 {
+		f.heartbeat(i, 2)
+	}
+	newcomers, others := f.namedNewcomers(partialSightings)
+	if len(newcomers) != partialSightings/4 || len(others) != 600-len(newcomers) {
+		t.Errorf("%d newcomers and %d others; want %d newcomers of %d", len(newcomers), len(others), partialSightings/4, partialSightings)
+	}
+}
+
 // Guards against a dead entry that stays alive because processes pass its sighting on to each other,
 // and against an earlier incarnation's sighting that revives or refreshes a later one.
 func TestSightingsAreNotRefreshedByPassingOn(t *testing.T) {
--- a/internal/gateway/mesh/sightings.go
+++ b/internal/gateway/mesh/sightings.go
@@ -17,8 +17,14 @@
 	partialSightings     = 32
 	partialIntroductions = 6
 	fullSightings        = 3
-	// youngShare is the share of a heartbeat's entries that goes to the youngest news.
-	youngShare = 0.75
+	// newcomerShare is the share of a heartbeat's entries that goes to newcomers, as long as there
+	// are any, youngShare that of the others that goes to the youngest news.
+	newcomerShare = 0.25
+	youngShare    = 0.75
+	// newcomerPeriod is how long a process takes another one for a newcomer after it has learned
+	// that it is live. All processes that learn of a newcomer name it in each heartbeat during that
+	// time, so that the number that know it grows exponentially.
+	newcomerPeriod = 2 * time.Second
 	// sightingSize is the largest encoded size of a sighting, sightingsOverhead that of the
 	// surrounding fields.
 	sightingSize      = 4 + 4 + 3
@@ -66,31 +72,54 @@
 }
 
 // nextSightings returns the live members that the next heartbeat names. Without a full mesh these are
-// the entries whose newest heartbeats are the youngest and were not named yet, so that each
-// heartbeat reaches all processes in a few hops, and some others at random.
+// newcomers, so that all processes soon know them; the entries whose newest heartbeats are the
+// youngest and were not named yet, so that each heartbeat reaches all processes in a few hops; and
+// some others at random.
 func (m *Mesh) nextSightings(limit int) []*Member {
 	if !m.isPartial() || limit <= 0 {
 		return m.randomLive(limit)
 	}
+	next, others := m.namedNewcomers(limit)
 	var fresh, rest []*Member
-	m.eachLive(true, func(member *Member) {
+	for _, member := range others {
 		if member.LastSeen.After(member.named) {
 			fresh = append(fresh, member)
 		} else {
 			rest = append(rest, member)
 		}
-	})
+	}
 	slices.SortFunc(fresh, func(a, b *Member) int { return b.LastSeen.Compare(a.LastSeen) })
+	limit -= len(next)
 	young := min(len(fresh), int(youngShare*float64(limit)))
 	rest = append(rest, fresh[young:]...)
-	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	next := append(fresh[:young:young], rest[:min(len(rest), limit-young)]...)
+	shuffle(rest)
+	next = append(append(next, fresh[:young]...), rest[:min(len(rest), limit-young)]...)
 	for _, member := range next {
 		member.named = member.LastSeen
 	}
 	return next
 }
 
+// namedNewcomers returns some of the newcomers among the live entries, as many as a heartbeat of
+// limit entries names, and all other live entries.
+func (m *Mesh) namedNewcomers(limit int) (newcomers, others []*Member) {
+	now := m.options.Now()
+	m.eachLive(true, func(member *Member) {
+		if now.Sub(member.AliveSince) < newcomerPeriod {
+			newcomers = append(newcomers, member)
+		} else {
+			others = append(others, member)
+		}
+	})
+	shuffle(newcomers)
+	n := min(len(newcomers), int(newcomerShare*float64(limit)))
+	return newcomers[:n:n], append(others, newcomers[n:]...)
+}
+
+func shuffle(members []*Member) {
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+}
+
 // randomLive returns some live members from which this process receives heartbeats.
 func (m *Mesh) randomLive(limit int) []*Member {
 	var some []*Member
