Limits that targets state in their responses are decoded and logged

Change: the adapter decodes the header into wire.Pushback; values that are no decimal number are ignored. The package pushback keeps the newest statement of each incarnation; an entry logs target_limited, target_limit_ended and target_statement_refused, at most once a second for a target, and counts targets under a limit. explain shows the lines. Nothing is decided by it yet.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -16,6 +16,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
+	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
@@ -35,6 +36,7 @@
 	parts      *parts.Index
 	health     *health.Monitor
 	reach      *reach.Monitor
+	pushback   *pushback.Registry
 	pool       *upstream.Pool
 	forwarder  *forward.Forwarder
 	quarantine *quarantineSync
@@ -55,11 +57,12 @@
 		p.logger.Info("target_rested", "target", incarnation, "for", until.Sub(p.clock.Now()).Round(time.Millisecond),
 			"failures", math.Round(100*failures)/100, "others", math.Round(100*others)/100, "outcome", outcome.String())
 	})
+	e.pushback = newPushback(p)
 	e.pool = upstream.NewPool(p.metrics.Connection)
 	e.quarantine = newQuarantineSync(p)
 	p.state.quarantinePage = e.quarantine.page
 	e.forwarder = forward.New(forward.Deps{
-		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach,
+		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback,
 		Quarantine: e.quarantine.registry, CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return e.pool.ProbeListener(ctx, t.Address)
 		}),
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -28,6 +28,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
+	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/gateway/ratelimit"
 	"github.com/toucanwell/toucanwell/internal/gateway/reach"
@@ -58,6 +59,8 @@
 	Parts    *parts.Index
 	Health   *health.Monitor
 	Reach    *reach.Monitor
+	// Pushback keeps what targets state about the load that they take.
+	Pushback *pushback.Registry
 	// Quarantine tracks requests that were running when targets crashed; CrashDetector
 	// distinguishes crashes from other disconnects.
 	Quarantine    *quarantine.Registry
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -23,6 +23,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
+	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
@@ -47,6 +48,11 @@
 func (noMetrics) Resume()                                     {}
 func (noMetrics) RateLimitDecision(string, bool)              {}
 
+type noStatements struct{}
+
+func (noStatements) RateLimitChanged(pushback.RateLimitChange)         {}
+func (noStatements) InvalidStatement(fleet.Incarnation, string, error) {}
+
 type noObserver struct{}
 
 func (noObserver) CrashAttributed(*quarantine.Record, quarantine.Crash, bool) {}
@@ -194,7 +200,7 @@
 	env.pool = upstream.NewPool(func() {})
 	env.Forwarder = New(Deps{
 		Protocol: wiretest.Protocol{}, View: func() (*view.View, bool) { return env.view, true }, Pool: env.pool,
-		Ledger: ledger.New(), Parts: parts.NewIndex(), Health: health.NewMonitor(nil), Reach: &reach.Monitor{},
+		Ledger: ledger.New(), Parts: parts.NewIndex(), Health: health.NewMonitor(nil), Reach: &reach.Monitor{}, Pushback: pushback.NewRegistry(noStatements{}),
 		Quarantine: quarantine.NewRegistry(quarantine.Limits{MaxCrashes: 3, SuspectFor: time.Hour, RefuseFor: time.Hour, MaxRecords: 100}, noObserver{}),
 		CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return env.pool.ProbeListener(ctx, t.Address)
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -120,6 +120,7 @@
 	if fl.recordParts(dst, false) || dst.choice.Prefill > announcePrefill {
 		fl.AnnounceWork(dst.target.ID)
 	}
+	sentAt := fl.Now()
 	fl.sentAt = time.Now()
 	fl.logSend(dst)
 	fl.countSend(dst)
@@ -136,6 +137,7 @@
 	}
 	fl.lastSend.status = resp.Status
 	reply := fl.Protocol.ReadReply(resp.Status, resp.Header)
+	fl.recordPushback(dst, &reply, sentAt)
 	if reply.IdleTimeout > 0 {
 		fl.Pool.SetIdleLimit(dst.target.Address, reply.IdleTimeout)
 	}
--- a/internal/gateway/wire/wire.go
+++ b/internal/gateway/wire/wire.go
@@ -79,6 +79,18 @@
 	Encoded bool
 	// IdleTimeout is how long the target keeps an idle connection open; zero if not stated.
 	IdleTimeout time.Duration
+	// Pushback is what the target states about the load that it takes.
+	Pushback Pushback
+}
+
+// Pushback is what a target states in a response about the load that it takes.
+type Pushback struct {
+	// RateLimit is the number of requests per second that the target takes from all hosts
+	// together. HasRateLimit is set if the response states it.
+	RateLimit    float64
+	HasRateLimit bool
+	// Invalid describes a statement that can't be used; nil if there is none.
+	Invalid error
 }
 
 // Protocol maps metadata to the headers of a protocol.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -35,6 +35,7 @@
 	attributedCrashes  *prometheus.CounterVec
 	evictedSuspects    prometheus.Counter
 	rateLimitDecisions *prometheus.CounterVec
+	invalidStatements  prometheus.Counter
 }
 
 var ttftBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.62, 1, 2, 4, 8, 16, 32}
@@ -74,6 +75,7 @@
 		attributedCrashes:  counter("blamed_requests_total", "Target crashes attributed to a request, by source: this process (own) or a peer (told).", "word"),
 		evictedSuspects:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "suspects_evicted_total", Help: "Quarantine records evicted because the registry was full."}),
 		rateLimitDecisions: counter("rate_limit_decisions_total", "Rate limit decisions, by source and outcome.", "source", "outcome"),
+		invalidStatements:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_statements_refused_total", Help: "Statements of targets about their load that could not be used."}),
 		weightsOrders:      counter("weights_orders_total", "Orders to load weights, by outcome.", "outcome"),
 		queueWaiting:       gauge("queue_waiting", "Requests waiting at this sidecar."),
 		queueRunning:       gauge("queue_running", "Requests running at this sidecar's target."),
@@ -83,7 +85,7 @@
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.recomputedTokens,
 		m.retries, m.resumes, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
-		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions)
+		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.invalidStatements)
 	return m
 }
 
@@ -187,3 +189,6 @@
 
 // SuspectEvicted counts a quarantine record that was evicted because the registry was full.
 func (m *Metrics) SuspectEvicted() { m.evictedSuspects.Inc() }
+
+// InvalidStatement counts a statement of a target about its load that could not be used.
+func (m *Metrics) InvalidStatement() { m.invalidStatements.Inc() }
