Buckets of rate limits have keys instead of workspaces

Cause: the limits that targets state need the same buckets, coordinators and leases over all entries as the limits of workspaces. Change: names and comments of ratelimit and of its message; no change of behaviour.

--- a/internal/gateway/adminlimits.go
+++ b/internal/gateway/adminlimits.go
@@ -18,7 +18,7 @@
 	uses, share := limiter.Stats()
 	byName := make(map[string]ratelimit.BucketStats, len(uses))
 	for _, u := range uses {
-		byName[u.Workspace] = u
+		byName[u.Key] = u
 	}
 	var all []oas.WorkspaceLimit
 	for _, w := range v.Estate.RateLimited() {
--- a/internal/gateway/forward/limited.go
+++ b/internal/gateway/forward/limited.go
@@ -20,7 +20,7 @@
 	}
 	terms := fl.workspace.Rate
 	fl.limitRequest = ratelimit.Request{
-		Workspace: fl.workspace.Name, Limit: terms.Limit, Cost: terms.Cost(fl.request.HasSizes, fl.request.PromptTokens, fl.request.MaxTokens),
+		Key: fl.workspace.Name, Limit: terms.Limit, Cost: terms.Cost(fl.request.HasSizes, fl.request.PromptTokens, fl.request.MaxTokens),
 		IsRetry: fl.isRetry, MaxWait: time.Duration(maxWaitShare * float64(fl.timeLeft())),
 	}
 	d := fl.Limits.Admit(fl.r.Context(), fl.limitRequest)
--- a/internal/gateway/ratelimit/bench_test.go
+++ b/internal/gateway/ratelimit/bench_test.go
@@ -28,7 +28,7 @@
 // BenchmarkAdmitLeased measures admission by leased tokens.
 func BenchmarkAdmitLeased(b *testing.B) {
 	l := benchLimiter(420)
-	r := Request{Workspace: "w", Limit: l.options.LimitOf("w"), Cost: 2400}
+	r := Request{Key: "w", Limit: l.options.LimitOf("w"), Cost: 2400}
 	l.credit("w").leases = []heldLease{{tokens: 1e18, expiresAt: time.Now().Add(time.Hour)}}
 	for b.Loop() {
 		if !l.Admit(context.Background(), r).Admitted {
@@ -71,8 +71,8 @@
 // Guards against large messages: a lease request and its response take at most a hundred bytes
 // each with a short workspace name.
 func TestMessagesStaySmall(t *testing.T) {
-	request := &peerv1.RateMessage{Id: 1 << 31, Incarnation: 1 << 63, Workspace: "w", Known: 420, Ask: encodeRequest(LeaseRequest{RequestCost: 70_000, Ahead: 300_000, Spent: 1e12, Refunded: 70_000, Overdraft: 70_000, IsRetry: true, MaxWait: 5 * time.Second}, true)}
-	response := &peerv1.RateMessage{Id: 1 << 31, Incarnation: 1 << 63, Workspace: "w", Known: 420, Answer: encodeResponse(LeaseResponse{Admitted: true, Leased: 300_000, RetryDelay: 5 * time.Second, Level: 1e6})}
+	request := &peerv1.RateMessage{Id: 1 << 31, Incarnation: 1 << 63, Key: "w", Known: 420, Ask: encodeRequest(LeaseRequest{RequestCost: 70_000, Ahead: 300_000, Spent: 1e12, Refunded: 70_000, Overdraft: 70_000, IsRetry: true, MaxWait: 5 * time.Second}, true)}
+	response := &peerv1.RateMessage{Id: 1 << 31, Incarnation: 1 << 63, Key: "w", Known: 420, Answer: encodeResponse(LeaseResponse{Admitted: true, Leased: 300_000, RetryDelay: 5 * time.Second, Level: 1e6})}
 	for _, m := range []*peerv1.RateMessage{request, response} {
 		if n := proto.Size(m); n > 100 {
 			t.Errorf("%d bytes, want at most 100: %v", n, m)
--- a/internal/gateway/ratelimit/coordinator.go
+++ b/internal/gateway/ratelimit/coordinator.go
@@ -34,7 +34,7 @@
 	Incarnation uint64
 }
 
-// LeaseRequest is an entry's request to a workspace's coordinator.
+// LeaseRequest is an entry's request to a bucket's coordinator.
 type LeaseRequest struct {
 	// ID identifies the request among those of its entry. Duplicates get the same response
 	// and are counted once.
@@ -68,7 +68,7 @@
 	Level float64
 }
 
-// Coordinator keeps the token buckets of the workspaces that an entry coordinates. Its decisions
+// Coordinator keeps the token buckets that an entry coordinates. Its decisions
 // depend only on its arguments and its state. It is safe for concurrent use.
 type Coordinator struct {
 	// idleTimeout is how long a bucket or a holder is kept without a request.
@@ -78,7 +78,7 @@
 	evictedAt   time.Time
 }
 
-// bucket is one workspace's token bucket.
+// bucket is the token bucket of one workspace or target.
 type bucket struct {
 	level      float64
 	refilledAt time.Time
@@ -110,16 +110,16 @@
 	return &Coordinator{idleTimeout: idleTimeout, buckets: map[string]*bucket{}}
 }
 
-// Handle processes an entry's lease request for a workspace with a limit. A new bucket starts
+// Handle processes an entry's lease request for a bucket with a limit. A new bucket starts
 // with what the rate has refilled since the given time, when this entry became the coordinator.
-func (c *Coordinator) Handle(workspace string, from Holder, req LeaseRequest, limit Limit, since, now time.Time) LeaseResponse {
+func (c *Coordinator) Handle(key string, from Holder, req LeaseRequest, limit Limit, since, now time.Time) LeaseResponse {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.evictIdle(now)
-	b := c.buckets[workspace]
+	b := c.buckets[key]
 	if b == nil {
 		b = &bucket{refilledAt: since, holders: map[netip.AddrPort]*holder{}}
-		c.buckets[workspace] = b
+		c.buckets[key] = b
 	}
 	return b.handle(from, req, limit, now)
 }
@@ -260,20 +260,20 @@
 	return sum
 }
 
-// Retain removes the buckets of workspaces for which keep returns false.
-func (c *Coordinator) Retain(keep func(workspace string) bool) {
+// Retain removes the buckets for which keep returns false.
+func (c *Coordinator) Retain(keep func(key string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for workspace := range c.buckets {
-		if !keep(workspace) {
-			delete(c.buckets, workspace)
+	for key := range c.buckets {
+		if !keep(key) {
+			delete(c.buckets, key)
 		}
 	}
 }
 
-// BucketStats describes one workspace's bucket.
+// BucketStats describes one bucket.
 type BucketStats struct {
-	Workspace string
+	Key string
 	// Level and Leased are the tokens in the bucket and those leased to entries.
 	Level, Leased float64
 	// Holders is the number of entries that sent requests recently.
@@ -287,8 +287,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var all []BucketStats
-	for workspace, b := range c.buckets {
-		all = append(all, BucketStats{Workspace: workspace, Level: b.level, Leased: b.leased(now), Holders: len(b.holders), Admitted: b.admitted, Refused: b.refused})
+	for key, b := range c.buckets {
+		all = append(all, BucketStats{Key: key, Level: b.level, Leased: b.leased(now), Holders: len(b.holders), Admitted: b.admitted, Refused: b.refused})
 	}
 	return all
 }
@@ -299,9 +299,9 @@
 		return
 	}
 	c.evictedAt = now
-	for workspace, b := range c.buckets {
+	for key, b := range c.buckets {
 		if now.Sub(b.refilledAt) > c.idleTimeout {
-			delete(c.buckets, workspace)
+			delete(c.buckets, key)
 			continue
 		}
 		for address, h := range b.holders {
--- a/internal/gateway/ratelimit/credit.go
+++ b/internal/gateway/ratelimit/credit.go
@@ -23,7 +23,7 @@
 	refusalCacheTime = 100 * time.Millisecond
 )
 
-// credit is the tokens that an entry holds for one workspace, with their use and the demand. All
+// credit is the tokens that an entry holds of one bucket, with their use and the demand. All
 // times are of one clock, which includes time that the host was suspended.
 type credit struct {
 	leases []heldLease
--- a/internal/gateway/ratelimit/exchange.go
+++ b/internal/gateway/ratelimit/exchange.go
@@ -17,7 +17,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastID++
-	req := l.credit(r.Workspace).newRequest(l.lastID, r.Cost, now)
+	req := l.credit(r.Key).newRequest(l.lastID, r.Cost, now)
 	req.IsRetry, req.MaxWait = r.IsRetry, r.MaxWait
 	return req
 }
@@ -31,13 +31,13 @@
 	}
 	req := l.newRequest(r, now)
 	if to == l.options.Listen {
-		resp, ok := l.handleRequest(r.Workspace, l.self(), req, fallback, now)
-		l.addLease(r.Workspace, resp, now)
+		resp, ok := l.handleRequest(r.Key, l.self(), req, fallback, now)
+		l.addLease(r.Key, resp, now)
 		return resp, ok
 	}
-	p := &pendingRequest{workspace: r.Workspace, to: to, cost: r.Cost, sentAt: now, replies: make(chan reply, 1)}
+	p := &pendingRequest{key: r.Key, to: to, cost: r.Cost, sentAt: now, replies: make(chan reply, 1)}
 	wait := l.register(req.ID, p)
-	l.sendRequest(to, r.Workspace, req, fallback)
+	l.sendRequest(to, r.Key, req, fallback)
 	if !wait {
 		return LeaseResponse{}, false
 	}
@@ -80,68 +80,68 @@
 	return LeaseResponse{}, false
 }
 
-// leaseAhead requests tokens for later requests from a workspace's coordinator and reports use.
+// leaseAhead requests tokens for later requests from a bucket's coordinator and reports use.
 // The caller holds mu.
-func (l *Limiter) leaseAhead(workspace string, c *credit, now time.Time) {
-	coordinator := l.members.Load().Coordinator(workspace)
+func (l *Limiter) leaseAhead(key string, c *credit, now time.Time) {
+	coordinator := l.members.Load().Coordinator(key)
 	if !coordinator.IsValid() {
 		return
 	}
 	l.lastID++
 	req := c.newRequest(l.lastID, 0, now)
 	if coordinator == l.options.Listen {
-		if resp, ok := l.handleRequest(workspace, l.self(), req, false, now); ok {
+		if resp, ok := l.handleRequest(key, l.self(), req, false, now); ok {
 			c.addLease(resp, now)
 		}
 		return
 	}
-	l.pending[req.ID] = &pendingRequest{workspace: workspace, to: coordinator, sentAt: now}
-	l.sendRequest(coordinator, workspace, req, false)
+	l.pending[req.ID] = &pendingRequest{key: key, to: coordinator, sentAt: now}
+	l.sendRequest(coordinator, key, req, false)
 }
 
-// addLease adds the tokens leased by a response to the workspace's credit.
-func (l *Limiter) addLease(workspace string, resp LeaseResponse, sentAt time.Time) {
+// addLease adds the tokens leased by a response to the bucket's credit.
+func (l *Limiter) addLease(key string, resp LeaseResponse, sentAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.credit(workspace).addLease(resp, sentAt)
+	l.credit(key).addLease(resp, sentAt)
 }
 
-// handleRequest handles a lease request as the workspace's coordinator or as a fallback for it.
+// handleRequest handles a lease request as the bucket's coordinator or as a fallback for it.
 // It returns false if this entry may not do so.
-func (l *Limiter) handleRequest(workspace string, from Holder, req LeaseRequest, fallback bool, now time.Time) (LeaseResponse, bool) {
+func (l *Limiter) handleRequest(key string, from Holder, req LeaseRequest, fallback bool, now time.Time) (LeaseResponse, bool) {
 	m := l.members.Load()
 	canCoordinate := m.CanCoordinate(now)
 	if !canCoordinate && (fallback || from.Address == l.options.Listen || now.Sub(m.AsOf) >= maxMembersAge) {
 		return LeaseResponse{}, false
 	}
-	limit := l.options.LimitOf(workspace)
+	limit := l.options.LimitOf(key)
 	if !limit.Limited() {
 		return LeaseResponse{ID: req.ID, Admitted: true}, true
 	}
 	limit = limit.Scaled(*l.share.Load())
 	switch {
-	case m.Coordinator(workspace) == l.options.Listen, !canCoordinate:
+	case m.Coordinator(key) == l.options.Listen, !canCoordinate:
 		// An entry that has just started does not know all others yet, but an entry that
 		// sends it a request does.
-		return l.coordinator.Handle(workspace, from, req, limit, *l.liveSince.Load(), now), true
+		return l.coordinator.Handle(key, from, req, limit, *l.liveSince.Load(), now), true
 	case fallback:
 		req.Ahead = 0
 		part := Limit{PerSecond: limit.PerSecond * fallbackShare, Burst: limit.Burst * fallbackBurstShare}
-		return l.fallback.Handle(workspace, from, req, part, now.Add(-fallbackIdleTimeout), now), true
+		return l.fallback.Handle(key, from, req, part, now.Add(-fallbackIdleTimeout), now), true
 	default:
 		return LeaseResponse{}, false
 	}
 }
 
-func (l *Limiter) sendRequest(to netip.AddrPort, workspace string, req LeaseRequest, fallback bool) {
-	l.send(to, &peerv1.RateMessage{Id: req.ID, Incarnation: l.options.Incarnation, Workspace: workspace, Ask: encodeRequest(req, fallback)})
+func (l *Limiter) sendRequest(to netip.AddrPort, key string, req LeaseRequest, fallback bool) {
+	l.send(to, &peerv1.RateMessage{Id: req.ID, Incarnation: l.options.Incarnation, Key: key, Ask: encodeRequest(req, fallback)})
 }
 
 func (l *Limiter) send(to netip.AddrPort, m *peerv1.RateMessage) {
 	m.Known = uint32(l.members.Load().Known)
 	data, err := proto.Marshal(m)
 	if err != nil || len(data) > maxDatagramSize {
-		return // the workspace's name is too long: the entry uses its own share
+		return // the key is too long: the entry uses its own share
 	}
 	l.transmit(data, to)
 }
@@ -163,10 +163,10 @@
 	l.mu.Unlock()
 	switch {
 	case m.Ask != nil:
-		resp, ok := l.handleRequest(m.Workspace, Holder{Address: from, Incarnation: m.Incarnation}, decodeRequest(m.Id, m.Ask), m.Ask.InPlace, now)
+		resp, ok := l.handleRequest(m.Key, Holder{Address: from, Incarnation: m.Incarnation}, decodeRequest(m.Id, m.Ask), m.Ask.InPlace, now)
 		out := encodeResponse(resp)
 		out.NotMine = !ok
-		l.send(from, &peerv1.RateMessage{Id: m.Id, Incarnation: m.Incarnation, Workspace: m.Workspace, Answer: out})
+		l.send(from, &peerv1.RateMessage{Id: m.Id, Incarnation: m.Incarnation, Key: m.Key, Answer: out})
 	case m.Answer != nil && m.Incarnation == l.options.Incarnation:
 		l.handleReply(from, m.Id, reply{LeaseResponse: decodeResponse(m.Id, m.Answer), notCoordinator: m.Answer.NotMine}, now)
 	}
@@ -184,7 +184,7 @@
 		return
 	}
 	delete(l.pending, id)
-	c := l.credit(p.workspace)
+	c := l.credit(p.key)
 	c.addLease(got.LeaseResponse, p.sentAt)
 	if p.replies != nil {
 		p.replies <- got
@@ -206,12 +206,12 @@
 func (l *Limiter) sendReports(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for workspace, c := range l.credits {
+	for key, c := range l.credits {
 		if c.reportDue(now) {
-			l.leaseAhead(workspace, c, now)
+			l.leaseAhead(key, c, now)
 		}
 		if now.Sub(c.lastUsedAt) > defaultIdleTimeout {
-			delete(l.credits, workspace)
+			delete(l.credits, key)
 		}
 	}
 	for id, p := range l.pending {
--- a/internal/gateway/ratelimit/fleet_test.go
+++ b/internal/gateway/ratelimit/fleet_test.go
@@ -230,7 +230,7 @@
 		return
 	}
 	f.requests++
-	l, r := e.limiter, Request{Workspace: "w", Limit: e.limit, Cost: cost, MaxWait: maxWait}
+	l, r := e.limiter, Request{Key: "w", Limit: e.limit, Cost: cost, MaxWait: maxWait}
 	f.mu.Unlock()
 	arrived := time.Since(f.start)
 	f.tasks.Go(func() {
--- a/internal/gateway/ratelimit/limit.go
+++ b/internal/gateway/ratelimit/limit.go
@@ -1,10 +1,10 @@
-// Package ratelimit enforces each workspace's rate limit across all entries.
+// Package ratelimit enforces rate limits across all entries: those of workspaces, and those that
+// targets state.
 //
 // # Sharing one token bucket
 //
-// Each workspace has one coordinator among the live entries, chosen by rendezvous hashing of
-// workspace and address, so that no election is needed. The coordinator keeps the workspace's
-// token bucket. Other entries request the cost of a request from it and lease further tokens
+// Each limit has a token bucket with a key. It is kept by one coordinator among the live entries,
+// chosen by rendezvous hashing of key and address, so that no election is needed. Other entries request the cost of a request from it and lease further tokens
 // ahead, so that most requests are admitted without a round trip.
 //
 // # Staying within the limit
@@ -12,7 +12,7 @@
 // Tokens leave the bucket before they are used. Leased tokens count against its burst until
 // they are reported as used or the lease expires, so that lost, late or duplicate messages waste
 // tokens but never create any. The holder counts a lease from before it sent the request, and a
-// resumed process finds its leases expired. When a partition leaves a workspace with two
+// resumed process finds its leases expired. When a partition leaves a bucket with two
 // coordinators, each refills its bucket only by the share of the known entries that it can
 // reach. New buckets start empty.
 package ratelimit
--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -51,13 +51,13 @@
 	Listen netip.AddrPort
 	// Incarnation identifies this start of the process.
 	Incarnation uint64
-	// LimitOf returns a workspace's current limit.
-	LimitOf func(workspace string) Limit
+	// LimitOf returns a bucket's current limit.
+	LimitOf func(key string) Limit
 	// Now is a clock that includes time that the host was suspended.
 	Now func() time.Time
 }
 
-// Limiter admits the requests of one entry's callers, and coordinates the workspaces for which
+// Limiter admits the requests of one entry's callers, and coordinates the buckets for which
 // the entry has the highest rank. It is safe for concurrent use.
 type Limiter struct {
 	options Options
@@ -86,10 +86,10 @@
 
 // pendingRequest is a lease request without a response.
 type pendingRequest struct {
-	workspace string
-	to        netip.AddrPort
-	cost      float64
-	sentAt    time.Time
+	key    string
+	to     netip.AddrPort
+	cost   float64
+	sentAt time.Time
 	// replies receives the response if a caller waits for it; nil otherwise.
 	replies chan reply
 }
@@ -131,9 +131,9 @@
 
 // Request is a caller's request for admission.
 type Request struct {
-	Workspace string
-	Limit     Limit
-	Cost      float64
+	Key   string
+	Limit Limit
+	Cost  float64
 	// IsRetry is set if the caller was probably refused before. MaxWait is the longest time
 	// after which it would retry.
 	IsRetry bool
@@ -147,7 +147,7 @@
 const (
 	// Leased means that the request used leased tokens.
 	Leased Source = "leased"
-	// Coordinated means that the workspace's coordinator decided.
+	// Coordinated means that the bucket's coordinator decided.
 	Coordinated Source = "coordinator"
 	// Fallback means that an entry with a lower rank decided, because the coordinator did
 	// not respond.
@@ -172,7 +172,7 @@
 	expiresAt time.Time
 }
 
-// Admit takes a request's cost from its workspace's limit, or refuses the request.
+// Admit takes a request's cost from its bucket, or refuses the request.
 func (l *Limiter) Admit(ctx context.Context, r Request) Decision {
 	start := l.options.Now()
 	d := l.admitLocally(r, start)
@@ -188,11 +188,11 @@
 func (l *Limiter) admitLocally(r Request, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.credit(r.Workspace)
+	c := l.credit(r.Key)
 	c.recordDemand(r.Cost, now)
 	if c.spend(r.Cost, now) {
 		if c.shouldLeaseAhead(now) {
-			l.leaseAhead(r.Workspace, c, now)
+			l.leaseAhead(r.Key, c, now)
 		}
 		return Decision{Admitted: true, Source: Leased, expiresAt: now.Add(leaseDuration / 2)}
 	}
@@ -202,12 +202,12 @@
 	return Decision{}
 }
 
-// credit returns a workspace's credit, creating it if needed. The caller holds mu.
-func (l *Limiter) credit(workspace string) *credit {
-	c := l.credits[workspace]
+// credit returns a bucket's credit, creating it if needed. The caller holds mu.
+func (l *Limiter) credit(key string) *credit {
+	c := l.credits[key]
 	if c == nil {
 		c = &credit{}
-		l.credits[workspace] = c
+		l.credits[key] = c
 	}
 	return c
 }
@@ -215,7 +215,7 @@
 // admitRemotely requests a decision from the coordinator, then from the entries with the next
 // ranks. If none responds it decides by the entry's own share.
 func (l *Limiter) admitRemotely(ctx context.Context, r Request) Decision {
-	ranked := l.members.Load().Ranked(r.Workspace, maxRanked)
+	ranked := l.members.Load().Ranked(r.Key, maxRanked)
 	for i, to := range ranked {
 		fallback, attempts := i > 0, 1
 		if !fallback {
@@ -229,7 +229,7 @@
 	}
 	now := l.options.Now()
 	share := localShare / float64(max(len(l.members.Load().Live), 1))
-	return l.decide(r, l.local.Handle(r.Workspace, l.self(), l.newRequest(r, now), r.Limit.Scaled(share), now, now), OwnShare)
+	return l.decide(r, l.local.Handle(r.Key, l.self(), l.newRequest(r, now), r.Limit.Scaled(share), now, now), OwnShare)
 }
 
 func sourceOf(fallback bool) Source {
@@ -261,7 +261,7 @@
 func (l *Limiter) decide(r Request, resp LeaseResponse, source Source) Decision {
 	if !resp.Admitted {
 		l.mu.Lock()
-		l.credit(r.Workspace).recordRefusal(resp.RetryDelay, l.options.Now())
+		l.credit(r.Key).recordRefusal(resp.RetryDelay, l.options.Now())
 		l.mu.Unlock()
 	}
 	return Decision{Admitted: resp.Admitted, Source: source, Level: resp.Level, RetryAfter: resp.RetryDelay}
@@ -274,7 +274,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.credit(r.Workspace)
+	c := l.credit(r.Key)
 	switch d.Source {
 	case Leased:
 		c.undoSpend(r.Cost, d.expiresAt)
@@ -289,7 +289,7 @@
 	now := l.options.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.credit(r.Workspace)
+	c := l.credit(r.Key)
 	if !c.spend(r.Cost, now) {
 		c.overdraft += r.Cost
 	}
@@ -309,7 +309,7 @@
 		return
 	}
 	l.liveSince.Store(&m.AsOf)
-	l.coordinator.Retain(func(workspace string) bool { return m.Coordinator(workspace) == m.Self })
+	l.coordinator.Retain(func(key string) bool { return m.Coordinator(key) == m.Self })
 }
 
 // sameEntries reports whether two lists without duplicates have the same entries.
@@ -323,7 +323,7 @@
 	return l.coordinator.Stats(l.options.Now()), *l.share.Load()
 }
 
-// Coordinator returns the workspace's coordinator; it is invalid if none is known.
-func (l *Limiter) Coordinator(workspace string) netip.AddrPort {
-	return l.members.Load().Coordinator(workspace)
+// Coordinator returns a bucket's coordinator; it is invalid if none is known.
+func (l *Limiter) Coordinator(key string) netip.AddrPort {
+	return l.members.Load().Coordinator(key)
 }
--- a/internal/gateway/ratelimit/members.go
+++ b/internal/gateway/ratelimit/members.go
@@ -44,22 +44,22 @@
 	isolatedShare = 1.0 / 8
 )
 
-// rank is an entry's rendezvous hash for a workspace's hash. The entry with the highest rank is
-// the workspace's coordinator.
-func rank(workspace uint64, entry netip.AddrPort) uint64 {
-	var key [8 + 16 + 2]byte
+// rank is an entry's rendezvous hash for the hash of a key. The entry with the highest rank is
+// the bucket's coordinator.
+func rank(keyHash uint64, entry netip.AddrPort) uint64 {
+	var input [8 + 16 + 2]byte
 	host := entry.Addr().As16()
-	binary.LittleEndian.PutUint64(key[:8], workspace)
-	copy(key[8:24], host[:])
-	binary.LittleEndian.PutUint16(key[24:], entry.Port())
-	return xxhash.Sum64(key[:])
+	binary.LittleEndian.PutUint64(input[:8], keyHash)
+	copy(input[8:24], host[:])
+	binary.LittleEndian.PutUint16(input[24:], entry.Port())
+	return xxhash.Sum64(input[:])
 }
 
-// Coordinator returns the workspace's coordinator; it is invalid if no entry is known.
-func (m *Members) Coordinator(workspace string) netip.AddrPort {
+// Coordinator returns the bucket's coordinator; it is invalid if no entry is known.
+func (m *Members) Coordinator(key string) netip.AddrPort {
 	var first netip.AddrPort
 	var highest uint64
-	hash := xxhash.Sum64String(workspace)
+	hash := xxhash.Sum64String(key)
 	for _, entry := range m.Live {
 		if r := rank(hash, entry); !first.IsValid() || r > highest {
 			first, highest = entry, r
@@ -68,14 +68,14 @@
 	return first
 }
 
-// Ranked returns up to n entries with the highest ranks for a workspace, highest first.
-func (m *Members) Ranked(workspace string, n int) []netip.AddrPort {
+// Ranked returns up to n entries with the highest ranks for a bucket, highest first.
+func (m *Members) Ranked(key string, n int) []netip.AddrPort {
 	type ranked struct {
 		entry netip.AddrPort
 		rank  uint64
 	}
 	all := make([]ranked, len(m.Live))
-	hash := xxhash.Sum64String(workspace)
+	hash := xxhash.Sum64String(key)
 	for i, entry := range m.Live {
 		all[i] = ranked{entry, rank(hash, entry)}
 	}
--- a/internal/gateway/ratelimit/records_test.go
+++ b/internal/gateway/ratelimit/records_test.go
@@ -126,20 +126,20 @@
 	setLive := func(live ...netip.AddrPort) {
 		l.SetMembers(&Members{AsOf: now, StartedAt: testStart.Add(-time.Hour), Self: self, Live: live, Known: 2, Unreachable: 2 - len(live), HeardPeer: true})
 	}
-	workspace := "w"
-	for (&Members{Live: []netip.AddrPort{self, other}}).Coordinator(workspace) != self {
-		workspace += "w"
+	key := "w"
+	for (&Members{Live: []netip.AddrPort{self, other}}).Coordinator(key) != self {
+		key += "w"
 	}
 	setLive(self, other)
 	now = now.Add(10 * time.Second)
 	setLive(self, other)
-	if resp, ok := l.handleRequest(workspace, holder2, LeaseRequest{ID: 1}, false, now); !ok || resp.Level != smallLimit.Burst {
+	if resp, ok := l.handleRequest(key, holder2, LeaseRequest{ID: 1}, false, now); !ok || resp.Level != smallLimit.Burst {
 		t.Fatalf("got %+v, %v, want a full bucket", resp, ok)
 	}
 	setLive(self)
 	now = now.Add(time.Millisecond)
 	setLive(self, other)
-	if resp, _ := l.handleRequest(workspace, holder2, LeaseRequest{ID: 2}, false, now); resp.Level > smallLimit.Burst/2+1 {
+	if resp, _ := l.handleRequest(key, holder2, LeaseRequest{ID: 2}, false, now); resp.Level > smallLimit.Burst/2+1 {
 		t.Errorf("level %.0f of %.0f after the other entry is back", resp.Level, smallLimit.Burst)
 	}
 }
