--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -52,6 +52,7 @@
 	Stopping
 	Quarantined
 	RateLimited
+	Throttled
 )
 
 // Spec describes how a kind is reported and retried.
@@ -102,6 +103,7 @@
 	CutOff:               {"cut_off", "This entry reaches no engine; another one does.", http.StatusServiceUnavailable, false},
 	Stopping:             {"stopping", "This entry stops before the request could be answered; another one serves.", http.StatusServiceUnavailable, false},
 	Quarantined:          {"quarantined", "The request has ended the targets that ran it, and is not run for now.", http.StatusServiceUnavailable, false},
+	Throttled:            {"throttled", "All targets of the service have asked for fewer requests.", http.StatusServiceUnavailable, false},
 	RateLimited:          {"rate_limited", "The workspace has used up its rate limit for now.", http.StatusTooManyRequests, false},
 }
 
@@ -125,7 +127,7 @@
 // All returns all kinds except None, in numerical order.
 func All() []Kind {
 	kinds := make([]Kind, 0, len(table))
-	for k := BadRequest; k <= RateLimited; k++ {
+	for k := BadRequest; k <= Throttled; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -103,10 +103,18 @@
 		return false
 	}
 	return s.containsLine(func(own *Line) bool {
-		return own.Process == change.Process && (targetOf(change) == "" || targetOf(change) == own.Get("target") || targetOf(change) == own.Get("address"))
+		return own.Process == change.Process && own.mayDependOn(targetOf(change))
 	})
 }
 
+// mayDependOn reports whether a request's line may result from the state of a target; the empty target
+// stands for changes that concern all. A line names the target of a send and those that were passed
+// over.
+func (l *Line) mayDependOn(target string) bool {
+	return target == "" || target == l.Get("target") || target == l.Get("address") ||
+		strings.Contains(l.Get("avoided"), target+":") || strings.Contains(l.Get("detail"), target+":")
+}
+
 // targetOf returns the instance or address of the target that a state change is about, or an
 // empty string if it is not about one target.
 func targetOf(l *Line) string {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/burn"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
@@ -31,15 +33,17 @@
 
 // entry is the role that serves callers' requests.
 type entry struct {
-	state      *clusterState
-	ledger     *ledger.Ledger
-	parts      *parts.Index
-	health     *health.Monitor
-	reach      *reach.Monitor
-	pushback   *pushback.Registry
-	pool       *upstream.Pool
-	forwarder  *forward.Forwarder
-	quarantine *quarantineSync
+	state    *clusterState
+	ledger   *ledger.Ledger
+	parts    *parts.Index
+	health   *health.Monitor
+	reach    *reach.Monitor
+	pushback *pushback.Registry
+	// targetLimits shares the rate limits that targets state among all entries.
+	targetLimits *targetLimits
+	pool         *upstream.Pool
+	forwarder    *forward.Forwarder
+	quarantine   *quarantineSync
 	// cacheReportedAt is when the last report of each cache was received.
 	cacheReportedAt map[fleet.ID]time.Time
 	// probes sends probes to sidecars; nil if probes are disabled.
@@ -58,11 +62,12 @@
 			"failures", math.Round(100*failures)/100, "others", math.Round(100*others)/100, "outcome", outcome.String())
 	})
 	e.pushback = newPushback(p)
+	e.targetLimits = newTargetLimits(p)
 	e.pool = upstream.NewPool(p.metrics.Connection)
 	e.quarantine = newQuarantineSync(p)
 	p.state.quarantinePage = e.quarantine.page
 	e.forwarder = forward.New(forward.Deps{
-		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback,
+		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback, TargetLimits: e.targetLimits,
 		Quarantine: e.quarantine.registry, CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return e.pool.ProbeListener(ctx, t.Address)
 		}),
@@ -82,6 +87,7 @@
 	}
 	if e.limits != nil {
 		e.forwarder.Limits = e.limits.limiter
+		e.targetLimits.limiter = e.limits.limiter
 	}
 	return e.openProbes(p.settings)
 }
@@ -131,6 +137,7 @@
 // compose adds this entry's work and quarantine records to a heartbeat.
 func (e *entry) compose(heartbeat *peerv1.Beat) {
 	e.composeWork(heartbeat)
+	e.composeStatements(heartbeat)
 	e.quarantine.compose(heartbeat)
 }
 
@@ -144,6 +151,22 @@
 	}
 }
 
+const (
+	// maxStatements is the most statements of targets in one heartbeat, statementSize the encoded
+	// size of one, statementReserve the space that they leave free.
+	maxStatements    = 16
+	statementSize    = 24
+	statementReserve = 200
+)
+
+// composeStatements adds what targets state about the load that they take.
+func (e *entry) composeStatements(heartbeat *peerv1.Beat) {
+	space := mesh.MaxDatagram - statementReserve - proto.Size(heartbeat)
+	if n := min(maxStatements, space/statementSize); n > 0 {
+		heartbeat.Statements = e.pushback.Announce(n, e.state.clock.Now())
+	}
+}
+
 const (
 	// announceDelay is how long changes are batched before they are announced to the other
 	// entries. announceDelayPerEntry is added for each live entry, because the number of
@@ -206,6 +229,7 @@
 		for _, p := range m.Heartbeat.Parts {
 			e.parts.Apply(parts.Update{Part: parts.Key(p.Part), Target: fleet.ID(p.Target), Done: p.Done}, now)
 		}
+		e.pushback.Merge(m.Heartbeat.Statements, m.Name, now)
 		e.quarantine.onHeartbeat(m)
 	}
 	e.applyCacheReport(m, now)
--- a/internal/gateway/forward/explain.go
+++ b/internal/gateway/forward/explain.go
@@ -57,6 +57,7 @@
 		Route: fl.routeName(), Service: fl.serviceName(), Estate: fl.estateVersion(), ListAge: fl.age(fl.view.TargetsCurrentAt),
 		Targets: fl.view.Targets[fl.service.Name],
 	}
+	fl.updateRestrictions()
 	dst, refusal := fl.choose(ctx)
 	x.Refusal = refusal
 	if dst != nil {
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -59,8 +59,10 @@
 	Parts    *parts.Index
 	Health   *health.Monitor
 	Reach    *reach.Monitor
-	// Pushback keeps what targets state about the load that they take.
-	Pushback *pushback.Registry
+	// Pushback keeps what targets state about the load that they take, TargetLimits shares their
+	// rate limits among the entries.
+	Pushback     *pushback.Registry
+	TargetLimits TargetLimits
 	// Quarantine tracks requests that were running when targets crashed; CrashDetector
 	// distinguishes crashes from other disconnects.
 	Quarantine    *quarantine.Registry
@@ -119,6 +121,12 @@
 	Resume()
 	// RateLimit records whether a request was admitted, and the source of the decision.
 	RateLimitDecision(source string, admitted bool)
+	// TargetLimitDecision records whether the rate limit of a target had room for a request, and
+	// the source of the decision.
+	TargetLimitDecision(source string, admitted bool)
+	// Detour records that a request was sent although a target that asked for fewer requests was
+	// passed over for it.
+	Detour(reason string)
 }
 
 // Forwarder is the HTTP handler that serves callers. Create it with New.
@@ -131,6 +139,7 @@
 	paces          *readtime.Slowdowns
 	turnover       parts.RetentionEstimator
 	callerTimeouts timeoutTracker
+	returns        returnSchedule
 	startedAt      time.Time
 }
 
@@ -198,6 +207,9 @@
 	totalWork map[fleet.ID]ledger.Work
 	// excluded targets are not tried again.
 	excluded map[fleet.Incarnation]bool
+	// restrictions are what targets have stated about the load that they take, as of the last
+	// placement.
+	restrictions restrictions
 	// lastEvent is the ID of the last event relayed. responseStarted is set once the caller
 	// has received a byte of the response.
 	lastEvent       string
@@ -400,6 +412,7 @@
 		}
 		if fl.delivered > 0 && !fl.retries.Spend() {
 			fl.endProbation(dst)
+			fl.refundAdmission(dst)
 			return fl.finalRefusal(lastRefusal, errkind.NewRetryAfter(errkind.Overloaded, fl.jitter(busyRetryAfter), "the retry budget is exhausted"))
 		}
 		fl.chargeRerun()
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -25,6 +25,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
+	"github.com/toucanwell/toucanwell/internal/gateway/ratelimit"
 	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
@@ -47,12 +48,23 @@
 func (noMetrics) Retry(string)                                {}
 func (noMetrics) Resume()                                     {}
 func (noMetrics) RateLimitDecision(string, bool)              {}
+func (noMetrics) TargetLimitDecision(string, bool)            {}
+func (noMetrics) Detour(string)                               {}
 
 type noStatements struct{}
 
 func (noStatements) RateLimitChanged(pushback.RateLimitChange)         {}
 func (noStatements) InvalidStatement(fleet.Incarnation, string, error) {}
 
+// unlimited admits all requests to targets.
+type unlimited struct{}
+
+func (unlimited) RefusedUntil(fleet.ID, float64) (time.Time, bool) { return time.Time{}, false }
+func (unlimited) Refund(fleet.ID, ratelimit.Decision)              {}
+func (unlimited) Admit(context.Context, TargetRequest) ratelimit.Decision {
+	return ratelimit.Decision{Admitted: true}
+}
+
 type noObserver struct{}
 
 func (noObserver) CrashAttributed(*quarantine.Record, quarantine.Crash, bool) {}
@@ -200,7 +212,7 @@
 	env.pool = upstream.NewPool(func() {})
 	env.Forwarder = New(Deps{
 		Protocol: wiretest.Protocol{}, View: func() (*view.View, bool) { return env.view, true }, Pool: env.pool,
-		Ledger: ledger.New(), Parts: parts.NewIndex(), Health: health.NewMonitor(nil), Reach: &reach.Monitor{}, Pushback: pushback.NewRegistry(noStatements{}),
+		Ledger: ledger.New(), Parts: parts.NewIndex(), Health: health.NewMonitor(nil), Reach: &reach.Monitor{}, Pushback: pushback.NewRegistry(noStatements{}), TargetLimits: unlimited{},
 		Quarantine: quarantine.NewRegistry(quarantine.Limits{MaxCrashes: 3, SuspectFor: time.Hour, RefuseFor: time.Hour, MaxRecords: 100}, noObserver{}),
 		CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return env.pool.ProbeListener(ctx, t.Address)
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -33,17 +33,23 @@
 // place chooses the target of the next send, and waits for one if necessary.
 func (fl *flow) place(ctx context.Context) (*destination, *errkind.Error) {
 	start := time.Now()
+	fl.restrictions.denials = 0
 	for {
 		v, ok := fl.View()
 		if ok {
 			fl.view = v
 		}
+		fl.updateRestrictions()
 		dst, refusal := fl.chooseForStatus(ctx)
 		if refusal != nil && (refusal.Kind != errkind.NoTarget || time.Since(start) > fl.placeWait()) {
 			return nil, refusal
 		}
 		if refusal == nil && (dst.probation || !fl.shouldAwaitParts(dst)) {
-			return dst, nil
+			if fl.admitAtTarget(ctx, dst) {
+				return dst, nil
+			}
+			fl.endProbation(dst)
+			continue
 		}
 		interval := placeInterval
 		if dst != nil && dst.probed {
@@ -127,10 +133,7 @@
 	targets := fl.view.Targets[fl.service.Name]
 	for i := range targets {
 		t := &targets[i]
-		if t.Leaving || fl.excluded[t.Incarnation] {
-			continue
-		}
-		if fl.mustAvoid(t) {
+		if t.Leaving || fl.excluded[t.Incarnation] || fl.mustAvoid(t) || fl.isRestrained(t) {
 			continue
 		}
 		if cost := fl.plainCost(t, totals[t.ID], ejected); cost < lowest {
@@ -138,6 +141,9 @@
 		}
 	}
 	if best < 0 {
+		if refusal := fl.throttledRefusal(); refusal != nil {
+			return nil, refusal
+		}
 		return nil, errkind.NewRetryAfter(errkind.NoTarget, fl.jitter(busyRetryAfter), "no target of %s", fl.service.Name)
 	}
 	dst := &destination{target: targets[best], work: ledger.Work{Running: 1}}
@@ -205,6 +211,9 @@
 // resolveChoice turns a placement choice into a destination or a refusal.
 func (fl *flow) resolveChoice(in *placement.Input, candidates []placement.Candidate, targets []fleet.Target, choice placement.Choice) (*destination, *errkind.Error) {
 	if choice.Index < 0 {
+		if refusal := fl.throttledRefusal(); refusal != nil {
+			return nil, refusal
+		}
 		return nil, errkind.NewRetryAfter(errkind.NoTarget, fl.jitter(fl.noEngineRetryAfter(in)), "no engine of %s can accept the request now", fl.service.Name)
 	}
 	if remaining := fl.firstEventTimeout(); choice.Estimate > remaining {
@@ -258,7 +267,7 @@
 		c := &candidates[i]
 		*c = placement.Candidate{
 			Address: t.Address, Hash: t.Hash, SameZone: t.Zone == fl.Zone,
-			Excluded: t.Leaving || fl.excluded[t.Incarnation] || fl.mustAvoid(t), Loading: fl.view.Phase(t) == weights.Loading, Draining: fl.view.Phase(t) == weights.Draining, Version: fl.view.Version(t, fl.request.Model),
+			Excluded: t.Leaving || fl.excluded[t.Incarnation] || fl.mustAvoid(t) || fl.isRestrained(t), Loading: fl.view.Phase(t) == weights.Loading, Draining: fl.view.Phase(t) == weights.Draining, Version: fl.view.Version(t, fl.request.Model),
 			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.ID],
 		}
 		c.LoadStartsIn, c.LoadScheduled = schedule[t.Incarnation]
--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -98,7 +98,7 @@
 	for i := range targets {
 		t := &targets[i]
 		_, isEjected := ejected[t.Incarnation]
-		ranked[i] = placement.RankedEngine{Hash: t.Hash, SameZone: t.Zone == fl.Zone, Excluded: t.Leaving || isEjected || t.Unconfirmed || fl.excluded[t.Incarnation] || fl.view.Unresponsive[t.Address]}
+		ranked[i] = placement.RankedEngine{Hash: t.Hash, SameZone: t.Zone == fl.Zone, Excluded: t.Leaving || isEjected || t.Unconfirmed || fl.excluded[t.Incarnation] || fl.view.Unresponsive[t.Address] || fl.isRestrained(t)}
 	}
 	return ranked
 }
@@ -163,7 +163,7 @@
 func (p *probeRound) candidate(i int) placement.Candidate {
 	fl, t, a := p.fl, &p.targets[i], &p.responses[i]
 	c := placement.Candidate{
-		Address: t.Address, Hash: t.Hash, SameZone: t.Zone == fl.Zone, Excluded: t.Leaving || fl.excluded[t.Incarnation] || fl.mustAvoid(t),
+		Address: t.Address, Hash: t.Hash, SameZone: t.Zone == fl.Zone, Excluded: t.Leaving || fl.excluded[t.Incarnation] || fl.mustAvoid(t) || fl.isRestrained(t),
 		Version: fl.view.Version(t, fl.request.Model), Slots: t.Slots, Memory: fl.service.Engine.CacheTokens,
 	}
 	if c.Slots == 0 {
--- a/internal/gateway/forward/pushback.go
+++ b/internal/gateway/forward/pushback.go
@@ -1,12 +1,73 @@
 package forward
 
 import (
+	"context"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
+	"github.com/toucanwell/toucanwell/internal/gateway/ratelimit"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire"
 )
 
+// TargetLimits shares the rate limits that targets state among all entries.
+type TargetLimits interface {
+	// RefusedUntil returns until when a target is known to take no request with a floor; ok is
+	// false if it may take one.
+	RefusedUntil(target fleet.ID, floor float64) (until time.Time, ok bool)
+	// Admit takes one request from a target's limit.
+	Admit(ctx context.Context, r TargetRequest) ratelimit.Decision
+	// Refund returns an admitted request that did not reach the target.
+	Refund(target fleet.ID, d ratelimit.Decision)
+}
+
+// TargetRequest asks for one request to a target that states a rate limit.
+type TargetRequest struct {
+	Target fleet.ID
+	// PerSecond is the stated limit.
+	PerSecond float64
+	// Floor is the share of the limit's burst that is left for requests of higher priority.
+	Floor float64
+	// IsRetry is set if the caller was probably refused before.
+	IsRetry bool
+}
+
+const (
+	// maxDenials is how many targets may refuse a request for lack of room within their limits
+	// before all others with a limit are passed over. Each refusal takes a round trip.
+	maxDenials = 3
+	// minThrottledRetry is the shortest retry delay for callers that are refused because all targets
+	// have asked for fewer requests.
+	minThrottledRetry = 50 * time.Millisecond
+	// priorityFloorStep is how much more of a target's burst is left for others with each lower
+	// rank of a request.
+	priorityFloorStep = 0.1
+	// maxAvoidedLogged bounds the targets that a log line names.
+	maxAvoidedLogged = 4
+)
+
+// restrictions are what targets have stated, as they apply to one placement.
+type restrictions struct {
+	rateLimits map[fleet.ID]float64
+	// denials counts the targets that had no room within their limits.
+	denials int
+	// avoided are the targets that were passed over, until each of them may have room.
+	avoided map[fleet.ID]avoidance
+}
+
+// avoidance is why and until when a target is passed over.
+type avoidance struct {
+	target fleet.Incarnation
+	reason string
+	until  time.Time
+}
+
+// Reasons for which targets are passed over, as they appear in logs and metrics.
+const reasonRateLimit = "rate_limit"
+
 // recordPushback records what a response to a request sent at sentAt states about the load that
 // its target takes.
 func (fl *flow) recordPushback(dst *destination, reply *wire.Reply, sentAt time.Time) {
@@ -14,3 +75,125 @@
 		Target: dst.target.ID, Incarnation: dst.target.Incarnation, Pushback: reply.Pushback, RequestID: fl.request.ID, SentAt: sentAt,
 	}, fl.Now())
 }
+
+// updateRestrictions takes what targets state now as the basis of the next choice.
+func (fl *flow) updateRestrictions() {
+	fl.restrictions.rateLimits, fl.restrictions.avoided = fl.Pushback.RateLimits(fl.Now()), nil
+}
+
+// isRestrained reports whether a target has asked for fewer requests and must be passed over now.
+func (fl *flow) isRestrained(t *fleet.Target) bool {
+	perSecond, limited := fl.restrictions.rateLimits[t.ID]
+	if !limited {
+		return false
+	}
+	until, refused := fl.limitedUntil(t, perSecond)
+	if refused {
+		fl.avoid(t, reasonRateLimit, until)
+	}
+	return refused
+}
+
+// limitedUntil returns until when a target with a rate limit has no room.
+func (fl *flow) limitedUntil(t *fleet.Target, perSecond float64) (time.Time, bool) {
+	if until, refused := fl.TargetLimits.RefusedUntil(t.ID, fl.priorityFloor()); refused {
+		return until, true
+	}
+	if fl.restrictions.denials < maxDenials {
+		return time.Time{}, false
+	}
+	return fl.Now().Add(time.Duration(float64(time.Second) / ratelimit.TargetLimit(perSecond).PerSecond)), true
+}
+
+func (fl *flow) avoid(t *fleet.Target, reason string, until time.Time) {
+	if fl.restrictions.avoided == nil {
+		fl.restrictions.avoided = map[fleet.ID]avoidance{}
+	}
+	fl.restrictions.avoided[t.ID] = avoidance{target: t.Incarnation, reason: reason, until: until}
+}
+
+// priorityFloor is the share of a target's burst that the request leaves for others of higher
+// priority.
+func (fl *flow) priorityFloor() float64 { return priorityFloorStep * float64(fl.priority(false)) }
+
+// admitAtTarget takes the request from the rate limit of its destination, if that has one, and
+// reports whether there was room.
+func (fl *flow) admitAtTarget(ctx context.Context, dst *destination) bool {
+	perSecond, limited := fl.restrictions.rateLimits[dst.target.ID]
+	if !limited {
+		return true
+	}
+	dst.admission = fl.TargetLimits.Admit(ctx, TargetRequest{Target: dst.target.ID, PerSecond: perSecond, Floor: fl.priorityFloor(), IsRetry: fl.isRetry})
+	fl.Metrics.TargetLimitDecision(string(dst.admission.Source), dst.admission.Admitted)
+	if !dst.admission.Admitted {
+		fl.restrictions.denials++
+	}
+	return dst.admission.Admitted
+}
+
+// refundAdmission returns a request that did not reach its target to the target's rate limit.
+func (fl *flow) refundAdmission(dst *destination) {
+	if dst.admission.Admitted {
+		fl.TargetLimits.Refund(dst.target.ID, dst.admission)
+		dst.admission = ratelimit.Decision{}
+	}
+}
+
+// throttledRefusal returns the refusal of a request for which all targets of its service have asked
+// for fewer requests, or nil if that is not why there is no target.
+func (fl *flow) throttledRefusal() *errkind.Error {
+	var earliest time.Time
+	rate := 0.0
+	targets := fl.view.Targets[fl.service.Name]
+	for i := range targets {
+		t := &targets[i]
+		if t.Leaving || fl.excluded[t.Incarnation] {
+			continue
+		}
+		a, avoided := fl.restrictions.avoided[t.ID]
+		if !avoided {
+			return nil
+		}
+		if earliest.IsZero() || a.until.Before(earliest) {
+			earliest = a.until
+		}
+		if perSecond, limited := fl.restrictions.rateLimits[t.ID]; limited {
+			rate += ratelimit.TargetLimit(perSecond).PerSecond
+		}
+	}
+	if earliest.IsZero() {
+		return nil
+	}
+	interval := time.Duration(float64(time.Second) * float64(max(fl.view.EntryCount, 1)) / max(rate, 1))
+	retryAfter := fl.returns.reserve(fl.service.Name, earliest, interval, fl.maxRetryDelay(), fl.Now())
+	return errkind.NewRetryAfter(errkind.Throttled, max(retryAfter, minThrottledRetry), "all targets of %s have asked for fewer requests: %s", fl.service.Name, fl.avoidedTargets())
+}
+
+// maxRetryDelay is the longest delay after which the caller retries.
+func (fl *flow) maxRetryDelay() time.Duration {
+	return time.Duration(maxWaitShare * float64(fl.timeLeft()))
+}
+
+// avoidedTargets lists some targets that were passed over, with the reasons.
+func (fl *flow) avoidedTargets() string {
+	var list []string
+	for _, a := range fl.restrictions.avoided {
+		if len(list) == maxAvoidedLogged {
+			list = append(list, "...")
+			break
+		}
+		list = append(list, a.target.String()+":"+a.reason)
+	}
+	return strings.Join(list, ",")
+}
+
+// avoidedReasons returns the distinct reasons for which targets were passed over.
+func (fl *flow) avoidedReasons() []string {
+	var reasons []string
+	for _, a := range fl.restrictions.avoided {
+		if !slices.Contains(reasons, a.reason) {
+			reasons = append(reasons, a.reason)
+		}
+	}
+	return reasons
+}
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -43,6 +43,7 @@
 		"list_age", fl.age(fl.view.TargetsCurrentAt), "listed", !dst.target.Unlisted, "asked", dst.probeCount, "report_age", age, "phase", phase.String(),
 		"weights", dst.weightsVersion, "wanted", fl.view.Wanted[fl.request.Model].Newest(),
 		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "family", familyName(dst), "answer", fl.request.MaxTokens, "held", dst.choice.CachedTokens, "fetched", dst.choice.FetchedTokens, "fetch_from", dst.fetchFrom, "save_to", dst.offloadTo,
+		"limit_decision", string(dst.admission.Source), "avoided", fl.avoidedTargets(),
 		"late", dst.choice.Late, "urgency", dst.choice.Priority, "wait", roundForLog(dst.choice.Wait), "read", roundForLog(dst.choice.Prefill), "fetch", roundForLog(dst.choice.Fetch),
 		"verdict", dst.quarantineStatus.Verdict.String(), "ends", dst.quarantineStatus.Crashes, "unconfirmed", dst.quarantineStatus.Unconfirmed, "patience", roundForLog(dst.maxWait), "kept", roundForLog(time.Since(fl.arrived)), "left", fl.timeLeft().Round(time.Millisecond))
 }
@@ -79,6 +80,9 @@
 
 // countSend counts the waiting time and the cached tokens of the first send.
 func (fl *flow) countSend(dst *destination) {
+	for _, reason := range fl.avoidedReasons() {
+		fl.Metrics.Detour(reason)
+	}
 	if fl.sends > 1 {
 		return
 	}
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -18,6 +18,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/placement"
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
+	"github.com/toucanwell/toucanwell/internal/gateway/ratelimit"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire"
 )
@@ -56,6 +57,8 @@
 	familyFirstSendID uint32
 	// slowdown is the factor by which the engine is slower than predicted; at least 1.
 	slowdown float64
+	// admission is the decision of the target's rate limit, if it has one.
+	admission ratelimit.Decision
 	// sendID identifies the send at the engine's sidecar.
 	sendID uint32
 	// maxWait is how long to wait for the first byte; zero means until the deadline.
@@ -233,6 +236,7 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		fl.runs--
 		fl.delivered--
+		fl.refundAdmission(dst)
 		if fl.service.Engine != nil {
 			fl.Reach.ConnectFailed(fl.Now())
 		}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -7,12 +7,14 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
 	"github.com/toucanwell/toucanwell/internal/gateway/ratelimit"
 )
 
-// limits enforces the rate limits of workspaces at an entry.
+// limits enforces the rate limits of workspaces and targets at an entry.
 type limits struct {
 	state   *clusterState
+	entry   *entry
 	limiter *ratelimit.Limiter
 	// port is the port on which all entries serve rate-limit leases.
 	port      uint16
@@ -30,18 +32,23 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "limits_listen")
 	}
-	l := &limits{state: p.state, port: address.Port(), startedAt: p.clock.Now(), seenIncarnations: map[netip.AddrPort]uint64{}}
-	l.limiter, err = ratelimit.Open(ratelimit.Options{Listen: address, Incarnation: p.incarnation, LimitOf: l.limitOf, Now: p.clock.Now})
+	l := &limits{state: p.state, entry: p.entry, port: address.Port(), startedAt: p.clock.Now(), seenIncarnations: map[netip.AddrPort]uint64{}}
+	l.limiter, err = ratelimit.Open(ratelimit.Options{
+		Listen: address, Incarnation: p.incarnation, LimitOf: l.limitOf, Stated: p.entry.statedLimit, Learn: p.entry.learnLimit, Now: p.clock.Now,
+	})
 	return l, err
 }
 
-// limitOf returns a workspace's limit in the current view.
-func (l *limits) limitOf(workspace string) ratelimit.Limit {
+// limitOf returns the limit of a target, or that of a workspace in the current view.
+func (l *limits) limitOf(key string) ratelimit.Limit {
+	if id, isTarget := pushback.IDFromKey(key); isTarget {
+		return l.entry.targetLimitOf(id)
+	}
 	v, ok := l.state.view.Get()
 	if !ok || v.Estate == nil {
 		return ratelimit.Limit{}
 	}
-	w := v.Estate.Workspace(workspace)
+	w := v.Estate.Workspace(key)
 	if w == nil {
 		return ratelimit.Limit{}
 	}
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -21,7 +21,8 @@
 	Hash uint64
 	// SameZone is set when the engine is in the entry's availability zone.
 	SameZone bool
-	// Excluded engines are never chosen: they are leaving or have failed this request.
+	// Excluded engines are never chosen: they are leaving, have failed this request or have asked
+	// for fewer requests.
 	Excluded bool
 	// Ejected engines failed recently or may be gone. They are a last resort.
 	Ejected bool
@@ -186,7 +187,7 @@
 func filter(in *Input, c *Candidate) string {
 	switch {
 	case c.Excluded:
-		return "is leaving or has failed this request"
+		return "is leaving, has failed this request or has asked for fewer requests"
 	case c.Loading:
 		return "is loading weights"
 	case c.StaleFor >= in.MaxStaleness-stalenessMargin:
--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strconv"
+
 	"github.com/go-logr/logr"
 
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
@@ -10,9 +12,9 @@
 
 // newPushback returns the registry of an entry's targets' statements, which logs and counts them.
 func newPushback(p *process) *pushback.Registry {
-	r := pushback.NewRegistry(&pushbackObserver{logger: p.logger, metrics: p.metrics})
+	r := pushback.NewRegistry(&pushbackObserver{logger: p.logger, metrics: p.metrics, state: p.state})
 	p.metrics.RegisterGauge("targets_limited", "Targets that state a rate limit in their responses.", func() float64 {
-		return float64(r.Limited(p.clock.Now()))
+		return float64(len(r.RateLimits(p.clock.Now())))
 	})
 	return r
 }
@@ -21,15 +23,34 @@
 type pushbackObserver struct {
 	logger  logr.Logger
 	metrics *metrics.Metrics
+	state   *clusterState
 }
 
 // RateLimitChanged implements pushback.Observer.
 func (o *pushbackObserver) RateLimitChanged(c pushback.RateLimitChange) {
+	target := o.name(c.Target, c.Incarnation)
 	if c.Now == pushback.None {
-		o.logger.Info("target_limit_ended", "target", c.Target, "before", c.Before, "request", c.RequestID)
+		o.logger.Info("target_limit_ended", "target", target, "before", c.Before, "request", c.Origin.RequestID, "peer", c.Origin.Peer)
 		return
 	}
-	o.logger.Info("target_limited", "target", c.Target, "per_second", c.Now, "before", c.Before, "request", c.RequestID)
+	o.logger.Info("target_limited", "target", target, "per_second", c.Now, "before", c.Before, "request", c.Origin.RequestID, "peer", c.Origin.Peer)
+}
+
+// name returns the incarnation with an ID, which peers do not announce.
+func (o *pushbackObserver) name(id fleet.ID, incarnation fleet.Incarnation) string {
+	if incarnation.Instance != "" {
+		return incarnation.String()
+	}
+	if v, ok := o.state.view.Get(); ok {
+		for _, targets := range v.Targets {
+			for i := range targets {
+				if targets[i].ID == id {
+					return targets[i].Incarnation.String()
+				}
+			}
+		}
+	}
+	return "id:" + strconv.FormatUint(uint64(id), 16)
 }
 
 // InvalidStatement implements pushback.Observer.
--- a/internal/gateway/pushback/ratelimit.go
+++ b/internal/gateway/pushback/ratelimit.go
@@ -6,7 +6,8 @@
 type rateLimit struct {
 	// perSecond is the limit in requests per second, None for no limit.
 	perSecond float64
-	// at is when it was last stated or ended.
+	// at is when the limit was last stated or, without a limit, a time from which on none is
+	// stated.
 	at time.Time
 	// reported is the value last reported to the observer, at reportedAt.
 	reported   float64
@@ -18,9 +19,16 @@
 
 // endIfOlder records that a response has stated no limit. The response is newer than the limit only
 // if its request was sent after the limit had been stated.
-func (l *rateLimit) endIfOlder(sentAt, now time.Time) {
+func (l *rateLimit) endIfOlder(sentAt time.Time) {
 	if l.perSecond != None && sentAt.After(l.at) {
-		l.perSecond, l.at = None, now
+		l.perSecond, l.at = None, sentAt
+	}
+}
+
+// merge applies what another entry knows, if that is newer.
+func (l *rateLimit) merge(perSecond float64, at time.Time) {
+	if at.After(l.at) {
+		l.perSecond, l.at = perSecond, at
 	}
 }
 
--- a/internal/gateway/pushback/ratelimit_test.go
+++ b/internal/gateway/pushback/ratelimit_test.go
@@ -16,7 +16,7 @@
 type recorder struct{ events []string }
 
 func (r *recorder) RateLimitChanged(c RateLimitChange) {
-	r.events = append(r.events, fmt.Sprintf("%s %g to %g by %s", c.Target, c.Before, c.Now, c.RequestID))
+	r.events = append(r.events, fmt.Sprintf("%s %g to %g by %s", c.Incarnation, c.Before, c.Now, c.Origin.RequestID+c.Origin.Peer))
 }
 
 func (r *recorder) InvalidStatement(target fleet.Incarnation, requestID string, err error) {
@@ -41,6 +41,8 @@
 		start.Add(time.Duration(ms)*time.Millisecond))
 }
 
+func limited(r *responses, now time.Time) int { return len(r.RateLimits(now)) }
+
 func limit(perSecond float64) wire.Pushback {
 	return wire.Pushback{RateLimit: perSecond, HasRateLimit: true}
 }
@@ -52,11 +54,11 @@
 	r.at(100, 50, wire.Pushback{})
 	r.at(200, 150, limit(2))
 	r.at(300, 180, wire.Pushback{}) // sent before the limit was known
-	if n := r.Limited(start.Add(300 * time.Millisecond)); n != 1 {
+	if n := limited(r, start.Add(300*time.Millisecond)); n != 1 {
 		t.Errorf("%d targets limited after a late response", n)
 	}
 	r.at(400, 250, wire.Pushback{})
-	if n := r.Limited(start.Add(400 * time.Millisecond)); n != 0 {
+	if n := limited(r, start.Add(400*time.Millisecond)); n != 0 {
 		t.Errorf("%d targets limited after a response without a limit", n)
 	}
 	want := "[t -1 to 2 by 200 t 2 to -1 by 400]"
@@ -88,7 +90,7 @@
 	r := newResponses()
 	r.at(100, 50, limit(2))
 	r.at(200, 150, wire.Pushback{Invalid: errors.New("x")})
-	if n := r.Limited(start.Add(200 * time.Millisecond)); n != 1 {
+	if n := limited(r, start.Add(200*time.Millisecond)); n != 1 {
 		t.Errorf("%d targets limited", n)
 	}
 }
@@ -103,7 +105,7 @@
 	if n := len(r.targets); n > maxTargets {
 		t.Errorf("%d records", n)
 	}
-	if n := r.Limited(start.Add(3 * maxTargets * 100 * time.Millisecond)); n == 0 {
+	if n := limited(r, start.Add(3*maxTargets*100*time.Millisecond)); n == 0 {
 		t.Error("the newest statements were dropped")
 	}
 }
--- a/internal/gateway/pushback/registry.go
+++ b/internal/gateway/pushback/registry.go
@@ -1,11 +1,13 @@
 // Package pushback keeps what targets state in their responses about the load that they take.
 //
 // A statement belongs to one incarnation of a target: a successor at the same address or with the
-// same name starts without it.
+// same name starts without it. Entries announce statements to each other, since each of them gets
+// only some of a target's responses.
 package pushback
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
@@ -34,6 +36,14 @@
 	SentAt time.Time
 }
 
+// Origin is where a process has learned a statement from.
+type Origin struct {
+	// RequestID is the request whose response stated it; empty if another entry announced it.
+	RequestID string
+	// Peer is the entry that announced it; empty if this process received the response.
+	Peer string
+}
+
 // Observer is notified of statements. It is called with the registry's lock held and must not call
 // the registry.
 type Observer interface {
@@ -45,11 +55,12 @@
 
 // RateLimitChange is a change of a target's rate limit.
 type RateLimitChange struct {
-	Target fleet.Incarnation
+	Target fleet.ID
+	// Incarnation is zero if this process has received no response of the target.
+	Incarnation fleet.Incarnation
 	// Before and Now are the limits in requests per second, None for no limit.
 	Before, Now float64
-	// RequestID is the request whose response stated it.
-	RequestID string
+	Origin      Origin
 }
 
 // None is the rate limit of a target that states none.
@@ -57,6 +68,8 @@
 
 // Registry keeps the statements of targets. It is safe for concurrent use.
 type Registry struct {
+	// size is the number of records, for a quick look without the lock.
+	size     atomic.Int64
 	mu       sync.Mutex
 	targets  map[fleet.ID]*target
 	observer Observer
@@ -68,6 +81,7 @@
 	limit       rateLimit
 	// invalidLoggedAt is when an invalid statement was last reported.
 	invalidLoggedAt time.Time
+	announcements   announcements
 }
 
 // NewRegistry returns a registry without statements.
@@ -78,6 +92,9 @@
 // Record records what a response states.
 func (r *Registry) Record(resp Response, now time.Time) {
 	p := &resp.Pushback
+	if r.size.Load() == 0 && !p.HasRateLimit && p.Invalid == nil {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.targets[resp.Target]
@@ -85,10 +102,11 @@
 		if !p.HasRateLimit && p.Invalid == nil {
 			return
 		}
-		if t = r.add(&resp, now); t == nil {
+		if t = r.add(resp.Target, now); t == nil {
 			return
 		}
 	}
+	t.incarnation = resp.Incarnation
 	if p.Invalid != nil {
 		r.reportInvalid(t, &resp, now)
 		return
@@ -96,31 +114,33 @@
 	if p.HasRateLimit {
 		t.limit.state(p.RateLimit, now)
 	} else {
-		t.limit.endIfOlder(resp.SentAt, now)
+		t.limit.endIfOlder(resp.SentAt)
 	}
-	r.reportRateLimit(t, resp.RequestID, now)
+	r.reportRateLimit(resp.Target, t, Origin{RequestID: resp.RequestID}, now)
 }
 
 // add returns a new record; nil if there are too many.
-func (r *Registry) add(resp *Response, now time.Time) *target {
+func (r *Registry) add(id fleet.ID, now time.Time) *target {
 	if len(r.targets) >= maxTargets {
 		r.expire(now)
 	}
 	if len(r.targets) >= maxTargets {
 		return nil
 	}
-	t := &target{incarnation: resp.Incarnation, limit: rateLimit{perSecond: None, reported: None}}
-	r.targets[resp.Target] = t
+	t := &target{limit: rateLimit{perSecond: None, reported: None}}
+	r.targets[id] = t
+	r.size.Store(int64(len(r.targets)))
 	return t
 }
 
-// expire removes the records of targets that no response has mentioned for statementTTL.
+// expire removes the records without a recent statement.
 func (r *Registry) expire(now time.Time) {
 	for id, t := range r.targets {
 		if now.Sub(t.limit.at) > statementTTL && now.Sub(t.invalidLoggedAt) > logInterval {
 			delete(r.targets, id)
 		}
 	}
+	r.size.Store(int64(len(r.targets)))
 }
 
 func (r *Registry) reportInvalid(t *target, resp *Response, now time.Time) {
@@ -133,26 +153,49 @@
 
 // reportRateLimit reports that a limit begins or ends, and other changes of its value at most once
 // per logInterval.
-func (r *Registry) reportRateLimit(t *target, requestID string, now time.Time) {
+func (r *Registry) reportRateLimit(id fleet.ID, t *target, origin Origin, now time.Time) {
 	l := &t.limit
 	beginsOrEnds := (l.perSecond == None) != (l.reported == None)
 	if l.perSecond == l.reported || !beginsOrEnds && now.Sub(l.reportedAt) < logInterval {
 		return
 	}
-	change := RateLimitChange{Target: t.incarnation, Before: l.reported, Now: l.perSecond, RequestID: requestID}
+	change := RateLimitChange{Target: id, Incarnation: t.incarnation, Before: l.reported, Now: l.perSecond, Origin: origin}
 	l.reported, l.reportedAt = l.perSecond, now
+	t.announcements.restart()
 	r.observer.RateLimitChanged(change)
 }
 
-// Limited returns the number of targets that state a limit.
-func (r *Registry) Limited(now time.Time) int {
+// RateLimit returns the rate limit that a target states, in requests per second, and when it was
+// last stated; ok is false if it states none.
+func (r *Registry) RateLimit(id fleet.ID, now time.Time) (perSecond float64, statedAt time.Time, ok bool) {
+	if r.size.Load() == 0 {
+		return 0, time.Time{}, false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := 0
-	for _, t := range r.targets {
-		if _, ok := t.limit.inForce(now); ok {
-			n++
+	t := r.targets[id]
+	if t == nil {
+		return 0, time.Time{}, false
+	}
+	perSecond, ok = t.limit.inForce(now)
+	return perSecond, t.limit.at, ok
+}
+
+// RateLimits returns the rate limits in force, in requests per second; nil if there are none.
+func (r *Registry) RateLimits(now time.Time) map[fleet.ID]float64 {
+	if r.size.Load() == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var limits map[fleet.ID]float64
+	for id, t := range r.targets {
+		if perSecond, ok := t.limit.inForce(now); ok {
+			if limits == nil {
+				limits = map[fleet.ID]float64{}
+			}
+			limits[id] = perSecond
 		}
 	}
-	return n
+	return limits
 }
--- a/internal/gateway/ratelimit/coordinator.go
+++ b/internal/gateway/ratelimit/coordinator.go
@@ -53,6 +53,9 @@
 	IsRetry bool
 	// MaxWait is the longest time after which the caller would retry.
 	MaxWait time.Duration
+	// Floor is the share of the bucket's capacity that must be left for the waiting request to be
+	// admitted. It leaves the last tokens to requests of a higher priority.
+	Floor float64
 }
 
 // LeaseResponse is the coordinator's response to a LeaseRequest.
@@ -172,9 +175,9 @@
 // A request is admitted if the bucket holds anything at all, and may leave it below zero.
 // Requests larger than the burst are therefore served, and wait no longer than small ones.
 func (b *bucket) admit(req LeaseRequest, limit Limit, now time.Time) (bool, time.Duration) {
-	floor := 0.0
+	floor := req.Floor * limit.capacity()
 	if !req.IsRetry && now.Sub(b.refusedAt) < retryReserveTime {
-		floor = retryReserve * limit.capacity()
+		floor = math.Max(floor, retryReserve*limit.capacity())
 	}
 	if b.level > floor {
 		b.level -= req.RequestCost
--- a/internal/gateway/ratelimit/credit.go
+++ b/internal/gateway/ratelimit/credit.go
@@ -21,6 +21,8 @@
 	// refusalCacheTime bounds how long a coordinator's refusal also applies to other callers
 	// without another request.
 	refusalCacheTime = 100 * time.Millisecond
+	// alternativeCacheTime is the same for requests that can go elsewhere.
+	alternativeCacheTime = time.Second
 )
 
 // credit is the tokens that an entry holds of one bucket, with their use and the demand. All
@@ -40,8 +42,9 @@
 	demand   float64
 	demandAt time.Time
 	// refusedUntil is until when callers that do not retry are refused without a request;
-	// retryAt is when such a caller would be admitted.
+	// retryAt is when such a caller would be admitted. Both apply to floors from refusedFloor on.
 	refusedUntil, retryAt time.Time
+	refusedFloor          float64
 	// requestedAt is the time of the last lease request, lastUsedAt of the last caller's
 	// request.
 	requestedAt, lastUsedAt time.Time
@@ -136,6 +139,11 @@
 }
 
 // recordRefusal records that a request was refused and would be admitted after a delay.
-func (c *credit) recordRefusal(retryDelay time.Duration, now time.Time) {
-	c.refusedUntil, c.retryAt = now.Add(min(retryDelay, refusalCacheTime)), now.Add(retryDelay)
+func (c *credit) recordRefusal(floor float64, retryDelay, cacheTime time.Duration, now time.Time) {
+	c.refusedUntil, c.retryAt, c.refusedFloor = now.Add(min(retryDelay, cacheTime)), now.Add(retryDelay), floor
+}
+
+// isRefused reports whether a request with a floor is refused without asking the coordinator.
+func (c *credit) isRefused(floor float64, now time.Time) bool {
+	return now.Before(c.refusedUntil) && floor >= c.refusedFloor
 }
--- a/internal/gateway/ratelimit/exchange.go
+++ b/internal/gateway/ratelimit/exchange.go
@@ -18,7 +18,7 @@
 	defer l.mu.Unlock()
 	l.lastID++
 	req := l.credit(r.Key).newRequest(l.lastID, r.Cost, now)
-	req.IsRetry, req.MaxWait = r.IsRetry, r.MaxWait
+	req.IsRetry, req.MaxWait, req.Floor = r.IsRetry, r.MaxWait, r.Floor
 	return req
 }
 
@@ -134,7 +134,13 @@
 }
 
 func (l *Limiter) sendRequest(to netip.AddrPort, key string, req LeaseRequest, fallback bool) {
-	l.send(to, &peerv1.RateMessage{Id: req.ID, Incarnation: l.options.Incarnation, Key: key, Ask: encodeRequest(req, fallback)})
+	ask := encodeRequest(req, fallback)
+	if l.options.Stated != nil {
+		if s, ok := l.options.Stated(key); ok {
+			ask.Stated = EncodeStatedLimit(s)
+		}
+	}
+	l.send(to, &peerv1.RateMessage{Id: req.ID, Incarnation: l.options.Incarnation, Key: key, Ask: ask})
 }
 
 func (l *Limiter) send(to netip.AddrPort, m *peerv1.RateMessage) {
@@ -163,6 +169,9 @@
 	l.mu.Unlock()
 	switch {
 	case m.Ask != nil:
+		if m.Ask.Stated != nil && l.options.Learn != nil {
+			l.options.Learn(m.Key, DecodeStatedLimit(m.Ask.Stated), from)
+		}
 		resp, ok := l.handleRequest(m.Key, Holder{Address: from, Incarnation: m.Incarnation}, decodeRequest(m.Id, m.Ask), m.Ask.InPlace, now)
 		out := encodeResponse(resp)
 		out.NotMine = !ok
--- a/internal/gateway/ratelimit/fleet_test.go
+++ b/internal/gateway/ratelimit/fleet_test.go
@@ -43,7 +43,9 @@
 	// cut reports whether two entries are partitioned from each other.
 	cut   func(a, b int) bool
 	start time.Time
-	used  []use
+	// hasAlternative is set if refused requests go elsewhere instead of coming back.
+	hasAlternative bool
+	used           []use
 	// refused counts refused requests, requests all of them.
 	refused, requests int
 	// lastRefused is when the last refused request arrived.
@@ -230,7 +232,7 @@
 		return
 	}
 	f.requests++
-	l, r := e.limiter, Request{Key: "w", Limit: e.limit, Cost: cost, MaxWait: maxWait}
+	l, r := e.limiter, Request{Key: "w", Limit: e.limit, Cost: cost, MaxWait: maxWait, HasAlternative: f.hasAlternative}
 	f.mu.Unlock()
 	arrived := time.Since(f.start)
 	f.tasks.Go(func() {
@@ -245,7 +247,7 @@
 				f.mu.Unlock()
 				return
 			}
-			if d.RetryAfter > maxWait {
+			if d.RetryAfter > maxWait || r.HasAlternative {
 				break
 			}
 			time.Sleep(d.RetryAfter)
--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -53,10 +53,23 @@
 	Incarnation uint64
 	// LimitOf returns a bucket's current limit.
 	LimitOf func(key string) Limit
+	// Stated returns the limit that a bucket's target has stated, and Learn is called with what
+	// another entry knows of that. The coordinator may not have received a response of the target
+	// itself. Both are nil if there are no buckets of targets.
+	Stated func(key string) (StatedLimit, bool)
+	Learn  func(key string, s StatedLimit, from netip.AddrPort)
 	// Now is a clock that includes time that the host was suspended.
 	Now func() time.Time
 }
 
+// StatedLimit is the rate limit that a target has stated in a response.
+type StatedLimit struct {
+	// PerSecond is the number of requests per second.
+	PerSecond float64
+	// Age is the time since the statement.
+	Age time.Duration
+}
+
 // Limiter admits the requests of one entry's callers, and coordinates the buckets for which
 // the entry has the highest rank. It is safe for concurrent use.
 type Limiter struct {
@@ -138,6 +151,19 @@
 	// after which it would retry.
 	IsRetry bool
 	MaxWait time.Duration
+	// Floor is the share of the bucket's capacity that must be left for the request.
+	Floor float64
+	// HasAlternative is set if a refused request can go elsewhere. It does not wait for tokens, and
+	// its refusal applies for longer to others.
+	HasAlternative bool
+}
+
+// refusalCacheTime returns how long a refusal of the request applies to others at most.
+func (r *Request) refusalCacheTime() time.Duration {
+	if r.HasAlternative {
+		return alternativeCacheTime
+	}
+	return refusalCacheTime
 }
 
 // Source identifies who decided on a request.
@@ -196,7 +222,7 @@
 		}
 		return Decision{Admitted: true, Source: Leased, expiresAt: now.Add(leaseDuration / 2)}
 	}
-	if !r.IsRetry && now.Before(c.refusedUntil) {
+	if !r.IsRetry && c.isRefused(r.Floor, now) {
 		return Decision{Source: CachedRefusal, RetryAfter: max(c.retryAt.Sub(now), minRetryDelay)}
 	}
 	return Decision{}
@@ -246,7 +272,7 @@
 // waitOrDecide returns the decision for a response. If the retry delay is short it waits and
 // retries once on the caller's behalf.
 func (l *Limiter) waitOrDecide(ctx context.Context, r Request, resp LeaseResponse, from netip.AddrPort, source Source) Decision {
-	if resp.Admitted || resp.RetryDelay > maxLocalWait || !sleep.For(ctx, resp.RetryDelay) {
+	if resp.Admitted || r.HasAlternative || resp.RetryDelay > maxLocalWait || !sleep.For(ctx, resp.RetryDelay) {
 		return l.decide(r, resp, source)
 	}
 	r.IsRetry = true
@@ -261,12 +287,25 @@
 func (l *Limiter) decide(r Request, resp LeaseResponse, source Source) Decision {
 	if !resp.Admitted {
 		l.mu.Lock()
-		l.credit(r.Key).recordRefusal(resp.RetryDelay, l.options.Now())
+		l.credit(r.Key).recordRefusal(r.Floor, resp.RetryDelay, r.refusalCacheTime(), l.options.Now())
 		l.mu.Unlock()
 	}
 	return Decision{Admitted: resp.Admitted, Source: source, Level: resp.Level, RetryAfter: resp.RetryDelay}
 }
 
+// RefusedUntil returns until when a request with a floor would be refused without asking the
+// bucket's coordinator; ok is false if it may be admitted.
+func (l *Limiter) RefusedUntil(key string, floor float64) (until time.Time, ok bool) {
+	now := l.options.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.credits[key]
+	if c == nil || !c.isRefused(floor, now) || c.available(now) >= 1 {
+		return time.Time{}, false
+	}
+	return c.retryAt, true
+}
+
 // Refund returns the cost of an admitted request that did not run.
 func (l *Limiter) Refund(r Request, d Decision) {
 	if !d.Admitted {
--- a/internal/gateway/ratelimit/message.go
+++ b/internal/gateway/ratelimit/message.go
@@ -27,17 +27,57 @@
 	return min(time.Duration(ms)*time.Millisecond, maxRetryDelay)
 }
 
+// maxStatedLimit bounds the limits that targets state, in requests per second. Higher ones restrict
+// nothing.
+const maxStatedLimit = 1e6
+
+// maxStatementAge bounds the ages of statements in a message.
+const maxStatementAge = time.Hour
+
+// statementAgeUnit is the resolution of a statement's age. Rounding up makes up for the time that a
+// message takes to arrive: an age never falls on its way.
+const statementAgeUnit = 10 * time.Millisecond
+
+// EncodeAge returns the age of a statement in a message, in milliseconds.
+func EncodeAge(age time.Duration) uint32 {
+	units := (min(max(age, 0), maxStatementAge) + statementAgeUnit - 1) / statementAgeUnit
+	return uint32(units * statementAgeUnit / time.Millisecond)
+}
+
+// DecodeAge returns the age of a statement.
+func DecodeAge(ms uint32) time.Duration {
+	return min(time.Duration(ms)*time.Millisecond, maxStatementAge)
+}
+
+// EncodeStatedLimit returns the message of a target's stated limit.
+func EncodeStatedLimit(s StatedLimit) *peerv1.StatedLimit {
+	return &peerv1.StatedLimit{MilliPerSecond: uint64(math.Min(s.PerSecond, maxStatedLimit) * 1000), AgeMs: EncodeAge(s.Age)}
+}
+
+// DecodeStatedLimit returns the stated limit of a message.
+func DecodeStatedLimit(m *peerv1.StatedLimit) StatedLimit {
+	return StatedLimit{PerSecond: math.Min(float64(m.MilliPerSecond)/1000, maxStatedLimit), Age: DecodeAge(m.AgeMs)}
+}
+
+// maxFloor bounds the floor of a request, of which one permille is one unit of the message.
+const maxFloor = 0.9
+
+func encodeFloor(floor float64) uint32 { return uint32(math.Min(math.Max(floor, 0), maxFloor) * 1000) }
+
+func decodeFloor(permille uint32) float64 { return math.Min(float64(permille)/1000, maxFloor) }
+
 func encodeRequest(r LeaseRequest, fallback bool) *peerv1.RateAsk {
 	return &peerv1.RateAsk{
 		Need: encodeTokens(r.RequestCost), Want: encodeTokens(r.Ahead), Spent: encodeTokens(r.Spent), Returned: encodeTokens(r.Refunded), Extra: encodeTokens(r.Overdraft),
 		ComesBack: r.IsRetry, PatienceMs: encodeMs(r.MaxWait), InPlace: fallback,
+		FloorPermille: encodeFloor(r.Floor),
 	}
 }
 
 func decodeRequest(id uint32, m *peerv1.RateAsk) LeaseRequest {
 	return LeaseRequest{
 		ID: id, RequestCost: decodeTokens(m.Need), Ahead: decodeTokens(m.Want), Spent: decodeTokens(m.Spent), Refunded: decodeTokens(m.Returned), Overdraft: decodeTokens(m.Extra),
-		IsRetry: m.ComesBack, MaxWait: decodeMs(m.PatienceMs),
+		IsRetry: m.ComesBack, MaxWait: decodeMs(m.PatienceMs), Floor: decodeFloor(m.FloorPermille),
 	}
 }
 
--- a/internal/gateway/wire/wiretest/wiretest.go
+++ b/internal/gateway/wire/wiretest/wiretest.go
@@ -29,6 +29,7 @@
 	FetchFrom   = "Test-Fetch"
 	OffloadTo   = "Test-Save"
 	Priority    = "Test-Urgency"
+	RateLimit   = "Test-Rate-Limit"
 )
 
 // Protocol implements wire.Protocol.
@@ -84,10 +85,15 @@
 
 // ReadReply implements wire.Protocol.
 func (Protocol) ReadReply(status int, h http.Header) wire.Reply {
-	return wire.Reply{
+	reply := wire.Reply{
 		ID: h.Get(ID), Sealed: h.Get(Seal) != "", Instance: h.Get(Instance), Encoded: h.Get("Content-Encoding") != "",
 		NotRun: h.Get(NotRun) != "" || status == http.StatusMisdirectedRequest,
 	}
+	if text := h.Get(RateLimit); text != "" {
+		reply.Pushback.HasRateLimit = true
+		reply.Pushback.RateLimit, reply.Pushback.Invalid = strconv.ParseFloat(text, 64)
+	}
+	return reply
 }
 
 // WriteReply implements wire.Protocol.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,6 +36,8 @@
 	evictedSuspects    prometheus.Counter
 	rateLimitDecisions *prometheus.CounterVec
 	invalidStatements  prometheus.Counter
+	targetLimits       *prometheus.CounterVec
+	detours            *prometheus.CounterVec
 }
 
 var ttftBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.62, 1, 2, 4, 8, 16, 32}
@@ -76,6 +78,8 @@
 		evictedSuspects:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "suspects_evicted_total", Help: "Quarantine records evicted because the registry was full."}),
 		rateLimitDecisions: counter("rate_limit_decisions_total", "Rate limit decisions, by source and outcome.", "source", "outcome"),
 		invalidStatements:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_statements_refused_total", Help: "Statements of targets about their load that could not be used."}),
+		targetLimits:       counter("target_limit_decisions_total", "Decisions of the rate limits that targets state, by source and outcome.", "source", "outcome"),
+		detours:            counter("detours_total", "Sends for which a target was passed over that had asked for fewer requests, by reason.", "reason"),
 		weightsOrders:      counter("weights_orders_total", "Orders to load weights, by outcome.", "outcome"),
 		queueWaiting:       gauge("queue_waiting", "Requests waiting at this sidecar."),
 		queueRunning:       gauge("queue_running", "Requests running at this sidecar's target."),
@@ -85,7 +89,7 @@
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.recomputedTokens,
 		m.retries, m.resumes, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
-		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.invalidStatements)
+		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.invalidStatements, m.targetLimits, m.detours)
 	return m
 }
 
@@ -125,13 +129,24 @@
 
 // RateLimitDecision counts the decision on a request of a rate-limited workspace.
 func (m *Metrics) RateLimitDecision(source string, admitted bool) {
-	outcome := "refused"
+	m.rateLimitDecisions.WithLabelValues(source, admission(admitted)).Inc()
+}
+
+// TargetLimitDecision counts a decision of the rate limit that a target states.
+func (m *Metrics) TargetLimitDecision(source string, admitted bool) {
+	m.targetLimits.WithLabelValues(source, admission(admitted)).Inc()
+}
+
+func admission(admitted bool) string {
 	if admitted {
-		outcome = "admitted"
+		return "admitted"
 	}
-	m.rateLimitDecisions.WithLabelValues(source, outcome).Inc()
+	return "refused"
 }
 
+// Detour counts a send for which a target was passed over that had asked for fewer requests.
+func (m *Metrics) Detour(reason string) { m.detours.WithLabelValues(reason).Inc() }
+
 // Resume counts a resumed stream.
 func (m *Metrics) Resume() { m.resumes.Inc() }
 
