Limited targets leave room for higher priorities and for callers that were sent away

Cause: with all targets of a service limited, the part of a bucket that lower priorities left was a fraction of a token, so that an urgent request found the bucket empty, and a caller that came back at its time competed with all new ones. Change: the reserve counts whole requests, one for each higher priority and one for callers that are due to come back; a target's bucket holds two requests more than a second of its rate.

--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -59,8 +59,8 @@
 // unlimited admits all requests to targets.
 type unlimited struct{}
 
-func (unlimited) RefusedUntil(fleet.ID, float64) (time.Time, bool) { return time.Time{}, false }
-func (unlimited) Refund(fleet.ID, ratelimit.Decision)              {}
+func (unlimited) RefusedUntil(TargetRequest) (time.Time, bool) { return time.Time{}, false }
+func (unlimited) Refund(fleet.ID, ratelimit.Decision)          {}
 func (unlimited) Admit(context.Context, TargetRequest) ratelimit.Decision {
 	return ratelimit.Decision{Admitted: true}
 }
--- a/internal/gateway/forward/pushback.go
+++ b/internal/gateway/forward/pushback.go
@@ -15,9 +15,9 @@
 
 // TargetLimits shares the rate limits that targets state among all entries.
 type TargetLimits interface {
-	// RefusedUntil returns until when a target is known to take no request with a floor; ok is
-	// false if it may take one.
-	RefusedUntil(target fleet.ID, floor float64) (until time.Time, ok bool)
+	// RefusedUntil returns until when a target is known to have no room for a request; ok is false
+	// if it may have.
+	RefusedUntil(r TargetRequest) (until time.Time, ok bool)
 	// Admit takes one request from a target's limit.
 	Admit(ctx context.Context, r TargetRequest) ratelimit.Decision
 	// Refund returns an admitted request that did not reach the target.
@@ -29,8 +29,9 @@
 	Target fleet.ID
 	// PerSecond is the stated limit.
 	PerSecond float64
-	// Floor is the share of the limit's burst that is left for requests of higher priority.
-	Floor float64
+	// Reserve is the number of requests for which room must be left: for those that precede this
+	// one.
+	Reserve int
 	// IsRetry is set if the caller was probably refused before.
 	IsRetry bool
 }
@@ -42,9 +43,6 @@
 	// minThrottledRetry is the shortest retry delay for callers that are refused because all targets
 	// have asked for fewer requests.
 	minThrottledRetry = 50 * time.Millisecond
-	// priorityFloorStep is how much more of a target's burst is left for others with each lower
-	// rank of a request.
-	priorityFloorStep = 0.1
 	// maxAvoidedLogged bounds the targets that a log line names.
 	maxAvoidedLogged = 4
 )
@@ -87,7 +85,7 @@
 	if !limited {
 		return false
 	}
-	until, refused := fl.limitedUntil(t, perSecond)
+	until, refused := fl.limitedUntil(fl.targetRequest(t.ID, perSecond))
 	if refused {
 		fl.avoid(t, reasonRateLimit, until)
 	}
@@ -95,14 +93,14 @@
 }
 
 // limitedUntil returns until when a target with a rate limit has no room.
-func (fl *flow) limitedUntil(t *fleet.Target, perSecond float64) (time.Time, bool) {
-	if until, refused := fl.TargetLimits.RefusedUntil(t.ID, fl.priorityFloor()); refused {
+func (fl *flow) limitedUntil(r TargetRequest) (time.Time, bool) {
+	if until, refused := fl.TargetLimits.RefusedUntil(r); refused {
 		return until, true
 	}
 	if fl.restrictions.denials < maxDenials {
 		return time.Time{}, false
 	}
-	return fl.Now().Add(time.Duration(float64(time.Second) / ratelimit.TargetLimit(perSecond).PerSecond)), true
+	return fl.Now().Add(time.Duration(float64(time.Second) / ratelimit.TargetLimit(r.PerSecond).PerSecond)), true
 }
 
 func (fl *flow) avoid(t *fleet.Target, reason string, until time.Time) {
@@ -112,9 +110,15 @@
 	fl.restrictions.avoided[t.ID] = avoidance{target: t.Incarnation, reason: reason, until: until}
 }
 
-// priorityFloor is the share of a target's burst that the request leaves for others of higher
-// priority.
-func (fl *flow) priorityFloor() float64 { return priorityFloorStep * float64(fl.priority(false)) }
+// targetRequest returns the question whether a target has room for the request. Room is left for
+// requests of each higher priority, and for callers that were refused and are due to come back.
+func (fl *flow) targetRequest(target fleet.ID, perSecond float64) TargetRequest {
+	r := TargetRequest{Target: target, PerSecond: perSecond, Reserve: fl.priority(false), IsRetry: fl.isRetry}
+	if !fl.isRetry && fl.returns.pending(fl.service.Name, fl.Now()) {
+		r.Reserve++
+	}
+	return r
+}
 
 // admitAtTarget takes the request from the rate limit of its destination, if that has one, and
 // reports whether there was room.
@@ -123,7 +127,7 @@
 	if !limited {
 		return true
 	}
-	dst.admission = fl.TargetLimits.Admit(ctx, TargetRequest{Target: dst.target.ID, PerSecond: perSecond, Floor: fl.priorityFloor(), IsRetry: fl.isRetry})
+	dst.admission = fl.TargetLimits.Admit(ctx, fl.targetRequest(dst.target.ID, perSecond))
 	fl.Metrics.TargetLimitDecision(string(dst.admission.Source), dst.admission.Admitted)
 	if !dst.admission.Admitted {
 		fl.restrictions.denials++
--- a/internal/gateway/forward/pushback_test.go
+++ b/internal/gateway/forward/pushback_test.go
@@ -25,10 +25,10 @@
 	admitted int
 	refunded int
 	asked    int
-	floors   []float64
+	reserves []int
 }
 
-func (l *countedLimits) RefusedUntil(fleet.ID, float64) (time.Time, bool) {
+func (l *countedLimits) RefusedUntil(TargetRequest) (time.Time, bool) {
 	return time.Time{}, false
 }
 
@@ -36,7 +36,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.asked++
-	l.floors = append(l.floors, r.Floor)
+	l.reserves = append(l.reserves, r.Reserve)
 	if l.room[r.Target] <= 0 {
 		return ratelimit.Decision{Source: ratelimit.Coordinated, RetryAfter: time.Second}
 	}
@@ -251,8 +251,8 @@
 			t.Fatal(err)
 		}
 	}
-	if len(limits.floors) != 2 || limits.floors[0] <= limits.floors[1] {
-		t.Errorf("floors %v; want a higher one for the lower priority", limits.floors)
+	if len(limits.reserves) != 2 || limits.reserves[0] <= limits.reserves[1] {
+		t.Errorf("reserves %v; want a larger one for the lower priority", limits.reserves)
 	}
 }
 
@@ -270,6 +270,9 @@
 			t.Errorf("caller %d: delay %v, want %v", n, d, want)
 		}
 	}
+	if !s.pending("s", now) || s.pending("other", now) || s.pending("s", now.Add(5*time.Second)) {
+		t.Error("callers are due to come back for 4 s, and to one service only")
+	}
 	if d := s.reserve("other", earliest, time.Second, time.Minute, now); d != time.Second {
 		t.Errorf("delay %v for another service", d)
 	}
--- a/internal/gateway/forward/returns.go
+++ b/internal/gateway/forward/returns.go
@@ -13,6 +13,13 @@
 	next map[string]time.Time
 }
 
+// pending reports whether callers are due to come back.
+func (s *returnSchedule) pending(service string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.next[service])
+}
+
 // reserve returns the delay after which a caller is to come back: not before earliest, and at least
 // an interval after the caller before it. A caller that would not wait for so long takes no turn.
 func (s *returnSchedule) reserve(service string, earliest time.Time, interval, maxDelay time.Duration, now time.Time) time.Duration {
--- a/internal/gateway/ratelimit/limit.go
+++ b/internal/gateway/ratelimit/limit.go
@@ -42,14 +42,15 @@
 	// minTargetRate is the least rate at which a target that states a limit is asked, in requests
 	// per second. Only its responses show that the limit has ended.
 	minTargetRate = 0.1
-	// targetBurstTime is the burst that is allowed beyond one request, as time at the rate.
+	// targetBurst is the burst that is allowed beyond targetBurstTime at the rate, in requests.
+	targetBurst     = 2
 	targetBurstTime = time.Second
 )
 
 // TargetLimit returns the limit for a target that states a number of requests per second.
 func TargetLimit(perSecond float64) Limit {
 	rate := math.Max(perSecond, minTargetRate)
-	return Limit{PerSecond: rate, Burst: 1 + rate*targetBurstTime.Seconds()}
+	return Limit{PerSecond: rate, Burst: targetBurst + rate*targetBurstTime.Seconds()}
 }
 
 // Unit is what a limit counts.
--- a/internal/gateway/ratelimit/targetlimit_test.go
+++ b/internal/gateway/ratelimit/targetlimit_test.go
@@ -163,3 +163,44 @@
 		}
 	}
 }
+
+// Guards against requests of low priority that leave no room for those of high priority while the
+// limit suffices for the latter, and against room that nobody uses.
+func TestHigherPriorityIsAdmittedFirst(t *testing.T) {
+	for _, perSecond := range []float64{1, 2, 20} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const entries, duration, lowFloor = 4, 60 * time.Second, 0.6
+				f := newTargetFleet(t, entries, perSecond, 1)
+				f.run(time.Second, skewedDemand(0, 0), noop)
+				var asked, admitted [2]int
+				ask := func(priority int) {
+					asked[priority]++
+					r := Request{Key: "w", Limit: TargetLimit(perSecond), Cost: 1, Floor: lowFloor * float64(priority), HasAlternative: true}
+					l := f.entries[f.random.IntN(entries)].limiter
+					f.tasks.Go(func() {
+						if l.Admit(t.Context(), r).Admitted {
+							f.mu.Lock()
+							defer f.mu.Unlock()
+							admitted[priority]++
+						}
+					})
+				}
+				f.run(duration, skewedDemand(0, 0), func(time.Duration) {
+					if f.random.Float64() < 0.5*perSecond*simStep.Seconds() {
+						ask(0)
+					}
+					if f.random.Float64() < 3*perSecond*simStep.Seconds() {
+						ask(1)
+					}
+				})
+				high := float64(admitted[0]) / float64(asked[0])
+				used := float64(admitted[0]+admitted[1]) / (perSecond * duration.Seconds())
+				if high < 0.9 || used < 0.85 {
+					t.Errorf("%.2f of the requests of high priority admitted, want 0.9; %.2f of the limit used, want 0.85", high, used)
+				}
+				t.Logf("%.2f of high, %.2f of low priority admitted, %.2f of the limit used", high, float64(admitted[1])/float64(asked[1]), used)
+			})
+		})
+	}
+}
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -32,11 +32,20 @@
 }
 
 // RefusedUntil implements forward.TargetLimits.
-func (l *targetLimits) RefusedUntil(target fleet.ID, floor float64) (time.Time, bool) {
+func (l *targetLimits) RefusedUntil(r forward.TargetRequest) (time.Time, bool) {
 	if l.limiter == nil {
 		return time.Time{}, false
 	}
-	return l.limiter.RefusedUntil(pushback.Key(target), floor)
+	return l.limiter.RefusedUntil(pushback.Key(r.Target), floor(r))
+}
+
+// maxFloor bounds the share of a target's bucket that is left for others. Requests of the lowest
+// priority get what others leave over, but not nothing.
+const maxFloor = 0.75
+
+// floor returns the share of the target's bucket that a request leaves for others.
+func floor(r forward.TargetRequest) float64 {
+	return min(float64(r.Reserve)/ratelimit.TargetLimit(r.PerSecond).Burst, maxFloor)
 }
 
 // Admit implements forward.TargetLimits.
@@ -45,7 +54,7 @@
 	if l.limiter == nil {
 		return l.admitShare(r, limit)
 	}
-	return l.limiter.Admit(ctx, ratelimit.Request{Key: pushback.Key(r.Target), Limit: limit, Cost: 1, Floor: r.Floor, IsRetry: r.IsRetry, HasAlternative: true})
+	return l.limiter.Admit(ctx, ratelimit.Request{Key: pushback.Key(r.Target), Limit: limit, Cost: 1, Floor: floor(r), IsRetry: r.IsRetry, HasAlternative: true})
 }
 
 // admitShare decides by this entry's share of a limit.
@@ -55,7 +64,7 @@
 		entries = max(v.EntryCount, 1)
 	}
 	now := l.state.clock.Now()
-	request := ratelimit.LeaseRequest{RequestCost: 1, Floor: r.Floor, IsRetry: r.IsRetry}
+	request := ratelimit.LeaseRequest{RequestCost: 1, Floor: floor(r), IsRetry: r.IsRetry}
 	resp := l.local.Handle(pushback.Key(r.Target), l.self, request, limit.Scaled(1/float64(entries)), now, now)
 	return ratelimit.Decision{Admitted: resp.Admitted, Source: ratelimit.OwnShare, Level: resp.Level, RetryAfter: resp.RetryDelay}
 }
