--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -53,8 +53,9 @@
 
 type noStatements struct{}
 
-func (noStatements) RateLimitChanged(pushback.RateLimitChange)         {}
-func (noStatements) InvalidStatement(fleet.Incarnation, string, error) {}
+func (noStatements) RateLimitChanged(pushback.RateLimitChange)                  {}
+func (noStatements) LeavingStated(fleet.ID, fleet.Incarnation, pushback.Origin) {}
+func (noStatements) InvalidStatement(fleet.Incarnation, string, error)          {}
 
 // unlimited admits all requests to targets.
 type unlimited struct{}
--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -16,6 +16,9 @@
 	p.metrics.RegisterGauge("targets_limited", "Targets that state a rate limit in their responses.", func() float64 {
 		return float64(len(r.RateLimits(p.clock.Now())))
 	})
+	p.metrics.RegisterGauge("targets_leaving", "Targets that have stated in a response that they leave.", func() float64 {
+		return float64(len(r.Leaving(p.clock.Now())))
+	})
 	return r
 }
 
@@ -36,6 +39,11 @@
 	o.logger.Info("target_limited", "target", target, "per_second", c.Now, "before", c.Before, "request", c.Origin.RequestID, "peer", c.Origin.Peer)
 }
 
+// LeavingStated implements pushback.Observer.
+func (o *pushbackObserver) LeavingStated(target fleet.ID, incarnation fleet.Incarnation, origin pushback.Origin) {
+	o.logger.Info("target_leaving", "target", o.name(target, incarnation), "request", origin.RequestID, "peer", origin.Peer)
+}
+
 // name returns the incarnation with an ID, which peers do not announce.
 func (o *pushbackObserver) name(id fleet.ID, incarnation fleet.Incarnation) string {
 	if incarnation.Instance != "" {
--- a/internal/gateway/pushback/announce_test.go
+++ b/internal/gateway/pushback/announce_test.go
@@ -81,7 +81,7 @@
 			t.Errorf("%d of %d entries know the limit after %d rounds", known, n, within)
 		}
 		g.now = g.now.Add(time.Millisecond)
-		g.record(n-1, 1, wire.Pushback{}, g.now)
+		g.record(n-1, 1, wire.Pushback{OmitsRateLimit: true}, g.now)
 		for range within {
 			g.round()
 		}
--- /dev/null
+++ b/internal/gateway/pushback/leaving.go
@@ -0,0 +1,49 @@
+package pushback
+
+import (
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+)
+
+// leavingTTL is how long a departure is remembered after the target was last in use or in the list.
+// Targets end within seconds or minutes.
+const leavingTTL = 10 * time.Minute
+
+// leaving is a target's statement that it leaves. It is final: a target that stays on is another
+// incarnation.
+type leaving struct {
+	stated bool
+	// seenAt is when it was last stated, or when the target was last listed after that.
+	seenAt time.Time
+}
+
+func (l *leaving) expired(now time.Time) bool { return !l.stated || now.Sub(l.seenAt) > leavingTTL }
+
+// stateLeaving records that a target leaves.
+func (r *Registry) stateLeaving(id fleet.ID, t *target, origin Origin, now time.Time) {
+	first := !t.leaving.stated
+	t.leaving = leaving{stated: true, seenAt: now}
+	if first {
+		r.observer.LeavingStated(id, t.incarnation, origin)
+	}
+}
+
+// Leaving returns the targets that have stated that they leave; nil if there are none.
+func (r *Registry) Leaving(now time.Time) map[fleet.ID]bool {
+	if r.size.Load() == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids map[fleet.ID]bool
+	for id, t := range r.targets {
+		if !t.leaving.expired(now) {
+			if ids == nil {
+				ids = map[fleet.ID]bool{}
+			}
+			ids[id] = true
+		}
+	}
+	return ids
+}
--- a/internal/gateway/pushback/ratelimit_test.go
+++ b/internal/gateway/pushback/ratelimit_test.go
@@ -19,6 +19,10 @@
 	r.events = append(r.events, fmt.Sprintf("%s %g to %g by %s", c.Incarnation, c.Before, c.Now, c.Origin.RequestID+c.Origin.Peer))
 }
 
+func (r *recorder) LeavingStated(_ fleet.ID, target fleet.Incarnation, origin Origin) {
+	r.events = append(r.events, fmt.Sprintf("%s leaves by %s", target, origin.RequestID+origin.Peer))
+}
+
 func (r *recorder) InvalidStatement(target fleet.Incarnation, requestID string, err error) {
 	r.events = append(r.events, fmt.Sprintf("%s refused %s by %s", target, err, requestID))
 }
@@ -51,13 +55,13 @@
 // one that never ends.
 func TestRateLimitEndsWithNewerResponse(t *testing.T) {
 	r := newResponses()
-	r.at(100, 50, wire.Pushback{})
+	r.at(100, 50, wire.Pushback{OmitsRateLimit: true})
 	r.at(200, 150, limit(2))
-	r.at(300, 180, wire.Pushback{}) // sent before the limit was known
+	r.at(300, 180, wire.Pushback{OmitsRateLimit: true}) // sent before the limit was known
 	if n := limited(r, start.Add(300*time.Millisecond)); n != 1 {
 		t.Errorf("%d targets limited after a late response", n)
 	}
-	r.at(400, 250, wire.Pushback{})
+	r.at(400, 250, wire.Pushback{OmitsRateLimit: true})
 	if n := limited(r, start.Add(400*time.Millisecond)); n != 0 {
 		t.Errorf("%d targets limited after a response without a limit", n)
 	}
--- a/internal/gateway/pushback/registry.go
+++ b/internal/gateway/pushback/registry.go
@@ -49,6 +49,9 @@
 type Observer interface {
 	// RateLimitChanged is called when a target states a limit, another limit or none any more.
 	RateLimitChanged(RateLimitChange)
+	// LeavingStated is called when a target first states that it leaves. The incarnation is zero
+	// if this process has received no response of the target.
+	LeavingStated(target fleet.ID, incarnation fleet.Incarnation, origin Origin)
 	// InvalidStatement is called for a statement that can't be used.
 	InvalidStatement(target fleet.Incarnation, requestID string, err error)
 }
@@ -79,6 +82,7 @@
 type target struct {
 	incarnation fleet.Incarnation
 	limit       rateLimit
+	leaving     leaving
 	// invalidLoggedAt is when an invalid statement was last reported.
 	invalidLoggedAt time.Time
 	announcements   announcements
@@ -92,14 +96,15 @@
 // Record records what a response states.
 func (r *Registry) Record(resp Response, now time.Time) {
 	p := &resp.Pushback
-	if r.size.Load() == 0 && !p.HasRateLimit && p.Invalid == nil {
+	statesNothing := !p.HasRateLimit && !p.Leaving && p.Invalid == nil
+	if r.size.Load() == 0 && statesNothing {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.targets[resp.Target]
 	if t == nil {
-		if !p.HasRateLimit && p.Invalid == nil {
+		if statesNothing {
 			return
 		}
 		if t = r.add(resp.Target, now); t == nil {
@@ -109,14 +114,18 @@
 	t.incarnation = resp.Incarnation
 	if p.Invalid != nil {
 		r.reportInvalid(t, &resp, now)
-		return
 	}
-	if p.HasRateLimit {
+	switch {
+	case p.HasRateLimit:
 		t.limit.state(p.RateLimit, now)
-	} else {
+	case p.OmitsRateLimit:
 		t.limit.endIfOlder(resp.SentAt)
 	}
-	r.reportRateLimit(resp.Target, t, Origin{RequestID: resp.RequestID}, now)
+	origin := Origin{RequestID: resp.RequestID}
+	r.reportRateLimit(resp.Target, t, origin, now)
+	if p.Leaving {
+		r.stateLeaving(resp.Target, t, origin, now)
+	}
 }
 
 // add returns a new record; nil if there are too many.
@@ -136,7 +145,7 @@
 // expire removes the records without a recent statement.
 func (r *Registry) expire(now time.Time) {
 	for id, t := range r.targets {
-		if now.Sub(t.limit.at) > statementTTL && now.Sub(t.invalidLoggedAt) > logInterval {
+		if now.Sub(t.limit.at) > statementTTL && t.leaving.expired(now) && now.Sub(t.invalidLoggedAt) > logInterval {
 			delete(r.targets, id)
 		}
 	}
--- a/internal/gateway/wire/wire.go
+++ b/internal/gateway/wire/wire.go
@@ -86,9 +86,12 @@
 // Pushback is what a target states in a response about the load that it takes.
 type Pushback struct {
 	// RateLimit is the number of requests per second that the target takes from all hosts
-	// together. HasRateLimit is set if the response states it.
-	RateLimit    float64
-	HasRateLimit bool
+	// together. HasRateLimit is set if the response states it, OmitsRateLimit if it states none;
+	// with an invalid one neither is.
+	RateLimit                    float64
+	HasRateLimit, OmitsRateLimit bool
+	// Leaving is set if the target stops soon and wants no new requests.
+	Leaving bool
 	// Invalid describes a statement that can't be used; nil if there is none.
 	Invalid error
 }
--- a/internal/gateway/wire/wiretest/wiretest.go
+++ b/internal/gateway/wire/wiretest/wiretest.go
@@ -89,6 +89,7 @@
 		ID: h.Get(ID), Sealed: h.Get(Seal) != "", Instance: h.Get(Instance), Encoded: h.Get("Content-Encoding") != "",
 		NotRun: h.Get(NotRun) != "" || status == http.StatusMisdirectedRequest,
 	}
+	reply.Pushback.OmitsRateLimit = h.Get(RateLimit) == ""
 	if text := h.Get(RateLimit); text != "" {
 		reply.Pushback.HasRateLimit = true
 		reply.Pushback.RateLimit, reply.Pushback.Invalid = strconv.ParseFloat(text, 64)
