Targets that say they leave get no new requests, whatever the list shows

What callers saw: nothing at first. An engine that was to be stopped got new requests for five seconds after it had said that it leaves; what still ran there when it ended would have been cut.

Cause: who leaves was known from the platform's list alone. The store did not answer, so that the list showed the engine as ready. The same class as the limits: what targets state, in responses and in their reports to their sidecars, was passed on or dropped and not heard.

Evidence: the incident's late sends are first sends with list_age=3.88s and phase=serving. With the statement logged, the failing test has target_leaving at both entries and sends that go on.

Change: a departure that a response states is kept for the incarnation; it is final, lasts as long as the target is listed and ten minutes beyond, and entries announce it like limits. Sidecars hear it from their engines' reports, announce it, and order no more loads; the deputy gives such engines no orders either. Fetches from the cache of an engine that leaves go on: they take no slot there, and other engines would compute those parts again.

Ruled out: marking the view's listing, which the successor of an incarnation takes over while it is not listed yet.

--- a/internal/gateway/deputy.go
+++ b/internal/gateway/deputy.go
@@ -89,10 +89,11 @@
 		return nil
 	}
 	var found []weights.RemoteEngine
+	leaving := d.process.entry.pushback.Leaving(d.process.clock.Now())
 	for _, targets := range v.Targets {
 		for i := range targets {
 			t := &targets[i]
-			if _, serves := t.Weights[model]; !serves || t.Leaving || t.Unconfirmed {
+			if _, serves := t.Weights[model]; !serves || t.Leaving || leaving[t.ID] || t.Unconfirmed {
 				continue
 			}
 			found = append(found, weights.RemoteEngine{Incarnation: t.Incarnation, Engine: d.engineAt(t.Address), Versions: t.Weights})
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -151,6 +151,28 @@
 	}
 }
 
+// keepStatements keeps what targets have stated for as long as they are listed.
+func (e *entry) keepStatements() {
+	v, ok := e.currentView()
+	if !ok {
+		return
+	}
+	now := e.state.clock.Now()
+	leaving := e.pushback.Leaving(now)
+	if leaving == nil {
+		return
+	}
+	listed := map[fleet.ID]bool{}
+	for _, targets := range v.Targets {
+		for i := range targets {
+			if leaving[targets[i].ID] {
+				listed[targets[i].ID] = true
+			}
+		}
+	}
+	e.pushback.KeepListed(func(id fleet.ID) bool { return listed[id] }, now)
+}
+
 const (
 	// maxStatements is the most statements of targets in one heartbeat, statementSize the encoded
 	// size of one, statementReserve the space that they leave free.
@@ -229,9 +251,9 @@
 		for _, p := range m.Heartbeat.Parts {
 			e.parts.Apply(parts.Update{Part: parts.Key(p.Part), Target: fleet.ID(p.Target), Done: p.Done}, now)
 		}
-		e.pushback.Merge(m.Heartbeat.Statements, m.Name, now)
 		e.quarantine.onHeartbeat(m)
 	}
+	e.pushback.Merge(m.Heartbeat.Statements, m.Name, now)
 	e.applyCacheReport(m, now)
 	if e.state.applyEngineReport(m) {
 		e.state.publishViewSoon()
--- a/internal/gateway/forward/pushback.go
+++ b/internal/gateway/forward/pushback.go
@@ -50,6 +50,7 @@
 // restrictions are what targets have stated, as they apply to one placement.
 type restrictions struct {
 	rateLimits map[fleet.ID]float64
+	leaving    map[fleet.ID]bool
 	// denials counts the targets that had no room within their limits.
 	denials int
 	// avoided are the targets that were passed over, until each of them may have room.
@@ -64,7 +65,10 @@
 }
 
 // Reasons for which targets are passed over, as they appear in logs and metrics.
-const reasonRateLimit = "rate_limit"
+const (
+	reasonRateLimit = "rate_limit"
+	reasonLeaving   = "leaving"
+)
 
 // recordPushback records what a response to a request sent at sentAt states about the load that
 // its target takes.
@@ -76,11 +80,16 @@
 
 // updateRestrictions takes what targets state now as the basis of the next choice.
 func (fl *flow) updateRestrictions() {
-	fl.restrictions.rateLimits, fl.restrictions.avoided = fl.Pushback.RateLimits(fl.Now()), nil
+	now := fl.Now()
+	fl.restrictions.rateLimits, fl.restrictions.leaving, fl.restrictions.avoided = fl.Pushback.RateLimits(now), fl.Pushback.Leaving(now), nil
 }
 
-// isRestrained reports whether a target has asked for fewer requests and must be passed over now.
+// isRestrained reports whether a target has stated that it takes no request now.
 func (fl *flow) isRestrained(t *fleet.Target) bool {
+	if fl.restrictions.leaving[t.ID] {
+		fl.avoid(t, reasonLeaving, time.Time{})
+		return true
+	}
 	perSecond, limited := fl.restrictions.rateLimits[t.ID]
 	if !limited {
 		return false
@@ -151,7 +160,7 @@
 	targets := fl.view.Targets[fl.service.Name]
 	for i := range targets {
 		t := &targets[i]
-		if t.Leaving || fl.excluded[t.Incarnation] {
+		if t.Leaving || fl.restrictions.leaving[t.ID] || fl.excluded[t.Incarnation] {
 			continue
 		}
 		a, avoided := fl.restrictions.avoided[t.ID]
--- a/internal/gateway/forward/pushback_test.go
+++ b/internal/gateway/forward/pushback_test.go
@@ -277,3 +277,43 @@
 		t.Errorf("delay %v for another service", d)
 	}
 }
+
+// Guards against requests to a target that has said that it leaves, and against a successor under its
+// name that is taken for it.
+func TestRequestPassesOverLeavingTarget(t *testing.T) {
+	env, _, targets := newThrottledEnv(t, 2, 0, 0)
+	leaving := env.plainTarget(targets[0].instance)
+	env.Pushback.Record(pushback.Response{Target: leaving.ID, Incarnation: leaving.Incarnation, Pushback: wire.Pushback{Leaving: true}}, env.Now())
+	for n := range 10 {
+		if resp, _, err := env.post(t, "/again/x", "", wiretest.ID, fmt.Sprint(n)); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("response %v, error %v", resp, err)
+		}
+	}
+	if runs := targets[0].runs.Load(); runs > 0 {
+		t.Errorf("the leaving target got %d requests", runs)
+	}
+	listing := leaving.Listing
+	listing.StartedMs = 5
+	*leaving = fleet.NewTarget(listing)
+	for n := range 20 {
+		if _, _, err := env.post(t, "/again/x", "", wiretest.ID, fmt.Sprint("s", n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if targets[0].runs.Load() == 0 {
+		t.Error("the successor got no requests")
+	}
+}
+
+// Guards against a retry delay from a target that leaves: none is free at any time that it states.
+func TestLeavingTargetsAreNoReasonToComeBack(t *testing.T) {
+	env, _, targets := newThrottledEnv(t, 2, 0, 0)
+	for _, tg := range targets {
+		leaving := env.plainTarget(tg.instance)
+		env.Pushback.Record(pushback.Response{Target: leaving.ID, Incarnation: leaving.Incarnation, Pushback: wire.Pushback{Leaving: true}}, env.Now())
+	}
+	resp, body, err := env.post(t, "/again/x", "")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, "no_target") {
+		t.Errorf("response %v, body %q, error %v", resp, body, err)
+	}
+}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -196,6 +196,7 @@
 	p.callers = newCallerServer(p.entry.forwarder, listener.Addr(), p.logger)
 	p.state.onViewChange = func() {
 		p.entry.forwarder.RecheckCrashes()
+		p.entry.keepStatements()
 		if p.entry.limits != nil {
 			p.entry.limits.refresh()
 		}
--- a/internal/gateway/pushback/announce.go
+++ b/internal/gateway/pushback/announce.go
@@ -36,7 +36,7 @@
 	r.expire(now)
 	ids := make([]fleet.ID, 0, len(r.targets))
 	for id, t := range r.targets {
-		if !t.limit.at.IsZero() {
+		if !t.limit.at.IsZero() || t.leaving.stated {
 			ids = append(ids, id)
 		}
 	}
@@ -66,7 +66,7 @@
 }
 
 func (t *target) message(id fleet.ID, now time.Time) *peerv1.TargetStatement {
-	m := &peerv1.TargetStatement{Target: uint32(id)}
+	m := &peerv1.TargetStatement{Target: uint32(id), Leaving: t.leaving.stated}
 	age := now.Sub(t.limit.at)
 	if t.limit.perSecond == None {
 		m.UnlimitedAgeMs = ratelimit.EncodeAge(age)
@@ -79,6 +79,9 @@
 // Merge applies the statements that another entry announces.
 func (r *Registry) Merge(statements []*peerv1.TargetStatement, peer string, now time.Time) {
 	for _, m := range statements {
+		if m.Leaving {
+			r.StateLeaving(fleet.ID(m.Target), fleet.Incarnation{}, Origin{Peer: peer}, now)
+		}
 		if m.Limit == nil {
 			r.mergeRateLimit(fleet.ID(m.Target), None, ratelimit.DecodeAge(m.UnlimitedAgeMs), peer, now)
 			continue
--- a/internal/gateway/pushback/leaving.go
+++ b/internal/gateway/pushback/leaving.go
@@ -25,10 +25,45 @@
 	first := !t.leaving.stated
 	t.leaving = leaving{stated: true, seenAt: now}
 	if first {
+		t.announcements.restart()
 		r.observer.LeavingStated(id, t.incarnation, origin)
 	}
 }
 
+// StateLeaving records that a target leaves, as stated other than in a response to a request. The
+// incarnation is zero if it is not known.
+func (r *Registry) StateLeaving(id fleet.ID, incarnation fleet.Incarnation, origin Origin, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.targets[id]
+	if t == nil {
+		if t = r.add(id, now); t == nil {
+			return
+		}
+	}
+	if incarnation.Instance != "" {
+		t.incarnation = incarnation
+	}
+	if origin.Peer != "" && t.leaving.stated {
+		return // what peers repeat does not prolong it
+	}
+	r.stateLeaving(id, t, origin, now)
+}
+
+// KeepListed prolongs the memory of departures of targets that are still listed.
+func (r *Registry) KeepListed(listed func(id fleet.ID) bool, now time.Time) {
+	if r.size.Load() == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, t := range r.targets {
+		if t.leaving.stated && listed(id) {
+			t.leaving.seenAt = now
+		}
+	}
+}
+
 // Leaving returns the targets that have stated that they leave; nil if there are none.
 func (r *Registry) Leaving(now time.Time) map[fleet.ID]bool {
 	if r.size.Load() == 0 {
--- a/internal/gateway/pushback/registry.go
+++ b/internal/gateway/pushback/registry.go
@@ -1,4 +1,4 @@
-// Package pushback keeps what targets state in their responses about the load that they take.
+// Package pushback keeps what targets state about the load that they take, mostly in their responses.
 //
 // A statement belongs to one incarnation of a target: a successor at the same address or with the
 // same name starts without it. Entries announce statements to each other, since each of them gets
--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -10,6 +10,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
+	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
 	"github.com/toucanwell/toucanwell/internal/gateway/tracker"
 	"github.com/toucanwell/toucanwell/internal/gateway/weights"
 	"github.com/toucanwell/toucanwell/internal/sleep"
@@ -45,13 +46,15 @@
 	token         uint64
 	fetchingToken bool
 	caches        *cacheFollowers
+	// statements keeps what the engine states about the load that it takes.
+	statements *pushback.Registry
 	// tracker keeps the engine's state for probes.
 	tracker *tracker.Tracker
 	probes  *probe.Server
 }
 
 func newSidecar(p *process) *sidecar {
-	s := &sidecar{process: p, state: p.state, address: netip.MustParseAddrPort(p.settings.Engine)}
+	s := &sidecar{process: p, state: p.state, address: netip.MustParseAddrPort(p.settings.Engine), statements: newPushback(p)}
 	s.controller = weights.NewController(p.loop, p.platform.Engine(s.address), weights.Environment{
 		Wanted: s.wantedWeights, HealthPath: s.healthPath, Engines: s.engineViews, PartialView: s.state.large.Load, OnChange: s.engineChanged,
 		Token:    s.fencingToken,
@@ -69,6 +72,9 @@
 // wantedWeights returns the wantedWeights weights. It returns none while the engine may be leaving, since
 // a load would invalidate the responses of its last requests.
 func (s *sidecar) wantedWeights() map[string]weights.History {
+	if s.statements.Leaving(s.process.clock.Now())[s.engineID()] {
+		return nil
+	}
 	report := fleet.Report{Incarnation: s.incarnation, Address: s.address, StartedAfter: s.controller.StartedAfter()}
 	if state := s.state; !state.directory.Active(state.isDeclared, &report, state.syncState(state.clock.Now()), state.clock.Now()) {
 		return nil
@@ -180,6 +186,9 @@
 	}
 	s.caches.followEngine(s.address, incarnation)
 	s.incarnation, s.report, s.phase, s.known = incarnation, report, phase, true
+	if report.Leaving && incarnation.Instance != "" {
+		s.statements.StateLeaving(s.engineID(), incarnation, pushback.Origin{}, s.process.clock.Now())
+	}
 	s.tracker.SetState(tracker.State{
 		Incarnation: incarnation, Weights: report.Weights, Phase: phase, ReportedAt: report.ReceivedAt,
 	})
@@ -188,8 +197,12 @@
 	}
 }
 
+// engineID returns the ID of the engine's incarnation.
+func (s *sidecar) engineID() fleet.ID { return fleet.IDOf(s.incarnation.String()) }
+
 // compose adds the engine's state to a heartbeat.
 func (s *sidecar) compose(heartbeat *peerv1.Beat) {
+	heartbeat.Statements = s.statements.Announce(maxStatements, s.process.clock.Now())
 	if !s.known || s.incarnation.Instance == "" && s.phase != weights.Unresponsive {
 		return
 	}
@@ -217,7 +230,18 @@
 
 func (s *sidecar) onHeartbeat(m *mesh.Member) {
 	s.caches.onHeartbeat(m)
+	s.mergeStatements(m)
 	if s.state.applyEngineReport(m) {
 		s.controller.Trigger()
 	}
 }
+
+// mergeStatements applies what entries have learned from the engine's responses.
+func (s *sidecar) mergeStatements(m *mesh.Member) {
+	id := s.engineID()
+	for _, statement := range m.Heartbeat.Statements {
+		if fleet.ID(statement.Target) == id {
+			s.statements.Merge([]*peerv1.TargetStatement{statement}, m.Name, s.process.clock.Now())
+		}
+	}
+}
--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -22,6 +22,8 @@
 	Weights map[string]int64
 	// Busy is set while the engine executes a load request.
 	Busy bool
+	// Leaving is set once the engine stops soon and wants no new requests.
+	Leaving bool
 	// AcceptedLoads counts the load requests that this incarnation of the engine has accepted.
 	AcceptedLoads int64
 	// Queued and Running count requests.
