Rests that targets ask for are decoded and logged

Cause: no line told for how long a target that turned a request away wants no more, so that the hypotheses of the incident could not be told apart. Change: the adapter decodes Retry-After of responses with status 503 and 429, as seconds or as a date; a time of more than ten minutes is bounded, one in the past or that can't be read is ignored, each with a line. send_failed shows the rest, an entry logs target_wants_rest and counts such targets. Nothing is decided by it yet.

--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -54,6 +54,7 @@
 type noStatements struct{}
 
 func (noStatements) RateLimitChanged(pushback.RateLimitChange)                  {}
+func (noStatements) RestStated(fleet.Incarnation, time.Duration, string)        {}
 func (noStatements) LeavingStated(fleet.ID, fleet.Incarnation, pushback.Origin) {}
 func (noStatements) InvalidStatement(fleet.Incarnation, string, error)          {}
 
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -62,15 +62,15 @@
 	if err == nil && !isSendFailure(resp.Status) {
 		return
 	}
-	status, detail := 0, ""
+	status, detail, rest := 0, "", time.Duration(0)
 	if resp != nil {
-		status = resp.Status
+		status, rest = resp.Status, fl.Protocol.ReadReply(resp.Status, resp.Header).Pushback.RetryAfter
 	}
 	if err != nil {
 		detail = err.Error()
 	}
 	fl.Logger.Info("send_failed", "request_id", fl.request.ID, "print", fl.fingerprint, "send", fl.sends, "target", dst.target.Incarnation,
-		"status", status, "error", detail, "after", roundForLog(time.Since(fl.sentAt)))
+		"status", status, "rest", rest, "error", detail, "after", roundForLog(time.Since(fl.sentAt)))
 }
 
 // isSendFailure reports whether a status means that the send failed or was refused.
--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -19,6 +20,9 @@
 	p.metrics.RegisterGauge("targets_leaving", "Targets that have stated in a response that they leave.", func() float64 {
 		return float64(len(r.Leaving(p.clock.Now())))
 	})
+	p.metrics.RegisterGauge("targets_resting", "Targets that have asked this entry for no requests for a time.", func() float64 {
+		return float64(r.Resting(p.clock.Now()))
+	})
 	return r
 }
 
@@ -44,6 +48,11 @@
 	o.logger.Info("target_leaving", "target", o.name(target, incarnation), "request", origin.RequestID, "peer", origin.Peer)
 }
 
+// RestStated implements pushback.Observer.
+func (o *pushbackObserver) RestStated(target fleet.Incarnation, rest time.Duration, requestID string) {
+	o.logger.Info("target_wants_rest", "target", target, "for", rest, "request", requestID)
+}
+
 // name returns the incarnation with an ID, which peers do not announce.
 func (o *pushbackObserver) name(id fleet.ID, incarnation fleet.Incarnation) string {
 	if incarnation.Instance != "" {
--- a/internal/gateway/pushback/ratelimit_test.go
+++ b/internal/gateway/pushback/ratelimit_test.go
@@ -23,6 +23,10 @@
 	r.events = append(r.events, fmt.Sprintf("%s leaves by %s", target, origin.RequestID+origin.Peer))
 }
 
+func (r *recorder) RestStated(target fleet.Incarnation, rest time.Duration, requestID string) {
+	r.events = append(r.events, fmt.Sprintf("%s rests for %v by %s", target, rest, requestID))
+}
+
 func (r *recorder) InvalidStatement(target fleet.Incarnation, requestID string, err error) {
 	r.events = append(r.events, fmt.Sprintf("%s refused %s by %s", target, err, requestID))
 }
--- a/internal/gateway/pushback/registry.go
+++ b/internal/gateway/pushback/registry.go
@@ -52,6 +52,8 @@
 	// LeavingStated is called when a target first states that it leaves. The incarnation is zero
 	// if this process has received no response of the target.
 	LeavingStated(target fleet.ID, incarnation fleet.Incarnation, origin Origin)
+	// RestStated is called when a target asks for no requests for a time, and when it asks for more.
+	RestStated(target fleet.Incarnation, rest time.Duration, requestID string)
 	// InvalidStatement is called for a statement that can't be used.
 	InvalidStatement(target fleet.Incarnation, requestID string, err error)
 }
@@ -83,6 +85,7 @@
 	incarnation fleet.Incarnation
 	limit       rateLimit
 	leaving     leaving
+	rest        rest
 	// invalidLoggedAt is when an invalid statement was last reported.
 	invalidLoggedAt time.Time
 	announcements   announcements
@@ -96,7 +99,7 @@
 // Record records what a response states.
 func (r *Registry) Record(resp Response, now time.Time) {
 	p := &resp.Pushback
-	statesNothing := !p.HasRateLimit && !p.Leaving && p.Invalid == nil
+	statesNothing := !p.HasRateLimit && !p.Leaving && p.RetryAfter == 0 && p.Invalid == nil
 	if r.size.Load() == 0 && statesNothing {
 		return
 	}
@@ -126,6 +129,9 @@
 	if p.Leaving {
 		r.stateLeaving(resp.Target, t, origin, now)
 	}
+	if p.RetryAfter > 0 {
+		r.stateRest(t, &resp, now)
+	}
 }
 
 // add returns a new record; nil if there are too many.
@@ -145,7 +151,7 @@
 // expire removes the records without a recent statement.
 func (r *Registry) expire(now time.Time) {
 	for id, t := range r.targets {
-		if now.Sub(t.limit.at) > statementTTL && t.leaving.expired(now) && now.Sub(t.invalidLoggedAt) > logInterval {
+		if now.Sub(t.limit.at) > statementTTL && t.leaving.expired(now) && t.rest.expired(now) && now.Sub(t.invalidLoggedAt) > logInterval {
 			delete(r.targets, id)
 		}
 	}
--- a/internal/gateway/wire/wire.go
+++ b/internal/gateway/wire/wire.go
@@ -92,6 +92,9 @@
 	HasRateLimit, OmitsRateLimit bool
 	// Leaving is set if the target stops soon and wants no new requests.
 	Leaving bool
+	// RetryAfter is for how long a target that turned a request away wants no requests from this
+	// host; zero if it does not say so.
+	RetryAfter time.Duration
 	// Invalid describes a statement that can't be used; nil if there is none.
 	Invalid error
 }
