Targets that ask for rest get no requests until it is over

What callers saw: requests refused for lack of retry budget while seven of nine engines had room. Two engines turned every request away and asked for three seconds of rest; the entries that had been told so sent up to 35 further requests to each of them in that time.

Cause: a refusal excluded its target for the one request only, and the time that it stated was not read. An engine that refuses at once looks idle, so that the next requests chose it first. The same class as limits and departures: a statement of a target that nothing heard.

A record that is lost is ruled out, as there was none, and so are sends on their way: it lasts for the whole rest.

Change: an entry that has been asked for rest passes the target over, for first sends, retries, resumed streams and probation runs alike, until the time is over and up to a tenth longer at random. Then one request is the trial; others follow when the target has taken it. The rest is not announced: the target has asked one host.

Ways weighed: announcing rests, which would take an engine that sheds one host's requests from all others; ejecting the target by the health monitor, whose times are not those that the target names; all requests at once after the rest, of which a target that is still in need turns away dozens.

--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -25,7 +25,7 @@
 // or in the availability of a dependency.
 var stateChangeEvents = []string{
 	"estate_in_force", "weights_wanted", "target_listed", "target_unlisted", "target_gone", "engine_reported", "engine_reported_unresponsive", "target_rested",
-	"target_limited", "target_limit_ended", "target_leaving", "target_wants_rest", "target_statement_refused",
+	"target_limited", "target_limit_ended", "target_leaving", "target_wants_rest", "target_rest_over", "target_statement_refused",
 	"store_lost", "store_regained", "list_regained", "feed_trimmed", "fetch_failed", "peer_live", "peer_silent", "host_woke", "declaration_refused",
 	"settings_reloaded", "settings_refused", "started", "stopping", "stopped", "stop_cut_requests", "log_lines_dropped",
 	"weights_ordered", "weights_loaded", "engine_silent", "engine_heard", "engine_started_anew", "target_listing_delayed", "target_refused",
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -413,6 +413,7 @@
 		if fl.delivered > 0 && !fl.retries.Spend() {
 			fl.endProbation(dst)
 			fl.refundAdmission(dst)
+			fl.endRestTrial(dst)
 			return fl.finalRefusal(lastRefusal, errkind.NewRetryAfter(errkind.Overloaded, fl.jitter(busyRetryAfter), "the retry budget is exhausted"))
 		}
 		fl.chargeRerun()
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -55,6 +55,7 @@
 
 func (noStatements) RateLimitChanged(pushback.RateLimitChange)                  {}
 func (noStatements) RestStated(fleet.Incarnation, time.Duration, string)        {}
+func (noStatements) RestEnded(fleet.Incarnation, string)                        {}
 func (noStatements) LeavingStated(fleet.ID, fleet.Incarnation, pushback.Origin) {}
 func (noStatements) InvalidStatement(fleet.Incarnation, string, error)          {}
 
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -49,7 +49,9 @@
 				return dst, nil
 			}
 			fl.endProbation(dst)
-			continue
+			if fl.restrictions.denials <= maxDenials {
+				continue
+			}
 		}
 		interval := placeInterval
 		if dst != nil && dst.probed {
--- a/internal/gateway/forward/pushback.go
+++ b/internal/gateway/forward/pushback.go
@@ -51,6 +51,8 @@
 type restrictions struct {
 	rateLimits map[fleet.ID]float64
 	leaving    map[fleet.ID]bool
+	// resting are the targets that have asked this entry for no requests, until when.
+	resting map[fleet.ID]time.Time
 	// denials counts the targets that had no room within their limits.
 	denials int
 	// avoided are the targets that were passed over, until each of them may have room.
@@ -68,6 +70,7 @@
 const (
 	reasonRateLimit = "rate_limit"
 	reasonLeaving   = "leaving"
+	reasonRest      = "rest"
 )
 
 // recordPushback records what a response to a request sent at sentAt states about the load that
@@ -76,12 +79,14 @@
 	fl.Pushback.Record(pushback.Response{
 		Target: dst.target.ID, Incarnation: dst.target.Incarnation, Pushback: reply.Pushback, RequestID: fl.request.ID, SentAt: sentAt,
 	}, fl.Now())
+	dst.restTrial = false // the response has decided it
 }
 
 // updateRestrictions takes what targets state now as the basis of the next choice.
 func (fl *flow) updateRestrictions() {
 	now := fl.Now()
-	fl.restrictions.rateLimits, fl.restrictions.leaving, fl.restrictions.avoided = fl.Pushback.RateLimits(now), fl.Pushback.Leaving(now), nil
+	r := &fl.restrictions
+	r.rateLimits, r.leaving, r.resting, r.avoided = fl.Pushback.RateLimits(now), fl.Pushback.Leaving(now), fl.Pushback.Resting(now), nil
 }
 
 // isRestrained reports whether a target has stated that it takes no request now.
@@ -90,6 +95,10 @@
 		fl.avoid(t, reasonLeaving, time.Time{})
 		return true
 	}
+	if until, resting := fl.restrictions.resting[t.ID]; resting {
+		fl.avoid(t, reasonRest, until)
+		return true
+	}
 	perSecond, limited := fl.restrictions.rateLimits[t.ID]
 	if !limited {
 		return false
@@ -129,9 +138,32 @@
 	return r
 }
 
-// admitAtTarget takes the request from the rate limit of its destination, if that has one, and
-// reports whether there was room.
+// admitAtTarget reports whether the destination takes the request: its rest is over, and there is room
+// within its rate limit. It takes the request from the limit.
 func (fl *flow) admitAtTarget(ctx context.Context, dst *destination) bool {
+	var ok bool
+	if dst.restTrial, ok = fl.Pushback.BeginTrial(dst.target.ID, fl.Now()); !ok {
+		fl.restrictions.denials++
+		return false
+	}
+	if !fl.admitWithinLimit(ctx, dst) {
+		fl.endRestTrial(dst)
+		return false
+	}
+	return true
+}
+
+// endRestTrial ends the trial of the destination after its rest, if the request is one.
+func (fl *flow) endRestTrial(dst *destination) {
+	if dst.restTrial {
+		fl.Pushback.EndTrial(dst.target.ID)
+		dst.restTrial = false
+	}
+}
+
+// admitWithinLimit takes the request from the rate limit of its destination, if that has one, and
+// reports whether there was room.
+func (fl *flow) admitWithinLimit(ctx context.Context, dst *destination) bool {
 	perSecond, limited := fl.restrictions.rateLimits[dst.target.ID]
 	if !limited {
 		return true
@@ -170,7 +202,7 @@
 		if earliest.IsZero() || a.until.Before(earliest) {
 			earliest = a.until
 		}
-		if perSecond, limited := fl.restrictions.rateLimits[t.ID]; limited {
+		if perSecond, limited := fl.restrictions.rateLimits[t.ID]; limited && a.reason == reasonRateLimit {
 			rate += ratelimit.TargetLimit(perSecond).PerSecond
 		}
 	}
--- a/internal/gateway/forward/pushback_test.go
+++ b/internal/gateway/forward/pushback_test.go
@@ -317,3 +317,51 @@
 		t.Errorf("response %v, body %q, error %v", resp, body, err)
 	}
 }
+
+// Guards against requests to a target that has asked for rest, and against a retry delay that ends
+// before the rest.
+func TestRequestPassesOverRestingTarget(t *testing.T) {
+	env, _, targets := newThrottledEnv(t, 2, 0, 0)
+	rest := func(instance string, d time.Duration) {
+		target := env.plainTarget(instance)
+		env.Pushback.Record(pushback.Response{Target: target.ID, Incarnation: target.Incarnation, Pushback: wire.Pushback{RetryAfter: d}}, env.Now())
+	}
+	rest(targets[0].instance, time.Minute)
+	for n := range 10 {
+		if resp, _, err := env.post(t, "/again/x", "", wiretest.ID, fmt.Sprint(n)); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("response %v, error %v", resp, err)
+		}
+	}
+	if runs := targets[0].runs.Load(); runs > 0 {
+		t.Errorf("the resting target got %d requests", runs)
+	}
+	rest(targets[1].instance, 30*time.Second)
+	resp, body, err := env.post(t, "/again/x", "")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, "throttled") {
+		t.Fatalf("response %v, body %q, error %v", resp, body, err)
+	}
+	if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err != nil || after < 29.9 || after > 31.1 {
+		t.Errorf("Retry-After %q, want the 30 s of the target that is free first, and the second by which entries differ", resp.Header.Get("Retry-After"))
+	}
+}
+
+// Guards against a trial after a rest that never ends because its request failed or was not sent.
+func TestTrialEndsWithItsRequest(t *testing.T) {
+	var tg *fakeTarget
+	tg = startTarget(t, "t", func(w io.Writer, r *http.Request, _ string) bool {
+		if tg.runs.Load() == 1 {
+			return false
+		}
+		return tg.writeSealed(w, r, http.StatusOK, "fine")
+	})
+	env := newTestEnv(t, tg)
+	target := env.plainTarget("t")
+	env.Pushback.Record(pushback.Response{Target: target.ID, Incarnation: target.Incarnation, Pushback: wire.Pushback{RetryAfter: time.Millisecond}}, env.Now())
+	<-time.After(5 * time.Millisecond)
+	if resp, _, err := env.post(t, "/once/x", "", wiretest.ID, "r1"); err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Fatalf("response %v, error %v", resp, err)
+	}
+	if resp, _, err := env.post(t, "/once/x", "", wiretest.ID, "r2"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("response %v, error %v", resp, err)
+	}
+}
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -57,6 +57,8 @@
 	familyFirstSendID uint32
 	// slowdown is the factor by which the engine is slower than predicted; at least 1.
 	slowdown float64
+	// restTrial is set if the send is the first one after the target's rest.
+	restTrial bool
 	// admission is the decision of the target's rate limit, if it has one.
 	admission ratelimit.Decision
 	// sendID identifies the send at the engine's sidecar.
@@ -108,6 +110,7 @@
 	dst.quarantineStatus = fl.quarantineStatus
 	run := fl.startRun(dst, cancel)
 	defer fl.endRun(dst, run)
+	defer fl.endRestTrial(dst)
 	var maxWaitTimer *time.Timer
 	if dst.maxWait > 0 {
 		maxWaitTimer = time.AfterFunc(dst.maxWait, func() { cancel(errMaxWait) })
--- a/internal/gateway/pushback.go
+++ b/internal/gateway/pushback.go
@@ -21,7 +21,7 @@
 		return float64(len(r.Leaving(p.clock.Now())))
 	})
 	p.metrics.RegisterGauge("targets_resting", "Targets that have asked this entry for no requests for a time.", func() float64 {
-		return float64(r.Resting(p.clock.Now()))
+		return float64(len(r.Resting(p.clock.Now())))
 	})
 	return r
 }
@@ -53,6 +53,11 @@
 	o.logger.Info("target_wants_rest", "target", target, "for", rest, "request", requestID)
 }
 
+// RestEnded implements pushback.Observer.
+func (o *pushbackObserver) RestEnded(target fleet.Incarnation, requestID string) {
+	o.logger.Info("target_rest_over", "target", target, "request", requestID)
+}
+
 // name returns the incarnation with an ID, which peers do not announce.
 func (o *pushbackObserver) name(id fleet.ID, incarnation fleet.Incarnation) string {
 	if incarnation.Instance != "" {
--- a/internal/gateway/pushback/ratelimit_test.go
+++ b/internal/gateway/pushback/ratelimit_test.go
@@ -27,6 +27,10 @@
 	r.events = append(r.events, fmt.Sprintf("%s rests for %v by %s", target, rest, requestID))
 }
 
+func (r *recorder) RestEnded(target fleet.Incarnation, requestID string) {
+	r.events = append(r.events, fmt.Sprintf("%s rested by %s", target, requestID))
+}
+
 func (r *recorder) InvalidStatement(target fleet.Incarnation, requestID string, err error) {
 	r.events = append(r.events, fmt.Sprintf("%s refused %s by %s", target, err, requestID))
 }
--- a/internal/gateway/pushback/registry.go
+++ b/internal/gateway/pushback/registry.go
@@ -6,6 +6,7 @@
 package pushback
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,8 @@
 	LeavingStated(target fleet.ID, incarnation fleet.Incarnation, origin Origin)
 	// RestStated is called when a target asks for no requests for a time, and when it asks for more.
 	RestStated(target fleet.Incarnation, rest time.Duration, requestID string)
+	// RestEnded is called when a target has taken a request after its rest.
+	RestEnded(target fleet.Incarnation, requestID string)
 	// InvalidStatement is called for a statement that can't be used.
 	InvalidStatement(target fleet.Incarnation, requestID string, err error)
 }
@@ -78,6 +81,8 @@
 	mu       sync.Mutex
 	targets  map[fleet.ID]*target
 	observer Observer
+	// random returns a number in [0, 1).
+	random func() float64
 }
 
 // target holds the statements of one incarnation.
@@ -93,7 +98,7 @@
 
 // NewRegistry returns a registry without statements.
 func NewRegistry(observer Observer) *Registry {
-	return &Registry{targets: map[fleet.ID]*target{}, observer: observer}
+	return &Registry{targets: map[fleet.ID]*target{}, observer: observer, random: rand.Float64}
 }
 
 // Record records what a response states.
@@ -131,6 +136,8 @@
 	}
 	if p.RetryAfter > 0 {
 		r.stateRest(t, &resp, now)
+	} else {
+		r.endRest(t, &resp, now)
 	}
 }
 
@@ -151,7 +158,7 @@
 // expire removes the records without a recent statement.
 func (r *Registry) expire(now time.Time) {
 	for id, t := range r.targets {
-		if now.Sub(t.limit.at) > statementTTL && t.leaving.expired(now) && t.rest.expired(now) && now.Sub(t.invalidLoggedAt) > logInterval {
+		if now.Sub(t.limit.at) > statementTTL && t.leaving.expired(now) && now.Sub(t.rest.until) > statementTTL && now.Sub(t.invalidLoggedAt) > logInterval {
 			delete(r.targets, id)
 		}
 	}
