Sidecars observe the rests that their targets ask for

On the product's own protocol a call that its target turned away with a time of rest only counted as a failure for the breaker, and the next call went there at once. A sidecar on a platform repeated a health check that was turned away every 0.3 s. Change: the gate refuses new and queued requests for the time that its target names, as throttled, so that entries try another target; a health check waits for that time. Retry-After is decoded in one package for the adapter and the own protocol.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -103,7 +103,7 @@
 	CutOff:               {"cut_off", "This entry reaches no engine; another one does.", http.StatusServiceUnavailable, false},
 	Stopping:             {"stopping", "This entry stops before the request could be answered; another one serves.", http.StatusServiceUnavailable, false},
 	Quarantined:          {"quarantined", "The request has ended the targets that ran it, and is not run for now.", http.StatusServiceUnavailable, false},
-	Throttled:            {"throttled", "All targets of the service have asked for fewer requests.", http.StatusServiceUnavailable, false},
+	Throttled:            {"throttled", "All targets of the service have asked for fewer requests.", http.StatusServiceUnavailable, true},
 	RateLimited:          {"rate_limited", "The workspace has used up its rate limit for now.", http.StatusTooManyRequests, false},
 }
 
--- a/internal/external/external.go
+++ b/internal/external/external.go
@@ -176,6 +176,9 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// RetryAfter is for how long a service that turned the call away wants no others; zero if it
+	// does not say so.
+	RetryAfter time.Duration
 }
 
 // Plain is a plain service. After an error other than ErrNotSent, the call may have
--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/retryafter"
 )
 
 const (
@@ -51,8 +53,9 @@
 
 // statusError is a response with a status other than 2xx.
 type statusError struct {
-	status int
-	body   string
+	status     int
+	body       string
+	retryAfter time.Duration
 }
 
 // Error implements error.
@@ -70,7 +73,7 @@
 	if resp.StatusCode/100 != 2 {
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
 		resp.Body.Close()
-		return nil, errors.Wrap(&statusError{resp.StatusCode, strings.TrimSpace(string(text))}, path)
+		return nil, errors.Wrap(&statusError{resp.StatusCode, strings.TrimSpace(string(text)), retryAfter(resp)}, path)
 	}
 	return resp, nil
 }
@@ -105,6 +108,26 @@
 	return 0
 }
 
+// RetryAfter returns for how long a target that turned a call away wants no others; zero if err does not
+// say so.
+func RetryAfter(err error) time.Duration {
+	var s *statusError
+	if errors.As(err, &s) {
+		return s.retryAfter
+	}
+	return 0
+}
+
+// retryAfter returns for how long a response's sender wants no calls. Values that can't be read are
+// ignored.
+func retryAfter(resp *http.Response) time.Duration {
+	if !retryafter.Applies(resp.StatusCode) {
+		return 0
+	}
+	after, _ := retryafter.Decode(resp.Header)
+	return after
+}
+
 // HTTPLog is a Log over HTTP.
 type HTTPLog struct{ c jsonClient }
 
@@ -285,5 +308,5 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "plain response")
 	}
-	return &PlainResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+	return &PlainResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body, RetryAfter: retryAfter(resp)}, nil
 }
--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -94,10 +94,19 @@
 // String returns the outcome's name.
 func (o Outcome) String() string { return outcomeNames[o] }
 
+// TurnedAwayError is returned by an engine that turns a call away and wants no others for a time.
+type TurnedAwayError struct{ RetryAfter time.Duration }
+
+// Error implements error.
+func (e *TurnedAwayError) Error() string {
+	return "the engine wants no calls for " + e.RetryAfter.String()
+}
+
 // Engine is the control interface of one engine.
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
-	// Identify returns the instance name that the engine's health endpoint reports.
+	// Identify returns the instance name that the engine's health endpoint reports. It may fail with
+	// a TurnedAwayError.
 	Identify(ctx context.Context, healthPath string) (string, error)
 	// Load sends a load request. With an error and Unknown, the engine may or may not
 	// have accepted it.
@@ -291,8 +300,13 @@
 		if err != nil {
 			c.options.Logger.Info("engine_not_identified", "error", err.Error())
 		}
+		pause := identifyInterval
+		var turnedAway *TurnedAwayError
+		if errors.As(err, &turnedAway) {
+			pause = max(pause, turnedAway.RetryAfter)
+		}
 		c.loop.Go(func(ctx context.Context) {
-			sleep.For(ctx, identifyInterval)
+			sleep.For(ctx, pause)
 			c.loop.Post(func() { c.identifying = false })
 		})
 	})
--- a/internal/gateway/weights/controller_test.go
+++ b/internal/gateway/weights/controller_test.go
@@ -30,6 +30,9 @@
 	// absent refuses connections, as if no process listened.
 	absent   bool
 	requests []LoadRequest
+	// restFor makes health checks fail with a TurnedAwayError; identified counts them.
+	restFor    time.Duration
+	identified int
 }
 
 func (e *fakeEngine) Report(context.Context) (Report, error) {
@@ -47,6 +50,10 @@
 func (e *fakeEngine) Identify(context.Context, string) (string, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.identified++
+	if e.restFor > 0 {
+		return "", &TurnedAwayError{RetryAfter: e.restFor}
+	}
 	return e.instance, nil
 }
 
@@ -148,6 +155,22 @@
 	synctest.Wait()
 }
 
+// Guards against a sidecar that asks its engine again and again although the engine has asked for rest.
+func TestHealthChecksObserveRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rest = 3 * time.Second
+		h := startHarnessWith(&fakeEngine{instance: "i1", version: 1, restFor: rest})
+		time.Sleep(rest - 100*time.Millisecond)
+		h.engine.set(func(e *fakeEngine) { e.restFor = 0 })
+		asked := h.engine.identified
+		time.Sleep(time.Second)
+		h.stop()
+		if asked != 1 || h.controller.instance != "i1" {
+			t.Errorf("%d health checks during the rest; instance %q after it", asked, h.controller.instance)
+		}
+	})
+}
+
 // The controller must announce that the engine drains and loads before it sends the load
 // request, and that the engine serves again afterwards.
 func TestEngineLoadsTheWantedVersion(t *testing.T) {
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -81,6 +81,9 @@
 		admission.Release(breaker.Failure)
 		return nil, callFailed(ctx, ticket, err)
 	}
+	if response.RetryAfter > 0 {
+		s.rest(response.RetryAfter, m.RequestId)
+	}
 	admission.Release(breakerResult(response.Status))
 	if ticket != nil {
 		ticket.Complete(once.Response{Status: response.Status, ContentType: response.ContentType, Body: response.Body})
@@ -88,6 +91,12 @@
 	return &peerv1.CallResponse{Status: uint32(response.Status), ContentType: response.ContentType, Body: response.Body}, nil
 }
 
+// rest keeps requests from the target for the time that it has asked for.
+func (s *Sidecar) rest(d time.Duration, requestID string) {
+	s.logger.Info("target_wants_rest", "for", d, "request", requestID)
+	s.gate.Rest(d)
+}
+
 // callFailed returns the error for a failed call. Only a call that was never
 // sent is reported as not run.
 func callFailed(ctx context.Context, ticket *once.Ticket, err error) *errkind.Error {
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -60,8 +60,10 @@
 	prefillRate float64
 	busy        busyMeter
 	draining    bool
-	lastID      uint64
-	waiting     map[uint64]*Admission
+	// restUntil is until when the target wants no requests.
+	restUntil time.Duration
+	lastID    uint64
+	waiting   map[uint64]*Admission
 }
 
 // Admission is a request that is queued or running at the gate.
@@ -101,11 +103,35 @@
 	g.draining = true
 }
 
+// Rest makes the gate refuse new and queued requests for a time, because the target has asked for that.
+func (g *Gate) Rest(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.restUntil = max(g.restUntil, g.now()+d)
+	for id, a := range g.waiting {
+		if !g.queue.Cancel(id) {
+			continue
+		}
+		delete(g.waiting, id)
+		g.removeInProgress(a)
+		g.breaker.Complete(g.now(), a.permit, breaker.Neutral)
+		a.Decided <- g.restRefusal()
+	}
+}
+
+// restRefusal returns the refusal during a rest. The caller holds mu.
+func (g *Gate) restRefusal() *errkind.Error {
+	return errkind.NewRetryAfter(errkind.Throttled, g.restUntil-g.now(), "the target has asked for no requests")
+}
+
 // refusal returns why new requests are refused, or nil. The caller holds mu.
 func (g *Gate) refusal() *errkind.Error {
 	if g.draining {
 		return errkind.New(errkind.Leaving, "the target is leaving")
 	}
+	if g.now() < g.restUntil {
+		return g.restRefusal()
+	}
 	if notBefore, blocked := g.breaker.Blocked(g.now()); blocked {
 		return errkind.NewRetryAfter(errkind.BreakerOpen, notBefore-g.now(), "the target failed repeatedly")
 	}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -169,6 +169,9 @@
 		p.refuseNotRun(errkind.New(errkind.TargetFailed, "%v", err))
 		return breaker.Failure
 	}
+	if after := external.RetryAfter(err); after > 0 {
+		p.sidecar.rest(after, p.run.engineID)
+	}
 	p.loseTicket()
 	p.run.buffer.Refuse(&peerv1.Refusal{Kind: uint32(p.failureKind()), Detail: err.Error()})
 	if ctx.Err() != nil {
