Numbers in headers of targets may have any number of digits

Cause: the decoder took numbers with at most twelve decimals, and none with an exponent, so that the value depended on how a target prints it. Change: one parser for all numbers of headers: digits, fraction and exponent as a float may print them; no sign, infinity or hexadecimal form.

--- a/internal/retryafter/retryafter.go
+++ b/internal/retryafter/retryafter.go
@@ -3,11 +3,11 @@
 
 import (
 	"net/http"
-	"regexp"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/decimal"
 )
 
 // Max bounds the time for which a target may ask for no requests. Only a request shows whether a target
@@ -16,9 +16,6 @@
 
 const header = "Retry-After"
 
-// seconds matches numbers of seconds, which may have a fraction beyond what the RFC allows.
-var seconds = regexp.MustCompile(`^[0-9]{1,12}(\.[0-9]{1,12})?$`)
-
 // Decode returns the time for which a response asks its caller to wait, given as seconds or as a date;
 // zero if it does not. With an error the value can't be used, or was bounded to Max.
 func Decode(h http.Header) (time.Duration, error) {
@@ -28,12 +25,10 @@
 		return 0, nil
 	case len(values) > 1:
 		return 0, errors.Newf("%s is present %d times", header, len(values))
-	case !seconds.MatchString(values[0]):
-		return decodeDate(values[0], h.Get("Date"))
 	}
-	n, err := strconv.ParseFloat(values[0], 64)
+	n, err := decimal.Parse(values[0])
 	if err != nil {
-		return 0, errors.Wrap(err, header)
+		return decodeDate(values[0], h.Get("Date"))
 	}
 	return bound(n)
 }
