--- a/internal/gateway/pushback/strategies_test.go
+++ b/internal/gateway/pushback/strategies_test.go
@@ -248,7 +248,7 @@
 		s.since[coordinator] = cut
 	}
 	share := float64(s.w.live(coordinator, now)) / float64(s.w.n)
-	limit := ratelimit.Limit{PerSecond: s.w.limit, Burst: 1 + s.w.limit}.Scaled(share)
+	limit := ratelimit.TargetLimit(s.w.limit).Scaled(share)
 	s.lastID++
 	start := time.Unix(0, 0)
 	from := ratelimit.Holder{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(e >> 8), byte(e)}), 1)}
