The target of a cancelled run counts as crashed at once

Cause: a run that is cancelled because another target crashed counted as an unconfirmed crash only when its goroutine returned.

A run knows which crashes, confirmed or not, were known at its start, and is cancelled for any other one.

--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -84,7 +84,7 @@
 	if fl.route.Retryable() {
 		abandonSend = func() { cancel(errCrashedElsewhere) }
 	}
-	return fl.Quarantine.StartRun(fl.fingerprint, dst.target.ID, abandonSend)
+	return fl.Quarantine.StartRun(fl.fingerprint, dst.target.ID, dst.quarantineStatus.Step, abandonSend)
 }
 
 // endRun unregisters the send.
--- a/internal/gateway/quarantine/record.go
+++ b/internal/gateway/quarantine/record.go
@@ -120,6 +120,18 @@
 	return fewest
 }
 
+// crashTargets returns the targets of all crashes, also of those that are not confirmed.
+func (r *Record) crashTargets() []fleet.ID {
+	targets := make([]fleet.ID, 0, len(r.Crashes)+len(r.Unconfirmed))
+	for _, c := range r.Crashes {
+		targets = append(targets, c.Target)
+	}
+	for _, u := range r.Unconfirmed {
+		targets = append(targets, u.Target)
+	}
+	return targets
+}
+
 // hasCrash reports whether the crash of an incarnation is attributed to the request.
 func (r *Record) hasCrash(target fleet.ID) bool {
 	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Target == target })
