The forwarder decodes the headers of a failed send once

Cause: the log line of a failed send decoded the response's headers a second time to name the rest that the target asks for. Change: send decodes them and passes on the rest. Result: the package's tests pass; the line stays as it was.

--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -8,7 +8,6 @@
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
-	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 )
 
 // unknownAge is logged as the age of something that was never reported.
@@ -57,15 +56,13 @@
 	return strconv.FormatUint(uint64(dst.partKeys[len(dst.partKeys)-1]), 16)
 }
 
-// logFailedSend logs a send that brought no usable response.
-func (fl *flow) logFailedSend(dst *destination, resp *upstream.Response, err error) {
-	if err == nil && !isSendFailure(resp.Status) {
+// logFailedSend logs a send that brought no usable response: an error, or a status with the rest that the
+// target asks for.
+func (fl *flow) logFailedSend(dst *destination, status int, rest time.Duration, err error) {
+	if err == nil && !isSendFailure(status) {
 		return
 	}
-	status, detail, rest := 0, "", time.Duration(0)
-	if resp != nil {
-		status, rest = resp.Status, fl.Protocol.ReadReply(resp.Status, resp.Header).Pushback.RetryAfter
-	}
+	detail := ""
 	if err != nil {
 		detail = err.Error()
 	}
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -133,16 +133,17 @@
 	watch := fl.watchEngine(ctx, dst, cancel)
 	defer watch.stop()
 	resp, err := fl.Pool.Send(ctx, dst.target.Address, fl.upstreamRequest(dst))
-	fl.logFailedSend(dst, resp, err)
 	if err != nil {
+		fl.logFailedSend(dst, 0, 0, err)
 		return fl.handleFailedSend(ctx, dst, err)
 	}
 	defer resp.Close()
+	reply := fl.Protocol.ReadReply(resp.Status, resp.Header)
+	fl.logFailedSend(dst, resp.Status, reply.Pushback.RetryAfter, nil)
 	if fl.service.Engine != nil {
 		fl.Reach.EngineResponded(fl.Now())
 	}
 	fl.lastSend.status = resp.Status
-	reply := fl.Protocol.ReadReply(resp.Status, resp.Header)
 	fl.recordPushback(dst, &reply, sentAt)
 	if reply.IdleTimeout > 0 {
 		fl.Pool.SetIdleLimit(dst.target.Address, reply.IdleTimeout)
