Statements of targets are collected and recorded in one place

Cause: three methods that return a map of what targets state, and three that find or add a target's record, stood alike. Change: collect and recordOf.

--- a/internal/gateway/pushback/announce.go
+++ b/internal/gateway/pushback/announce.go
@@ -102,11 +102,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.targets[id]
+	t := r.recordOf(id, now)
 	if t == nil {
-		if t = r.add(id, now); t == nil {
-			return
-		}
+		return
 	}
 	t.limit.merge(perSecond, now.Add(-age))
 	r.reportRateLimit(id, t, Origin{Peer: peer}, now)
--- a/internal/gateway/pushback/leaving.go
+++ b/internal/gateway/pushback/leaving.go
@@ -35,11 +35,9 @@
 func (r *Registry) StateLeaving(id fleet.ID, incarnation fleet.Incarnation, origin Origin, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.targets[id]
+	t := r.recordOf(id, now)
 	if t == nil {
-		if t = r.add(id, now); t == nil {
-			return
-		}
+		return
 	}
 	if incarnation.Instance != "" {
 		t.incarnation = incarnation
@@ -66,19 +64,5 @@
 
 // Leaving returns the targets that have stated that they leave; nil if there are none.
 func (r *Registry) Leaving(now time.Time) map[fleet.ID]bool {
-	if r.size.Load() == 0 {
-		return nil
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var ids map[fleet.ID]bool
-	for id, t := range r.targets {
-		if !t.leaving.expired(now) {
-			if ids == nil {
-				ids = map[fleet.ID]bool{}
-			}
-			ids[id] = true
-		}
-	}
-	return ids
+	return collect(r, func(t *target) (bool, bool) { return true, !t.leaving.expired(now) })
 }
--- a/internal/gateway/pushback/registry.go
+++ b/internal/gateway/pushback/registry.go
@@ -110,14 +110,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.targets[resp.Target]
+	if r.targets[resp.Target] == nil && statesNothing {
+		return
+	}
+	t := r.recordOf(resp.Target, now)
 	if t == nil {
-		if statesNothing {
-			return
-		}
-		if t = r.add(resp.Target, now); t == nil {
-			return
-		}
+		return
 	}
 	t.incarnation = resp.Incarnation
 	if p.Invalid != nil {
@@ -141,8 +139,11 @@
 	}
 }
 
-// add returns a new record; nil if there are too many.
-func (r *Registry) add(id fleet.ID, now time.Time) *target {
+// recordOf returns a target's record, a new one if there is none; nil if there are too many.
+func (r *Registry) recordOf(id fleet.ID, now time.Time) *target {
+	if t := r.targets[id]; t != nil {
+		return t
+	}
 	if len(r.targets) >= maxTargets {
 		r.expire(now)
 	}
@@ -205,19 +206,26 @@
 
 // RateLimits returns the rate limits in force, in requests per second; nil if there are none.
 func (r *Registry) RateLimits(now time.Time) map[fleet.ID]float64 {
+	return collect(r, func(t *target) (float64, bool) { return t.limit.inForce(now) })
+}
+
+// collect returns a value of each target that has it; nil if none has.
+func collect[V any](r *Registry, valueOf func(*target) (V, bool)) map[fleet.ID]V {
 	if r.size.Load() == 0 {
 		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var limits map[fleet.ID]float64
+	var values map[fleet.ID]V
 	for id, t := range r.targets {
-		if perSecond, ok := t.limit.inForce(now); ok {
-			if limits == nil {
-				limits = map[fleet.ID]float64{}
-			}
-			limits[id] = perSecond
+		v, ok := valueOf(t)
+		if !ok {
+			continue
+		}
+		if values == nil {
+			values = map[fleet.ID]V{}
 		}
+		values[id] = v
 	}
-	return limits
+	return values
 }
--- a/internal/gateway/pushback/rest.go
+++ b/internal/gateway/pushback/rest.go
@@ -74,21 +74,7 @@
 // Resting returns the targets that take no requests from this host now, with the time until which they
 // do not; nil if there are none.
 func (r *Registry) Resting(now time.Time) map[fleet.ID]time.Time {
-	if r.size.Load() == 0 {
-		return nil
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var resting map[fleet.ID]time.Time
-	for id, t := range r.targets {
-		if until, ok := t.rest.blockedUntil(now); ok {
-			if resting == nil {
-				resting = map[fleet.ID]time.Time{}
-			}
-			resting[id] = until
-		}
-	}
-	return resting
+	return collect(r, func(t *target) (time.Time, bool) { return t.rest.blockedUntil(now) })
 }
 
 // BeginTrial asks to send a request to a target. It returns false for ok if the target wants rest or is
