The model of target limits draws its random numbers under its lock

Cause: TestHigherPriorityIsAdmittedFirst drew from the random source of the model while the model's network drew from it in another goroutine. Change: both draw under the model's lock.

--- a/internal/gateway/ratelimit/fleet_test.go
+++ b/internal/gateway/ratelimit/fleet_test.go
@@ -278,10 +278,7 @@
 		onStep(at)
 		for i := range f.entries {
 			perSecond, cost := d(i, start+at)
-			f.mu.Lock()
-			arrives := f.random.Float64() < perSecond/cost*simStep.Seconds()
-			f.mu.Unlock()
-			if arrives {
+			if f.arrives(perSecond / cost) {
 				f.request(i, cost, time.Second)
 			}
 		}
@@ -289,6 +286,13 @@
 	f.tasks.Wait()
 }
 
+// arrives draws whether a request arrives in a step, at a rate per second.
+func (f *fleetSim) arrives(perSecond float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64() < perSecond*simStep.Seconds()
+}
+
 // maxUse returns the largest use in any window that starts at or after a time.
 func (f *fleetSim) maxUse(from time.Duration) float64 {
 	slices.SortFunc(f.used, func(a, b use) int { return int(a.at - b.at) })
--- a/internal/gateway/ratelimit/targetlimit_test.go
+++ b/internal/gateway/ratelimit/targetlimit_test.go
@@ -177,7 +177,9 @@
 				ask := func(priority int) {
 					asked[priority]++
 					r := Request{Key: "w", Limit: TargetLimit(perSecond), Cost: 1, Floor: lowFloor * float64(priority), HasAlternative: true}
+					f.mu.Lock()
 					l := f.entries[f.random.IntN(entries)].limiter
+					f.mu.Unlock()
 					f.tasks.Go(func() {
 						if l.Admit(t.Context(), r).Admitted {
 							f.mu.Lock()
@@ -187,10 +189,10 @@
 					})
 				}
 				f.run(duration, skewedDemand(0, 0), func(time.Duration) {
-					if f.random.Float64() < 0.5*perSecond*simStep.Seconds() {
+					if f.arrives(0.5 * perSecond) {
 						ask(0)
 					}
-					if f.random.Float64() < 3*perSecond*simStep.Seconds() {
+					if f.arrives(3 * perSecond) {
 						ask(1)
 					}
 				})
