The test of health checks reads its counter under the engine's lock

Cause: TestHealthChecksObserveRest read the number of health checks while the controller's goroutine could write it. Change: the counter is read where the rest ends, under the lock.

--- a/internal/gateway/weights/controller_test.go
+++ b/internal/gateway/weights/controller_test.go
@@ -161,8 +161,8 @@
 		const rest = 3 * time.Second
 		h := startHarnessWith(&fakeEngine{instance: "i1", version: 1, restFor: rest})
 		time.Sleep(rest - 100*time.Millisecond)
-		h.engine.set(func(e *fakeEngine) { e.restFor = 0 })
-		asked := h.engine.identified
+		var asked int
+		h.engine.set(func(e *fakeEngine) { asked, e.restFor = e.identified, 0 })
 		time.Sleep(time.Second)
 		h.stop()
 		if asked != 1 || h.controller.instance != "i1" {
