losses names what targets had stated behind refusals and detours

Cause: toucanwell losses counted refusals of requests whose targets had all asked for fewer requests as throttled, without the reason, and did not count the sends past such targets at all, so that a window of late requests could not be traced to a target that states a limit. Change: a refusal counts with what the targets had stated, and a column counts the sends that passed targets over, by the same reasons. The daemon is unchanged. Result: TestReadNamesWhatTargetsStated fails without it (the reason is throttled alone; no detours); the packages' tests pass.

--- a/cmd/toucanwell/losses.go
+++ b/cmd/toucanwell/losses.go
@@ -24,7 +24,7 @@
 		Usage:     "report from the logs of entries how many requests missed their latency objective, when and why",
 		ArgsUsage: "[LOG_FILE ...]",
 		Description: "Reads the files, or standard input if none is given. Prints a row for each route and time window with the\n" +
-			"number of requests in time and late, the cached and fetched shares of shared tokens, and the main reasons.",
+			"number of requests in time and late, the cached and fetched shares of shared tokens, the sends past targets that had\nasked for fewer requests, and the main reasons.",
 		Flags: []cli.Flag{
 			outputFlag(),
 			&cli.DurationFlag{Name: "window", Usage: "time window of a row", Value: 2 * time.Second},
@@ -82,15 +82,15 @@
 	return losses.Read(o, logs...)
 }
 
-// maxReasons is the number of reasons shown per row, most frequent first.
-const maxReasons = 3
+// maxCounts is the number of reasons and of detours shown per row, most frequent first.
+const maxCounts = 3
 
 func printLosses(w io.Writer, rows []losses.Row) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "route\tfrom s\trequests\tin time\tlate\tgone\theld\tfetched\treasons")
+	fmt.Fprintln(t, "route\tfrom s\trequests\tin time\tlate\tgone\theld\tfetched\tdetours\treasons")
 	for _, r := range rows {
-		fmt.Fprintf(t, "%s\t%.0f\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n", r.Route, r.Start, r.Requests, r.InTime, r.Late, r.Cancelled,
-			formatShare(r.CachedTokens, r.SharedTokens), formatShare(r.FetchedTokens, r.SharedTokens), topReasons(r.Reasons))
+		fmt.Fprintf(t, "%s\t%.0f\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", r.Route, r.Start, r.Requests, r.InTime, r.Late, r.Cancelled,
+			formatShare(r.CachedTokens, r.SharedTokens), formatShare(r.FetchedTokens, r.SharedTokens), topCounts(r.Detours), topCounts(r.Reasons))
 	}
 	return t.Flush()
 }
@@ -103,16 +103,17 @@
 	return fmt.Sprintf("%.2f", share(part, whole))
 }
 
-func topReasons(reasons map[string]int) string {
-	names := slices.SortedFunc(maps.Keys(reasons), func(a, b string) int {
-		if reasons[a] != reasons[b] {
-			return reasons[b] - reasons[a]
+// topCounts formats the highest counts with their names.
+func topCounts(counts map[string]int) string {
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		if counts[a] != counts[b] {
+			return counts[b] - counts[a]
 		}
 		return strings.Compare(a, b)
 	})
 	var all []string
-	for _, name := range names[:min(len(names), maxReasons)] {
-		all = append(all, fmt.Sprintf("%d %s", reasons[name], name))
+	for _, name := range names[:min(len(names), maxCounts)] {
+		all = append(all, fmt.Sprintf("%d %s", counts[name], name))
 	}
 	return strings.Join(all, ", ")
 }
--- a/cmd/toucanwell/losses_test.go
+++ b/cmd/toucanwell/losses_test.go
@@ -25,11 +25,11 @@
 
 func TestPrintLossesShowsMainReasons(t *testing.T) {
 	var out strings.Builder
-	rows := []losses.Row{{Route: "review", Start: 4, Requests: 9, InTime: 2, Late: 6, Cancelled: 1, SharedTokens: 200, CachedTokens: 50, Reasons: map[string]int{"a": 1, "b": 3, "c": 2, "d": 2}}}
+	rows := []losses.Row{{Route: "review", Start: 4, Requests: 9, InTime: 2, Late: 6, Cancelled: 1, SharedTokens: 200, CachedTokens: 50, Reasons: map[string]int{"a": 1, "b": 3, "c": 2, "d": 2}, Detours: map[string]int{"rest": 5}}}
 	if err := printLosses(&out, rows); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"review", "0.25", "0.00", "3 b, 2 c, 2 d"} {
+	for _, want := range []string{"review", "0.25", "0.00", "3 b, 2 c, 2 d", "5 rest"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("output lacks %q:\n%s", want, out.String())
 		}
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -12,8 +12,10 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/explain"
 )
 
@@ -49,6 +51,9 @@
 	FetchedTokens int `json:"fetched_tokens"`
 	// Reasons counts the late, refused and failed requests by reason.
 	Reasons map[string]int `json:"reasons"`
+	// Detours counts the requests that were sent past targets that had asked for fewer requests, by
+	// what these had stated.
+	Detours map[string]int `json:"detours"`
 }
 
 // Options configures the evaluation.
@@ -66,6 +71,8 @@
 	engineWait, prefill, fetch, entryWait     time.Duration
 	sharedTokens, cachedTokens, fetchedTokens int
 	sends                                     int
+	// avoided are the targets that were passed over, as in [statedReasons].
+	avoided string
 }
 
 // Read computes the rows of the logs, ordered by route and time.
@@ -118,6 +125,7 @@
 		s := &sendEstimate{
 			engineWait: durationField(l, "wait"), prefill: durationField(l, "read"), fetch: durationField(l, "fetch"), entryWait: durationField(l, "kept"),
 			sharedTokens: intField(l, "shared"), cachedTokens: intField(l, "held"), fetchedTokens: intField(l, "fetched"), sends: intField(l, "send"),
+			avoided: l.Get("avoided"),
 		}
 		t.sends[id] = s
 		return
@@ -134,10 +142,15 @@
 		row.SharedTokens += s.sharedTokens
 		row.CachedTokens += s.cachedTokens
 		row.FetchedTokens += s.fetchedTokens
+		for _, reason := range statedReasons(s.avoided) {
+			row.Detours[reason]++
+		}
 	}
 	switch outcome := l.Get("outcome"); {
 	case outcome == "cancelled":
 		row.Cancelled++
+	case outcome == throttled:
+		row.Reasons[throttledReason(l.Get("detail"))]++
 	case outcome != "answered":
 		row.Reasons[outcome]++
 	case durationField(l, "first") <= t.objective(row.Route):
@@ -148,6 +161,41 @@
 	}
 }
 
+// throttled is the outcome of requests that were refused because all targets of a service had asked for
+// fewer requests.
+var throttled = errkind.Throttled.String()
+
+// throttledReason returns the reason of a refusal, with what the targets had stated if its detail ends
+// with a list of them.
+func throttledReason(detail string) string {
+	_, avoided, _ := lastCut(detail, ": ")
+	reasons := statedReasons(avoided)
+	if len(reasons) == 0 {
+		return throttled
+	}
+	return throttled + ": " + strings.Join(reasons, " and ")
+}
+
+// statedReasons returns the distinct reasons in a list of TARGET:REASON, in alphabetical order.
+func statedReasons(avoided string) []string {
+	var reasons []string
+	for item := range strings.SplitSeq(avoided, ",") {
+		if _, reason, ok := lastCut(item, ":"); ok {
+			reasons = append(reasons, reason)
+		}
+	}
+	slices.Sort(reasons)
+	return slices.Compact(reasons)
+}
+
+// lastCut is strings.Cut at the last separator.
+func lastCut(s, sep string) (before, after string, found bool) {
+	if i := strings.LastIndex(s, sep); i >= 0 {
+		return s[:i], s[i+len(sep):], true
+	}
+	return s, "", false
+}
+
 // lateReason returns the largest component of the time to first event.
 func lateReason(first time.Duration, s *sendEstimate) string {
 	if s == nil {
@@ -168,7 +216,7 @@
 	k := rowKey{route: l.Get("route"), window: int(l.Time.Sub(t.start) / t.options.Window)}
 	row := t.rows[k]
 	if row == nil {
-		row = &Row{Route: k.route, Start: (time.Duration(k.window) * t.options.Window).Seconds(), Reasons: map[string]int{}}
+		row = &Row{Route: k.route, Start: (time.Duration(k.window) * t.options.Window).Seconds(), Reasons: map[string]int{}, Detours: map[string]int{}}
 		t.rows[k] = row
 	}
 	return row
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -1,6 +1,7 @@
 package losses
 
 import (
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -44,6 +45,26 @@
 	}
 }
 
+// Guards against refusals and detours that do not show what targets had stated.
+func TestReadNamesWhatTargetsStated(t *testing.T) {
+	var out strings.Builder
+	log := logging.New(&out, "entry-1")
+	log.Info("request_sent", "request_id", "detour", "send", 1, "route", "r", "avoided", "i-1@17:rate_limit,i-2@17:rest,i-3@18:rest")
+	log.Info("request_done", "request_id", "detour", "outcome", "answered", "route", "r", "first", "5ms")
+	log.Info("request_done", "request_id", "refused", "outcome", "throttled", "route", "r", "detail", "all targets of a:b have asked for fewer requests: i-1@17:rate_limit,i-2@17:rest")
+	log.Info("request_done", "request_id", "gate", "outcome", "throttled", "route", "r", "detail", "the target has asked for no requests")
+	rows, err := Read(Options{Window: time.Hour, DefaultObjective: time.Second}, strings.NewReader(out.String()))
+	if err != nil || len(rows) != 1 {
+		t.Fatalf("%+v, %v", rows, err)
+	}
+	if want := map[string]int{"rate_limit": 1, "rest": 1}; !maps.Equal(rows[0].Detours, want) {
+		t.Errorf("detours %v, want %v", rows[0].Detours, want)
+	}
+	if want := map[string]int{"throttled": 1, "throttled: rate_limit and rest": 1}; !maps.Equal(rows[0].Reasons, want) {
+		t.Errorf("reasons %v, want %v", rows[0].Reasons, want)
+	}
+}
+
 func TestReadWithoutRequestsReturnsNoRows(t *testing.T) {
 	rows, err := Read(Options{Window: time.Second}, strings.NewReader("nothing\n"))
 	if err != nil || len(rows) != 0 {
