Tests of statements use the terms of the field

Cause: names and comments of four tests said that statements are heard and told, where the code says recorded, decoded and announced. Change: the words; no check.

--- a/internal/external/http_test.go
+++ b/internal/external/http_test.go
@@ -9,7 +9,7 @@
 
 // Guards against a target's time of rest that is dropped on the way to its gate, or taken from a
 // response that turns nothing away.
-func TestRestOfATargetIsHeard(t *testing.T) {
+func TestRetryAfterOfATargetIsDecoded(t *testing.T) {
 	for _, c := range []struct {
 		status int
 		after  string
--- a/internal/gateway/forward/pushback_test.go
+++ b/internal/gateway/forward/pushback_test.go
@@ -169,7 +169,7 @@
 	}
 }
 
-// Guards against a response's statement that is not heard, and one that outlives it.
+// Guards against a statement in a response that is not recorded, and one that outlives it.
 func TestStatementsOfResponsesAreRecorded(t *testing.T) {
 	for name, respond := range map[string]func(tg *fakeTarget, w io.Writer, r *http.Request) bool{
 		"success": func(tg *fakeTarget, w io.Writer, r *http.Request) bool {
--- a/internal/gateway/pushback/leaving_test.go
+++ b/internal/gateway/pushback/leaving_test.go
@@ -50,7 +50,7 @@
 }
 
 // Guards against a departure that is forgotten while its target is still listed, or remembered for ever
-// because entries tell each other.
+// because entries announce it to each other.
 func TestDepartureIsKeptWhileListed(t *testing.T) {
 	g := newGossip(2)
 	g.record(0, 1, wire.Pushback{Leaving: true}, g.now)
--- a/internal/gateway/pushback/strategies_test.go
+++ b/internal/gateway/pushback/strategies_test.go
@@ -189,15 +189,15 @@
 }
 func (s *owners) messages() int { return 0 }
 
-// proportional divides the limit by demand, of which each entry tells all others.
+// proportional divides the limit by demand, which each entry announces to all others.
 type proportional struct {
 	w       *world
 	buckets []tokenBucket
-	// demand is each entry's average, told what it last told the others.
-	demand, told []float64
-	demandAt     []time.Duration
-	toldAt       []time.Duration
-	sent         int
+	// demand is each entry's average, announced what it last announced to the others.
+	demand, announced []float64
+	demandAt          []time.Duration
+	announcedAt       []time.Duration
+	sent              int
 }
 
 const proportionalPeriod = 400 * time.Millisecond
@@ -205,14 +205,14 @@
 func (s *proportional) admit(e int, now time.Duration) bool {
 	s.demand[e] = s.demand[e]*math.Exp(-(now-s.demandAt[e]).Seconds()) + 1
 	s.demandAt[e] = now
-	if now-s.toldAt[e] > proportionalPeriod {
-		s.told[e], s.toldAt[e] = s.demand[e], now
+	if now-s.announcedAt[e] > proportionalPeriod {
+		s.announced[e], s.announcedAt[e] = s.demand[e], now
 		s.sent += s.w.n - 1
 	}
 	total := s.demand[e]
 	for other := range s.w.n {
 		if other != e && s.w.sees(e, other, now) {
-			total += s.told[other] * math.Exp(-(now - s.toldAt[other]).Seconds())
+			total += s.announced[other] * math.Exp(-(now - s.announcedAt[other]).Seconds())
 		}
 	}
 	share := s.w.limit * s.demand[e] / total
@@ -276,7 +276,7 @@
 		"alone":        &alone{w, buckets()},
 		"shares":       &shares{w, buckets(), make([]bool, w.n)},
 		"owners":       &owners{w, buckets(), 14},
-		"proportional": &proportional{w: w, buckets: buckets(), demand: make([]float64, w.n), told: make([]float64, w.n), demandAt: make([]time.Duration, w.n), toldAt: make([]time.Duration, w.n)},
+		"proportional": &proportional{w: w, buckets: buckets(), demand: make([]float64, w.n), announced: make([]float64, w.n), demandAt: make([]time.Duration, w.n), announcedAt: make([]time.Duration, w.n)},
 		"leases":       l,
 	}
 }
