Two comments of the sidecar and the rate limits read as sentences

Cause: one said that it returns the wantedWeights weights, the other had a line of 160 characters. Change: the comments; no code. Result: builds; formatter clean.

--- a/internal/gateway/ratelimit/limit.go
+++ b/internal/gateway/ratelimit/limit.go
@@ -3,9 +3,10 @@
 //
 // # Sharing one token bucket
 //
-// Each limit has a token bucket with a key. It is kept by one coordinator among the live entries,
-// chosen by rendezvous hashing of key and address, so that no election is needed. Other entries request the cost of a request from it and lease further tokens
-// ahead, so that most requests are admitted without a round trip.
+// Each limit has a token bucket with a key. It is kept by one coordinator among the live
+// entries, chosen by rendezvous hashing of key and address, so that no election is needed.
+// Other entries request the cost of a request from it and lease further tokens ahead, so that
+// most requests are admitted without a round trip.
 //
 // # Staying within the limit
 //
--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -69,8 +69,8 @@
 	return s
 }
 
-// wantedWeights returns the wantedWeights weights. It returns none while the engine may be leaving, since
-// a load would invalidate the responses of its last requests.
+// wantedWeights returns the weights that are wanted, by model. It returns none while the engine may be
+// leaving, since a load would invalidate the responses of its last requests.
 func (s *sidecar) wantedWeights() map[string]weights.History {
 	if s.statements.Leaving(s.process.clock.Now())[s.engineID()] {
 		return nil
