Software versions of targets and the attempt that a caller resumes are decoded and logged

Cause: the log could not tell which version began a stream and which went on with it; the adapter checked that the list states a version and dropped it. Nothing is decided by either.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -234,7 +234,7 @@
 	if bulk && !l.Leaving && !returned {
 		return true
 	}
-	c.logger.Info("target_listed", "target", l.Incarnation, "service", l.Service, "address", l.Address, "zone", l.Zone,
+	c.logger.Info("target_listed", "target", l.Incarnation, "service", l.Service, "address", l.Address, "zone", l.Zone, "version", l.SoftwareVersion,
 		"leaving", l.Leaving, "weights", l.Weights, "returned", returned, "offset", offset)
 	return true
 }
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -18,6 +18,9 @@
 	Service string
 	Address netip.AddrPort
 	Zone    string
+	// SoftwareVersion is the version of the target's software; empty if unknown. Versions of one
+	// service have no order, and those of different services have nothing in common.
+	SoftwareVersion string
 	// Slots is how many requests the target runs concurrently.
 	Slots int
 	// Leaving is set when the target stops soon and accepts no new requests.
@@ -55,10 +58,14 @@
 	return Target{Listing: l, Hash: xxhash.Sum64String(l.Instance), ID: IDOf(l.Incarnation.String())}
 }
 
-// withIncarnation returns a copy of the target with another incarnation.
-func (t Target) withIncarnation(incarnation Incarnation) Target {
+// WithIncarnation returns a copy of the target with another incarnation. If that is not the listed
+// one, the version of its software is unknown.
+func (t Target) WithIncarnation(incarnation Incarnation) Target {
 	listing := t.Listing
 	listing.Incarnation = incarnation
+	if !t.Matches(incarnation) {
+		listing.SoftwareVersion = ""
+	}
 	updated := NewTarget(listing)
 	updated.Unconfirmed, updated.Unlisted = t.Unconfirmed, t.Unlisted
 	return updated
--- a/internal/gateway/fleet/incarnation_test.go
+++ b/internal/gateway/fleet/incarnation_test.go
@@ -190,3 +190,16 @@
 		rt.Fatalf("got %v, want %d targets", used, want)
 	}
 }
+
+// Guards against a restarted target that counts as running the software version of its earlier
+// incarnation.
+func TestVersionIsUnknownForAnotherIncarnation(t *testing.T) {
+	l := listing("x", 1)
+	l.SoftwareVersion, l.StartedMs = "v1", 5
+	target := NewTarget(l)
+	for incarnation, want := range map[Incarnation]string{{"x", 5}: "v1", {"x", 0}: "v1", {"x", 6}: "", {"y", 5}: ""} {
+		if got := target.WithIncarnation(incarnation).SoftwareVersion; got != want {
+			t.Errorf("%v: version %q, want %q", incarnation, got, want)
+		}
+	}
+}
--- a/internal/gateway/fleet/reports.go
+++ b/internal/gateway/fleet/reports.go
@@ -158,7 +158,7 @@
 	}
 	i := slices.IndexFunc(list, func(t Target) bool { return t.Address == r.Address })
 	if i >= 0 && list[i].Matches(r.Incarnation) {
-		list[i] = list[i].withIncarnation(r.Incarnation)
+		list[i] = list[i].WithIncarnation(r.Incarnation)
 		return
 	}
 	if i >= 0 && p.directory.outdates(&list[i], r) {
--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -151,9 +151,7 @@
 	for i := range p.targets {
 		t := &p.targets[i]
 		if incarnation := p.responses[i].Incarnation; p.responded[i] && incarnation.Instance != "" && incarnation != t.Incarnation {
-			listing := t.Listing
-			listing.Incarnation = incarnation
-			*t = fleet.NewTarget(listing)
+			*t = t.WithIncarnation(incarnation)
 		}
 	}
 }
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -36,9 +36,9 @@
 	if dst.probed {
 		phase, age = dst.probeResponse.Phase, dst.probeResponse.ReportAge
 	}
-	log.Info("request_sent", "request_id", fl.request.ID, "print", fl.fingerprint, "send", fl.sends, "cause", fl.retryCause, "last_event", fl.lastEvent,
+	log.Info("request_sent", "request_id", fl.request.ID, "print", fl.fingerprint, "send", fl.sends, "cause", fl.retryCause, "last_event", fl.lastEvent, "resumes", bounded(fl.request.Resumes),
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
-		"target", dst.target.Incarnation, "address", dst.target.Address, "zone", dst.target.Zone,
+		"target", dst.target.Incarnation, "version", dst.target.SoftwareVersion, "address", dst.target.Address, "zone", dst.target.Zone,
 		"list_age", fl.age(fl.view.TargetsCurrentAt), "listed", !dst.target.Unlisted, "asked", dst.probeCount, "report_age", age, "phase", phase.String(),
 		"weights", dst.weightsVersion, "wanted", fl.view.Wanted[fl.request.Model].Newest(),
 		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "family", familyName(dst), "answer", fl.request.MaxTokens, "held", dst.choice.CachedTokens, "fetched", dst.choice.FetchedTokens, "fetch_from", dst.fetchFrom, "save_to", dst.offloadTo,
@@ -47,6 +47,11 @@
 		"verdict", dst.quarantineStatus.Verdict.String(), "ends", dst.quarantineStatus.Crashes, "unconfirmed", dst.quarantineStatus.Unconfirmed, "patience", roundForLog(dst.maxWait), "kept", roundForLog(time.Since(fl.arrived)), "left", fl.timeLeft().Round(time.Millisecond))
 }
 
+// maxLoggedName bounds a name in the log that a caller chooses.
+const maxLoggedName = 64
+
+func bounded(name string) string { return name[:min(len(name), maxLoggedName)] }
+
 // familyName returns the log's name for the prompt's shared parts at the version of the
 // weights. Sends with the same name can use each other's cached parts.
 func familyName(dst *destination) string {
--- a/internal/gateway/listingdigest.go
+++ b/internal/gateway/listingdigest.go
@@ -24,7 +24,7 @@
 func listingDigest(l *fleet.Listing) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	for _, text := range []string{l.Incarnation.String(), l.Service, l.Address.String(), l.Zone} {
+	for _, text := range []string{l.Incarnation.String(), l.Service, l.Address.String(), l.Zone, l.SoftwareVersion} {
 		_, _ = d.WriteString(text + "\x00")
 	}
 	if l.Leaving {
--- a/internal/gateway/wire/wire.go
+++ b/internal/gateway/wire/wire.go
@@ -35,6 +35,9 @@
 	Parts []Part
 	// LastEventID is the ID of the event after which a stream resumes; empty for a new one.
 	LastEventID string
+	// Resumes is the ID of the caller's request that brought the first event of the stream that
+	// this one resumes; empty if not stated.
+	Resumes string
 }
 
 // Attempt is the metadata that is sent to a target with one attempt of a request.
