Streams go on only at the software version that began them

Cause: a stream that broke off was resumed at any engine of its service. The list of targets states versions, and nothing compared them. Change: the entry that relays the first event of a stream records the version and tells an entry of its own zone, one of another zone and a sidecar. A resumed stream, within a response or by its caller at any entry, goes only to targets of that version, first in their queues. An entry without a record asks the processes that may have it. If nobody knows, the stream goes on only where a list that was read after the request, and all lists for longer than streams last, show a single version. What cannot go on is refused at once with 421 and a kind of its own. Stopping entries hand their records over.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -274,6 +274,7 @@
 		}
 	}
 	c.logUnlisted(v, c.directory.ApplyReports(v.Targets, reportedTargets(v.Engines), syncState, now))
+	v.SingleVersions = c.directory.SingleVersions(v.Targets, c.targets.Replica().CompleteSince())
 	for model, w := range c.wantedWeights {
 		v.Wanted[model] = w
 	}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -53,6 +53,8 @@
 	// changedTargets are the targets whose work from this entry has changed since the last
 	// announcement to the other entries.
 	changedTargets map[fleet.ID]bool
+	// originsRefreshedAt is when the processes that keep the starts of streams were last updated.
+	originsRefreshedAt time.Time
 }
 
 func newEntry(p *process) *entry {
@@ -67,7 +69,7 @@
 	e.quarantine = newQuarantineSync(p)
 	p.state.quarantinePage = e.quarantine.page
 	e.forwarder = forward.New(forward.Deps{
-		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback, TargetLimits: e.targetLimits,
+		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback, TargetLimits: e.targetLimits, Origins: p.origins,
 		Quarantine: e.quarantine.registry, CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return e.pool.ProbeListener(ctx, t.Address)
 		}),
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -96,7 +96,8 @@
 // Directory holds the targets of the platform's list. It is not safe for concurrent use.
 type Directory struct {
 	// states by instance.
-	states map[string]*targetState
+	states   map[string]*targetState
+	versions versionHistory
 	// usable is the last result of Targets, and nil once it is outdated.
 	usable *usableTargets
 }
@@ -113,7 +114,9 @@
 }
 
 // NewDirectory returns an empty directory.
-func NewDirectory() *Directory { return &Directory{states: map[string]*targetState{}} }
+func NewDirectory() *Directory {
+	return &Directory{states: map[string]*targetState{}, versions: versionHistory{}}
+}
 
 // Invalidate makes the next call of Targets evaluate all targets again. It must be called after
 // a change of the declared services.
@@ -136,6 +139,8 @@
 	if l.Incarnation.Before(s.target.Incarnation) && now.Sub(s.listedAt) < staleListingWindow {
 		return false
 	}
+	d.versions.note(&s.target.Listing, now)
+	d.versions.note(&l, now)
 	s.target, s.offset = NewTarget(l), offset
 	s.listedAt, s.removedAt = now, time.Time{}
 	d.Invalidate()
@@ -154,6 +159,7 @@
 		return false
 	}
 	s.removedAt = now
+	d.versions.note(&s.target.Listing, now)
 	d.Invalidate()
 	return true
 }
@@ -210,6 +216,7 @@
 
 // prune deletes removed targets that have not been reported for removedRetention.
 func (d *Directory) prune(now time.Time) {
+	d.versions.prune(now)
 	for instance, s := range d.states {
 		if !s.removedAt.IsZero() && now.Sub(s.removedAt) > removedRetention && now.Sub(s.reportedAt) > removedRetention {
 			delete(d.states, instance)
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -63,6 +63,8 @@
 	// rate limits among the entries.
 	Pushback     *pushback.Registry
 	TargetLimits TargetLimits
+	// Origins keeps which software version began each stream.
+	Origins Origins
 	// Quarantine tracks requests that were running when targets crashed; CrashDetector
 	// distinguishes crashes from other disconnects.
 	Quarantine    *quarantine.Registry
@@ -119,6 +121,8 @@
 	Tokens(service, class string, prompt, cached, wasted int)
 	Retry(cause string)
 	Resume()
+	// StreamStart records that a caller resumes a stream, and where its version was found.
+	StreamStart(source string)
 	// RateLimit records whether a request was admitted, and the source of the decision.
 	RateLimitDecision(source string, admitted bool)
 	// TargetLimitDecision records whether the rate limit of a target had room for a request, and
@@ -210,6 +214,8 @@
 	// restrictions are what targets have stated about the load that they take, as of the last
 	// placement.
 	restrictions restrictions
+	// origin is the software version that began the stream.
+	origin streamOrigin
 	// lastEvent is the ID of the last event relayed. responseStarted is set once the caller
 	// has received a byte of the response.
 	lastEvent       string
@@ -318,7 +324,7 @@
 	if fl.route = e.Match(host, path); fl.route == nil {
 		return errkind.New(errkind.UnknownRoute, "host %q, path %q", host, path)
 	}
-	fl.service = e.Service(fl.route.PickBackend(float64(xxhash.Sum64String(fl.request.ID)>>11) / (1 << 53)))
+	fl.service = e.Service(fl.route.PickBackend(float64(xxhash.Sum64String(fl.streamID())>>11) / (1 << 53)))
 	fl.retries = fl.retryBudget(fl.service.Name, fl.view.EntryCount)
 	fl.deadline = fl.arrived.Add(defaultTimeout)
 	fl.isRetry = fl.callerTimeouts.isRetry(fl.route.Name, fl.request.TimeLeft)
@@ -401,6 +407,9 @@
 func (fl *flow) run(ctx context.Context) *errkind.Error {
 	fl.excluded = map[fleet.Incarnation]bool{}
 	fl.lastEvent = fl.request.LastEventID
+	if refusal := fl.resolveOrigin(ctx); refusal != nil {
+		return refusal
+	}
 	var lastRefusal *errkind.Error
 	for {
 		if refusal := fl.checkNextSend(ctx, lastRefusal); refusal != nil {
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -22,6 +22,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
+	"github.com/toucanwell/toucanwell/internal/gateway/origin"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
@@ -47,6 +48,7 @@
 func (noMetrics) Tokens(string, string, int, int, int)        {}
 func (noMetrics) Retry(string)                                {}
 func (noMetrics) Resume()                                     {}
+func (noMetrics) StreamStart(string)                          {}
 func (noMetrics) RateLimitDecision(string, bool)              {}
 func (noMetrics) TargetLimitDecision(string, bool)            {}
 func (noMetrics) Detour(string)                               {}
@@ -68,6 +70,33 @@
 	return ratelimit.Decision{Admitted: true}
 }
 
+// fakeOrigins records streams and finds those in found.
+type fakeOrigins struct {
+	mu       sync.Mutex
+	recorded map[origin.Key]origin.Version
+	found    map[origin.Key]origin.Version
+	asked    int
+}
+
+func (o *fakeOrigins) Record(key origin.Key, version origin.Version) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.recorded == nil {
+		o.recorded = map[origin.Key]origin.Version{}
+	}
+	o.recorded[key] = version
+}
+
+func (o *fakeOrigins) Find(_ context.Context, key origin.Key) origin.Finding {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.asked++
+	if v, ok := o.found[key]; ok {
+		return origin.Finding{Version: v, Source: origin.Peer}
+	}
+	return origin.Finding{Source: origin.Unknown}
+}
+
 type noObserver struct{}
 
 func (noObserver) CrashAttributed(*quarantine.Record, quarantine.Crash, bool) {}
@@ -207,15 +236,15 @@
 	directory := fleet.NewDirectory()
 	for _, tg := range targets {
 		address := netip.MustParseAddrPort(tg.listener.Addr().String())
-		directory.Add(fleet.Listing{Incarnation: fleet.Incarnation{Instance: tg.instance}, Service: "plain", Address: address, Zone: "a", Slots: 4}, 1, time.Now())
-		directory.Add(fleet.Listing{Incarnation: fleet.Incarnation{Instance: tg.instance + "-engine"}, Service: "engines", Address: address, Zone: "a", Slots: 4, Weights: map[string]int64{model: 3}}, 1, time.Now())
+		directory.Add(fleet.Listing{Incarnation: fleet.Incarnation{Instance: tg.instance}, Service: "plain", Address: address, Zone: "a", Slots: 4, SoftwareVersion: "v1"}, 1, time.Now())
+		directory.Add(fleet.Listing{Incarnation: fleet.Incarnation{Instance: tg.instance + "-engine"}, Service: "engines", Address: address, Zone: "a", Slots: 4, SoftwareVersion: "v1", Weights: map[string]int64{model: 3}}, 1, time.Now())
 	}
 	env.view.Targets = directory.Targets(func(string) bool { return true }, time.Now(), fleet.SyncState{})
 	env.view.Wanted = map[string]weights.History{}
 	env.pool = upstream.NewPool(func() {})
 	env.Forwarder = New(Deps{
 		Protocol: wiretest.Protocol{}, View: func() (*view.View, bool) { return env.view, true }, Pool: env.pool,
-		Ledger: ledger.New(), Parts: parts.NewIndex(), Health: health.NewMonitor(nil), Reach: &reach.Monitor{}, Pushback: pushback.NewRegistry(noStatements{}), TargetLimits: unlimited{},
+		Ledger: ledger.New(), Parts: parts.NewIndex(), Health: health.NewMonitor(nil), Reach: &reach.Monitor{}, Pushback: pushback.NewRegistry(noStatements{}), TargetLimits: unlimited{}, Origins: &fakeOrigins{},
 		Quarantine: quarantine.NewRegistry(quarantine.Limits{MaxCrashes: 3, SuspectFor: time.Hour, RefuseFor: time.Hour, MaxRecords: 100}, noObserver{}),
 		CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return env.pool.ProbeListener(ctx, t.Address)
--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -62,6 +62,9 @@
 	if refusal := fl.checkQuarantine(); refusal != nil {
 		return nil, refusal
 	}
+	if refusal := fl.checkVersionServes(); refusal != nil {
+		return nil, refusal
+	}
 	if fl.quarantineStatus.Verdict == quarantine.Held {
 		return nil, errkind.NewRetryAfter(errkind.NoTarget, fl.jitter(busyRetryAfter), "%d targets crashed while they ran the request, and %d may have; it is on hold until the crashes are attributed", fl.quarantineStatus.Crashes, fl.quarantineStatus.Unconfirmed)
 	}
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -36,7 +36,7 @@
 	if dst.probed {
 		phase, age = dst.probeResponse.Phase, dst.probeResponse.ReportAge
 	}
-	log.Info("request_sent", "request_id", fl.request.ID, "print", fl.fingerprint, "send", fl.sends, "cause", fl.retryCause, "last_event", fl.lastEvent, "resumes", bounded(fl.request.Resumes),
+	log.Info("request_sent", "request_id", fl.request.ID, "print", fl.fingerprint, "send", fl.sends, "cause", fl.retryCause, "last_event", fl.lastEvent, "resumes", bounded(fl.request.Resumes), "start", fl.origin.name, "start_source", fl.origin.source,
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
 		"target", dst.target.Incarnation, "version", dst.target.SoftwareVersion, "address", dst.target.Address, "zone", dst.target.Zone,
 		"list_age", fl.age(fl.view.TargetsCurrentAt), "listed", !dst.target.Unlisted, "asked", dst.probeCount, "report_age", age, "phase", phase.String(),
@@ -171,7 +171,7 @@
 	if e.Kind == errkind.Quarantined {
 		return false // the request crashes its targets
 	}
-	return e.Kind.Spec().Status >= http.StatusInternalServerError || e.Kind == errkind.Overloaded
+	return e.Kind.Spec().Status >= http.StatusInternalServerError || e.Kind == errkind.Overloaded || e.Kind == errkind.StreamNotResumable
 }
 
 // logDone logs the outcome of the request.
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -104,6 +104,7 @@
 			if maxWaitTimer != nil {
 				maxWaitTimer.Stop()
 			}
+			fl.recordOrigin(dst)
 			fl.writeHead(dst, resp)
 		}
 		if event.HasID {
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -216,7 +216,13 @@
 //
 // When prompts exceed the engines' prefill capacity, this keeps short prompts of a high-priority
 // route from queuing behind long prompts of another one.
+//
+// A stream that goes on is first: its caller has paid for its first part, and few targets may have
+// the version that began it.
 func (fl *flow) priority(late bool) int {
+	if fl.origin.bound {
+		return 0
+	}
 	rank := max(fl.route.Priority, 0)
 	if fl.workspace != nil && fl.workspace.HasPriority {
 		rank = workspaceStep*max(fl.workspace.Priority, 0) + min(rank, workspaceStep-1)
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -71,6 +71,8 @@
 	Compose func(*peerv1.Beat)
 	// OnHeartbeat is called for each heartbeat that is newer than the last of its sender.
 	OnHeartbeat func(*Member)
+	// OnOrigin is called for each message about the starts of streams, on the receiving goroutine.
+	OnOrigin func(from netip.AddrPort, m *peerv1.OriginMessage)
 	// Period returns the time between rounds to the entries or to the sidecars.
 	Period func(entries bool) time.Duration
 	// RoundSize returns the maximum number of receivers of a round to the entries or to the sidecars.
@@ -121,13 +123,26 @@
 	m.loop.Every(func() time.Duration { return m.options.Period(false) }, func() { m.sendRound(false) })
 }
 
+// SendOrigin sends a process a message about the starts of streams. It may be called on any goroutine.
+func (m *Mesh) SendOrigin(to netip.AddrPort, o *peerv1.OriginMessage) {
+	data, err := proto.Marshal(&peerv1.Beat{Origin: o})
+	if err == nil && len(data) <= MaxDatagram {
+		m.write(data, to) // a datagram that cannot be sent counts as lost
+	}
+}
+
 // Close closes the socket.
 func (m *Mesh) Close() { _ = m.conn.Close() }
 
 func (m *Mesh) receive() {
 	datagram.Receive(m.conn, MaxDatagram, func(data []byte, from netip.AddrPort) {
 		heartbeat := &peerv1.Beat{}
-		if proto.Unmarshal(data, heartbeat) == nil {
+		if proto.Unmarshal(data, heartbeat) != nil {
+			return
+		}
+		if heartbeat.Origin != nil {
+			m.options.OnOrigin(from, heartbeat.Origin)
+		} else {
 			m.loop.Post(func() { m.handleHeartbeat(from, heartbeat) })
 		}
 	})
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -19,6 +19,7 @@
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+	"github.com/toucanwell/toucanwell/internal/gateway/origin"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
 	"github.com/toucanwell/toucanwell/internal/logging"
@@ -63,6 +64,8 @@
 	servers       []*http.Server
 	serveErrors   chan error
 	deputy        *deputy
+	// origins shares which software versions began streams.
+	origins *origin.Exchange
 	// incarnation distinguishes this start of the process from others.
 	incarnation uint64
 }
@@ -78,6 +81,7 @@
 		clock: hostclock.New(), burn: burn.NewCounter(time.Now), incarnation: rand.Uint64(), serveErrors: make(chan error, 4),
 	}
 	p.loop = control.NewLoop(s.seed(), p.metrics.ControlTime)
+	p.origins = newOrigins(p)
 	peers := &http.Client{Transport: &http.Transport{DialContext: upstream.NewDialer().DialContext, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}}
 	p.state = newClusterState(s, platform, p.loop, p.clock, p.logger, peers, p.metrics.StoreCall)
 	if s.Role == settings.RoleEntry {
@@ -145,7 +149,7 @@
 			Name: p.settings.Name, Incarnation: p.incarnation, Entry: p.entry != nil, Zone: p.settings.AvailabilityZone,
 		},
 		Listen: p.settings.meshAddress(), Seeds: p.settings.seedHosts(), Hosts: p.state.sidecarHosts,
-		Compose: p.compose, OnHeartbeat: p.onHeartbeat, Period: p.heartbeatPeriod, RoundSize: p.heartbeatRoundSize, Logger: p.logger, Now: p.clock.Now,
+		Compose: p.compose, OnHeartbeat: p.onHeartbeat, OnOrigin: p.origins.Handle, Period: p.heartbeatPeriod, RoundSize: p.heartbeatRoundSize, Logger: p.logger, Now: p.clock.Now,
 	})
 	if err != nil {
 		return err
@@ -196,6 +200,7 @@
 	p.callers = newCallerServer(p.entry.forwarder, listener.Addr(), p.logger)
 	p.state.onViewChange = func() {
 		p.entry.forwarder.RecheckCrashes()
+		p.entry.refreshOrigins(p.origins)
 		p.entry.keepStatements()
 		if p.entry.limits != nil {
 			p.entry.limits.refresh()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -49,6 +49,7 @@
 		awaitSuccessor(ctx, func() bool { return p.hasSuccessor(ctx) })
 		_ = p.listener.Close()
 		p.drain(ctx)
+		p.origins.HandOver()
 	}
 	p.Close()
 }
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -38,6 +38,8 @@
 	// Targets by service, as of TargetsCurrentAt.
 	Targets          map[string][]fleet.Target
 	TargetsCurrentAt time.Time
+	// SingleVersions holds the software version of each service whose targets all have the same.
+	SingleVersions map[string]fleet.SingleVersion
 	// Engines holds the recent reports of engines' sidecars.
 	Engines map[fleet.Incarnation]EngineReport
 	// Unresponsive holds the addresses of engines that do not respond to their own sidecars.
--- a/internal/gateway/wire/wiretest/wiretest.go
+++ b/internal/gateway/wire/wiretest/wiretest.go
@@ -30,6 +30,7 @@
 	OffloadTo   = "Test-Save"
 	Priority    = "Test-Urgency"
 	RateLimit   = "Test-Rate-Limit"
+	Resumes     = "Test-Resumes"
 )
 
 // Protocol implements wire.Protocol.
@@ -37,7 +38,7 @@
 
 // ReadRequest implements wire.Protocol.
 func (Protocol) ReadRequest(h http.Header) (wire.Request, error) {
-	r := wire.Request{ID: h.Get(ID), Key: h.Get(Key), Model: h.Get(Model), LastEventID: h.Get(LastEventID)}
+	r := wire.Request{ID: h.Get(ID), Key: h.Get(Key), Model: h.Get(Model), LastEventID: h.Get(LastEventID), Resumes: h.Get(Resumes)}
 	if text := h.Get(TimeLeft); text != "" {
 		d, err := time.ParseDuration(text)
 		if err != nil {
