--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -62,6 +62,20 @@
 	}
 }
 
+// The story of an attempt must include the tries that resume its stream, at whichever entry.
+func TestStoryIncludesResumptions(t *testing.T) {
+	var one, two strings.Builder
+	logging.New(&one, "entry-1").Info("request_sent", "request_id", "r1", "target", "i-1", "version", "v1")
+	entry := logging.New(&two, "entry-2")
+	entry.Info("stream_start", "request_id", "r2", "resumes", "r1", "version", "v1", "source", "peer")
+	entry.Info("request_sent", "request_id", "r2", "resumes", "r1", "target", "i-2", "version", "v1")
+	entry.Info("request_sent", "request_id", "r3", "resumes", "", "target", "i-2")
+	s, err := Read("r1", strings.NewReader(one.String()), strings.NewReader(two.String()))
+	if err != nil || len(s.Lines) != 3 || s.Lines[1].Get("source") != "peer" {
+		t.Errorf("error %v, lines %+v", err, s.Lines)
+	}
+}
+
 // A story must say that log lines were dropped, and that a request has no lines at all.
 func TestStoryReportsDroppedAndMissingLines(t *testing.T) {
 	log := "time=2026-01-01T00:00:01Z level=INFO msg=request_sent process=e request_id=r1\n" +
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -15,6 +15,8 @@
 	// its caller's retries.
 	requestField     = "request_id"
 	fingerprintField = "print"
+	// resumesField holds the ID of the attempt that began the stream which another one resumes.
+	resumesField = "resumes"
 	// maxLineBytes bounds the length of a log line.
 	maxLineBytes = 1 << 20
 	// Lookback is how long before a request's first line state changes are included.
@@ -60,7 +62,7 @@
 			l, ok := Parse(scanner.Text())
 			switch {
 			case !ok:
-			case l.Get(requestField) == id || l.Get(requestField) != "" && l.Get(fingerprintField) == id:
+			case l.Get(requestField) == id || l.Get(resumesField) == id || l.Get(requestField) != "" && l.Get(fingerprintField) == id:
 				s.Lines = append(s.Lines, l)
 			case slices.Contains(quarantineEvents, l.Event):
 				quarantineLines = append(quarantineLines, l)
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -55,6 +56,7 @@
 	changedTargets map[fleet.ID]bool
 	// originsRefreshedAt is when the processes that keep the starts of streams were last updated.
 	originsRefreshedAt time.Time
+	originMembers      map[netip.AddrPort]bool
 }
 
 func newEntry(p *process) *entry {
--- a/internal/gateway/origin/exchange.go
+++ b/internal/gateway/origin/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 const (
@@ -21,6 +22,11 @@
 	askTimeout = 80 * time.Millisecond
 	// maxQuestions bounds the streams that are asked for at the same time.
 	maxQuestions = 1024
+	// settleTime is how long after its start a process may not know the others yet. Questions are then
+	// asked again every settleRetry, for maxSettleWait at most.
+	settleTime    = 2 * time.Second
+	settleRetry   = 50 * time.Millisecond
+	maxSettleWait = 600 * time.Millisecond
 )
 
 // Options configure an Exchange.
@@ -35,9 +41,10 @@
 // Exchange shares the starts of streams among the processes of a deployment. It is safe for
 // concurrent use.
 type Exchange struct {
-	options  Options
-	registry *registry
-	rings    atomic.Pointer[rings]
+	options   Options
+	startedAt time.Time
+	registry  *registry
+	rings     atomic.Pointer[rings]
 
 	mu sync.Mutex
 	// members are those that rings was made of.
@@ -66,7 +73,7 @@
 
 // NewExchange returns an Exchange without members.
 func NewExchange(o Options) *Exchange {
-	x := &Exchange{options: o, registry: newRegistry(), pending: map[netip.AddrPort][]announcement{}, questions: map[uint32]*question{}}
+	x := &Exchange{options: o, startedAt: o.Now(), registry: newRegistry(), pending: map[netip.AddrPort][]announcement{}, questions: map[uint32]*question{}}
 	x.rings.Store(newRings(o.Zone, nil))
 	return x
 }
@@ -174,6 +181,9 @@
 	}
 	start := time.Now()
 	f := x.ask(ctx, key)
+	for f.Source == Unknown && x.isSettling() && time.Since(start) < maxSettleWait && sleep.For(ctx, settleRetry) {
+		f = x.ask(ctx, key)
+	}
 	f.Took = time.Since(start)
 	if f.Source == Peer {
 		x.registry.add(key, f.Version, x.options.Now())
@@ -181,6 +191,8 @@
 	return f
 }
 
+func (x *Exchange) isSettling() bool { return x.options.Now().Sub(x.startedAt) < settleTime }
+
 func (x *Exchange) ask(ctx context.Context, key Key) Finding {
 	asked := x.rings.Load().candidates(key)
 	f := Finding{Source: Unknown, Asked: len(asked)}
--- a/internal/gateway/origin/exchange_test.go
+++ b/internal/gateway/origin/exchange_test.go
@@ -198,6 +198,24 @@
 	})
 }
 
+// Guards against streams that are refused by an entry which has just started and does not know the
+// others yet.
+func TestNewEntryWaitsForItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(3, 2, 1)
+		n.entry(0, 0).Record(key(1), v1)
+		time.Sleep(10 * time.Millisecond)
+		x := NewExchange(n.entry(0, 0).options)
+		n.mu.Lock()
+		n.processes[n.address(0, 0)] = x
+		n.mu.Unlock()
+		time.AfterFunc(200*time.Millisecond, n.introduce)
+		if f := x.Find(t.Context(), key(1)); f.Version != v1 {
+			t.Errorf("found %+v", f)
+		}
+	})
+}
+
 // Guards against lost datagrams that make a start unknown.
 func TestStartIsFoundDespiteLoss(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -222,6 +240,7 @@
 func TestUnknownStartIsToldSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(5, 20, 30)
+		time.Sleep(settleTime)
 		start := time.Now()
 		f := n.entry(0, 0).Find(t.Context(), key(1))
 		if f.Source != Unknown || time.Since(start) > 5*time.Millisecond || n.sent > 2*maxAsked {
@@ -249,6 +268,7 @@
 			t.Errorf("%d records", size)
 		}
 		n.kill(n.address(0, 1))
+		time.Sleep(settleTime)
 		ctx, cancel := context.WithCancel(t.Context())
 		var callers sync.WaitGroup
 		for i := range 2 * maxQuestions {
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -5,6 +5,7 @@
 	"time"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/origin"
 )
 
@@ -28,10 +29,24 @@
 		return
 	}
 	e.originsRefreshedAt = now
+	e.updateOriginMembers(x)
+}
+
+// onOriginMember adds a process that was heard for the first time. An entry that has just started
+// thus asks the others as soon as it knows them.
+func (e *entry) onOriginMember(x *origin.Exchange, m *mesh.Member) {
+	if !e.originMembers[m.Address] && !m.Leaving {
+		e.updateOriginMembers(x)
+	}
+}
+
+func (e *entry) updateOriginMembers(x *origin.Exchange) {
+	e.originMembers = map[netip.AddrPort]bool{}
 	var members []origin.Member
 	for _, entries := range []bool{true, false} {
 		for _, m := range e.state.mesh.Live(entries) {
 			if !m.Leaving {
+				e.originMembers[m.Address] = true
 				members = append(members, origin.Member{Address: m.Address, Zone: m.Zone, Entry: entries})
 			}
 		}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -226,6 +226,7 @@
 	p.state.onHeartbeat(m)
 	if p.entry != nil {
 		p.entry.onHeartbeat(m)
+		p.entry.onOriginMember(p.origins, m)
 	} else {
 		p.sidecar.onHeartbeat(m)
 	}
