Sends and runs that break off log the parts of their prompts

Cause: the log could not tell whether the requests that crashed engines have a part in common, nor whether others with that part were served. Change: request_sent and target_broke_off name up to eight shared parts, outermost first, the latter also workspace and route. Nothing is decided by them. Measured: the tests of the forwarder.

--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -143,7 +143,7 @@
 	if found.ProbeError != nil {
 		probeError = found.ProbeError.Error()
 	}
-	fl.Logger.Info("target_broke_off", "request_id", fl.request.ID, "print", fl.fingerprint, "target", dst.target.Incarnation, "version", dst.target.SoftwareVersion, "evidence", string(found.Evidence),
+	fl.Logger.Info("target_broke_off", "request_id", fl.request.ID, "print", fl.fingerprint, "target", dst.target.Incarnation, "version", dst.target.SoftwareVersion, "workspace", fl.workspaceName(), "route", fl.routeName(), "parts", fl.sharedPartNames(), "evidence", string(found.Evidence),
 		"listener", listener, "probe_error", probeError, "probe_took", roundForLog(found.ProbeTook), "list_age", fl.age(v.TargetsCurrentAt), "step", d.Step, "ran", roundForLog(time.Since(fl.sentAt)))
 	if found.Suspected {
 		fl.Quarantine.SuspectCrash(d.Fingerprint, d.Caller, d.Unconfirmed())
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
@@ -41,7 +42,7 @@
 		"target", dst.target.Incarnation, "version", dst.target.SoftwareVersion, "address", dst.target.Address, "zone", dst.target.Zone,
 		"list_age", fl.age(fl.view.TargetsCurrentAt), "listed", !dst.target.Unlisted, "asked", dst.probeCount, "report_age", age, "phase", phase.String(),
 		"weights", dst.weightsVersion, "wanted", fl.view.Wanted[fl.request.Model].Newest(),
-		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "family", familyName(dst), "answer", fl.request.MaxTokens, "held", dst.choice.CachedTokens, "fetched", dst.choice.FetchedTokens, "fetch_from", dst.fetchFrom, "save_to", dst.offloadTo,
+		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "parts", fl.sharedPartNames(), "family", familyName(dst), "answer", fl.request.MaxTokens, "held", dst.choice.CachedTokens, "fetched", dst.choice.FetchedTokens, "fetch_from", dst.fetchFrom, "save_to", dst.offloadTo,
 		"limit_decision", string(dst.admission.Source), "avoided", fl.avoidedTargets(),
 		"late", dst.choice.Late, "urgency", dst.choice.Priority, "wait", roundForLog(dst.choice.Wait), "read", roundForLog(dst.choice.Prefill), "fetch", roundForLog(dst.choice.Fetch),
 		"verdict", dst.quarantineStatus.Verdict.String(), "ends", dst.quarantineStatus.Crashes, "unconfirmed", dst.quarantineStatus.Unconfirmed, "patience", roundForLog(dst.maxWait), "kept", roundForLog(time.Since(fl.arrived)), "left", fl.timeLeft().Round(time.Millisecond))
@@ -111,6 +112,18 @@
 	return max(tokens-dst.choice.CachedTokens-dst.choice.FetchedTokens, 0)
 }
 
+// maxPartsLogged bounds the parts that a log line names.
+const maxPartsLogged = 8
+
+// sharedPartNames lists the shared parts of the prompt, outermost first.
+func (fl *flow) sharedPartNames() string {
+	var names []string
+	for i := range min(max(len(fl.request.Parts)-1, 0), maxPartsLogged) {
+		names = append(names, bounded(fl.request.Parts[i].ID))
+	}
+	return strings.Join(names, ",")
+}
+
 // sharedTokens returns the number of tokens in the prompt's shared parts.
 func (fl *flow) sharedTokens() int {
 	n := 0
