Engines that have started again under their names do not go on with streams

An entry that did not know yet sent it a resumed stream of the earlier version; naming the instance does not tell the two apart, and the stream held events of both. Change: before an engine goes on with a stream, the entry asks it for its report, which says when it started. One that has started since, or does not answer in 0.1 s, is passed over.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -71,7 +71,7 @@
 	e.quarantine = newQuarantineSync(p)
 	p.state.quarantinePage = e.quarantine.page
 	e.forwarder = forward.New(forward.Deps{
-		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback, TargetLimits: e.targetLimits, Origins: p.origins,
+		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback, TargetLimits: e.targetLimits, Origins: p.origins, StartTime: startTimeOf(p.platform),
 		Quarantine: e.quarantine.registry, CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return e.pool.ProbeListener(ctx, t.Address)
 		}),
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -65,6 +65,9 @@
 	TargetLimits TargetLimits
 	// Origins keeps which software version began each stream.
 	Origins Origins
+	// StartTime returns when the process at an engine's address started, in Unix milliseconds, by the
+	// engine's own report; zero if it does not say. Nil disables the check.
+	StartTime func(ctx context.Context, address netip.AddrPort) (int64, error)
 	// Quarantine tracks requests that were running when targets crashed; CrashDetector
 	// distinguishes crashes from other disconnects.
 	Quarantine    *quarantine.Registry
@@ -419,10 +422,13 @@
 		if refusal != nil {
 			return fl.finalRefusal(lastRefusal, refusal)
 		}
+		if !fl.isIncarnationConfirmed(ctx, dst) {
+			fl.release(dst)
+			fl.excluded[dst.target.Incarnation] = true
+			continue
+		}
 		if fl.delivered > 0 && !fl.retries.Spend() {
-			fl.endProbation(dst)
-			fl.refundAdmission(dst)
-			fl.endRestTrial(dst)
+			fl.release(dst)
 			return fl.finalRefusal(lastRefusal, errkind.NewRetryAfter(errkind.Overloaded, fl.jitter(busyRetryAfter), "the retry budget is exhausted"))
 		}
 		fl.chargeRerun()
@@ -441,6 +447,13 @@
 	}
 }
 
+// release gives back what was taken for a send that is not made.
+func (fl *flow) release(dst *destination) {
+	fl.endProbation(dst)
+	fl.refundAdmission(dst)
+	fl.endRestTrial(dst)
+}
+
 const (
 	// maxSends limits the sends of one request, including those that targets refuse.
 	maxSends = 4
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -219,6 +219,9 @@
 		routes[i].Backends = []estate.Backend{{Service: "plain", Weight: 1}}
 	}
 	routes = append(routes, estate.Route{
+		Name: "resume-prompt", Host: host, PathPrefix: "/resume-prompt/", Kind: estate.Stream, Timeout: 2 * time.Second, MaxAttempts: 2, Resumable: true,
+		HasPrompts: true, Backends: []estate.Backend{{Service: "engines", Weight: 1}},
+	}, estate.Route{
 		Name: "prompt", Host: host, PathPrefix: "/prompt/", Kind: estate.Stream, Timeout: 2 * time.Second, MaxAttempts: 1,
 		HasPrompts: true, Backends: []estate.Backend{{Service: "engines", Weight: 1}},
 	})
--- a/internal/gateway/forward/origin.go
+++ b/internal/gateway/forward/origin.go
@@ -146,6 +146,32 @@
 	return fl.origin.bound && (fl.origin.version == origin.Ambiguous || origin.VersionOf(t.Service, t.SoftwareVersion) != fl.origin.version)
 }
 
+// startTimeTimeout limits the question for an engine's start time. An engine that takes longer is busy
+// or gone.
+const startTimeTimeout = 100 * time.Millisecond
+
+// isIncarnationConfirmed reports whether a target that is to go on with a stream is the listed one. A
+// target may start again under its name, with another software version, a second before the list
+// shows that; it accepts requests that name the earlier incarnation.
+func (fl *flow) isIncarnationConfirmed(ctx context.Context, dst *destination) bool {
+	t := &dst.target
+	if !fl.origin.bound || fl.StartTime == nil || t.StartedMs == 0 || fl.service.Engine == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeTimeout)
+	defer cancel()
+	startedMs, err := fl.StartTime(ctx, t.Address)
+	if err == nil && (startedMs == 0 || startedMs == t.StartedMs) {
+		return true
+	}
+	detail := ""
+	if err != nil {
+		detail = err.Error()
+	}
+	fl.Logger.Info("stream_target_restarted", "request_id", fl.request.ID, "target", t.Incarnation, "version", t.SoftwareVersion, "started_ms", startedMs, "error", detail)
+	return false
+}
+
 // checkVersionServes refuses a stream at once if no target has the version that began it.
 func (fl *flow) checkVersionServes() *errkind.Error {
 	if !fl.origin.bound {
--- a/internal/gateway/forward/origin_test.go
+++ b/internal/gateway/forward/origin_test.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -182,3 +184,25 @@
 		t.Errorf("%d questions", e.origins.asked)
 	}
 }
+
+// Guards against a stream that goes on at a target which has started again under its name, perhaps with
+// another version.
+func TestRestartedTargetDoesNotGoOnWithStream(t *testing.T) {
+	for name, c := range map[string]struct {
+		startedMs int64
+		err       error
+		served    bool
+	}{
+		"the listed incarnation": {startedMs: 5, served: true}, "started again": {startedMs: 6}, "no answer": {err: io.ErrUnexpectedEOF},
+		"does not say": {served: true},
+	} {
+		e := newVersionedEnv(t, "v1")
+		e.knows("first", origin.VersionOf("engines", "v1"))
+		e.view.Targets["engines"][0].SoftwareVersion, e.view.Targets["engines"][0].StartedMs = "v1", 5
+		e.StartTime = func(context.Context, netip.AddrPort) (int64, error) { return c.startedMs, c.err }
+		resp, body, err := e.post(t, "/resume-prompt/x", "", wiretest.LastEventID, "2", wiretest.Resumes, "first")
+		if err != nil || c.served != (body == event(3)+event(4)) || !c.served && e.runs() > 0 {
+			t.Errorf("%s: response %v, body %q, error %v, %d runs", name, resp, body, err, e.runs())
+		}
+	}
+}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -22,6 +23,14 @@
 	return x
 }
 
+// startTimeOf returns a function that asks an engine when it started.
+func startTimeOf(platform Platform) func(context.Context, netip.AddrPort) (int64, error) {
+	return func(ctx context.Context, address netip.AddrPort) (int64, error) {
+		report, err := platform.Engine(address).Report(ctx)
+		return report.StartedMs, err
+	}
+}
+
 // refreshOrigins updates the processes that keep the starts of streams. It runs on the control thread.
 func (e *entry) refreshOrigins(x *origin.Exchange) {
 	now := e.state.clock.Now()
