--- a/api/admin/oas/oas_json_gen.go
+++ b/api/admin/oas/oas_json_gen.go
@@ -1781,6 +1781,12 @@
 		e.FieldStart("print")
 		e.Str(s.Print)
 	}
+	{
+		if s.Part.Set {
+			e.FieldStart("part")
+			s.Part.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("verdict")
 		s.Verdict.Encode(e)
@@ -1821,16 +1827,17 @@
 	}
 }
 
-var jsonFieldsNameOfQuarantinedRequest = [9]string{
+var jsonFieldsNameOfQuarantinedRequest = [10]string{
 	0: "print",
-	1: "verdict",
-	2: "ends",
-	3: "targets",
-	4: "served",
-	5: "workspace",
-	6: "route",
-	7: "changed_ms_ago",
-	8: "held_ms",
+	1: "part",
+	2: "verdict",
+	3: "ends",
+	4: "targets",
+	5: "served",
+	6: "workspace",
+	7: "route",
+	8: "changed_ms_ago",
+	9: "held_ms",
 }
 
 // Decode decodes QuarantinedRequest from json.
@@ -1854,8 +1861,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"print\"")
 			}
+		case "part":
+			if err := func() error {
+				s.Part.Reset()
+				if err := s.Part.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"part\"")
+			}
 		case "verdict":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				if err := s.Verdict.Decode(d); err != nil {
 					return err
@@ -1865,7 +1882,7 @@
 				return errors.Wrap(err, "decode field \"verdict\"")
 			}
 		case "ends":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.Int()
 				s.Ends = int(v)
@@ -1877,7 +1894,7 @@
 				return errors.Wrap(err, "decode field \"ends\"")
 			}
 		case "targets":
-			requiredBitSet[0] |= 1 << 3
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				s.Targets = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1897,7 +1914,7 @@
 				return errors.Wrap(err, "decode field \"targets\"")
 			}
 		case "served":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				v, err := d.Int()
 				s.Served = int(v)
@@ -1909,7 +1926,7 @@
 				return errors.Wrap(err, "decode field \"served\"")
 			}
 		case "workspace":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
 				v, err := d.Str()
 				s.Workspace = string(v)
@@ -1921,7 +1938,7 @@
 				return errors.Wrap(err, "decode field \"workspace\"")
 			}
 		case "route":
-			requiredBitSet[0] |= 1 << 6
+			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
 				v, err := d.Str()
 				s.Route = string(v)
@@ -1933,7 +1950,7 @@
 				return errors.Wrap(err, "decode field \"route\"")
 			}
 		case "changed_ms_ago":
-			requiredBitSet[0] |= 1 << 7
+			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
 				v, err := d.Int64()
 				s.ChangedMsAgo = int64(v)
@@ -1964,8 +1981,8 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
-		0b11111111,
-		0b00000000,
+		0b11111101,
+		0b00000001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/admin/oas/oas_schemas_gen.go
+++ b/api/admin/oas/oas_schemas_gen.go
@@ -817,6 +817,8 @@
 // Ref: #/components/schemas/QuarantinedRequest
 type QuarantinedRequest struct {
 	Print string `json:"print"`
+	// ID of a part of prompts; omitted for requests.
+	Part OptString `json:"part"`
 	// How the request is treated.
 	Verdict QuarantinedRequestVerdict `json:"verdict"`
 	// Crashes of targets that no other request explains.
@@ -837,6 +839,11 @@
 	return s.Print
 }
 
+// GetPart returns the value of Part.
+func (s *QuarantinedRequest) GetPart() OptString {
+	return s.Part
+}
+
 // GetVerdict returns the value of Verdict.
 func (s *QuarantinedRequest) GetVerdict() QuarantinedRequestVerdict {
 	return s.Verdict
@@ -882,6 +889,11 @@
 	s.Print = val
 }
 
+// SetPart sets the value of Part.
+func (s *QuarantinedRequest) SetPart(val OptString) {
+	s.Part = val
+}
+
 // SetVerdict sets the value of Verdict.
 func (s *QuarantinedRequest) SetVerdict(val QuarantinedRequestVerdict) {
 	s.Verdict = val
--- a/cmd/toucanwell/quarantine.go
+++ b/cmd/toucanwell/quarantine.go
@@ -56,13 +56,13 @@
 		return json.NewEncoder(out).Encode(q)
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "PRINT\tVERDICT\tENDS\tSERVED\tWORKSPACE\tROUTE\tLAST CHANGE\tHELD FOR")
+	fmt.Fprintln(w, "PRINT\tVERDICT\tENDS\tSERVED\tWORKSPACE\tROUTE\tPART\tLAST CHANGE\tHELD FOR")
 	for _, r := range q.Requests {
 		held := ""
 		if ms, ok := r.HeldMs.Get(); ok {
 			held = roundedMillis(ms).String()
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\t%s ago\t%s\n", r.Print, r.Verdict, r.Ends, r.Served, r.Workspace, r.Route, roundedMillis(r.ChangedMsAgo), held)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s ago\t%s\n", r.Print, r.Verdict, r.Ends, r.Served, r.Workspace, r.Route, r.Part.Or(""), roundedMillis(r.ChangedMsAgo), held)
 	}
 	return w.Flush()
 }
--- a/cmd/toucanwell/quarantine_test.go
+++ b/cmd/toucanwell/quarantine_test.go
@@ -12,7 +12,7 @@
 func TestPrintQuarantine(t *testing.T) {
 	q := &oas.Quarantine{Requests: []oas.QuarantinedRequest{
 		{Print: "00000000000000ab", Verdict: oas.QuarantinedRequestVerdictRefused, Ends: 3, Targets: []string{"1", "2", "3"}, Workspace: "town", Route: "check", ChangedMsAgo: 4000, HeldMs: oas.NewOptInt64(86_000_000)},
-		{Print: "00000000000000cd", Verdict: oas.QuarantinedRequestVerdictApart, Ends: 1, Targets: []string{"1"}, Workspace: "fort", Route: "review", ChangedMsAgo: 1000},
+		{Print: "00000000000000cd", Verdict: oas.QuarantinedRequestVerdictApart, Ends: 1, Targets: []string{"1"}, Workspace: "fort", Route: "review", Part: oas.NewOptString("5c1e07a2"), ChangedMsAgo: 1000},
 	}}
 	var table, text strings.Builder
 	if err := printQuarantine(&table, q, "table"); err != nil {
@@ -27,6 +27,9 @@
 			t.Errorf("%q lacks %q", lines[1], want)
 		}
 	}
+	if !strings.Contains(lines[2], "5c1e07a2") {
+		t.Errorf("%q lacks the part", lines[2])
+	}
 	if err := printQuarantine(&text, q, "json"); err != nil || !strings.Contains(text.String(), `"verdict":"apart"`) {
 		t.Errorf("%v: %s", err, text.String())
 	}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -54,6 +54,7 @@
 	RateLimited
 	Throttled
 	StreamNotResumable
+	PartQuarantined
 )
 
 // Spec describes how a kind is reported and retried.
@@ -104,6 +105,7 @@
 	CutOff:               {"cut_off", "This entry reaches no engine; another one does.", http.StatusServiceUnavailable, false},
 	Stopping:             {"stopping", "This entry stops before the request could be answered; another one serves.", http.StatusServiceUnavailable, false},
 	Quarantined:          {"quarantined", "The request has ended the targets that ran it, and is not run for now.", http.StatusServiceUnavailable, false},
+	PartQuarantined:      {"part_quarantined", "A part of the prompt has ended the targets that ran it, and is not run for now.", http.StatusServiceUnavailable, false},
 	Throttled:            {"throttled", "All targets of the service have asked for fewer requests.", http.StatusServiceUnavailable, true},
 	StreamNotResumable:   {"stream_not_resumable", "The stream cannot go on where it broke off; start it anew.", http.StatusMisdirectedRequest, false},
 	RateLimited:          {"rate_limited", "The workspace has used up its rate limit for now.", http.StatusTooManyRequests, false},
@@ -129,7 +131,7 @@
 // All returns all kinds except None, in numerical order.
 func All() []Kind {
 	kinds := make([]Kind, 0, len(table))
-	for k := BadRequest; k <= StreamNotResumable; k++ {
+	for k := BadRequest; k <= PartQuarantined; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -77,7 +77,7 @@
 	sortByTime(s.Lines)
 	sortByTime(stateChanges)
 	for _, l := range quarantineLines {
-		if s.containsLine(func(own *Line) bool { return own.Get(fingerprintField) == l.Get(fingerprintField) }) {
+		if s.containsLine(func(own *Line) bool { return own.concernsSuspect(l.Get(fingerprintField)) }) {
 			s.StateChanges = append(s.StateChanges, l)
 		}
 	}
@@ -91,6 +91,12 @@
 	return s, nil
 }
 
+// concernsSuspect reports whether a request's line has a fingerprint, as the request's or as that of the
+// part of its prompt that the quarantine restricts.
+func (l *Line) concernsSuspect(fingerprint string) bool {
+	return l.Get(fingerprintField) == fingerprint || l.Get("suspect") == fingerprint
+}
+
 func sortByTime(lines []Line) {
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 }
--- a/internal/gateway/adminquarantine.go
+++ b/internal/gateway/adminquarantine.go
@@ -16,6 +16,9 @@
 			Print: l.Fingerprint.String(), Verdict: oas.QuarantinedRequestVerdict(l.Verdict.String()), Ends: l.Status.Crashes, Targets: []string{}, Served: l.Served,
 			Workspace: l.Workspace, Route: l.Route, ChangedMsAgo: now.Sub(l.ChangedAt()).Milliseconds(),
 		}
+		if l.Part != "" {
+			row.Part = oas.NewOptString(l.Part)
+		}
 		for _, e := range l.Record.Crashes {
 			row.Targets = append(row.Targets, strconv.FormatUint(uint64(e.Target), 16))
 		}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -200,8 +200,13 @@
 	body      []byte
 	// fingerprint identifies the request across the caller's retries.
 	fingerprint quarantine.Fingerprint
-	// quarantineStatus is the request's status in the quarantine when it was last checked.
+	// parts are the shared parts of its prompt.
+	parts []quarantine.Part
+	// quarantineStatus is the most restrictive status of the request and its parts in the quarantine
+	// when it was last checked. suspect has that status, and suspectPart if it is a part.
 	quarantineStatus quarantine.Status
+	suspect          quarantine.Fingerprint
+	suspectPart      quarantine.Part
 	arrived          time.Time
 	deadline         time.Time
 	retries          *retry.Budget
@@ -318,6 +323,7 @@
 		return refusal
 	}
 	fl.fingerprint = quarantine.FingerprintOf(fl.workspaceName(), fl.r.RequestURI, fl.body)
+	fl.parts = quarantine.PartsOf(fl.sharedPartIDs())
 	return fl.checkQuarantine()
 }
 
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -44,7 +44,7 @@
 		if refusal != nil && (refusal.Kind != errkind.NoTarget || time.Since(start) > fl.placeWait()) {
 			return nil, refusal
 		}
-		if refusal == nil && (dst.probation || !fl.shouldAwaitParts(dst)) {
+		if refusal == nil && (dst.probation != 0 || !fl.shouldAwaitParts(dst)) {
 			if fl.admitAtTarget(ctx, dst) {
 				return dst, nil
 			}
--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -29,15 +29,21 @@
 // crashed while it ran the same request.
 var errCrashedElsewhere = errors.New("another target crashed while it ran the same request")
 
-// checkQuarantine updates the request's quarantine status, and refuses a request that has
-// crashed too many targets. The refusal neither waits for a target nor uses the retry
-// budget.
+// checkQuarantine updates the request's quarantine status, and refuses a request that, or a part
+// of which, has crashed too many targets. The refusal neither waits for a target nor uses the
+// retry budget.
 func (fl *flow) checkQuarantine() *errkind.Error {
-	fl.quarantineStatus = fl.Quarantine.Status(fl.fingerprint, fl.Now())
+	fl.quarantineStatus, fl.suspect, fl.suspectPart = fl.Quarantine.Status(fl.fingerprint, fl.Now()), fl.fingerprint, quarantine.Part{}
+	if s, part := fl.Quarantine.PartsStatus(fl.parts, fl.workspaceName(), fl.Now()); s.Verdict > fl.quarantineStatus.Verdict {
+		fl.quarantineStatus, fl.suspect, fl.suspectPart = s, part.Fingerprint, part
+	}
 	if fl.quarantineStatus.Verdict != quarantine.Refused {
 		return nil
 	}
 	hold := min(fl.quarantineStatus.Until.Sub(fl.Now()), maxHoldRetryAfter)
+	if fl.suspectPart.ID != "" {
+		return errkind.NewRetryAfter(errkind.PartQuarantined, fl.jitter(hold), "%d targets crashed while they ran prompts with the part %q (%s); it is quarantined for %s", fl.quarantineStatus.Crashes, bounded(fl.suspectPart.ID), fl.suspect, hold.Round(time.Second))
+	}
 	return errkind.NewRetryAfter(errkind.Quarantined, fl.jitter(hold), "%d targets crashed while they ran request %s; it is quarantined for %s", fl.quarantineStatus.Crashes, fl.fingerprint, hold.Round(time.Second))
 }
 
@@ -47,13 +53,25 @@
 	if fl.quarantineStatus.Verdict == quarantine.Free {
 		return 0
 	}
-	return uint64(fl.fingerprint)
+	return uint64(fl.suspect)
+}
+
+// sharedPartIDs returns the IDs of the prompt's shared parts; none for requests without a prompt.
+func (fl *flow) sharedPartIDs() []string {
+	if !fl.route.HasPrompts {
+		return nil
+	}
+	var ids []string
+	for i := range max(len(fl.request.Parts)-1, 0) {
+		ids = append(ids, fl.request.Parts[i].ID)
+	}
+	return ids
 }
 
 // mustAvoid reports whether a target is running another suspect. If it crashed, the crash
 // could not be attributed to either of them.
 func (fl *flow) mustAvoid(t *fleet.Target) bool {
-	return fl.quarantineStatus.Verdict == quarantine.Alone && fl.Quarantine.RunsOtherSuspect(t.ID, fl.fingerprint, fl.Now())
+	return fl.quarantineStatus.Verdict == quarantine.Alone && fl.Quarantine.RunsOtherSuspect(t.ID, fl.suspect, fl.Now())
 }
 
 // chooseForStatus chooses a target according to the request's quarantine status. It starts
@@ -72,10 +90,10 @@
 	if refusal != nil || fl.quarantineStatus.Verdict != quarantine.Alone {
 		return dst, refusal
 	}
-	if !fl.Quarantine.StartProbationRun(fl.fingerprint, dst.target.ID, fl.Now()) {
+	if !fl.Quarantine.StartProbationRun(fl.suspect, dst.target.ID, fl.Now()) {
 		return nil, errkind.NewRetryAfter(errkind.NoTarget, fl.jitter(busyRetryAfter), "%d targets crashed while they ran the request, %d may have, and another run of it is in progress", fl.quarantineStatus.Crashes, fl.quarantineStatus.Unconfirmed)
 	}
-	dst.probation = true
+	dst.probation = fl.suspect
 	return dst, nil
 }
 
@@ -87,7 +105,14 @@
 	if fl.route.Retryable() {
 		abandonSend = func() { cancel(errCrashedElsewhere) }
 	}
-	return fl.Quarantine.StartRun(fl.fingerprint, dst.target.ID, dst.quarantineStatus.Step, abandonSend)
+	step := dst.quarantineStatus.Step
+	if fl.suspectPart.ID != "" {
+		step = fl.Quarantine.Status(fl.fingerprint, fl.Now()).Step
+	}
+	dst.run = fl.Quarantine.StartRun(fl.fingerprint, dst.target.ID, step, abandonSend)
+	fl.Quarantine.TrackParts(dst.run, fl.parts, fl.Now())
+	dst.step = step
+	return dst.run
 }
 
 // endRun unregisters the send.
@@ -97,15 +122,31 @@
 }
 
 func (fl *flow) endProbation(dst *destination) {
-	if dst.probation {
-		fl.Quarantine.EndProbationRun(fl.fingerprint, dst.target.ID)
+	if dst.probation != 0 {
+		fl.Quarantine.EndProbationRun(dst.probation, dst.target.ID)
 	}
 }
 
 // recordServed records that a target responded to the request completely and survived. It is
 // recorded for all requests: one that is always running would otherwise be quarantined
 // after its third unrelated crash within the hour.
-func (fl *flow) recordServed() { fl.Quarantine.MarkServed(fl.fingerprint) }
+func (fl *flow) recordServed(dst *destination) {
+	fl.Quarantine.MarkServed(fl.fingerprint)
+	fl.recordPartsSound(dst)
+}
+
+// partsSoundAfter is how long after the first event of its response the parts of a prompt count as
+// sound: a part that crashes its target does so within a few hundred milliseconds.
+const partsSoundAfter = 500 * time.Millisecond
+
+// recordPartsSound records that the run has outlived the time in which its parts would have crashed
+// the target.
+func (fl *flow) recordPartsSound(dst *destination) {
+	if len(fl.parts) > 0 && !dst.partsSound {
+		dst.partsSound = true
+		fl.Quarantine.MarkPartsSound(fl.parts, dst.sentAt, fl.Now())
+	}
+}
 
 // isDisconnect reports whether an error is a connection closed or reset by the target's
 // host, as when the target's process ends. An unresponsive or unreachable host closes
@@ -116,9 +157,14 @@
 
 // suspectedCrash describes a possible crash of the target while it ran the request.
 func (fl *flow) suspectedCrash(dst *destination) quarantine.SuspectedCrash {
+	parts := quarantine.PartsRun{}
+	if !dst.partsSound {
+		parts = dst.run.PartsOfRun(fl.parts, fl.workspaceName())
+	}
 	return quarantine.SuspectedCrash{
+		Parts:       parts,
 		Fingerprint: fl.fingerprint, Caller: quarantine.Caller{Workspace: fl.workspaceName(), Route: fl.routeName()},
-		Target: dst.target, Unlisted: !quarantine.IsListed(fl.view, &dst.target), Step: dst.quarantineStatus.Step, At: fl.Now(), Elapsed: time.Since(fl.sentAt),
+		Target: dst.target, Unlisted: !quarantine.IsListed(fl.view, &dst.target), Step: dst.step, At: fl.Now(), Elapsed: time.Since(fl.sentAt),
 		ServiceTargets: len(fl.view.Targets[dst.target.Service]), RequestID: fl.request.ID,
 	}
 }
@@ -149,10 +195,16 @@
 		fl.Quarantine.SuspectCrash(d.Fingerprint, d.Caller, d.Unconfirmed())
 	}
 	if found.Evidence != quarantine.NoEvidence {
-		fl.Quarantine.AttributeCrash(d.Fingerprint, d.Caller, d.Crash())
+		fl.attribute(&d)
 	}
 }
 
+// attribute attributes a crash to the request that ran and to the parts of its prompt.
+func (f *Forwarder) attribute(s *quarantine.SuspectedCrash) {
+	f.Quarantine.AttributeCrash(s.Fingerprint, s.Caller, s.Crash())
+	f.Quarantine.AttributePartsCrash(s.Parts, s.Caller.Route, s.Crash())
+}
+
 // watchAbandoned records that the request left its target while it ran, because the caller left,
 // its time was up, or another target is tried: the target may crash only now.
 func (fl *flow) watchAbandoned(ctx context.Context, dst *destination) {
@@ -178,6 +230,6 @@
 	}
 	for i, d := range doubts {
 		f.Logger.Info("target_had_ended", "request_id", d.RequestID, "print", d.Fingerprint, "target", d.Target.Incarnation, "evidence", string(evidence[i]), "after", f.Now().Sub(d.At).Round(time.Millisecond))
-		f.Quarantine.AttributeCrash(d.Fingerprint, d.Caller, d.Crash())
+		f.attribute(&doubts[i])
 	}
 }
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -45,7 +45,7 @@
 		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "parts", fl.sharedPartNames(), "family", familyName(dst), "answer", fl.request.MaxTokens, "held", dst.choice.CachedTokens, "fetched", dst.choice.FetchedTokens, "fetch_from", dst.fetchFrom, "save_to", dst.offloadTo,
 		"limit_decision", string(dst.admission.Source), "avoided", fl.avoidedTargets(),
 		"late", dst.choice.Late, "urgency", dst.choice.Priority, "wait", roundForLog(dst.choice.Wait), "read", roundForLog(dst.choice.Prefill), "fetch", roundForLog(dst.choice.Fetch),
-		"verdict", dst.quarantineStatus.Verdict.String(), "ends", dst.quarantineStatus.Crashes, "unconfirmed", dst.quarantineStatus.Unconfirmed, "patience", roundForLog(dst.maxWait), "kept", roundForLog(time.Since(fl.arrived)), "left", fl.timeLeft().Round(time.Millisecond))
+		"verdict", dst.quarantineStatus.Verdict.String(), "suspect", fl.suspect, "suspect_part", bounded(fl.suspectPart.ID), "ends", dst.quarantineStatus.Crashes, "unconfirmed", dst.quarantineStatus.Unconfirmed, "patience", roundForLog(dst.maxWait), "kept", roundForLog(time.Since(fl.arrived)), "left", fl.timeLeft().Round(time.Millisecond))
 }
 
 // maxLoggedName bounds a name in the log that a caller chooses.
@@ -181,7 +181,7 @@
 // isServiceFault reports whether a refusal is the service's fault. Errors of callers are
 // logged as routine, so that a flood of them doesn't displace other lines.
 func isServiceFault(e *errkind.Error) bool {
-	if e.Kind == errkind.Quarantined {
+	if e.Kind == errkind.Quarantined || e.Kind == errkind.PartQuarantined {
 		return false // the request crashes its targets
 	}
 	return e.Kind.Spec().Status >= http.StatusInternalServerError || e.Kind == errkind.Overloaded || e.Kind == errkind.StreamNotResumable
@@ -197,7 +197,7 @@
 	if e != nil && isServiceFault(e) || fl.sends > 1 || fl.lastSend.status >= http.StatusInternalServerError {
 		log = fl.Logger
 	}
-	log.Info("request_done", "request_id", fl.request.ID, "print", fl.fingerprint, "outcome", outcome, "detail", detail, "retry_after", roundForLog(retryAfter),
+	log.Info("request_done", "request_id", fl.request.ID, "print", fl.fingerprint, "suspect", fl.suspect, "outcome", outcome, "detail", detail, "retry_after", roundForLog(retryAfter),
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
 		"sends", fl.sends, "runs", fl.runs, "target", fl.lastSend.incarnation, "status", fl.lastSend.status,
 		"first", roundForLog(fl.timeToFirstByte), "events", fl.eventCount, "longest_gap", roundForLog(fl.longestGap), "took", roundForLog(time.Since(fl.arrived)))
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -28,7 +28,7 @@
 	}
 	if resp.Status < http.StatusInternalServerError {
 		fl.recordOutcome(dst, health.Good)
-		fl.recordServed()
+		fl.recordServed(dst)
 	}
 	fl.timeToFirstByte = time.Since(fl.arrived)
 	header := fl.w.Header()
@@ -95,6 +95,7 @@
 		}
 		if first {
 			first = false
+			dst.firstEventAt = time.Now()
 			fl.Quarantine.MarkResponding(run)
 			item.PrefillDone()
 			fl.notifyPrefilled(dst)
@@ -111,6 +112,9 @@
 			fl.lastEvent = strconv.FormatInt(event.ID, 10)
 		}
 		fl.recordEvent()
+		if len(fl.parts) > 0 && !dst.partsSound && fl.lastEventAt.Sub(dst.firstEventAt) > partsSoundAfter {
+			fl.recordPartsSound(dst)
+		}
 		watch.received()
 		if err := fl.writeEvent(flusher, event.Raw); err != nil {
 			return sendResult{final: true, refusal: errkind.New(errkind.Cancelled, "%v", err)}
@@ -175,6 +179,6 @@
 		return sendResult{refusal: errkind.New(errkind.TargetFailed, "the stream ended without an event")}
 	}
 	fl.recordOutcome(dst, health.Good)
-	fl.recordServed()
+	fl.recordServed(dst)
 	return sendResult{final: true}
 }
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -40,10 +40,17 @@
 	memoryTokens int
 	// expectedFirstEvent is the time to the first event at an engine of normal pace.
 	expectedFirstEvent time.Duration
-	// quarantineStatus is the request's status when the target was chosen. probation is set
-	// if the send is a probation run.
+	// quarantineStatus is the request's status when the target was chosen.
 	quarantineStatus quarantine.Status
-	probation        bool
+	// probation is what the send is a probation run of; zero if it is none.
+	probation quarantine.Fingerprint
+	// run is the send in the quarantine, step its [quarantine.Crash.Step].
+	run  *quarantine.Run
+	step int
+	// sentAt is when the send was made, firstEventAt when its first event came. partsSound is set once
+	// the parts of the prompt have turned out not to crash the target.
+	sentAt, firstEventAt time.Time
+	partsSound           bool
 	// probed is set if the target was chosen by probes, inProgress if a probed engine is
 	// computing parts that the chosen one lacks.
 	probed, inProgress bool
@@ -107,7 +114,7 @@
 	fl.lastSend = sendRecord{incarnation: dst.target.Incarnation}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	dst.quarantineStatus = fl.quarantineStatus
+	dst.quarantineStatus, dst.sentAt = fl.quarantineStatus, fl.Now()
 	run := fl.startRun(dst, cancel)
 	defer fl.endRun(dst, run)
 	defer fl.endRestTrial(dst)
--- a/internal/gateway/quarantine/announce.go
+++ b/internal/gateway/quarantine/announce.go
@@ -18,11 +18,13 @@
 	if q.expired(&other, now) {
 		return false
 	}
-	if q.records[other.Fingerprint] == nil && len(other.Crashes) == 0 && len(other.Unconfirmed) == 0 && other.Generation == 0 {
+	if q.records[other.Fingerprint] == nil && len(other.Crashes) == 0 && len(other.Unconfirmed) == 0 && other.Generation == 0 && other.SoundAt.IsZero() {
 		return false
 	}
 	r := q.recordOf(other.Fingerprint)
-	knownCrashes, generation := len(r.Crashes), r.Generation
+	generation := r.Generation
+	before := crashedTargets(r)
+	other.WasSound = other.WasSound || other.Part != "" && q.soundParts.isSound(other.Fingerprint, now)
 	switch r.merge(&other) {
 	case unchanged:
 		return false
@@ -31,12 +33,15 @@
 		return false
 	}
 	if r.Generation != generation {
-		knownCrashes = 0 // all crashes are new
+		before = nil // all crashes are new
 		if len(r.Crashes) == 0 {
 			q.observer.Released(r, true)
 		}
 	}
-	for _, c := range r.Crashes[knownCrashes:] {
+	for _, c := range r.Crashes {
+		if before[c.Target] {
+			continue
+		}
 		q.observer.CrashAttributed(r, c, true)
 		q.noteCrash(c.At)
 	}
@@ -46,7 +51,7 @@
 		delete(q.probationRuns, other.Fingerprint)
 	}
 	q.markChanged(other.Fingerprint, false)
-	if rebroadcast {
+	if rebroadcast && !r.isLonePart() {
 		q.queueUpdate(other.Fingerprint)
 	}
 	q.evict()
@@ -94,6 +99,9 @@
 	defer q.mu.Unlock()
 	var fingerprints []Fingerprint
 	for fp, r := range q.records {
+		if r.isLonePart() {
+			continue
+		}
 		if (len(r.Crashes) > 1 || r.Generation > 0 || now.Sub(r.ChangedAt()) < announceFor) && !q.expired(r, now) {
 			fingerprints = append(fingerprints, fp)
 		}
--- a/internal/gateway/quarantine/crashdetector.go
+++ b/internal/gateway/quarantine/crashdetector.go
@@ -101,6 +101,8 @@
 	Fingerprint Fingerprint
 	Caller      Caller
 	Target      fleet.Target
+	// Parts are the parts of the request's prompt.
+	Parts PartsRun
 	// Unlisted is set if the target was not in the target list yet when the request was sent,
 	// only in its sidecar's reports.
 	Unlisted bool
--- a/internal/gateway/quarantine/evaluate.go
+++ b/internal/gateway/quarantine/evaluate.go
@@ -45,6 +45,10 @@
 // far more often than its targets crash is not refused, and neither is one that was served and may
 // well have met its crashes by chance among those of other targets.
 //
+// A part of prompts is judged in the same way, by the crashes of all requests that have it, but only by
+// steps: one power failure ends targets under every part that is in use. A single run of it that went
+// well clears it.
+//
 // Requests that run beside the cause share some of its crashes, but the cause has all of them.
 // The request with the most crashes is therefore evaluated first, and crashes that it explains
 // no longer count against others. Two requests that can't be told apart are both left to run
@@ -54,7 +58,7 @@
 }
 
 func evaluate(records []*Record, maxCrashes int, now time.Time) *evaluation {
-	e := &evaluation{records: records, maxCrashes: maxCrashes, findings: map[Fingerprint]Finding{}, assessments: map[Fingerprint]Assessment{}, explained: map[fleet.ID]bool{}}
+	e := &evaluation{records: records, maxCrashes: maxCrashes, findings: map[Fingerprint]Finding{}, assessments: map[Fingerprint]Assessment{}, explanations: explanations{explained: map[fleet.ID]bool{}, forParts: map[fleet.ID]bool{}, forSoundParts: suspectedCrashes(records)}}
 	for _, r := range records {
 		if len(r.Crashes) >= maxCrashes && len(r.Crashes) > r.ForgivenCrashes {
 			e.candidates = append(e.candidates, r)
@@ -69,12 +73,14 @@
 		}
 		if now.Before(r.ChangedAt().Add(decisionDelay)) {
 			e.findings[r.Fingerprint] = MustWait
+			e.explainForParts(r)
 			continue
 		}
 		e.findings[r.Fingerprint] = MustNotRun
 		for _, c := range r.Crashes {
 			e.explained[c.Target] = true
 		}
+		e.explainForParts(r)
 	}
 	for _, r := range e.candidates {
 		e.assessments[r.Fingerprint] = e.assess(r)
@@ -89,8 +95,7 @@
 	findings   map[Fingerprint]Finding
 	// assessments holds the inputs of each candidate's finding.
 	assessments map[Fingerprint]Assessment
-	// explained holds the incarnations whose crash is attributed to a refused request.
-	explained map[fleet.ID]bool
+	explanations
 	// candidates are the requests with enough crashes that are not evaluated yet.
 	candidates []*Record
 	// timeline caches crashesByTime.
@@ -99,13 +104,44 @@
 
 func (e *evaluation) isExplained(target fleet.ID) bool { return e.explained[target] }
 
+// explanations are the crashes that don't count against some records, because others explain them.
+type explanations struct {
+	// explained holds the incarnations whose crash is attributed to a refused request or part.
+	explained map[fleet.ID]bool
+	// forParts also holds those of parts that wait: requests that share another part with them need
+	// not wait, too.
+	forParts map[fleet.ID]bool
+	// forSoundParts holds the crashes of unproved parts.
+	forSoundParts map[fleet.ID]bool
+}
+
+// of returns which crashes don't count against a record.
+func (x *explanations) of(r *Record) func(fleet.ID) bool {
+	switch {
+	case r.isPart() && r.WasSound:
+		return func(target fleet.ID) bool { return x.forParts[target] || x.forSoundParts[target] }
+	case r.isPart():
+		return func(target fleet.ID) bool { return x.forParts[target] }
+	default:
+		return func(target fleet.ID) bool { return x.explained[target] }
+	}
+}
+
+func (e *evaluation) explainForParts(r *Record) {
+	for _, c := range r.Crashes {
+		e.forParts[c.Target] = true
+	}
+}
+
 // takeMostSuspect removes and returns the candidate with the most unexplained crashes among
-// those to refuse; nil if there is none.
+// those to refuse; nil if there is none. A request precedes its parts, which others may share.
 func (e *evaluation) takeMostSuspect() *Record {
 	var worst *Record
 	most := 0
 	for _, r := range e.candidates {
-		if n := r.unexplainedCrashes(e.isExplained); n > most && n >= e.maxCrashes && e.shouldRefuse(r) {
+		n := r.unexplainedCrashes(e.of(r))
+		isWorse := n > most || n == most && worst != nil && r.precedes(worst)
+		if isWorse && n >= e.maxCrashes && e.shouldRefuse(r) {
 			worst, most = r, n
 		}
 	}
@@ -115,6 +151,15 @@
 	return worst
 }
 
+// precedes reports whether a record is the more likely cause of the same crashes: a request before its
+// parts, and a part that was not served shortly before them.
+func (r *Record) precedes(other *Record) bool {
+	if r.isPart() != other.isPart() {
+		return !r.isPart()
+	}
+	return !r.WasSound && other.WasSound
+}
+
 func (e *evaluation) drop(r *Record) {
 	e.candidates = slices.DeleteFunc(e.candidates, func(other *Record) bool { return other == r })
 }
@@ -122,9 +167,15 @@
 // tied returns another candidate with as many crashes that shares so many of them that r has too
 // few of its own; nil if there is none.
 func (e *evaluation) tied(r *Record) *Record {
-	n := r.unexplainedCrashes(e.isExplained)
+	n := r.unexplainedCrashes(e.of(r))
+	if r.isPart() && r.unexplainedSteps(e.of(r)) > e.maxCrashes {
+		return nil // run apart, they have crashed their targets together again
+	}
 	for _, other := range e.candidates {
-		if other.unexplainedCrashes(e.isExplained) != n || !e.shouldRefuse(other) {
+		if other.isPart() != r.isPart() || other.WasSound != r.WasSound {
+			continue
+		}
+		if other.unexplainedCrashes(e.of(r)) != n || !e.shouldRefuse(other) {
 			continue
 		}
 		if shared := e.sharedCrashes(r, other); shared > 0 && n-shared < e.maxCrashes {
@@ -167,7 +218,7 @@
 // assess returns the inputs of a candidate's finding.
 func (e *evaluation) assess(r *Record) Assessment {
 	a := Assessment{
-		Crashes: r.unexplainedCrashes(e.isExplained), Steps: r.unexplainedSteps(e.isExplained), Served: r.Served,
+		Crashes: r.unexplainedCrashes(e.of(r)), Steps: r.unexplainedSteps(e.of(r)), Served: r.Served,
 		OtherCrashes: e.crashesWithout(r, backgroundWindow), ConcurrentCrashes: e.crashesWithout(r, concurrentWindow),
 		NeededCrashes: e.maxCrashes, Coincidence: -1,
 	}
@@ -181,15 +232,24 @@
 	}
 	// Served counts from the first crash on, which spans one step less.
 	a.ExemptServed = perStep * max(a.Steps-1, 1)
-	if a.OtherCrashes >= a.Crashes && !a.coincidenceUnlikely() || a.Served > 0 && a.coincidenceLikely() {
+	switch {
+	case r.isPart() && a.Chance <= plausibleChance:
+	case a.OtherCrashes >= a.Crashes && !a.coincidenceUnlikely(), a.Served > 0 && a.coincidenceLikely():
 		a.NeededCrashes += extraCrashes
 	}
 	return a
 }
 
+// minPartRequests is the number of different requests that a part's crashes must have. The crashes of a
+// single one are held against the request.
+const minPartRequests = 2
+
 // shouldRefuse reports whether a candidate's unexplained crashes suffice to refuse it.
 func (e *evaluation) shouldRefuse(r *Record) bool {
 	a := e.assess(r)
+	if r.isPart() {
+		return a.Steps >= a.NeededCrashes && r.unexplainedRequests(e.of(r)) >= minPartRequests
+	}
 	if a.Served >= a.ExemptServed || a.mayBeBystander() {
 		return false
 	}
@@ -252,7 +312,7 @@
 func (e *evaluation) coincidenceProbability(r *Record, otherCrashes int) (float64, bool) {
 	first, last := e.crashInterval(r, backgroundWindow)
 	span := max(last.Sub(first), minCrashInterval)
-	crashRate := float64(otherCrashes+r.unexplainedCrashes(e.isExplained)) / span.Seconds()
+	crashRate := float64(otherCrashes+r.unexplainedCrashes(e.of(r))) / span.Seconds()
 	probability := 1.0
 	for _, c := range r.Crashes {
 		if e.explained[c.Target] {
--- a/internal/gateway/quarantine/eviction.go
+++ b/internal/gateway/quarantine/eviction.go
@@ -7,6 +7,9 @@
 )
 
 func (q *Registry) expired(r *Record, now time.Time) bool {
+	if len(r.Crashes) == 0 && !r.SoundAt.IsZero() {
+		return now.Sub(r.SoundAt) > soundRetention
+	}
 	if len(r.Crashes) == 0 && r.Generation == 0 {
 		return !slices.ContainsFunc(r.Unconfirmed, func(u UnconfirmedCrash) bool { return now.Sub(u.At) <= unconfirmedTimeout })
 	}
--- a/internal/gateway/quarantine/fingerprint.go
+++ b/internal/gateway/quarantine/fingerprint.go
@@ -33,3 +33,13 @@
 
 // String returns the fingerprint as logs show it.
 func (fp Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(fp)) }
+
+// partDomain separates the fingerprints of parts from those of requests, whose first field is the
+// length of a workspace's name.
+const partDomain = "\xff\xff\xff\xff\xff\xff\xff\xffpart"
+
+// PartFingerprintOf returns the fingerprint of a part of prompts. Parts are shared by all workspaces.
+func PartFingerprintOf(id string) Fingerprint {
+	sum := sha256.Sum256([]byte(partDomain + id))
+	return Fingerprint(binary.BigEndian.Uint64(sum[:]))
+}
--- a/internal/gateway/quarantine/message.go
+++ b/internal/gateway/quarantine/message.go
@@ -27,11 +27,14 @@
 	if !r.ReleasedAt.IsZero() {
 		m.RenewedAgeMs = age(r.ReleasedAt, now)
 	}
+	if m.Part, m.WasSound = r.Part, r.WasSound; !r.SoundAt.IsZero() {
+		m.HasSound, m.SoundAgeMs = true, age(r.SoundAt, now)
+	}
 	if r.ProbationRun.Target != 0 {
 		m.TrialTarget, m.TrialAgeMs = uint32(r.ProbationRun.Target), age(r.ProbationRun.StartedAt, now)
 	}
 	for _, c := range r.Crashes {
-		m.Ends = append(m.Ends, &peerv1.TargetEnd{Target: uint32(c.Target), Step: uint32(c.Step), AgeMs: age(c.At, now), RanMs: uint32(min(c.Elapsed, maxElapsed).Milliseconds()), Targets: uint32(c.Targets)})
+		m.Ends = append(m.Ends, &peerv1.TargetEnd{Target: uint32(c.Target), Step: uint32(c.Step), AgeMs: age(c.At, now), RanMs: uint32(min(c.Elapsed, maxElapsed).Milliseconds()), Targets: uint32(c.Targets), Request: c.Request, Workspace: c.Workspace})
 	}
 	for i := range r.Unconfirmed {
 		if u := &r.Unconfirmed[i]; now.Sub(u.At) <= unconfirmedTimeout {
@@ -51,6 +54,11 @@
 		ProbationRun: ProbationRun{Number: m.Trial, Target: fleet.ID(m.TrialTarget)},
 		Probations:   int(m.Probations), PardonedProbations: int(m.Pardoned), ForgivenCrashes: int(m.Forgiven),
 	}
+	r.Part = m.Part[:min(len(m.Part), maxNameLength)]
+	r.WasSound = m.WasSound
+	if m.HasSound {
+		r.SoundAt = ago(m.SoundAgeMs, now)
+	}
 	if r.Generation > 0 {
 		r.ReleasedAt = ago(m.RenewedAgeMs, now)
 	}
@@ -58,7 +66,7 @@
 		r.ProbationRun.StartedAt = ago(m.TrialAgeMs, now)
 	}
 	for _, c := range m.Ends[:min(len(m.Ends), maxRecordedCrashes)] {
-		r.Crashes = append(r.Crashes, Crash{Target: fleet.ID(c.Target), Step: int(c.Step), At: ago(c.AgeMs, now), Elapsed: min(time.Duration(c.RanMs)*time.Millisecond, maxElapsed), Targets: int(min(c.Targets, maxTargets))})
+		r.Crashes = append(r.Crashes, Crash{Target: fleet.ID(c.Target), Step: int(c.Step), At: ago(c.AgeMs, now), Elapsed: min(time.Duration(c.RanMs)*time.Millisecond, maxElapsed), Targets: int(min(c.Targets, maxTargets)), Request: c.Request, Workspace: c.Workspace})
 	}
 	for _, u := range m.Unconfirmed[:min(len(m.Unconfirmed), maxUnconfirmed)] {
 		r.Unconfirmed = append(r.Unconfirmed, UnconfirmedCrash{Target: fleet.ID(u.Target), Step: int(u.Step), At: ago(u.AgeMs, now), Dismissed: u.Dismissed})
--- a/internal/gateway/quarantine/record.go
+++ b/internal/gateway/quarantine/record.go
@@ -21,6 +21,9 @@
 	Elapsed time.Duration
 	// Targets is the number of targets of the same service at the time; zero if unknown.
 	Targets int
+	// Request and Workspace identify a request with the part that the target ran, in records of
+	// parts.
+	Request, Workspace uint32
 }
 
 // ProbationRun is the only run of a suspect in flight.
@@ -36,6 +39,13 @@
 // other and merge them. Announcements may be lost, repeated or reordered.
 type Record struct {
 	Fingerprint Fingerprint
+	// Part is the ID of a part of prompts; empty in records of requests.
+	Part string
+	// SoundAt is when the last run of a part that went well had started; zero if none has. Earlier
+	// crashes are not the part's. Records of requests count Served instead.
+	SoundAt time.Time
+	// WasSound is set if the part was served shortly before the first of its crashes at some process.
+	WasSound bool
 	// Workspace and Route identify the caller to operators.
 	Workspace, Route string
 	// Generation increases when an operator releases the request. Merging keeps the record of
@@ -150,6 +160,9 @@
 // addCrash adds a crash. For a known incarnation it keeps the earlier time and the lower step,
 // so that the order of calls does not matter.
 func (r *Record) addCrash(c Crash) change {
+	if c.At.Before(r.SoundAt) {
+		return unchanged
+	}
 	r.resetServed(c.Target, c.At)
 	r.removeUnconfirmed(c.Target)
 	i := slices.IndexFunc(r.Crashes, func(other Crash) bool { return other.Target == c.Target })
@@ -171,6 +184,9 @@
 	if c.Targets > 0 && (known.Targets == 0 || c.Targets < known.Targets) {
 		known.Targets, changed = c.Targets, minorChange
 	}
+	if c.Request < known.Request || c.Request == known.Request && c.Workspace < known.Workspace {
+		known.Request, known.Workspace, changed = c.Request, c.Workspace, minorChange
+	}
 	if c.Step < known.Step {
 		known.Step, changed = c.Step, majorChange
 	}
@@ -188,7 +204,13 @@
 		r.fillCaller(workspace, route)
 		return majorChange
 	}
-	changed := unchanged
+	changed := r.setSound(other.SoundAt)
+	if r.Part == "" {
+		r.Part = other.Part
+	}
+	if other.WasSound && !r.WasSound {
+		r.WasSound, changed = true, majorChange
+	}
 	if other.ReleasedAt.Before(r.ReleasedAt) {
 		r.ReleasedAt = other.ReleasedAt
 	}
@@ -232,6 +254,7 @@
 func (r *Record) reset(now time.Time) {
 	r.Generation++
 	r.Crashes, r.Unconfirmed, r.Served, r.ProbationRun, r.ReleasedAt = nil, nil, 0, ProbationRun{}, now
+	r.SoundAt, r.WasSound = time.Time{}, false
 	r.Probations, r.PardonedProbations, r.ForgivenCrashes = 0, 0, 0
 }
 
--- a/internal/gateway/quarantine/reevaluate.go
+++ b/internal/gateway/quarantine/reevaluate.go
@@ -43,7 +43,7 @@
 	}
 	before := q.findings
 	e := evaluate(all, q.limits.MaxCrashes, now)
-	q.findings = e.findings
+	q.findings, q.explanations = e.findings, e.explanations
 	q.explained, q.evaluateAt = map[fleet.ID]bool{}, time.Time{}
 	for fp, f := range q.findings {
 		r := q.records[fp]
--- a/internal/gateway/quarantine/registry.go
+++ b/internal/gateway/quarantine/registry.go
@@ -94,6 +94,8 @@
 	evaluateAt time.Time
 	// explained holds the incarnations whose crash is attributed to a refused request.
 	explained map[fleet.ID]bool
+	// explanations are the crashes that don't count against some records.
+	explanations explanations
 	// pendingUpdates lists the records to announce at once, lastAnnounced is where
 	// NextToAnnounce stopped.
 	pendingUpdates []Fingerprint
@@ -108,6 +110,8 @@
 	changed     map[Fingerprint]bool
 	localChange bool
 	sweptAt     time.Time
+	// soundParts are the parts that were served lately.
+	soundParts *soundParts
 	// lastCrashAt is when the last crash of any target was observed.
 	lastCrashAt time.Time
 }
@@ -117,7 +121,7 @@
 	return &Registry{
 		limits: limits, observer: observer, updates: make(chan struct{}, 1),
 		records: map[Fingerprint]*Record{}, findings: map[Fingerprint]Finding{}, explained: map[fleet.ID]bool{},
-		runs: map[Fingerprint][]*Run{}, probationRuns: map[Fingerprint]*Record{}, changed: map[Fingerprint]bool{},
+		runs: map[Fingerprint][]*Run{}, probationRuns: map[Fingerprint]*Record{}, changed: map[Fingerprint]bool{}, soundParts: newSoundParts(),
 	}
 }
 
@@ -136,6 +140,13 @@
 }
 
 func (q *Registry) status(r *Record, now time.Time) Status {
+	if r.isPart() {
+		return q.partStatus(r, now)
+	}
+	return q.requestStatus(r, now)
+}
+
+func (q *Registry) requestStatus(r *Record, now time.Time) Status {
 	s := Status{Step: r.nextStep(q.isExplained, now), Crashes: r.unexplainedCrashes(q.isExplained), Unconfirmed: r.pendingCrashes(now)}
 	switch {
 	case q.findings[r.Fingerprint] == MustNotRun && q.probationDue(r, now):
@@ -317,17 +328,20 @@
 	return all
 }
 
-// Count returns the number of refused requests and of other suspects.
-func (q *Registry) Count() (refused, suspects int) {
+// Count returns the number of refused requests, of other suspects, and of refused parts.
+func (q *Registry) Count() (refused, suspects, refusedParts int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for fp, r := range q.records {
 		switch {
+		case r.isPart() && q.findings[fp] == MustNotRun:
+			refusedParts++
+		case r.isPart():
 		case q.findings[fp] == MustNotRun:
 			refused++
 		case r.unexplainedCrashes(q.isExplained) > 0:
 			suspects++
 		}
 	}
-	return refused, suspects
+	return refused, suspects, refusedParts
 }
--- a/internal/gateway/quarantine/runs.go
+++ b/internal/gateway/quarantine/runs.go
@@ -22,6 +22,10 @@
 	// responding is set once the response has started; cancelling then no longer protects the
 	// target.
 	responding bool
+	// parts are the prompt's parts, partSteps the [Crash.Step] for each of them.
+	parts     []Fingerprint
+	partSteps []int
+	startedAt time.Time
 }
 
 // StartRun records a run that starts now. The registry calls cancel if another target crashes
@@ -54,12 +58,19 @@
 func (q *Registry) EndRun(run *Run) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	remaining := slices.DeleteFunc(q.runs[run.fingerprint], func(other *Run) bool { return other == run })
+	q.removeRun(run.fingerprint, run)
+	for _, part := range run.parts {
+		q.removeRun(part, run)
+	}
+}
+
+func (q *Registry) removeRun(fp Fingerprint, run *Run) {
+	remaining := slices.DeleteFunc(q.runs[fp], func(other *Run) bool { return other == run })
 	if len(remaining) == 0 {
-		delete(q.runs, run.fingerprint)
+		delete(q.runs, fp)
 		return
 	}
-	q.runs[run.fingerprint] = remaining
+	q.runs[fp] = remaining
 }
 
 // cancelRuns cancels a suspect's runs that were sent before one of its crashes was known or suspected.
@@ -67,6 +78,10 @@
 // all the same, so each counts as an unconfirmed crash at once: the next run is decided before the
 // cancelled ones return. A probation run continues.
 func (q *Registry) cancelRuns(r *Record, now time.Time) {
+	if r.isPart() {
+		q.cancelPartRuns(r, now)
+		return
+	}
 	for _, run := range q.runs[r.Fingerprint] {
 		isProbationRun := r.probationRunActive(now) && run.target == r.ProbationRun.Target && (q.findings[r.Fingerprint] == 0 || run.probation)
 		if run.cancel == nil || run.responding || isProbationRun || run.knows(r.Crashes) || r.hasCrash(run.target) {
--- a/internal/gateway/quarantine/simulation_test.go
+++ b/internal/gateway/quarantine/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,6 +27,9 @@
 	recheck, awaitEvidence, countUnconfirmed, announceUnconfirmed bool
 	// cancelledProbes are the times after a run was cancelled at which its engine is probed.
 	cancelledProbes []time.Duration
+	// parts counts crashes by parts of prompts. Without restrictParts a part is only refused, without
+	// soundHistory all parts of a crashed run are suspects.
+	parts, restrictParts, soundHistory bool
 }
 
 // repeatedProbes are the times of probes at the recheck interval until a crash no longer counts as
@@ -43,7 +47,7 @@
 	announceOnly   = strategy{name: "announce", evaluate: true, announce: true}
 	withApart      = strategy{name: "announce, apart", evaluate: true, announce: true, apart: true}
 	withAlone      = strategy{name: "announce, apart, alone", evaluate: true, announce: true, apart: true, alone: true}
-	fullQuarantine = strategy{name: "announce, apart, alone, cancel", evaluate: true, announce: true, apart: true, alone: true, cancelQueued: true, recheck: true, countUnconfirmed: true, announceUnconfirmed: true, cancelledProbes: repeatedProbes()}
+	fullQuarantine = strategy{name: "announce, apart, alone, cancel", evaluate: true, announce: true, apart: true, alone: true, cancelQueued: true, recheck: true, countUnconfirmed: true, announceUnconfirmed: true, cancelledProbes: repeatedProbes(), parts: true, restrictParts: true, soundHistory: true}
 )
 
 // workload is the size of the deployment, the requests and the faults.
@@ -79,7 +83,15 @@
 	// lateEvidence is the fraction of crashes without evidence at first, hiddenEvidence that of
 	// those which rechecks don't find either.
 	lateEvidence, hiddenEvidence float64
-	duration                     time.Duration
+	// prompts have an outermost part that all share and one of sharedParts inner ones. fatalParts crash
+	// engines from fatalFrom on, under requests that all differ, partEvery apart on average for each
+	// part. If isOuter is set, they are outermost, beside the inner ones.
+	sharedParts int
+	fatalParts  []string
+	partEvery   time.Duration
+	fatalFrom   time.Duration
+	isOuter     bool
+	duration    time.Duration
 }
 
 const (
@@ -119,6 +131,12 @@
 	refusedAt        map[Fingerprint][]time.Duration
 	firstCrashAt     map[Fingerprint]time.Duration
 	thirdCrashAt     map[Fingerprint]time.Duration
+	// partCrashes and partRuns are the times of crashes by fatal parts and of their sends.
+	partCrashes, partRuns map[string][]time.Duration
+	// ordinaryServed are the times at which other requests were served, partRefused is the number of
+	// those that were refused for their parts.
+	ordinaryServed []time.Duration
+	partRefused    int
 }
 
 type simEntry struct {
@@ -153,6 +171,12 @@
 	engine        *simEngine
 	run           *Run
 	sends         int
+	parts         []Part
+	workspace     string
+	// fatalPart is the part that crashes engines; empty for none.
+	fatalPart string
+	// probationOf is what the send is a probation run of.
+	probationOf Fingerprint
 }
 
 type simEvent struct {
@@ -185,7 +209,7 @@
 func simulate(strat strategy, load workload, seed uint64) *sim {
 	s := &sim{
 		strategy: strat, workload: load, random: rand.New(rand.NewPCG(seed, 7)), crashesBy: map[Fingerprint]int{},
-		refusedAt: map[Fingerprint][]time.Duration{}, firstCrashAt: map[Fingerprint]time.Duration{}, thirdCrashAt: map[Fingerprint]time.Duration{},
+		refusedAt: map[Fingerprint][]time.Duration{}, firstCrashAt: map[Fingerprint]time.Duration{}, thirdCrashAt: map[Fingerprint]time.Duration{}, partCrashes: map[string][]time.Duration{}, partRuns: map[string][]time.Duration{},
 	}
 	limits := testLimits
 	limits.MaxRecords = 2000
@@ -205,6 +229,9 @@
 		s.schedule(time.Second, func() { s.sendFatal(Fingerprint(1 + i)) })
 	}
 	s.schedule(0, s.sendOrdinary)
+	for _, part := range load.fatalParts {
+		s.schedule(time.Second, func() { s.sendFatalPart(part) })
+	}
 	for i := range load.popular {
 		s.schedule(0, func() { s.sendPopular(Fingerprint(1000 + i)) })
 	}
@@ -250,10 +277,29 @@
 	s.schedule(time.Duration(float64(s.fatalEvery)*(0.2+1.6*s.random.Float64())), func() { s.sendFatal(fp) })
 }
 
+// sendFatalPart sends a request with a fatal part that differs from all others.
+func (s *sim) sendFatalPart(part string) {
+	ids := []string{"common", part}
+	if s.isOuter {
+		ids = []string{part, s.innerPart()}
+	}
+	s.dispatch(&simAttempt{entry: s.nodes[s.random.IntN(len(s.nodes))], fingerprint: Fingerprint(s.random.Uint64()), family: uint64(PartFingerprintOf(part)), fatalPart: part, parts: PartsOf(ids), workspace: s.workspace(), sendsLeft: 2, waitingSince: s.now})
+	s.schedule(time.Duration(float64(s.partEvery)*(0.2+1.6*s.random.Float64())), func() { s.sendFatalPart(part) })
+}
+
+func (s *sim) innerPart() string { return fmt.Sprint("inner-", s.random.IntN(max(s.sharedParts, 1))) }
+
+func (s *sim) workspace() string { return fmt.Sprint("workspace-", s.random.IntN(4)) }
+
 func (s *sim) sendOrdinary() {
 	s.sequence++
 	s.ordinarySent++
-	s.dispatch(&simAttempt{entry: s.nodes[s.random.IntN(len(s.nodes))], fingerprint: Fingerprint(s.random.Uint64()), family: s.random.Uint64(), callerRetries: true, sendsLeft: 2, waitingSince: s.now})
+	a := &simAttempt{entry: s.nodes[s.random.IntN(len(s.nodes))], fingerprint: Fingerprint(s.random.Uint64()), family: s.random.Uint64(), callerRetries: true, sendsLeft: 2, waitingSince: s.now}
+	if s.sharedParts > 0 {
+		a.workspace = s.workspace()
+		a.parts = PartsOf([]string{"common", s.innerPart()})
+	}
+	s.dispatch(a)
 	mean := time.Second / time.Duration(s.requestsPerEngine*s.engines)
 	s.schedule(time.Duration(float64(mean)*2*s.random.Float64()), s.sendOrdinary)
 }
@@ -285,11 +331,18 @@
 		s.sequence++
 		a.number = s.sequence
 	}
-	st := a.entry.Status(a.fingerprint, s.clock())
+	st, suspect := a.entry.Status(a.fingerprint, s.clock()), a.fingerprint
+	a.step = st.Step
+	if ps, part := a.entry.PartsStatus(a.parts, a.workspace, s.clock()); s.parts && ps.Verdict > st.Verdict && (s.restrictParts || ps.Verdict == Refused) {
+		st, suspect = ps, part.Fingerprint
+	}
 	if st.Verdict == Refused {
 		switch {
 		case a.popular:
 			s.popularRefused++
+		case a.fatalPart != "":
+		case suspect != a.fingerprint:
+			s.partRefused++
 		case !a.fatal:
 			s.ordinaryRefused++
 		}
@@ -298,13 +351,13 @@
 	}
 	key, alone := a.family, false
 	if s.apart && st.Verdict != Free {
-		key, alone = uint64(a.fingerprint), s.alone && st.Verdict == Alone
+		key, alone = uint64(suspect), s.alone && st.Verdict == Alone
 	}
-	e := s.pickEngine(a, key, alone)
+	e := s.pickEngine(a, suspect, key, alone)
 	if st.Verdict == Held {
 		e = nil
 	}
-	if e == nil || alone && !a.entry.StartProbationRun(a.fingerprint, e.incarnation, s.clock()) {
+	if e == nil || alone && !a.entry.StartProbationRun(suspect, e.incarnation, s.clock()) {
 		if s.now-a.waitingSince < simMaxWait {
 			s.schedule(simRetryPause, func() { s.dispatch(a) })
 		} else {
@@ -312,7 +365,7 @@
 		}
 		return
 	}
-	a.engine, a.step, a.probationRun, a.sentAt = e, st.Step, alone, s.now
+	a.engine, a.probationRun, a.probationOf, a.sentAt = e, alone, suspect, s.now
 	e.running[a] = true
 	a.sendsLeft--
 	a.sends++
@@ -328,6 +381,12 @@
 		cancel = func() { s.schedule(0, func() { s.cancelSend(a, sends) }) }
 	}
 	a.run = a.entry.StartRun(a.fingerprint, e.incarnation, a.step, cancel)
+	if s.parts {
+		a.entry.TrackParts(a.run, a.parts, s.clock())
+	}
+	if a.fatalPart != "" && s.now >= s.fatalFrom {
+		s.partRuns[a.fatalPart] = append(s.partRuns[a.fatalPart], s.now)
+	}
 	sends := a.sends
 	s.schedule(s.drawQueueTime(), func() { s.execute(a, e, sends) })
 }
@@ -340,10 +399,10 @@
 }
 
 // pickEngine returns the running engine that ranks first for a key.
-func (s *sim) pickEngine(a *simAttempt, key uint64, alone bool) *simEngine {
+func (s *sim) pickEngine(a *simAttempt, suspect Fingerprint, key uint64, alone bool) *simEngine {
 	var best *simEngine
 	for _, e := range s.simEngines {
-		if s.now < e.upAt || alone && a.entry.RunsOtherSuspect(e.incarnation, a.fingerprint, s.clock()) {
+		if s.now < e.upAt || alone && a.entry.RunsOtherSuspect(e.incarnation, suspect, s.clock()) {
 			continue
 		}
 		if best == nil || placement.Rank(key, e.hash) < placement.Rank(key, best.hash) {
@@ -358,6 +417,16 @@
 	if a.engine != e || a.sends != sends || !e.running[a] {
 		return
 	}
+	if a.fatalPart != "" && s.now >= s.fatalFrom {
+		incarnation := e.incarnation
+		s.schedule(cmp.Or(s.crashDelay, simCrashDelay), func() {
+			if e.incarnation == incarnation && s.now >= e.upAt {
+				s.partCrashes[a.fatalPart] = append(s.partCrashes[a.fatalPart], s.now)
+				s.crashEngine(e, nil)
+			}
+		})
+		return
+	}
 	if a.fatal && placement.Rank(1, e.hash) >= s.immuneShare && (s.servedShare == 0 || s.random.Float64() >= s.servedShare) {
 		incarnation := e.incarnation
 		s.schedule(cmp.Or(s.crashDelay, simCrashDelay), func() {
@@ -372,16 +441,30 @@
 			delete(e.running, a)
 			s.finishRun(a)
 			a.entry.MarkServed(a.fingerprint)
+			s.markPartsSound(a)
 			s.announceSoon(a.entry)
 			s.endAttempt(a)
 		}
 	})
 }
 
+func (s *sim) markPartsSound(a *simAttempt) {
+	if !a.fatal && !a.popular && a.fatalPart == "" {
+		s.ordinaryServed = append(s.ordinaryServed, s.now)
+	}
+	if !s.parts {
+		return
+	}
+	a.entry.MarkPartsSound(a.parts, testStart.Add(a.sentAt), s.clock())
+	if !s.soundHistory {
+		a.entry.soundParts = newSoundParts()
+	}
+}
+
 func (s *sim) finishRun(a *simAttempt) {
 	a.entry.EndRun(a.run)
 	if a.probationRun {
-		a.entry.EndProbationRun(a.fingerprint, a.engine.incarnation)
+		a.entry.EndProbationRun(a.probationOf, a.engine.incarnation)
 		a.probationRun = false
 	}
 }
@@ -454,7 +537,7 @@
 		s.schedule(simLatency, func() {
 			s.recordCrash(a, Crash{Target: incarnation, Step: a.step, At: s.clock(), Elapsed: s.now - a.sentAt, Targets: targets}, evidenceDelay)
 			if probationRun {
-				a.entry.EndProbationRun(a.fingerprint, incarnation)
+				a.entry.EndProbationRun(a.probationOf, incarnation)
 			}
 			s.announceSoon(a.entry)
 			if evidenceDelay > 0 && s.awaitEvidence {
@@ -486,18 +569,25 @@
 // recordCrash attributes a crash to an attempt, once there is evidence.
 func (s *sim) recordCrash(a *simAttempt, c Crash, evidenceDelay time.Duration) {
 	if evidenceDelay == 0 {
-		a.entry.AttributeCrash(a.fingerprint, Caller{}, c)
+		s.attribute(a, c)
 		return
 	}
 	if s.countUnconfirmed {
 		a.entry.SuspectCrash(a.fingerprint, Caller{}, UnconfirmedCrash{Target: c.Target, Step: c.Step, At: c.At})
 	}
 	s.schedule(evidenceDelay, func() {
-		a.entry.AttributeCrash(a.fingerprint, Caller{}, c)
+		s.attribute(a, c)
 		s.announceSoon(a.entry)
 	})
 }
 
+func (s *sim) attribute(a *simAttempt, c Crash) {
+	a.entry.AttributeCrash(a.fingerprint, Caller{}, c)
+	if s.parts {
+		a.entry.AttributePartsCrash(a.run.PartsOfRun(a.parts, a.workspace), "", c)
+	}
+}
+
 // retryOrFail sends a broken attempt again if it has sends left.
 func (s *sim) retryOrFail(a *simAttempt) {
 	if a.sendsLeft > 0 {
@@ -511,7 +601,7 @@
 // failAttempt fails an attempt. Its caller may retry at another entry.
 func (s *sim) failAttempt(a *simAttempt) {
 	s.endAttempt(a)
-	if a.fatal || a.popular {
+	if a.fatal || a.popular || a.fatalPart != "" {
 		return
 	}
 	if !a.callerRetries {
@@ -519,7 +609,7 @@
 		return
 	}
 	s.schedule(100*time.Millisecond, func() {
-		s.dispatch(&simAttempt{entry: s.nodes[s.random.IntN(len(s.nodes))], fingerprint: a.fingerprint, family: a.family, sendsLeft: 2, waitingSince: s.now})
+		s.dispatch(&simAttempt{entry: s.nodes[s.random.IntN(len(s.nodes))], fingerprint: a.fingerprint, family: a.family, parts: a.parts, workspace: a.workspace, sendsLeft: 2, waitingSince: s.now})
 	})
 }
 
--- a/internal/gateway/quarantinesync.go
+++ b/internal/gateway/quarantinesync.go
@@ -66,13 +66,17 @@
 		MaxCrashes: limits.MaxCrashes, SuspectFor: limits.SuspectFor.Duration, RefuseFor: limits.RefuseFor.Duration, MaxRecords: limits.MaxRecords, ProbationDelay: p.state.probationDelay,
 	}, observer)}
 	p.metrics.RegisterGauge("quarantined_requests", "Requests that are refused because crashes of targets are attributed to them.", func() float64 {
-		refused, _ := s.registry.Count()
+		refused, _, _ := s.registry.Count()
 		return float64(refused)
 	})
 	p.metrics.RegisterGauge("suspect_requests", "Requests to which crashes of targets are attributed and that may still run.", func() float64 {
-		_, suspects := s.registry.Count()
+		_, suspects, _ := s.registry.Count()
 		return float64(suspects)
 	})
+	p.metrics.RegisterGauge("quarantined_parts", "Parts of prompts that are refused because crashes of targets are attributed to them.", func() float64 {
+		_, _, parts := s.registry.Count()
+		return float64(parts)
+	})
 	return s
 }
 
@@ -399,17 +403,17 @@
 		o.secondCrash = true
 		o.mu.Unlock()
 	}
-	log.Info(event, "print", r.Fingerprint, "ends", len(r.Crashes), "step", e.Step, "target_id", uint32(e.Target), "workspace", r.Workspace, "route", r.Route, "generation", r.Generation)
+	log.Info(event, "print", r.Fingerprint, "part", r.Part, "ends", len(r.Crashes), "step", e.Step, "target_id", uint32(e.Target), "workspace", r.Workspace, "route", r.Route, "generation", r.Generation)
 }
 
 // CrashSuspected implements quarantine.Observer.
 func (o *quarantineObserver) CrashSuspected(r *quarantine.Record, u quarantine.UnconfirmedCrash) {
-	o.logger.Info("request_suspected", "print", r.Fingerprint, "ends", len(r.Crashes), "unconfirmed", len(r.Unconfirmed), "step", u.Step, "target_id", uint32(u.Target), "workspace", r.Workspace, "route", r.Route)
+	o.logger.Info("request_suspected", "print", r.Fingerprint, "part", r.Part, "ends", len(r.Crashes), "unconfirmed", len(r.Unconfirmed), "step", u.Step, "target_id", uint32(u.Target), "workspace", r.Workspace, "route", r.Route)
 }
 
 // CrashDismissed implements quarantine.Observer.
 func (o *quarantineObserver) CrashDismissed(r *quarantine.Record, u quarantine.UnconfirmedCrash) {
-	o.logger.Info("suspicion_dismissed", "print", r.Fingerprint, "ends", len(r.Crashes), "target_id", uint32(u.Target))
+	o.logger.Info("suspicion_dismissed", "print", r.Fingerprint, "part", r.Part, "ends", len(r.Crashes), "target_id", uint32(u.Target))
 }
 
 // findingEvents are the log events of findings.
@@ -419,7 +423,7 @@
 // held, not when it is refused a moment later, so that a restart of all entries in between
 // does not lose it.
 func (o *quarantineObserver) FindingChanged(r *quarantine.Record, before, now quarantine.Finding, a quarantine.Assessment, remote bool) {
-	o.logger.Info(findingEvents[now], "print", r.Fingerprint, "ends", len(r.Crashes), "served", r.Served, "workspace", r.Workspace, "route", r.Route, "told", remote,
+	o.logger.Info(findingEvents[now], "print", r.Fingerprint, "part", r.Part, "ends", len(r.Crashes), "served", r.Served, "workspace", r.Workspace, "route", r.Route, "told", remote,
 		"unexplained", a.Crashes, "steps", a.Steps, "needed", a.NeededCrashes, "exempt_served", a.ExemptServed, "others", a.OtherCrashes, "others_beside", a.ConcurrentCrashes, "coincidence", a.Coincidence, "chance", a.Chance)
 	if before == quarantine.MustWait && now == quarantine.MustNotRun {
 		return
@@ -450,18 +454,18 @@
 
 // Cleared implements quarantine.Observer.
 func (o *quarantineObserver) Cleared(r *quarantine.Record) {
-	o.routineLogger.Info("request_cleared", "print", r.Fingerprint, "ends", len(r.Crashes), "served", r.Served)
+	o.routineLogger.Info("request_cleared", "print", r.Fingerprint, "part", r.Part, "ends", len(r.Crashes), "served", r.Served)
 }
 
 // Released implements quarantine.Observer.
 func (o *quarantineObserver) Released(r *quarantine.Record, remote bool) {
-	o.logger.Info("request_released", "print", r.Fingerprint, "told", remote, "generation", r.Generation, "workspace", r.Workspace, "route", r.Route)
+	o.logger.Info("request_released", "print", r.Fingerprint, "part", r.Part, "told", remote, "generation", r.Generation, "workspace", r.Workspace, "route", r.Route)
 }
 
 // Probation implements quarantine.Observer. The run is stored before it can crash its
 // target, so that it is not repeated after a restart of all entries.
 func (o *quarantineObserver) ProbationStarted(r *quarantine.Record) {
-	o.logger.Info("request_on_probation", "print", r.Fingerprint, "ends", len(r.Crashes), "probations", r.Probations, "pardoned", r.PardonedProbations, "workspace", r.Workspace, "route", r.Route)
+	o.logger.Info("request_on_probation", "print", r.Fingerprint, "part", r.Part, "ends", len(r.Crashes), "probations", r.Probations, "pardoned", r.PardonedProbations, "workspace", r.Workspace, "route", r.Route)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.changes = append(o.changes, findingChange{fingerprint: r.Fingerprint})
@@ -470,5 +474,5 @@
 // Evicted implements quarantine.Observer.
 func (o *quarantineObserver) Evicted(r *quarantine.Record) {
 	o.metrics.SuspectEvicted()
-	o.routineLogger.Info("suspect_evicted", "print", r.Fingerprint, "ends", len(r.Crashes))
+	o.routineLogger.Info("suspect_evicted", "print", r.Fingerprint, "part", r.Part, "ends", len(r.Crashes))
 }
