Two fatal parts are held together while they are told apart

Change: what waits excuses sound parts only. The step of a part's next run exceeds those of all its crashes.

--- a/internal/gateway/quarantine/evaluate.go
+++ b/internal/gateway/quarantine/evaluate.go
@@ -58,7 +58,7 @@
 }
 
 func evaluate(records []*Record, maxCrashes int, now time.Time) *evaluation {
-	e := &evaluation{records: records, maxCrashes: maxCrashes, findings: map[Fingerprint]Finding{}, assessments: map[Fingerprint]Assessment{}, explanations: explanations{explained: map[fleet.ID]bool{}, forParts: map[fleet.ID]bool{}, forSoundParts: suspectedCrashes(records)}}
+	e := &evaluation{records: records, maxCrashes: maxCrashes, findings: map[Fingerprint]Finding{}, assessments: map[Fingerprint]Assessment{}, explanations: explanations{explained: map[fleet.ID]bool{}, forSoundParts: suspectedCrashes(records)}}
 	for _, r := range records {
 		if len(r.Crashes) >= maxCrashes && len(r.Crashes) > r.ForgivenCrashes {
 			e.candidates = append(e.candidates, r)
@@ -73,14 +73,11 @@
 		}
 		if now.Before(r.ChangedAt().Add(decisionDelay)) {
 			e.findings[r.Fingerprint] = MustWait
-			e.explainForParts(r)
+			e.explain(r, e.forSoundParts)
 			continue
 		}
 		e.findings[r.Fingerprint] = MustNotRun
-		for _, c := range r.Crashes {
-			e.explained[c.Target] = true
-		}
-		e.explainForParts(r)
+		e.explain(r, e.explained)
 	}
 	for _, r := range e.candidates {
 		e.assessments[r.Fingerprint] = e.assess(r)
@@ -108,28 +105,21 @@
 type explanations struct {
 	// explained holds the incarnations whose crash is attributed to a refused request or part.
 	explained map[fleet.ID]bool
-	// forParts also holds those of parts that wait: requests that share another part with them need
-	// not wait, too.
-	forParts map[fleet.ID]bool
-	// forSoundParts holds the crashes of unproved parts.
+	// forSoundParts also holds those of unproved parts and of what waits: requests that share a sound
+	// part with them need not wait, too.
 	forSoundParts map[fleet.ID]bool
 }
 
 // of returns which crashes don't count against a record.
 func (x *explanations) of(r *Record) func(fleet.ID) bool {
-	switch {
-	case r.isPart() && r.WasSound:
-		return func(target fleet.ID) bool { return x.forParts[target] || x.forSoundParts[target] }
-	case r.isPart():
-		return func(target fleet.ID) bool { return x.forParts[target] }
-	default:
-		return func(target fleet.ID) bool { return x.explained[target] }
-	}
+	isSoundPart := r.isPart() && r.WasSound
+	return func(target fleet.ID) bool { return x.explained[target] || isSoundPart && x.forSoundParts[target] }
 }
 
-func (e *evaluation) explainForParts(r *Record) {
+// explain adds a record's crashes to a set of explained ones.
+func (e *evaluation) explain(r *Record, explained map[fleet.ID]bool) {
 	for _, c := range r.Crashes {
-		e.forParts[c.Target] = true
+		explained[c.Target] = true
 	}
 }
 
--- a/internal/gateway/quarantine/part.go
+++ b/internal/gateway/quarantine/part.go
@@ -64,6 +64,16 @@
 	return len(seen)
 }
 
+// nextPartStep returns the step of the next run. It exceeds those of all known crashes: which of them are
+// explained changes while several suspects are told apart.
+func (r *Record) nextPartStep() int {
+	next := 0
+	for _, c := range r.Crashes {
+		next = max(next, c.Step+1)
+	}
+	return next
+}
+
 // concerns reports whether a part's crashes restrict the requests of a workspace. Callers name the
 // parts of their prompts themselves: a workspace alone can accuse a part for its own requests only.
 func (r *Record) concerns(workspace uint32) bool {
@@ -94,7 +104,7 @@
 func (q *Registry) partStatus(r *Record, now time.Time) Status {
 	isExplained := q.explanations.of(r)
 	steps := r.unexplainedSteps(isExplained)
-	s := Status{Step: steps, Crashes: r.unexplainedCrashes(isExplained)}
+	s := Status{Step: r.nextPartStep(), Crashes: r.unexplainedCrashes(isExplained)}
 	switch {
 	case q.findings[r.Fingerprint] == MustNotRun && q.probationDue(r, now):
 		s.Verdict, s.Step, s.Crashes = Alone, len(r.Crashes), len(r.Crashes)
@@ -157,7 +167,7 @@
 	for _, part := range parts {
 		step := 0
 		if r := q.records[part.Fingerprint]; r != nil {
-			step = r.unexplainedSteps(q.explanations.of(r))
+			step = r.nextPartStep()
 		}
 		run.parts, run.partSteps = append(run.parts, part.Fingerprint), append(run.partSteps, step)
 		q.runs[part.Fingerprint] = append(q.runs[part.Fingerprint], run)
