--- a/internal/gateway/quarantine/evaluate.go
+++ b/internal/gateway/quarantine/evaluate.go
@@ -99,8 +99,6 @@
 	timeline []Crash
 }
 
-func (e *evaluation) isExplained(target fleet.ID) bool { return e.explained[target] }
-
 // explanations are the crashes that don't count against some records, because others explain them.
 type explanations struct {
 	// explained holds the incarnations whose crash is attributed to a refused request or part.
