The restriction that follows from a finding stands once

Cause: requests and parts repeated the same three cases. Change: one function applies a finding to the status of both. Measured: the tests of the quarantine that concern statuses.

--- a/internal/gateway/quarantine/part.go
+++ b/internal/gateway/quarantine/part.go
@@ -106,12 +106,7 @@
 	steps := r.unexplainedSteps(isExplained)
 	s := Status{Step: r.nextPartStep(), Crashes: r.unexplainedCrashes(isExplained)}
 	switch {
-	case q.findings[r.Fingerprint] == MustNotRun && q.probationDue(r, now):
-		s.Verdict, s.Step, s.Crashes = Alone, len(r.Crashes), len(r.Crashes)
-	case q.findings[r.Fingerprint] == MustNotRun:
-		s.Verdict, s.Crashes, s.Until = Refused, len(r.Crashes), q.refusedUntil(r)
-	case q.findings[r.Fingerprint] == MustWait:
-		s.Verdict = Held
+	case q.applyFinding(&s, r, now):
 	case steps > 1:
 		s.Verdict = Alone
 	case steps == 1 && !r.WasSound:
--- a/internal/gateway/quarantine/registry.go
+++ b/internal/gateway/quarantine/registry.go
@@ -149,12 +149,7 @@
 func (q *Registry) requestStatus(r *Record, now time.Time) Status {
 	s := Status{Step: r.nextStep(q.isExplained, now), Crashes: r.unexplainedCrashes(q.isExplained), Unconfirmed: r.pendingCrashes(now)}
 	switch {
-	case q.findings[r.Fingerprint] == MustNotRun && q.probationDue(r, now):
-		s.Verdict, s.Step, s.Crashes = Alone, len(r.Crashes), len(r.Crashes)
-	case q.findings[r.Fingerprint] == MustNotRun:
-		s.Verdict, s.Crashes, s.Until = Refused, len(r.Crashes), q.refusedUntil(r)
-	case q.findings[r.Fingerprint] == MustWait:
-		s.Verdict = Held
+	case q.applyFinding(&s, r, now):
 	case r.cleared(q.isExplained):
 	case s.Unconfirmed > 0 && s.Crashes+s.Unconfirmed >= q.limits.MaxCrashes:
 		s.Verdict = Held
@@ -166,6 +161,21 @@
 	return s
 }
 
+// applyFinding sets the restriction that follows from a record's finding, and reports whether it has one.
+func (q *Registry) applyFinding(s *Status, r *Record, now time.Time) bool {
+	switch finding := q.findings[r.Fingerprint]; {
+	case finding == MustNotRun && q.probationDue(r, now):
+		s.Verdict, s.Step, s.Crashes = Alone, len(r.Crashes), len(r.Crashes)
+	case finding == MustNotRun:
+		s.Verdict, s.Crashes, s.Until = Refused, len(r.Crashes), q.refusedUntil(r)
+	case finding == MustWait:
+		s.Verdict = Held
+	default:
+		return false
+	}
+	return true
+}
+
 // Caller identifies a request's caller to operators.
 type Caller struct{ Workspace, Route string }
 
