--- a/internal/gateway/quarantine/part_test.go
+++ b/internal/gateway/quarantine/part_test.go
@@ -64,6 +64,9 @@
 		q.AttributePartsCrash(run, "r", c)
 		now = now.Add(time.Second / 5)
 	}
+	if s, _ := q.PartsStatus(PartsOf([]string{"p"}), "town", now); s.Verdict >= Held {
+		t.Errorf("its part is %v after the third crash", s.Verdict)
+	}
 	now = now.Add(2 * decisionDelay)
 	if s := q.Status(7, now); s.Verdict != Refused {
 		t.Errorf("the request is %v", s.Verdict)
@@ -78,8 +81,10 @@
 	q := newPartRegistry()
 	q.MarkPartsSound(PartsOf([]string{"common"}), testStart, testStart)
 	now := crashUnder(q, []string{"town", "fort"}, 5, "common", "fatal")
-	if s, part := q.PartsStatus(PartsOf([]string{"common", "other"}), "town", now); s.Verdict != Free {
-		t.Errorf("%q is %v", part.ID, s.Verdict)
+	for _, at := range []time.Time{now.Add(-2 * decisionDelay), now} { // while the guilty part is held, and refused
+		if s, part := q.PartsStatus(PartsOf([]string{"common", "other"}), "town", at); s.Verdict != Free {
+			t.Errorf("%q is %v", part.ID, s.Verdict)
+		}
 	}
 	if s, part := q.PartsStatus(PartsOf([]string{"common", "fatal"}), "town", now); s.Verdict != Refused || part.ID != "fatal" {
 		t.Errorf("%q is %v", part.ID, s.Verdict)
