Logs name the era and the source of what processes know of the store's topics

Change: the adapter decodes Store-Era into a bounded type; records carry era and source; estate_in_force, weights_wanted, target_listed, target_gone, feed_trimmed name them, and what they replaced; snapshot_ignored is new. A send, and a refusal, name the newest record of both topics that they rest on. No decision depends on any of it.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -153,16 +153,21 @@
 
 func (c *clusterState) applyDeclaration(d Declaration, r feed.Record) {
 	if d.Estate != nil && (c.estate == nil || d.Estate.Version > c.estate.Version) {
+		replaced := int64(0)
+		if c.estate != nil {
+			replaced = c.estate.Version
+		}
 		c.estate, c.rawEstate = d.Estate, r.Value
 		c.directory.Invalidate()
 		c.onEstateChange(d.Estate.Version)
-		c.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", r.Offset, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
+		c.logger.Info("estate_in_force", "estate", d.Estate.Version, "replaced", replaced, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
 	}
 	if d.Model == "" || d.Version <= c.wantedWeights[d.Model].Newest() {
 		return
 	}
+	replaced := c.wantedWeights[d.Model].Newest()
 	c.wantedWeights[d.Model] = c.wantedWeights[d.Model].Add(weights.WantedVersion{Version: d.Version, Since: c.clock.Now()})
-	c.logger.Info("weights_wanted", "model", d.Model, "version", d.Version, "offset", r.Offset)
+	c.logger.Info("weights_wanted", "model", d.Model, "version", d.Version, "replaced", replaced, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source)
 }
 
 func (c *clusterState) targetsChanged(keys []string) {
@@ -175,7 +180,8 @@
 			c.setListingDigest(key, 0)
 			if c.directory.Remove(key, c.listedAt()) {
 				changed = true
-				c.logger.Info("target_gone", "target", key, "end", c.targets.Replica().End())
+				at, source := c.targets.Replica().Newest()
+				c.logger.Info("target_gone", "target", key, "end", c.targets.Replica().End(), "era", uint64(at.Era), "source", source)
 			}
 			continue
 		}
@@ -187,7 +193,7 @@
 		}
 		delete(c.rejectedListings, key)
 		c.setListingDigest(key, listingDigest(&listing))
-		if c.applyListing(listing, r.Offset, bulk) {
+		if c.applyListing(listing, &r, bulk) {
 			changed = true
 			listed++
 		}
@@ -221,11 +227,11 @@
 
 // applyListing applies a listing and reports whether a relevant field changed. An ordinary listing in
 // a bulk update is not logged.
-func (c *clusterState) applyListing(l fleet.Listing, offset uint64, bulk bool) bool {
+func (c *clusterState) applyListing(l fleet.Listing, r *feed.Record, bulk bool) bool {
 	old, known := c.directory.Find(l.Instance)
 	returned := c.directory.Gone(old.Incarnation)
-	if !c.directory.Add(l, offset, c.clock.Now()) {
-		c.logger.Info("target_listing_delayed", "target", l.Incarnation, "newest", old.Incarnation, "offset", offset)
+	if !c.directory.Add(l, r.Offset, c.clock.Now()) {
+		c.logger.Info("target_listing_delayed", "target", l.Incarnation, "newest", old.Incarnation, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source)
 		return false
 	}
 	if known && !returned && listingDigest(&old.Listing) == listingDigest(&l) {
@@ -235,7 +241,7 @@
 		return true
 	}
 	c.logger.Info("target_listed", "target", l.Incarnation, "service", l.Service, "address", l.Address, "zone", l.Zone, "version", l.SoftwareVersion,
-		"leaving", l.Leaving, "weights", l.Weights, "returned", returned, "offset", offset)
+		"leaving", l.Leaving, "weights", l.Weights, "returned", returned, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source)
 	return true
 }
 
@@ -253,7 +259,7 @@
 	syncState := c.syncState(now)
 	c.logOutage(syncState)
 	v := &view.View{
-		Estate: c.estate, RawEstate: c.rawEstate, Targets: c.directory.Targets(c.isDeclared, now, syncState),
+		Declared: knowledge(c.declarations), Listed: knowledge(c.targets), Estate: c.estate, RawEstate: c.rawEstate, Targets: c.directory.Targets(c.isDeclared, now, syncState),
 		TargetsCurrentAt: c.targets.Replica().CurrentAt(), EstateCurrentAt: c.currentAt(topicOperators), Engines: map[fleet.Incarnation]view.EngineReport{}, Unresponsive: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
 		EntryCount: 1 + c.mesh.LiveCount(true), EntryRank: c.entryRank(), Stopping: c.stopping, SelectiveFrom: c.selectiveFrom, ShutdownAt: c.shutdownAt,
 	}
@@ -282,6 +288,11 @@
 	c.onViewChange()
 }
 
+func knowledge(f *feed.Follower) view.Knowledge {
+	at, source := f.Replica().Newest()
+	return view.Knowledge{At: at.String(), Source: source}
+}
+
 // isDeclared reports whether operators declare a service.
 func (c *clusterState) isDeclared(service string) bool {
 	return c.estate != nil && c.estate.Service(service) != nil
--- a/internal/gateway/feed/feed.go
+++ b/internal/gateway/feed/feed.go
@@ -7,20 +7,50 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
+// Era counts how often the store has come back from a copy. What was written after the copy was made is
+// then gone, and offsets are given out again. It is zero for a store that keeps no eras.
+type Era uint64
+
+// MaxEra is the highest era.
+const MaxEra = 1<<20 - 1
+
+// Position is a place in a topic.
+type Position struct {
+	Era    Era
+	Offset uint64
+}
+
+// String formats the position for logs.
+func (p Position) String() string {
+	return strconv.FormatUint(uint64(p.Era), 10) + "/" + strconv.FormatUint(p.Offset, 10)
+}
+
 // Record is the newest record of one key.
 type Record struct {
 	Key string
 	// Value is nil if the record drops the key.
 	Value []byte
-	// Offset is the record's position in its topic.
+	// Offset is the record's place in its topic, in the given era.
 	Offset uint64
+	Era    Era
+	// Source names where the record came from: SourceStore, or a peer's address.
+	Source string
 }
 
+// At returns the record's position.
+func (r *Record) At() Position { return Position{Era: r.Era, Offset: r.Offset} }
+
+// SourceStore is the source of records that were read from the store.
+const SourceStore = "store"
+
 // Snapshot holds the newest records of all keys of a topic.
 type Snapshot struct {
+	// Era is that of the answer.
+	Era     Era
 	Records []Record
 	// End is the offset of the next record to be appended.
 	End uint64
@@ -44,6 +74,9 @@
 	seenFrom uint64
 	// dropEnd is the offset after the newest drop.
 	dropEnd uint64
+	// newest and source are the position and the source of the record that was applied last.
+	newest Position
+	source string
 	// currentAt is the latest time at which the replica held all records that the store had
 	// acknowledged.
 	currentAt time.Time
@@ -68,8 +101,8 @@
 // End returns the offset of the next record to read.
 func (r *Replica) End() uint64 { return r.end }
 
-// Position describes the offsets that a replica covers.
-type Position struct {
+// Coverage describes the offsets that a replica covers.
+type Coverage struct {
 	// End is the offset below which no record is missing.
 	End uint64
 	// SeenFrom is the offset from which on every change was seen.
@@ -78,18 +111,21 @@
 	DropEnd uint64
 }
 
-// Position returns the offsets that the replica covers.
-func (r *Replica) Position() Position {
-	return Position{End: r.end, SeenFrom: r.seenFrom, DropEnd: r.dropEnd}
+// Coverage returns the offsets that the replica covers.
+func (r *Replica) Coverage() Coverage {
+	return Coverage{End: r.end, SeenFrom: r.seenFrom, DropEnd: r.dropEnd}
 }
 
 // LacksDrop reports whether a replica at the position has seen a drop beyond this one's end. The
 // key may have been added and dropped in between, so that neither replica holds it.
-func (r *Replica) LacksDrop(p Position) bool { return p.DropEnd > r.end }
+func (r *Replica) LacksDrop(p Coverage) bool { return p.DropEnd > r.end }
 
 // CoveredBy reports whether a replica at the position has seen every change since this one's
 // end. Otherwise it may have missed drops.
-func (r *Replica) CoveredBy(p Position) bool { return p.SeenFrom <= r.end }
+func (r *Replica) CoveredBy(p Coverage) bool { return p.SeenFrom <= r.end }
+
+// Newest returns the position and the source of the record that was applied last.
+func (r *Replica) Newest() (at Position, source string) { return r.newest, r.source }
 
 // CurrentAt returns when the replica last held all records that the store had acknowledged, or
 // zero if it never did.
@@ -215,6 +251,8 @@
 		return false
 	}
 	r.records[record.Key] = record
+	r.newest = record.At()
+	r.source = record.Source
 	if record.Value == nil {
 		r.dropEnd = max(r.dropEnd, record.Offset+1)
 	}
--- a/internal/gateway/feed/feed_test.go
+++ b/internal/gateway/feed/feed_test.go
@@ -231,19 +231,19 @@
 	for _, c := range []*Replica{stale, reader} {
 		c.Replace(Snapshot{Records: []Record{a}, End: 5}, time.Unix(1, 0))
 	}
-	if stale.LacksDrop(reader.Position()) || !stale.CoveredBy(reader.Position()) {
+	if stale.LacksDrop(reader.Coverage()) || !stale.CoveredBy(reader.Coverage()) {
 		t.Error("equal replicas have different positions")
 	}
 	reader.Merge([]Record{{Key: "b", Value: []byte("1"), Offset: 5}, {Key: "b", Offset: 6}, {Key: "a", Value: []byte("2"), Offset: 7}}, 8, time.Unix(2, 0))
-	if !stale.LacksDrop(reader.Position()) {
+	if !stale.LacksDrop(reader.Coverage()) {
 		t.Error("LacksDrop does not report a drop that the peer has read")
 	}
 	restarted.Replace(Snapshot{Records: []Record{a}, End: 8}, time.Unix(2, 0))
-	if stale.CoveredBy(restarted.Position()) {
+	if stale.CoveredBy(restarted.Coverage()) {
 		t.Error("CoveredBy holds for a replica that began after the drop")
 	}
 	stale.Merge(nil, 8, time.Unix(3, 0))
-	if stale.LacksDrop(reader.Position()) || !stale.CoveredBy(restarted.Position()) {
+	if stale.LacksDrop(reader.Coverage()) || !stale.CoveredBy(restarted.Coverage()) {
 		t.Error("the replica lacks the drop after it has read on")
 	}
 }
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -179,7 +179,7 @@
 // several calls to the store, so it is current only as of its start.
 func (f *Follower) merge(r request, s Snapshot, startedAt time.Time, err error) {
 	if errors.Is(err, ErrTrimmed) {
-		f.options.Logger.Info("feed_trimmed", "topic", f.options.Name, "from", r.from)
+		f.options.Logger.Info("feed_trimmed", "topic", f.options.Name, "from", r.from, "era", uint64(s.Era))
 		f.needSnapshot = true
 		return
 	}
@@ -196,8 +196,12 @@
 		f.options.OnRecovered()
 	}
 	var changed []string
+	setSource(s.Records, SourceStore)
 	if r.wantSnapshot {
 		f.needSnapshot = false
+		if s.End < f.replica.End() {
+			f.options.Logger.Info("snapshot_ignored", "topic", f.options.Name, "era", uint64(s.Era), "end", s.End, "known_end", f.replica.End())
+		}
 		changed = f.replica.Replace(s, startedAt)
 	} else {
 		changed = f.replica.Merge(s.Records, s.End, f.options.Now())
@@ -207,10 +211,17 @@
 	}
 }
 
+func setSource(records []Record, source string) {
+	for i := range records {
+		records[i].Source = source
+	}
+}
+
 // ApplyPage applies a page that a peer returned for the records from an offset on, and reports
 // whether it could be applied. current is when the peer's replica was current. It runs on the
 // control thread.
-func (f *Follower) ApplyPage(p Page, from uint64, current time.Time) bool {
+func (f *Follower) ApplyPage(p Page, from uint64, current time.Time, peer string) bool {
+	setSource(p.Records, peer)
 	if !p.Full && !f.replica.Contiguous(from) {
 		return false
 	}
--- a/internal/gateway/fleet/model_test.go
+++ b/internal/gateway/fleet/model_test.go
@@ -233,7 +233,7 @@
 func (m *model) syncEntry(e *modelEntry) {
 	first := m.entries[0].replica
 	stale := e.replica.CurrentAt().IsZero() || m.now.Sub(first.CurrentAt()) > peerMaxAge
-	position := first.Position()
+	position := first.Coverage()
 	if e.replica != first && !stale && !e.replica.LacksDrop(position) && e.replica.CoveredBy(position) && sameKeys(first, e.replica) {
 		e.replica.MarkCurrent(first.CurrentAt())
 		return
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -38,9 +38,9 @@
 		phase, age = dst.probeResponse.Phase, dst.probeResponse.ReportAge
 	}
 	log.Info("request_sent", "request_id", fl.request.ID, "print", fl.fingerprint, "send", fl.sends, "cause", fl.retryCause, "last_event", fl.lastEvent, "resumes", bounded(fl.request.Resumes), "start", fl.origin.name, "start_source", fl.origin.source,
-		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
+		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(), "declared_at", fl.view.Declared.At, "declared_source", fl.view.Declared.Source,
 		"target", dst.target.Incarnation, "version", dst.target.SoftwareVersion, "address", dst.target.Address, "zone", dst.target.Zone,
-		"list_age", fl.age(fl.view.TargetsCurrentAt), "listed", !dst.target.Unlisted, "asked", dst.probeCount, "report_age", age, "phase", phase.String(),
+		"list_at", fl.view.Listed.At, "list_source", fl.view.Listed.Source, "list_age", fl.age(fl.view.TargetsCurrentAt), "listed", !dst.target.Unlisted, "asked", dst.probeCount, "report_age", age, "phase", phase.String(),
 		"weights", dst.weightsVersion, "wanted", fl.view.Wanted[fl.request.Model].Newest(),
 		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "parts", fl.sharedPartNames(), "family", familyName(dst), "answer", fl.request.MaxTokens, "held", dst.choice.CachedTokens, "fetched", dst.choice.FetchedTokens, "fetch_from", dst.fetchFrom, "save_to", dst.offloadTo,
 		"limit_decision", string(dst.admission.Source), "avoided", fl.avoidedTargets(),
@@ -197,6 +197,10 @@
 	if e != nil && isServiceFault(e) || fl.sends > 1 || fl.lastSend.status >= http.StatusInternalServerError {
 		log = fl.Logger
 	}
+	if e != nil && fl.view != nil {
+		log = log.WithValues("declared_at", fl.view.Declared.At, "declared_source", fl.view.Declared.Source, "declared_age", fl.age(fl.view.EstateCurrentAt),
+			"list_at", fl.view.Listed.At, "list_source", fl.view.Listed.Source, "list_age", fl.age(fl.view.TargetsCurrentAt))
+	}
 	log.Info("request_done", "request_id", fl.request.ID, "print", fl.fingerprint, "suspect", fl.suspect, "outcome", outcome, "detail", detail, "retry_after", roundForLog(retryAfter),
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
 		"sends", fl.sends, "runs", fl.runs, "target", fl.lastSend.incarnation, "status", fl.lastSend.status,
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -11,6 +11,8 @@
 	"context"
 	"net/netip"
 
+	"github.com/go-logr/logr"
+
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
@@ -31,6 +33,8 @@
 
 // Platform adapts a platform's formats and calls to the gateway's types.
 type Platform interface {
+	// SetLogger sets the logger. It is called once, before all other methods.
+	SetLogger(logger logr.Logger)
 	// Declarations is the topic of operators' declarations, Targets the topic of the
 	// platform's target list.
 	Declarations() feed.Source
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -80,6 +80,7 @@
 		settings: s, platform: platform, log: log, logger: logging.New(log, s.Name), routineLogger: logging.New(log.Routine(), s.Name), metrics: metrics.New(),
 		clock: hostclock.New(), burn: burn.NewCounter(time.Now), incarnation: rand.Uint64(), serveErrors: make(chan error, 4),
 	}
+	platform.SetLogger(p.logger)
 	p.loop = control.NewLoop(s.seed(), p.metrics.ControlTime)
 	p.origins = newOrigins(p)
 	peers := &http.Client{Transport: &http.Transport{DialContext: upstream.NewDialer().DialContext, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}}
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -22,7 +22,7 @@
 }
 
 func (c *clusterState) position(name string, f *feed.Follower, digest uint64) *peerv1.TopicPosition {
-	current, at := c.currentAt(name), f.Replica().Position()
+	current, at := c.currentAt(name), f.Replica().Coverage()
 	return &peerv1.TopicPosition{
 		Topic: name, End: at.End, SeenFrom: at.SeenFrom, DropEnd: at.DropEnd, AgeMs: uint32(c.clock.Now().Sub(current).Milliseconds()),
 		Unknown: current.IsZero(), Digest: digest,
@@ -67,7 +67,7 @@
 func (c *clusterState) compareReplica(peer netip.AddrPort, f *feed.Follower, p *peerv1.TopicPosition) {
 	replica := f.Replica()
 	at := c.clock.Now().Add(-time.Duration(p.AgeMs) * time.Millisecond)
-	peerPosition := feed.Position{End: p.End, SeenFrom: p.SeenFrom, DropEnd: p.DropEnd}
+	peerPosition := feed.Coverage{End: p.End, SeenFrom: p.SeenFrom, DropEnd: p.DropEnd}
 	same := p.End == replica.End()
 	if p.Topic == topicTargets {
 		same = p.Digest == c.listingsDigest && !replica.LacksDrop(peerPosition)
@@ -133,7 +133,7 @@
 			return
 		}
 		if a.End > 0 {
-			f.ApplyPage(a.Page, offset, c.clock.Now().Add(-a.Age))
+			f.ApplyPage(a.Page, offset, c.clock.Now().Add(-a.Age), from.String())
 		}
 	})
 }
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -28,9 +28,19 @@
 	ReceivedAt   time.Time
 }
 
+// Knowledge names the newest record of a topic that a process has, for logs.
+type Knowledge struct {
+	// At is the record's position, as text.
+	At string
+	// Source is where it came from: the store, or a peer's address.
+	Source string
+}
+
 // View is an immutable snapshot of a process's control state.
 type View struct {
-	Estate *estate.Estate
+	// Declared is the newest record of the operators' topic, Listed that of the target list.
+	Declared, Listed Knowledge
+	Estate           *estate.Estate
 	// RawEstate is the platform's record from which Estate was parsed.
 	RawEstate []byte
 	// EstateCurrentAt is when the replica of the operators' topic was last current.
