--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -76,6 +76,13 @@
 	// replicaAnnouncedTo holds when this process last announced its replicas to each process without
 	// one.
 	replicaAnnouncedTo map[netip.AddrPort]time.Time
+	// era is the newest era of the store that this process has heard of. onEra is called when it changes.
+	era   feed.Era
+	onEra func(feed.Era)
+	// eraMetric, restatedMetric and retainedMetric are the values of metrics as of the last view.
+	eraMetric, restatedMetric, retainedMetric atomic.Uint64
+	// retainedSeen holds what peers retain of earlier eras and this process has merged.
+	retainedSeen map[retainedSet]bool
 	// seesLarge is set if this process itself knows enough processes and engines for a large fleet,
 	// which it announces. peerSaysLarge is set once a peer has announced that.
 	seesLarge, peerSaysLarge bool
@@ -102,14 +109,15 @@
 	c := &clusterState{
 		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
 		directory: fleet.NewDirectory(), wantedWeights: map[string]weights.History{}, engineReports: map[fleet.Incarnation]view.EngineReport{}, unlisted: map[fleet.Incarnation]fleet.UnlistedState{}, unresponsive: map[netip.AddrPort]time.Time{},
-		replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onListingRejected: func() {},
+		replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onListingRejected: func() {}, onEra: func(feed.Era) {}, retainedSeen: map[retainedSet]bool{},
 	}
-	c.declarations = feed.NewFollower(loop, p.Declarations(), feed.NewReplica(outageGap), feed.Options{
-		Name: topicOperators, Wait: declarationsWait, ShouldRead: c.shouldReadDeclarations, IdlePeriod: c.readCheckPeriod, OnChange: c.declarationsChanged,
+	onEra := func(era feed.Era) { c.noteEra(era, clock.Now()) }
+	c.declarations = feed.NewFollower(loop, p.Declarations(), c.newDeclarationsReplica(), feed.Options{
+		Name: topicOperators, Wait: declarationsWait, ShouldRead: c.shouldReadDeclarations, IdlePeriod: c.readCheckPeriod, OnChange: c.declarationsChanged, AwaitPeers: c.awaitsRestoredPeers, OnEra: onEra,
 		OnCall: onCall, OnRecovered: func() {}, Logger: logger, Now: clock.Now,
 	})
-	c.targets = feed.NewFollower(loop, p.Targets(), feed.NewReplica(outageGap), feed.Options{
-		Name: topicTargets, ShouldRead: c.shouldReadTargets, IdlePeriod: c.readCheckPeriod, OnChange: c.targetsChanged,
+	c.targets = feed.NewFollower(loop, p.Targets(), c.newTargetsReplica(), feed.Options{
+		Name: topicTargets, ShouldRead: c.shouldReadTargets, IdlePeriod: c.readCheckPeriod, OnChange: c.targetsChanged, AwaitPeers: c.awaitsRestoredPeers, OnEra: onEra,
 		OnCall: onCall, OnRecovered: c.declarations.RestartCall, Logger: logger, Now: clock.Now,
 	})
 	return c
@@ -121,7 +129,10 @@
 	c.loop.Post(c.mesh.Introduce)
 	c.declarations.Start()
 	c.targets.Start()
-	c.loop.Every(func() time.Duration { return refreshPeriod }, c.publishView)
+	c.loop.Every(func() time.Duration { return refreshPeriod }, func() {
+		c.targets.Expire()
+		c.publishView()
+	})
 }
 
 // stop records that the process is stopping and will exit at shutdownAt.
@@ -230,7 +241,7 @@
 func (c *clusterState) applyListing(l fleet.Listing, r *feed.Record, bulk bool) bool {
 	old, known := c.directory.Find(l.Instance)
 	returned := c.directory.Gone(old.Incarnation)
-	if !c.directory.Add(l, r.Offset, c.clock.Now()) {
+	if !c.directory.Add(l, r.First, c.clock.Now()) {
 		c.logger.Info("target_listing_delayed", "target", l.Incarnation, "newest", old.Incarnation, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source)
 		return false
 	}
@@ -284,6 +295,10 @@
 	for model, w := range c.wantedWeights {
 		v.Wanted[model] = w
 	}
+	declarations, targets := c.declarations.Replica(), c.targets.Replica()
+	c.eraMetric.Store(uint64(c.era))
+	c.restatedMetric.Store(uint64(declarations.Restated() + targets.Restated()))
+	c.retainedMetric.Store(uint64(len(declarations.Retained()) + len(targets.Retained())))
 	c.view.Post(v, now)
 	c.onViewChange()
 }
--- a/internal/gateway/feed/feed.go
+++ b/internal/gateway/feed/feed.go
@@ -8,6 +8,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -39,6 +40,11 @@
 	Era    Era
 	// Source names where the record came from: SourceStore, or a peer's address.
 	Source string
+	// First is the position at which the record's statement was first read. It precedes the record's own
+	// if the record was written again after the store was restored.
+	First Position
+	// Previous is the value that the record drops; nil if unknown.
+	Previous []byte
 }
 
 // At returns the record's position.
@@ -62,11 +68,28 @@
 	// Full is set if the page holds every key that was not dropped. Otherwise it holds the
 	// records from the requested offset on, including those that drop keys.
 	Full bool
+	// Retained are the statements of earlier eras that are in force because the log lacks them.
+	Retained []Record
 }
 
 // Replica is a process's replica of a topic. It is not safe for concurrent use.
 type Replica struct {
+	options ReplicaOptions
+	// era is that of the log, eraSince when it was first seen; zero if unknown.
+	era      Era
+	eraSince time.Time
+	// noted is the newest era that was heard of, notedSince when it was first seen.
+	noted      Era
+	notedSince time.Time
+	// records is the log of the era: the newest record of each key, also if it drops the key.
 	records map[string]Record
+	// retained are records of earlier eras that take precedence over those of the log.
+	retained map[string]Record
+	// restated counts the records that were written again after a restore.
+	restated int
+	// digest is that of the retained records, unless it is outdated.
+	digest      uint64
+	digestValid bool
 	// end is the offset below which no record is missing.
 	end uint64
 	// seenFrom is the offset from which on the replica has seen every drop. A snapshot does
@@ -89,20 +112,23 @@
 	// completeSince is the time since which the replica has missed no change: that of the
 	// last snapshot or, without one, of the first records.
 	completeSince time.Time
-	outageGap     time.Duration
 }
 
-// NewReplica returns an empty replica. It regards more than outageGap between two times at
-// which it is current as an outage of the store.
-func NewReplica(outageGap time.Duration) *Replica {
-	return &Replica{records: map[string]Record{}, outageGap: outageGap}
+// NewReplica returns an empty replica.
+func NewReplica(options ReplicaOptions) *Replica {
+	return &Replica{options: options, records: map[string]Record{}, retained: map[string]Record{}}
 }
 
 // End returns the offset of the next record to read.
 func (r *Replica) End() uint64 { return r.end }
 
+// EndPosition returns the position of the next record to read.
+func (r *Replica) EndPosition() Position { return Position{Era: r.era, Offset: r.end} }
+
 // Coverage describes the offsets that a replica covers.
 type Coverage struct {
+	// Era is that of the offsets. Those of different eras are not comparable.
+	Era Era
 	// End is the offset below which no record is missing.
 	End uint64
 	// SeenFrom is the offset from which on every change was seen.
@@ -113,16 +139,16 @@
 
 // Coverage returns the offsets that the replica covers.
 func (r *Replica) Coverage() Coverage {
-	return Coverage{End: r.end, SeenFrom: r.seenFrom, DropEnd: r.dropEnd}
+	return Coverage{Era: r.era, End: r.end, SeenFrom: r.seenFrom, DropEnd: r.dropEnd}
 }
 
-// LacksDrop reports whether a replica at the position has seen a drop beyond this one's end. The
+// LacksDrop reports whether a replica with the coverage has seen a drop beyond this one's end. The
 // key may have been added and dropped in between, so that neither replica holds it.
-func (r *Replica) LacksDrop(p Coverage) bool { return p.DropEnd > r.end }
+func (r *Replica) LacksDrop(p Coverage) bool { return p.Era == r.era && p.DropEnd > r.end }
 
-// CoveredBy reports whether a replica at the position has seen every change since this one's
+// CoveredBy reports whether a replica with the coverage has seen every change since this one's
 // end. Otherwise it may have missed drops.
-func (r *Replica) CoveredBy(p Coverage) bool { return p.SeenFrom <= r.end }
+func (r *Replica) CoveredBy(p Coverage) bool { return p.Era == r.era && p.SeenFrom <= r.end }
 
 // Newest returns the position and the source of the record that was applied last.
 func (r *Replica) Newest() (at Position, source string) { return r.newest, r.source }
@@ -149,51 +175,63 @@
 
 // Get returns the newest record of a key.
 func (r *Replica) Get(key string) (Record, bool) {
-	record, ok := r.records[key]
+	record, ok := r.heldRecord(key)
 	return record, ok && record.Value != nil
 }
 
 // Records returns the newest record of each key that was not dropped, sorted by key.
 func (r *Replica) Records() []Record {
 	all := make([]Record, 0, len(r.records))
-	for _, record := range r.records {
+	for _, record := range r.held() {
 		if record.Value != nil {
 			all = append(all, record)
 		}
 	}
-	slices.SortFunc(all, func(a, b Record) int {
-		if a.Key < b.Key {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
 	return all
 }
 
-// PageFrom returns the records that a replica needs if it has all below offset from.
+// PageFrom returns the records that a replica needs if it has all below a position.
 //
-// A replica that began with a snapshot does not know which keys were dropped before it. If from
-// is that old it returns a full page, from which the receiver learns which keys are gone.
-func (r *Replica) PageFrom(from uint64) Page {
-	if from < r.seenFrom {
-		return Page{Snapshot: Snapshot{Records: r.Records(), End: r.end}, Full: true}
-	}
-	p := Page{Snapshot: Snapshot{End: r.end}}
+// A replica that began with a snapshot does not know which keys were dropped before it. If the position
+// is that old, or of another era, it returns a full page, from which the receiver learns which keys are
+// gone.
+func (r *Replica) PageFrom(from Position) Page {
+	p := Page{Snapshot: Snapshot{Era: r.era, End: r.end}, Full: from.Era != r.era || from.Offset < r.seenFrom, Retained: r.Retained()}
 	for _, record := range r.records {
-		if record.Offset >= from {
+		if p.Full && record.Value != nil || !p.Full && record.Offset >= from.Offset {
 			p.Records = append(p.Records, record)
 		}
 	}
 	return p
 }
 
-// Apply applies a page of another replica and returns the keys that changed. current is when
-// that replica was current.
-func (r *Replica) Apply(p Page, current time.Time) []string {
+// CanApply reports whether a page that was requested from a position leaves no gap, and is not of an
+// earlier era.
+func (r *Replica) CanApply(p *Page, from Position) bool {
+	switch {
+	case p.Full:
+		return r.Empty() || p.Era >= r.era
+	case r.Empty():
+		return from.Offset == 0
+	default:
+		return p.Era == r.era && from.Era == r.era && r.Contiguous(from.Offset)
+	}
+}
+
+// Apply applies a page of another replica, for which CanApply holds, and returns the keys that changed.
+// current is when that replica was current, now the present time.
+func (r *Replica) Apply(p Page, current, now time.Time) []string {
+	if r.Empty() {
+		r.era = p.Era
+	}
+	var changed []string
 	if p.Full {
-		return r.Replace(p.Snapshot, current)
+		changed = r.Replace(p.Snapshot, current)
+	} else {
+		changed = r.Merge(p.Records, p.End, current)
 	}
-	return r.Merge(p.Records, p.End, current)
+	return append(changed, r.mergeRetained(p.Retained, now)...)
 }
 
 // Merge applies the records from the replica's end, or from before it, up to end, and returns
@@ -220,9 +258,16 @@
 func (r *Replica) Contiguous(from uint64) bool { return from <= r.end }
 
 // Replace applies a snapshot and returns the keys that changed. Keys that the snapshot does not
-// include were dropped. A snapshot older than the replica, from a stale read, is ignored.
+// include were dropped. A snapshot older than the replica, from a stale read, is ignored. One of a later
+// era begins a new log.
 func (r *Replica) Replace(s Snapshot, current time.Time) []string {
-	if s.End < r.end {
+	switch {
+	case r.Empty():
+		r.era = s.Era
+		r.NoteEra(r.noted, r.notedSince)
+	case s.Era > r.era:
+		return r.restore(s, current)
+	case s.Era < r.era || s.End < r.end:
 		return nil
 	}
 	present := make(map[string]bool, len(s.Records))
@@ -232,7 +277,7 @@
 	records := slices.Clone(s.Records)
 	for key, record := range r.records {
 		if !present[key] && record.Value != nil && record.Offset < s.End {
-			records = append(records, Record{Key: key, Offset: s.End - 1})
+			records = append(records, Record{Key: key, Era: s.Era, Offset: s.End - 1})
 		}
 	}
 	r.seenFrom = s.End
@@ -250,6 +295,14 @@
 	if ok && old.Offset >= record.Offset {
 		return false
 	}
+	record = first(record)
+	if record.Value == nil && record.Previous == nil {
+		record.Previous = old.Value
+		if old.Value == nil {
+			record.Previous = old.Previous
+		}
+	}
+	r.review(&record)
 	r.records[record.Key] = record
 	r.newest = record.At()
 	r.source = record.Source
@@ -268,7 +321,7 @@
 	switch {
 	case r.currentAt.IsZero():
 		r.firstCurrentAt = at
-	case at.Sub(r.currentAt) > r.outageGap:
+	case at.Sub(r.currentAt) > r.options.OutageGap:
 		r.outageBegin, r.outageEnd = r.currentAt, at
 	}
 	r.currentAt = at
--- a/internal/gateway/feed/feed_test.go
+++ b/internal/gateway/feed/feed_test.go
@@ -50,7 +50,7 @@
 func TestReplicaNeverGoesBackAndConverges(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		topic := &fakeTopic{}
-		a, b := NewReplica(time.Second), NewReplica(time.Second)
+		a, b := NewReplica(ReplicaOptions{OutageGap: time.Second}), NewReplica(ReplicaOptions{OutageGap: time.Second})
 		seen := map[string]uint64{}
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
 			switch rapid.IntRange(0, 4).Draw(rt, "step") {
@@ -68,9 +68,9 @@
 				to := rapid.Uint64Range(from, topic.end()).Draw(rt, "read end")
 				a.Merge(slices.Clone(topic.records[from:to]), to, time.Time{})
 			case 3:
-				b.Apply(a.PageFrom(b.End()), time.Time{})
+				b.Apply(a.PageFrom(b.EndPosition()), time.Time{}, time.Time{})
 			case 4:
-				a.Apply(b.PageFrom(a.End()), time.Time{})
+				a.Apply(b.PageFrom(a.EndPosition()), time.Time{}, time.Time{})
 			}
 			for _, r := range a.Records() {
 				if r.Offset < seen[r.Key] {
@@ -80,7 +80,7 @@
 			}
 		}
 		a.Merge(slices.Clone(topic.records[a.End():]), topic.end(), time.Time{})
-		b.Apply(a.PageFrom(b.End()), time.Time{})
+		b.Apply(a.PageFrom(b.EndPosition()), time.Time{}, time.Time{})
 		want := topic.newest(topic.end())
 		slices.SortFunc(want.Records, func(x, y Record) int { return int(x.Key[0]) - int(y.Key[0]) })
 		for name, c := range map[string]*Replica{"reader": a, "peer": b} {
@@ -96,13 +96,13 @@
 func TestPeerThatBeganWithSnapshotPassesOnDrops(t *testing.T) {
 	topic := &fakeTopic{}
 	topic.append("engine", []byte("listed"))
-	entry := NewReplica(time.Second)
+	entry := NewReplica(ReplicaOptions{OutageGap: time.Second})
 	entry.Replace(topic.newest(1), time.Time{})
 	topic.append("engine", nil)
 	topic.append("other", []byte("listed"))
-	sidecar := NewReplica(time.Second)
+	sidecar := NewReplica(ReplicaOptions{OutageGap: time.Second})
 	sidecar.Replace(topic.newest(3), time.Time{})
-	entry.Apply(sidecar.PageFrom(entry.End()), time.Time{})
+	entry.Apply(sidecar.PageFrom(entry.EndPosition()), time.Time{}, time.Time{})
 	if _, ok := entry.Get("engine"); ok {
 		t.Error("the dropped engine is still listed")
 	}
@@ -116,7 +116,7 @@
 func TestCopiesOfProcessesThatStartAnewConverge(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		topic := &fakeTopic{}
-		replicas := []*Replica{NewReplica(time.Second), NewReplica(time.Second), NewReplica(time.Second)}
+		replicas := []*Replica{NewReplica(ReplicaOptions{OutageGap: time.Second}), NewReplica(ReplicaOptions{OutageGap: time.Second}), NewReplica(ReplicaOptions{OutageGap: time.Second})}
 		one := rapid.IntRange(0, len(replicas)-1)
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			i, j := one.Draw(rt, "replica"), one.Draw(rt, "peer")
@@ -130,15 +130,15 @@
 				}
 				topic.append(key, value)
 			case 2:
-				replicas[i] = NewReplica(time.Second)
+				replicas[i] = NewReplica(ReplicaOptions{OutageGap: time.Second})
 				replicas[i].Replace(topic.newest(topic.end()), time.Time{})
 			case 3:
 				c.Merge(slices.Clone(topic.records[c.End():]), topic.end(), time.Time{})
 			case 4:
-				c.Apply(replicas[j].PageFrom(c.End()), time.Time{})
+				c.Apply(replicas[j].PageFrom(c.EndPosition()), time.Time{}, time.Time{})
 			}
 			for i, c := range replicas {
-				got, want := NewReplica(time.Second), topic.newest(c.End())
+				got, want := NewReplica(ReplicaOptions{OutageGap: time.Second}), topic.newest(c.End())
 				got.Replace(want, time.Time{})
 				if !slices.EqualFunc(c.Records(), got.Records(), func(x, y Record) bool { return x.Key == y.Key && x.Offset == y.Offset }) {
 					rt.Fatalf("replica %d at %d has %v, the store %v", i, c.End(), c.Records(), got.Records())
@@ -154,7 +154,7 @@
 	topic := &fakeTopic{}
 	topic.append("x", []byte("1"))
 	topic.append("y", []byte("1"))
-	c := NewReplica(time.Second)
+	c := NewReplica(ReplicaOptions{OutageGap: time.Second})
 	c.Replace(topic.newest(2), time.Time{})
 	topic.append("x", nil)
 	if changed := c.Replace(topic.newest(3), time.Time{}); !slices.Equal(changed, []string{"x"}) {
@@ -171,7 +171,7 @@
 	topic.append("x", []byte("1"))
 	old := topic.newest(1)
 	topic.append("y", []byte("1"))
-	c := NewReplica(time.Second)
+	c := NewReplica(ReplicaOptions{OutageGap: time.Second})
 	c.Replace(topic.newest(2), time.Time{})
 	if changed := c.Replace(old, time.Time{}); len(changed) != 0 {
 		t.Errorf("changed %v", changed)
@@ -185,7 +185,7 @@
 // start nor end one.
 func TestOutageDetection(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
-	c := NewReplica(2 * time.Second)
+	c := NewReplica(ReplicaOptions{OutageGap: 2 * time.Second})
 	c.MarkCurrent(at(1))
 	c.MarkCurrent(at(2))
 	c.MarkCurrent(at(1))
@@ -202,15 +202,15 @@
 // from the store or from a peer.
 func TestCompleteSince(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
-	peer := NewReplica(time.Second) // began when the topic was empty
+	peer := NewReplica(ReplicaOptions{OutageGap: time.Second}) // began when the topic was empty
 	peer.Replace(Snapshot{}, at(1))
 	peer.Merge([]Record{{Key: "a", Value: []byte("1")}}, 1, at(2))
-	c := NewReplica(time.Second)
+	c := NewReplica(ReplicaOptions{OutageGap: time.Second})
 	if !c.CompleteSince().IsZero() {
 		t.Error("an empty replica is complete")
 	}
-	page := peer.PageFrom(0)
-	if c.Apply(page, at(3)); page.Full || c.CompleteSince() != at(3) {
+	page := peer.PageFrom(Position{})
+	if c.Apply(page, at(3), at(3)); page.Full || c.CompleteSince() != at(3) {
 		t.Errorf("complete since %v after the first records", c.CompleteSince())
 	}
 	c.Merge([]Record{{Key: "b", Value: []byte("1"), Offset: 1}}, 2, at(4))
@@ -227,7 +227,7 @@
 // which replica has missed the drop.
 func TestPositionsRevealMissedDrop(t *testing.T) {
 	a := Record{Key: "a", Value: []byte("1"), Offset: 3}
-	stale, reader, restarted := NewReplica(time.Second), NewReplica(time.Second), NewReplica(time.Second)
+	stale, reader, restarted := NewReplica(ReplicaOptions{OutageGap: time.Second}), NewReplica(ReplicaOptions{OutageGap: time.Second}), NewReplica(ReplicaOptions{OutageGap: time.Second})
 	for _, c := range []*Replica{stale, reader} {
 		c.Replace(Snapshot{Records: []Record{a}, End: 5}, time.Unix(1, 0))
 	}
@@ -301,10 +301,13 @@
 	if options.OnChange == nil {
 		options.OnChange = func([]string) {}
 	}
+	if options.OnEra == nil {
+		options.OnEra = func(Era) {}
+	}
 	if options.OnRecovered == nil {
 		options.OnRecovered = func() {}
 	}
-	f := NewFollower(loop, source, NewReplica(time.Second), options)
+	f := NewFollower(loop, source, NewReplica(ReplicaOptions{OutageGap: time.Second}), options)
 	go loop.Run()
 	f.Start()
 	return f, loop
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -12,16 +12,20 @@
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
-// ErrTrimmed is returned by Source.Read if some of the requested records were deleted. The
+// ErrTrimmed is returned by Source.Read if the store does not have some of the requested records. The
 // replica then needs a snapshot.
-var ErrTrimmed = errors.New("records were deleted")
+var ErrTrimmed = errors.New("the store does not have the records")
 
-// Source is a topic in the platform's store.
+// errUnusable is the result of a call whose answer says nothing about the present state of the topic.
+var errUnusable = errors.New("the answer is of another era")
+
+// Source is a topic in the platform's store. Snapshots name the era of the answer, also those that are
+// returned with an error.
 type Source interface {
 	// Newest returns the newest record of every key.
 	Newest(ctx context.Context) (Snapshot, error)
 	// Read returns the records from an offset on and the topic's end. Without new records it
-	// waits up to wait for one. It returns ErrTrimmed if some of the records were deleted.
+	// waits up to wait for one. It returns ErrTrimmed if the store does not have some of the records.
 	Read(ctx context.Context, from uint64, wait time.Duration) (Snapshot, error)
 }
 
@@ -39,6 +43,11 @@
 	// IdlePeriod returns the interval at which a process that does not read checks ShouldRead. Nil
 	// means defaultIdlePeriod.
 	IdlePeriod func() time.Duration
+	// AwaitPeers reports whether a process that has learned of a new era some time ago should get the
+	// era's records from a peer for now. It is called on the control thread. Nil means never.
+	AwaitPeers func(learned time.Duration) bool
+	// OnEra is called on the control thread when an answer of the store names a later era than all before.
+	OnEra func(era Era)
 	// OnChange is called on the control thread with the keys that have new records.
 	OnChange func(keys []string)
 	// OnCall is called after each call to the store.
@@ -71,6 +80,11 @@
 	// needSnapshot is set if the next call must read a snapshot.
 	needSnapshot bool
 	storeDown    bool
+	// era is the newest era that the process has heard of, and when.
+	era   Era
+	eraAt time.Time
+	// trimmed is set if the last read was answered with ErrTrimmed.
+	trimmed bool
 	// cancel cancels the current call.
 	cancelMu sync.Mutex
 	cancel   context.CancelFunc
@@ -91,9 +105,33 @@
 type request struct {
 	shouldRead   bool
 	wantSnapshot bool
-	from         uint64
+	from         Position
+}
+
+// NoteEra records that the store has come back from a copy, since when at the latest, as another topic's
+// answer or a peer says. The replica needs the records of the new era, from a peer or from the store.
+func (f *Follower) NoteEra(era Era, since time.Time) {
+	if f.learnEra(era, since) {
+		f.RestartCall()
+	}
+}
+
+// learnEra reports whether the era is a later one than that of the replica's log, and was not known.
+func (f *Follower) learnEra(era Era, since time.Time) bool {
+	f.replica.NoteEra(era, since)
+	if era <= f.era {
+		return false
+	}
+	f.era, f.eraAt = era, f.options.Now()
+	if f.isBehind() {
+		f.options.Logger.Info("store_restored", "topic", f.options.Name, "era", uint64(era), "known", f.replica.EndPosition().String(), "since", f.options.Now().Sub(since))
+	}
+	return f.isBehind()
 }
 
+// isBehind reports whether the replica has the log of an earlier era.
+func (f *Follower) isBehind() bool { return f.era > f.replica.Era() && !f.replica.Empty() }
+
 // run calls the store repeatedly. The calls run off the control thread, which applies their
 // results.
 func (f *Follower) run(ctx context.Context) {
@@ -108,7 +146,7 @@
 			continue
 		}
 		err := f.call(ctx, next)
-		if err == nil || errors.Is(err, ErrTrimmed) {
+		if err == nil {
 			backoff = firstRetry
 			sleep.For(ctx, f.options.Pause)
 			continue
@@ -126,11 +164,12 @@
 }
 
 func (f *Follower) nextRequest() request {
-	return request{
-		shouldRead:   f.options.ShouldRead == nil || f.options.ShouldRead(f.replica.CurrentAt()),
-		wantSnapshot: f.needSnapshot,
-		from:         f.replica.End(),
+	behind := f.isBehind()
+	shouldRead := behind || f.options.ShouldRead == nil || f.options.ShouldRead(f.replica.CurrentAt())
+	if behind && f.options.AwaitPeers != nil && f.options.AwaitPeers(f.options.Now().Sub(f.eraAt)) {
+		shouldRead = false
 	}
+	return request{shouldRead: shouldRead, wantSnapshot: f.needSnapshot || behind, from: f.replica.EndPosition()}
 }
 
 // call makes one call to the store and merges its result.
@@ -144,19 +183,17 @@
 	if r.wantSnapshot {
 		s, err = f.source.Newest(ctx)
 	} else {
-		s, err = f.source.Read(ctx, r.from, f.options.Wait)
+		s, err = f.source.Read(ctx, r.from.Offset, f.options.Wait)
 	}
 	f.options.OnCall(f.options.Name, f.options.Now().Sub(startedAt), err)
-	merged := make(chan struct{})
-	f.loop.Post(func() {
-		defer close(merged)
-		f.merge(r, s, startedAt, err)
-	})
+	merged := make(chan error, 1)
+	f.loop.Post(func() { merged <- f.merge(r, s, startedAt, err) })
 	select {
-	case <-merged:
+	case err = <-merged:
+		return err
 	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return err
 }
 
 func (f *Follower) setCancel(cancel context.CancelFunc) {
@@ -175,61 +212,113 @@
 	}
 }
 
-// merge applies the result of a call. A read is current as of its response. A snapshot may take
-// several calls to the store, so it is current only as of its start.
-func (f *Follower) merge(r request, s Snapshot, startedAt time.Time, err error) {
+// merge applies the result of a call, and returns an error if the next call should wait. A read is current
+// as of its response. A snapshot may take several calls to the store, so it is current only as of its
+// start.
+func (f *Follower) merge(r request, s Snapshot, startedAt time.Time, err error) error {
+	if s.Era > f.era {
+		f.learnEra(s.Era, f.options.Now())
+		f.options.OnEra(s.Era)
+	}
 	if errors.Is(err, ErrTrimmed) {
-		f.options.Logger.Info("feed_trimmed", "topic", f.options.Name, "from", r.from, "era", uint64(s.Era))
-		f.needSnapshot = true
-		return
+		return f.mergeTrimmed(r, s)
 	}
 	if err != nil {
 		if !f.storeDown {
 			f.storeDown = true
-			f.options.Logger.Info("store_lost", "topic", f.options.Name, "end", f.replica.End(), "error", err.Error())
+			f.options.Logger.Info("store_lost", "topic", f.options.Name, "end", f.replica.EndPosition().String(), "error", err.Error())
 		}
-		return
+		return err
 	}
+	f.trimmed = false
 	if f.storeDown {
 		f.storeDown = false
 		f.options.Logger.Info("store_regained", "topic", f.options.Name, "silent_for", startedAt.Sub(f.replica.CurrentAt()))
 		f.options.OnRecovered()
 	}
-	var changed []string
 	setSource(s.Records, SourceStore)
 	if r.wantSnapshot {
-		f.needSnapshot = false
-		if s.End < f.replica.End() {
-			f.options.Logger.Info("snapshot_ignored", "topic", f.options.Name, "era", uint64(s.Era), "end", s.End, "known_end", f.replica.End())
-		}
-		changed = f.replica.Replace(s, startedAt)
-	} else {
-		changed = f.replica.Merge(s.Records, s.End, f.options.Now())
+		return f.mergeSnapshot(s, startedAt)
+	}
+	if s.Era < f.replica.Era() {
+		return errUnusable
 	}
-	if len(changed) > 0 {
-		f.options.OnChange(changed)
+	if s.Era != f.replica.Era() || r.from.Era != s.Era || !f.replica.Contiguous(r.from.Offset) {
+		return nil // a read that was under way when the era began
 	}
+	f.changed(f.replica.Merge(s.Records, s.End, f.options.Now()))
+	return nil
 }
 
+// mergeTrimmed handles a read of records that the store does not have. The first one is followed by a
+// snapshot at once.
+func (f *Follower) mergeTrimmed(r request, s Snapshot) error {
+	f.options.Logger.Info("feed_trimmed", "topic", f.options.Name, "from", r.from.String(), "era", uint64(s.Era))
+	if r.from.Era == f.replica.Era() && s.Era == r.from.Era {
+		f.needSnapshot = true
+	}
+	repeated := f.trimmed
+	f.trimmed = true
+	if repeated {
+		return ErrTrimmed
+	}
+	return nil
+}
+
+func (f *Follower) mergeSnapshot(s Snapshot, startedAt time.Time) error {
+	if s.Era < f.era || s.Era == f.replica.Era() && s.End < f.replica.End() {
+		f.options.Logger.Info("snapshot_ignored", "topic", f.options.Name, "era", uint64(s.Era), "end", s.End, "known", f.replica.EndPosition().String(), "known_era", uint64(f.era))
+		return errUnusable
+	}
+	f.needSnapshot = false
+	before := f.replica.Era()
+	changed := f.replica.Replace(s, startedAt)
+	f.logRestore(before)
+	f.changed(changed)
+	return nil
+}
+
+// logRestore logs what a replica has taken over into a new era.
+func (f *Follower) logRestore(before Era) {
+	if f.replica.Era() == before {
+		return
+	}
+	f.options.Logger.Info("era_followed", "topic", f.options.Name, "era", uint64(f.replica.Era()), "before", uint64(before), "end", f.replica.End(), "retained", len(f.replica.Retained()), "restated", f.replica.Restated(), "source", f.replica.source)
+}
+
+func (f *Follower) changed(keys []string) {
+	if len(keys) > 0 {
+		f.options.OnChange(keys)
+	}
+}
+
+// Expire ends the retention of keys that were not written again in time after a restore.
+func (f *Follower) Expire() { f.changed(f.replica.Expire(f.options.Now())) }
+
 func setSource(records []Record, source string) {
 	for i := range records {
 		records[i].Source = source
 	}
 }
 
-// ApplyPage applies a page that a peer returned for the records from an offset on, and reports
+// ApplyPage applies a page that a peer returned for the records from a position on, and reports
 // whether it could be applied. current is when the peer's replica was current. It runs on the
 // control thread.
-func (f *Follower) ApplyPage(p Page, from uint64, current time.Time, peer string) bool {
-	setSource(p.Records, peer)
-	if !p.Full && !f.replica.Contiguous(from) {
+func (f *Follower) ApplyPage(p Page, from Position, current time.Time, peer string) bool {
+	if !f.replica.CanApply(&p, from) {
 		return false
 	}
+	setSource(p.Records, peer)
+	setSource(p.Retained, peer)
 	if f.needSnapshot && p.End > 0 {
 		f.needSnapshot = false
 	}
-	if changed := f.replica.Apply(p, current); len(changed) > 0 {
-		f.options.OnChange(changed)
+	before, wasEmpty := f.replica.Era(), f.replica.Empty()
+	changed := f.replica.Apply(p, current, f.options.Now())
+	f.era = max(f.era, f.replica.Era())
+	if !wasEmpty {
+		f.logRestore(before)
 	}
+	f.changed(changed)
 	return true
 }
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 )
 
 // Listing is one target's entry in the platform's list.
@@ -25,6 +27,8 @@
 	Slots int
 	// Leaving is set when the target stops soon and accepts no new requests.
 	Leaving bool
+	// Heartbeats is how often the target has renewed its entry.
+	Heartbeats int64
 	// ColdRemaining is how much longer the target is slow after its start.
 	ColdRemaining time.Duration
 	// Weights maps each model that the target has loaded to its version.
@@ -84,8 +88,8 @@
 // targetState is a target's newest incarnation and its state in the list.
 type targetState struct {
 	target Target
-	// offset of the newest listing's record, and when it was received.
-	offset   uint64
+	// position at which the newest listing was first read, and when it was received.
+	position feed.Position
 	listedAt time.Time
 	// removedAt is when the target left the list; zero while it is listed.
 	removedAt time.Time
@@ -127,10 +131,10 @@
 // a longer silence the "earlier" incarnation is a restart on a host whose clock went back.
 const staleListingWindow = 4 * time.Second
 
-// Add records a target's listing from the record at an offset. It ignores a delayed listing
+// Add records a target's listing that was first read at a position. It ignores a delayed listing
 // of an earlier incarnation, which would restore the state of a process that has ended, and
 // reports whether the listing was accepted.
-func (d *Directory) Add(l Listing, offset uint64, now time.Time) bool {
+func (d *Directory) Add(l Listing, position feed.Position, now time.Time) bool {
 	s := d.states[l.Instance]
 	if s == nil {
 		s = &targetState{}
@@ -141,7 +145,7 @@
 	}
 	d.versions.note(&s.target.Listing, now)
 	d.versions.note(&l, now)
-	s.target, s.offset = NewTarget(l), offset
+	s.target, s.position = NewTarget(l), position
 	s.listedAt, s.removedAt = now, time.Time{}
 	d.Invalidate()
 	return true
@@ -243,12 +247,12 @@
 }
 
 // olderThan compares two targets at one address by start time or, if one is unknown, by
-// the offsets of their listings.
+// the positions of their listings.
 func (s *targetState) olderThan(other *targetState) bool {
 	if s.target.StartedMs != other.target.StartedMs && s.target.StartedMs > 0 && other.target.StartedMs > 0 {
 		return s.target.StartedMs < other.target.StartedMs
 	}
-	return s.offset < other.offset
+	return s.position.Before(other.position)
 }
 
 // mayHaveExpired reports whether an entry removed at removedAt may have expired because its
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 )
 
 var start = time.Unix(1000, 0)
@@ -33,7 +35,7 @@
 // A target must not be used once it is removed from the list.
 func TestRemovedTargetIsNotUsed(t *testing.T) {
 	d := NewDirectory()
-	d.Add(listing("x", 1), 1, start)
+	d.Add(listing("x", 1), feed.Position{Offset: 1}, start)
 	if !d.Remove("x", start) || d.Remove("x", start) {
 		t.Error("Remove must report true for the first removal only")
 	}
@@ -49,14 +51,14 @@
 // unconfirmed until they could have renewed their entries.
 func TestExpiredTargetsAreUnconfirmedAfterOutage(t *testing.T) {
 	d := NewDirectory()
-	d.Add(listing("x", 1), 1, start)
-	d.Add(listing("y", 2), 1, start)
+	d.Add(listing("x", 1), feed.Position{Offset: 1}, start)
+	d.Add(listing("y", 2), feed.Position{Offset: 1}, start)
 	d.Remove("x", start)
 	d.Remove("y", start)
 	if got := unconfirmedByName(d, start.Add(time.Second), start); len(got) != 2 || !got["x"] {
 		t.Errorf("a second after the outage: %v", got)
 	}
-	d.Add(listing("x", 1), 1, start)
+	d.Add(listing("x", 1), feed.Position{Offset: 1}, start)
 	if got := unconfirmedByName(d, start.Add(relistTimeout+time.Second), start); len(got) != 1 || got["x"] {
 		t.Errorf("after the relist timeout: %v", got)
 	}
@@ -65,8 +67,8 @@
 // A target removed before the outage must not be taken for one whose entry expired during it.
 func TestTargetRemovedBeforeOutageIsNotUnconfirmed(t *testing.T) {
 	d := NewDirectory()
-	d.Add(listing("left", 1), 1, start)
-	d.Add(listing("expired", 2), 2, start)
+	d.Add(listing("left", 1), feed.Position{Offset: 1}, start)
+	d.Add(listing("expired", 2), feed.Position{Offset: 2}, start)
 	d.Remove("left", start.Add(4*time.Second))
 	sync := SyncState{OutageBegan: start.Add(4 * time.Second), OutageEnded: start.Add(9 * time.Second)}
 	d.Remove("expired", sync.OutageEnded)
@@ -81,7 +83,7 @@
 	d := NewDirectory()
 	l := listing("x", 1)
 	l.Leaving = true
-	d.Add(l, 1, start)
+	d.Add(l, feed.Position{Offset: 1}, start)
 	d.Remove("x", start)
 	if got := unconfirmedByName(d, start, start); len(got) != 0 {
 		t.Errorf("targets %v", got)
@@ -94,8 +96,8 @@
 	d := NewDirectory()
 	old := listing("old", 1)
 	old.Slots = 64
-	d.Add(old, 1, start)
-	d.Add(listing("other", 2), 1, start)
+	d.Add(old, feed.Position{Offset: 1}, start)
+	d.Add(listing("other", 2), feed.Position{Offset: 1}, start)
 	byService := d.Targets(declared, start, SyncState{})
 	d.ApplyReports(byService, []Report{{Incarnation: Incarnation{Instance: "new"}, Service: "s", Address: old.Address, Zone: "a", Weights: map[string]int64{"m": 2}}}, currentSync, later)
 	found := map[string]int{}
@@ -105,7 +107,7 @@
 	if len(found) != 2 || found["new"] != 64 {
 		t.Errorf("targets %v", found)
 	}
-	d.Add(listing("new", 1), 2, start)
+	d.Add(listing("new", 1), feed.Position{Offset: 2}, start)
 	byService = d.Targets(declared, start, SyncState{})
 	d.ApplyReports(byService, []Report{{Incarnation: Incarnation{Instance: "new"}, Service: "s", Address: old.Address}}, currentSync, later)
 	if len(byService["s"]) != 2 {
@@ -117,8 +119,8 @@
 // one must not return when the newer is removed.
 func TestEarlierIncarnationAtAddressIsNotUsed(t *testing.T) {
 	d := NewDirectory()
-	d.Add(listing("new", 1), 7, start)
-	d.Add(listing("old", 1), 3, start)
+	d.Add(listing("new", 1), feed.Position{Offset: 7}, start)
+	d.Add(listing("old", 1), feed.Position{Offset: 3}, start)
 	if got := unconfirmedByName(d, start, time.Time{}); len(got) != 1 || got["new"] {
 		t.Errorf("targets %v", got)
 	}
--- a/internal/gateway/fleet/incarnation_test.go
+++ b/internal/gateway/fleet/incarnation_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/testseed"
 )
 
@@ -33,9 +34,9 @@
 // incarnation must not be attributed to the new one.
 func TestRestartUnderSameNameChangesID(t *testing.T) {
 	d := NewDirectory()
-	d.Add(startedListing("x", 1, 100), 1, start)
+	d.Add(startedListing("x", 1, 100), feed.Position{Offset: 1}, start)
 	before := onlyTarget(t, d, start)
-	d.Add(startedListing("x", 1, 200), 2, start.Add(time.Second))
+	d.Add(startedListing("x", 1, 200), feed.Position{Offset: 2}, start.Add(time.Second))
 	after := onlyTarget(t, d, start.Add(time.Second))
 	if before.ID == after.ID || before.Incarnation == after.Incarnation {
 		t.Errorf("%v and %v have the same ID", before.Incarnation, after.Incarnation)
@@ -48,10 +49,10 @@
 // A delayed "leaving" listing of an earlier incarnation must not take its successor out of use.
 func TestDelayedListingOfEarlierIncarnation(t *testing.T) {
 	d := NewDirectory()
-	d.Add(startedListing("x", 1, 200), 1, start)
+	d.Add(startedListing("x", 1, 200), feed.Position{Offset: 1}, start)
 	delayed := startedListing("x", 1, 100)
 	delayed.Leaving = true
-	if d.Add(delayed, 2, start.Add(time.Second)) {
+	if d.Add(delayed, feed.Position{Offset: 2}, start.Add(time.Second)) {
 		t.Error("the delayed listing was accepted")
 	}
 	if got := onlyTarget(t, d, start.Add(time.Second)); got.StartedMs != 200 || got.Leaving {
@@ -63,12 +64,12 @@
 // incarnation. It must be used once that one has not been listed for a while.
 func TestRestartWithEarlierStartTime(t *testing.T) {
 	d := NewDirectory()
-	d.Add(startedListing("x", 1, 200), 1, start)
-	d.Add(startedListing("x", 1, 150), 2, start.Add(time.Second))
+	d.Add(startedListing("x", 1, 200), feed.Position{Offset: 1}, start)
+	d.Add(startedListing("x", 1, 150), feed.Position{Offset: 2}, start.Add(time.Second))
 	if got := onlyTarget(t, d, start.Add(time.Second)); got.StartedMs != 200 {
 		t.Errorf("at once: %v", got.Incarnation)
 	}
-	d.Add(startedListing("x", 1, 150), 3, start.Add(staleListingWindow+time.Second))
+	d.Add(startedListing("x", 1, 150), feed.Position{Offset: 3}, start.Add(staleListingWindow+time.Second))
 	if got := onlyTarget(t, d, start.Add(staleListingWindow+time.Second)); got.StartedMs != 150 {
 		t.Errorf("after staleListingWindow: %v", got.Incarnation)
 	}
@@ -78,7 +79,7 @@
 // before the list shows it.
 func TestNextIncarnationOfRemovedTargetIsNotGone(t *testing.T) {
 	d := NewDirectory()
-	d.Add(startedListing("x", 1, 100), 1, start)
+	d.Add(startedListing("x", 1, 100), feed.Position{Offset: 1}, start)
 	d.Remove("x", start.Add(time.Second))
 	if !d.Gone(Incarnation{"x", 100}) || d.Gone(Incarnation{"x", 200}) {
 		t.Error("Gone does not distinguish the removed incarnation from the next one")
@@ -89,7 +90,7 @@
 // restore the earlier incarnation.
 func TestReportOlderThanListingIsSuperseded(t *testing.T) {
 	d := NewDirectory()
-	d.Add(startedListing("x", 1, 200), 1, start)
+	d.Add(startedListing("x", 1, 200), feed.Position{Offset: 1}, start)
 	if !d.Superseded(Incarnation{"x", 100}, start.Add(-time.Second)) {
 		t.Error("a report from before the listing is not superseded")
 	}
@@ -101,10 +102,10 @@
 // A listing of an undeclared service must not displace the target at the same address.
 func TestUndeclaredServiceDisplacesNoTarget(t *testing.T) {
 	d := NewDirectory()
-	d.Add(startedListing("x", 1, 100), 1, start)
+	d.Add(startedListing("x", 1, 100), feed.Position{Offset: 1}, start)
 	undeclared := startedListing("y", 1, 300)
 	undeclared.Service = "undeclared"
-	d.Add(undeclared, 2, start)
+	d.Add(undeclared, feed.Position{Offset: 2}, start)
 	if got := onlyTarget(t, d, start); got.Instance != "x" {
 		t.Errorf("target %v", got.Incarnation)
 	}
@@ -120,8 +121,8 @@
 // written first.
 func TestLatestStartAtAddressIsUsed(t *testing.T) {
 	d := NewDirectory()
-	d.Add(startedListing("new", 1, 200), 1, start)
-	d.Add(startedListing("old", 1, 100), 2, start)
+	d.Add(startedListing("new", 1, 200), feed.Position{Offset: 1}, start)
+	d.Add(startedListing("old", 1, 100), feed.Position{Offset: 2}, start)
 	if got := onlyTarget(t, d, start); got.Instance != "new" {
 		t.Errorf("target %v", got.Incarnation)
 	}
@@ -160,7 +161,7 @@
 				}
 			} else {
 				l := startedListing(name, uint16(n+1), rapid.Int64Range(1, 4).Draw(rt, "started"))
-				d.Add(l, uint64(step), now)
+				d.Add(l, feed.Position{Offset: uint64(step)}, now)
 				if oracles[name] == nil {
 					oracles[name] = &oracle{}
 				}
--- a/internal/gateway/fleet/model_test.go
+++ b/internal/gateway/fleet/model_test.go
@@ -118,7 +118,7 @@
 }
 
 func (m *model) startEntry(i int) {
-	m.entries[i] = &modelEntry{replica: feed.NewReplica(1500 * time.Millisecond), directory: NewDirectory(), startedAt: m.now, firstReported: map[Incarnation]time.Time{}}
+	m.entries[i] = &modelEntry{replica: feed.NewReplica(feed.ReplicaOptions{OutageGap: 1500 * time.Millisecond}), directory: NewDirectory(), startedAt: m.now, firstReported: map[Incarnation]time.Time{}}
 }
 
 // startEngine starts a new incarnation at an address.
@@ -261,7 +261,7 @@
 			continue
 		}
 		l := listing(key, uint16(r.Value[0])+1)
-		e.directory.Add(l, r.Offset, m.now)
+		e.directory.Add(l, r.At(), m.now)
 	}
 }
 
--- a/internal/gateway/fleet/reports_test.go
+++ b/internal/gateway/fleet/reports_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 )
 
 // reportOf is a host's report of the listed incarnation, which it saw start after a time.
@@ -25,7 +27,7 @@
 func directoryOf(listings ...Listing) *Directory {
 	d := NewDirectory()
 	for i, l := range listings {
-		d.Add(l, uint64(i), start)
+		d.Add(l, feed.Position{Offset: uint64(i)}, start)
 	}
 	return d
 }
--- a/internal/gateway/fleet/usable_test.go
+++ b/internal/gateway/fleet/usable_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 )
 
 // Guards against outdated results of Targets: after any sequence of listings, removals, outages
@@ -24,7 +26,7 @@
 			l.Leaving = rapid.Bool().Draw(t, "leaving")
 			switch rapid.IntRange(0, 4).Draw(t, "change") {
 			case 0:
-				d.Add(l, uint64(step), now)
+				d.Add(l, feed.Position{Offset: uint64(step)}, now)
 			case 1:
 				d.Remove(l.Instance, now)
 			case 2:
@@ -52,7 +54,7 @@
 			for i := range size {
 				l := listing(fmt.Sprintf("i-%08d", i), 1)
 				l.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(i % 250)}), 8000)
-				d.Add(l, uint64(i), start)
+				d.Add(l, feed.Position{Offset: uint64(i)}, start)
 				if i%10 == 0 {
 					reports = append(reports, Report{Incarnation: l.Incarnation, Service: "s", Address: l.Address})
 				}
--- a/internal/gateway/fleet/versions_test.go
+++ b/internal/gateway/fleet/versions_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 )
 
 func versionedListing(instance string, port uint16, version string) Listing {
@@ -21,21 +23,21 @@
 		want    time.Time
 		single  bool
 	}{
-		{"one version", func(d *Directory) { d.Add(versionedListing("x", 1, "v1"), 1, at(1)) }, at(0), true},
+		{"one version", func(d *Directory) { d.Add(versionedListing("x", 1, "v1"), feed.Position{Offset: 1}, at(1)) }, at(0), true},
 		{"two versions", func(d *Directory) {
-			d.Add(versionedListing("x", 1, "v1"), 1, at(1))
-			d.Add(versionedListing("y", 2, "v2"), 2, at(2))
+			d.Add(versionedListing("x", 1, "v1"), feed.Position{Offset: 1}, at(1))
+			d.Add(versionedListing("y", 2, "v2"), feed.Position{Offset: 2}, at(2))
 		}, at(0), false},
 		{"another version was removed", func(d *Directory) {
-			d.Add(versionedListing("x", 1, "v1"), 1, at(1))
-			d.Add(versionedListing("y", 2, "v2"), 2, at(2))
+			d.Add(versionedListing("x", 1, "v1"), feed.Position{Offset: 1}, at(1))
+			d.Add(versionedListing("y", 2, "v2"), feed.Position{Offset: 2}, at(2))
 			d.Remove("y", at(9))
 		}, at(9), true},
 		{"another version under the same name", func(d *Directory) {
-			d.Add(versionedListing("x", 1, "v1"), 1, at(1))
-			d.Add(versionedListing("x", 1, "v2"), 2, at(7))
+			d.Add(versionedListing("x", 1, "v1"), feed.Position{Offset: 1}, at(1))
+			d.Add(versionedListing("x", 1, "v2"), feed.Position{Offset: 2}, at(7))
 		}, at(7), true},
-		{"unknown version", func(d *Directory) { d.Add(versionedListing("x", 1, ""), 1, at(1)) }, at(0), false},
+		{"unknown version", func(d *Directory) { d.Add(versionedListing("x", 1, ""), feed.Position{Offset: 1}, at(1)) }, at(0), false},
 	} {
 		d := NewDirectory()
 		c.history(d)
@@ -52,7 +54,7 @@
 // Guards against an engine whose version is unknown and that counts as having the listed one.
 func TestUnlistedTargetHidesSingleVersion(t *testing.T) {
 	d := NewDirectory()
-	d.Add(versionedListing("x", 1, "v1"), 1, start)
+	d.Add(versionedListing("x", 1, "v1"), feed.Position{Offset: 1}, start)
 	byService := d.Targets(declared, later, currentSync)
 	d.ApplyReports(byService, []Report{reportOf(listing("new", 2), later)}, currentSync, later)
 	if _, ok := d.SingleVersions(byService, start)["s"]; ok {
--- a/internal/gateway/fleetsize_test.go
+++ b/internal/gateway/fleetsize_test.go
@@ -14,7 +14,7 @@
 // Guards against hundreds of sidecars that follow every store of cached parts while a fleet starts,
 // because they do not know its size yet.
 func TestNoCacheBroadcastBeforeTheFleetSizeIsKnown(t *testing.T) {
-	replica := feed.NewReplica(outageGap)
+	replica := feed.NewReplica(feed.ReplicaOptions{OutageGap: outageGap})
 	c := &clusterState{targets: feed.NewFollower(nil, nil, replica, feed.Options{})}
 	if c.broadcastsCaches() {
 		t.Error("caches are broadcast before the list of targets is known")
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
@@ -239,8 +240,8 @@
 	directory := fleet.NewDirectory()
 	for _, tg := range targets {
 		address := netip.MustParseAddrPort(tg.listener.Addr().String())
-		directory.Add(fleet.Listing{Incarnation: fleet.Incarnation{Instance: tg.instance}, Service: "plain", Address: address, Zone: "a", Slots: 4, SoftwareVersion: "v1"}, 1, time.Now())
-		directory.Add(fleet.Listing{Incarnation: fleet.Incarnation{Instance: tg.instance + "-engine"}, Service: "engines", Address: address, Zone: "a", Slots: 4, SoftwareVersion: "v1", Weights: map[string]int64{model: 3}}, 1, time.Now())
+		directory.Add(fleet.Listing{Incarnation: fleet.Incarnation{Instance: tg.instance}, Service: "plain", Address: address, Zone: "a", Slots: 4, SoftwareVersion: "v1"}, feed.Position{Offset: 1}, time.Now())
+		directory.Add(fleet.Listing{Incarnation: fleet.Incarnation{Instance: tg.instance + "-engine"}, Service: "engines", Address: address, Zone: "a", Slots: 4, SoftwareVersion: "v1", Weights: map[string]int64{model: 3}}, feed.Position{Offset: 1}, time.Now())
 	}
 	env.view.Targets = directory.Targets(func(string) bool { return true }, time.Now(), fleet.SyncState{})
 	env.view.Wanted = map[string]weights.History{}
--- a/internal/gateway/mesh/fetch.go
+++ b/internal/gateway/mesh/fetch.go
@@ -25,8 +25,9 @@
 // TopicPage is a page of a process's replica of a topic.
 type TopicPage struct {
 	feed.Page
-	// Age is the time since the replica was last current.
-	Age time.Duration
+	// Age is the time since the replica was last current, EraAge that since its era was first seen; zero
+	// if unknown.
+	Age, EraAge time.Duration
 }
 
 // Values returns the values of the page's records.
@@ -42,13 +43,13 @@
 type Server struct {
 	loop *control.Loop
 	// lookup is called on the control thread.
-	lookup func(topic string, from uint64) (TopicPage, bool)
+	lookup func(topic string, from feed.Position) (TopicPage, bool)
 	// places limits the fetches in progress.
 	places chan struct{}
 }
 
 // NewServer returns a server. It calls lookup on the control thread.
-func NewServer(loop *control.Loop, lookup func(topic string, from uint64) (TopicPage, bool)) *Server {
+func NewServer(loop *control.Loop, lookup func(topic string, from feed.Position) (TopicPage, bool)) *Server {
 	return &Server{loop: loop, lookup: lookup, places: make(chan struct{}, MaxFetches)}
 }
 
@@ -83,34 +84,60 @@
 }
 
 func (s *Server) respond(req *peerv1.FetchRequest) *peerv1.FetchResponse {
-	page, ok := s.lookup(req.Topic, req.From)
+	page, ok := s.lookup(req.Topic, feed.Position{Era: feed.Era(req.Era), Offset: req.From})
 	if !ok {
 		return &peerv1.FetchResponse{}
 	}
-	resp := &peerv1.FetchResponse{End: page.End, Whole: page.Full, AgeMs: uint32(page.Age.Milliseconds())}
-	for _, r := range page.Records {
-		resp.Records = append(resp.Records, &peerv1.TopicRecord{Key: r.Key, Value: r.Value, Offset: r.Offset, Dropped: r.Value == nil})
+	return &peerv1.FetchResponse{
+		End: page.End, Whole: page.Full, AgeMs: uint32(page.Age.Milliseconds()), Era: uint64(page.Era), EraAgeMs: uint32(page.EraAge.Milliseconds()),
+		Records: toMessages(page.Records, false), Retained: toMessages(page.Retained, true),
 	}
-	return resp
 }
 
-// Fetch fetches the records of a topic from an offset on from another process.
-func Fetch(ctx context.Context, client *http.Client, peer netip.AddrPort, topic string, offset uint64) (TopicPage, error) {
+// toMessages encodes records. Only those of earlier eras need the values that they drop.
+func toMessages(records []feed.Record, retained bool) []*peerv1.TopicRecord {
+	all := make([]*peerv1.TopicRecord, 0, len(records))
+	for _, r := range records {
+		m := &peerv1.TopicRecord{Key: r.Key, Value: r.Value, Offset: r.Offset, Dropped: r.Value == nil}
+		if retained {
+			m.Previous = r.Previous
+		}
+		if retained || r.First != r.At() {
+			m.FirstEra, m.FirstOffset = uint64(r.First.Era), r.First.Offset
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+// fromMessages decodes records of an era's log, or statements of earlier eras.
+func fromMessages(messages []*peerv1.TopicRecord, era feed.Era, retained bool) []feed.Record {
+	records := make([]feed.Record, 0, len(messages))
+	for _, m := range messages {
+		r := feed.Record{Key: m.Key, Value: m.Value, Previous: m.Previous, Era: era, Offset: m.Offset, First: feed.Position{Era: feed.Era(m.FirstEra), Offset: m.FirstOffset}}
+		if m.Dropped {
+			r.Value = nil
+		}
+		if retained {
+			r.Era = r.First.Era
+		}
+		records = append(records, r)
+	}
+	return records
+}
+
+// Fetch fetches the records of a topic from a position on from another process.
+func Fetch(ctx context.Context, client *http.Client, peer netip.AddrPort, topic string, from feed.Position) (TopicPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, FetchTimeout)
 	defer cancel()
 	rpc := peerv1.NewMeshClient(client, "http://"+peer.String())
-	resp, err := rpc.Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{Topic: topic, From: offset}))
+	resp, err := rpc.Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{Topic: topic, From: from.Offset, Era: uint64(from.Era)}))
 	if err != nil {
 		return TopicPage{}, err
 	}
-	page := TopicPage{Age: time.Duration(resp.Msg.AgeMs) * time.Millisecond}
-	page.End, page.Full = resp.Msg.End, resp.Msg.Whole
-	for _, r := range resp.Msg.Records {
-		value := r.Value
-		if r.Dropped {
-			value = nil
-		}
-		page.Records = append(page.Records, feed.Record{Key: r.Key, Value: value, Offset: r.Offset})
-	}
+	page := TopicPage{Age: time.Duration(resp.Msg.AgeMs) * time.Millisecond, EraAge: time.Duration(resp.Msg.EraAgeMs) * time.Millisecond}
+	page.Era, page.End, page.Full = feed.Era(resp.Msg.Era), resp.Msg.End, resp.Msg.Whole
+	page.Records = fromMessages(resp.Msg.Records, page.Era, false)
+	page.Retained = fromMessages(resp.Msg.Retained, page.Era, true)
 	return page, nil
 }
--- a/internal/gateway/mesh/fetch_test.go
+++ b/internal/gateway/mesh/fetch_test.go
@@ -18,7 +18,7 @@
 	loop := control.NewLoop(1, func(time.Duration) {})
 	go loop.Run()
 	defer loop.Stop()
-	server := NewServer(loop, func(string, uint64) (TopicPage, bool) {
+	server := NewServer(loop, func(string, feed.Position) (TopicPage, bool) {
 		return TopicPage{Page: feed.Page{Snapshot: feed.Snapshot{End: 7}}}, true
 	})
 	mux := http.NewServeMux()
@@ -30,12 +30,12 @@
 	for range MaxFetches {
 		server.places <- struct{}{} // a fetch in progress
 	}
-	if _, err := Fetch(context.Background(), http.DefaultClient, peer, "t", 0); !IsBusy(err) {
+	if _, err := Fetch(context.Background(), http.DefaultClient, peer, "t", feed.Position{}); !IsBusy(err) {
 		t.Errorf("fetch beyond the limit: %v, want busy", err)
 	}
 	<-server.places
 	for range 2 * MaxFetches {
-		if page, err := Fetch(context.Background(), http.DefaultClient, peer, "t", 0); err != nil || page.End != 7 {
+		if page, err := Fetch(context.Background(), http.DefaultClient, peer, "t", feed.Position{}); err != nil || page.End != 7 {
 			t.Errorf("fetch within the limit: %v, %v", page, err)
 		}
 	}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -130,6 +131,10 @@
 	p.metrics.RegisterGauge("targets_age_seconds", "Age of the local replica of the platform's target list.", age(func(v *view.View) time.Time { return v.TargetsCurrentAt }))
 	p.metrics.RegisterGauge("declarations_age_seconds", "Age of the local replica of operators' declarations.", age(func(v *view.View) time.Time { return v.EstateCurrentAt }))
 	p.metrics.RegisterGauge("log_lines_dropped", "Log lines dropped since the process started.", func() float64 { return float64(p.log.Dropped()) })
+	count := func(value *atomic.Uint64) func() float64 { return func() float64 { return float64(value.Load()) } }
+	p.metrics.RegisterGauge("store_era", "Newest era of the platform's store that the process has heard of.", count(&p.state.eraMetric))
+	p.metrics.RegisterGauge("records_restated", "Records that were written again after restores of the store.", count(&p.state.restatedMetric))
+	p.metrics.RegisterGauge("records_retained", "Statements of earlier eras in force that the store lacks.", count(&p.state.retainedMetric))
 	p.state.onListingRejected = p.metrics.TargetEntryRefused
 	p.state.onEstateChange = func(version int64) { p.metrics.ConfigVersion(uint64(version)) }
 	if p.entry != nil {
--- a/internal/gateway/quarantinesync.go
+++ b/internal/gateway/quarantinesync.go
@@ -226,7 +226,7 @@
 		if !ok {
 			return mesh.TopicPage{}, nil
 		}
-		return mesh.Fetch(ctx, state.peers, peer, topicQuarantine, 0)
+		return mesh.Fetch(ctx, state.peers, peer, topicQuarantine, feed.Position{})
 	}, func(page mesh.TopicPage, err error) {
 		if err == nil && page.End > 0 {
 			s.process.logger.Info("quarantine_fetched", "peer", peer, "records", len(page.Records))
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -22,13 +22,35 @@
 }
 
 func (c *clusterState) position(name string, f *feed.Follower, digest uint64) *peerv1.TopicPosition {
-	current, at := c.currentAt(name), f.Replica().Coverage()
+	current, covered := c.currentAt(name), f.Replica().Coverage()
 	return &peerv1.TopicPosition{
-		Topic: name, End: at.End, SeenFrom: at.SeenFrom, DropEnd: at.DropEnd, AgeMs: uint32(c.clock.Now().Sub(current).Milliseconds()),
-		Unknown: current.IsZero(), Digest: digest,
+		Topic: name, Era: uint64(covered.Era), End: covered.End, SeenFrom: covered.SeenFrom, DropEnd: covered.DropEnd, AgeMs: uint32(c.clock.Now().Sub(current).Milliseconds()),
+		Unknown: current.IsZero(), Digest: digest, EraAgeMs: uint32(c.eraAge(f).Milliseconds()), RetainedDigest: f.Replica().RetainedDigest(),
 	}
 }
 
+// maxEraAge bounds the age of an era that is announced. Nothing depends on the age of older ones.
+const maxEraAge = time.Minute
+
+// eraAge returns the time since the era of a replica was first seen, zero if that is unknown.
+func (c *clusterState) eraAge(f *feed.Follower) time.Duration {
+	since := f.Replica().EraSince()
+	if since.IsZero() {
+		return 0
+	}
+	return min(max(c.clock.Now().Sub(since), time.Millisecond), maxEraAge)
+}
+
+// noteEra records that the store has come back from a copy, since when at the latest.
+func (c *clusterState) noteEra(era feed.Era, since time.Time) {
+	if era > c.era {
+		c.era = era
+		c.onEra(era)
+	}
+	c.declarations.NoteEra(era, since)
+	c.targets.NoteEra(era, since)
+}
+
 // currentAt returns when a replica was last known to be complete. A long poll of the
 // declarations returns with the first new record, so the declarations are complete as long
 // as the store answers other reads.
@@ -63,21 +85,63 @@
 }
 
 // compareReplica marks a replica as current if it matches the peer's, or fetches the
-// records that only the peer has.
+// records that only the peer has. What is known of a later era of the store replaces the log of an earlier
+// one, never the reverse.
 func (c *clusterState) compareReplica(peer netip.AddrPort, f *feed.Follower, p *peerv1.TopicPosition) {
-	replica := f.Replica()
-	at := c.clock.Now().Add(-time.Duration(p.AgeMs) * time.Millisecond)
-	peerPosition := feed.Coverage{End: p.End, SeenFrom: p.SeenFrom, DropEnd: p.DropEnd}
+	replica, era := f.Replica(), feed.Era(p.Era)
+	if !replica.Empty() && era < replica.Era() {
+		return
+	}
+	if era > c.era || p.EraAgeMs > 0 {
+		c.noteEra(era, at(c.clock.Now(), p.EraAgeMs))
+	}
+	coverage := feed.Coverage{Era: era, End: p.End, SeenFrom: p.SeenFrom, DropEnd: p.DropEnd}
 	same := p.End == replica.End()
 	if p.Topic == topicTargets {
-		same = p.Digest == c.listingsDigest && !replica.LacksDrop(peerPosition)
+		same = p.Digest == c.listingsDigest && !replica.LacksDrop(coverage)
 	}
 	switch {
-	case same && replica.End() > 0 && replica.CoveredBy(peerPosition):
-		replica.MarkCurrent(at)
+	case era > replica.Era():
+		c.fetchFromPeer(peer, p.Topic, f)
+	case same && replica.End() > 0 && replica.CoveredBy(coverage):
+		replica.MarkCurrent(at(c.clock.Now(), p.AgeMs))
 	case !same && p.End > replica.End():
 		c.fetchFromPeer(peer, p.Topic, f)
 	}
+	if era == replica.Era() && c.lacksRetained(p, replica) {
+		c.fetchFromPeer(peer, p.Topic, f)
+	}
+}
+
+// at returns the time that was ageMs milliseconds ago.
+func at(now time.Time, ageMs uint32) time.Time {
+	return now.Add(-time.Duration(ageMs) * time.Millisecond)
+}
+
+// retainedSet identifies what a peer retains of earlier eras.
+type retainedSet struct {
+	topic  string
+	era    feed.Era
+	digest uint64
+}
+
+// maxRetainedSeen bounds the sets that are remembered as merged.
+const maxRetainedSeen = 64
+
+// lacksRetained reports whether a peer retains statements of earlier eras that this process may not know.
+func (c *clusterState) lacksRetained(p *peerv1.TopicPosition, replica *feed.Replica) bool {
+	if p.RetainedDigest == 0 || p.RetainedDigest == replica.RetainedDigest() {
+		return false
+	}
+	return !c.retainedSeen[retainedSet{p.Topic, replica.Era(), p.RetainedDigest}]
+}
+
+// rememberRetained records that a peer's retained statements were merged.
+func (c *clusterState) rememberRetained(topic string, p *feed.Page) {
+	if len(c.retainedSeen) >= maxRetainedSeen {
+		clear(c.retainedSeen)
+	}
+	c.retainedSeen[retainedSet{topic, p.Era, feed.DigestOf(p.Retained)}] = true
 }
 
 // minAnnounceInterval is the minimum time between two announcements of replicas to one process. Its
@@ -120,10 +184,10 @@
 		return
 	}
 	c.fetching[topic], c.fetchedAt[topic] = true, now
-	offset := f.Replica().End()
+	position := f.Replica().EndPosition()
 	const timeout = 800 * time.Millisecond
 	control.Do(c.loop, timeout, func(ctx context.Context) (mesh.TopicPage, error) {
-		return mesh.Fetch(ctx, c.peers, from, topic, offset)
+		return mesh.Fetch(ctx, c.peers, from, topic, position)
 	}, func(a mesh.TopicPage, err error) {
 		c.fetching[topic] = false
 		if err != nil {
@@ -132,14 +196,20 @@
 			}
 			return
 		}
-		if a.End > 0 {
-			f.ApplyPage(a.Page, offset, c.clock.Now().Add(-a.Age), from.String())
+		if a.End == 0 {
+			return
+		}
+		if a.EraAge > 0 {
+			c.noteEra(a.Era, c.clock.Now().Add(-a.EraAge))
+		}
+		if f.ApplyPage(a.Page, position, c.clock.Now().Add(-a.Age), from.String()) {
+			c.rememberRetained(topic, &a.Page)
 		}
 	})
 }
 
 // topicPage serves a peer's fetch.
-func (c *clusterState) topicPage(topic string, from uint64) (mesh.TopicPage, bool) {
+func (c *clusterState) topicPage(topic string, from feed.Position) (mesh.TopicPage, bool) {
 	if topic == topicQuarantine {
 		return c.quarantinePage()
 	}
@@ -148,6 +218,6 @@
 		return mesh.TopicPage{}, false
 	}
 	return mesh.TopicPage{
-		Page: f.Replica().PageFrom(from), Age: c.clock.Now().Sub(c.currentAt(topic)),
+		Page: f.Replica().PageFrom(from), Age: c.clock.Now().Sub(c.currentAt(topic)), EraAge: c.eraAge(f),
 	}, true
 }
--- a/internal/gateway/replicas_test.go
+++ b/internal/gateway/replicas_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	defer receiver.Close()
-	replica := feed.NewReplica(outageGap)
+	replica := feed.NewReplica(feed.ReplicaOptions{OutageGap: outageGap})
 	replica.MarkCurrent(time.Now())
 	follower := feed.NewFollower(nil, nil, replica, feed.Options{})
 	c := &clusterState{clock: hostclock.New(), mesh: emptyMesh(t), targets: follower, declarations: follower, replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, replicaSeenAt: map[string]time.Time{}}
