Fencing tokens and the lease for orders bear the era of the store

A lease whose newest records were lost looks like one that nobody holds, and a condition on the topic's end may hold in another era by chance. Change: a token's number begins with the era; a sidecar takes a new token before its first order in each era; an answer that does not state its era brings none. A process that learns of a new era gives the lease up and writes nothing for the time of a takeover, in which whoever holds it from before has stopped.

--- a/internal/gateway/deputy.go
+++ b/internal/gateway/deputy.go
@@ -34,7 +34,7 @@
 	startedAt  time.Time
 	lease      *lease.Lease
 	controller *weights.RemoteController
-	// token is the fencing token of the current lease; zero until it is fetched.
+	// token is the number of the fencing token of the current lease; zero until it is fetched.
 	token    uint64
 	fetching bool
 	engines  map[netip.AddrPort]weights.Engine
@@ -59,6 +59,9 @@
 func (d *deputy) step() {
 	now := d.process.clock.Now()
 	state := d.process.state
+	if state.estate != nil && d.lease.ObserveEra(state.era, now) {
+		d.process.logger.Info("order_lease", "held", false, "era", uint64(state.era), "blocked_for", lease.TakeoverAfter)
+	}
 	d.sidecarSeen = d.sidecarSeen || state.mesh.LiveCount(false) > 0
 	if d.sidecarSeen || state.estate == nil || state.stopping || now.Sub(d.startedAt) < sidecarDiscoveryTime {
 		return
@@ -127,19 +130,14 @@
 
 func (d *deputy) writeLease() {
 	holder, end := d.lease.Holder(), d.lease.NextOffset()
-	type result struct {
-		offset uint64
-		added  bool
-	}
-	control.Do(d.process.loop, leaseTimeout, func(ctx context.Context) (result, error) {
-		offset, added, err := d.process.platform.AcquireLease(ctx, holder, end)
-		return result{offset, added}, err
-	}, func(r result, err error) {
+	control.Do(d.process.loop, leaseTimeout, func(ctx context.Context) (lease.Write, error) {
+		return d.process.platform.AcquireLease(ctx, holder, end)
+	}, func(w lease.Write, err error) {
 		now := d.process.clock.Now()
 		held := d.lease.Held(now)
-		d.lease.WriteDone(r.offset, r.added, err, now)
+		d.lease.WriteDone(w, err, now)
 		if d.lease.Held(now) != held {
-			d.process.logger.Info("order_lease", "held", d.lease.Held(now), "offset", r.offset, "added", r.added, "end", end)
+			d.process.logger.Info("order_lease", "held", d.lease.Held(now), "at", w.At.String(), "added", w.Appended, "end", end)
 		}
 	})
 }
@@ -150,17 +148,17 @@
 		return
 	}
 	d.fetching = true
-	control.Do(d.process.loop, tokenTimeout, func(ctx context.Context) (uint64, error) {
+	control.Do(d.process.loop, tokenTimeout, func(ctx context.Context) (lease.Token, error) {
 		return d.process.platform.NextToken(ctx, d.process.settings.Name)
-	}, func(token uint64, err error) {
+	}, func(token lease.Token, err error) {
 		d.fetching = false
 		if err != nil {
 			d.process.logger.Info("token_failed", "error", err.Error())
 			return
 		}
-		if d.lease.Held(d.process.clock.Now()) {
-			d.token = token
-			d.process.logger.Info("token_taken", "token", token)
+		if d.lease.Held(d.process.clock.Now()) && token.At.Era >= d.process.state.era {
+			d.token = token.Number()
+			d.process.logger.Info("token_taken", "token", d.token, "at", token.At.String())
 		}
 	})
 }
--- a/internal/gateway/lease/lease.go
+++ b/internal/gateway/lease/lease.go
@@ -6,10 +6,16 @@
 // newest record for TakeoverAfter. By then the holder has stopped for TakeoverAfter less
 // ValidFor, which exceeds the time in which targets detect two alternating holders. Each process
 // uses only its own clock, which must advance while the host is suspended.
+//
+// A store that comes back from a copy may have lost the newest records, and give out their offsets again.
+// A process that learns of a new era gives up the lease and writes nothing for TakeoverAfter, as if another
+// one had just taken it. Whoever holds a lease from before the restore has stopped by then.
 package lease
 
 import (
 	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 )
 
 const (
@@ -31,6 +37,15 @@
 	Holder string
 	// Offset is the record's offset, NextOffset that of the next record.
 	Offset, NextOffset uint64
+	// Era is that of the offsets.
+	Era feed.Era
+}
+
+// Write is the answer to an attempt to append a record.
+type Write struct {
+	// Appended is set if the topic ended at the expected offset, where the record then is.
+	Appended bool
+	At       feed.Position
 }
 
 // Action is the next step of a process.
@@ -58,6 +73,10 @@
 	readAt, wroteAt time.Time
 	validUntil      time.Time
 	inFlight        bool
+	// era is the newest known era, once one is known. Nothing is written before blockedUntil.
+	era          feed.Era
+	eraKnown     bool
+	blockedUntil time.Time
 }
 
 // New returns a lease for one incarnation of a process.
@@ -88,6 +107,8 @@
 		return ReadRecord
 	case l.seen.Holder != "" && l.seen.Holder != l.self && now.Sub(l.seenAt) < TakeoverAfter:
 		return Wait
+	case now.Before(l.blockedUntil):
+		return Wait
 	case now.Sub(l.wroteAt) < renewAfter:
 		return Wait
 	}
@@ -95,29 +116,50 @@
 	return WriteRecord
 }
 
+// ObserveEra records the era of the store as known from any source. It reports whether the era is a later
+// one than that known before.
+func (l *Lease) ObserveEra(era feed.Era, now time.Time) bool {
+	if l.eraKnown && era <= l.era {
+		return false
+	}
+	isLater := l.eraKnown
+	l.era, l.eraKnown = era, true
+	if isLater {
+		l.known, l.validUntil, l.blockedUntil = false, time.Time{}, now.Add(TakeoverAfter)
+	}
+	return isLater
+}
+
 // ReadDone reports the result of reading the newest record.
 func (l *Lease) ReadDone(r Record, err error, now time.Time) {
 	l.inFlight = false
 	if err != nil {
 		return
 	}
-	if !l.known || r.Offset != l.seen.Offset || r.Holder != l.seen.Holder {
+	l.ObserveEra(r.Era, now)
+	if r.Era < l.era {
+		return
+	}
+	if !l.known || r.Offset != l.seen.Offset || r.Era != l.seen.Era || r.Holder != l.seen.Holder {
 		l.seenAt = now
 	}
 	l.seen, l.known = r, true
 }
 
-// WriteDone reports the result of a write: whether the record was appended, and its offset.
-// After an error that is unknown, and the process does not act. If the write took effect and
-// only its response was lost, the next read finds this process's record and the next write
-// continues from there.
-func (l *Lease) WriteDone(offset uint64, appended bool, err error, now time.Time) {
+// WriteDone reports the result of a write. After an error it is unknown whether the record was appended,
+// and the process does not act. If the write took effect and only its response was lost, the next read finds
+// this process's record and the next write continues from there. A record that was appended in another era
+// than the one in which the end was read says nothing about other holders.
+func (l *Lease) WriteDone(w Write, err error, now time.Time) {
 	l.inFlight = false
-	if err != nil || !appended {
+	if err == nil && l.ObserveEra(w.At.Era, now) {
+		return
+	}
+	if err != nil || !w.Appended || w.At.Era < l.era {
 		l.known = false
 		l.validUntil = time.Time{}
 		return
 	}
-	l.seen, l.seenAt = Record{Holder: l.self, Offset: offset, NextOffset: offset + 1}, now
+	l.seen, l.seenAt = Record{Holder: l.self, Offset: w.At.Offset, NextOffset: w.At.Offset + 1, Era: w.At.Era}, now
 	l.validUntil = l.wroteAt.Add(ValidFor)
 }
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -46,13 +46,12 @@
 	DecodeTarget(r feed.Record) (fleet.Listing, error)
 	// NextToken returns a fencing token for a holder's orders. It is higher than all tokens
 	// returned before.
-	NextToken(ctx context.Context, holder string) (uint64, error)
+	NextToken(ctx context.Context, holder string) (lease.Token, error)
 	// Lease returns the newest record of the lease under which an entry gives orders to
 	// engines without a sidecar. AcquireLease appends a record if the topic's end is still the
-	// given offset, and reports whether it was appended. After an error the record may or may
-	// not have been appended.
+	// given offset. After an error the record may or may not have been appended.
 	Lease(ctx context.Context) (lease.Record, error)
-	AcquireLease(ctx context.Context, holder string, end uint64) (offset uint64, added bool, err error)
+	AcquireLease(ctx context.Context, holder string, end uint64) (lease.Write, error)
 	// QuarantineRecords returns the stored records of refused and released requests.
 	// StoreQuarantineRecord replaces the record of a key.
 	QuarantineRecords(ctx context.Context) ([][]byte, error)
--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -8,6 +8,7 @@
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/lease"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
 	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
@@ -42,8 +43,10 @@
 	report      weights.Report
 	phase       weights.Phase
 	known       bool
-	// token is the fencing token of this process, fetched for its first load request.
-	token         uint64
+	// token is the fencing token of this process, fetched for its first load request, and for the first
+	// one in each era of the store.
+	token         lease.Token
+	hasToken      bool
 	fetchingToken bool
 	caches        *cacheFollowers
 	// statements keeps what the engine states about the load that it takes.
@@ -109,23 +112,28 @@
 	})
 }
 
-// fencingToken returns the fencing token of this process. It begins to fetch one if there is none.
+// fencingToken returns the number of the fencing token of this process. It begins to fetch one if there is
+// none of the present era. One of an earlier era may be lower than a token that was given out before the
+// store was restored, and of which nobody knows.
 func (s *sidecar) fencingToken() (uint64, bool) {
-	if s.token == 0 && !s.fetchingToken {
+	if s.hasToken && s.token.At.Era >= s.state.era {
+		return s.token.Number(), true
+	}
+	if !s.fetchingToken {
 		s.fetchingToken = true
 		s.fetchToken()
 	}
-	return s.token, s.token > 0
+	return 0, false
 }
 
-// fetchToken fetches the fencing token of this process and retries until it succeeds.
+// fetchToken fetches a fencing token and retries until it succeeds.
 func (s *sidecar) fetchToken() {
-	control.Do(s.process.loop, tokenTimeout, func(ctx context.Context) (uint64, error) {
+	control.Do(s.process.loop, tokenTimeout, func(ctx context.Context) (lease.Token, error) {
 		return s.process.platform.NextToken(ctx, s.process.settings.Name)
-	}, func(token uint64, err error) {
+	}, func(token lease.Token, err error) {
 		if err == nil {
-			s.token = token
-			s.process.logger.Info("token_taken", "token", token)
+			s.token, s.hasToken, s.fetchingToken = token, true, false
+			s.process.logger.Info("token_taken", "token", token.Number(), "at", token.At.String())
 			return
 		}
 		s.process.logger.Info("token_failed", "error", err.Error())
