What a restored store has lost of the quarantine is written again

Cause: a refusal or a release that was stored in the seconds that a copy lacks is gone without any error; after a restart of all entries a refused request crashed engines again, and a released one was refused.

--- a/internal/gateway/quarantinesync.go
+++ b/internal/gateway/quarantinesync.go
@@ -101,6 +101,7 @@
 func (s *quarantineSync) start() {
 	s.process.loop.Go(s.announceUpdates)
 	s.process.loop.Post(func() { s.loadFirst(s.process.clock.Now()) })
+	newQuarantineReconciler(s).start()
 }
 
 // announceUpdates announces changed records to the other entries.
