An entry on a seed host that starts anew asks its peers before it reads the store

Cause: seeds read the store at once; while a restored store still shows an older estate, such an entry would begin with it although its peers know better.

--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -57,9 +57,9 @@
 }
 
 // shouldAwaitPeers reports whether this process should get its first replica of a topic from a peer.
-// Seeds should not.
+// Seeds should not when the whole fleet starts. Later, peers may know what a restored store has lost.
 func (c *clusterState) shouldAwaitPeers(topic string, currentAt time.Time) bool {
-	if !currentAt.IsZero() || c.isSeed() {
+	if !currentAt.IsZero() || c.isSeed() && !c.isRestartedSeedEntry() {
 		return false
 	}
 	now := c.clock.Now()
@@ -70,6 +70,12 @@
 	return w.shouldWait()
 }
 
+// isRestartedSeedEntry reports whether this process is an entry on a seed host that starts while the others
+// may be running.
+func (c *clusterState) isRestartedSeedEntry() bool {
+	return c.isEntry() && !c.settings.FirstStart && len(c.settings.seedHosts()) > 0
+}
+
 // isSeed reports whether this process runs on a seed host. Without configured seeds all
 // processes count as seeds.
 func (c *clusterState) isSeed() bool {
