--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -76,9 +76,8 @@
 	// replicaAnnouncedTo holds when this process last announced its replicas to each process without
 	// one.
 	replicaAnnouncedTo map[netip.AddrPort]time.Time
-	// era is the newest era of the store that this process has heard of. onEra is called when it changes.
-	era   feed.Era
-	onEra func(feed.Era)
+	// era is the newest era of the store that this process has heard of.
+	era feed.Era
 	// eraMetric, restatedMetric and retainedMetric are the values of metrics as of the last view.
 	eraMetric, restatedMetric, retainedMetric atomic.Uint64
 	// retainedSeen holds what peers retain of earlier eras and this process has merged.
@@ -109,7 +108,7 @@
 	c := &clusterState{
 		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
 		directory: fleet.NewDirectory(), wantedWeights: map[string]weights.History{}, engineReports: map[fleet.Incarnation]view.EngineReport{}, unlisted: map[fleet.Incarnation]fleet.UnlistedState{}, unresponsive: map[netip.AddrPort]time.Time{},
-		replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onListingRejected: func() {}, onEra: func(feed.Era) {}, retainedSeen: map[retainedSet]bool{},
+		replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onListingRejected: func() {}, retainedSeen: map[retainedSet]bool{},
 	}
 	onEra := func(era feed.Era) { c.noteEra(era, clock.Now()) }
 	c.declarations = feed.NewFollower(loop, p.Declarations(), c.newDeclarationsReplica(), feed.Options{
--- a/internal/gateway/feed/restore.go
+++ b/internal/gateway/feed/restore.go
@@ -67,8 +67,7 @@
 	}
 }
 
-// Restated returns the number of records that were written again after a restore, and Retained how many
-// statements of earlier eras the log lacks.
+// Restated returns the number of records that were written again after restores.
 func (r *Replica) Restated() int { return r.restated }
 
 // Retained returns the statements of earlier eras that are in force because the log lacks them.
--- a/internal/gateway/feed/restore_test.go
+++ b/internal/gateway/feed/restore_test.go
@@ -401,9 +401,15 @@
 func TestLateAnswerOfEarlierEraIsIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := newRestorableSource(3)
-		f, loop := startFollower(t, source, Options{Wait: time.Second})
+		f, loop := startFollower(t, source, Options{Wait: time.Second, Pause: 50 * time.Millisecond})
 		time.Sleep(100 * time.Millisecond)
-		source.set(func() { source.topic.restore(0); source.late = 1; source.topic.write("other") })
+		source.set(func() {
+			source.topic.restore(0)
+			source.late = 1
+			for range 4 { // beyond the end that was known
+				source.topic.write("other")
+			}
+		})
 		loop.Post(func() { f.NoteEra(2, time.Now()) })
 		time.Sleep(2 * time.Second)
 		if hasKey(loop, f, "other") {
@@ -418,3 +424,35 @@
 		synctest.Wait()
 	})
 }
+
+// A read that waits while a peer brings the new era's log must not be merged beyond the end of that log, which
+// may be lower: the records in between would be missing for good.
+func TestReadOfEarlierEraLeavesNoGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newRestorableSource(6)
+		f, loop := startFollower(t, source, Options{Wait: 4 * time.Second})
+		time.Sleep(100 * time.Millisecond)
+		peer := NewReplica(ReplicaOptions{Later: isLaterStatement})
+		source.set(func() {
+			source.topic.restore(0)
+			source.topic.write("a")
+			peer.Replace(source.topic.snapshot(), time.Now())
+			for range 5 { // the topic ends where the read waits
+				source.topic.write("b")
+			}
+		})
+		loop.Post(func() {
+			f.ApplyPage(peer.PageFrom(Position{Era: 1, Offset: 6}), Position{Era: 1, Offset: 6}, time.Now(), "peer")
+		})
+		time.Sleep(100 * time.Millisecond)
+		source.set(func() { source.topic.write("c") })
+		time.Sleep(100 * time.Millisecond)
+		for _, key := range []string{"a", "b", "c"} {
+			if !hasKey(loop, f, key) {
+				t.Errorf("%s is not known", key)
+			}
+		}
+		loop.Stop()
+		synctest.Wait()
+	})
+}
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -43,10 +43,7 @@
 
 // noteEra records that the store has come back from a copy, since when at the latest.
 func (c *clusterState) noteEra(era feed.Era, since time.Time) {
-	if era > c.era {
-		c.era = era
-		c.onEra(era)
-	}
+	c.era = max(c.era, era)
 	c.declarations.NoteEra(era, since)
 	c.targets.NoteEra(era, since)
 }
