--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -240,7 +240,7 @@
 	if r.wantSnapshot {
 		return f.mergeSnapshot(s, startedAt)
 	}
-	if s.Era < f.replica.Era() {
+	if s.Era < f.era {
 		return errUnusable
 	}
 	if s.Era != f.replica.Era() || r.from.Era != s.Era || !f.replica.Contiguous(r.from.Offset) {
