A fatal part in the largest fleet is modelled

Cause: the model of fatal parts had 103 entries at most; datagrams and bytes of a storm of crashes were not known. Change: a test by hand with 420 entries and 600 engines, with the bounds of the others.

--- a/internal/gateway/quarantine/part_scenarios_test.go
+++ b/internal/gateway/quarantine/part_scenarios_test.go
@@ -108,6 +108,31 @@
 	}
 }
 
+// Guards against a fatal part that goes on crashing engines in the largest fleet, at a hundred such requests a
+// second, and against a storm of announcements there. It is measured by hand, with -compare.
+func TestFatalPartInTheLargestFleet(t *testing.T) {
+	if !*compareParts {
+		t.Skip("takes long; run with -compare")
+	}
+	load := partLoad(420, 600, 10*time.Millisecond, "f")
+	load.duration = 14 * time.Second
+	start := time.Now()
+	s := simulate(fullQuarantine, load, 1)
+	crashes := s.partCrashes["f"]
+	within := func(d time.Duration) int {
+		return len(slices.DeleteFunc(slices.Clone(crashes), func(at time.Duration) bool { return at > crashes[0]+d }))
+	}
+	t.Logf("%d crashes, %d in the second after the first; %d sends after it must be known; %.2f of the others are served, %d of %d refused for their parts; each entry sent %.0f datagrams of records, %.1f KB, in %s; the model took %s",
+		len(crashes), within(time.Second), s.runsAfterKnown("f"), s.servedShareAfter("f"), s.partRefused, s.ordinarySent,
+		float64(s.datagrams)/float64(load.entries), float64(s.bytes)/1000/float64(load.entries), load.duration, time.Since(start).Round(time.Millisecond))
+	if n := s.runsAfterKnown("f"); n > laterRuns {
+		t.Errorf("%d requests with the part were sent later than %s after the fifth crash, want at most %d", n, contactTime, laterRuns)
+	}
+	if share := s.servedShareAfter("f"); share < 0.9 || s.partRefused > 0 {
+		t.Errorf("%.2f of the other requests are served, %d were refused for their parts", share, s.partRefused)
+	}
+}
+
 // Guards against parts that are refused for crashes of engines that have another cause.
 func TestUnrelatedCrashesRefuseNoPart(t *testing.T) {
 	for _, c := range []struct {
