--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -170,14 +170,14 @@
 		c.estate, c.rawEstate = d.Estate, r.Value
 		c.directory.Invalidate()
 		c.onEstateChange(d.Estate.Version)
-		c.logger.Info("estate_in_force", "estate", d.Estate.Version, "replaced", replaced, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
+		c.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "replaced", replaced, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
 	}
 	if d.Model == "" || d.Version <= c.wantedWeights[d.Model].Newest() {
 		return
 	}
 	replaced := c.wantedWeights[d.Model].Newest()
 	c.wantedWeights[d.Model] = c.wantedWeights[d.Model].Add(weights.WantedVersion{Version: d.Version, Since: c.clock.Now()})
-	c.logger.Info("weights_wanted", "model", d.Model, "version", d.Version, "replaced", replaced, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source)
+	c.logger.Info("weights_wanted", "model", d.Model, "version", d.Version, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "replaced", replaced)
 }
 
 func (c *clusterState) targetsChanged(keys []string) {
