Settings for the queue of an entry and for measured speeds of engines

Cause: the parts that follow are off unless a deployment's settings ask for them. Change: tables [queue] and [speeds], off by default; nothing reads them yet. Result: builds; vet clean.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -69,6 +69,34 @@
 	Store      StoreSettings      `toml:"store"`
 	Bounds     BoundsSettings     `toml:"bounds"`
 	Quarantine QuarantineSettings `toml:"quarantine"`
+	Queue      QueueSettings      `toml:"queue"`
+	Speeds     SpeedSettings      `toml:"speeds"`
+}
+
+// QueueSettings configure the queue of an entry for requests that find no target.
+type QueueSettings struct {
+	// Enabled turns the queue on. Without it such requests retry their placement for a short time.
+	Enabled bool `toml:"enabled"`
+	// MaxRequests is the most requests that wait. Default 2000.
+	MaxRequests int `toml:"max_requests"`
+	// MaxMB bounds the bodies of the requests that wait. Default an eighth of MemoryMB.
+	MaxMB int64 `toml:"max_mb"`
+	// Workspaces are the workspaces with another weight or floor than the default.
+	Workspaces []QueueWorkspace `toml:"workspaces"`
+}
+
+// QueueWorkspace is the part of the targets that a workspace gets while requests wait.
+type QueueWorkspace struct {
+	Name string `toml:"name"`
+	// Weight is the workspace's share relative to others. Default 1.
+	Weight float64 `toml:"weight"`
+	// Floor is the least share of the placements, whatever others send.
+	Floor float64 `toml:"floor"`
+}
+
+// SpeedSettings configure whether placement uses the measured speeds of engines.
+type SpeedSettings struct {
+	Enabled bool `toml:"enabled"`
 }
 
 // QuarantineSettings configure how requests that crash targets are treated.
@@ -130,6 +158,9 @@
 	defaultSuspectFor   = time.Hour
 	defaultRefuseFor    = 24 * time.Hour
 	defaultMaxRecords   = 2000
+	defaultMaxQueued    = 2000
+	// queueMemoryDivisor divides the memory of the process into the default for queued bodies.
+	queueMemoryDivisor = 8
 )
 
 // ParseSettings decodes and validates a settings text. The name is used in error messages.
@@ -145,12 +176,28 @@
 	if err := tomltext.Decode(name, text, s); err != nil {
 		return nil, err
 	}
+	s.Queue.setDefaults(s.MemoryMB)
 	if problems := s.check(); len(problems) > 0 {
 		return nil, errors.Newf("%s: %s", name, strings.Join(problems, "; "))
 	}
 	return s, nil
 }
 
+// setDefaults fills in what the settings text leaves out.
+func (q *QueueSettings) setDefaults(memoryMB int64) {
+	if q.MaxRequests == 0 {
+		q.MaxRequests = defaultMaxQueued
+	}
+	if q.MaxMB == 0 {
+		q.MaxMB = max(memoryMB/queueMemoryDivisor, 1)
+	}
+	for i := range q.Workspaces {
+		if q.Workspaces[i].Weight == 0 {
+			q.Workspaces[i].Weight = 1
+		}
+	}
+}
+
 func (s *Settings) check() []string {
 	var problems []string
 	report := func(ok bool, problem string) {
