Bound on the memory of engines at placement in small fleets

Cause: entries that don't probe sidecars send engines more prompts than their memory holds; the engines preempt requests and prefill them again. Change: with [queue] enabled, placement applies the shares that apply where sidecars are probed: none for the most urgent routes and for streams that go on, 0.92 for retries, 0.85 otherwise. Nothing changes without it.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -30,6 +30,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
 	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
+	"github.com/toucanwell/toucanwell/internal/gateway/queue"
 	"github.com/toucanwell/toucanwell/internal/gateway/ratelimit"
 	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/readtime"
@@ -86,6 +87,11 @@
 	// the next heartbeat.
 	AnnounceWork func(target fleet.ID)
 	Now          func() time.Time
+	// Queue, unless nil, enables the queue for requests that find no target, and the bound on the
+	// memory of engines at placement in fleets that don't probe sidecars.
+	Queue *queue.Policy
+	// QueueObserver is told about the decisions of the queue; may be nil.
+	QueueObserver queue.Observer
 	// Seed seeds the random choices; each entry uses another one.
 	Seed uint64
 }
@@ -147,6 +153,7 @@
 	turnover       parts.RetentionEstimator
 	callerTimeouts timeoutTracker
 	returns        returnSchedule
+	queueEnabled   atomic.Bool
 	startedAt      time.Time
 }
 
@@ -154,6 +161,7 @@
 func New(d Deps) *Forwarder {
 	f := &Forwarder{Deps: d, prefillTime: readtime.NewPredictor(), paces: readtime.NewSlowdowns(), startedAt: time.Now()}
 	f.random.Store(d.Seed)
+	f.queueEnabled.Store(d.Queue != nil)
 	d.CrashDetector.OnRecheck(f.Now, f.RecheckCrashes)
 	return f
 }
--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -54,13 +54,7 @@
 		return nil
 	}
 	in.CrossZoneCost = placement.CrossZoneCostProbed
-	switch {
-	case fl.route.Priority == 0 || fl.origin.bound: // engines preempt others for these
-	case fl.isRetry:
-		in.MaxMemoryShare = placement.RetryMemoryShare
-	default:
-		in.MaxMemoryShare = placement.LowPriorityMemoryShare
-	}
+	in.MaxMemoryShare = fl.memoryShare()
 	p := &probeRound{fl: fl, selected: map[int]bool{}}
 	ranked := fl.ranked()
 	if in.PinKey != 0 {
@@ -79,6 +73,19 @@
 	return p
 }
 
+// memoryShare returns the share of an engine's memory beyond which it gets no more requests like this
+// one; zero for no bound.
+func (fl *flow) memoryShare() float64 {
+	switch {
+	case fl.route.Priority == 0 || fl.origin.bound: // engines preempt others for these
+		return 0
+	case fl.isRetry:
+		return placement.RetryMemoryShare
+	default:
+		return placement.LowPriorityMemoryShare
+	}
+}
+
 // probeSuspect probes the best ranked engines for a quarantined request. They are the same
 // at every entry.
 func (p *probeRound) probeSuspect(ctx context.Context, in *placement.Input, ranked []placement.RankedEngine) *probeRound {
