Checks of the settings of the queue and of speeds; problems name the line of their key

Cause: a value that has the right type but is not allowed was reported without its line, and the tables [queue] and [speeds] were not checked. Change: tomltext locates the keys of a text, including those in arrays of tables and inline tables. All problems of a gateway's settings have file, line, key, what was found and what is allowed, one problem a line. [queue] is checked: bounds of requests and memory, names, weights, floors and their sum. A value stated as zero is reported rather than replaced by the default.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,32 +72,6 @@
 	Speeds     SpeedSettings      `toml:"speeds"`
 }
 
-// QueueSettings configure the queue of an entry for requests that find no target.
-type QueueSettings struct {
-	// Enabled turns the queue on. Without it such requests retry their placement for a short time.
-	Enabled bool `toml:"enabled"`
-	// MaxRequests is the most requests that wait. Default 2000.
-	MaxRequests int `toml:"max_requests"`
-	// MaxMB bounds the bodies of the requests that wait. Default an eighth of MemoryMB.
-	MaxMB int64 `toml:"max_mb"`
-	// Workspaces are the workspaces with another weight or floor than the default.
-	Workspaces []QueueWorkspace `toml:"workspaces"`
-}
-
-// QueueWorkspace is the part of the targets that a workspace gets while requests wait.
-type QueueWorkspace struct {
-	Name string `toml:"name"`
-	// Weight is the workspace's share relative to others. Default 1.
-	Weight float64 `toml:"weight"`
-	// Floor is the least share of the placements, whatever others send.
-	Floor float64 `toml:"floor"`
-}
-
-// SpeedSettings configure whether placement uses the measured speeds of engines.
-type SpeedSettings struct {
-	Enabled bool `toml:"enabled"`
-}
-
 // QuarantineSettings configure how requests that crash targets are treated.
 type QuarantineSettings struct {
 	// MaxCrashes is how many crashes are attributed to a request before it is refused. Default
@@ -158,9 +131,6 @@
 	defaultSuspectFor   = time.Hour
 	defaultRefuseFor    = 24 * time.Hour
 	defaultMaxRecords   = 2000
-	defaultMaxQueued    = 2000
-	// queueMemoryDivisor divides the memory of the process into the default for queued bodies.
-	queueMemoryDivisor = 8
 )
 
 // ParseSettings decodes and validates a settings text. The name is used in error messages.
@@ -172,84 +142,19 @@
 		Quarantine: QuarantineSettings{
 			MaxCrashes: defaultMaxCrashes, SuspectFor: settings.Duration{Duration: defaultSuspectFor}, RefuseFor: settings.Duration{Duration: defaultRefuseFor}, MaxRecords: defaultMaxRecords,
 		},
+		Queue: QueueSettings{MaxRequests: defaultMaxQueued},
 	}
 	if err := tomltext.Decode(name, text, s); err != nil {
 		return nil, err
 	}
-	s.Queue.setDefaults(s.MemoryMB)
-	if problems := s.check(); len(problems) > 0 {
-		return nil, errors.Newf("%s: %s", name, strings.Join(problems, "; "))
+	lines := tomltext.Locate(text)
+	s.Queue.setDefaults(s.MemoryMB, lines)
+	if problems := s.check(lines); len(problems) > 0 {
+		return nil, &tomltext.InvalidError{Name: name, Problems: problems}
 	}
 	return s, nil
 }
 
-// setDefaults fills in what the settings text leaves out.
-func (q *QueueSettings) setDefaults(memoryMB int64) {
-	if q.MaxRequests == 0 {
-		q.MaxRequests = defaultMaxQueued
-	}
-	if q.MaxMB == 0 {
-		q.MaxMB = max(memoryMB/queueMemoryDivisor, 1)
-	}
-	for i := range q.Workspaces {
-		if q.Workspaces[i].Weight == 0 {
-			q.Workspaces[i].Weight = 1
-		}
-	}
-}
-
-func (s *Settings) check() []string {
-	var problems []string
-	report := func(ok bool, problem string) {
-		if !ok {
-			problems = append(problems, problem)
-		}
-	}
-	address := func(name, value string) {
-		_, err := netip.ParseAddrPort(value)
-		report(err == nil, name+`: "`+value+`" found; allowed is an IP number with a port`)
-	}
-	report(s.Name != "", "name: missing")
-	report(s.Role == settings.RoleEntry || s.Role == settings.RoleSidecar, `role: "`+string(s.Role)+`" found; allowed are "entry" and "sidecar"`)
-	report(s.AvailabilityZone != "", "availability_zone: missing")
-	address("mesh_listen", s.MeshListen)
-	address("metrics_listen", s.MetricsListen)
-	address("store.address", s.Store.Address)
-	if s.ProbeListen != "" {
-		address("probe_listen", s.ProbeListen)
-	}
-	if s.LimitsListen != "" {
-		address("limits_listen", s.LimitsListen)
-	}
-	if s.AdminListen != "" {
-		address("admin_listen", s.AdminListen)
-	}
-	report(s.ServiceLevel > 0 && s.ServiceLevel < 1, "service_level: must be above 0 and below 1")
-	if s.Role == settings.RoleEntry {
-		address("listen", s.Listen)
-		address("ready_listen", s.ReadyListen)
-	}
-	if s.Role == settings.RoleSidecar {
-		address("engine", s.Engine)
-	}
-	for _, seed := range s.Seeds {
-		address("seeds", seed)
-	}
-	report(s.MemoryMB > 0, "memory_mb: must be above 0")
-	report(s.LargeEntries > 0, "large_entries: must be above 0")
-	report(s.LargeEngines > 0, "large_engines: must be above 0")
-	report(s.LogLinesPerSecond > 0, "log_lines_per_second: must be above 0")
-	report(s.Bounds.GracePeriod.Duration > 0, "bounds.grace_period: missing")
-	report(s.Bounds.MaxStaleness.Duration > 0, "bounds.weights: missing")
-	report(s.Quarantine.MaxCrashes > 0, "quarantine.ends: must be above 0")
-	report(s.Quarantine.SuspectFor.Duration > 0, "quarantine.suspect_for: must be above 0")
-	report(s.Quarantine.RefuseFor.Duration >= s.Quarantine.SuspectFor.Duration, "quarantine.hold_for: must not be shorter than quarantine.suspect_for")
-	report(s.Quarantine.MaxRecords > 0, "quarantine.records: must be above 0")
-	report(s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "bounds.retry_ratio: must be between 0 and 1")
-	report(s.Bounds.RetrySlack >= 0, "bounds.retry_slack: must not be negative")
-	return problems
-}
-
 // seed returns a random seed that differs between processes.
 func (s *Settings) seed() uint64 { return xxhash.Sum64String(s.Name) }
 
