--- a/internal/gateway/queue/types.go
+++ b/internal/gateway/queue/types.go
@@ -7,9 +7,11 @@
 	// ID is unique among the items of a queue. RequestID is the caller's ID, for logs.
 	ID        uint64
 	RequestID string
+	// Key identifies the request across the retries of its caller; zero if unknown.
+	Key       uint64
 	Service   string
 	Workspace string
-	// Urgency ranks requests, 0 first.
+	// Urgency ranks requests, 0 first. It is below Urgencies.
 	Urgency int
 	// Cost is the number of prompt tokens; 1 for requests without a prompt.
 	Cost float64
@@ -24,7 +26,8 @@
 	// FirstEvent is the expected time from the placement to the response that the objective is about,
 	// ExpectedRun to the end of the response.
 	FirstEvent, ExpectedRun time.Duration
-	// Returned is set if the caller was refused before and comes back at the time it was told.
+	// Returned is set if the caller was refused before and comes back at the time it was told. For
+	// callers that this queue refused, the queue decides it by Key.
 	Returned bool
 	// Restricted is set if fewer targets than usual may run the request. If no target takes it, that
 	// says nothing about other requests.
