Metrics, log lines, administration API and command of the queue

Cause: operators cannot see which requests wait at an entry and why. Change: metrics queue_requests, queue_bytes, queue_share (the twenty workspaces with most placements, the others as "other"), queue_wait_seconds and queue_refusals_total; rate_limit_requests_total and rate_limit_wait_seconds for the limiter to use; log lines request_queued and request_dequeued; GET /admin/v1/queue; "toucanwell queue" with the sums over entries. Nothing is connected to the forwarder yet. Result: the tests of cmd/toucanwell and internal/metrics pass.

--- a/api/admin/oas/oas_client_gen.go
+++ b/api/admin/oas/oas_client_gen.go
@@ -49,6 +49,10 @@
 	//
 	// GET /admin/v1/quarantine
 	GetQuarantine(ctx context.Context) (*Quarantine, error)
+	// GetQueue invokes getQueue operation.
+	//
+	// GET /admin/v1/queue
+	GetQueue(ctx context.Context) (*Queue, error)
 	// GetState invokes getState operation.
 	//
 	// GET /admin/v1/state
@@ -785,6 +789,117 @@
 	return result, nil
 }
 
+// GetQueue invokes getQueue operation.
+//
+// GET /admin/v1/queue
+func (c *Client) GetQueue(ctx context.Context) (*Queue, error) {
+	res, err := c.sendGetQueue(ctx)
+	return res, err
+}
+
+func (c *Client) sendGetQueue(ctx context.Context) (res *Queue, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("getQueue"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.URLTemplateKey.String("/admin/v1/queue"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, GetQueueOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/admin/v1/queue"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:AdminToken"
+			switch err := c.securityAdminToken(ctx, GetQueueOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"AdminToken\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeGetQueueResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetState invokes getState operation.
 //
 // GET /admin/v1/state
--- a/api/admin/oas/oas_handlers_gen.go
+++ b/api/admin/oas/oas_handlers_gen.go
@@ -987,6 +987,189 @@
 	}
 }
 
+// handleGetQueueRequest handles getQueue operation.
+//
+// GET /admin/v1/queue
+func (s *Server) handleGetQueueRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("getQueue"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.HTTPRouteKey.String("/admin/v1/queue"),
+	}
+	// Add attributes from config.
+	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
+
+	// Start a span for this request.
+	ctx, span := s.cfg.Tracer.Start(r.Context(), GetQueueOperation,
+		trace.WithAttributes(otelAttrs...),
+		serverSpanKind,
+	)
+	defer span.End()
+
+	// Add Labeler to context.
+	labeler := &Labeler{attrs: otelAttrs}
+	ctx = contextWithLabeler(ctx, labeler)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		elapsedDuration := time.Since(startTime)
+
+		attrSet := labeler.AttributeSet()
+		attrs := attrSet.ToSlice()
+		code := statusWriter.status
+		if code != 0 {
+			codeAttr := semconv.HTTPResponseStatusCode(code)
+			attrs = append(attrs, codeAttr)
+			span.SetAttributes(attrs...)
+		}
+		attrOpt := metric.WithAttributes(attrs...)
+
+		// Increment request counter.
+		s.requests.Add(ctx, 1, attrOpt)
+
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		s.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), attrOpt)
+	}()
+
+	var (
+		recordError = func(stage string, err error) {
+			span.RecordError(err)
+
+			// https://opentelemetry.io/docs/specs/semconv/http/http-spans/#status
+			// Span Status MUST be left unset if HTTP status code was in the 1xx, 2xx or 3xx ranges,
+			// unless there was another error (e.g., network error receiving the response body; or 3xx codes with
+			// max redirects exceeded), in which case status MUST be set to Error.
+			code := statusWriter.status
+			if code < 100 || code >= 500 {
+				span.SetStatus(codes.Error, stage)
+			}
+
+			attrSet := labeler.AttributeSet()
+			attrs := attrSet.ToSlice()
+			if code != 0 {
+				attrs = append(attrs, semconv.HTTPResponseStatusCode(code))
+			}
+
+			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
+		}
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetQueueOperation,
+			ID:   "getQueue",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityAdminToken(ctx, GetQueueOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "AdminToken",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+					defer recordError("Security:AdminToken", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+
+	var rawBody []byte
+
+	var response *Queue
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetQueueOperation,
+			OperationSummary: "",
+			OperationID:      "getQueue",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *Queue
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetQueue(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetQueue(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetQueueResponse(response, w, span); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetStateRequest handles getState operation.
 //
 // GET /admin/v1/state
--- a/api/admin/oas/oas_json_gen.go
+++ b/api/admin/oas/oas_json_gen.go
@@ -2074,6 +2074,552 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Queue) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Queue) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("enabled")
+		e.Bool(s.Enabled)
+	}
+	{
+		e.FieldStart("max_requests")
+		e.Int(s.MaxRequests)
+	}
+	{
+		e.FieldStart("max_bytes")
+		e.Int64(s.MaxBytes)
+	}
+	{
+		e.FieldStart("services")
+		e.ArrStart()
+		for _, elem := range s.Services {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfQueue = [4]string{
+	0: "enabled",
+	1: "max_requests",
+	2: "max_bytes",
+	3: "services",
+}
+
+// Decode decodes Queue from json.
+func (s *Queue) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Queue to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "enabled":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Bool()
+				s.Enabled = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"enabled\"")
+			}
+		case "max_requests":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.MaxRequests = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"max_requests\"")
+			}
+		case "max_bytes":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int64()
+				s.MaxBytes = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"max_bytes\"")
+			}
+		case "services":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				s.Services = make([]QueueService, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem QueueService
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Services = append(s.Services, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"services\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Queue")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfQueue) {
+					name = jsonFieldsNameOfQueue[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Queue) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Queue) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *QueueService) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *QueueService) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("waiting")
+		e.Int(s.Waiting)
+	}
+	{
+		e.FieldStart("bytes")
+		e.Int64(s.Bytes)
+	}
+	{
+		e.FieldStart("cost_per_second")
+		e.Float64(s.CostPerSecond)
+	}
+	{
+		e.FieldStart("workspaces")
+		e.ArrStart()
+		for _, elem := range s.Workspaces {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfQueueService = [5]string{
+	0: "service",
+	1: "waiting",
+	2: "bytes",
+	3: "cost_per_second",
+	4: "workspaces",
+}
+
+// Decode decodes QueueService from json.
+func (s *QueueService) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode QueueService to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "service":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "waiting":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.Waiting = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"waiting\"")
+			}
+		case "bytes":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int64()
+				s.Bytes = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"bytes\"")
+			}
+		case "cost_per_second":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Float64()
+				s.CostPerSecond = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cost_per_second\"")
+			}
+		case "workspaces":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				s.Workspaces = make([]QueueWorkspace, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem QueueWorkspace
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Workspaces = append(s.Workspaces, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"workspaces\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode QueueService")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfQueueService) {
+					name = jsonFieldsNameOfQueueService[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *QueueService) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *QueueService) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *QueueWorkspace) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *QueueWorkspace) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("workspace")
+		e.Str(s.Workspace)
+	}
+	{
+		e.FieldStart("waiting")
+		e.Int(s.Waiting)
+	}
+	{
+		e.FieldStart("placed")
+		e.Int64(s.Placed)
+	}
+	{
+		e.FieldStart("refused")
+		e.Int64(s.Refused)
+	}
+	{
+		e.FieldStart("share")
+		e.Float64(s.Share)
+	}
+	{
+		e.FieldStart("weight")
+		e.Float64(s.Weight)
+	}
+	{
+		e.FieldStart("floor")
+		e.Float64(s.Floor)
+	}
+	{
+		e.FieldStart("longest_wait_ms")
+		e.Int64(s.LongestWaitMs)
+	}
+}
+
+var jsonFieldsNameOfQueueWorkspace = [8]string{
+	0: "workspace",
+	1: "waiting",
+	2: "placed",
+	3: "refused",
+	4: "share",
+	5: "weight",
+	6: "floor",
+	7: "longest_wait_ms",
+}
+
+// Decode decodes QueueWorkspace from json.
+func (s *QueueWorkspace) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode QueueWorkspace to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "workspace":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Workspace = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"workspace\"")
+			}
+		case "waiting":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.Waiting = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"waiting\"")
+			}
+		case "placed":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int64()
+				s.Placed = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"placed\"")
+			}
+		case "refused":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int64()
+				s.Refused = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"refused\"")
+			}
+		case "share":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Float64()
+				s.Share = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"share\"")
+			}
+		case "weight":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Float64()
+				s.Weight = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"weight\"")
+			}
+		case "floor":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Float64()
+				s.Floor = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"floor\"")
+			}
+		case "longest_wait_ms":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Int64()
+				s.LongestWaitMs = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"longest_wait_ms\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode QueueWorkspace")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b11111111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfQueueWorkspace) {
+					name = jsonFieldsNameOfQueueWorkspace[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *QueueWorkspace) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *QueueWorkspace) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *State) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/api/admin/oas/oas_operations_gen.go
+++ b/api/admin/oas/oas_operations_gen.go
@@ -11,6 +11,7 @@
 	GetLimitsOperation        OperationName = "GetLimits"
 	GetPlacementOperation     OperationName = "GetPlacement"
 	GetQuarantineOperation    OperationName = "GetQuarantine"
+	GetQueueOperation         OperationName = "GetQueue"
 	GetStateOperation         OperationName = "GetState"
 	GetTargetsOperation       OperationName = "GetTargets"
 	ReleaseRequestOperation   OperationName = "ReleaseRequest"
--- a/api/admin/oas/oas_response_decoders_gen.go
+++ b/api/admin/oas/oas_response_decoders_gen.go
@@ -464,6 +464,98 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeGetQueueResponse(resp *http.Response) (res *Queue, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Queue
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ProblemStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeGetStateResponse(resp *http.Response) (res *State, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/api/admin/oas/oas_response_encoders_gen.go
+++ b/api/admin/oas/oas_response_encoders_gen.go
@@ -77,6 +77,19 @@
 	return nil
 }
 
+func encodeGetQueueResponse(response *Queue, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetStateResponse(response *State, w http.ResponseWriter, span trace.Span) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/api/admin/oas/oas_router_gen.go
+++ b/api/admin/oas/oas_router_gen.go
@@ -26,13 +26,16 @@
 	rn6AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn10AllowedHeaders = map[string]string{
+	rn12AllowedHeaders = map[string]string{
 		"DELETE": "Authorization",
 	}
-	rn7AllowedHeaders = map[string]string{
+	rn8AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn8AllowedHeaders = map[string]string{
+	rn9AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
+	rn10AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 )
@@ -188,58 +191,97 @@
 					return
 				}
 
-			case 'q': // Prefix: "quarantine"
+			case 'q': // Prefix: "qu"
 
-				if l := len("quarantine"); len(elem) >= l && elem[0:l] == "quarantine" {
+				if l := len("qu"); len(elem) >= l && elem[0:l] == "qu" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					switch r.Method {
-					case "GET":
-						s.handleGetQuarantineRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "GET",
-							allowedHeaders: rn6AllowedHeaders,
-							acceptPost:     "",
-							acceptPatch:    "",
-						})
-					}
-
-					return
+					break
 				}
 				switch elem[0] {
-				case '/': // Prefix: "/"
+				case 'a': // Prefix: "arantine"
 
-					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+					if l := len("arantine"); len(elem) >= l && elem[0:l] == "arantine" {
 						elem = elem[l:]
 					} else {
 						break
 					}
 
-					// Param: "print"
-					// Leaf parameter, slashes are prohibited
-					idx := strings.IndexByte(elem, '/')
-					if idx >= 0 {
+					if len(elem) == 0 {
+						switch r.Method {
+						case "GET":
+							s.handleGetQuarantineRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: rn6AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "print"
+						// Leaf parameter, slashes are prohibited
+						idx := strings.IndexByte(elem, '/')
+						if idx >= 0 {
+							break
+						}
+						args[0] = elem
+						elem = ""
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch r.Method {
+							case "DELETE":
+								s.handleReleaseRequestRequest([1]string{
+									args[0],
+								}, elemIsEscaped, w, r)
+							default:
+								s.notAllowed(w, r, notAllowedParams{
+									allowedMethods: "DELETE",
+									allowedHeaders: rn12AllowedHeaders,
+									acceptPost:     "",
+									acceptPatch:    "",
+								})
+							}
+
+							return
+						}
+
+					}
+
+				case 'e': // Prefix: "eue"
+
+					if l := len("eue"); len(elem) >= l && elem[0:l] == "eue" {
+						elem = elem[l:]
+					} else {
 						break
 					}
-					args[0] = elem
-					elem = ""
 
 					if len(elem) == 0 {
 						// Leaf node.
 						switch r.Method {
-						case "DELETE":
-							s.handleReleaseRequestRequest([1]string{
-								args[0],
-							}, elemIsEscaped, w, r)
+						case "GET":
+							s.handleGetQueueRequest([0]string{}, elemIsEscaped, w, r)
 						default:
 							s.notAllowed(w, r, notAllowedParams{
-								allowedMethods: "DELETE",
-								allowedHeaders: rn10AllowedHeaders,
+								allowedMethods: "GET",
+								allowedHeaders: rn8AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -266,7 +308,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn7AllowedHeaders,
+							allowedHeaders: rn9AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -291,7 +333,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn8AllowedHeaders,
+							allowedHeaders: rn10AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -500,58 +542,97 @@
 					}
 				}
 
-			case 'q': // Prefix: "quarantine"
+			case 'q': // Prefix: "qu"
 
-				if l := len("quarantine"); len(elem) >= l && elem[0:l] == "quarantine" {
+				if l := len("qu"); len(elem) >= l && elem[0:l] == "qu" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					switch method {
-					case "GET":
-						r.name = GetQuarantineOperation
-						r.summary = ""
-						r.operationID = "getQuarantine"
-						r.operationGroup = ""
-						r.pathPattern = "/admin/v1/quarantine"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
-					}
+					break
 				}
 				switch elem[0] {
-				case '/': // Prefix: "/"
+				case 'a': // Prefix: "arantine"
 
-					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+					if l := len("arantine"); len(elem) >= l && elem[0:l] == "arantine" {
 						elem = elem[l:]
 					} else {
 						break
 					}
 
-					// Param: "print"
-					// Leaf parameter, slashes are prohibited
-					idx := strings.IndexByte(elem, '/')
-					if idx >= 0 {
+					if len(elem) == 0 {
+						switch method {
+						case "GET":
+							r.name = GetQuarantineOperation
+							r.summary = ""
+							r.operationID = "getQuarantine"
+							r.operationGroup = ""
+							r.pathPattern = "/admin/v1/quarantine"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "print"
+						// Leaf parameter, slashes are prohibited
+						idx := strings.IndexByte(elem, '/')
+						if idx >= 0 {
+							break
+						}
+						args[0] = elem
+						elem = ""
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch method {
+							case "DELETE":
+								r.name = ReleaseRequestOperation
+								r.summary = ""
+								r.operationID = "releaseRequest"
+								r.operationGroup = ""
+								r.pathPattern = "/admin/v1/quarantine/{print}"
+								r.args = args
+								r.count = 1
+								return r, true
+							default:
+								return
+							}
+						}
+
+					}
+
+				case 'e': // Prefix: "eue"
+
+					if l := len("eue"); len(elem) >= l && elem[0:l] == "eue" {
+						elem = elem[l:]
+					} else {
 						break
 					}
-					args[0] = elem
-					elem = ""
 
 					if len(elem) == 0 {
 						// Leaf node.
 						switch method {
-						case "DELETE":
-							r.name = ReleaseRequestOperation
+						case "GET":
+							r.name = GetQueueOperation
 							r.summary = ""
-							r.operationID = "releaseRequest"
+							r.operationID = "getQueue"
 							r.operationGroup = ""
-							r.pathPattern = "/admin/v1/quarantine/{print}"
+							r.pathPattern = "/admin/v1/queue"
 							r.args = args
-							r.count = 1
+							r.count = 0
 							return r, true
 						default:
 							return
--- a/api/admin/oas/oas_schemas_gen.go
+++ b/api/admin/oas/oas_schemas_gen.go
@@ -997,6 +997,214 @@
 	}
 }
 
+// Ref: #/components/schemas/Queue
+type Queue struct {
+	// Whether the settings enable the queue.
+	Enabled     bool  `json:"enabled"`
+	MaxRequests int   `json:"max_requests"`
+	MaxBytes    int64 `json:"max_bytes"`
+	// Services for which requests wait or were placed.
+	Services []QueueService `json:"services"`
+}
+
+// GetEnabled returns the value of Enabled.
+func (s *Queue) GetEnabled() bool {
+	return s.Enabled
+}
+
+// GetMaxRequests returns the value of MaxRequests.
+func (s *Queue) GetMaxRequests() int {
+	return s.MaxRequests
+}
+
+// GetMaxBytes returns the value of MaxBytes.
+func (s *Queue) GetMaxBytes() int64 {
+	return s.MaxBytes
+}
+
+// GetServices returns the value of Services.
+func (s *Queue) GetServices() []QueueService {
+	return s.Services
+}
+
+// SetEnabled sets the value of Enabled.
+func (s *Queue) SetEnabled(val bool) {
+	s.Enabled = val
+}
+
+// SetMaxRequests sets the value of MaxRequests.
+func (s *Queue) SetMaxRequests(val int) {
+	s.MaxRequests = val
+}
+
+// SetMaxBytes sets the value of MaxBytes.
+func (s *Queue) SetMaxBytes(val int64) {
+	s.MaxBytes = val
+}
+
+// SetServices sets the value of Services.
+func (s *Queue) SetServices(val []QueueService) {
+	s.Services = val
+}
+
+// Ref: #/components/schemas/QueueService
+type QueueService struct {
+	Service string `json:"service"`
+	// Number of requests that wait.
+	Waiting int `json:"waiting"`
+	// Size of the bodies of these requests.
+	Bytes int64 `json:"bytes"`
+	// Cost that was recently placed per second while requests waited; zero if unknown.
+	CostPerSecond float64          `json:"cost_per_second"`
+	Workspaces    []QueueWorkspace `json:"workspaces"`
+}
+
+// GetService returns the value of Service.
+func (s *QueueService) GetService() string {
+	return s.Service
+}
+
+// GetWaiting returns the value of Waiting.
+func (s *QueueService) GetWaiting() int {
+	return s.Waiting
+}
+
+// GetBytes returns the value of Bytes.
+func (s *QueueService) GetBytes() int64 {
+	return s.Bytes
+}
+
+// GetCostPerSecond returns the value of CostPerSecond.
+func (s *QueueService) GetCostPerSecond() float64 {
+	return s.CostPerSecond
+}
+
+// GetWorkspaces returns the value of Workspaces.
+func (s *QueueService) GetWorkspaces() []QueueWorkspace {
+	return s.Workspaces
+}
+
+// SetService sets the value of Service.
+func (s *QueueService) SetService(val string) {
+	s.Service = val
+}
+
+// SetWaiting sets the value of Waiting.
+func (s *QueueService) SetWaiting(val int) {
+	s.Waiting = val
+}
+
+// SetBytes sets the value of Bytes.
+func (s *QueueService) SetBytes(val int64) {
+	s.Bytes = val
+}
+
+// SetCostPerSecond sets the value of CostPerSecond.
+func (s *QueueService) SetCostPerSecond(val float64) {
+	s.CostPerSecond = val
+}
+
+// SetWorkspaces sets the value of Workspaces.
+func (s *QueueService) SetWorkspaces(val []QueueWorkspace) {
+	s.Workspaces = val
+}
+
+// Ref: #/components/schemas/QueueWorkspace
+type QueueWorkspace struct {
+	Workspace string `json:"workspace"`
+	Waiting   int    `json:"waiting"`
+	// Requests placed since the start of the process.
+	Placed int64 `json:"placed"`
+	// Requests that the queue refused since the start of the process.
+	Refused int64 `json:"refused"`
+	// Share of the cost that was recently placed while requests waited.
+	Share  float64 `json:"share"`
+	Weight float64 `json:"weight"`
+	Floor  float64 `json:"floor"`
+	// Time for which a request of the workspace has waited already.
+	LongestWaitMs int64 `json:"longest_wait_ms"`
+}
+
+// GetWorkspace returns the value of Workspace.
+func (s *QueueWorkspace) GetWorkspace() string {
+	return s.Workspace
+}
+
+// GetWaiting returns the value of Waiting.
+func (s *QueueWorkspace) GetWaiting() int {
+	return s.Waiting
+}
+
+// GetPlaced returns the value of Placed.
+func (s *QueueWorkspace) GetPlaced() int64 {
+	return s.Placed
+}
+
+// GetRefused returns the value of Refused.
+func (s *QueueWorkspace) GetRefused() int64 {
+	return s.Refused
+}
+
+// GetShare returns the value of Share.
+func (s *QueueWorkspace) GetShare() float64 {
+	return s.Share
+}
+
+// GetWeight returns the value of Weight.
+func (s *QueueWorkspace) GetWeight() float64 {
+	return s.Weight
+}
+
+// GetFloor returns the value of Floor.
+func (s *QueueWorkspace) GetFloor() float64 {
+	return s.Floor
+}
+
+// GetLongestWaitMs returns the value of LongestWaitMs.
+func (s *QueueWorkspace) GetLongestWaitMs() int64 {
+	return s.LongestWaitMs
+}
+
+// SetWorkspace sets the value of Workspace.
+func (s *QueueWorkspace) SetWorkspace(val string) {
+	s.Workspace = val
+}
+
+// SetWaiting sets the value of Waiting.
+func (s *QueueWorkspace) SetWaiting(val int) {
+	s.Waiting = val
+}
+
+// SetPlaced sets the value of Placed.
+func (s *QueueWorkspace) SetPlaced(val int64) {
+	s.Placed = val
+}
+
+// SetRefused sets the value of Refused.
+func (s *QueueWorkspace) SetRefused(val int64) {
+	s.Refused = val
+}
+
+// SetShare sets the value of Share.
+func (s *QueueWorkspace) SetShare(val float64) {
+	s.Share = val
+}
+
+// SetWeight sets the value of Weight.
+func (s *QueueWorkspace) SetWeight(val float64) {
+	s.Weight = val
+}
+
+// SetFloor sets the value of Floor.
+func (s *QueueWorkspace) SetFloor(val float64) {
+	s.Floor = val
+}
+
+// SetLongestWaitMs sets the value of LongestWaitMs.
+func (s *QueueWorkspace) SetLongestWaitMs(val int64) {
+	s.LongestWaitMs = val
+}
+
 // ReleaseRequestNoContent is response for ReleaseRequest operation.
 type ReleaseRequestNoContent struct{}
 
--- a/api/admin/oas/oas_security_gen.go
+++ b/api/admin/oas/oas_security_gen.go
@@ -39,6 +39,7 @@
 	GetLimitsOperation:        []string{},
 	GetPlacementOperation:     []string{},
 	GetQuarantineOperation:    []string{},
+	GetQueueOperation:         []string{},
 	GetStateOperation:         []string{},
 	GetTargetsOperation:       []string{},
 	ReleaseRequestOperation:   []string{},
--- a/api/admin/oas/oas_server_gen.go
+++ b/api/admin/oas/oas_server_gen.go
@@ -28,6 +28,10 @@
 	//
 	// GET /admin/v1/quarantine
 	GetQuarantine(ctx context.Context) (*Quarantine, error)
+	// GetQueue implements getQueue operation.
+	//
+	// GET /admin/v1/queue
+	GetQueue(ctx context.Context) (*Queue, error)
 	// GetState implements getState operation.
 	//
 	// GET /admin/v1/state
--- a/api/admin/oas/oas_unimplemented_gen.go
+++ b/api/admin/oas/oas_unimplemented_gen.go
@@ -48,6 +48,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// GetQueue implements getQueue operation.
+//
+// GET /admin/v1/queue
+func (UnimplementedHandler) GetQueue(ctx context.Context) (r *Queue, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // GetState implements getState operation.
 //
 // GET /admin/v1/state
--- a/api/admin/oas/oas_validators_gen.go
+++ b/api/admin/oas/oas_validators_gen.go
@@ -352,6 +352,142 @@
 	}
 }
 
+func (s *Queue) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Services == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Services {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "services",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *QueueService) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.CostPerSecond)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "cost_per_second",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Workspaces == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Workspaces {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "workspaces",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *QueueWorkspace) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Share)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "share",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Weight)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "weight",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Floor)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "floor",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Target) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/cmd/toucanwell/main.go
+++ b/cmd/toucanwell/main.go
@@ -37,6 +37,7 @@
 			lossesCommand(),
 			quarantineCommand(),
 			limitsCommand(),
+			queueCommand(),
 			demoCommand(),
 			replayCommand(),
 			modelCommand(),
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -44,6 +44,8 @@
 	Release    func(fingerprint string) bool
 	// Limits lists the workspaces with a rate limit; nil for processes that don't enforce any.
 	Limits func() []oas.WorkspaceLimit
+	// Queue returns the requests that wait for a target; nil for processes without a queue.
+	Queue func() *oas.Queue
 	// Ready reports whether the process can serve requests.
 	Ready func() bool
 	// Burn counts the error budget burn; may be nil.
@@ -162,6 +164,14 @@
 	return &oas.Limits{Workspaces: append([]oas.WorkspaceLimit{}, s.Limits()...)}, nil
 }
 
+// GetQueue implements oas.Handler.
+func (s *server) GetQueue(context.Context) (*oas.Queue, error) {
+	if s.Queue == nil {
+		return nil, errkind.New(errkind.UnknownRoute, "this process has no queue; query a gateway entry")
+	}
+	return s.Queue(), nil
+}
+
 // NewError implements oas.Handler.
 func (s *server) NewError(_ context.Context, err error) *oas.ProblemStatusCode { return problem(err) }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -39,6 +39,7 @@
 	invalidStatements  prometheus.Counter
 	targetLimits       *prometheus.CounterVec
 	detours            *prometheus.CounterVec
+	queueMetrics
 }
 
 var ttftBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.62, 1, 2, 4, 8, 16, 32}
@@ -92,6 +93,7 @@
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.recomputedTokens,
 		m.retries, m.resumes, m.streamStarts, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
 		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.invalidStatements, m.targetLimits, m.detours)
+	m.queueMetrics = newQueueMetrics(m.Registry)
 	return m
 }
 
