Queue: walks go on where the last one ended

Cause: four requests that no target takes, such as some that their targets have sent back, kept all others from their turns: each event tried just these four. Found by the test of engines that disappear and return. Change: each walk begins with the first in order and then goes on after those that have failed in earlier walks of the round. Passing over entries no longer removes them from their trees.

--- a/internal/gateway/queue/doc.go
+++ b/internal/gateway/queue/doc.go
@@ -19,5 +19,6 @@
 //
 // A request that no waiting request precedes attempts placement at once. Requests that could not be
 // placed wait for a turn. Turns are given one after the other: after a placement to the next in
-// order, after a failed attempt to the next that needs less, at most [maxAttempts] per event.
+// order, after a failed attempt to the next that needs less, at most [maxAttempts] per event. The next
+// event gives the first in order another turn, and goes on after those that have failed.
 package queue
--- a/internal/gateway/queue/line.go
+++ b/internal/gateway/queue/line.go
@@ -33,8 +33,8 @@
 	// checkAt is when the entry's wait is checked; checkPlace is its place in the heap of checks.
 	checkAt    time.Time
 	checkPlace int
-	// walk is the last walk in which the entry attempted placement.
-	walk uint64
+	// walk and round are the last ones in which the entry attempted placement.
+	walk, round uint64
 }
 
 // flow holds the requests of one workspace, service and urgency.
@@ -44,6 +44,8 @@
 	workspace *workspace
 	// tag is the start tag of the next placement.
 	tag float64
+	// skipped is the number of its first entries that a search has passed over.
+	skipped int
 	// firstPlace and lastPlace are its places in the heaps of its class.
 	firstPlace, lastPlace int
 }
@@ -67,6 +69,9 @@
 
 // next returns the first entry. Requests that can no longer meet their objective move to the end.
 func (f *flow) next(now time.Time) *entry {
+	if f.skipped > 0 {
+		return f.at(f.skipped)
+	}
 	for {
 		e := f.first()
 		if e == nil || e.group != onTime {
@@ -105,8 +110,9 @@
 type workspace struct {
 	name          string
 	weight, floor float64
-	waiting       int
-	flows         [Urgencies]*flow
+	// waiting is the number of its requests, skipped the number that a search has passed over.
+	waiting, skipped int
+	flows            [Urgencies]*flow
 	// reserve is the placed cost of the service at which the workspace's floor is due again.
 	reserve    float64
 	floorPlace int
@@ -118,7 +124,7 @@
 // next returns the workspace's first entry.
 func (w *workspace) next(now time.Time) *entry {
 	for _, f := range w.flows {
-		if f != nil && f.size() > 0 {
+		if f != nil && f.size() > f.skipped {
 			return f.next(now)
 		}
 	}
@@ -145,7 +151,7 @@
 
 func newLine(service string) *line {
 	l := &line{
-		service: service, workspaces: map[string]*workspace{},
+		turns: turns{round: 1}, service: service, workspaces: map[string]*workspace{},
 		floors: indexed[*workspace]{less: func(a, b *workspace) bool { return a.reserve < b.reserve }, place: func(w *workspace) *int { return &w.floorPlace }},
 	}
 	for u := range l.classes {
@@ -316,42 +322,65 @@
 // takes bounded time whatever waits.
 const maxScan = 32
 
-// aside is an entry that is passed over in a search, with what passing it over changed.
-type aside struct {
-	e                       *entry
+// passed is an entry that is passed over in a search, with what passing it over changed.
+type passed struct {
+	flow                    *flow
 	tag, reserve, contended float64
 }
 
 // nextBelow returns the first entry in order that accept accepts, as if those before it were placed.
 func (l *line) nextBelow(now time.Time, accept func(*entry) bool) *entry {
-	var buffer [maxScan]aside
-	passed := buffer[:0]
+	var buffer [maxScan]passed
+	list := buffer[:0]
 	var found *entry
-	for len(passed) < maxScan {
+	for len(list) < maxScan {
 		e := l.next(now)
 		if e == nil || accept(e) {
 			found = e
 			break
 		}
-		passed = append(passed, aside{e, e.flow.tag, e.flow.workspace.reserve, l.contended})
-		maxTag := e.flow.class.maxTag
-		l.detach(e)
-		l.charge(e.flow, e.Cost)
-		e.flow.class.maxTag = maxTag
+		list = append(list, l.pass(e))
 	}
-	for i := len(passed) - 1; i >= 0; i-- {
-		l.restore(&passed[i])
+	for i := len(list) - 1; i >= 0; i-- {
+		l.restore(&list[i])
 	}
 	return found
 }
 
-func (l *line) restore(a *aside) {
-	l.attach(a.e)
-	f := a.e.flow
-	f.tag, f.workspace.reserve, l.contended = a.tag, a.reserve, a.contended
-	f.class.active.fix(f)
-	f.class.ends.fix(f)
-	l.floors.fix(f.workspace)
+// pass passes over the next entry in order until restore is called.
+func (l *line) pass(e *entry) passed {
+	f, w := e.flow, e.flow.workspace
+	p := passed{f, f.tag, w.reserve, l.contended}
+	f.skipped++
+	w.skipped++
+	f.tag += e.Cost / w.weight
+	if f.skipped < f.size() {
+		f.class.active.fix(f)
+	} else {
+		f.class.active.remove(f)
+	}
+	l.chargeFloor(w, e.Cost)
+	if w.skipped == w.waiting {
+		l.floors.remove(w)
+	}
+	return p
+}
+
+func (l *line) restore(p *passed) {
+	f, w := p.flow, p.flow.workspace
+	f.skipped--
+	w.skipped--
+	f.tag, w.reserve, l.contended = p.tag, p.reserve, p.contended
+	if f.class.active.has(f) {
+		f.class.active.fix(f)
+	} else {
+		f.class.active.push(f)
+	}
+	if l.floors.has(w) {
+		l.floors.fix(w)
+	} else if w.floor > 0 {
+		l.floors.push(w)
+	}
 }
 
 // decaying is a sum of amounts that count less with age.
--- a/internal/gateway/queue/order.go
+++ b/internal/gateway/queue/order.go
@@ -133,6 +133,25 @@
 	return e
 }
 
+// at returns the entry with n others before it.
+func (o *order) at(n int) *entry {
+	for e := o.root; e != nil; {
+		before := 0
+		if e.left != nil {
+			before = e.left.size
+		}
+		switch {
+		case n == before:
+			return e
+		case n < before:
+			e = e.left
+		default:
+			e, n = e.right, n-before-1
+		}
+	}
+	return nil
+}
+
 func (o *order) last() *entry {
 	e := o.root
 	for e != nil && e.right != nil {
--- a/internal/gateway/queue/turns.go
+++ b/internal/gateway/queue/turns.go
@@ -24,10 +24,14 @@
 )
 
 // turns gives the requests of a service their turns, one after the other. An event starts a walk
-// through the order, which ends after the last request that is placed or after maxAttempts failures.
+// through the order, which ends after maxAttempts failures or when no request is worth an attempt.
+//
+// Each walk begins with the first in order. After a failure it goes on where the last one ended, so that
+// a few requests that no target takes don't keep all others from their turns. Walks of one round attempt
+// each request once.
 type turns struct {
-	walk   uint64
-	failed int
+	walk, round uint64
+	failed      int
 	// limit is the cost below which a request is worth an attempt in this walk.
 	limit float64
 	// holder has the turn since grantedAt. again is set if an event happened meanwhile; the walk then
@@ -79,11 +83,14 @@
 	if t.holder != nil || t.failed >= maxAttempts || l.waiting == 0 || l.mustRest(now) {
 		return nil
 	}
-	e := l.nextBelow(now, func(e *entry) bool { return e.state == waiting && e.walk != t.walk && e.Cost < t.limit })
+	e := l.nextBelow(now, func(e *entry) bool {
+		return e.state == waiting && e.walk != t.walk && (t.failed == 0 || e.round != t.round && e.Cost < t.limit)
+	})
 	if e == nil {
+		t.round++
 		return nil
 	}
-	e.state, e.walk = attempting, t.walk
+	e.state, e.walk, e.round = attempting, t.walk, t.round
 	t.holder, t.grantedAt = e, now
 	if !t.due.After(now) {
 		t.due = now.Add(maxWalkInterval)
