Requests that find no target wait in the queue of their entry

Cause: each waiting request retries its placement every 10 or 25 ms for at most 400 ms, without order, and is then told to come back after 300 ms or 1.5 s, whatever the load. Change: with [queue] enabled, a request that finds no target waits in package queue. Its turns come from the ends and first events of own requests, at once; from heartbeats, announcements and new views, at most one walk per 20 ms and service; and from a timer, each 25 ms where sidecars are probed, otherwise each 100 ms. The turn ends when the ledger contains the send. Requests in quarantine still poll. Refusals of the queue carry the forecast as Retry-After. A process that begins to stop refuses its waiting requests with 50 ms. The expected run of a request is learned by route. Nothing changes with the queue off.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -262,6 +262,7 @@
 	if e.state.applyEngineReport(m) {
 		e.state.publishViewSoon()
 	}
+	e.forwarder.NotifyQueue()
 }
 
 // cacheReportTimeout is the silence after which a cache's next report is logged. Sidecars
--- a/internal/gateway/forward/callerretry.go
+++ b/internal/gateway/forward/callerretry.go
@@ -35,3 +35,13 @@
 	}
 	return float64(timeout) < retryTimeoutShare*float64(u.longestByRoute[route])
 }
+
+// spent returns the time that the caller has probably spent on earlier attempts; zero if unknown.
+func (u *timeoutTracker) spent(route string, timeout time.Duration) time.Duration {
+	if timeout <= 0 {
+		return 0
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return max(u.longestByRoute[route]-timeout, 0)
+}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -154,6 +154,8 @@
 	callerTimeouts timeoutTracker
 	returns        returnSchedule
 	queueEnabled   atomic.Bool
+	waitingRoom    *waitingRoom
+	runTimes       runTimes
 	startedAt      time.Time
 }
 
@@ -162,6 +164,7 @@
 	f := &Forwarder{Deps: d, prefillTime: readtime.NewPredictor(), paces: readtime.NewSlowdowns(), startedAt: time.Now()}
 	f.random.Store(d.Seed)
 	f.queueEnabled.Store(d.Queue != nil)
+	f.waitingRoom = newWaitingRoom(d.Queue, d.QueueObserver)
 	d.CrashDetector.OnRecheck(f.Now, f.RecheckCrashes)
 	return f
 }
@@ -251,6 +254,8 @@
 	outcome health.Outcome
 	// retryCause is the reason for the next send; empty for the first.
 	retryCause string
+	// waiter is the request in the queue while it is placed.
+	waiter *waiter
 	// limitRequest is what the request asks of its workspace's rate limit, admission the
 	// decision on it.
 	limitRequest ratelimit.Request
@@ -424,6 +429,7 @@
 func (fl *flow) run(ctx context.Context) *errkind.Error {
 	fl.excluded = map[fleet.Incarnation]bool{}
 	fl.lastEvent = fl.request.LastEventID
+	defer fl.leaveQueue()
 	if refusal := fl.resolveOrigin(ctx); refusal != nil {
 		return refusal
 	}
@@ -463,6 +469,7 @@
 
 // release gives back what was taken for a send that is not made.
 func (fl *flow) release(dst *destination) {
+	fl.leaveQueue()
 	fl.endProbation(dst)
 	fl.refundAdmission(dst)
 	fl.endRestTrial(dst)
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -32,6 +32,15 @@
 
 // place chooses the target of the next send, and waits for one if necessary.
 func (fl *flow) place(ctx context.Context) (*destination, *errkind.Error) {
+	if fl.usesQueue() {
+		return fl.placeQueued(ctx)
+	}
+	return fl.placePolling(ctx)
+}
+
+// placePolling chooses the target of the next send, and attempts placement repeatedly for a short time
+// if there is none.
+func (fl *flow) placePolling(ctx context.Context) (*destination, *errkind.Error) {
 	start := time.Now()
 	fl.restrictions.denials = 0
 	for {
@@ -53,16 +62,21 @@
 				continue
 			}
 		}
-		interval := placeInterval
-		if dst != nil && dst.probed {
-			interval = probeInterval
-		}
-		if !sleep.For(ctx, interval) {
+		if !sleep.For(ctx, placeIntervalOf(dst)) {
 			return nil, fl.contextRefusal(ctx)
 		}
 	}
 }
 
+// placeIntervalOf returns the time until the next attempt after one with a destination that is not used
+// yet, or with none.
+func placeIntervalOf(dst *destination) time.Duration {
+	if dst != nil && dst.probed {
+		return probeInterval
+	}
+	return placeInterval
+}
+
 // placeWait returns how long to wait for a target. Requests in quarantine wait for their
 // probation run. In large fleets prompts wait only briefly, because a refused caller is
 // told to retry soon.
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 )
@@ -156,11 +157,25 @@
 
 func (fl *flow) recordSuccess() {
 	fl.Metrics.FirstToken(fl.serviceName(), fl.class(), fl.timeToFirstByte)
+	fl.recordRunTime()
 	objective := fl.route.TargetLatency
 	fl.recordObjective(fl.lastSend.status < http.StatusInternalServerError && (objective == 0 || fl.timeToFirstByte <= objective))
 	fl.logDone(nil)
 }
 
+// recordRunTime records how long the request ran: a stream after its first event, another one after its
+// last send.
+func (fl *flow) recordRunTime() {
+	if fl.lastSend.status >= http.StatusMultipleChoices {
+		return // failures are short
+	}
+	since := fl.sentAt
+	if fl.route.Kind == estate.Stream {
+		since = fl.arrived.Add(fl.timeToFirstByte)
+	}
+	fl.runTimes.record(fl.route.Name, fl.request.MaxTokens, time.Since(since))
+}
+
 // recordObjective counts whether the request met its objective.
 func (fl *flow) recordObjective(good bool) {
 	if fl.service != nil {
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -98,6 +98,7 @@
 			dst.firstEventAt = time.Now()
 			fl.Quarantine.MarkResponding(run)
 			item.PrefillDone()
+			fl.waitingRoom.wake(fl.service.Name)
 			fl.notifyPrefilled(dst)
 			if fl.recordParts(dst, true) {
 				fl.AnnounceWork(dst.target.ID)
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -123,9 +123,11 @@
 		maxWaitTimer = time.AfterFunc(dst.maxWait, func() { cancel(errMaxWait) })
 		defer maxWaitTimer.Stop()
 	}
+	defer fl.waitingRoom.wake(fl.service.Name)
 	fl.turnover.AddTokens(dst.memoryTokens, fl.Now())
 	item := fl.Ledger.Begin(dst.target.ID, dst.work, dst.choice.Wait+dst.choice.Fetch, fl.Now())
 	defer item.End()
+	fl.recordPlaced()
 	fl.notifySent(dst)
 	defer fl.notifyEnded(dst)
 	link := fl.beginFetch(dst)
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -208,6 +208,7 @@
 		p.entry.forwarder.RecheckCrashes()
 		p.entry.refreshOrigins(p.origins)
 		p.entry.keepStatements()
+		p.entry.forwarder.NotifyQueue()
 		if p.entry.limits != nil {
 			p.entry.limits.refresh()
 		}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -42,6 +42,9 @@
 	p.loop.Post(func() {
 		p.state.stop(shutdownAt)
 		p.state.publishView()
+		if p.entry != nil {
+			p.entry.forwarder.StopQueue()
+		}
 		p.state.mesh.Broadcast()
 	})
 	if p.callers != nil {
