Queue of an entry: reload of its settings, its observer and its state for operators

Cause: a change of [queue] needed a restart, and nothing reported what the queue decides. Change: a reload puts weights, floors, bounds and the switch in force; what waits keeps waiting. The memory bound follows the memory of the running process. The observer writes the log lines and counts; the gauges and the administration API read the queue when they are asked.

--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -33,6 +33,7 @@
 		state.Placement = p.explainPlacement
 		state.Quarantine, state.Release = p.listQuarantine, p.releaseRequest
 		state.Limits = p.listLimits
+		state.Queue = func() *oas.Queue { return encodeQueue(p.entry.forwarder.QueueStats()) }
 	}
 	handler, err := admin.Handler(state)
 	if err != nil {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -96,6 +95,7 @@
 		return nil, err
 	}
 	p.registerGauges()
+	p.registerQueueGauges()
 	go p.loop.Run()
 	p.state.mesh.Start()
 	p.state.start()
@@ -265,19 +265,6 @@
 	}
 }
 
-// Reload applies changed settings to the running process. Only the seeds can change; other
-// settings keep their values until a restart.
-func (p *process) Reload(next *Settings) {
-	fixed := *next
-	fixed.Seeds = p.settings.Seeds
-	same := reflect.DeepEqual(&fixed, p.settings)
-	p.loop.Post(func() { p.state.mesh.SetSeeds(next.seedHosts()) })
-	p.logger.Info("settings_reloaded", "seeds", next.Seeds, "others_unchanged", same)
-}
-
-// ReloadFailed logs that changed settings are invalid and were not applied.
-func (p *process) ReloadFailed(err error) { p.logger.Error(err, "settings_refused") }
-
 // ServeErrors returns the channel that receives the error of an HTTP server that stopped.
 func (p *process) ServeErrors() <-chan error { return p.serveErrors }
 
--- a/internal/gateway/queueobserver.go
+++ b/internal/gateway/queueobserver.go
@@ -57,6 +57,17 @@
 	return d.Round(time.Millisecond).String()
 }
 
+// registerQueueGauges registers the gauges of an entry's queue.
+func (p *process) registerQueueGauges() {
+	if p.entry == nil {
+		return
+	}
+	p.metrics.RegisterQueue(func() []metrics.QueueState {
+		s, _ := p.entry.forwarder.QueueStats()
+		return queueStates(s)
+	})
+}
+
 // queueStates returns the queue in the form of the metrics.
 func queueStates(s queue.Stats) []metrics.QueueState {
 	states := make([]metrics.QueueState, 0, len(s.Services))
--- a/internal/gateway/queueobserver_test.go
+++ b/internal/gateway/queueobserver_test.go
@@ -29,8 +29,8 @@
 	o.Refused(queue.Refusal{Item: it, Reason: queue.Full})
 
 	for id, want := range map[string][]string{
-		"r1": {"request_queued", "position=4", "ahead=8000", "forecast=1.235s", "urgency=1", "workspace=town", "tag=18", "request_dequeued", "outcome=placed", "waited=900ms", "before=3"},
-		"r3": {"forecast=unknown", "outcome=left", "waited=1s"},
+		"r1":                                  {"request_queued", "position=4", "ahead=8000", "forecast=1.235s", "urgency=1", "workspace=town", "tag=18", "request_dequeued", "outcome=placed", "waited=900ms", "before=3"},
+		"r3":                                  {"forecast=unknown", "outcome=left", "waited=1s"},
 		quarantine.Fingerprint(0x2a).String(): {"position=4", "outcome=placed", "outcome=left"},
 	} {
 		story, err := explain.Read(id, strings.NewReader(log.String()))
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,28 @@
+package gateway
+
+import "reflect"
+
+// Reload applies changed settings to the running process: the seeds and the tables [queue] and [speeds].
+// Other settings keep their values until a restart. It must not be called concurrently.
+func (p *process) Reload(next *Settings) {
+	others := *next
+	others.Seeds, others.Queue, others.Speeds = p.settings.Seeds, p.settings.Queue, p.settings.Speeds
+	same := reflect.DeepEqual(&others, p.settings)
+	p.loop.Post(func() { p.state.mesh.SetSeeds(next.seedHosts()) })
+	p.reloadQueue(next.Queue)
+	p.logger.Info("settings_reloaded", "seeds", next.Seeds, "queue", next.Queue.Enabled, "speeds", next.Speeds.Enabled, "others_unchanged", same)
+}
+
+// reloadQueue puts the settings of the queue in force. Requests that wait keep waiting, also beyond a
+// lower bound and if the queue is disabled.
+func (p *process) reloadQueue(next QueueSettings) {
+	if p.entry == nil {
+		return
+	}
+	// The memory of the process does not change before a restart, nor does what follows from it.
+	next.MaxMB = min(next.MaxMB, max(p.settings.MemoryMB/maxQueueMemoryDivisor, 1))
+	p.entry.forwarder.ConfigureQueue(next.policy())
+}
+
+// ReloadFailed logs that changed settings are invalid and were not applied.
+func (p *process) ReloadFailed(err error) { p.logger.Error(err, "settings_refused") }
