--- a/internal/gateway/queueobserver.go
+++ b/internal/gateway/queueobserver.go
@@ -21,8 +21,8 @@
 // Queued implements queue.Observer.
 func (o queueObserver) Queued(it queue.Item, d queue.Decision) {
 	o.logger.Info("request_queued", "request_id", it.RequestID, "print", quarantine.Fingerprint(it.Key), "service", it.Service, "workspace", it.Workspace,
-		"urgency", it.Urgency, "position", d.Position, "ahead", math.Round(d.Ahead), "forecast", formatForecast(d.Forecast), "tag", math.Round(d.Tag),
-		"cost", it.Cost, "returned", it.Returned)
+		"urgency", it.Urgency, "position", d.Position, "ahead", int64(math.Round(d.Ahead)), "forecast", formatForecast(d.Forecast), "tag", int64(math.Round(d.Tag)),
+		"cost", int64(math.Round(it.Cost)), "returned", it.Returned)
 }
 
 // Placed implements queue.Observer.
