Rate limits: one aggregated lease request per entry and bucket, rate divided by demand

Cause: each refused request sent its own lease requests, retries bypassed the cached refusal, and a slow coordinator was replaced after 40 ms, so an overloaded workspace overloaded its coordinator.

Change: callers of an entry wait for one lease request together, in order of urgency, retries and arrival. The coordinator divides the rate of a short bucket in proportion to the entries' demands, grants the whole cost of an entry's first caller, and states when the entry may ask again, so that it receives at most 500 requests per second. Entries decide on the other callers by that response. Retry-After is the forecast from the tokens and callers at the entry. A request is repeated with its ID; the next in rank is asked after a second of silence.

--- a/internal/gateway/ratelimit/coordinator.go
+++ b/internal/gateway/ratelimit/coordinator.go
@@ -12,6 +12,11 @@
 	// sent its request. The coordinator counts them for leaseGrace longer.
 	leaseDuration = 2 * time.Second
 	leaseGrace    = 500 * time.Millisecond
+	// callerLeaseDuration is how long the tokens for a waiting caller may be used, by another caller
+	// if it has left. It is short because they count against the burst for all of that time, also
+	// if they were used at once. The coordinator counts them for callerLeaseGrace longer.
+	callerLeaseDuration = 500 * time.Millisecond
+	callerLeaseGrace    = 100 * time.Millisecond
 	// unleasedShare is the part of the bucket that is never leased ahead: tokens leased to
 	// one entry are not available to the others.
 	unleasedShare = 0.5
@@ -56,6 +61,15 @@
 	// Floor is the share of the bucket's capacity that must be left for the waiting request to be
 	// admitted. It leaves the last tokens to requests of a higher priority.
 	Floor float64
+	// Demand is the recent demand of the entry's callers, in tokens per second. If it is set,
+	// RequestCost is the cost of the first of several waiting requests, and the tokens for it are
+	// leased, too.
+	Demand float64
+	// Queued is the part of Ahead that is the cost of further waiting requests.
+	Queued float64
+	// Admitted and Refused count the requests that the entry has decided since its last lease
+	// request, if Demand is set.
+	Admitted, Refused uint32
 }
 
 // LeaseResponse is the coordinator's response to a LeaseRequest.
@@ -69,6 +83,11 @@
 	RetryDelay time.Duration
 	// Level is the bucket's level.
 	Level float64
+	// NextDelay is the time after which the entry may send its next request for the bucket.
+	NextDelay time.Duration
+	// Rate is the number of tokens per second that the entry gets while the bucket is short; zero
+	// while it is not.
+	Rate float64
 }
 
 // Coordinator keeps the token buckets that an entry coordinates. Its decisions
@@ -91,6 +110,7 @@
 	refusedAt time.Time
 	admitted  uint64
 	refused   uint64
+	requests  requestRate
 }
 
 // holder is a bucket's state for one entry.
@@ -98,9 +118,12 @@
 	incarnation uint64
 	spent       float64
 	leases      []lease
-	responses   [responseCacheSize]LeaseResponse
-	next        int
-	lastSeenAt  time.Time
+	// callerLeases are the tokens for waiting callers. Their use is not reported.
+	callerLeases []lease
+	responses    [responseCacheSize]LeaseResponse
+	next         int
+	lastSeenAt   time.Time
+	share        holderShare
 }
 
 type lease struct {
@@ -135,6 +158,12 @@
 	h.recordSpent(req.Spent)
 	b.refill(limit, req.Refunded, now)
 	b.level -= req.Overdraft
+	b.requests.add(now)
+	if req.Demand > 0 {
+		resp := b.handleShared(h, req, limit, now)
+		h.cacheResponse(resp)
+		return resp
+	}
 	resp := LeaseResponse{ID: req.ID}
 	if req.RequestCost > 0 {
 		resp.Admitted, resp.RetryDelay = b.admit(req, limit, now)
@@ -143,6 +172,9 @@
 		resp.Leased = b.grant(h, req.Ahead, limit, now)
 	}
 	resp.Level = b.level
+	if short := req.RequestCost > 0 && !resp.Admitted; short || b.requests.isHigh(now) {
+		resp.NextDelay = b.spacing(b.totals(now).holders)
+	}
 	h.cacheResponse(resp)
 	return resp
 }
@@ -202,9 +234,20 @@
 	if tokens <= 0 {
 		return 0
 	}
+	b.lease(h, tokens, now)
+	return tokens
+}
+
+// lease moves tokens from the bucket to a holder.
+func (b *bucket) lease(h *holder, tokens float64, now time.Time) {
 	b.level -= tokens
 	h.leases = append(h.leases, lease{tokens: tokens, grantedAt: now})
-	return tokens
+}
+
+// leaseForCaller moves the cost of a waiting caller from the bucket to a holder.
+func (b *bucket) leaseForCaller(h *holder, tokens float64, now time.Time) {
+	b.level -= tokens
+	h.callerLeases = append(h.callerLeases, lease{tokens: tokens, grantedAt: now})
 }
 
 // holder returns the state of an entry's incarnation. It replaces that of a previous one, whose
@@ -216,7 +259,7 @@
 		b.holders[from.Address] = h
 	}
 	if h.incarnation != from.Incarnation {
-		*h = holder{incarnation: from.Incarnation, leases: h.leases}
+		*h = holder{incarnation: from.Incarnation, leases: h.leases, callerLeases: h.callerLeases}
 	}
 	h.lastSeenAt = now
 	return h
@@ -253,14 +296,21 @@
 
 // leased returns how many leased tokens the entry may still use, and removes expired leases.
 func (h *holder) leased(now time.Time) float64 {
-	left, sum := h.leases[:0], 0.0
-	for _, l := range h.leases {
-		if l.tokens > 0 && now.Sub(l.grantedAt) < leaseDuration+leaseGrace {
+	var held, forCallers float64
+	h.leases, held = dropExpired(h.leases, now, leaseDuration+leaseGrace)
+	h.callerLeases, forCallers = dropExpired(h.callerLeases, now, callerLeaseDuration+callerLeaseGrace)
+	return held + forCallers
+}
+
+// dropExpired returns the leases that are not expired or used up, and their sum.
+func dropExpired(leases []lease, now time.Time, duration time.Duration) ([]lease, float64) {
+	left, sum := leases[:0], 0.0
+	for _, l := range leases {
+		if l.tokens > 0 && now.Sub(l.grantedAt) < duration {
 			left, sum = append(left, l), sum+l.tokens
 		}
 	}
-	h.leases = left
-	return sum
+	return left, sum
 }
 
 // Retain removes the buckets for which keep returns false.
--- a/internal/gateway/ratelimit/exchange.go
+++ b/internal/gateway/ratelimit/exchange.go
@@ -12,100 +12,6 @@
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
-// newRequest returns the lease request for a caller's request.
-func (l *Limiter) newRequest(r Request, now time.Time) LeaseRequest {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.lastID++
-	req := l.credit(r.Key).newRequest(l.lastID, r.Cost, now)
-	req.IsRetry, req.MaxWait, req.Floor = r.IsRetry, r.MaxWait, r.Floor
-	return req
-}
-
-// requestLease sends a lease request to an entry and waits for the response. It returns false if
-// there is none.
-func (l *Limiter) requestLease(ctx context.Context, to netip.AddrPort, r Request, fallback bool) (LeaseResponse, bool) {
-	now := l.options.Now()
-	if !to.IsValid() {
-		return LeaseResponse{}, false
-	}
-	req := l.newRequest(r, now)
-	if to == l.options.Listen {
-		resp, ok := l.handleRequest(r.Key, l.self(), req, fallback, now)
-		l.addLease(r.Key, resp, now)
-		return resp, ok
-	}
-	p := &pendingRequest{key: r.Key, to: to, cost: r.Cost, sentAt: now, replies: make(chan reply, 1)}
-	wait := l.register(req.ID, p)
-	l.sendRequest(to, r.Key, req, fallback)
-	if !wait {
-		return LeaseResponse{}, false
-	}
-	timer := time.NewTimer(replyTimeout)
-	defer timer.Stop()
-	select {
-	case got := <-p.replies:
-		return got.LeaseResponse, !got.notCoordinator
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return l.abandon(req.ID, p)
-}
-
-// register adds a pending request and reports whether to wait for its response.
-func (l *Limiter) register(id uint32, p *pendingRequest) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	m := l.misses[p.to]
-	unresponsive := m.count >= missThreshold && l.options.Now().Sub(m.last) < missTimeout
-	if unresponsive {
-		p.replies = nil
-	}
-	l.pending[id] = p
-	return !unresponsive
-}
-
-// abandon stops waiting for a response, unless it has just arrived. Tokens that a later response
-// grants are refunded.
-func (l *Limiter) abandon(id uint32, p *pendingRequest) (LeaseResponse, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	select {
-	case got := <-p.replies:
-		return got.LeaseResponse, !got.notCoordinator
-	default:
-	}
-	p.replies = nil
-	l.misses[p.to] = miss{count: l.misses[p.to].count + 1, last: l.options.Now()}
-	return LeaseResponse{}, false
-}
-
-// leaseAhead requests tokens for later requests from a bucket's coordinator and reports use.
-// The caller holds mu.
-func (l *Limiter) leaseAhead(key string, c *credit, now time.Time) {
-	coordinator := l.members.Load().Coordinator(key)
-	if !coordinator.IsValid() {
-		return
-	}
-	l.lastID++
-	req := c.newRequest(l.lastID, 0, now)
-	if coordinator == l.options.Listen {
-		if resp, ok := l.handleRequest(key, l.self(), req, false, now); ok {
-			c.addLease(resp, now)
-		}
-		return
-	}
-	l.pending[req.ID] = &pendingRequest{key: key, to: coordinator, sentAt: now}
-	l.sendRequest(coordinator, key, req, false)
-}
-
-// addLease adds the tokens leased by a response to the bucket's credit.
-func (l *Limiter) addLease(key string, resp LeaseResponse, sentAt time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.credit(key).addLease(resp, sentAt)
-}
-
 // handleRequest handles a lease request as the bucket's coordinator or as a fallback for it.
 // It returns false if this entry may not do so.
 func (l *Limiter) handleRequest(key string, from Holder, req LeaseRequest, fallback bool, now time.Time) (LeaseResponse, bool) {
@@ -116,7 +22,7 @@
 	}
 	limit := l.options.LimitOf(key)
 	if !limit.Limited() {
-		return LeaseResponse{ID: req.ID, Admitted: true}, true
+		return LeaseResponse{ID: req.ID, Admitted: true, Leased: req.Queued}, true
 	}
 	limit = limit.Scaled(*l.share.Load())
 	switch {
@@ -125,7 +31,7 @@
 		// sends it a request does.
 		return l.coordinator.Handle(key, from, req, limit, *l.liveSince.Load(), now), true
 	case fallback:
-		req.Ahead = 0
+		req.Ahead, req.Demand = 0, 0
 		part := Limit{PerSecond: limit.PerSecond * fallbackShare, Burst: limit.Burst * fallbackBurstShare}
 		return l.fallback.Handle(key, from, req, part, now.Add(-fallbackIdleTimeout), now), true
 	default:
@@ -133,14 +39,18 @@
 	}
 }
 
-func (l *Limiter) sendRequest(to netip.AddrPort, key string, req LeaseRequest, fallback bool) {
-	ask := encodeRequest(req, fallback)
+// sendRequest sends a pending request. The caller holds mu.
+func (l *Limiter) sendRequest(p *pendingRequest, kind RequestKind) {
+	ask := encodeRequest(p.request, p.fallback)
 	if l.options.Stated != nil {
-		if s, ok := l.options.Stated(key); ok {
+		if s, ok := l.options.Stated(p.key); ok {
 			ask.Stated = EncodeStatedLimit(s)
 		}
 	}
-	l.send(to, &peerv1.RateMessage{Id: req.ID, Incarnation: l.options.Incarnation, Key: key, Ask: ask})
+	if l.options.OnRequest != nil {
+		l.options.OnRequest(kind)
+	}
+	l.send(p.to, &peerv1.RateMessage{Id: p.request.ID, Incarnation: l.options.Incarnation, Key: p.key, Ask: ask})
 }
 
 func (l *Limiter) send(to netip.AddrPort, m *peerv1.RateMessage) {
@@ -181,27 +91,19 @@
 	}
 }
 
-// handleReply passes a response to its pending request. If no caller waits any more, the cost of
-// an admitted request is refunded; responses without a pending request are dropped, and their
+// handleReply passes a response to its pending request. Responses without one are dropped, and their
 // leases expire.
 func (l *Limiter) handleReply(from netip.AddrPort, id uint32, got reply, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.misses, from)
 	p := l.pending[id]
 	if p == nil || p.to != from {
 		return
 	}
 	delete(l.pending, id)
 	c := l.credit(p.key)
-	c.addLease(got.LeaseResponse, p.sentAt)
-	if p.replies != nil {
-		p.replies <- got
-		return
-	}
-	if got.Admitted {
-		c.refunded += p.cost
-	}
+	l.handleResponse(c, p, got, now)
+	l.advance(p.key, c, now)
 }
 
 // ReportUsage reports use to the coordinators at an interval until the context ends.
@@ -216,10 +118,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for key, c := range l.credits {
-		if c.reportDue(now) {
-			l.leaseAhead(key, c, now)
+		if c.reportDue(now) && c.mayRequest(now) {
+			l.requestLease(key, c, now)
+			l.schedule(key, c, now)
 		}
-		if now.Sub(c.lastUsedAt) > defaultIdleTimeout {
+		if now.Sub(c.lastUsedAt) > defaultIdleTimeout && len(c.queue.waiters) == 0 {
+			c.stopTimer()
 			delete(l.credits, key)
 		}
 	}
--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -10,26 +10,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 const (
-	// replyTimeout is how long to wait for a response: some round trips between availability
-	// zones, with a margin for a busy host.
-	replyTimeout = 40 * time.Millisecond
-	// coordinatorAttempts is how often the coordinator is tried before the entries with the
-	// next ranks, of which each is tried once. maxRanked bounds the number of entries tried,
-	// including the coordinator; more than one may be down.
-	coordinatorAttempts = 2
-	maxRanked           = 4
-	// missThreshold is the number of consecutive timeouts after which responses of an entry
-	// are not waited for, for missTimeout after the last one.
-	missThreshold = 2
-	missTimeout   = 2 * time.Second
-	// maxLocalWait is the longest retry delay for which a request waits in the entry instead
-	// of being refused.
-	maxLocalWait = 60 * time.Millisecond
+	// maxRanked bounds the number of entries that are asked for one bucket, including the
+	// coordinator; more than one may be down.
+	maxRanked = 4
 	// fallbackShare is the share of a limit that a fallback entry grants while the
 	// coordinator does not respond to some entry, fallbackBurstShare the share of the burst
 	// that it starts with. localShare is the share that all entries together grant by
@@ -58,10 +44,25 @@
 	// itself. Both are nil if there are no buckets of targets.
 	Stated func(key string) (StatedLimit, bool)
 	Learn  func(key string, s StatedLimit, from netip.AddrPort)
+	// OnRequest is called for each lease request that is sent, with its kind. It may be nil.
+	OnRequest func(kind RequestKind)
 	// Now is a clock that includes time that the host was suspended.
 	Now func() time.Time
 }
 
+// RequestKind tells lease requests apart.
+type RequestKind string
+
+// The kinds of lease requests.
+const (
+	// Ask is a request to the coordinator.
+	Ask RequestKind = "ask"
+	// Retransmission repeats a request to the coordinator that has had no response.
+	Retransmission RequestKind = "retransmit"
+	// FallbackAsk is a request to an entry with a lower rank.
+	FallbackAsk RequestKind = "fallback"
+)
+
 // StatedLimit is the rate limit that a target has stated in a response.
 type StatedLimit struct {
 	// PerSecond is the number of requests per second.
@@ -92,33 +93,11 @@
 	mu            sync.Mutex
 	credits       map[string]*credit
 	lastID        uint32
+	lastSequence  uint64
 	pending       map[uint32]*pendingRequest
-	misses        map[netip.AddrPort]miss
 	reportedKnown reportedKnown
 }
 
-// pendingRequest is a lease request without a response.
-type pendingRequest struct {
-	key    string
-	to     netip.AddrPort
-	cost   float64
-	sentAt time.Time
-	// replies receives the response if a caller waits for it; nil otherwise.
-	replies chan reply
-}
-
-// reply is a response as received.
-type reply struct {
-	LeaseResponse
-	notCoordinator bool
-}
-
-// miss counts consecutive timeouts of requests to an entry.
-type miss struct {
-	count int
-	last  time.Time
-}
-
 // Open binds the listen address and returns a Limiter. The caller must run Serve.
 func Open(o Options) (*Limiter, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Listen))
@@ -133,7 +112,7 @@
 func newLimiter(o Options, transmit func([]byte, netip.AddrPort)) *Limiter {
 	l := &Limiter{
 		options: o, transmit: transmit, coordinator: NewCoordinator(defaultIdleTimeout), fallback: NewCoordinator(fallbackIdleTimeout), local: NewCoordinator(fallbackIdleTimeout),
-		credits: map[string]*credit{}, pending: map[uint32]*pendingRequest{}, misses: map[netip.AddrPort]miss{},
+		credits: map[string]*credit{}, pending: map[uint32]*pendingRequest{},
 	}
 	now := o.Now()
 	l.members.Store(&Members{Self: o.Listen, AsOf: now, StartedAt: now})
@@ -156,14 +135,10 @@
 	// HasAlternative is set if a refused request can go elsewhere. It does not wait for tokens, and
 	// its refusal applies for longer to others.
 	HasAlternative bool
-}
-
-// refusalCacheTime returns how long a refusal of the request applies to others at most.
-func (r *Request) refusalCacheTime() time.Duration {
-	if r.HasAlternative {
-		return alternativeCacheTime
-	}
-	return refusalCacheTime
+	// Urgency ranks the callers that wait for tokens; 0 is served first.
+	Urgency int
+	// Class identifies callers of the same kind. No class is starved by the others.
+	Class string
 }
 
 // Source identifies who decided on a request.
@@ -180,8 +155,10 @@
 	Fallback Source = "in_place"
 	// OwnShare means that the entry decided by its own share, because no entry responded.
 	OwnShare Source = "own_share"
-	// CachedRefusal means that another caller was refused a moment ago.
+	// CachedRefusal means that the entry refused the request by an earlier response.
 	CachedRefusal Source = "known_empty"
+	// Unanswered means that no response came in the time for which the request may wait.
+	Unanswered Source = "unanswered"
 )
 
 // Decision is the result of Admit.
@@ -192,8 +169,9 @@
 	Level float64
 	// RetryAfter is the time after which a refused request would be admitted.
 	RetryAfter time.Duration
-	// Took is the duration of the decision.
-	Took time.Duration
+	// Took is the duration of the decision. Waited is set if the request waited for tokens.
+	Took   time.Duration
+	Waited bool
 	// expiresAt is when tokens refunded to the leases expire.
 	expiresAt time.Time
 }
@@ -201,31 +179,68 @@
 // Admit takes a request's cost from its bucket, or refuses the request.
 func (l *Limiter) Admit(ctx context.Context, r Request) Decision {
 	start := l.options.Now()
-	d := l.admitLocally(r, start)
-	if d.Source == "" {
-		d = l.admitRemotely(ctx, r)
+	d, w := l.admitOrQueue(r, start)
+	if w != nil {
+		d = l.await(ctx, w)
+		d.Waited = true
 	}
 	d.Took = l.options.Now().Sub(start)
 	return d
 }
 
-// admitLocally decides by leased tokens and cached refusals. It returns a Decision without a
-// Source if these do not suffice.
-func (l *Limiter) admitLocally(r Request, now time.Time) Decision {
+// admitOrQueue decides by leased tokens and by what the last response said. If the decision takes a
+// lease request or more tokens it returns a waiter.
+func (l *Limiter) admitOrQueue(r Request, now time.Time) (Decision, *waiter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.credit(r.Key)
+	c.hasAlternative = r.HasAlternative
 	c.recordDemand(r.Cost, now)
-	if c.spend(r.Cost, now) {
-		if c.shouldLeaseAhead(now) {
-			l.leaseAhead(r.Key, c, now)
+	c.classes.arrive(&r, now)
+	if r.IsRetry {
+		c.booked.arrive(&r, now)
+	}
+	l.lastSequence++
+	w := &waiter{request: r, sequence: l.lastSequence, starved: c.classes.isStarved(r.Class), deadline: now.Add(r.maxWait())}
+	if c.mayUseLeases(w, now) && c.spend(r.Cost, now) {
+		c.recordServed(&r)
+		if c.requestDue(now) {
+			l.advance(r.Key, c, now)
 		}
-		return Decision{Admitted: true, Source: Leased, expiresAt: now.Add(leaseDuration / 2)}
+		return Decision{Admitted: true, Source: Leased, Level: c.level, expiresAt: now.Add(leaseDuration / 2)}, nil
+	}
+	if d, refused := c.refuseKnown(w, now); refused {
+		return d, nil
+	}
+	w.decided = make(chan Decision, 1)
+	if last := c.queue.add(w); last != nil {
+		last.decided <- c.refuse(last, c.forecast(last, c.queue.cost, now), CachedRefusal, now)
+	}
+	l.advance(r.Key, c, now)
+	return Decision{}, w
+}
+
+// await waits for the decision on a caller.
+func (l *Limiter) await(ctx context.Context, w *waiter) Decision {
+	timer := time.NewTimer(w.deadline.Sub(l.options.Now()))
+	defer timer.Stop()
+	select {
+	case d := <-w.decided:
+		return d
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	if !r.IsRetry && c.isRefused(r.Floor, now) {
-		return Decision{Source: CachedRefusal, RetryAfter: max(c.retryAt.Sub(now), minRetryDelay)}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case d := <-w.decided:
+		return d
+	default:
 	}
-	return Decision{}
+	now := l.options.Now()
+	c := l.credit(w.request.Key)
+	c.queue.remove(w)
+	return c.refuseLate(w, now)
 }
 
 // credit returns a bucket's credit, creating it if needed. The caller holds mu.
@@ -238,61 +253,10 @@
 	return c
 }
 
-// admitRemotely requests a decision from the coordinator, then from the entries with the next
-// ranks. If none responds it decides by the entry's own share.
-func (l *Limiter) admitRemotely(ctx context.Context, r Request) Decision {
-	ranked := l.members.Load().Ranked(r.Key, maxRanked)
-	for i, to := range ranked {
-		fallback, attempts := i > 0, 1
-		if !fallback {
-			attempts = coordinatorAttempts
-		}
-		for range attempts {
-			if resp, ok := l.requestLease(ctx, to, r, fallback); ok {
-				return l.waitOrDecide(ctx, r, resp, to, sourceOf(fallback))
-			}
-		}
-	}
-	now := l.options.Now()
-	share := localShare / float64(max(len(l.members.Load().Live), 1))
-	return l.decide(r, l.local.Handle(r.Key, l.self(), l.newRequest(r, now), r.Limit.Scaled(share), now, now), OwnShare)
-}
-
-func sourceOf(fallback bool) Source {
-	if fallback {
-		return Fallback
-	}
-	return Coordinated
-}
-
 func (l *Limiter) self() Holder {
 	return Holder{Address: l.options.Listen, Incarnation: l.options.Incarnation}
 }
 
-// waitOrDecide returns the decision for a response. If the retry delay is short it waits and
-// retries once on the caller's behalf.
-func (l *Limiter) waitOrDecide(ctx context.Context, r Request, resp LeaseResponse, from netip.AddrPort, source Source) Decision {
-	if resp.Admitted || r.HasAlternative || resp.RetryDelay > maxLocalWait || !sleep.For(ctx, resp.RetryDelay) {
-		return l.decide(r, resp, source)
-	}
-	r.IsRetry = true
-	second, ok := l.requestLease(ctx, from, r, source == Fallback)
-	if !ok {
-		return l.decide(r, resp, source)
-	}
-	return l.decide(r, second, source)
-}
-
-// decide returns the decision for a response, and records a refusal.
-func (l *Limiter) decide(r Request, resp LeaseResponse, source Source) Decision {
-	if !resp.Admitted {
-		l.mu.Lock()
-		l.credit(r.Key).recordRefusal(r.Floor, resp.RetryDelay, r.refusalCacheTime(), l.options.Now())
-		l.mu.Unlock()
-	}
-	return Decision{Admitted: resp.Admitted, Source: source, Level: resp.Level, RetryAfter: resp.RetryDelay}
-}
-
 // RefusedUntil returns until when a request with a floor would be refused without asking the
 // bucket's coordinator; ok is false if it may be admitted.
 func (l *Limiter) RefusedUntil(key string, floor float64) (until time.Time, ok bool) {
@@ -315,10 +279,10 @@
 	defer l.mu.Unlock()
 	c := l.credit(r.Key)
 	switch d.Source {
-	case Leased:
-		c.undoSpend(r.Cost, d.expiresAt)
-	case Coordinated:
-		c.refunded += r.Cost
+	case Leased, Coordinated:
+		if !c.undoSpend(r.Cost, d.expiresAt) {
+			c.refunded += r.Cost
+		}
 	}
 }
 
@@ -349,6 +313,7 @@
 	}
 	l.liveSince.Store(&m.AsOf)
 	l.coordinator.Retain(func(key string) bool { return m.Coordinator(key) == m.Self })
+	l.followCoordinators(m)
 }
 
 // sameEntries reports whether two lists without duplicates have the same entries.
--- a/internal/gateway/ratelimit/message.go
+++ b/internal/gateway/ratelimit/message.go
@@ -70,7 +70,7 @@
 	return &peerv1.RateAsk{
 		Need: encodeTokens(r.RequestCost), Want: encodeTokens(r.Ahead), Spent: encodeTokens(r.Spent), Returned: encodeTokens(r.Refunded), Extra: encodeTokens(r.Overdraft),
 		ComesBack: r.IsRetry, PatienceMs: encodeMs(r.MaxWait), InPlace: fallback,
-		FloorPermille: encodeFloor(r.Floor),
+		FloorPermille: encodeFloor(r.Floor), Demand: encodeTokens(r.Demand), Queued: encodeTokens(r.Queued), Admitted: r.Admitted, Refused: r.Refused,
 	}
 }
 
@@ -78,13 +78,14 @@
 	return LeaseRequest{
 		ID: id, RequestCost: decodeTokens(m.Need), Ahead: decodeTokens(m.Want), Spent: decodeTokens(m.Spent), Refunded: decodeTokens(m.Returned), Overdraft: decodeTokens(m.Extra),
 		IsRetry: m.ComesBack, MaxWait: decodeMs(m.PatienceMs), Floor: decodeFloor(m.FloorPermille),
+		Demand: decodeTokens(m.Demand), Queued: decodeTokens(m.Queued), Admitted: m.Admitted, Refused: m.Refused,
 	}
 }
 
 func encodeResponse(r LeaseResponse) *peerv1.RateAnswer {
-	return &peerv1.RateAnswer{Admitted: r.Admitted, Leased: encodeTokens(r.Leased), WaitMs: encodeMs(r.RetryDelay), Level: encodeTokens(r.Level)}
+	return &peerv1.RateAnswer{Admitted: r.Admitted, Leased: encodeTokens(r.Leased), WaitMs: encodeMs(r.RetryDelay), Level: encodeTokens(r.Level), NextMs: encodeMs(r.NextDelay), Rate: encodeTokens(r.Rate)}
 }
 
 func decodeResponse(id uint32, m *peerv1.RateAnswer) LeaseResponse {
-	return LeaseResponse{ID: id, Admitted: m.Admitted, Leased: decodeTokens(m.Leased), RetryDelay: decodeMs(m.WaitMs), Level: decodeTokens(m.Level)}
+	return LeaseResponse{ID: id, Admitted: m.Admitted, Leased: decodeTokens(m.Leased), RetryDelay: decodeMs(m.WaitMs), Level: decodeTokens(m.Level), NextDelay: decodeMs(m.NextMs), Rate: decodeTokens(m.Rate)}
 }
--- a/internal/gateway/ratelimit/overload_test.go
+++ b/internal/gateway/ratelimit/overload_test.go
@@ -219,6 +219,34 @@
 	}
 }
 
+// Guards against tokens that are kept for refused callers that never come back.
+func TestCallersThatDoNotRetryLeaveNoTokensUnused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond, duration, overload, minUse = 20, 3 * time.Second, 10, 0.9
+		f := newFleet(t, 2, Limit{PerSecond: perSecond, Burst: perSecond}, 4)
+		f.hasAlternative = false
+		f.run(400*time.Millisecond, skewedDemand(0, 0), noop)
+		admitted, n := 0, 0
+		f.run(duration, skewedDemand(0, 0), func(time.Duration) {
+			l := f.entries[n%2].limiter
+			if n++; n%(int(time.Second/simStep)/(overload*perSecond)) != 0 {
+				return
+			}
+			f.tasks.Go(func() {
+				if l.Admit(t.Context(), Request{Key: "w", Limit: f.limit, Cost: 1, MaxWait: 1600 * time.Millisecond}).Admitted {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					admitted++
+				}
+			})
+		})
+		if least := int(minUse * perSecond * duration.Seconds()); admitted < least {
+			t.Errorf("%d requests admitted, want at least %d", admitted, least)
+		}
+		t.Logf("%d requests admitted", admitted)
+	})
+}
+
 func replayOverload(t *testing.T, f *hostedFleet) {
 	const (
 		settle, duration = 2 * time.Second, 12 * time.Second
