--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -128,6 +128,8 @@
 	StreamStart(source string)
 	// RateLimit records whether a request was admitted, and the source of the decision.
 	RateLimitDecision(source string, admitted bool)
+	// RateLimitWait records how long a request waited for tokens of its workspace's rate limit.
+	RateLimitWait(d time.Duration)
 	// TargetLimitDecision records whether the rate limit of a target had room for a request, and
 	// the source of the decision.
 	TargetLimitDecision(source string, admitted bool)
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -51,6 +51,7 @@
 func (noMetrics) Resume()                                     {}
 func (noMetrics) StreamStart(string)                          {}
 func (noMetrics) RateLimitDecision(string, bool)              {}
+func (noMetrics) RateLimitWait(time.Duration)                 {}
 func (noMetrics) TargetLimitDecision(string, bool)            {}
 func (noMetrics) Detour(string)                               {}
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -35,6 +35,7 @@
 	l := &limits{state: p.state, entry: p.entry, port: address.Port(), startedAt: p.clock.Now(), seenIncarnations: map[netip.AddrPort]uint64{}}
 	l.limiter, err = ratelimit.Open(ratelimit.Options{
 		Listen: address, Incarnation: p.incarnation, LimitOf: l.limitOf, Stated: p.entry.statedLimit, Learn: p.entry.learnLimit, Now: p.clock.Now,
+		OnRequest: func(kind ratelimit.RequestKind) { p.metrics.RateLimitRequest(string(kind)) },
 	})
 	return l, err
 }
--- a/internal/gateway/ratelimit/coordinator.go
+++ b/internal/gateway/ratelimit/coordinator.go
@@ -156,11 +156,13 @@
 		return cached
 	}
 	h.recordSpent(req.Spent)
-	b.refill(limit, req.Refunded, now)
+	h.share.demand = req.Demand
+	totals := b.totals(now)
+	b.refill(limit, req.Refunded, totals.leased, now)
 	b.level -= req.Overdraft
 	b.requests.add(now)
 	if req.Demand > 0 {
-		resp := b.handleShared(h, req, limit, now)
+		resp := b.handleShared(h, req, totals, limit, now)
 		h.cacheResponse(resp)
 		return resp
 	}
@@ -173,34 +175,21 @@
 	}
 	resp.Level = b.level
 	if short := req.RequestCost > 0 && !resp.Admitted; short || b.requests.isHigh(now) {
-		resp.NextDelay = b.spacing(b.totals(now).holders)
+		resp.NextDelay = b.spacing(totals.holders)
 	}
 	h.cacheResponse(resp)
 	return resp
 }
 
-// refill adds refunds and what the rate has accrued since the last refill.
-func (b *bucket) refill(limit Limit, refunded float64, now time.Time) {
+// refill adds refunds and what the rate has accrued since the last refill, up to the bucket's capacity
+// less the tokens that are leased.
+func (b *bucket) refill(limit Limit, refunded, leased float64, now time.Time) {
 	accrued := limit.PerSecond * math.Max(now.Sub(b.refilledAt).Seconds(), 0)
-	b.level = math.Min(b.level+accrued+refunded, b.maxLevel(limit, now))
+	b.level = math.Min(b.level+accrued+refunded, limit.capacity()-leased)
 	b.queued = math.Max(b.queued-accrued, 0)
 	b.refilledAt = now
 }
 
-// maxLevel is the bucket's capacity less the tokens that are leased.
-func (b *bucket) maxLevel(limit Limit, now time.Time) float64 {
-	return limit.capacity() - b.leased(now)
-}
-
-// leased returns how many leased tokens entries may still use.
-func (b *bucket) leased(now time.Time) float64 {
-	sum := 0.0
-	for _, h := range b.holders {
-		sum += h.leased(now)
-	}
-	return sum
-}
-
 // admit takes a request's cost from the bucket, or returns the delay after which a retry would
 // be admitted.
 //
@@ -341,7 +330,7 @@
 	defer c.mu.Unlock()
 	var all []BucketStats
 	for key, b := range c.buckets {
-		all = append(all, BucketStats{Key: key, Level: b.level, Leased: b.leased(now), Holders: len(b.holders), Admitted: b.admitted, Refused: b.refused})
+		all = append(all, BucketStats{Key: key, Level: b.level, Leased: b.totals(now).leased, Holders: len(b.holders), Admitted: b.admitted, Refused: b.refused})
 	}
 	return all
 }
--- a/internal/gateway/ratelimit/credit.go
+++ b/internal/gateway/ratelimit/credit.go
@@ -133,6 +133,9 @@
 }
 
 func (c *credit) currentDemand(now time.Time) float64 {
+	if now.Equal(c.demandAt) {
+		return c.demand
+	}
 	return c.demand * math.Exp(-now.Sub(c.demandAt).Seconds()/demandWindow.Seconds())
 }
 
--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -201,23 +201,23 @@
 		c.booked.arrive(&r, now)
 	}
 	l.lastSequence++
-	w := &waiter{request: r, sequence: l.lastSequence, starved: c.classes.isStarved(r.Class), deadline: now.Add(r.maxWait())}
-	if c.mayUseLeases(w, now) && c.spend(r.Cost, now) {
+	w := waiter{request: r, sequence: l.lastSequence, starved: c.classes.isStarved(r.Class), deadline: now.Add(r.maxWait())}
+	if c.mayUseLeases(&w, now) && c.spend(r.Cost, now) {
 		c.recordServed(&r)
 		if c.requestDue(now) {
 			l.advance(r.Key, c, now)
 		}
 		return Decision{Admitted: true, Source: Leased, Level: c.level, expiresAt: now.Add(leaseDuration / 2)}, nil
 	}
-	if d, refused := c.refuseKnown(w, now); refused {
+	if d, refused := c.refuseKnown(&w, now); refused {
 		return d, nil
 	}
-	w.decided = make(chan Decision, 1)
-	if last := c.queue.add(w); last != nil {
+	queued := &waiter{request: r, sequence: w.sequence, starved: w.starved, deadline: w.deadline, decided: make(chan Decision, 1)}
+	if last := c.queue.add(queued); last != nil {
 		last.decided <- c.refuse(last, c.forecast(last, c.queue.cost, now), CachedRefusal, now)
 	}
 	l.advance(r.Key, c, now)
-	return Decision{}, w
+	return Decision{}, queued
 }
 
 // await waits for the decision on a caller.
--- a/internal/gateway/ratelimit/overload_test.go
+++ b/internal/gateway/ratelimit/overload_test.go
@@ -258,10 +258,14 @@
 	f.load(2*time.Second, 0)
 	f.load(4*time.Second, usualRate)
 	f.load(settle, overloadFactor*usualRate)
+	f.mu.Lock()
 	f.asks, f.messages, f.admitted, f.total, f.retried, f.served = 0, 0, [3]int{}, [3]int{}, 0, 0
+	f.mu.Unlock()
 	from := time.Since(f.start)
 	f.load(duration, overloadFactor*usualRate)
+	f.mu.Lock()
 	until, asks, messages := time.Since(f.start), f.asks, f.messages
+	f.mu.Unlock()
 	f.tasks.Wait()
 	f.checkUse(overloadLimit, 0)
 	sum := 0.0
--- a/internal/gateway/ratelimit/shares.go
+++ b/internal/gateway/ratelimit/shares.go
@@ -43,8 +43,12 @@
 	updatedAt time.Time
 }
 
-// bucketTotals are the sums over the entries that sent a request recently.
+// bucketTotals are the sums over a bucket's holders.
 type bucketTotals struct {
+	// leased is how many leased tokens entries may still use.
+	leased float64
+	// demand and holders are the sum of the demands and the number of the entries that sent a request
+	// recently.
 	demand  float64
 	holders int
 }
@@ -52,6 +56,9 @@
 func (b *bucket) totals(now time.Time) bucketTotals {
 	t := bucketTotals{}
 	for _, h := range b.holders {
+		if len(h.leases)+len(h.callerLeases) > 0 {
+			t.leased += h.leased(now)
+		}
 		if now.Sub(h.lastSeenAt) < activeTime {
 			t.holders++
 			t.demand += h.share.demand
@@ -72,11 +79,9 @@
 // While the bucket is short, each entry has a balance that grows in proportion to its demand. An entry
 // whose balance is positive gets the whole cost of its first caller and may be ahead of its share
 // afterwards. A large request therefore waits no longer than a small one.
-func (b *bucket) handleShared(h *holder, req LeaseRequest, limit Limit, now time.Time) LeaseResponse {
+func (b *bucket) handleShared(h *holder, req LeaseRequest, totals bucketTotals, limit Limit, now time.Time) LeaseResponse {
 	b.admitted += uint64(req.Admitted)
 	b.refused += uint64(req.Refused)
-	h.share.demand = req.Demand
-	totals := b.totals(now)
 	part := req.Demand / math.Max(totals.demand, req.Demand)
 	short := b.level < shortLevel*limit.capacity()
 	b.updateBalance(h, part, totals, short, limit, now)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,6 +36,8 @@
 	attributedCrashes  *prometheus.CounterVec
 	evictedSuspects    prometheus.Counter
 	rateLimitDecisions *prometheus.CounterVec
+	rateLimitRequests  *prometheus.CounterVec
+	rateLimitWait      prometheus.Histogram
 	invalidStatements  prometheus.Counter
 	targetLimits       *prometheus.CounterVec
 	detours            *prometheus.CounterVec
@@ -79,19 +81,23 @@
 		attributedCrashes:  counter("blamed_requests_total", "Target crashes attributed to a request, by source: this process (own) or a peer (told).", "word"),
 		evictedSuspects:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "suspects_evicted_total", Help: "Quarantine records evicted because the registry was full."}),
 		rateLimitDecisions: counter("rate_limit_decisions_total", "Rate limit decisions, by source and outcome.", "source", "outcome"),
-		invalidStatements:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_statements_refused_total", Help: "Statements of targets about their load that could not be used."}),
-		targetLimits:       counter("target_limit_decisions_total", "Decisions of the rate limits that targets state, by source and outcome.", "source", "outcome"),
-		detours:            counter("detours_total", "Sends for which a target was passed over that had asked for fewer requests, by reason.", "reason"),
-		weightsOrders:      counter("weights_orders_total", "Orders to load weights, by outcome.", "outcome"),
-		queueWaiting:       gauge("queue_waiting", "Requests waiting at this sidecar."),
-		queueRunning:       gauge("queue_running", "Requests running at this sidecar's target."),
-		indexBlocks:        gauge("index_blocks", "Blocks in the prefix index."),
-		eventGaps:          gauge("event_gaps", "Gaps detected in the engine's event stream."),
-		configVersion:      gauge("config_version", "Version of the configuration in force."),
+		rateLimitRequests:  counter("rate_limit_requests_total", "Lease requests sent for rate limits, by kind.", "kind"),
+		rateLimitWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "toucanwell", Name: "rate_limit_wait_seconds", Help: "Time for which requests waited for tokens of their workspace's rate limit.", Buckets: ttftBuckets,
+		}),
+		invalidStatements: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_statements_refused_total", Help: "Statements of targets about their load that could not be used."}),
+		targetLimits:      counter("target_limit_decisions_total", "Decisions of the rate limits that targets state, by source and outcome.", "source", "outcome"),
+		detours:           counter("detours_total", "Sends for which a target was passed over that had asked for fewer requests, by reason.", "reason"),
+		weightsOrders:     counter("weights_orders_total", "Orders to load weights, by outcome.", "outcome"),
+		queueWaiting:      gauge("queue_waiting", "Requests waiting at this sidecar."),
+		queueRunning:      gauge("queue_running", "Requests running at this sidecar's target."),
+		indexBlocks:       gauge("index_blocks", "Blocks in the prefix index."),
+		eventGaps:         gauge("event_gaps", "Gaps detected in the engine's event stream."),
+		configVersion:     gauge("config_version", "Version of the configuration in force."),
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.recomputedTokens,
 		m.retries, m.resumes, m.streamStarts, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
-		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.invalidStatements, m.targetLimits, m.detours)
+		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.rateLimitRequests, m.rateLimitWait, m.invalidStatements, m.targetLimits, m.detours)
 	return m
 }
 
@@ -134,6 +140,12 @@
 	m.rateLimitDecisions.WithLabelValues(source, admission(admitted)).Inc()
 }
 
+// RateLimitRequest counts a lease request that is sent for a rate limit.
+func (m *Metrics) RateLimitRequest(kind string) { m.rateLimitRequests.WithLabelValues(kind).Inc() }
+
+// RateLimitWait records how long a request waited for tokens.
+func (m *Metrics) RateLimitWait(d time.Duration) { m.rateLimitWait.Observe(d.Seconds()) }
+
 // TargetLimitDecision counts a decision of the rate limit that a target states.
 func (m *Metrics) TargetLimitDecision(source string, admitted bool) {
 	m.targetLimits.WithLabelValues(source, admission(admitted)).Inc()
