--- a/internal/metrics/queue.go
+++ b/internal/metrics/queue.go
@@ -9,12 +9,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// queueMetrics are the metrics of an entry's queue and of what it asks of rate limits.
+// queueMetrics are the metrics of the decisions of an entry's queue.
 type queueMetrics struct {
-	queueWait         *prometheus.HistogramVec
-	queueRefusals     *prometheus.CounterVec
-	rateLimitRequests *prometheus.CounterVec
-	rateLimitWait     prometheus.Histogram
+	queueWait     *prometheus.HistogramVec
+	queueRefusals *prometheus.CounterVec
 }
 
 func newQueueMetrics(registry *prometheus.Registry) queueMetrics {
@@ -25,14 +23,8 @@
 		queueRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "toucanwell", Name: "queue_refusals_total", Help: "Requests that the queue refused, by reason.",
 		}, []string{"service", "reason"}),
-		rateLimitRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "toucanwell", Name: "rate_limit_requests_total", Help: "Lease requests sent to other entries, by kind: ask, retransmit or fallback.",
-		}, []string{"kind"}),
-		rateLimitWait: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Namespace: "toucanwell", Name: "rate_limit_wait_seconds", Help: "Time that requests waited for tokens of their rate limit, admitted or not.", Buckets: ttftBuckets,
-		}),
 	}
-	registry.MustRegister(m.queueWait, m.queueRefusals, m.rateLimitRequests, m.rateLimitWait)
+	registry.MustRegister(m.queueWait, m.queueRefusals)
 	return m
 }
 
@@ -46,12 +38,6 @@
 	m.queueRefusals.WithLabelValues(service, reason).Inc()
 }
 
-// RateLimitRequest counts a lease request sent to another entry.
-func (m *queueMetrics) RateLimitRequest(kind string) { m.rateLimitRequests.WithLabelValues(kind).Inc() }
-
-// RateLimitWait records how long a request waited for tokens.
-func (m *queueMetrics) RateLimitWait(d time.Duration) { m.rateLimitWait.Observe(d.Seconds()) }
-
 // QueueState is the queue of a service at the time of a scrape.
 type QueueState struct {
 	Service         string
