--- a/internal/gateway/queue/queue_test.go
+++ b/internal/gateway/queue/queue_test.go
@@ -331,6 +331,33 @@
 	expect(t, "first", serve(q, at(2500), 1), []uint64{3002})
 }
 
+// Guards against requests that wait for events that are late by a second, such as heartbeats.
+func TestTurnsWithoutEvents(t *testing.T) {
+	for _, probed := range []bool{false, true} {
+		q := New(Policy{})
+		for i := range 10 {
+			it := item(uint64(i+1), 0)
+			it.Probed = probed
+			add(t, q, it)
+		}
+		placed := 0
+		for ms := 1; ms <= 1000; ms++ {
+			turns, _ := q.Tick(at(ms))
+			for i := 0; len(turns) > 0; i++ {
+				if i == 0 && ms > 500 { // one slot becomes free at a time
+					_, turns = q.Placed(turns[0], at(ms))
+					placed++
+				} else {
+					_, turns = q.Failed(turns[0], at(ms))
+				}
+			}
+		}
+		if want := 5; placed < want {
+			t.Errorf("probed %v: %d placed in half a second without events, want at least %d", probed, placed, want)
+		}
+	}
+}
+
 // Guards against decisions that depend on a clock without jumps.
 func TestClockJumps(t *testing.T) {
 	for _, jump := range []int{-3_600_000, 3_600_000} {
