Queue: bounded wait without a forecast; tests of observers, settings and probes

Cause: a caller without a deadline waited 40 s, a third of the default timeout, for a service without targets. Change: without a forecast a request waits at most 5 s and at most a third of its time. Tests for the observer, for a queue that is disabled while requests wait, and for prompts that wait where sidecars are probed.

--- a/internal/gateway/forward/queued_test.go
+++ b/internal/gateway/forward/queued_test.go
@@ -96,11 +96,29 @@
 	return byStatus
 }
 
+// countingObserver counts decisions. It reads the statistics, as a metrics collector may.
+type countingObserver struct {
+	env                           *testEnv
+	queued, placed, refused, left atomic.Int32
+}
+
+func (o *countingObserver) count(n *atomic.Int32) {
+	n.Add(1)
+	o.env.QueueStats()
+}
+
+func (o *countingObserver) Queued(queue.Item, queue.Decision)   { o.count(&o.queued) }
+func (o *countingObserver) Placed(queue.Placement)              { o.count(&o.placed) }
+func (o *countingObserver) Refused(queue.Refusal)               { o.count(&o.refused) }
+func (o *countingObserver) Left(it queue.Item, _ time.Duration) { o.count(&o.left) }
+
 // Guards against prompts that are refused although they would fit soon, and against waiting requests that
 // are not woken by the end of others: the engine holds only some of them at once.
 func TestWaitingPromptsAreServedInTurn(t *testing.T) {
 	tg := startStreamTarget(t, "i1")
 	env, free := newQueuedEnv(t, queue.Policy{}, tg)
+	observer := &countingObserver{env: env}
+	env.waitingRoom.observer = observer
 	outcomes := env.prompts(t, context.Background(), 200)
 	await(t, "all wait", func() bool { return env.waitingRequests() == 200 })
 	if got := tg.runs.Load(); got != 0 {
@@ -110,6 +128,22 @@
 	if got := collect(t, outcomes, 200); got[http.StatusOK] != 200 || tg.runs.Load() != 200 {
 		t.Errorf("outcomes %v, %d runs", got, tg.runs.Load())
 	}
+	if q, p := observer.queued.Load(), observer.placed.Load(); q != 200 || p != 200 || observer.refused.Load() != 0 || observer.left.Load() != 0 {
+		t.Errorf("observed: %d queued, %d placed, %d refused, %d left", q, p, observer.refused.Load(), observer.left.Load())
+	}
+}
+
+// Guards against refusals that are caused by a change of the settings.
+func TestQueueIsDisabledWhileRequestsWait(t *testing.T) {
+	tg := startStreamTarget(t, "i1")
+	env, _ := newQueuedEnv(t, queue.Policy{}, tg)
+	outcomes := env.prompts(t, context.Background(), 20)
+	await(t, "all wait", func() bool { return env.waitingRequests() == 20 })
+	env.ConfigureQueue(&queue.Policy{MaxRequests: 5})
+	env.ConfigureQueue(nil) // without the queue there is no bound on memory
+	if got := collect(t, outcomes, 20); got[http.StatusOK] != 20 {
+		t.Errorf("outcomes %v", got)
+	}
 }
 
 // Guards against sends for callers that have disconnected, and against places in the queue that are never
@@ -202,3 +236,23 @@
 		t.Errorf("outcomes %v, %d runs", got, tg.runs.Load())
 	}
 }
+
+// Guards against prompts that are never tried again where sidecars are probed and nothing announces that an
+// engine has room.
+func TestWaitingPromptsProbeAgain(t *testing.T) {
+	tg := startStreamTarget(t, "i1")
+	env, sidecars := newProbedEnv(t, tg)
+	env.ConfigureQueue(&queue.Policy{})
+	route := env.view.Estate.Match(host, "/prompt/x")
+	route.Priority, route.Timeout = 1, 30*time.Second
+	room := sidecars.responses[addressOf(tg)]
+	full := room
+	full.Work = ledger.Work{Running: 1, Memory: ledger.AtPriority(1, 95_000)}
+	sidecars.setResponse(addressOf(tg), full)
+	outcomes := env.prompts(t, context.Background(), 10)
+	await(t, "all wait", func() bool { return env.waitingRequests() == 10 })
+	sidecars.setResponse(addressOf(tg), room)
+	if got := collect(t, outcomes, 10); got[http.StatusOK] != 10 || tg.runs.Load() != 10 {
+		t.Errorf("outcomes %v, %d runs", got, tg.runs.Load())
+	}
+}
--- a/internal/gateway/queue/forecast.go
+++ b/internal/gateway/queue/forecast.go
@@ -152,11 +152,26 @@
 	if o.wait != Unknown && now.Add(o.wait).After(latest) {
 		return time.Time{}, TooLate
 	}
-	if o.wait == Unknown && !now.Before(e.queuedAt.Add(e.Deadline.Sub(e.queuedAt)/3)) && e.canRetry(now) {
-		return time.Time{}, NoForecast
+	if o.wait == Unknown && e.canRetry(now) {
+		end := e.queuedAt.Add(min(e.Deadline.Sub(e.queuedAt)/3, maxUnknownWait))
+		if !now.Before(end) {
+			return time.Time{}, NoForecast
+		}
+		again = minTime(again, end)
 	}
 	return again, ""
 }
 
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// maxUnknownWait is the longest wait while nothing is known about when requests are placed. Loads of
+// weights take less; callers without a deadline would otherwise wait 40 s for a service without targets.
+const maxUnknownWait = 5 * time.Second
+
 // minAssessment is the least time between two assessments of an entry.
 const minAssessment = 20 * time.Millisecond
--- a/internal/gateway/queue/queue_test.go
+++ b/internal/gateway/queue/queue_test.go
@@ -292,7 +292,8 @@
 	it.Deadline, it.ExpectedRun = at(9000), time.Second
 	hopeless := item(2, 0) // too late for a retry anyway: it is held as long as it can be served
 	hopeless.Deadline, hopeless.ExpectedRun = at(3000), 2500*time.Millisecond
-	add(t, q, it, hopeless)
+	patient := item(3, 0)
+	add(t, q, it, hopeless, patient)
 	expect(t, "next check", q.checks.items[0].checkAt, at(500))
 	refused := q.Expire(at(500))
 	if len(refused) != 1 || refused[0].Item.ID != 2 || refused[0].Reason != TooLate {
@@ -302,6 +303,9 @@
 	if refused = q.Expire(at(3001)); len(refused) != 1 || refused[0].Reason != NoForecast {
 		t.Errorf("%+v", refused)
 	}
+	if refused = q.Expire(at(5000)); len(refused) != 1 || refused[0].Item.ID != 3 {
+		t.Errorf("%+v", refused)
+	}
 }
 
 // Guards against refused callers that all return at the same time or early.
