--- a/internal/gateway/queue/queue_test.go
+++ b/internal/gateway/queue/queue_test.go
@@ -292,7 +292,8 @@
 	it.Deadline, it.ExpectedRun = at(9000), time.Second
 	hopeless := item(2, 0) // too late for a retry anyway: it is held as long as it can be served
 	hopeless.Deadline, hopeless.ExpectedRun = at(3000), 2500*time.Millisecond
-	add(t, q, it, hopeless)
+	patient := item(3, 0)
+	add(t, q, it, hopeless, patient)
 	expect(t, "next check", q.checks.items[0].checkAt, at(500))
 	refused := q.Expire(at(500))
 	if len(refused) != 1 || refused[0].Item.ID != 2 || refused[0].Reason != TooLate {
@@ -302,6 +303,9 @@
 	if refused = q.Expire(at(3001)); len(refused) != 1 || refused[0].Reason != NoForecast {
 		t.Errorf("%+v", refused)
 	}
+	if refused = q.Expire(at(5000)); len(refused) != 1 || refused[0].Item.ID != 3 {
+		t.Errorf("%+v", refused)
+	}
 }
 
 // Guards against refused callers that all return at the same time or early.
@@ -331,6 +335,33 @@
 	expect(t, "first", serve(q, at(2500), 1), []uint64{3002})
 }
 
+// Guards against requests that wait for events that are late by a second, such as heartbeats.
+func TestTurnsWithoutEvents(t *testing.T) {
+	for _, probed := range []bool{false, true} {
+		q := New(Policy{})
+		for i := range 10 {
+			it := item(uint64(i+1), 0)
+			it.Probed = probed
+			add(t, q, it)
+		}
+		placed := 0
+		for ms := 1; ms <= 1000; ms++ {
+			turns, _ := q.Tick(at(ms))
+			for i := 0; len(turns) > 0; i++ {
+				if i == 0 && ms > 500 { // one slot becomes free at a time
+					_, turns = q.Placed(turns[0], at(ms))
+					placed++
+				} else {
+					_, turns = q.Failed(turns[0], at(ms))
+				}
+			}
+		}
+		if want := 5; placed < want {
+			t.Errorf("probed %v: %d placed in half a second without events, want at least %d", probed, placed, want)
+		}
+	}
+}
+
 // Guards against decisions that depend on a clock without jumps.
 func TestClockJumps(t *testing.T) {
 	for _, jump := range []int{-3_600_000, 3_600_000} {
