--- a/api/admin/oas/oas_json_gen.go
+++ b/api/admin/oas/oas_json_gen.go
@@ -873,6 +873,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes float64 as json.
+func (o OptFloat64) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Float64(float64(o.Value))
+}
+
+// Decode decodes float64 from json.
+func (o *OptFloat64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptFloat64 to nil")
+	}
+	o.Set = true
+	v, err := d.Float64()
+	if err != nil {
+		return err
+	}
+	o.Value = float64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptFloat64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptFloat64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int64 as json.
 func (o OptInt64) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1266,13 +1301,19 @@
 		e.FieldStart("running")
 		e.Int(s.Running)
 	}
+	{
+		if s.Factor.Set {
+			e.FieldStart("factor")
+			s.Factor.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("weights")
 		e.Int64(s.Weights)
 	}
 }
 
-var jsonFieldsNameOfPlacementCandidate = [13]string{
+var jsonFieldsNameOfPlacementCandidate = [14]string{
 	0:  "target",
 	1:  "availability_zone",
 	2:  "address",
@@ -1285,7 +1326,8 @@
 	9:  "held",
 	10: "fetched",
 	11: "running",
-	12: "weights",
+	12: "factor",
+	13: "weights",
 }
 
 // Decode decodes PlacementCandidate from json.
@@ -1446,8 +1488,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"running\"")
 			}
+		case "factor":
+			if err := func() error {
+				s.Factor.Reset()
+				if err := s.Factor.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"factor\"")
+			}
 		case "weights":
-			requiredBitSet[1] |= 1 << 4
+			requiredBitSet[1] |= 1 << 5
 			if err := func() error {
 				v, err := d.Int64()
 				s.Weights = int64(v)
@@ -1469,7 +1521,7 @@
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
 		0b11100111,
-		0b00011111,
+		0b00101111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/admin/oas/oas_schemas_gen.go
+++ b/api/admin/oas/oas_schemas_gen.go
@@ -299,6 +299,52 @@
 	s.Workspaces = val
 }
 
+// NewOptFloat64 returns new OptFloat64 with value set to v.
+func NewOptFloat64(v float64) OptFloat64 {
+	return OptFloat64{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptFloat64 is optional float64.
+type OptFloat64 struct {
+	Value float64
+	Set   bool
+}
+
+// IsSet returns true if OptFloat64 was set.
+func (o OptFloat64) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptFloat64) Reset() {
+	var v float64
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptFloat64) SetTo(v float64) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptFloat64) Get() (v float64, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptFloat64) Or(d float64) float64 {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt returns new OptInt with value set to v.
 func NewOptInt(v int) OptInt {
 	return OptInt{
@@ -592,7 +638,9 @@
 	Held    int      `json:"held"`
 	Fetched int      `json:"fetched"`
 	Running int      `json:"running"`
-	Weights int64    `json:"weights"`
+	// Time that the target takes relative to a usual one, as the decision uses it.
+	Factor  OptFloat64 `json:"factor"`
+	Weights int64      `json:"weights"`
 }
 
 // GetTarget returns the value of Target.
@@ -655,6 +703,11 @@
 	return s.Running
 }
 
+// GetFactor returns the value of Factor.
+func (s *PlacementCandidate) GetFactor() OptFloat64 {
+	return s.Factor
+}
+
 // GetWeights returns the value of Weights.
 func (s *PlacementCandidate) GetWeights() int64 {
 	return s.Weights
@@ -720,6 +773,11 @@
 	s.Running = val
 }
 
+// SetFactor sets the value of Factor.
+func (s *PlacementCandidate) SetFactor(val OptFloat64) {
+	s.Factor = val
+}
+
 // SetWeights sets the value of Weights.
 func (s *PlacementCandidate) SetWeights(val int64) {
 	s.Weights = val
--- a/api/admin/oas/oas_validators_gen.go
+++ b/api/admin/oas/oas_validators_gen.go
@@ -255,6 +255,24 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.Factor.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "factor",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
--- a/cmd/toucanwell/route.go
+++ b/cmd/toucanwell/route.go
@@ -60,15 +60,15 @@
 		fmt.Printf("would be refused with %s: %s\n", refusal, p.Detail.Or(""))
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "\tTARGET\tZONE\tCOST\tWAIT MS\tREAD MS\tFETCH MS\tHELD\tFETCHED\tRUNNING\tWEIGHTS\tREMARKS")
+	fmt.Fprintln(w, "\tTARGET\tZONE\tCOST\tWAIT MS\tREAD MS\tFETCH MS\tHELD\tFETCHED\tRUNNING\tFACTOR\tWEIGHTS\tREMARKS")
 	for _, c := range p.Candidates {
 		chosen := ""
 		if c.Target == p.Chosen.Or("") {
 			chosen = "->"
 		}
 		remarks := strings.Join(append(c.Marks, c.Filtered.Or("")), ", ")
-		fmt.Fprintf(w, "%s\t%s\t%s\t%.0f\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t%s\n", chosen, c.Target, c.AvailabilityZone, c.Cost,
-			c.WaitMs, c.ReadMs, c.FetchMs, c.Held, c.Fetched, c.Running, c.Weights, strings.TrimSuffix(remarks, ", "))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.0f\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t%.2f\t%d\t%s\n", chosen, c.Target, c.AvailabilityZone, c.Cost,
+			c.WaitMs, c.ReadMs, c.FetchMs, c.Held, c.Fetched, c.Running, c.Factor.Or(1), c.Weights, strings.TrimSuffix(remarks, ", "))
 	}
 	return w.Flush()
 }
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -160,6 +160,9 @@
 	milliseconds := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 	c.Cost, c.WaitMs, c.ReadMs, c.FetchMs = r.Cost, milliseconds(r.Choice.Wait), milliseconds(r.Choice.Prefill), milliseconds(r.Choice.Fetch)
 	c.Held, c.Fetched, c.Running, c.Weights = r.Choice.CachedTokens, r.Choice.FetchedTokens, candidate.Work.Running, candidate.Version
+	if candidate.Slowdown > 0 {
+		c.Factor = oas.NewOptFloat64(candidate.Slowdown)
+	}
 	if r.FilterReason != "" {
 		c.Filtered = oas.NewOptString(r.FilterReason)
 	}
