Rate limits: retries at the next turn of an entry, and behind more urgent callers

The forecast for a caller now counts the callers that will retry by rank, separately for those that were refused twice, and the use by more urgent newcomers. Where lease requests are rare, callers are told to come back shortly before the next one. The replay now also covers callers of different urgencies, and checks that retries as told are served.

--- a/internal/gateway/ratelimit/credit.go
+++ b/internal/gateway/ratelimit/credit.go
@@ -53,9 +53,10 @@
 	requestedAt, lastUsedAt time.Time
 
 	// queue has the callers that wait for tokens, booked those that will retry.
-	queue   waitQueue
-	booked  bookings
-	classes classCounts
+	queue     waitQueue
+	booked    bookings
+	classes   classCounts
+	newcomers newcomerUse
 	// admitted and refused count the decisions since the last lease request.
 	admitted, refused uint32
 	// hasAlternative is set if the last caller could go elsewhere.
--- a/internal/gateway/ratelimit/forecast.go
+++ b/internal/gateway/ratelimit/forecast.go
@@ -12,12 +12,17 @@
 	// returnReserve is the tokens, as time at the entry's rate, that are kept for callers that were
 	// told when to retry. Those that go elsewhere leave no more than that unused.
 	returnReserve = 300 * time.Millisecond
-	// bookedUrgencies is how many urgencies are told apart among the callers that will retry.
-	bookedUrgencies = 8
+	// bookedRanks is how many ranks are told apart among the callers that will retry: one for those of
+	// starved classes, the others for urgencies.
+	bookedRanks = 9
 	// maxBookings bounds the callers that are expected to retry.
 	maxBookings = 2000
 	// bookingTolerance is by how much callers may miss the time that they were told.
 	bookingTolerance = 200 * time.Millisecond
+	// newcomerWindow is the time constant of the use by newcomers. minRateShare is the share of the rate
+	// on which a caller can count whatever more urgent ones use: some of its class are always served.
+	newcomerWindow = 2 * time.Second
+	minRateShare   = 0.1
 	// missedWeight is the weight of one caller in the share of callers that don't come back. That
 	// share is known after about a second at ten callers a second.
 	missedWeight = 1.0 / 8
@@ -25,15 +30,28 @@
 	// wait for callers that have not come back yet, the former as a multiple of the spacing.
 	idleSpacings = 2
 	minIdleTime  = 100 * time.Millisecond
+	// turnMargin is how long before a lease request callers are told to retry. It covers the jitter of
+	// their delay and the time at a busy host, and is less than they wait.
+	turnMargin = 100 * time.Millisecond
 )
 
+// rank returns the rank of a caller among those that will retry; 0 is served first.
+func (w *waiter) rank() int {
+	if w.starved {
+		return 0
+	}
+	return min(max(w.request.Urgency, 0)+1, bookedRanks-1)
+}
+
 // bookings are the refused callers that are expected to retry.
 type bookings struct {
-	// list is in the order in which the callers were refused; cost has its sums by urgency.
+	// list is in the order in which the callers were refused.
 	list []booking
-	cost [bookedUrgencies]float64
-	// missed is the recent share of callers that have not come back in time.
-	missed float64
+	// cost has the sums by rank, missed the recent share of callers that have not come back in
+	// time. Both are kept for callers that were refused once and for those refused again, who are
+	// less likely to come back.
+	cost   [2][bookedRanks]float64
+	missed [2]float64
 }
 
 // booking is one refused caller that is expected to retry.
@@ -41,26 +59,30 @@
 	due     time.Time
 	cost    float64
 	urgency int
+	rank    int
+	// refusals is 0 for a caller that was refused once, 1 for one refused again.
+	refusals int
 }
 
-func bookedUrgency(urgency int) int { return min(max(urgency, 0), bookedUrgencies-1) }
-
 // add books a caller that will retry at a time.
-func (b *bookings) add(r *Request, due time.Time) {
+func (b *bookings) add(w *waiter, due time.Time) {
 	if len(b.list) == maxBookings {
 		b.removeAt(0)
 	}
-	added := booking{due: due, cost: r.Cost, urgency: bookedUrgency(r.Urgency)}
+	added := booking{due: due, cost: w.request.Cost, urgency: w.request.Urgency, rank: w.rank()}
+	if w.request.IsRetry {
+		added.refusals = 1
+	}
 	b.list = append(b.list, added)
-	b.cost[added.urgency] += added.cost
+	b.cost[added.refusals][added.rank] += added.cost
 }
 
 // arrive removes the booking of a caller that retries, if there is one.
 func (b *bookings) arrive(r *Request, now time.Time) {
 	for i, o := range b.list {
-		if o.cost == r.Cost && o.urgency == bookedUrgency(r.Urgency) && !o.due.After(now.Add(bookingTolerance)) {
+		if o.cost == r.Cost && o.urgency == r.Urgency && !o.due.After(now.Add(bookingTolerance)) {
 			b.removeAt(i)
-			b.missed -= b.missed * missedWeight
+			b.missed[o.refusals] -= b.missed[o.refusals] * missedWeight
 			return
 		}
 	}
@@ -70,27 +92,60 @@
 // earlier may be removed late.
 func (b *bookings) expire(now time.Time) {
 	for len(b.list) > 0 && now.Sub(b.list[0].due) > bookingTolerance {
+		missed := &b.missed[b.list[0].refusals]
+		*missed += (1 - *missed) * missedWeight
 		b.removeAt(0)
-		b.missed += (1 - b.missed) * missedWeight
 	}
 }
 
 func (b *bookings) removeAt(i int) {
 	removed := b.list[i]
 	b.list = slices.Delete(b.list, i, i+1)
-	b.cost[removed.urgency] -= removed.cost
+	b.cost[removed.refusals][removed.rank] -= removed.cost
 	if len(b.list) == 0 {
-		b.cost = [bookedUrgencies]float64{}
+		b.cost = [2][bookedRanks]float64{}
+	}
+}
+
+// before returns the expected cost of the callers that precede newcomers of a rank.
+func (b *bookings) before(rank int) float64 {
+	sum := 0.0
+	for refusals, costs := range b.cost {
+		for _, cost := range costs[:rank+1] {
+			sum += cost * (1 - b.missed[refusals])
+		}
 	}
+	return sum
 }
 
-// before returns the expected cost of the callers that precede newcomers of an urgency.
-func (b *bookings) before(urgency int) float64 {
+// newcomerUse is the recent use by callers that were not refused before, in tokens per second by
+// rank. Callers of lower ranks can't count on these tokens.
+type newcomerUse struct {
+	perSecond [bookedRanks]float64
+	at        time.Time
+}
+
+func (u *newcomerUse) add(w *waiter, now time.Time) {
+	if w.request.IsRetry {
+		return
+	}
+	if elapsed := now.Sub(u.at); elapsed > 0 {
+		factor := math.Exp(-elapsed.Seconds() / newcomerWindow.Seconds())
+		for i := range u.perSecond {
+			u.perSecond[i] *= factor
+		}
+		u.at = now
+	}
+	u.perSecond[w.rank()] += w.request.Cost / newcomerWindow.Seconds()
+}
+
+// before returns the use by callers of higher ranks.
+func (u *newcomerUse) before(rank int, now time.Time) float64 {
 	sum := 0.0
-	for _, cost := range b.cost[:bookedUrgency(urgency)+1] {
-		sum += cost
+	for _, perSecond := range u.perSecond[:rank] {
+		sum += perSecond
 	}
-	return sum * (1 - b.missed)
+	return sum * math.Exp(-now.Sub(u.at).Seconds()/newcomerWindow.Seconds())
 }
 
 // currentRate returns the rate at which the entry gets tokens; zero if the bucket is not known to be
@@ -113,15 +168,16 @@
 	before -= c.available(now)
 	if c.isHeldBack(w, now) {
 		c.booked.expire(now)
-		before += c.booked.before(w.request.Urgency)
+		before += c.booked.before(w.rank())
 	}
+	rate = math.Max(rate-c.newcomers.before(w.rank(), now), minRateShare*rate)
 	return wait + Limit{PerSecond: rate}.refillTime(before)
 }
 
 // isHeldBack reports whether a caller comes after those that will retry. It does not if no tokens have
 // been requested for some time although that is allowed: the others have not come back.
 func (c *credit) isHeldBack(w *waiter, now time.Time) bool {
-	return !w.request.IsRetry && !w.starved && now.Sub(c.requestedAt) < max(idleSpacings*c.spacing, minIdleTime)
+	return !w.request.IsRetry && now.Sub(c.requestedAt) < max(idleSpacings*c.spacing, minIdleTime)
 }
 
 // mayUseLeases reports whether a caller may use leased tokens before it waits: no other precedes it, and
@@ -133,21 +189,32 @@
 	reserve := 0.0
 	if rate := c.currentRate(now); rate > 0 && c.isHeldBack(w, now) {
 		c.booked.expire(now)
-		reserve = math.Min(c.booked.before(w.request.Urgency), rate*returnReserve.Seconds())
+		reserve = math.Min(c.booked.before(w.rank()), rate*returnReserve.Seconds())
 	}
 	return reserve == 0 || c.available(now) >= w.request.Cost+reserve
 }
 
 // refuse returns the refusal of a caller and books its retry.
 func (c *credit) refuse(w *waiter, delay time.Duration, source Source, now time.Time) Decision {
-	delay = min(max(delay, minRetryDelay), maxRetryDelay)
+	delay = min(max(c.nextTurn(delay, now), minRetryDelay), maxRetryDelay)
 	if delay <= w.request.MaxWait && c.currentRate(now) > 0 {
-		c.booked.add(&w.request, now.Add(delay))
+		c.booked.add(w, now.Add(delay))
 	}
 	c.refused++
 	return Decision{Source: source, Level: c.level, RetryAfter: delay}
 }
 
+// nextTurn returns the time shortly before the first lease request that is allowed after a delay. Where
+// requests are rare, a caller that comes between two of them could not wait for the next.
+func (c *credit) nextTurn(delay time.Duration, now time.Time) time.Duration {
+	hold := max(c.nextRequestAt.Sub(now), 0)
+	if c.spacing <= maxTokenWait || delay < hold || c.currentRate(now) <= 0 {
+		return delay
+	}
+	turns := math.Ceil(float64(delay-hold) / float64(c.spacing))
+	return hold + time.Duration(turns*float64(c.spacing)) - turnMargin
+}
+
 // refuseKnown refuses a caller that can't be served in the time for which it may wait.
 func (c *credit) refuseKnown(w *waiter, now time.Time) (Decision, bool) {
 	if w.request.HasAlternative && c.isRefused(w.request.Floor, now) {
@@ -171,14 +238,17 @@
 func (c *credit) serve(source Source, now time.Time) {
 	for w := c.queue.first(); w != nil && c.spend(w.request.Cost, now); w = c.queue.first() {
 		c.queue.removeAt(0)
-		c.recordServed(&w.request)
+		c.recordServed(w, now)
 		w.decided <- Decision{Admitted: true, Source: source, Level: c.level, expiresAt: now.Add(leaseDuration / 2)}
 	}
 }
 
-func (c *credit) recordServed(r *Request) {
+func (c *credit) recordServed(w *waiter, now time.Time) {
 	c.admitted++
-	c.classes.serve(r)
+	if c.currentRate(now) > 0 {
+		c.newcomers.add(w, now)
+	}
+	c.classes.serve(&w.request)
 }
 
 // refuseHopeless refuses the waiting callers that can't be served in time after a response.
--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -203,7 +203,7 @@
 	l.lastSequence++
 	w := waiter{request: r, sequence: l.lastSequence, starved: c.classes.isStarved(r.Class), deadline: now.Add(r.maxWait())}
 	if c.mayUseLeases(&w, now) && c.spend(r.Cost, now) {
-		c.recordServed(&r)
+		c.recordServed(&w, now)
 		if c.requestDue(now) {
 			l.advance(r.Key, c, now)
 		}
--- a/internal/gateway/ratelimit/overload_test.go
+++ b/internal/gateway/ratelimit/overload_test.go
@@ -51,6 +51,8 @@
 	hosts []*simHost
 	// weights are the entries' shares of the arrivals.
 	weights []float64
+	// urgencies are those of the classes.
+	urgencies [3]int
 	// asks counts lease requests that arrive at the coordinator, drops the datagrams dropped.
 	asks, drops     int
 	admitted, total [3]int
@@ -130,7 +132,7 @@
 // call sends a caller's request to an entry; the caller retries once as told.
 func (f *hostedFleet) call(entry, class int) {
 	c := callerClasses[class]
-	r := Request{Key: "w", Limit: overloadLimit, Cost: c.cost, MaxWait: callerMaxWait}
+	r := Request{Key: "w", Limit: overloadLimit, Cost: c.cost, MaxWait: callerMaxWait, Urgency: f.urgencies[class], Class: fmt.Sprint(class)}
 	f.total[class]++
 	f.tasks.Go(func() {
 		for attempt := range 2 {
@@ -205,16 +207,22 @@
 // refused must not overload the bucket's coordinator. No class of callers may be starved.
 func TestOverloadDoesNotDrownTheCoordinator(t *testing.T) {
 	type fleet struct {
-		entries int
-		skewed  bool
+		entries   int
+		skewed    bool
+		urgencies [3]int
 	}
-	fleets := []fleet{{2, false}, {23, false}, {23, true}, {48, false}, {420, false}}
+	same, small, large := [3]int{}, [3]int{1, 0, 0}, [3]int{0, 1, 2}
+	fleets := []fleet{{2, false, same}, {23, false, same}, {23, true, same}, {23, false, small}, {23, false, large}, {48, false, same}, {420, false, same}}
 	if *allSizes {
-		fleets = append(fleets, fleet{2, true}, fleet{48, true}, fleet{420, true})
+		fleets = append(fleets, fleet{2, true, same}, fleet{48, true, same}, fleet{420, true, same}, fleet{420, false, small}, fleet{420, false, large}, fleet{2, false, small}, fleet{2, false, large})
 	}
 	for _, c := range fleets {
-		t.Run(fmt.Sprintf("%d entries, skewed %v", c.entries, c.skewed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { replayOverload(t, newHostedFleet(t, c.entries, c.skewed)) })
+		t.Run(fmt.Sprintf("%d entries, skewed %v, urgencies %v", c.entries, c.skewed, c.urgencies), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHostedFleet(t, c.entries, c.skewed)
+				f.urgencies = c.urgencies
+				replayOverload(t, f)
+			})
 		})
 	}
 }
@@ -254,6 +262,9 @@
 		maxAsks          = 500
 		// minClassShare is the part of the share served of all callers that each class gets.
 		minClassShare = 0.25
+		// minRetryShare is the share of the callers that are served when they retry as told: a
+		// Retry-After is the time at which tokens are expected.
+		minRetryShare = 0.5
 	)
 	f.load(2*time.Second, 0)
 	f.load(4*time.Second, usualRate)
@@ -292,6 +303,9 @@
 			t.Errorf("%.3f of the callers with %.0f tokens served, %.3f of all", s, callerClasses[i].cost, float64(served)/float64(all))
 		}
 	}
+	if share := float64(f.served) / float64(f.retried); share < minRetryShare {
+		t.Errorf("%.2f of the callers that retried as told were served, want %.2f", share, minRetryShare)
+	}
 	t.Logf("%.3f of the limit used, %.0f lease requests and %.0f messages per second, %d datagrams dropped; served by size %.3f, %d of %d retries served",
 		used, float64(asks)/duration.Seconds(), float64(messages)/duration.Seconds(), f.drops, share, f.served, f.retried)
 }
