--- a/internal/gateway/ratelimit/contact.go
+++ b/internal/gateway/ratelimit/contact.go
@@ -202,6 +202,9 @@
 		c.nextRequestAt = maxTime(c.nextRequestAt, now.Add(notCoordinatorDelay))
 		return
 	case !p.fallback && p.to == c.contact.coordinator:
+		if c.contact.isSilent(now) {
+			c.forgetRefusal()
+		}
 		c.contact.silentSince, c.contact.heardAt, c.contact.rank = time.Time{}, now, 0
 	}
 	if !awaited {
@@ -317,6 +320,7 @@
 			c.overdraft += p.request.Overdraft
 		}
 		c.contact.follow(coordinator)
+		c.forgetRefusal()
 		l.advance(key, c, now)
 	}
 }
--- a/internal/gateway/ratelimit/credit.go
+++ b/internal/gateway/ratelimit/credit.go
@@ -255,3 +255,6 @@
 func (c *credit) isRefused(floor float64, now time.Time) bool {
 	return now.Before(c.refusedUntil) && floor >= c.refusedFloor
 }
+
+// forgetRefusal ends the refusal of another entry than the coordinator.
+func (c *credit) forgetRefusal() { c.refusedUntil, c.retryAt = time.Time{}, time.Time{} }
--- a/internal/gateway/ratelimit/forecast.go
+++ b/internal/gateway/ratelimit/forecast.go
@@ -77,15 +77,16 @@
 	b.cost[added.refusals][added.rank] += added.cost
 }
 
-// arrive removes the booking of a caller that retries, if there is one.
-func (b *bookings) arrive(r *Request, now time.Time) {
+// arrive removes the booking of a caller that retries and reports whether there is one.
+func (b *bookings) arrive(r *Request, now time.Time) bool {
 	for i, o := range b.list {
 		if o.cost == r.Cost && o.urgency == r.Urgency && !o.due.After(now.Add(bookingTolerance)) {
 			b.removeAt(i)
 			b.missed[o.refusals] -= b.missed[o.refusals] * missedWeight
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // expire removes the bookings of callers that have not come back in time. Later ones that are due
@@ -197,7 +198,7 @@
 // refuse returns the refusal of a caller and books its retry.
 func (c *credit) refuse(w *waiter, delay time.Duration, source Source, now time.Time) Decision {
 	delay = min(max(c.nextTurn(delay, now), minRetryDelay), maxRetryDelay)
-	if delay <= w.request.MaxWait && c.currentRate(now) > 0 {
+	if delay <= w.request.MaxWait && !w.request.HasAlternative {
 		c.booked.add(w, now.Add(delay))
 	}
 	c.refused++
--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -195,10 +195,11 @@
 	defer l.mu.Unlock()
 	c := l.credit(r.Key)
 	c.hasAlternative = r.HasAlternative
-	c.recordDemand(r.Cost, now)
 	c.classes.arrive(&r, now)
-	if r.IsRetry {
-		c.booked.arrive(&r, now)
+	if r.IsRetry && c.booked.arrive(&r, now) {
+		c.lastUsedAt = now // its demand was recorded when it was refused
+	} else {
+		c.recordDemand(r.Cost, now)
 	}
 	l.lastSequence++
 	w := waiter{request: r, sequence: l.lastSequence, starved: c.classes.isStarved(r.Class), deadline: now.Add(r.maxWait())}
--- a/internal/gateway/ratelimit/shares.go
+++ b/internal/gateway/ratelimit/shares.go
@@ -23,6 +23,9 @@
 	// shortLevel is the part of the capacity below which the rate is divided among the entries.
 	// Above it, all that is asked for is granted.
 	shortLevel = 0.25
+	// shortDemand is the demand, as a part of the rate, up to which a low bucket refills by itself, as
+	// after a change of the coordinator.
+	shortDemand = 0.9
 	// targetLevel is the part of the capacity at which the shares add up to the rate. They are
 	// reduced below it to minShareFactor, so that the bucket has tokens for each entry whose turn it
 	// is, and increased above it to maxShareFactor, so that shares that entries don't use are used by
@@ -83,7 +86,7 @@
 	b.admitted += uint64(req.Admitted)
 	b.refused += uint64(req.Refused)
 	part := req.Demand / math.Max(totals.demand, req.Demand)
-	short := b.level < shortLevel*limit.capacity()
+	short := b.level < shortLevel*limit.capacity() && totals.demand > shortDemand*limit.PerSecond
 	b.updateBalance(h, part, totals, short, limit, now)
 
 	resp := LeaseResponse{ID: req.ID}
