--- a/internal/gateway/ratelimit/credit.go
+++ b/internal/gateway/ratelimit/credit.go
@@ -53,9 +53,10 @@
 	requestedAt, lastUsedAt time.Time
 
 	// queue has the callers that wait for tokens, booked those that will retry.
-	queue   waitQueue
-	booked  bookings
-	classes classCounts
+	queue     waitQueue
+	booked    bookings
+	classes   classCounts
+	newcomers newcomerUse
 	// admitted and refused count the decisions since the last lease request.
 	admitted, refused uint32
 	// hasAlternative is set if the last caller could go elsewhere.
@@ -254,3 +255,6 @@
 func (c *credit) isRefused(floor float64, now time.Time) bool {
 	return now.Before(c.refusedUntil) && floor >= c.refusedFloor
 }
+
+// forgetRefusal ends the refusal of another entry than the coordinator.
+func (c *credit) forgetRefusal() { c.refusedUntil, c.retryAt = time.Time{}, time.Time{} }
--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -195,15 +195,16 @@
 	defer l.mu.Unlock()
 	c := l.credit(r.Key)
 	c.hasAlternative = r.HasAlternative
-	c.recordDemand(r.Cost, now)
 	c.classes.arrive(&r, now)
-	if r.IsRetry {
-		c.booked.arrive(&r, now)
+	if r.IsRetry && c.booked.arrive(&r, now) {
+		c.lastUsedAt = now // its demand was recorded when it was refused
+	} else {
+		c.recordDemand(r.Cost, now)
 	}
 	l.lastSequence++
 	w := waiter{request: r, sequence: l.lastSequence, starved: c.classes.isStarved(r.Class), deadline: now.Add(r.maxWait())}
 	if c.mayUseLeases(&w, now) && c.spend(r.Cost, now) {
-		c.recordServed(&r)
+		c.recordServed(&w, now)
 		if c.requestDue(now) {
 			l.advance(r.Key, c, now)
 		}
