--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -78,7 +78,8 @@
 		Bounds: forward.Bounds{
 			RetryRatio: p.settings.Bounds.RetryRatio, RetrySlack: p.settings.Bounds.RetrySlack, MaxStaleness: p.settings.Bounds.MaxStaleness.Duration,
 		},
-		Zone: p.settings.AvailabilityZone, Logger: p.logger, RoutineLogger: p.routineLogger, Metrics: requestMetrics{p.metrics, p.burn}, AnnounceWork: e.announceWork, Now: p.clock.Now, Seed: p.settings.seed(),
+		Zone: p.settings.AvailabilityZone, Logger: p.logger, RoutineLogger: p.routineLogger, Metrics: requestMetrics{p.metrics, p.burn}, AnnounceWork: e.announceWork, Now: p.clock.Now, Seed: p.settings.seed(), Queue: p.settings.Queue.policy(),
+		QueueObserver: queueObserver{p.routineLogger, p.metrics},
 	})
 	return e
 }
@@ -262,6 +263,7 @@
 	if e.state.applyEngineReport(m) {
 		e.state.publishViewSoon()
 	}
+	e.forwarder.NotifyQueue()
 }
 
 // cacheReportTimeout is the silence after which a cache's next report is logged. Sidecars
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -30,6 +30,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
 	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
+	"github.com/toucanwell/toucanwell/internal/gateway/queue"
 	"github.com/toucanwell/toucanwell/internal/gateway/ratelimit"
 	"github.com/toucanwell/toucanwell/internal/gateway/reach"
 	"github.com/toucanwell/toucanwell/internal/gateway/readtime"
@@ -86,6 +87,11 @@
 	// the next heartbeat.
 	AnnounceWork func(target fleet.ID)
 	Now          func() time.Time
+	// Queue, unless nil, enables the queue for requests that find no target, and the bound on the
+	// memory of engines at placement in fleets that don't probe sidecars.
+	Queue *queue.Policy
+	// QueueObserver is told about the decisions of the queue; may be nil.
+	QueueObserver queue.Observer
 	// Seed seeds the random choices; each entry uses another one.
 	Seed uint64
 }
@@ -128,6 +134,8 @@
 	StreamStart(source string)
 	// RateLimit records whether a request was admitted, and the source of the decision.
 	RateLimitDecision(source string, admitted bool)
+	// RateLimitWait records how long a request waited for tokens of its workspace's rate limit.
+	RateLimitWait(d time.Duration)
 	// TargetLimitDecision records whether the rate limit of a target had room for a request, and
 	// the source of the decision.
 	TargetLimitDecision(source string, admitted bool)
@@ -147,6 +155,9 @@
 	turnover       parts.RetentionEstimator
 	callerTimeouts timeoutTracker
 	returns        returnSchedule
+	queueEnabled   atomic.Bool
+	waitingRoom    *waitingRoom
+	runTimes       runTimes
 	startedAt      time.Time
 }
 
@@ -154,6 +165,8 @@
 func New(d Deps) *Forwarder {
 	f := &Forwarder{Deps: d, prefillTime: readtime.NewPredictor(), paces: readtime.NewSlowdowns(), startedAt: time.Now()}
 	f.random.Store(d.Seed)
+	f.queueEnabled.Store(d.Queue != nil)
+	f.waitingRoom = newWaitingRoom(d.Queue, d.QueueObserver)
 	d.CrashDetector.OnRecheck(f.Now, f.RecheckCrashes)
 	return f
 }
@@ -243,6 +256,8 @@
 	outcome health.Outcome
 	// retryCause is the reason for the next send; empty for the first.
 	retryCause string
+	// waiter is the request in the queue while it is placed.
+	waiter *waiter
 	// limitRequest is what the request asks of its workspace's rate limit, admission the
 	// decision on it.
 	limitRequest ratelimit.Request
@@ -416,6 +431,7 @@
 func (fl *flow) run(ctx context.Context) *errkind.Error {
 	fl.excluded = map[fleet.Incarnation]bool{}
 	fl.lastEvent = fl.request.LastEventID
+	defer fl.leaveQueue()
 	if refusal := fl.resolveOrigin(ctx); refusal != nil {
 		return refusal
 	}
@@ -455,6 +471,7 @@
 
 // release gives back what was taken for a send that is not made.
 func (fl *flow) release(dst *destination) {
+	fl.leaveQueue()
 	fl.endProbation(dst)
 	fl.refundAdmission(dst)
 	fl.endRestTrial(dst)
