Failure of the lost ticket holders' test tells how the resumed sidecar is not ready

Cause: not found. A sidecar that was ready once stays ready, since neither its configuration nor its engine's status is ever taken back, so "not ready" after it is resumed means that its process had ended or did not answer. The test told neither. Change: the test waits with the same bound, and its failure has the last error of the readiness check, the process's state or how it had ended, and its log with its goroutines. A readiness check that gets no answer ends after 5 s, so that it fails at the bound rather than at the limit of the whole run. The logs of the daemons are kept until the test's end.

--- a/internal/cluster/process_test.go
+++ b/internal/cluster/process_test.go
@@ -61,7 +61,9 @@
 
 // process is a daemon that runs as a separate process.
 type process struct {
-	cmd  *exec.Cmd
+	cmd *exec.Cmd
+	// logs is the file with the process's log, unless TOUCANWELL_TEST_LOGS is set.
+	logs string
 	once sync.Once
 }
 
@@ -97,13 +99,19 @@
 			return nil, err
 		}
 		cmd := exec.Command(bin, "--settings", path)
+		logs, err := os.OpenFile(filepath.Join(dir, s.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		defer logs.Close()
+		cmd.Stderr = logs
 		if os.Getenv("TOUCANWELL_TEST_LOGS") != "" {
 			cmd.Stderr = os.Stderr
 		}
 		if err := cmd.Start(); err != nil {
 			return nil, err
 		}
-		return &process{cmd: cmd}, nil
+		return &process{cmd: cmd, logs: logs.Name()}, nil
 	}
 }
 
@@ -376,13 +384,63 @@
 	t.Logf("%d requests completed during the restarts", completed)
 }
 
-func isReady(admin string) bool {
-	resp, err := http.Get("http://" + admin + "/readyz")
+func isReady(admin string) bool { return readiness(admin) == nil }
+
+// readiness returns why a process is not ready, or nil.
+func readiness(admin string) error {
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + admin + "/readyz")
 	if err != nil {
-		return false
+		return err
 	}
 	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// waitForReadySidecar waits until a sidecar is ready. If it is not in time, the test's failure tells
+// whether the process has ended and how, is stopped, does not answer or is not ready, and has its
+// goroutines.
+func waitForReadySidecar(t *testing.T, c *cluster.Cluster, name string) {
+	t.Helper()
+	deadline := time.Now().Add(testTimeout)
+	attempts := 0
+	for {
+		err := readiness(c.SidecarSettings[name].AdminListen)
+		if err == nil {
+			return
+		}
+		attempts++
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out: sidecar %s is not ready after %d attempts: %v\n%s", name, attempts, err, asProcess(c.Sidecars[name]).examine())
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+}
+
+// examine ends the process and describes it: its state or how it had ended, and the end of its log
+// with its goroutines.
+func (p *process) examine() string {
+	const maxLog = 64 << 10
+	pid := p.cmd.Process.Pid
+	state := fmt.Sprintf("process %d", pid)
+	var ended syscall.WaitStatus
+	if reaped, err := syscall.Wait4(pid, &ended, syscall.WNOHANG, nil); reaped == pid {
+		state += fmt.Sprintf(" had ended: exit status %d, signal %v", ended.ExitStatus(), ended.Signal())
+	} else if status, readErr := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)); readErr == nil {
+		state += " runs:\n" + string(status)
+	} else {
+		state += fmt.Sprintf(": %v, %v", err, readErr)
+	}
+	p.signal(syscall.SIGQUIT)
+	<-time.After(time.Second)
+	logs, err := os.ReadFile(p.logs)
+	if err != nil {
+		return state + "\n" + err.Error()
+	}
+	return state + "\n" + string(logs[max(0, len(logs)-maxLog):])
 }
 
 func restartAll(t *testing.T, c *cluster.Cluster) {
--- a/internal/cluster/weightload_test.go
+++ b/internal/cluster/weightload_test.go
@@ -59,7 +59,7 @@
 	}
 	waitForWeights(t, c, "2026-12")
 	asProcess(c.Sidecars[suspended]).signal(syscall.SIGCONT)
-	eventually(t, "the resumed sidecar is ready", func() bool { return isReady(c.SidecarSettings[suspended].AdminListen) })
+	waitForReadySidecar(t, c, suspended)
 	if peak, total := c.WeightStore.FetchCounts(); peak > 2 || total != len(c.Engines) {
 		t.Errorf("%d concurrent loads, %d in total for %d engines", peak, total, len(c.Engines))
 	}
