The queue is on where the platform's contracts bound the memory of engines

Cause: the queue and the bound on engines' memory are for deployments whose engines end or preempt requests when they get more than they hold. All deployments share one settings template. Change: the settings name the contracts in force; the adapter tells whether one of them bounds the memory of targets. queue.enabled asks for the queue in any case, queue.disabled refuses it.

--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -62,6 +62,9 @@
 	Cache(address netip.AddrPort) holdings.Feed
 	// Protocol is the protocol of callers and targets.
 	Protocol() wire.Protocol
+	// BoundsTargetMemory reports whether the contracts in force bound the memory of targets, so that
+	// requests must wait for it at the entries.
+	BoundsTargetMemory(contracts []string) bool
 	// ReadyPath is the HTTP path of the load balancer's readiness check.
 	ReadyPath() string
 	// Close closes idle connections.
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -75,6 +75,7 @@
 
 // Start starts a process. It runs until Stop or Close.
 func Start(s *Settings, platform Platform, out io.Writer) (*Process, error) {
+	s.applyContracts(platform)
 	log := logging.NewBounded(out, s.Name, s.LogLinesPerSecond)
 	p := &process{
 		settings: s, platform: platform, log: log, logger: logging.New(log, s.Name), routineLogger: logging.New(log.Routine(), s.Name), metrics: metrics.New(),
--- a/internal/gateway/queuepolicy.go
+++ b/internal/gateway/queuepolicy.go
@@ -13,3 +13,8 @@
 	}
 	return p
 }
+
+// applyContracts turns on the features that the contracts in force call for.
+func (s *Settings) applyContracts(p Platform) {
+	s.Queue.Enabled = !s.Queue.Disabled && (s.Queue.Enabled || p.BoundsTargetMemory(s.Contracts))
+}
--- a/internal/gateway/queuesettings.go
+++ b/internal/gateway/queuesettings.go
@@ -8,8 +8,10 @@
 
 // QueueSettings configure the queue of an entry for requests that find no target.
 type QueueSettings struct {
-	// Enabled turns the queue on. Without it such requests retry their placement for a short time.
-	Enabled bool `toml:"enabled"`
+	// Enabled turns the queue on, Disabled turns it off even if the contracts call for it. Without the
+	// queue such requests retry their placement for a short time.
+	Enabled  bool `toml:"enabled"`
+	Disabled bool `toml:"disabled"`
 	// MaxRequests is the most requests that wait. Default 2000.
 	MaxRequests int `toml:"max_requests"`
 	// MaxMB bounds the bodies of the requests that wait. Default an eighth of MemoryMB.
@@ -70,6 +72,7 @@
 		most := memoryMB / maxQueueMemoryDivisor
 		c.require(q.MaxMB >= 1 && q.MaxMB <= most, "queue.max_mb", tomltext.Found(q.MaxMB, fmt.Sprintf("1 to %d, half of memory_mb", most)))
 	}
+	c.require(!q.Enabled || !q.Disabled, "queue.disabled", tomltext.Found(q.Disabled, "false where queue.enabled is true"))
 	q.checkWorkspaces(c)
 }
 
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -5,6 +5,7 @@
 // Reload applies changed settings to the running process: the seeds and the tables [queue] and [speeds].
 // Other settings keep their values until a restart. It must not be called concurrently.
 func (p *process) Reload(next *Settings) {
+	next.applyContracts(p.platform)
 	others := *next
 	others.Seeds, others.Queue, others.Speeds = p.settings.Seeds, p.settings.Queue, p.settings.Speeds
 	same := reflect.DeepEqual(&others, p.settings)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -53,6 +53,9 @@
 	ServiceLevel float64 `toml:"service_level"`
 	// Seeds are addresses on hosts that may run other processes. Their ports are ignored.
 	Seeds []string `toml:"seeds"`
+	// Contracts are the names of the platform's rules that are in force. The platform's adapter decides
+	// which features they call for.
+	Contracts []string `toml:"contracts"`
 	// FirstStart is set while the whole deployment starts for the first time, without traffic.
 	FirstStart bool `toml:"first_start"`
 	// Engine is the address of a sidecar's engine. Required for a sidecar.
