A prompt that can wait for memory is not sent to an ejected engine

Cause: with the bound on memory, engines that refuse connections were the only ones without requests and were chosen as the last resort; each prompt used its four sends on them and was refused. Change: where the queue is on, a prompt waits as long as an engine lacks only memory. Result: the new test fails without the change.

--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -221,7 +221,7 @@
 		return dst, refusal
 	}
 	if fl.queueEnabled.Load() {
-		in.MaxMemoryShare = fl.memoryShare()
+		in.MaxMemoryShare, in.MayWait = fl.memoryShare(), true
 	}
 	candidates := fl.candidates()
 	return fl.resolveChoice(in, candidates, fl.view.Targets[fl.service.Name], placement.Pick(in, candidates))
--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 	in.CrossZoneCost = placement.CrossZoneCostProbed
-	in.MaxMemoryShare = fl.memoryShare()
+	in.MaxMemoryShare, in.MayWait = fl.memoryShare(), fl.queueEnabled.Load()
 	p := &probeRound{fl: fl, selected: map[int]bool{}}
 	ranked := fl.ranked()
 	if in.PinKey != 0 {
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -93,6 +93,9 @@
 	// MaxMemoryShare is the share of an engine's memory beyond which it gets no more
 	// such requests. Zero disables the check.
 	MaxMemoryShare float64
+	// MayWait is set if the prompt can wait for memory. It is then not sent to an ejected engine
+	// while others only lack memory.
+	MayWait bool
 	// PinKey, unless zero, ranks engines by rendezvous hash instead of by cost, so that
 	// all entries send such a request to the same engine.
 	PinKey uint64
@@ -168,9 +171,11 @@
 func pick(in *Input, candidates []Candidate, late bool) Choice {
 	best := Choice{Index: -1}
 	lowest := math.Inf(1)
+	awaitsMemory := false
 	for i := range candidates {
 		c := &candidates[i]
 		if filter(in, c) != "" {
+			awaitsMemory = awaitsMemory || in.MayWait && lacksOnlyMemory(in, c)
 			continue
 		}
 		choice, cost := rate(in, c, candidates, late)
@@ -180,9 +185,17 @@
 			best = choice
 		}
 	}
+	if awaitsMemory && best.Index >= 0 && candidates[best.Index].Ejected {
+		return Choice{Index: -1}
+	}
 	return best
 }
 
+// lacksOnlyMemory reports whether an engine could run the prompt once it has enough free memory.
+func lacksOnlyMemory(in *Input, c *Candidate) bool {
+	return !c.Ejected && !c.Draining && memoryFull(in, c) && filter(&Input{MaxStaleness: in.MaxStaleness}, c) == ""
+}
+
 // filter returns why a candidate may not run the prompt, or "".
 func filter(in *Input, c *Candidate) string {
 	switch {
--- a/internal/gateway/placement/placement_test.go
+++ b/internal/gateway/placement/placement_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// Guards against sends to engines that have just failed while all others are only out of memory: a
+// prompt that can wait for memory must not use them up.
+func TestPromptWaitsForMemoryInsteadOfAnEjectedEngine(t *testing.T) {
+	full, ejected := engine(1), engine(2)
+	full.Work.Memory = ledger.AtPriority(1, full.Memory)
+	ejected.Ejected = true
+	in := input()
+	in.MaxMemoryShare = LowPriorityMemoryShare
+	if c := Pick(in, []Candidate{full, ejected}); c.Index != 1 {
+		t.Errorf("chose %d, want the last resort of a prompt that can't wait", c.Index)
+	}
+	in.MayWait = true
+	if c := Pick(in, []Candidate{full, ejected}); c.Index != -1 {
+		t.Errorf("chose %d, want none", c.Index)
+	}
+	if c := Pick(in, []Candidate{ejected}); c.Index != 0 {
+		t.Errorf("chose %d, want the only engine", c.Index)
+	}
+}
+
 // Stale weights carry a penalty only after the grace period.
 func TestStaleWeightsArePenalizedAfterTheGrace(t *testing.T) {
 	stale, current := engine(1), engine(2)
