Rate limits: classes within their share, no refusals without a new request, fewer lease requests

Once the coordinator had been slow, the entries refused all callers by its last response, so that nobody waited and no entry sent a lease request again. The coordinator's host (0.144 of a core) spent up to half of its time on 350 lease requests a second. And calls of 200 tokens were refused as often as prompts of 12,000, though all of them ask for a hundredth of the limit. Change: a caller that comes when an entry may send a request waits for the response. The coordinator asks for 200 requests a second. Requests of a class that asks for less than its part of the entry's rate, divided equally among the classes, are admitted and charged to the bucket as an overdraft.

--- a/internal/gateway/ratelimit/forecast.go
+++ b/internal/gateway/ratelimit/forecast.go
@@ -195,6 +195,14 @@
 	return reserve == 0 || c.available(now) >= w.request.Cost+reserve
 }
 
+// mayOverdraw reports whether a request is admitted without tokens, because its class asks for less than
+// its share of the entry's rate. Without that, short calls would be refused as often as the long prompts
+// that use up the limit, although all of them together cost hardly anything.
+func (c *credit) mayOverdraw(r *Request, now time.Time) bool {
+	rate := c.currentRate(now)
+	return rate > 0 && !r.HasAlternative && c.classes.isWithinShare(r.Class, rate)
+}
+
 // refuse returns the refusal of a caller and books its retry.
 func (c *credit) refuse(w *waiter, delay time.Duration, source Source, now time.Time) Decision {
 	delay = min(max(c.nextTurn(delay, now), minRetryDelay), maxRetryDelay)
@@ -228,6 +236,10 @@
 		}
 		return Decision{}, false
 	}
+	if c.queue.first() == nil && c.mayRequest(now) {
+		// Otherwise an entry that refuses all callers by an old response would never ask again.
+		return Decision{}, false
+	}
 	delay := c.forecast(w, c.queue.costBefore(w), now)
 	if delay <= w.deadline.Sub(now) {
 		return Decision{}, false
--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -155,6 +155,9 @@
 	Fallback Source = "in_place"
 	// OwnShare means that the entry decided by its own share, because no entry responded.
 	OwnShare Source = "own_share"
+	// Overdrawn means that the request's class asks for less than its share of a rate that is short. The
+	// cost is reported to the coordinator, which takes it from the bucket.
+	Overdrawn Source = "class_share"
 	// CachedRefusal means that the entry refused the request by an earlier response.
 	CachedRefusal Source = "known_empty"
 	// Unanswered means that no response came in the time for which the request may wait.
@@ -210,6 +213,12 @@
 		}
 		return Decision{Admitted: true, Source: Leased, Level: c.level, expiresAt: now.Add(leaseDuration / 2)}, nil
 	}
+	if c.mayOverdraw(&r, now) {
+		c.overdraft += r.Cost
+		w.starved = true // the others can't count on what it uses
+		c.recordServed(&w, now)
+		return Decision{Admitted: true, Source: Overdrawn, Level: c.level}, nil
+	}
 	if d, refused := c.refuseKnown(&w, now); refused {
 		return d, nil
 	}
@@ -284,6 +293,8 @@
 		if !c.undoSpend(r.Cost, d.expiresAt) {
 			c.refunded += r.Cost
 		}
+	case Overdrawn:
+		c.refunded += r.Cost
 	}
 }
 
--- a/internal/gateway/ratelimit/queue.go
+++ b/internal/gateway/ratelimit/queue.go
@@ -136,8 +136,8 @@
 	decayedAt time.Time
 }
 
-// classCount counts requests, without retries, and those of them that were served.
-type classCount struct{ arrived, served float64 }
+// classCount counts requests, without retries, their cost, and those of them that were served.
+type classCount struct{ arrived, served, cost float64 }
 
 func (c *classCounts) arrive(r *Request, now time.Time) {
 	c.decay(now)
@@ -154,6 +154,7 @@
 	}
 	if class != nil {
 		class.arrived++
+		class.cost += r.Cost
 		c.all.arrived++
 	}
 }
@@ -175,7 +176,7 @@
 	factor := math.Exp(-elapsed.Seconds() / classWindow.Seconds())
 	c.all.arrived, c.all.served = c.all.arrived*factor, c.all.served*factor
 	for name, class := range c.byClass {
-		class.arrived, class.served = class.arrived*factor, class.served*factor
+		class.arrived, class.served, class.cost = class.arrived*factor, class.served*factor, class.cost*factor
 		if class.arrived < 0.01 {
 			delete(c.byClass, name)
 		}
@@ -190,3 +191,13 @@
 	}
 	return class.served*c.all.arrived < starvedShare*c.all.served*class.arrived
 }
+
+// isWithinShare reports whether a class asks for no more than its part of a rate that is divided equally
+// among the classes.
+func (c *classCounts) isWithinShare(name string, perSecond float64) bool {
+	class := c.byClass[name]
+	if class == nil {
+		return false
+	}
+	return class.cost*float64(len(c.byClass)) <= perSecond*classWindow.Seconds()
+}
--- a/internal/gateway/ratelimit/shares.go
+++ b/internal/gateway/ratelimit/shares.go
@@ -7,8 +7,8 @@
 
 const (
 	// maxRequestRate is the number of lease requests per second for one bucket that its coordinator
-	// asks for at most. An entry with a seventh of a core spends a fifth of it on them.
-	maxRequestRate = 500
+	// asks for at most. An entry with a seventh of a core spends a sixth of it on them.
+	maxRequestRate = 200
 	// highRequestRate is the number of lease requests per second from which the coordinator spaces
 	// them although the bucket is not short.
 	highRequestRate = 300
