--- a/internal/gateway/ratelimit/credit.go
+++ b/internal/gateway/ratelimit/credit.go
@@ -38,7 +38,8 @@
 	unreportedSince time.Time
 	// refunded is the cost of admitted requests that did not run, to be sent to the
 	// coordinator.
-	refunded float64
+	refunded  float64
+	allowance overdraftAllowance
 	// overdraft is the use beyond granted tokens that was not reported.
 	overdraft float64
 	// demand is the average use per second as of demandAt.
--- a/internal/gateway/ratelimit/forecast.go
+++ b/internal/gateway/ratelimit/forecast.go
@@ -195,12 +195,40 @@
 	return reserve == 0 || c.available(now) >= w.request.Cost+reserve
 }
 
-// mayOverdraw reports whether a request is admitted without tokens, because its class asks for less than
-// its share of the entry's rate. Without that, short calls would be refused as often as the long prompts
-// that use up the limit, although all of them together cost hardly anything.
-func (c *credit) mayOverdraw(r *Request, now time.Time) bool {
+// overdraftShare is the part of its rate that an entry may admit without tokens, overdraftTime the time for
+// which it accrues. It is small against the tolerance of a limit, since the coordinator learns of it late.
+const (
+	overdraftShare = 0.1
+	overdraftTime  = time.Second
+)
+
+// overdraftAllowance is how much may be admitted without tokens as of a time.
+type overdraftAllowance struct {
+	tokens float64
+	at     time.Time
+}
+
+func (a *overdraftAllowance) accrue(rate float64, now time.Time) {
+	most := overdraftShare * rate * overdraftTime.Seconds()
+	a.tokens = math.Min(a.tokens+overdraftShare*rate*math.Max(now.Sub(a.at).Seconds(), 0), most)
+	a.at = now
+}
+
+// overdraw admits a request without tokens if its class asks for less than its share of the entry's rate.
+// Without that, short calls would be refused as often as the long prompts that use up the limit, although
+// all of them together cost hardly anything.
+func (c *credit) overdraw(r *Request, now time.Time) bool {
 	rate := c.currentRate(now)
-	return rate > 0 && !r.HasAlternative && c.classes.isWithinShare(r.Class, rate)
+	if rate <= 0 || r.HasAlternative || !c.classes.isWithinShare(r.Class, rate) {
+		return false
+	}
+	c.allowance.accrue(rate, now)
+	if c.allowance.tokens < r.Cost {
+		return false
+	}
+	c.allowance.tokens -= r.Cost
+	c.overdraft += r.Cost
+	return true
 }
 
 // refuse returns the refusal of a caller and books its retry.
--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -213,8 +213,7 @@
 		}
 		return Decision{Admitted: true, Source: Leased, Level: c.level, expiresAt: now.Add(leaseDuration / 2)}, nil
 	}
-	if c.mayOverdraw(&r, now) {
-		c.overdraft += r.Cost
+	if c.overdraw(&r, now) {
 		w.starved = true // the others can't count on what it uses
 		c.recordServed(&w, now)
 		return Decision{Admitted: true, Source: Overdrawn, Level: c.level}, nil
