Model of one service whose engines differ in speed

Cause: the effect of uneven engines on the time to the first event could not be measured without a deployment. Engines of the other shapes take the same time as before.

--- a/internal/batchmodel/engine.go
+++ b/internal/batchmodel/engine.go
@@ -56,6 +56,10 @@
 	linkFreeAt time.Duration
 	// pendingLoads holds the scheduled weight loads by time.
 	pendingLoads []weightLoad
+	// speed is the time that the engine takes relative to its spec; noise, unless nil, draws the
+	// factor of a prompt's prefill time.
+	speed float64
+	noise func() float64
 }
 
 type weightLoad struct {
@@ -74,15 +78,17 @@
 	// prefillLeft and generated are token counts; memory is the memory in use, in tokens.
 	prefillLeft, generated, memory int
 	// cachedParts is the number of shared parts that were cached at admission.
-	cachedParts  int
-	lastToken    time.Duration
-	maxGap       time.Duration
-	firstInTime  bool
+	cachedParts int
+	lastToken   time.Duration
+	maxGap      time.Duration
+	firstInTime bool
+	// noise is the factor of the prompt's prefill time.
+	noise        float64
 	onFirstToken func(at time.Duration)
 }
 
 func newEngine(spec EngineSpec, index, zone int) *engine {
-	return &engine{spec: spec, index: index, zone: zone, cache: map[uint64]*cachedPart{}}
+	return &engine{spec: spec, index: index, zone: zone, cache: map[uint64]*cachedPart{}, speed: 1}
 }
 
 // advance runs the engine until a time.
@@ -148,6 +154,10 @@
 	}
 	r.prefillLeft = r.request.promptTokens() - cached
 	r.memory = r.request.promptTokens() - cached + r.request.outputTokens
+	r.noise = 1
+	if e.noise != nil {
+		r.noise = e.noise()
+	}
 	e.running = append(e.running, r)
 	for _, p := range r.request.sharedParts {
 		if c := e.cache[p.cacheKey(e.version)]; c != nil {
@@ -204,7 +214,7 @@
 // whose prefill is done.
 func (e *engine) step() {
 	budget := e.spec.PrefillChunk
-	attentionPairs := 0.0
+	prefillMs := 0.0
 	slices.SortStableFunc(e.running, func(a, b *run) int { return cmp.Compare(a.priority, b.priority) })
 	for _, r := range e.running {
 		n := min(budget, r.prefillLeft)
@@ -212,7 +222,8 @@
 			continue
 		}
 		before := r.request.promptTokens() - r.prefillLeft
-		attentionPairs += float64(n) * float64(before+n/2)
+		attentionPairs := float64(n) * float64(before+n/2)
+		prefillMs += r.noise * (float64(n)/e.spec.PrefillTokensPerMs + attentionPairs/1e6*e.spec.AttentionMs)
 		r.prefillLeft -= n
 		budget -= n
 		if r.prefillLeft == 0 {
@@ -220,8 +231,7 @@
 		}
 	}
 	duration := e.spec.Step + time.Duration(len(e.running))*e.spec.StepPerRequest
-	duration += fromMs(float64(e.spec.PrefillChunk-budget)/e.spec.PrefillTokensPerMs + attentionPairs/1e6*e.spec.AttentionMs)
-	e.clock += duration
+	e.clock += time.Duration(e.speed * float64(duration+fromMs(prefillMs)))
 	e.decode()
 }
 
