Estimates of the speeds of engines, with a sidecar's report of its own

Cause: ratios under 1.3 count as 1 and a fast engine is never reported, and the wait is multiplied by a factor that the reported work contains already. A sidecar's response has the field speed; it is absent while unknown or disabled. Nothing sets these yet.

--- a/internal/gateway/estate/estate.go
+++ b/internal/gateway/estate/estate.go
@@ -175,6 +175,8 @@
 	byHost     map[string][]*Route
 	byKey      map[string]*Workspace
 	byName     map[string]*Workspace
+	// strictestPause is the lowest GapTarget of the streams that a service serves.
+	strictestPause map[string]time.Duration
 }
 
 // New validates a configuration and returns its estate.
@@ -185,6 +187,8 @@
 		byHost:   map[string][]*Route{},
 		byKey:    map[string]*Workspace{},
 		byName:   make(map[string]*Workspace, len(workspaces)),
+
+		strictestPause: map[string]time.Duration{},
 	}
 	if err := e.addServices(services); err != nil {
 		return nil, err
@@ -223,6 +227,7 @@
 		}
 		host := strings.ToLower(r.Host)
 		e.byHost[host] = append(e.byHost[host], r)
+		e.addPause(r)
 	}
 	for host, list := range e.byHost {
 		slices.SortFunc(list, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
@@ -235,6 +240,17 @@
 	return nil
 }
 
+func (e *Estate) addPause(r *Route) {
+	if r.Kind != Stream || r.GapTarget <= 0 {
+		return
+	}
+	for _, b := range r.Backends {
+		if strictest, ok := e.strictestPause[b.Service]; !ok || r.GapTarget < strictest {
+			e.strictestPause[b.Service] = r.GapTarget
+		}
+	}
+}
+
 func (e *Estate) checkRoute(r *Route) error {
 	if r.Host == "" {
 		return errors.New("no host")
@@ -326,6 +342,10 @@
 // Service returns a service by its name, or nil.
 func (e *Estate) Service(name string) *Service { return e.services[name] }
 
+// StrictestPause returns the lowest objective for the time between two events among the streams that a
+// service serves; zero if there is none.
+func (e *Estate) StrictestPause(service string) time.Duration { return e.strictestPause[service] }
+
 // Services returns all services, in no particular order.
 func (e *Estate) Services() []*Service {
 	all := make([]*Service, 0, len(e.services))
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -100,6 +100,13 @@
 	MaxStaleness time.Duration
 	// PrefillTime predicts the prefill time of a number of tokens.
 	PrefillTime func(tokens int) time.Duration
+	// Uneven is set if the service's engines differ in speed. Slowdown may then be below 1.
+	Uneven bool
+	// MaxPause is the strictest objective for the pauses of the service's streams, and Pause predicts
+	// the pauses at an engine of usual speed that runs a number of requests. They are used where
+	// Uneven is set; zero disables them.
+	MaxPause time.Duration
+	Pause    func(running int) time.Duration
 }
 
 // Choice is the outcome of a decision.
@@ -153,6 +160,10 @@
 	// overloadPenalty is the cost of each request beyond an engine's slots or memory, in
 	// milliseconds.
 	overloadPenalty = 60
+	// latePausePenalty is the cost of an engine at which one more request makes its streams late, in
+	// milliseconds, times the ratio of the pause to the objective. A late stream is late for all
+	// requests that the engine runs, while a wait of this time makes a single prompt late.
+	latePausePenalty = 400
 )
 
 // Pick returns the best candidate. A prompt that cannot meet its objective anywhere gets
@@ -285,13 +296,13 @@
 	missing := max(in.SharedTokens-c.CachedTokens, 0)
 	fetched := min(max(c.FetchableTokens-c.CachedTokens, 0), missing)
 	priority := in.priority(late)
-	wait := toMs(c.Work.Prefill.UpTo(priority))/freeShare(c, priority) + decodeStepMs*float64(c.Work.Running)
-	wait = wait*slowdown(c) + overloadPenalty*float64(excessRequests(c, in, priority, in.OwnTokens+missing+in.MaxTokens))
+	wait := waitMs(in, c, priority) + overloadPenalty*float64(excessRequests(c, in, priority, in.OwnTokens+missing+in.MaxTokens))
 	prefill := slowdown(c) * toMs(in.PrefillTime(in.OwnTokens+missing-fetched))
 	fetch := c.Source.FetchMs(fetched)
 	choice := Choice{Priority: priority, FetchFrom: c.Source.Address, CachedTokens: min(c.CachedTokens, in.SharedTokens), FetchedTokens: fetched, PrefillTokens: in.OwnTokens + missing - fetched}
 	recompute := prefill - slowdown(c)*toMs(in.PrefillTime(in.OwnTokens))
 	cost := wait + prefill + fetch + (recomputeWeight-1)*recompute
+	cost += latePauseCost(in, c)
 	if !c.SameZone {
 		cost += in.CrossZoneCost
 	}
@@ -312,6 +323,38 @@
 	return choice, cost
 }
 
+// waitMs returns the time until an engine begins a prompt's prefill, in milliseconds.
+//
+// The reported prefill times contain the engine's factor already: entries scale them when they
+// report a send. Even services keep the rule that scales them once more.
+func waitMs(in *Input, c *Candidate, priority int) float64 {
+	prefill := toMs(c.Work.Prefill.UpTo(priority)) / freeShare(c, priority)
+	decode := decodeStepMs * float64(c.Work.Running)
+	if in.Uneven {
+		return prefill + decode*slowdown(c)
+	}
+	return (prefill + decode) * slowdown(c)
+}
+
+// latePauseCost returns the cost of an engine whose streams would be late with one more request. Where
+// that holds for all engines, it decides by the least late one.
+func latePauseCost(in *Input, c *Candidate) float64 {
+	if !in.Uneven || in.Pause == nil || in.MaxPause <= 0 {
+		return 0
+	}
+	ratio := slowdown(c) * float64(in.Pause(c.Work.Running+1)) / float64(in.MaxPause)
+	if ratio <= 1 {
+		return 0
+	}
+	return latePausePenalty * ratio
+}
+
+// AtUsualSpeed returns the expected time to the first event at an engine of usual speed with the same
+// queue, for an engine with a factor.
+func (c *Choice) AtUsualSpeed(factor float64) time.Duration {
+	return time.Duration(float64(c.Wait+c.Prefill)/factor) + c.Fetch
+}
+
 // minFreeShare bounds how far arrivals of higher priority stretch a wait. Their rate is
 // measured over a short window and is noisy.
 const minFreeShare = 0.5
--- a/internal/gateway/placement/placement_test.go
+++ b/internal/gateway/placement/placement_test.go
@@ -248,3 +248,40 @@
 		t.Errorf("the wait of a high-priority prompt includes arrivals of its own priority: %v", got)
 	}
 }
+
+// Guards against a factor that is applied twice to the work that entries report for an engine, and
+// against a change for even services.
+func TestWaitIsScaledOnce(t *testing.T) {
+	in := &Input{OwnTokens: 1000, MaxStaleness: time.Hour, PrefillTime: func(n int) time.Duration { return time.Duration(n) * 100 * time.Microsecond }}
+	c := Candidate{Slowdown: 2, Slots: 4, Work: ledger.Work{Prefill: ledger.AtPriority(0, 300*time.Millisecond)}}
+	for uneven, want := range map[bool]time.Duration{false: 600 * time.Millisecond, true: 300 * time.Millisecond} {
+		in.Uneven = uneven
+		choice := Pick(in, []Candidate{c})
+		if choice.Wait != want || choice.Prefill != 200*time.Millisecond || choice.AtUsualSpeed(2) != (want+choice.Prefill)/2 {
+			t.Errorf("uneven %v: wait %v, prefill %v, at usual speed %v", uneven, choice.Wait, choice.Prefill, choice.AtUsualSpeed(2))
+		}
+	}
+}
+
+// Guards against engines whose streams become late while another could run the prompt, and against a
+// refusal where all are alike.
+func TestLatePausesAreAvoided(t *testing.T) {
+	in := &Input{
+		OwnTokens: 1000, MaxStaleness: time.Hour, PrefillTime: func(int) time.Duration { return 50 * time.Millisecond },
+		Uneven: true, MaxPause: 40 * time.Millisecond, Pause: func(running int) time.Duration { return time.Duration(running) * 2 * time.Millisecond },
+	}
+	engine := func(slowdown float64, running int, wait time.Duration) Candidate {
+		return Candidate{Slowdown: slowdown, Slots: 64, Work: ledger.Work{Running: running, Prefill: ledger.AtPriority(0, wait)}}
+	}
+	slow, fast := engine(1.7, 15, 0), engine(0.7, 20, 100*time.Millisecond)
+	if got := Pick(in, []Candidate{slow, fast}).Index; got != 1 {
+		t.Error("the streams of an engine become late although another has room")
+	}
+	if got := Pick(in, []Candidate{slow, slow}).Index; got < 0 {
+		t.Error("refused although there is no choice")
+	}
+	in.MaxPause = 0
+	if got := Pick(in, []Candidate{slow, fast}).Index; got != 0 {
+		t.Error("pauses count without an objective")
+	}
+}
--- a/internal/gateway/probe/probe.go
+++ b/internal/gateway/probe/probe.go
@@ -9,6 +9,7 @@
 package probe
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -54,6 +55,9 @@
 	PrefillInProgress bool
 	// Slowdown is the ratio of measured to predicted latency.
 	Slowdown float64
+	// Speed is the engine's speed over the last minutes; zero if unknown. It is 1 within the error of
+	// the estimate.
+	Speed float64
 	// Unhealthy is set when the engine failed many recent requests.
 	Unhealthy bool
 	// ReportAge is the age of the engine's last report to its sidecar.
@@ -157,6 +161,7 @@
 		Arriving: encodePerPriority(r.OfferedLoad),
 		Engine:   e, Load: EncodeLoad(0, r.Work), Held: uint32(r.CachedTokens), Coming: r.PrefillInProgress,
 		Pace: uint32(r.Slowdown * slowdownUnit), Ill: r.Unhealthy, ReportAgeMs: toMs(r.ReportAge), Saved: r.Offloaded, Holder: formatAddress(r.Holder),
+		Speed: uint32(math.Round(r.Speed * slowdownUnit)),
 	}
 }
 
@@ -164,7 +169,7 @@
 	e := in.GetEngine()
 	r := Response{
 		Incarnation: fleet.Incarnation{Instance: e.GetInstance(), StartedMs: e.GetBorn()}, Phase: phaseFromProto[e.GetPhase()], WeightVersions: map[string]int64{},
-		CachedTokens: int(in.Held), PrefillInProgress: in.Coming, Slowdown: float64(in.Pace) / slowdownUnit, Unhealthy: in.Ill, ReportAge: fromMs(in.ReportAgeMs), Offloaded: in.Saved, Holder: parseAddress(in.Holder),
+		CachedTokens: int(in.Held), PrefillInProgress: in.Coming, Slowdown: float64(in.Pace) / slowdownUnit, Speed: float64(in.Speed) / slowdownUnit, Unhealthy: in.Ill, ReportAge: fromMs(in.ReportAgeMs), Offloaded: in.Saved, Holder: parseAddress(in.Holder),
 	}
 	if in.Load != nil {
 		r.Work = DecodeLoad(in.Load)
--- a/internal/gateway/probe/probe_test.go
+++ b/internal/gateway/probe/probe_test.go
@@ -75,7 +75,7 @@
 	response := Response{
 		Incarnation: fleet.Incarnation{Instance: "i-1", StartedMs: 1_700_000_000_123}, WeightVersions: map[string]int64{"m": 3}, Phase: weights.Draining,
 		CachedTokens: 4870, Offloaded: true, Holder: netip.MustParseAddrPort("10.0.0.7:8000"), PrefillInProgress: true,
-		Slowdown: 1.25, Unhealthy: true, ReportAge: 120 * time.Millisecond,
+		Slowdown: 1.25, Speed: 0.7, Unhealthy: true, ReportAge: 120 * time.Millisecond,
 		Work:        ledger.Work{Running: 3, Prefill: ledger.AtPriority(2, 80*time.Millisecond), Memory: ledger.AtPriority(7, 12_000)},
 		OfferedLoad: ledger.AtPriority(1, 420),
 	}
@@ -224,7 +224,7 @@
 func TestMessagesOfOnePromptStaySmall(t *testing.T) {
 	response := Response{
 		Incarnation: fleet.Incarnation{Instance: "i-7f3a91c2", StartedMs: 1_700_000_000_123}, WeightVersions: map[string]int64{"daka510000": 12}, CachedTokens: 4870,
-		Holder: netip.MustParseAddrPort("10.200.100.207:8000"), Slowdown: 1.25, ReportAge: 120 * time.Millisecond,
+		Holder: netip.MustParseAddrPort("10.200.100.207:8000"), Slowdown: 1.25, Speed: 1.7, ReportAge: 120 * time.Millisecond,
 	}
 	for i := range ledger.Priorities {
 		response.Work.Prefill[i], response.Work.Memory[i], response.OfferedLoad[i] = time.Second, 100_000, 900
--- a/internal/gateway/tracker/tracker.go
+++ b/internal/gateway/tracker/tracker.go
@@ -50,11 +50,13 @@
 type Tracker struct {
 	now func() time.Time
 
-	mu     sync.Mutex
-	known  bool
-	state  State
-	index  *parts.Index
-	paces  *readtime.Slowdowns
+	mu    sync.Mutex
+	known bool
+	state State
+	index *parts.Index
+	paces *readtime.Slowdowns
+	// speeds is nil if speeds are not estimated.
+	speeds *readtime.Speeds
 	health *health.Monitor
 	sends  map[probe.SendID]*send
 	// remote tracks families that have this engine as their first choice.
@@ -73,6 +75,18 @@
 	}
 }
 
+// EstimateSpeed turns the estimate of the engine's speed on or off. It is off at first.
+func (t *Tracker) EstimateSpeed(on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case !on:
+		t.speeds = nil
+	case t.speeds == nil:
+		t.speeds = readtime.NewSpeeds()
+	}
+}
+
 // SetState sets the state of the engine. If the engine has restarted, the sends and the cache
 // content of the earlier incarnation are deleted. An empty incarnation, of an engine that
 // does not respond at the moment, leaves the last one in place.
@@ -91,6 +105,9 @@
 // reset deletes what is known of an earlier incarnation. The caller holds mu.
 func (t *Tracker) reset() {
 	t.index, t.paces = parts.NewIndex(), readtime.NewSlowdowns()
+	if t.speeds != nil {
+		t.speeds = readtime.NewSpeeds()
+	}
 	clear(t.sends)
 }
 
@@ -117,6 +134,9 @@
 		Incarnation: t.state.Incarnation, WeightVersions: t.state.Weights, Phase: t.state.Phase,
 		Work: workOf(slices.Collect(maps.Values(t.sends)), t.lastPrefillEnd, now), OfferedLoad: t.offered.permille(now), Slowdown: t.paces.Factor(t.state.Incarnation, now), ReportAge: now.Sub(t.state.ReportedAt),
 	}
+	if t.speeds != nil {
+		a.Speed = t.speeds.Speed(t.state.Incarnation, now).Reported()
+	}
 	_, a.Unhealthy = t.health.Ejected(now)[t.state.Incarnation]
 	t.fillCacheState(p, &a, now)
 	return a, true
@@ -191,6 +211,9 @@
 		return
 	}
 	if p.PrefillDone {
+		if t.speeds != nil && !tracked.prefilled { // a repeated datagram is no further sample
+			t.speeds.Record(t.state.Incarnation, p.Latency, p.ExpectedLatency, now)
+		}
 		tracked.prefilled, t.lastPrefillEnd = true, now
 		t.index.Record(t.id(), tracked.keys, true, now)
 		if tracked.offloaded {
--- a/internal/gateway/tracker/tracker_test.go
+++ b/internal/gateway/tracker/tracker_test.go
@@ -241,6 +241,39 @@
 	}
 }
 
+// Guards against a speed that is reported while it is disabled, unknown after a restart of the engine, or
+// counted once more by a repeated datagram.
+func TestResponseContainsSpeed(t *testing.T) {
+	tr := newTestTracker()
+	finish := func(n int) {
+		for range n {
+			id := tr.send(probe.Send{PrefillTime: 50 * time.Millisecond})
+			for range 3 {
+				tr.OnProgress(id, probe.Progress{PrefillDone: true, Latency: 70 * time.Millisecond, ExpectedLatency: 100 * time.Millisecond})
+			}
+			tr.OnProgress(id, probe.Progress{Ended: true})
+		}
+	}
+	speed := func() float64 { return tr.mustProbe(t, promptOf()).Speed }
+	finish(30)
+	if got := speed(); got != 0 {
+		t.Errorf("speed %.2f although it is disabled", got)
+	}
+	tr.EstimateSpeed(true)
+	finish(10)
+	if got := speed(); got != 0 {
+		t.Errorf("speed %.2f from 10 prompts", got)
+	}
+	finish(50)
+	if got := speed(); got < 0.65 || got > 0.75 {
+		t.Errorf("speed %.2f, want 0.7", got)
+	}
+	tr.SetState(State{Incarnation: fleet.Incarnation{Instance: "i-2"}})
+	if got := speed(); got != 0 {
+		t.Errorf("speed %.2f after a restart of the engine", got)
+	}
+}
+
 // An engine that is unresponsive for a while and then responds with the same incarnation keeps
 // its sends and cached parts.
 func TestUnresponsiveEngineKeepsState(t *testing.T) {
