Placement uses the measured speeds of engines where [speeds] is enabled

Cause: fast engines count as usual ones, and slow ones as slower than they are. Change: entries use the speeds that sidecars report, in large fleets, and their own estimates otherwise, for services whose engines are uneven. A change of the setting is in force at the next reload.

--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -78,7 +78,8 @@
 		Bounds: forward.Bounds{
 			RetryRatio: p.settings.Bounds.RetryRatio, RetrySlack: p.settings.Bounds.RetrySlack, MaxStaleness: p.settings.Bounds.MaxStaleness.Duration,
 		},
-		Zone: p.settings.AvailabilityZone, Logger: p.logger, RoutineLogger: p.routineLogger, Metrics: requestMetrics{p.metrics, p.burn}, AnnounceWork: e.announceWork, Now: p.clock.Now, Seed: p.settings.seed(),
+		SpeedsEnabled: p.useSpeeds.Load,
+		Zone:          p.settings.AvailabilityZone, Logger: p.logger, RoutineLogger: p.routineLogger, Metrics: requestMetrics{p.metrics, p.burn}, AnnounceWork: e.announceWork, Now: p.clock.Now, Seed: p.settings.seed(),
 	})
 	return e
 }
--- a/internal/gateway/forward/explain.go
+++ b/internal/gateway/forward/explain.go
@@ -34,7 +34,7 @@
 	if p := fl.probeEngines(ctx, in); p != nil {
 		x.Targets, x.Candidates = p.targets, p.candidates
 	} else {
-		x.Candidates = fl.candidates()
+		x.Candidates = fl.engineCandidates(in)
 	}
 	x.Ratings = placement.Rate(in, x.Candidates)
 }
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -76,9 +76,11 @@
 	Sidecars Sidecars
 	// Limits enforces the rate limits of workspaces; nil disables them.
 	Limits Limits
-	Bounds Bounds
-	Zone   string
-	Logger logr.Logger
+	// SpeedsEnabled reports whether placement uses the measured speeds of engines; nil disables it.
+	SpeedsEnabled func() bool
+	Bounds        Bounds
+	Zone          string
+	Logger        logr.Logger
 	// RoutineLogger logs successful operations. Its lines are dropped first under load.
 	RoutineLogger logr.Logger
 	Metrics       Metrics
@@ -144,6 +146,7 @@
 	retryBudgets   sync.Map // by service name; values are *retry.Budget
 	prefillTime    *readtime.Predictor
 	paces          *readtime.Slowdowns
+	engineSpeeds   engineSpeeds
 	turnover       parts.RetentionEstimator
 	callerTimeouts timeoutTracker
 	returns        returnSchedule
@@ -152,7 +155,7 @@
 
 // New returns a Forwarder.
 func New(d Deps) *Forwarder {
-	f := &Forwarder{Deps: d, prefillTime: readtime.NewPredictor(), paces: readtime.NewSlowdowns(), startedAt: time.Now()}
+	f := &Forwarder{Deps: d, prefillTime: readtime.NewPredictor(), paces: readtime.NewSlowdowns(), engineSpeeds: newEngineSpeeds(), startedAt: time.Now()}
 	f.random.Store(d.Seed)
 	d.CrashDetector.OnRecheck(f.Now, f.RecheckCrashes)
 	return f
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -13,6 +13,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/placement"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
+	"github.com/toucanwell/toucanwell/internal/gateway/readtime"
 	"github.com/toucanwell/toucanwell/internal/gateway/weights"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
@@ -206,7 +207,7 @@
 		}
 		return dst, refusal
 	}
-	candidates := fl.candidates()
+	candidates := fl.engineCandidates(in)
 	return fl.resolveChoice(in, candidates, fl.view.Targets[fl.service.Name], placement.Pick(in, candidates))
 }
 
@@ -253,6 +254,16 @@
 	return min(fl.timeLeft(), fl.route.MaxWait-time.Since(fl.arrived))
 }
 
+// engineCandidates returns the engines of the prompt's service with the factors that apply.
+func (fl *flow) engineCandidates(in *placement.Input) []placement.Candidate {
+	candidates := fl.candidates()
+	targets := fl.view.Targets[fl.service.Name]
+	fl.applySpeeds(in, candidates, true, func(i int) readtime.Speed {
+		return fl.engineSpeeds.measured.Speed(targets[i].Incarnation, fl.Now())
+	})
+	return candidates
+}
+
 // candidates returns the engines of the prompt's service, in the order of the view.
 func (fl *flow) candidates() []placement.Candidate {
 	targets := fl.view.Targets[fl.service.Name]
@@ -338,10 +349,14 @@
 func (fl *flow) engineDestination(t fleet.Target, c *placement.Candidate, choice placement.Choice, in *placement.Input) *destination {
 	cacheScope := fl.cacheScopeAt(c.Version)
 	partKeys := parts.Keys(cacheScope, fl.request.Parts)
-	slowdown := max(c.Slowdown, 1)
+	slowdown := c.Slowdown
+	if !in.Uneven {
+		slowdown = max(slowdown, 1)
+	}
 	dst := &destination{
 		slowdown:           slowdown,
-		expectedFirstEvent: time.Duration(float64(choice.Wait+choice.Prefill)/slowdown) + choice.Fetch,
+		running:            c.Work.Running + 1,
+		expectedFirstEvent: choice.AtUsualSpeed(slowdown),
 		target:             t, cacheScope: cacheScope, weightsVersion: c.Version, choice: choice, fetchFrom: choice.FetchFrom, partKeys: partKeys, offloadTo: fl.offloadTo(partKeys, in),
 		work: ledger.Work{Running: 1, Prefill: ledger.AtPriority(choice.Priority, choice.Prefill)},
 	}
--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -11,6 +11,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/placement"
 	"github.com/toucanwell/toucanwell/internal/gateway/probe"
+	"github.com/toucanwell/toucanwell/internal/gateway/readtime"
 	"github.com/toucanwell/toucanwell/internal/gateway/weights"
 )
 
@@ -134,6 +135,7 @@
 		p.candidates[i] = c
 		p.inProgress = p.inProgress || p.responded[i] && p.responses[i].PrefillInProgress
 	}
+	p.fl.applySpeeds(in, p.candidates, false, func(i int) readtime.Speed { return readtime.FromReport(p.responses[i].Speed) })
 	p.choice = placement.Pick(in, p.candidates)
 }
 
--- a/internal/gateway/forward/probed_test.go
+++ b/internal/gateway/forward/probed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"maps"
+	"math"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -257,3 +258,40 @@
 		t.Errorf("the send was cancelled: %v", context.Cause(ctx))
 	}
 }
+
+// Guards against speeds that are used where they are disabled or even, and against a fast engine whose
+// reported work is not scaled to its speed.
+func TestSpeedsScaleReportedWork(t *testing.T) {
+	var usual time.Duration // the work that is reported without speeds
+	for _, c := range []struct {
+		enabled    bool
+		other      float64
+		wantFactor float64
+	}{{false, 1.7, 1}, {true, 1.7, 0.7}, {true, 0.75, 1}, {true, 0, 1}} {
+		fast, other := startStreamTarget(t, "fast"), startStreamTarget(t, "other")
+		env, sidecars := newProbedEnv(t, fast, other)
+		env.SpeedsEnabled = func() bool { return c.enabled }
+		for tg, speed := range map[*fakeTarget]float64{fast: 0.7, other: c.other} {
+			a := sidecars.responses[addressOf(tg)]
+			a.Speed = speed
+			if tg == other {
+				a.Work = ledger.Work{Running: 30, Prefill: ledger.AtPriority(0, 3*time.Second)}
+			}
+			sidecars.setResponse(addressOf(tg), a)
+		}
+		if resp := postPrompt(t, env); resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+		env.server.Close()
+		sends := sidecars.sends[addressOf(fast)]
+		if len(sends) != 1 {
+			t.Fatalf("%d sends to the fast engine", len(sends))
+		}
+		if !c.enabled {
+			usual = sends[0].PrefillTime
+		}
+		if got := float64(sends[0].PrefillTime) / float64(usual); usual == 0 || math.Abs(got-c.wantFactor) > 0.01 {
+			t.Errorf("enabled %v, other engine %.2f: reported work is %.2f of the usual, want %.2f", c.enabled, c.other, got, c.wantFactor)
+		}
+	}
+}
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -165,6 +165,7 @@
 func (fl *flow) learnPrefillTime(dst *destination) {
 	if dst.choice.PrefillTokens > 0 {
 		fl.paces.Record(dst.target.Incarnation, time.Since(fl.sentAt), dst.expectedFirstEvent, fl.Now())
+		fl.recordSpeed(dst)
 	}
 	if dst.choice.Wait > maxUnqueuedWait || dst.choice.PrefillTokens == 0 {
 		return
@@ -180,5 +181,6 @@
 	}
 	fl.recordOutcome(dst, health.Good)
 	fl.recordServed(dst)
+	fl.learnStepTime(dst)
 	return sendResult{final: true}
 }
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -38,7 +38,7 @@
 	linkTime time.Duration
 	// memoryTokens is the number of tokens that the request adds to the engine's memory.
 	memoryTokens int
-	// expectedFirstEvent is the time to the first event at an engine of normal pace.
+	// expectedFirstEvent is the time to the first event at an engine of usual speed.
 	expectedFirstEvent time.Duration
 	// quarantineStatus is the request's status when the target was chosen.
 	quarantineStatus quarantine.Status
@@ -62,8 +62,11 @@
 	// that sidecar; zero if the send was not reported to it.
 	familyFirst       netip.AddrPort
 	familyFirstSendID uint32
-	// slowdown is the factor by which the engine is slower than predicted; at least 1.
+	// slowdown is the factor by which the engine is slower than predicted; at least 1 unless the
+	// speeds of the service's engines are uneven.
 	slowdown float64
+	// running is the number of requests that the engine runs with this one.
+	running int
 	// restTrial is set if the send is the first one after the target's rest.
 	restTrial bool
 	// admission is the decision of the target's rate limit, if it has one.
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -64,7 +64,9 @@
 	listener      net.Listener
 	servers       []*http.Server
 	serveErrors   chan error
-	deputy        *deputy
+	// useSpeeds is set if placement uses the measured speeds of engines.
+	useSpeeds atomic.Bool
+	deputy    *deputy
 	// origins shares which software versions began streams.
 	origins *origin.Exchange
 	// incarnation distinguishes this start of the process from others.
@@ -82,6 +84,7 @@
 		clock: hostclock.New(), burn: burn.NewCounter(time.Now), incarnation: rand.Uint64(), serveErrors: make(chan error, 4),
 	}
 	platform.SetLogger(p.logger)
+	p.useSpeeds.Store(s.Speeds.Enabled)
 	p.loop = control.NewLoop(s.seed(), p.metrics.ControlTime)
 	p.origins = newOrigins(p)
 	peers := &http.Client{Transport: &http.Transport{DialContext: upstream.NewDialer().DialContext, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}}
@@ -264,14 +267,18 @@
 	}
 }
 
-// Reload applies changed settings to the running process. Only the seeds can change; other
-// settings keep their values until a restart.
+// Reload applies changed settings to the running process. Only the seeds and the use of engines' speeds
+// can change; other settings keep their values until a restart.
 func (p *process) Reload(next *Settings) {
 	fixed := *next
-	fixed.Seeds = p.settings.Seeds
+	fixed.Seeds, fixed.Speeds = p.settings.Seeds, p.settings.Speeds
 	same := reflect.DeepEqual(&fixed, p.settings)
 	p.loop.Post(func() { p.state.mesh.SetSeeds(next.seedHosts()) })
-	p.logger.Info("settings_reloaded", "seeds", next.Seeds, "others_unchanged", same)
+	p.useSpeeds.Store(next.Speeds.Enabled)
+	if p.sidecar != nil {
+		p.sidecar.tracker.EstimateSpeed(next.Speeds.Enabled)
+	}
+	p.logger.Info("settings_reloaded", "seeds", next.Seeds, "speeds", next.Speeds.Enabled, "others_unchanged", same)
 }
 
 // ReloadFailed logs that changed settings are invalid and were not applied.
--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -69,6 +69,7 @@
 	p.state.onViewChange = s.controller.Trigger
 	s.caches = newCacheFollowers(p)
 	s.tracker = tracker.New(p.clock.Now)
+	s.tracker.EstimateSpeed(p.settings.Speeds.Enabled)
 	return s
 }
 
