--- a/internal/batchmodel/uneven.go
+++ b/internal/batchmodel/uneven.go
@@ -37,7 +37,9 @@
 	// entry learns of the others' sends after AnnounceDelay.
 	Probed        bool
 	AnnounceDelay time.Duration
-	Seed          uint64
+	// UseSpeeds is set if entries and sidecars estimate the speeds of engines.
+	UseSpeeds bool
+	Seed      uint64
 }
 
 // SpeedChange sets the speed of an engine at a time.
@@ -72,6 +74,9 @@
 	ledger    *ledger.Ledger
 	predictor *readtime.Predictor
 	paces     *readtime.Slowdowns
+	speeds    *readtime.Speeds
+	spread    *readtime.Spread
+	steps     *readtime.StepTimes
 	announced time.Duration
 }
 
@@ -104,12 +109,13 @@
 		m.engines = append(m.engines, e)
 		t := tracker.New(m.now)
 		t.SetState(tracker.State{Incarnation: incarnationOf(i), Phase: weights.Serving})
+		t.EstimateSpeed(spec.UseSpeeds)
 		m.trackers = append(m.trackers, t)
 	}
 	for i := range spec.Entries {
 		m.entries = append(m.entries, &unevenEntry{
 			address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1),
-			ledger:  ledger.New(), predictor: readtime.NewPredictor(), paces: readtime.NewSlowdowns(),
+			ledger:  ledger.New(), predictor: readtime.NewPredictor(), paces: readtime.NewSlowdowns(), speeds: readtime.NewSpeeds(), spread: readtime.NewSpread(), steps: readtime.NewStepTimes(),
 		})
 	}
 	perSecond := 0.0
@@ -194,13 +200,24 @@
 		Family: m.random.Uint64(), OwnTokens: q.ownTokens, MaxTokens: q.outputTokens, Objective: q.class.TTFTObjective,
 		Priority: q.class.Priority, LatePriority: ledger.Priorities/2 + q.class.Priority, MaxStaleness: time.Hour, PrefillTime: e.predictor.PrefillTime,
 	}
-	candidates := m.candidates(e)
+	candidates, speeds := m.candidates(e)
+	if m.spec.UseSpeeds && e.spread.Note("", speeds, m.now()) {
+		in.Uneven, in.MaxPause = true, m.strictestPause()
+		in.Pause = func(running int) time.Duration { return e.steps.Pause("", running) }
+		if !m.spec.Probed {
+			readtime.Relative(speeds)
+		}
+		for i := range candidates {
+			candidates[i].Slowdown = readtime.FactorOf(speeds[i], candidates[i].Slowdown)
+		}
+	}
 	choice := placement.Pick(in, candidates)
-	m.send(q, e, choice, max(candidates[choice.Index].Slowdown, 1))
+	m.send(q, e, choice, &candidates[choice.Index])
 }
 
-// candidates returns the engines as an entry sees them.
-func (m *unevenRun) candidates(e *unevenEntry) []placement.Candidate {
+// candidates returns the engines as an entry sees them, and their speeds.
+func (m *unevenRun) candidates(e *unevenEntry) ([]placement.Candidate, []readtime.Speed) {
+	speeds := make([]readtime.Speed, len(m.engines))
 	candidates := make([]placement.Candidate, len(m.engines))
 	var totals map[fleet.ID]ledger.Work
 	if !m.spec.Probed {
@@ -212,18 +229,21 @@
 		if m.spec.Probed {
 			a, _ := m.trackers[i].Probe(probe.Prompt{})
 			c.Work, c.OfferedLoad, c.Slowdown = a.Work, a.OfferedLoad, a.Slowdown
+			speeds[i] = readtime.FromReport(a.Speed)
 		} else {
 			c.Work, c.Slowdown = totals[fleet.ID(i+1)], e.paces.Factor(incarnationOf(i), m.now())
+			speeds[i] = e.speeds.Speed(incarnationOf(i), m.now())
 		}
 	}
-	return candidates
+	return candidates, speeds
 }
 
 // send queues a request at an engine and records what an entry and a sidecar record of it.
-func (m *unevenRun) send(q *request, e *unevenEntry, choice placement.Choice, slowdown float64) {
+func (m *unevenRun) send(q *request, e *unevenEntry, choice placement.Choice, c *placement.Candidate) {
+	slowdown, running := c.Slowdown, c.Work.Running+1
 	engine, t := m.engines[choice.Index], m.trackers[choice.Index]
 	m.sent[choice.Index] += float64(q.ownTokens)
-	expected := time.Duration(float64(choice.Wait+choice.Prefill) / slowdown)
+	expected := choice.AtUsualSpeed(slowdown)
 	work := ledger.Work{Running: 1, Prefill: ledger.AtPriority(choice.Priority, choice.Prefill), Memory: ledger.AtPriority(choice.Priority, q.ownTokens+q.outputTokens/2)}
 	item := e.ledger.Begin(fleet.ID(choice.Index+1), work, choice.Wait, m.now())
 	m.sendID++
@@ -233,11 +253,14 @@
 		Memory: q.ownTokens + q.outputTokens/2, Lifetime: time.Minute,
 	})
 	r := &run{request: q, engine: engine, readyAt: q.arrival + engine.spec.AdmissionDelay, priority: choice.Priority}
+	first := time.Duration(0)
 	r.onFirstToken = func(at time.Duration) {
+		first = at
 		m.at(at, func() {
 			item.PrefillDone()
 			t.OnProgress(id, probe.Progress{PrefillDone: true, Latency: at - q.arrival, ExpectedLatency: expected})
 			e.paces.Record(incarnationOf(choice.Index), at-q.arrival, expected, m.now())
+			e.speeds.Record(incarnationOf(choice.Index), at-q.arrival, expected, m.now())
 			if choice.Wait < maxUncontendedWait {
 				e.predictor.Record(q.ownTokens, at-q.arrival)
 			}
@@ -248,12 +271,23 @@
 		m.at(engine.clock, func() {
 			item.End()
 			t.OnProgress(id, probe.Progress{Ended: true})
+			if r.generated > 1 {
+				e.steps.Record("", running, time.Duration(float64(r.lastToken-first)/float64(r.generated-1)/slowdown), m.now())
+			}
 			m.recordEnd(q, r)
 		})
 	}
 	engine.waiting = append(engine.waiting, r)
 }
 
+func (m *unevenRun) strictestPause() time.Duration {
+	strictest := m.spec.Classes[0].MaxTokenGap
+	for _, c := range m.spec.Classes {
+		strictest = min(strictest, c.MaxTokenGap)
+	}
+	return strictest
+}
+
 func (m *unevenRun) at(at time.Duration, deliver func()) {
 	m.events = append(m.events, timedEvent{at, deliver})
 }
--- a/internal/gateway/readtime/speed_test.go
+++ b/internal/gateway/readtime/speed_test.go
@@ -186,3 +186,31 @@
 		}
 	})
 }
+
+// BenchmarkSpeeds measures the additional work of a decision among 60 engines, and of a sample.
+func BenchmarkSpeeds(b *testing.B) {
+	s, spread, now := NewSpeeds(), NewSpread(), start
+	engines := make([]fleet.Incarnation, 60)
+	for i := range engines {
+		engines[i] = fleet.Incarnation{Instance: string(rune('a' + i))}
+		for range 100 {
+			s.Record(engines[i], time.Duration(70+i)*time.Millisecond, 100*time.Millisecond, now)
+		}
+	}
+	b.Run("decision", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			speeds := make([]Speed, len(engines))
+			for i := range engines {
+				speeds[i] = s.Speed(engines[i], now)
+			}
+			spread.Note("s", speeds, now)
+			Relative(speeds)
+		}
+	})
+	b.Run("sample", func(b *testing.B) {
+		for b.Loop() {
+			s.Record(engines[0], 70*time.Millisecond, 100*time.Millisecond, now)
+		}
+	})
+}
