--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -80,6 +80,7 @@
 		},
 		Zone: p.settings.AvailabilityZone, Logger: p.logger, RoutineLogger: p.routineLogger, Metrics: requestMetrics{p.metrics, p.burn}, AnnounceWork: e.announceWork, Now: p.clock.Now, Seed: p.settings.seed(), Queue: p.settings.Queue.policy(),
 		QueueObserver: queueObserver{p.routineLogger, p.metrics},
+		SpeedsEnabled: p.useSpeeds.Load,
 	})
 	return e
 }
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -63,7 +63,9 @@
 	listener      net.Listener
 	servers       []*http.Server
 	serveErrors   chan error
-	deputy        *deputy
+	// useSpeeds is set if placement uses the measured speeds of engines.
+	useSpeeds atomic.Bool
+	deputy    *deputy
 	// origins shares which software versions began streams.
 	origins *origin.Exchange
 	// incarnation distinguishes this start of the process from others.
@@ -82,6 +84,7 @@
 		clock: hostclock.New(), burn: burn.NewCounter(time.Now), incarnation: rand.Uint64(), serveErrors: make(chan error, 4),
 	}
 	platform.SetLogger(p.logger)
+	p.useSpeeds.Store(s.Speeds.Enabled)
 	p.loop = control.NewLoop(s.seed(), p.metrics.ControlTime)
 	p.origins = newOrigins(p)
 	peers := &http.Client{Transport: &http.Transport{DialContext: upstream.NewDialer().DialContext, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}}
@@ -97,6 +100,7 @@
 	}
 	p.registerGauges()
 	p.registerQueueGauges()
+	p.metrics.RegisterEngineSpeeds(p.engineSpeeds)
 	go p.loop.Run()
 	p.state.mesh.Start()
 	p.state.start()
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -11,6 +11,7 @@
 	same := reflect.DeepEqual(&others, p.settings)
 	p.loop.Post(func() { p.state.mesh.SetSeeds(next.seedHosts()) })
 	p.reloadQueue(next.Queue)
+	p.reloadSpeeds(next.Speeds)
 	p.logger.Info("settings_reloaded", "seeds", next.Seeds, "queue", next.Queue.Enabled, "speeds", next.Speeds.Enabled, "others_unchanged", same)
 }
 
@@ -25,5 +26,13 @@
 	p.entry.forwarder.ConfigureQueue(next.policy())
 }
 
+// reloadSpeeds turns the use of engines' speeds on or off. A sidecar starts to measure anew.
+func (p *process) reloadSpeeds(next SpeedSettings) {
+	p.useSpeeds.Store(next.Enabled)
+	if p.sidecar != nil {
+		p.sidecar.tracker.EstimateSpeed(next.Enabled)
+	}
+}
+
 // ReloadFailed logs that changed settings are invalid and were not applied.
 func (p *process) ReloadFailed(err error) { p.logger.Error(err, "settings_refused") }
