--- a/internal/batchmodel/uneven.go
+++ b/internal/batchmodel/uneven.go
@@ -185,9 +185,10 @@
 			continue
 		}
 		from.announced = m.clock
+		work := from.ledger.Own(m.now())
 		for _, to := range m.entries {
 			if to != from {
-				to.ledger.ApplyReport(from.address, from.ledger.Own(m.now()), false, m.now())
+				to.ledger.ApplyReport(from.address, work, false, m.now())
 			}
 		}
 	}
