Rate limits: an entry uses its part of the rate while the coordinator is slow

Change: an entry whose lease request is unanswered for 60 ms grants its waiting callers what has accrued at that part, for a second after the last response, and reports it as an overdraft. The parts add up to the limit.

--- a/internal/gateway/ratelimit/contact.go
+++ b/internal/gateway/ratelimit/contact.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math"
 	"net/netip"
 	"time"
 )
@@ -13,6 +14,9 @@
 	// silenceTimeout is the time without a response after which the next in rank is asked. A
 	// coordinator that is only slow must not be replaced: two entries would grant tokens.
 	silenceTimeout = time.Second
+	// slowGrantTime is how long after the coordinator's last response an entry grants tokens by itself, and
+	// how long it may use them. Entries that the coordinator does not hear for longer get no part any more.
+	slowGrantTime = time.Second
 	// contactTime is the time since the last response within which silence begins with that.
 	contactTime = 500 * time.Millisecond
 	// fallbackTimeout is how long to wait for the response of a fallback entry.
@@ -85,6 +89,7 @@
 // sets the timer. The caller holds mu.
 func (l *Limiter) advance(key string, c *credit, now time.Time) {
 	l.checkPending(c, now)
+	c.grantWhileSlow(now)
 	c.serve(Leased, now)
 	if c.mayRequest(now) && (c.queue.waitsBeyond(now) || c.shouldLeaseAhead(now)) {
 		l.requestLease(key, c, now)
@@ -111,6 +116,27 @@
 	}
 }
 
+// grantWhileSlow grants tokens to the waiting callers while a response of the coordinator is overdue, at the
+// entry's part of the rate as last stated. The parts of all entries add up to the limit. The coordinator
+// learns of these tokens as an overdraft with the next request.
+func (c *credit) grantWhileSlow(now time.Time) {
+	p := c.contact.pending
+	if p == nil || p.fallback || c.hasAlternative || now.Sub(p.sentAt) < firstRetransmitDelay || now.Sub(c.answeredAt) > slowGrantTime {
+		return
+	}
+	from := p.sentAt
+	if c.slowGrantedAt.After(from) {
+		from = c.slowGrantedAt
+	}
+	tokens := math.Min(c.currentRate(now)*now.Sub(from).Seconds(), c.queue.cost-c.available(now))
+	if first := c.queue.first(); first == nil || tokens < first.request.Cost {
+		return
+	}
+	c.slowGrantedAt = now
+	c.overdraft += tokens
+	c.leases = append(c.leases, heldLease{tokens: tokens, expiresAt: now.Add(slowGrantTime), unreported: true})
+}
+
 // requestLease requests tokens from the coordinator. If that is silent, it asks the entries with the
 // next ranks in turn, and at last uses the entry's own share.
 func (l *Limiter) requestLease(key string, c *credit, now time.Time) {
--- a/internal/gateway/ratelimit/credit.go
+++ b/internal/gateway/ratelimit/credit.go
@@ -40,6 +40,8 @@
 	// coordinator.
 	refunded  float64
 	allowance overdraftAllowance
+	// slowGrantedAt is when the entry last granted tokens by itself.
+	slowGrantedAt time.Time
 	// overdraft is the use beyond granted tokens that was not reported.
 	overdraft float64
 	// demand is the average use per second as of demandAt.
--- a/internal/gateway/ratelimit/waiting_test.go
+++ b/internal/gateway/ratelimit/waiting_test.go
@@ -197,3 +197,46 @@
 		}
 	}
 }
+
+// Guards against callers that are refused while a coordinator is slow, although their entry's part of the
+// rate is known, and against an entry that goes on granting tokens when the coordinator stays silent.
+func TestPartOfTheRateIsUsedWhileTheCoordinatorIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond, interval = 100, 10 * time.Millisecond
+		l, sent, _, coordinator := remoteLimiter(t)
+		admit := func() Decision {
+			return l.Admit(t.Context(), Request{Key: "b", Limit: smallLimit, Cost: 1, MaxWait: time.Second})
+		}
+		go admit()
+		synctest.Wait()
+		l.handleMessage(coordinator, &peerv1.RateMessage{Id: (*sent)[0].Id, Incarnation: 1, Key: "b", Answer: &peerv1.RateAnswer{Admitted: true, Rate: perSecond}})
+		answered := time.Now()
+		type outcome struct {
+			Decision
+			at time.Duration
+		}
+		done := make(chan outcome, 1000)
+		for range int(3 * time.Second / interval) {
+			go func() {
+				d := admit()
+				done <- outcome{d, time.Since(answered)}
+			}()
+			time.Sleep(interval)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		close(done)
+		admitted, last := 0, time.Duration(0)
+		for o := range done {
+			if o.Admitted && o.Source == Leased {
+				admitted, last = admitted+1, max(last, o.at)
+			}
+		}
+		if admitted < perSecond/2 || admitted > perSecond {
+			t.Errorf("%d requests admitted, want most of the part of one second: %d", admitted, perSecond)
+		}
+		if last > slowGrantTime+maxTokenWait {
+			t.Errorf("a request admitted %s after the last response", last)
+		}
+	})
+}
