--- a/internal/gateway/forward/queued_test.go
+++ b/internal/gateway/forward/queued_test.go
@@ -67,16 +67,6 @@
 	return outcomes
 }
 
-// await waits for a condition that other goroutines bring about.
-func await(t *testing.T, what string, met func() bool) {
-	t.Helper()
-	for deadline := time.Now().Add(10 * time.Second); !met(); time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("not within 10s: " + what)
-		}
-	}
-}
-
 func (env *testEnv) waitingRequests() int {
 	n := 0
 	s, _ := env.QueueStats()
@@ -120,7 +110,7 @@
 	observer := &countingObserver{env: env}
 	env.waitingRoom.observer = observer
 	outcomes := env.prompts(t, context.Background(), 200)
-	await(t, "all wait", func() bool { return env.waitingRequests() == 200 })
+	waitFor(t, "all wait", func() bool { return env.waitingRequests() == 200 })
 	if got := tg.runs.Load(); got != 0 {
 		t.Errorf("%d prompts were sent beyond the memory bound", got)
 	}
@@ -138,7 +128,7 @@
 	tg := startStreamTarget(t, "i1")
 	env, _ := newQueuedEnv(t, queue.Policy{}, tg)
 	outcomes := env.prompts(t, context.Background(), 20)
-	await(t, "all wait", func() bool { return env.waitingRequests() == 20 })
+	waitFor(t, "all wait", func() bool { return env.waitingRequests() == 20 })
 	env.ConfigureQueue(&queue.Policy{MaxRequests: 5})
 	env.ConfigureQueue(nil) // without the queue there is no bound on memory
 	if got := collect(t, outcomes, 20); got[http.StatusOK] != 20 {
@@ -153,10 +143,10 @@
 	env, free := newQueuedEnv(t, queue.Policy{}, tg)
 	ctx, cancel := context.WithCancel(context.Background())
 	outcomes := env.prompts(t, ctx, 20)
-	await(t, "all wait", func() bool { return env.waitingRequests() == 20 })
+	waitFor(t, "all wait", func() bool { return env.waitingRequests() == 20 })
 	cancel()
 	collect(t, outcomes, 20)
-	await(t, "all have left", func() bool { return env.waitingRequests() == 0 && env.InFlight() == 0 })
+	waitFor(t, "all have left", func() bool { return env.waitingRequests() == 0 && env.InFlight() == 0 })
 	free()
 	if got := collect(t, env.prompts(t, context.Background(), 1), 1); got[http.StatusOK] != 1 || tg.runs.Load() != 1 {
 		t.Errorf("outcomes %v, %d runs", got, tg.runs.Load())
@@ -168,7 +158,7 @@
 	tg := startStreamTarget(t, "i1")
 	env, free := newQueuedEnv(t, queue.Policy{MaxRequests: 50}, tg)
 	outcomes := env.prompts(t, context.Background(), 60)
-	await(t, "the queue is full", func() bool { return env.waitingRequests() == 50 && len(outcomes) == 10 })
+	waitFor(t, "the queue is full", func() bool { return env.waitingRequests() == 50 && len(outcomes) == 10 })
 	if got := collect(t, outcomes, 10); got[http.StatusTooManyRequests] != 10 {
 		t.Errorf("beyond the bound: %v", got)
 	}
@@ -191,7 +181,7 @@
 	dying, _ := newQueuedEnv(t, queue.Policy{}, tg)
 	other, free := newQueuedEnv(t, queue.Policy{}, tg)
 	outcomes := dying.prompts(t, context.Background(), 30)
-	await(t, "all wait", func() bool { return dying.waitingRequests() == 30 })
+	waitFor(t, "all wait", func() bool { return dying.waitingRequests() == 30 })
 	dying.server.CloseClientConnections()
 	if got := collect(t, outcomes, 30); got[0] != 30 {
 		t.Errorf("at the entry that died: %v", got)
@@ -224,10 +214,10 @@
 	current.Store(&gone)
 	env.Forwarder.View = func() (*view.View, bool) { return current.Load(), true }
 	outcomes := env.prompts(t, context.Background(), 40)
-	await(t, "all wait", func() bool { return env.waitingRequests() == 40 })
+	waitFor(t, "all wait", func() bool { return env.waitingRequests() == 40 })
 	current.Store(env.view)
 	env.NotifyQueue()
-	await(t, "all but those that were sent back are served", func() bool { return len(outcomes) == 35 })
+	waitFor(t, "all but those that were sent back are served", func() bool { return len(outcomes) == 35 })
 	next := *env.view
 	again := env.view.Targets["engines"][0].WithIncarnation(fleet.Incarnation{Instance: "i1-engine", StartedMs: 5})
 	next.Targets = map[string][]fleet.Target{"engines": {again}}
@@ -250,7 +240,7 @@
 	full.Work = ledger.Work{Running: 1, Memory: ledger.AtPriority(1, 95_000)}
 	sidecars.setResponse(addressOf(tg), full)
 	outcomes := env.prompts(t, context.Background(), 10)
-	await(t, "all wait", func() bool { return env.waitingRequests() == 10 })
+	waitFor(t, "all wait", func() bool { return env.waitingRequests() == 10 })
 	sidecars.setResponse(addressOf(tg), room)
 	if got := collect(t, outcomes, 10); got[http.StatusOK] != 10 || tg.runs.Load() != 10 {
 		t.Errorf("outcomes %v, %d runs", got, tg.runs.Load())
