--- a/review/stand/stop.go
+++ b/review/stand/stop.go
@@ -20,7 +20,7 @@
 	excusedUntil = 3 * time.Second
 	// shortWork is the time to the first event of a short prompt; its last comes 0.2 s later.
 	shortWork    = 1600 * time.Millisecond
-	shortBudget  = 3 * time.Second
+	shortBudget  = 2500 * time.Millisecond
 	shortEngines = 9
 	longEngines  = 3
 	longBudget   = 15 * time.Second
