--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -55,6 +55,7 @@
 	Throttled
 	StreamNotResumable
 	PartQuarantined
+	Interrupted
 )
 
 // Spec describes how a kind is reported and retried.
@@ -108,6 +109,7 @@
 	PartQuarantined:      {"part_quarantined", "A part of the prompt has ended the targets that ran it, and is not run for now.", http.StatusServiceUnavailable, false},
 	Throttled:            {"throttled", "All targets of the service have asked for fewer requests.", http.StatusServiceUnavailable, true},
 	StreamNotResumable:   {"stream_not_resumable", "The stream cannot go on where it broke off; start it anew.", http.StatusMisdirectedRequest, false},
+	Interrupted:          {"interrupted", "This entry stopped before the answer came; the request may have run.", http.StatusBadGateway, false},
 	RateLimited:          {"rate_limited", "The workspace has used up its rate limit for now.", http.StatusTooManyRequests, false},
 }
 
@@ -131,7 +133,7 @@
 // All returns all kinds except None, in numerical order.
 func All() []Kind {
 	kinds := make([]Kind, 0, len(table))
-	for k := BadRequest; k <= PartQuarantined; k++ {
+	for k := BadRequest; k <= Interrupted; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -162,12 +162,14 @@
 	waitingRoom    *waitingRoom
 	runTimes       runTimes
 	startedAt      time.Time
+	shutdown       shutdown
 }
 
 // New returns a Forwarder.
 func New(d Deps) *Forwarder {
 	f := &Forwarder{Deps: d, prefillTime: readtime.NewPredictor(), paces: readtime.NewSlowdowns(), engineSpeeds: newEngineSpeeds(), startedAt: time.Now()}
 	f.random.Store(d.Seed)
+	f.shutdown.init()
 	f.queueEnabled.Store(d.Queue != nil)
 	f.waitingRoom = newWaitingRoom(d.Queue, d.QueueObserver)
 	d.CrashDetector.OnRecheck(f.Now, f.RecheckCrashes)
@@ -225,7 +227,9 @@
 	suspectPart      quarantine.Part
 	arrived          time.Time
 	deadline         time.Time
-	retries          *retry.Budget
+	// deadlineSource is what sets the deadline.
+	deadlineSource deadlineSource
+	retries        *retry.Budget
 	// isRetry is set if the caller has probably been refused before.
 	isRetry bool
 	// sends counts the sends, delivered those that may have reached a target, and runs
@@ -272,17 +276,19 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	fl := &flow{Forwarder: f, w: w, r: r, arrived: time.Now()}
-	fl.deadline = fl.arrived.Add(defaultTimeout)
+	fl.setDeadline()
 	fl.limitWrites()
 	defer fl.refund()
-	if refusal := fl.admit(); refusal != nil {
+	ctx, release := f.shutdown.withExit(r.Context())
+	defer release()
+	if refusal := fl.admit(ctx); refusal != nil {
 		fl.refuse(refusal)
 		return
 	}
 	fl.limitWrites()
 	f.Metrics.Request(fl.service.Name, fl.class())
 	fl.retries.Earn(f.Bounds.RetryRatio)
-	ctx, cancel := context.WithDeadlineCause(r.Context(), fl.deadline, errDeadline)
+	ctx, cancel := context.WithDeadlineCause(ctx, fl.deadline, errDeadline)
 	defer cancel()
 	refusal := fl.run(ctx)
 	switch {
@@ -314,13 +320,13 @@
 
 // admit validates a request, resolves its route, workspace, service and deadline, and
 // checks its limits.
-func (fl *flow) admit() *errkind.Error {
+func (fl *flow) admit(ctx context.Context) *errkind.Error {
 	var err error
 	if fl.request, err = fl.Protocol.ReadRequest(fl.r.Header); err != nil {
 		return errkind.New(errkind.BadRequest, "%v", err)
 	}
 	var refusal *errkind.Error
-	if fl.view, refusal = fl.configuredView(fl.r.Context()); refusal != nil {
+	if fl.view, refusal = fl.configuredView(ctx); refusal != nil {
 		return refusal
 	}
 	path, _, _ := strings.Cut(fl.r.RequestURI, "?")
@@ -334,10 +340,10 @@
 	if refusal := fl.checkOutlivesEntry(); refusal != nil {
 		return refusal
 	}
-	if refusal := fl.checkRateLimit(); refusal != nil {
+	if refusal := fl.checkRateLimit(ctx); refusal != nil {
 		return refusal
 	}
-	if refusal := fl.readBody(fl.view.Estate.Limits.BodyBytes); refusal != nil {
+	if refusal := fl.readBody(ctx, fl.view.Estate.Limits.BodyBytes); refusal != nil {
 		return refusal
 	}
 	fl.fingerprint = quarantine.FingerprintOf(fl.workspaceName(), fl.r.RequestURI, fl.body)
@@ -353,15 +359,31 @@
 	}
 	fl.service = e.Service(fl.route.PickBackend(float64(xxhash.Sum64String(fl.streamID())>>11) / (1 << 53)))
 	fl.retries = fl.retryBudget(fl.service.Name, fl.view.EntryCount)
-	fl.deadline = fl.arrived.Add(defaultTimeout)
 	fl.isRetry = fl.callerTimeouts.isRetry(fl.route.Name, fl.request.TimeLeft)
+	fl.setDeadline()
+	return nil
+}
+
+// deadlineSource is what sets the deadline of a request.
+type deadlineSource string
+
+const (
+	deadlineByDefault deadlineSource = "default"
+	deadlineByCaller  deadlineSource = "caller"
+	deadlineByRoute   deadlineSource = "route"
+)
+
+// setDeadline sets the deadline to the earlier one of the caller's and the route's, which may not be known.
+func (fl *flow) setDeadline() {
+	timeout := defaultTimeout
+	fl.deadlineSource = deadlineByDefault
 	if fl.request.TimeLeft > 0 {
-		fl.deadline = fl.arrived.Add(fl.request.TimeLeft)
+		timeout, fl.deadlineSource = fl.request.TimeLeft, deadlineByCaller
 	}
-	if timeout := fl.arrived.Add(fl.route.Timeout); fl.route.Timeout > 0 && timeout.Before(fl.deadline) {
-		fl.deadline = timeout
+	if fl.route != nil && fl.route.Timeout > 0 && fl.route.Timeout < timeout {
+		timeout, fl.deadlineSource = fl.route.Timeout, deadlineByRoute
 	}
-	return nil
+	fl.deadline = fl.arrived.Add(timeout)
 }
 
 const (
@@ -379,7 +401,7 @@
 	if !v.Stopping || fl.arrived.Before(v.SelectiveFrom) || time.Now().Add(longest).Before(v.ShutdownAt) {
 		return nil
 	}
-	return errkind.NewRetryAfter(errkind.Stopping, fl.jitter(otherEntryRetryAfter), "the entry exits in %s", time.Until(v.ShutdownAt).Round(time.Millisecond))
+	return fl.stoppingRefusal()
 }
 
 const (
@@ -395,7 +417,7 @@
 
 // readBody reads the whole body before anything is sent, so that the request can be retried
 // and a truncated body reaches no target.
-func (fl *flow) readBody(limit int64) *errkind.Error {
+func (fl *flow) readBody(ctx context.Context, limit int64) *errkind.Error {
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
@@ -408,16 +430,18 @@
 		_, _ = io.CopyN(io.Discard, fl.r.Body, limit)
 		return errkind.New(errkind.BodyTooLarge, "the body has %d bytes; the limit is %d", fl.r.ContentLength, limit)
 	}
+	done := fl.interruptBody(ctx)
+	defer done()
 	if n := fl.r.ContentLength; n > 0 {
 		fl.body = make([]byte, n)
 		if _, err := io.ReadFull(fl.r.Body, fl.body); err != nil {
-			return errkind.New(errkind.BadRequest, "read body: %v", err)
+			return fl.bodyRefusal(ctx, err)
 		}
 		return nil
 	}
 	body, err := io.ReadAll(io.LimitReader(fl.r.Body, limit+1))
 	if err != nil {
-		return errkind.New(errkind.BadRequest, "read body: %v", err)
+		return fl.bodyRefusal(ctx, err)
 	}
 	if int64(len(body)) > limit {
 		return errkind.New(errkind.BodyTooLarge, "the body exceeds %d bytes", limit)
@@ -426,6 +450,14 @@
 	return nil
 }
 
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func (fl *flow) bodyRefusal(ctx context.Context, err error) *errkind.Error {
+	if errors.Is(context.Cause(ctx), errExit) {
+		return fl.exitRefusal()
+	}
+	return errkind.New(errkind.BadRequest, "read body: %v", err)
+}
+
 // timeLeft is the time until the deadline.
 func (fl *flow) timeLeft() time.Duration { return time.Until(fl.deadline) }
 
@@ -513,6 +545,9 @@
 	if fl.r.Context().Err() != nil {
 		return errkind.New(errkind.Cancelled, "the caller closed the connection")
 	}
+	if errors.Is(context.Cause(ctx), errExit) {
+		return fl.exitRefusal()
+	}
 	if fl.runs == 0 {
 		return errkind.NewRetryAfter(errkind.DeadlineUnmeetable, busyRetryAfter, "%v", context.Cause(ctx))
 	}
--- a/internal/gateway/forward/limited.go
+++ b/internal/gateway/forward/limited.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
@@ -19,7 +20,7 @@
 // checkRateLimit charges the request to its workspace's rate limit. A request beyond the
 // limit is refused before its body is read, with the delay after which it would be
 // admitted.
-func (fl *flow) checkRateLimit() *errkind.Error {
+func (fl *flow) checkRateLimit(ctx context.Context) *errkind.Error {
 	if fl.Limits == nil || fl.workspace == nil || !fl.workspace.Rate.Limited() {
 		return nil
 	}
@@ -29,7 +30,7 @@
 		IsRetry: fl.isRetry, MaxWait: time.Duration(maxWaitShare * float64(fl.timeLeft())),
 		Urgency: fl.priority(false), Class: fl.route.Name,
 	}
-	d := fl.Limits.Admit(fl.r.Context(), fl.limitRequest)
+	d := fl.Limits.Admit(ctx, fl.limitRequest)
 	fl.Metrics.RateLimitDecision(string(d.Source), d.Admitted)
 	if d.Waited {
 		fl.Metrics.RateLimitWait(d.Took)
--- a/internal/gateway/forward/queued.go
+++ b/internal/gateway/forward/queued.go
@@ -29,10 +29,6 @@
 // other processes report.
 func (f *Forwarder) NotifyQueue() { f.waitingRoom.notify() }
 
-// StopQueue refuses the waiting requests, since other entries can serve them, and from then on each
-// request that finds no target.
-func (f *Forwarder) StopQueue() { f.waitingRoom.stop() }
-
 // usesQueue reports whether the request waits in the queue if it finds no target. Requests in
 // quarantine wait for their probation run instead.
 func (fl *flow) usesQueue() bool {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -27,6 +27,8 @@
 	// idleTime is the time without requests after which a stopping entry exits. Requests that
 	// were sent before the port was closed have arrived by then.
 	idleTime = 200 * time.Millisecond
+	// answerTime is reserved before the exit for the last answers.
+	answerTime = 250 * time.Millisecond
 )
 
 // Stop shuts the process down gracefully. The entry becomes unready at once, but accepts
@@ -35,16 +37,18 @@
 // waits for running requests. Requests that end within the grace period are not
 // interrupted.
 func (p *process) Stop() {
-	p.logger.Info("stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.stopTimeout())
+	exitAt := time.Now().Add(p.settings.stopTimeout())
+	if p.entry != nil {
+		p.entry.forwarder.BeginShutdown(exitAt)
+		p.logger.Info("stopping", "exit_in", time.Until(exitAt), "in_flight", p.entry.forwarder.InFlight())
+	} else {
+		p.logger.Info("stopping")
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), exitAt.Add(-answerTime))
 	defer cancel()
-	shutdownAt, _ := ctx.Deadline()
 	p.loop.Post(func() {
-		p.state.stop(shutdownAt)
+		p.state.stop(exitAt)
 		p.state.publishView()
-		if p.entry != nil {
-			p.entry.forwarder.StopQueue()
-		}
 		p.state.mesh.Broadcast()
 	})
 	if p.callers != nil {
@@ -69,6 +73,8 @@
 	err := p.callers.shutdown(ctx)
 	if err != nil && !errors.Is(context.Cause(ctx), errIdle) {
 		p.logger.Info("stop_cut_requests", "in_flight", p.entry.forwarder.InFlight(), "error", err.Error())
+		p.entry.forwarder.Interrupt()
+		sleep.For(context.Background(), answerTime)
 	}
 }
 
