--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -33,6 +33,7 @@
 	handler http.Handler
 	logger  logr.Logger
 	address net.Addr
+	conns   *callerConns
 	mu      sync.Mutex
 	limits  estate.Limits
 	newest  *connListener
@@ -68,7 +69,8 @@
 func (l *connListener) Addr() net.Addr { return l.addr }
 
 func newCallerServer(handler http.Handler, address net.Addr, logger logr.Logger) *callerServer {
-	c := &callerServer{handler: handler, logger: logger, address: address}
+	conns := newCallerConns()
+	c := &callerServer{handler: conns.handle(handler), logger: logger, address: address, conns: conns}
 	c.apply(estate.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout - idleMargin})
 	return c
 }
@@ -98,7 +100,7 @@
 	listener := c.newest
 	c.mu.Unlock()
 	select {
-	case listener.conns <- conn:
+	case listener.conns <- c.conns.add(conn):
 	case <-listener.closed:
 		conn.Close()
 	}
@@ -115,29 +117,13 @@
 	c.newest = &connListener{conns: make(chan net.Conn), closed: make(chan struct{}), addr: c.address}
 	server := &http.Server{
 		Handler: c.handler, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleMargin, MaxHeaderBytes: l.HeaderBytes,
-		ErrorLog: log.New(httpErrorLog{c.logger}, "", 0),
+		ErrorLog: log.New(httpErrorLog{c.logger}, "", 0), ConnState: c.conns.onState, ConnContext: connContext,
 	}
 	c.servers = append(c.servers, server)
 	listener := c.newest
 	go func() { _ = server.Serve(listener) }() // ends with Shutdown or Close
 }
 
-// shutdown shuts all servers down. It returns when their requests have ended or the context
-// has.
-func (c *callerServer) shutdown(ctx context.Context) error {
-	c.mu.Lock()
-	c.closed = true
-	servers := c.servers
-	c.mu.Unlock()
-	var first error
-	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil && first == nil {
-			first = err
-		}
-	}
-	return first
-}
-
 func (c *callerServer) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/callerserver_test.go
+++ b/internal/gateway/callerserver_test.go
@@ -108,7 +108,8 @@
 	}
 }
 
-// A graceful shutdown must also wait for requests on servers with earlier limits.
+// A graceful shutdown must also wait for requests on servers with earlier limits, until their responses
+// have been sent.
 func TestShutdownWaitsForAllServers(t *testing.T) {
 	release, started := make(chan struct{}), make(chan struct{})
 	c, address := startCallerServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -120,17 +121,48 @@
 	go func() { got <- statusLine(t, address, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n") }()
 	<-started
 	c.apply(estate.Limits{HeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second})
-	done := make(chan error, 1)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		defer cancel()
-		done <- c.shutdown(ctx)
-	}()
+	c.conns.closeIdle()
+	if n := c.conns.busy(); n != 1 {
+		t.Fatalf("%d requests are running, want 1", n)
+	}
 	close(release)
-	if err := <-done; err != nil {
-		t.Error(err)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if !awaitNone(ctx, c.conns.busy) {
+		t.Error("the request still runs")
 	}
+	c.close()
 	if line := <-got; !strings.Contains(line, "200") {
 		t.Errorf("running request was interrupted: %q", line)
 	}
 }
+
+// Guards against a request that is served although its connection has been closed as idle: its target
+// runs it, and the answer is lost.
+func TestNoRequestIsServedOnAClosedConnection(t *testing.T) {
+	served := 0
+	conns := newCallerConns()
+	handler := conns.handle(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+	client, server := net.Pipe()
+	defer client.Close()
+	conn := conns.add(server)
+	request := func() (aborted bool) {
+		defer func() { aborted = recover() == http.ErrAbortHandler }()
+		r, err := http.NewRequestWithContext(connContext(t.Context(), conn), http.MethodGet, "/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		handler.ServeHTTP(nil, r)
+		return false
+	}
+	request()
+	conns.closeIdle()
+	if conns.busy() != 1 {
+		t.Fatal("a connection was closed during its request")
+	}
+	conns.onState(conn, http.StateIdle)
+	conns.closeIdle()
+	if aborted := request(); !aborted || served != 1 || conns.busy() != 0 {
+		t.Errorf("aborted %v, %d requests served, %d busy connections", aborted, served, conns.busy())
+	}
+}
--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -90,10 +90,9 @@
 	// rejectedListings holds the error of each invalid record of the target list.
 	rejectedListings map[string]string
 	stopping         bool
-	// These are set when the process begins to stop. From selectiveFrom on, only requests that
-	// end before shutdownAt are accepted.
-	stoppingSince, selectiveFrom, shutdownAt time.Time
-	view                                     blackboard.Fact[*view.View]
+	// stoppingSince is when the process began to stop; zero if it has not.
+	stoppingSince time.Time
+	view          blackboard.Fact[*view.View]
 	// onViewChange is called after each new view, onEstateChange for each new version of the
 	// estate.
 	onViewChange func()
@@ -134,10 +133,33 @@
 	})
 }
 
-// stop records that the process is stopping and will exit at shutdownAt.
-func (c *clusterState) stop(shutdownAt time.Time) {
-	c.stopping, c.stoppingSince = true, c.clock.Now()
-	c.selectiveFrom, c.shutdownAt = time.Now().Add(balancerRemoveTime), shutdownAt
+// stop records that the process is stopping.
+func (c *clusterState) stop() { c.stopping, c.stoppingSince = true, c.clock.Now() }
+
+const (
+	// usualStopTime is how long entries usually take to stop: until the load balancer sends them no more
+	// connections, and until the requests that were running then have ended.
+	usualStopTime = balancerRemoveTime + time.Second
+	// restartTime is how long after its exit an entry usually serves callers again.
+	restartTime = time.Second
+)
+
+// otherEntryAt returns when another entry is expected to accept callers, by the monotonic clock; zero if
+// one does now or if this one is not stopping.
+func (c *clusterState) otherEntryAt(now time.Time) time.Time {
+	if !c.stopping || !c.isEntry() {
+		return time.Time{}
+	}
+	first := c.stoppingSince
+	for _, m := range c.mesh.Live(true) {
+		if !m.Leaving {
+			return time.Time{}
+		}
+		if m.StoppingSince.Before(first) {
+			first = m.StoppingSince
+		}
+	}
+	return time.Now().Add(first.Add(usualStopTime + restartTime).Sub(now))
 }
 
 func (c *clusterState) isEntry() bool { return c.settings.Role == settings.RoleEntry }
@@ -271,7 +293,7 @@
 	v := &view.View{
 		Declared: knowledge(c.declarations), Listed: knowledge(c.targets), Estate: c.estate, RawEstate: c.rawEstate, Targets: c.directory.Targets(c.isDeclared, now, syncState),
 		TargetsCurrentAt: c.targets.Replica().CurrentAt(), EstateCurrentAt: c.currentAt(topicOperators), Engines: map[fleet.Incarnation]view.EngineReport{}, Unresponsive: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
-		EntryCount: 1 + c.mesh.LiveCount(true), EntryRank: c.entryRank(), Stopping: c.stopping, SelectiveFrom: c.selectiveFrom, ShutdownAt: c.shutdownAt,
+		EntryCount: 1 + c.mesh.LiveCount(true), EntryRank: c.entryRank(), Stopping: c.stopping, OtherEntryAt: c.otherEntryAt(now),
 	}
 	c.updateFleetSize(v.Targets)
 	v.LargeFleet = c.large.Load()
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -137,7 +137,7 @@
 // partitioned, so that the load balancer prefers other entries.
 func (e *entry) ready() bool {
 	v, ok := e.currentView()
-	return ok && v.Estate != nil && len(v.Targets) > 0 && !v.Stopping && !e.reach.Partitioned(e.state.clock.Now())
+	return ok && v.Estate != nil && len(v.Targets) > 0 && !e.forwarder.Stopping() && !e.reach.Partitioned(e.state.clock.Now())
 }
 
 // compose adds this entry's work and quarantine records to a heartbeat.
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -337,7 +337,7 @@
 	if fl.workspace == nil && fl.view.Estate.NeedsKey(fl.route) {
 		return errkind.New(errkind.UnknownKey, "")
 	}
-	if refusal := fl.checkOutlivesEntry(); refusal != nil {
+	if refusal := fl.checkExit(); refusal != nil {
 		return refusal
 	}
 	if refusal := fl.checkRateLimit(ctx); refusal != nil {
@@ -386,24 +386,6 @@
 	fl.deadline = fl.arrived.Add(timeout)
 }
 
-const (
-	// slowPrefillTime and slowTokenTime are the prefill time of a prompt and the time per
-	// output token at an engine under load, well above the mean.
-	slowPrefillTime = time.Second
-	slowTokenTime   = 25 * time.Millisecond
-)
-
-// checkOutlivesEntry refuses a request that may run past the exit of a stopping process,
-// which would truncate its response. Another entry can serve it.
-func (fl *flow) checkOutlivesEntry() *errkind.Error {
-	v := fl.view
-	longest := min(fl.timeLeft(), slowPrefillTime+time.Duration(fl.request.MaxTokens)*slowTokenTime)
-	if !v.Stopping || fl.arrived.Before(v.SelectiveFrom) || time.Now().Add(longest).Before(v.ShutdownAt) {
-		return nil
-	}
-	return fl.stoppingRefusal()
-}
-
 const (
 	// defaultTimeout applies if neither the caller nor the route sets a timeout.
 	defaultTimeout = 2 * time.Minute
@@ -484,6 +466,10 @@
 			fl.excluded[dst.target.Incarnation] = true
 			continue
 		}
+		if refusal := fl.checkExit(); refusal != nil {
+			fl.release(dst)
+			return fl.finalRefusal(lastRefusal, refusal)
+		}
 		if fl.delivered > 0 && !fl.retries.Spend() {
 			fl.release(dst)
 			return fl.finalRefusal(lastRefusal, errkind.NewRetryAfter(errkind.Overloaded, fl.jitter(busyRetryAfter), "the retry budget is exhausted"))
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -437,23 +437,6 @@
 	}
 }
 
-// A stopping entry must refuse a request that would outlast it, and still serve shorter
-// ones.
-func TestStoppingEntryRefusesLongRequests(t *testing.T) {
-	var tg *fakeTarget
-	tg = startTarget(t, "i1", func(w io.Writer, r *http.Request, _ string) bool { return tg.writeSealed(w, r, 200, "answer") })
-	env := newTestEnv(t, tg)
-	env.view.Stopping, env.view.SelectiveFrom, env.view.ShutdownAt = true, time.Now(), time.Now().Add(time.Second)
-	resp, body, err := env.post(t, "/again/x", "")
-	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, "stopping") {
-		t.Errorf("a request of 2 s: response %v, body %s, error %v", resp, body, err)
-	}
-	resp, body, err = env.post(t, "/again/x", "", wiretest.TimeLeft, "300ms")
-	if err != nil || resp.StatusCode != http.StatusOK || body != "answer" || !resp.Close {
-		t.Errorf("a request of 300 ms: response %v, body %s, error %v", resp, body, err)
-	}
-}
-
 // A prompt whose first event is expected after the caller's first-event timeout must be
 // refused without being sent.
 func TestPromptBeyondFirstEventTimeoutIsRefused(t *testing.T) {
--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -288,6 +288,9 @@
 // prompt after that time even if its end is not reported.
 const lifetimeMargin = 2 * time.Second
 
+// slowTokenTime is the time per output token at an engine under load, well above the mean.
+const slowTokenTime = 25 * time.Millisecond
+
 // notifySent reports a send to the engine's sidecar. If shared parts are computed elsewhere
 // than at the family's first engine, it reports the send to that engine's sidecar too.
 func (fl *flow) notifySent(dst *destination) {
--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -77,6 +77,9 @@
 // chooseForStatus chooses a target according to the request's quarantine status. It starts
 // the probation run of a request that may run only one at a time.
 func (fl *flow) chooseForStatus(ctx context.Context) (*destination, *errkind.Error) {
+	if refusal := fl.checkExit(); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := fl.checkQuarantine(); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/gateway/forward/queued.go
+++ b/internal/gateway/forward/queued.go
@@ -67,14 +67,14 @@
 func (fl *flow) awaitTurn(ctx context.Context, d queue.Decision) *errkind.Error {
 	switch d.Action {
 	case queue.Refuse:
-		return queueRefusal(&d.Refusal)
+		return fl.queueRefusal(&d.Refusal)
 	case queue.Wait:
 		refusal, err := fl.waiter.await(ctx)
 		if err != nil {
 			return fl.contextRefusal(ctx)
 		}
 		if refusal != nil {
-			return queueRefusal(refusal)
+			return fl.queueRefusal(refusal)
 		}
 	}
 	return nil
@@ -161,7 +161,7 @@
 }
 
 // queueRefusal returns the error for a caller that the queue refuses. The request has not run.
-func queueRefusal(r *queue.Refusal) *errkind.Error {
+func (fl *flow) queueRefusal(r *queue.Refusal) *errkind.Error {
 	kind := errkind.DeadlineUnmeetable
 	switch r.Reason {
 	case queue.Full:
@@ -169,7 +169,7 @@
 	case queue.NoForecast:
 		kind = errkind.NoTarget
 	case queue.Stopping:
-		kind = errkind.Stopping
+		return fl.stoppingRefusal()
 	}
 	forecast := "unknown"
 	if r.Forecast != queue.Unknown {
--- a/internal/gateway/forward/queued_test.go
+++ b/internal/gateway/forward/queued_test.go
@@ -162,7 +162,7 @@
 	if got := collect(t, outcomes, 10); got[http.StatusTooManyRequests] != 10 {
 		t.Errorf("beyond the bound: %v", got)
 	}
-	env.BeginShutdown(time.Now().Add(time.Minute))
+	env.BeginShutdown(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
 	for range 50 {
 		if o := <-outcomes; o.status != http.StatusServiceUnavailable || o.retryAfter <= 0 || o.retryAfter > 0.1 {
 			t.Fatalf("%+v", o)
--- a/internal/gateway/forward/refusal.go
+++ b/internal/gateway/forward/refusal.go
@@ -49,10 +49,9 @@
 }
 
 // setConnectionClose asks the caller to reconnect, while this entry is stopping or partitioned,
-// so that a load balancer can choose another entry. It reads the current view, since the
-// process may have begun to stop while the request ran.
+// so that a load balancer can choose another entry.
 func (fl *flow) setConnectionClose(header http.Header) {
-	if v, ok := fl.View(); ok && v.Stopping || fl.Reach.Partitioned(fl.Now()) {
+	if fl.Stopping() || fl.Reach.Partitioned(fl.Now()) {
 		header.Set("Connection", "close")
 	}
 }
--- a/internal/gateway/forward/startup.go
+++ b/internal/gateway/forward/startup.go
@@ -31,6 +31,9 @@
 		if v, ok := fl.View(); ok && v.Estate != nil {
 			return v, nil
 		}
+		if refusal := fl.checkExit(); refusal != nil {
+			return nil, refusal
+		}
 		if time.Since(fl.startedAt) > startupPhase || time.Since(fl.arrived) > limit {
 			return nil, errkind.NewRetryAfter(errkind.ConfigurationMissing, noEstateRetryAfter, "")
 		}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/sleep"
@@ -34,20 +33,20 @@
 // Stop shuts the process down gracefully. The entry becomes unready at once, but accepts
 // connections until the load balancer has stopped sending them and another entry accepts
 // callers; meanwhile it asks callers to use other connections. Then it closes the port and
-// waits for running requests. Requests that end within the grace period are not
-// interrupted.
+// waits for running requests. From the signal on it accepts only requests whose deadlines are
+// before its exit, so that those that are interrupted had arrived earlier.
 func (p *process) Stop() {
 	exitAt := time.Now().Add(p.settings.stopTimeout())
 	if p.entry != nil {
-		p.entry.forwarder.BeginShutdown(exitAt)
-		p.logger.Info("stopping", "exit_in", time.Until(exitAt), "in_flight", p.entry.forwarder.InFlight())
+		p.entry.forwarder.BeginShutdown(exitAt, exitAt.Add(-answerTime))
+		p.logger.Info("stopping", "exit_in", p.settings.stopTimeout(), "in_flight", p.entry.forwarder.InFlight())
 	} else {
 		p.logger.Info("stopping")
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), exitAt.Add(-answerTime))
 	defer cancel()
 	p.loop.Post(func() {
-		p.state.stop(exitAt)
+		p.state.stop()
 		p.state.publishView()
 		p.state.mesh.Broadcast()
 	})
@@ -61,25 +60,31 @@
 	p.Close()
 }
 
-// drain waits for the running requests. It does not wait for connections on which no
-// request has been sent, as http.Server.Shutdown does.
+// drain waits for the running requests, and interrupts them when the context ends. It does not wait for
+// connections on which no request has been sent, as http.Server.Shutdown does.
 func (p *process) drain(ctx context.Context) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go func() {
-		awaitIdle(ctx, p.entry.forwarder.InFlight)
-		cancel(errIdle)
-	}()
-	err := p.callers.shutdown(ctx)
-	if err != nil && !errors.Is(context.Cause(ctx), errIdle) {
-		p.logger.Info("stop_cut_requests", "in_flight", p.entry.forwarder.InFlight(), "error", err.Error())
-		p.entry.forwarder.Interrupt()
-		sleep.For(context.Background(), answerTime)
+	p.callers.conns.closeIdle()
+	awaitIdle(ctx, p.callers.conns.busy)
+	p.entry.forwarder.RefuseRequests()
+	if awaitNone(ctx, p.callers.conns.busy) {
+		return
 	}
+	p.logger.Info("stop_cut_requests", "in_flight", p.entry.forwarder.InFlight())
+	p.entry.forwarder.Interrupt()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	awaitNone(ctx, p.callers.conns.busy)
 }
 
-// errIdle is the cancellation cause when no request is running.
-var errIdle = errors.New("no request is running")
+// awaitNone returns whether no request was running before the context ended.
+func awaitNone(ctx context.Context, inFlight func() int) bool {
+	for inFlight() > 0 {
+		if !sleep.For(ctx, stopPollPeriod) {
+			return false
+		}
+	}
+	return true
+}
 
 // awaitIdle returns when no request has been running for idleTime, or the context has
 // ended.
@@ -104,13 +109,31 @@
 // hasSuccessor reports whether another entry accepts callers.
 func (p *process) hasSuccessor(ctx context.Context) bool {
 	found, ok := control.Call(ctx, p.loop, func() bool {
-		return slices.ContainsFunc(p.state.mesh.Live(true), func(m *mesh.Member) bool {
+		entries := p.state.mesh.Live(true)
+		return stopsFirst(entries, p.settings.meshAddress(), p.state.stoppingSince) || slices.ContainsFunc(entries, func(m *mesh.Member) bool {
 			return acceptsCallers(m, p.state.stoppingSince, p.clock.Now())
 		})
 	})
 	return found || !ok
 }
 
+// stopsFirst reports whether an entry is in the first half, by address, of the entries that began to stop
+// at the same time. The second half accepts callers until the first has restarted; if all waited for each
+// other, none would before the end of the grace period.
+func stopsFirst(entries []*mesh.Member, self netip.AddrPort, stoppingSince time.Time) bool {
+	before, after := 0, 0
+	for _, m := range entries {
+		switch lag := m.StoppingSince.Sub(stoppingSince).Abs(); {
+		case !m.Leaving || lag > minStopLag/2:
+		case m.Address.Compare(self) < 0:
+			before++
+		default:
+			after++
+		}
+	}
+	return after > before
+}
+
 // acceptsCallers reports whether another entry accepts callers in place of one that began
 // to stop at the given time: it is running and receives connections from the load balancer,
 // or it began to stop later and thus waits for a successor itself.
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +45,33 @@
 	})
 }
 
+// Of entries that stop at the same time, one half must accept callers while the other restarts. If all
+// waited for a successor, none could serve long requests before the end of the grace period; if none did,
+// no port would be open.
+func TestHalfOfTheEntriesStopsFirst(t *testing.T) {
+	start := time.Unix(1000, 0)
+	address := func(n int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1)
+	}
+	for _, c := range []struct{ entries, want int }{{1, 0}, {2, 1}, {3, 1}, {4, 2}, {7, 3}} {
+		first := 0
+		for self := range c.entries {
+			others := []*mesh.Member{{Address: address(100), Leaving: true, StoppingSince: start.Add(-time.Second)}}
+			for n := range c.entries {
+				if n != self {
+					others = append(others, &mesh.Member{Address: address(n), Leaving: true, StoppingSince: start.Add(20 * time.Millisecond)})
+				}
+			}
+			if stopsFirst(others, address(self), start) {
+				first++
+			}
+		}
+		if first != c.want {
+			t.Errorf("%d of %d entries stop first, want %d", first, c.entries, c.want)
+		}
+	}
+}
+
 // Of two stopping entries, the one that start first may exit while the second accepts
 // callers. If both waited for the end of the grace period, they would exit together.
 func TestEntryThatStopsFirstEndsFirst(t *testing.T) {
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -62,10 +62,10 @@
 	// EntryCount is the number of live entries, including this process if it is one. EntryRank
 	// is the number of those that precede it by address and are not leaving.
 	EntryCount, EntryRank int
-	// Stopping is set while the process shuts down, which ends at ShutdownAt. From
-	// SelectiveFrom on it accepts only requests that it can finish by then.
-	Stopping                  bool
-	SelectiveFrom, ShutdownAt time.Time
+	// Stopping is set while the process shuts down. OtherEntryAt is then when another entry is
+	// expected to accept callers; zero if one does.
+	Stopping     bool
+	OtherEntryAt time.Time
 }
 
 // Version returns the version of a model's weights at a target, from its sidecar's report or,
