--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -257,9 +257,12 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols}
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols}
 }
 
+// maxHeaderBytes is the maximum size of the headers of a request or response.
+const maxHeaderBytes = 64 << 10
+
 // newPeerClient returns a client that uses one HTTP/2 connection per peer. Pings
 // detect connections to unreachable or frozen peers.
 func newPeerClient() *http.Client {
@@ -267,9 +270,10 @@
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		Protocols:       protocols,
-		DialContext:     dialer.DialContext,
-		IdleConnTimeout: peerIdleTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout},
+		Protocols:              protocols,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext:            dialer.DialContext,
+		IdleConnTimeout:        peerIdleTimeout,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout},
 	}}
 }
--- /dev/null
+++ b/internal/gateway/buffers/buffers.go
@@ -0,0 +1,56 @@
+// Package buffers bounds the memory in which responses are buffered, summed over all requests of the
+// process. Without the sum, tens of targets that send without end would fill it together.
+package buffers
+
+import "sync/atomic"
+
+// Step is the unit in which memory is taken. The first one of each response is not counted, so that
+// ordinary responses do not depend on others.
+const Step = 32 << 10
+
+// Budget is a number of bytes that responses share. It is safe for concurrent use.
+type Budget struct{ free atomic.Int64 }
+
+// NewBudget returns a budget of a size in bytes.
+func NewBudget(size int64) *Budget {
+	b := &Budget{}
+	b.free.Store(size)
+	return b
+}
+
+// take takes a step and reports whether it was free.
+func (b *Budget) take() bool {
+	if b.free.Add(-Step) >= 0 {
+		return true
+	}
+	b.free.Add(Step)
+	return false
+}
+
+// Share is what one response has taken of a budget. It is not safe for concurrent use.
+type Share struct {
+	budget *Budget
+	steps  int
+}
+
+// NewShare returns an empty share. A nil budget has no bound.
+func (b *Budget) NewShare() *Share { return &Share{budget: b} }
+
+// Grow takes what a buffer of a size in bytes needs, and reports whether it was free.
+func (s *Share) Grow(size int) bool {
+	for s.budget != nil && size > (s.steps+1)*Step {
+		if !s.budget.take() {
+			return false
+		}
+		s.steps++
+	}
+	return true
+}
+
+// Release gives back what was taken.
+func (s *Share) Release() {
+	if s.steps > 0 {
+		s.budget.free.Add(int64(s.steps) * Step)
+		s.steps = 0
+	}
+}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -12,6 +12,7 @@
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/burn"
+	"github.com/toucanwell/toucanwell/internal/gateway/buffers"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/forward"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
@@ -71,7 +72,7 @@
 	e.quarantine = newQuarantineSync(p)
 	p.state.quarantinePage = e.quarantine.page
 	e.forwarder = forward.New(forward.Deps{
-		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback, TargetLimits: e.targetLimits, Origins: p.origins, StartTime: startTimeOf(p.platform),
+		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Buffers: buffers.NewBudget(p.settings.MemoryMB << 20 / maxBufferDivisor), Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback, TargetLimits: e.targetLimits, Origins: p.origins, StartTime: startTimeOf(p.platform),
 		Quarantine: e.quarantine.registry, CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return e.pool.ProbeListener(ctx, t.Address)
 		}),
@@ -120,6 +121,9 @@
 	}
 }
 
+// maxBufferDivisor divides the memory of the process into the part in which large responses are buffered.
+const maxBufferDivisor = 16
+
 // requestMetrics records requests in the Prometheus metrics and the burn-rate counter.
 type requestMetrics struct {
 	*metrics.Metrics
--- a/internal/gateway/events/events.go
+++ b/internal/gateway/events/events.go
@@ -8,14 +8,22 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/buffers"
 )
 
 // maxEvent is the maximum size of an event, which is buffered in memory until it is complete.
 const maxEvent = 1 << 20
 
+// growthFactor is how many times its size an event takes: its buffer grows by up to that factor.
+const growthFactor = 2
+
 // ErrTooLong is returned if an event exceeds maxEvent.
 var ErrTooLong = errors.New("event is too long")
 
+// ErrNoMemory is returned if an event is large and other responses have taken the memory for it.
+var ErrNoMemory = errors.New("no memory for a large event")
+
 // ErrTruncated is returned if the stream ends within an event.
 var ErrTruncated = errors.New("stream ended within an event")
 
@@ -31,22 +39,30 @@
 // Reader reads complete events. If a target stops within an event, the incomplete part must not
 // reach a caller whose stream continues at another target.
 type Reader struct {
-	in *bufio.Reader
+	in     *bufio.Reader
+	memory *buffers.Share
 }
 
-// NewReader returns a Reader that reads from in.
-func NewReader(in io.Reader) *Reader { return &Reader{in: bufio.NewReader(in)} }
+// NewReader returns a Reader that reads from in and takes the memory of large events from a share. The
+// caller releases the share.
+func NewReader(in io.Reader, memory *buffers.Share) *Reader {
+	return &Reader{in: bufio.NewReader(in), memory: memory}
+}
 
 // Next returns the next event, whose bytes are valid until the next call. It returns io.EOF at the
 // end of the stream, or ErrTruncated if the stream ends within an event.
 func (r *Reader) Next() (Event, error) {
 	var e Event
+	r.memory.Release()
 	for {
 		line, err := r.in.ReadSlice('\n')
 		e.Raw = append(e.Raw, line...)
 		if len(e.Raw) > maxEvent {
 			return Event{}, ErrTooLong
 		}
+		if !r.memory.Grow(growthFactor * len(e.Raw)) {
+			return Event{}, ErrNoMemory
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/internal/gateway/events/events_test.go
+++ b/internal/gateway/events/events_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/toucanwell/toucanwell/internal/gateway/buffers"
 	"github.com/toucanwell/toucanwell/internal/testseed"
 )
 
@@ -25,7 +26,7 @@
 		if rapid.Bool().Draw(rt, "byte by byte") {
 			in = iotest.OneByteReader(in)
 		}
-		r := NewReader(in)
+		r := NewReader(in, (*buffers.Budget)(nil).NewShare())
 		got := ""
 		for {
 			e, err := r.Next()
@@ -52,7 +53,7 @@
 
 // Next must parse numeric IDs and ignore other ones.
 func TestEventIDs(t *testing.T) {
-	r := NewReader(strings.NewReader("id: 12\ndata: x\n\ndata: id: 9\n\nid: none\ndata: y\n\n"))
+	r := NewReader(strings.NewReader("id: 12\ndata: x\n\ndata: id: 9\n\nid: none\ndata: y\n\n"), (*buffers.Budget)(nil).NewShare())
 	want := []struct {
 		id  int64
 		has bool
@@ -67,8 +68,29 @@
 
 // The size of an event must be limited, because it is buffered in memory.
 func TestOversizedEventIsRejected(t *testing.T) {
-	r := NewReader(strings.NewReader("data: " + strings.Repeat("x", 2*maxEvent)))
+	r := NewReader(strings.NewReader("data: "+strings.Repeat("x", 2*maxEvent)), (*buffers.Budget)(nil).NewShare())
 	if _, err := r.Next(); !errors.Is(err, ErrTooLong) {
 		t.Errorf("error %v", err)
 	}
 }
+
+// Guards against large events of many streams that together fill the memory of the process.
+func TestLargeEventsShareABudget(t *testing.T) {
+	budget := buffers.NewBudget(growthFactor * 4 * buffers.Step)
+	event := "data: " + strings.Repeat("x", 4*buffers.Step) + "\n\n"
+	first, second := budget.NewShare(), budget.NewShare()
+	r := NewReader(strings.NewReader(event+"data: y\n\n"), first)
+	if _, err := r.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := NewReader(strings.NewReader(event), second).Next(); !errors.Is(err, ErrNoMemory) {
+		t.Errorf("beyond the budget: error %v", err)
+	}
+	second.Release()
+	if _, err := r.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := NewReader(strings.NewReader(event), second).Next(); err != nil {
+		t.Errorf("after the first event: %v", err)
+	}
+}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -22,6 +22,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/gateway/buffers"
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
@@ -56,10 +57,12 @@
 	Protocol wire.Protocol
 	View     func() (*view.View, bool)
 	Pool     *upstream.Pool
-	Ledger   *ledger.Ledger
-	Parts    *parts.Index
-	Health   *health.Monitor
-	Reach    *reach.Monitor
+	// Buffers is the memory for large responses; nil for no bound.
+	Buffers *buffers.Budget
+	Ledger  *ledger.Ledger
+	Parts   *parts.Index
+	Health  *health.Monitor
+	Reach   *reach.Monitor
 	// Pushback keeps what targets state about the load that they take, TargetLimits shares their
 	// rate limits among the entries.
 	Pushback     *pushback.Registry
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/gateway/buffers"
 	"github.com/toucanwell/toucanwell/internal/gateway/events"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
@@ -15,14 +17,16 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 )
 
-// maxBuffered is the largest response that is buffered until it is complete. If a buffered
-// response is truncated, the request can still be retried or refused; larger responses are
+// maxBuffered is the largest response that is buffered until it is complete, memory permitting. If a
+// buffered response is truncated, the request can still be retried or refused; larger responses are
 // streamed.
 const maxBuffered = 1 << 20
 
 // relayWhole relays a response after it has been received completely.
 func (fl *flow) relayWhole(ctx context.Context, dst *destination, resp *upstream.Response) sendResult {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBuffered+1))
+	memory := fl.Buffers.NewShare()
+	defer memory.Release()
+	pieces, complete, err := readBuffered(resp, memory)
 	if err != nil {
 		return fl.handleBroken(ctx, dst, err)
 	}
@@ -35,17 +39,21 @@
 	fl.Protocol.WriteReply(header, resp.Header)
 	suppressDefaultHeaders(header)
 	fl.setConnectionClose(header)
-	if len(body) <= maxBuffered {
-		header.Set("Content-Length", strconv.Itoa(len(body)))
+	if complete {
+		header.Set("Content-Length", strconv.Itoa(totalLength(pieces)))
 	}
 	fl.responseStarted = true
 	fl.w.WriteHeader(resp.Status)
-	if _, err := fl.w.Write(body); err != nil {
-		return sendResult{final: true, refusal: errkind.New(errkind.Cancelled, "%v", err)}
+	for _, piece := range pieces {
+		if _, err := fl.w.Write(piece); err != nil {
+			return sendResult{final: true, refusal: errkind.New(errkind.Cancelled, "%v", err)}
+		}
 	}
-	if len(body) <= maxBuffered {
+	if complete {
 		return sendResult{final: true}
 	}
+	pieces = nil
+	memory.Release()
 	if _, err := io.Copy(callerWriter{fl}, resp); err != nil {
 		if !fl.callerStalled() {
 			fl.attributeCrash(ctx, dst, err)
@@ -55,6 +63,32 @@
 	return sendResult{final: true}
 }
 
+// readBuffered reads a response in pieces until it is complete, or up to maxBuffered or what the memory
+// allows.
+func readBuffered(resp io.Reader, memory *buffers.Share) (pieces [][]byte, complete bool, err error) {
+	for size := 0; size < maxBuffered && memory.Grow(size+buffers.Step); {
+		var b bytes.Buffer
+		n, err := io.CopyN(&b, resp, buffers.Step)
+		pieces = append(pieces, b.Bytes())
+		size += int(n)
+		if err == io.EOF {
+			return pieces, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return pieces, false, nil
+}
+
+func totalLength(pieces [][]byte) int {
+	n := 0
+	for _, piece := range pieces {
+		n += len(piece)
+	}
+	return n
+}
+
 // suppressDefaultHeaders keeps net/http from adding headers that the target did not send.
 func suppressDefaultHeaders(header http.Header) {
 	for _, name := range []string{"Content-Type", "Date"} {
@@ -82,7 +116,9 @@
 // relayStream relays a stream event by event. The response head is delayed until the first
 // event, so that the request can be retried if the target fails before it.
 func (fl *flow) relayStream(ctx context.Context, dst *destination, resp *upstream.Response, item *ledger.Request, maxWaitTimer *time.Timer, watch *engineWatch, run *quarantine.Run) sendResult {
-	reader := events.NewReader(resp)
+	memory := fl.Buffers.NewShare()
+	defer memory.Release()
+	reader := events.NewReader(resp, memory)
 	flusher := http.NewResponseController(fl.w)
 	first := true
 	for {
--- a/internal/gateway/mesh/fetch.go
+++ b/internal/gateway/mesh/fetch.go
@@ -11,6 +11,7 @@
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 )
 
 const (
@@ -20,6 +21,10 @@
 	// all processes ask the seeds, whose links would carry none of the replicas in time; those
 	// that are refused fetch from the first that were served.
 	MaxFetches = 4
+	// maxReplicaBytes is the maximum size of a replica, which has the records of one topic.
+	maxReplicaBytes = 8 << 20
+	// maxFetchRequest is the maximum size of a request for one.
+	maxFetchRequest = 64 << 10
 )
 
 // TopicPage is a page of a process's replica of a topic.
@@ -56,7 +61,7 @@
 // Handler returns the path and the handler for the Mesh service. It refuses requests while
 // MaxFetches responses are being sent.
 func (s *Server) Handler() (string, http.Handler) {
-	path, handler := peerv1.NewMeshHandler(s)
+	path, handler := peerv1.NewMeshHandler(s, connect.WithReadMaxBytes(maxFetchRequest))
 	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case s.places <- struct{}{}:
@@ -126,6 +131,11 @@
 	return records
 }
 
+// NewClient returns a client for Fetch.
+func NewClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{Transport: upstream.LimitBodies(transport, maxReplicaBytes)}
+}
+
 // Fetch fetches the records of a topic from a position on from another process.
 func Fetch(ctx context.Context, client *http.Client, peer netip.AddrPort, topic string, from feed.Position) (TopicPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, FetchTimeout)
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -41,6 +41,10 @@
 	// which replicas are current is passed on from process to process.
 	largeRoundToEntries  = 10
 	largeRoundToSidecars = 5
+	// maxControlBody is the maximum size of a body that the servers for peers, operators and the load
+	// balancer read, controlReadTimeout the time in which a request must have arrived.
+	maxControlBody     = 1 << 20
+	controlReadTimeout = 10 * time.Second
 	// peerIdleTimeout is how long idle connections to peers are kept open.
 	peerIdleTimeout = 5 * time.Second
 )
@@ -87,7 +91,9 @@
 	p.useSpeeds.Store(s.Speeds.Enabled)
 	p.loop = control.NewLoop(s.seed(), p.metrics.ControlTime)
 	p.origins = newOrigins(p)
-	peers := &http.Client{Transport: &http.Transport{DialContext: upstream.NewDialer().DialContext, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}}
+	transport := upstream.NewTransport()
+	transport.IdleConnTimeout = peerIdleTimeout
+	peers := mesh.NewClient(transport)
 	p.state = newClusterState(s, platform, p.loop, p.clock, p.logger, peers, p.metrics.StoreCall)
 	if s.Role == settings.RoleEntry {
 		p.entry = newEntry(p)
@@ -196,7 +202,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: http.MaxBytesHandler(handler, maxControlBody), ReadHeaderTimeout: headerTimeout, ReadTimeout: controlReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	p.servers = append(p.servers, server)
 	go func() { p.serveErrors <- server.Serve(listener) }()
 	return nil
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"syscall"
@@ -67,6 +68,12 @@
 	}
 }
 
+// NewTransport returns a transport for control calls. It detects unreachable hosts and bounds the heads of
+// responses.
+func NewTransport() *http.Transport {
+	return &http.Transport{DialContext: NewDialer().DialContext, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadBytes}
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockoptErr error
 	err := raw.Control(func(fd uintptr) {
@@ -133,7 +140,8 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	p.onDial()
-	return &conn{pool: p, address: address, net: c, reader: bufio.NewReaderSize(c, bufferSize)}, nil
+	input := &headReader{in: c}
+	return &conn{pool: p, address: address, net: c, input: input, reader: bufio.NewReaderSize(input, bufferSize)}, nil
 }
 
 const (
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -29,7 +29,14 @@
 // to the request.
 var ErrUnmatchedResponse = errors.New("response does not match the request")
 
+// ErrHeadTooLong is returned if a target sends more than MaxHeadBytes without completing the head of a
+// response.
+var ErrHeadTooLong = errors.New("head of the response is too long")
+
 const (
+	// MaxHeadBytes is the maximum size of the head of a response, with the informational responses before
+	// it.
+	MaxHeadBytes = 64 << 10
 	// dialTimeout bounds the time to connect, which normally takes a few milliseconds. An
 	// unreachable host never responds, and a lost SYN is retransmitted only after a second:
 	// another target is faster in both cases.
@@ -196,8 +203,11 @@
 	return nil, errors.Wrap(ErrUnmatchedResponse, "too many responses to other requests")
 }
 
-// readFinal reads a response and skips informational ones.
+// readFinal reads a response and skips informational ones. Bytes that are not a response may not end, and
+// are read only up to MaxHeadBytes.
 func (c *conn) readFinal(httpReq *http.Request) (*http.Response, error) {
+	c.input.limit(MaxHeadBytes)
+	defer c.input.unlimit()
 	for {
 		raw, err := http.ReadResponse(c.reader, httpReq)
 		if err != nil {
@@ -214,6 +224,7 @@
 	pool      *Pool
 	address   netip.AddrPort
 	net       net.Conn
+	input     *headReader
 	reader    *bufio.Reader
 	closeOnce sync.Once
 	idleSince time.Time
@@ -222,3 +233,27 @@
 func (c *conn) close() {
 	c.closeOnce.Do(func() { _ = c.net.Close() })
 }
+
+// headReader reads from a connection. While it is limited it returns ErrHeadTooLong after so many bytes.
+type headReader struct {
+	in      io.Reader
+	limited bool
+	left    int
+}
+
+func (r *headReader) limit(n int) { r.limited, r.left = true, n }
+
+func (r *headReader) unlimit() { r.limited = false }
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.in.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := r.in.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
