--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -19,10 +19,13 @@
 )
 
 const (
-	maxResponseBytes = 64 << 20
+	maxResponseBytes = 8 << 20
 	maxTokenBytes    = 1 << 20
-	idleConnections  = 64
-	dialTimeout      = 2 * time.Second
+	maxHeaderBytes   = 64 << 10
+	// maxDiscarded is how much of a body without meaning is read to keep its connection.
+	maxDiscarded    = 64 << 10
+	idleConnections = 64
+	dialTimeout     = 2 * time.Second
 )
 
 // NewHTTPClient returns an HTTP client whose dial errors are recognized as
@@ -30,9 +33,10 @@
 func NewHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
@@ -85,7 +89,7 @@
 	}
 	defer resp.Body.Close()
 	if out == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
+		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscarded))
 		return errors.Wrap(err, path)
 	}
 	dec := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes))
@@ -304,9 +308,12 @@
 		return nil, errors.Wrap(markNotSent(err), "plain call")
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "plain response")
 	}
+	if len(body) > maxResponseBytes {
+		return nil, errors.Newf("plain response: over %d bytes", maxResponseBytes)
+	}
 	return &PlainResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body, RetryAfter: retryAfter(resp)}, nil
 }
