--- a/internal/gateway/events/events.go
+++ b/internal/gateway/events/events.go
@@ -54,6 +54,7 @@
 func (r *Reader) Next() (Event, error) {
 	var e Event
 	r.memory.Release()
+	continued := false // the slice does not begin its line
 	for {
 		line, err := r.in.ReadSlice('\n')
 		e.Raw = append(e.Raw, line...)
@@ -64,6 +65,7 @@
 			return Event{}, ErrNoMemory
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			continued = true
 			continue
 		}
 		if err == io.EOF && len(bytes.TrimSpace(e.Raw)) > 0 {
@@ -72,10 +74,13 @@
 		if err != nil {
 			return Event{}, err
 		}
-		e.parseID(line)
-		if isBlank(line) && len(bytes.TrimSpace(e.Raw)) > 0 {
+		if !continued {
+			e.parseID(line)
+		}
+		if !continued && isBlank(line) && len(bytes.TrimSpace(e.Raw)) > 0 {
 			return e, nil
 		}
+		continued = false
 	}
 }
 
--- a/internal/gateway/events/events_test.go
+++ b/internal/gateway/events/events_test.go
@@ -94,3 +94,31 @@
 		t.Errorf("after the first event: %v", err)
 	}
 }
+
+// Guards against a line that fills the reader's buffer: the rest of it is taken for a blank line or for an
+// ID, so that an event counts as complete before its end, and a stream that goes on at another target joins
+// it with the next one.
+func TestLinesThatFillTheBuffer(t *testing.T) {
+	const bufferSize = 4096
+	for _, size := range []int{bufferSize - 2, bufferSize - 1, bufferSize, bufferSize + 1, 2 * bufferSize, 3*bufferSize - 1} {
+		for _, end := range []string{"\n", "\r\n"} {
+			line := "data: " + strings.Repeat("x", size-len("data: "))
+			events := []string{"id: 1" + end + line + end + end, "id: 2" + end + line + "id: 9" + end + end, line + end + "id: 3" + end + end}
+			stream := strings.Join(events, "")
+			r := NewReader(strings.NewReader(stream), (*buffers.Budget)(nil).NewShare())
+			for i, want := range events {
+				e, err := r.Next()
+				if err != nil || string(e.Raw) != want || e.ID != int64(i+1) {
+					t.Errorf("lines of %d bytes ended by %q: event %d has %d bytes, ID %d, error %v; want %d bytes", size, end, i+1, len(e.Raw), e.ID, err, len(want))
+				}
+			}
+			if _, err := r.Next(); err != io.EOF {
+				t.Errorf("lines of %d bytes: error %v at the end", size, err)
+			}
+			cut := strings.TrimSuffix(events[0], end)
+			if _, err := NewReader(strings.NewReader(cut), (*buffers.Budget)(nil).NewShare()).Next(); !errors.Is(err, ErrTruncated) {
+				t.Errorf("lines of %d bytes: error %v without the blank line", size, err)
+			}
+		}
+	}
+}
