--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -111,7 +111,7 @@
 	}
 	onEra := func(era feed.Era) { c.noteEra(era, clock.Now()) }
 	c.declarations = feed.NewFollower(loop, p.Declarations(), c.newDeclarationsReplica(), feed.Options{
-		Name: topicOperators, Wait: declarationsWait, ShouldRead: c.shouldReadDeclarations, IdlePeriod: c.readCheckPeriod, OnChange: c.declarationsChanged, AwaitPeers: c.awaitsRestoredPeers, OnEra: onEra,
+		Name: topicOperators, Wait: declarationsWait, Place: c.placeAmongReaders, ShouldRead: c.shouldReadDeclarations, IdlePeriod: c.readCheckPeriod, OnChange: c.declarationsChanged, AwaitPeers: c.awaitsRestoredPeers, OnEra: onEra,
 		OnCall: onCall, OnRecovered: func() {}, Logger: logger, Now: clock.Now,
 	})
 	c.targets = feed.NewFollower(loop, p.Targets(), c.newTargetsReplica(), feed.Options{
--- a/internal/gateway/feed/feed_test.go
+++ b/internal/gateway/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 	"github.com/toucanwell/toucanwell/internal/testseed"
 )
 
@@ -324,7 +326,7 @@
 func TestRestartCallCancelsStalledRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &stallingSource{}
-		f, loop := startFollower(t, source, Options{Wait: 20 * time.Second})
+		f, loop := startFollower(t, source, Options{Wait: 20 * time.Second, Place: func() (int, int) { return 19, 20 }})
 		time.Sleep(time.Second)
 		source.set(func() { source.stalled = true })
 		time.Sleep(3 * time.Second)
@@ -389,3 +391,85 @@
 		}
 	})
 }
+
+// Guards against reads of all processes that a store forgets at the same time, after it was silent for a
+// moment: no process learns of a new record before the reads time out. Peers pass on what one has read.
+func TestSomeReadEndsSoonAfterAnOutage(t *testing.T) {
+	const (
+		wait = 4 * time.Second
+		// known is how long after its return the store must have been read: the time after which processes
+		// count as in contact again.
+		known = 3 * time.Second
+	)
+	for _, readers := range []int{1, 2, 4, 6} {
+		for begin := time.Duration(0); begin < wait; begin += wait / 8 {
+			for _, length := range []time.Duration{wait / 16, wait / 2, wait, 3 * wait} {
+				synctest.Test(t, func(t *testing.T) {
+					source := &stallingSource{}
+					var followers []*Follower
+					var loops []*control.Loop
+					for i := range readers {
+						f, loop := startFollower(t, source, Options{Wait: wait, Place: func() (int, int) { return i, readers }})
+						followers, loops = append(followers, f), append(loops, loop)
+					}
+					time.Sleep(wait)
+					source.set(func() { source.topic.append("a", []byte("1")) }) // answers all reads at once
+					time.Sleep(wait + begin)
+					source.set(func() { source.stalled = true })
+					time.Sleep(length)
+					source.set(func() { source.stalled = false })
+					time.Sleep(known / 10)
+					source.set(func() { source.topic.append("b", []byte("1")) })
+					time.Sleep(known - known/10)
+					reached := false
+					for i, f := range followers {
+						reached = reached || hasKey(loops[i], f, "b")
+					}
+					if !reached {
+						t.Errorf("%d readers, outage of %s that begins %s after a common read: none has read the record %s after its end", readers, length, wait+begin, known)
+					}
+					for _, loop := range loops {
+						loop.Stop()
+					}
+					synctest.Wait()
+				})
+			}
+		}
+	}
+}
+
+// Guards against more calls to the store than a long poll of each process makes.
+func TestReadsThatEndOneAfterTheOtherCostNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait, readers = 4 * time.Second, 4
+		source := &countingSource{}
+		var loops []*control.Loop
+		for i := range readers {
+			_, loop := startFollower(t, source, Options{Wait: wait, Place: func() (int, int) { return i, readers }})
+			loops = append(loops, loop)
+		}
+		time.Sleep(10 * wait)
+		for _, loop := range loops {
+			loop.Stop()
+		}
+		synctest.Wait()
+		// A snapshot and a shorter first read besides those that wait.
+		if n, most := source.calls.Load(), int64(readers*(10+2)); n > most {
+			t.Errorf("%d calls in ten waits of %d readers, want at most %d", n, readers, most)
+		}
+	})
+}
+
+// countingSource is a store without records.
+type countingSource struct{ calls atomic.Int64 }
+
+func (c *countingSource) Newest(context.Context) (Snapshot, error) {
+	c.calls.Add(1)
+	return Snapshot{}, nil
+}
+
+func (c *countingSource) Read(ctx context.Context, _ uint64, wait time.Duration) (Snapshot, error) {
+	c.calls.Add(1)
+	sleep.For(ctx, wait)
+	return Snapshot{}, ctx.Err()
+}
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -35,6 +35,9 @@
 	Name string
 	// Wait is how long a read waits at the store for a new record; zero returns at once.
 	Wait time.Duration
+	// Place returns which of the processes that wait at the store this one is, from 0, and their number. It
+	// is called on the control thread. Nil means the only one.
+	Place func() (rank, readers int)
 	// Pause between two reads.
 	Pause time.Duration
 	// ShouldRead reports whether this process reads the store now; if not, it gets records
@@ -83,6 +86,8 @@
 	// era is the newest era that the process has heard of, and when.
 	era   Era
 	eraAt time.Time
+	// inStep is set if the other processes probably begin their next reads at the same time as this one.
+	inStep bool
 	// trimmed is set if the last read was answered with ErrTrimmed.
 	trimmed bool
 	// cancel cancels the current call.
@@ -92,7 +97,7 @@
 
 // NewFollower returns a follower that has not started.
 func NewFollower(loop *control.Loop, source Source, replica *Replica, options Options) *Follower {
-	return &Follower{loop: loop, source: source, replica: replica, options: options, needSnapshot: true}
+	return &Follower{loop: loop, source: source, replica: replica, options: options, needSnapshot: true, inStep: true}
 }
 
 // Replica returns the replica, for use on the control thread.
@@ -106,6 +111,8 @@
 	shouldRead   bool
 	wantSnapshot bool
 	from         Position
+	// wait is how long a read waits at the store.
+	wait time.Duration
 }
 
 // NoteEra records that the store has come back from a copy, since when at the latest, as another topic's
@@ -169,12 +176,37 @@
 	if behind && f.options.AwaitPeers != nil && f.options.AwaitPeers(f.options.Now().Sub(f.eraAt)) {
 		shouldRead = false
 	}
-	return request{shouldRead: shouldRead, wantSnapshot: f.needSnapshot || behind, from: f.replica.EndPosition()}
+	return request{shouldRead: shouldRead, wantSnapshot: f.needSnapshot || behind, from: f.replica.EndPosition(), wait: f.nextWait()}
+}
+
+// renewPeriod is the time in which one of the processes that wait at the store renews its read, if there are
+// few of them.
+const renewPeriod = time.Second
+
+// nextWait returns how long the next read waits at the store.
+//
+// A store that was silent for a moment may never answer the reads that reached it meanwhile, and nothing but
+// their end shows it. A record answers the reads of all processes at the same time, so that all would be
+// lost together. The processes therefore end their next reads one after the other, and the first one to
+// read again passes on what it finds. While the store does not answer, reads do not wait.
+func (f *Follower) nextWait() time.Duration {
+	if f.options.Wait == 0 || f.storeDown {
+		return 0
+	}
+	rank, readers := 0, 1
+	if f.options.Place != nil {
+		rank, readers = f.options.Place()
+	}
+	wait := min(f.options.Wait, time.Duration(readers)*renewPeriod)
+	if f.inStep {
+		return wait * time.Duration(rank+1) / time.Duration(readers)
+	}
+	return wait
 }
 
 // call makes one call to the store and merges its result.
 func (f *Follower) call(ctx context.Context, r request) error {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.wait+callTimeout)
 	defer cancel()
 	f.setCancel(cancel)
 	startedAt := f.options.Now()
@@ -183,7 +215,7 @@
 	if r.wantSnapshot {
 		s, err = f.source.Newest(ctx)
 	} else {
-		s, err = f.source.Read(ctx, r.from.Offset, f.options.Wait)
+		s, err = f.source.Read(ctx, r.from.Offset, r.wait)
 	}
 	f.options.OnCall(f.options.Name, f.options.Now().Sub(startedAt), err)
 	merged := make(chan error, 1)
@@ -223,6 +255,7 @@
 	if errors.Is(err, ErrTrimmed) {
 		return f.mergeTrimmed(r, s)
 	}
+	f.inStep = err != nil || f.storeDown || r.wantSnapshot || len(s.Records) > 0
 	if err != nil {
 		if !f.storeDown {
 			f.storeDown = true
--- a/internal/gateway/feed/restore_test.go
+++ b/internal/gateway/feed/restore_test.go
@@ -353,7 +353,7 @@
 func TestRestoredTopicIsReadOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := newRestorableSource(6)
-		f, loop := startFollower(t, source, Options{Wait: 4 * time.Second})
+		f, loop := startFollower(t, source, Options{Wait: 4 * time.Second, Place: func() (int, int) { return 3, 4 }})
 		time.Sleep(time.Second)
 		var before int
 		source.set(func() { source.topic.restore(0); before = source.calls })
--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -93,6 +93,19 @@
 	return c.isEntry() && !c.isSettling() && (!c.large.Load() || c.entryRank() < declarationReaders)
 }
 
+// placeAmongReaders returns which of the processes that long-poll the declarations this one is, and their
+// number. A process that steps in for them counts as the only one.
+func (c *clusterState) placeAmongReaders() (rank, readers int) {
+	if !c.longPollsDeclarations() {
+		return 0, 1
+	}
+	readers = 1 + c.mesh.LiveCount(true)
+	if c.large.Load() {
+		readers = min(readers, declarationReaders)
+	}
+	return min(c.entryRank(), readers-1), readers
+}
+
 // settleTime is how long after its start an entry may not know the other entries yet. It is shorter
 // than the time after which callers expect a new process to be up to date.
 const settleTime = 2500 * time.Millisecond
