--- a/internal/gateway/forward/quarantined_test.go
+++ b/internal/gateway/forward/quarantined_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -203,6 +204,56 @@
 	}
 }
 
+// The same with callers that leave once their request runs, and targets that crash once the entry has
+// ended the run, however long either takes.
+func TestCrashAfterCallerLeftDuringItsRun(t *testing.T) {
+	const crashAfter = 20 * time.Millisecond
+	started := make(chan struct{}, 6)
+	var targets []*fakeTarget
+	for i := range 6 {
+		var tg *fakeTarget
+		tg = startTarget(t, fmt.Sprintf("t%d", i), func(w io.Writer, r *http.Request, body string) bool {
+			started <- struct{}{}
+			_, _ = w.(net.Conn).Read(make([]byte, 1)) // until the entry ends the run
+			<-time.After(crashAfter)
+			tg.listener.Close()
+			return false
+		})
+		targets = append(targets, tg)
+	}
+	env := newTestEnv(t, targets...)
+	for n := 1; n <= 3; n++ {
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { <-started; cancel() }()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, env.server.URL+"/again/x", strings.NewReader("fatal"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = host
+		req.Header = http.Header{wiretest.ID: {fmt.Sprintf("r%d", n)}, wiretest.Key: {"town-key"}}
+		if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+			t.Fatalf("attempt %d: got %v although the caller left", n, resp)
+		}
+		cancel()
+		deadline := time.Now().Add(5 * time.Second)
+		for crashes := 0; crashes < n; {
+			if listed := env.Quarantine.List(env.Now()); len(listed) > 0 {
+				crashes = len(listed[0].Record.Crashes)
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("attempt %d: %d crashes were attributed", n, crashes)
+			}
+			<-time.After(time.Millisecond)
+		}
+	}
+	if _, body, err := env.post(t, "/again/x", "fatal"); err != nil || !strings.Contains(body, "quarantined") {
+		t.Errorf("after three crashes: got %q, error %v", body, err)
+	}
+	if runs := totalRuns(targets); runs != 3 {
+		t.Errorf("%d runs; want 3", runs)
+	}
+}
+
 // Requests that differ in path, body or workspace from a quarantined one must be run.
 func TestQuarantineMatchesOnlyTheSameRequest(t *testing.T) {
 	targets := startCrashingTargets(t, 24)
