--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -121,7 +121,7 @@
 	}
 	c.servers = append(c.servers, server)
 	listener := c.newest
-	go func() { _ = server.Serve(listener) }() // ends with Shutdown or Close
+	go func() { _ = server.Serve(listener) }() // ends with Close
 }
 
 func (c *callerServer) close() {
