--- a/internal/gateway/forward/shutdown_test.go
+++ b/internal/gateway/forward/shutdown_test.go
@@ -123,16 +123,15 @@
 	fmt.Fprintf(conn, "POST /again/x HTTP/1.1\r\nHost: %s\r\n%s: r1\r\n%s: town-key\r\nContent-Length: 8\r\n\r\nhalf", host, wiretest.ID, wiretest.Key)
 	waitFor(t, "the request is being read", func() bool { return env.InFlight() == 1 })
 	env.view.Targets = map[string][]fleet.Target{}
-	polling := make(chan *http.Response, 1)
+	polling := make(chan string, 1)
 	go func() {
-		resp, _, _ := env.post(t, "/once/x", "")
-		polling <- resp
+		_, body, err := env.post(t, "/once/x", "")
+		polling <- fmt.Sprint(body, err)
 	}()
 	waitFor(t, "a request waits for a target", func() bool { return env.InFlight() == 2 })
-	start := time.Now()
 	env.stopWithin(time.Second)
-	if resp := <-polling; resp == nil || resp.StatusCode != http.StatusServiceUnavailable || time.Since(start) > maxPlaceWait/2 {
-		t.Errorf("the request that waits for a target: %v after %s", resp, time.Since(start))
+	if got := <-polling; !strings.Contains(got, "error:stopping") { // no_target if it waits to its end
+		t.Errorf("the request that waits for a target: %s", got)
 	}
 	fmt.Fprint(conn, "half")
 	text := make([]byte, 1024)
--- a/internal/gateway/upstream/endless_test.go
+++ b/internal/gateway/upstream/endless_test.go
@@ -41,7 +41,7 @@
 			s := endlesstest.Start(t, f)
 			p := NewPool(func() {})
 			defer p.CloseIdle()
-			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			_, err := sendTo(ctx, p, s)
 			if err == nil || errors.Is(err, ErrNotSent) || ctx.Err() != nil {
@@ -97,7 +97,7 @@
 			s := endlesstest.Start(t, f)
 			p := NewPool(func() {})
 			defer p.CloseIdle()
-			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			resp, err := sendTo(ctx, p, s)
 			if err != nil {
