--- a/internal/gateway/upstream/endless_test.go
+++ b/internal/gateway/upstream/endless_test.go
@@ -108,10 +108,10 @@
 				t.Errorf("the body ended as complete after %d bytes", n)
 			}
 			resp.Close()
-			for deadline := time.Now().Add(5 * time.Second); s.Open() > 0; time.Sleep(time.Millisecond) {
-				if time.Now().After(deadline) {
-					t.Fatal("the connection is still open")
-				}
+			select {
+			case <-s.Closed():
+			case <-time.After(5 * time.Second):
+				t.Fatal("the connection is still open")
 			}
 			if s.Sent() > maxTaken {
 				t.Errorf("%d bytes were taken", s.Sent())
--- a/internal/gateway/upstream/endlesstest/endlesstest.go
+++ b/internal/gateway/upstream/endlesstest/endlesstest.go
@@ -49,21 +49,22 @@
 type Server struct {
 	Address netip.AddrPort
 	sent    atomic.Int64
-	open    atomic.Int64
+	closed  chan struct{}
 }
 
-// Sent returns the number of bytes that the server has sent, of which the kernel may hold a part. Open
-// returns the number of open connections.
+// Sent returns the number of bytes that the server has sent, of which the kernel may hold a part.
 func (s *Server) Sent() int64 { return s.sent.Load() }
 
-// Open returns the number of open connections.
-func (s *Server) Open() int64 { return s.open.Load() }
+// Closed receives a value for each connection that has been closed.
+func (s *Server) Closed() <-chan struct{} { return s.closed }
 
 const (
 	// burstSize is the number of bytes in one write.
 	burstSize = 64 << 10
 	// maxSent bounds what a connection sends, for the sake of the machine: then it is silent.
 	maxSent = 40 << 20
+	// maxConnections is the number of connections that end without Closed being read.
+	maxConnections = 1024
 )
 
 // Start starts a server. It ends with the test, when all its connections are closed.
@@ -73,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{Address: netip.MustParseAddrPort(listener.Addr().String())}
+	s := &Server{Address: netip.MustParseAddrPort(listener.Addr().String()), closed: make(chan struct{}, maxConnections)}
 	var tasks sync.WaitGroup
 	tasks.Go(func() {
 		for {
@@ -81,7 +82,6 @@
 			if err != nil {
 				return
 			}
-			s.open.Add(1)
 			tasks.Go(func() { s.serve(c, f) })
 		}
 	})
@@ -90,8 +90,7 @@
 }
 
 func (s *Server) serve(c net.Conn, f Form) {
-	defer s.open.Add(-1)
-	defer c.Close()
+	defer func() { c.Close(); s.closed <- struct{}{} }()
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
