review: requests begin on weights that were replaced long before

Cause: an engine without a sidecar in a fleet with sidecars is never ordered to load, and an entry that starts counts the age of a wanted version from its own start.

--- a/review/stand-2/clients.go
+++ b/review/stand-2/clients.go
@@ -78,3 +78,16 @@
 	body := []byte("review")
 	_, _, _ = c.send(client, request{entry: entry, path: "/review/1", key: key, deadline: 15 * time.Second, body: bytes.NewReader(body), length: int64(len(body)), headers: promptHeaders(own)})
 }
+
+// repeatPrompts sends one prompt after the other until end is closed.
+func (c *clients) repeatPrompts(entry int, end <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-end:
+			return
+		default:
+		}
+		c.prompt(entry, "town-key", n)
+		time.Sleep(probePeriod)
+	}
+}
--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -209,11 +209,11 @@
 	return err
 }
 
-// start starts the processes of a deployment in which all engines have a sidecar.
-func (d *deployment) start(entries, engines int) ([]*daemon, error) {
+// start starts the entries, and a sidecar for each of the first engines.
+func (d *deployment) start(entries, sidecars int) ([]*daemon, error) {
 	d.entries = entries
 	var started []*daemon
-	for i := range engines {
+	for i := range sidecars {
 		if err := d.startSidecar(i); err != nil {
 			return nil, err
 		}
@@ -230,7 +230,7 @@
 			return nil, err
 		}
 	}
-	d.rec.note("%d entries and %d sidecars are ready", entries, engines)
+	d.rec.note("%d entries and %d sidecars are ready", entries, sidecars)
 	return started, nil
 }
 
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -20,7 +20,10 @@
 	// heartbeatPeriod is the time between two writes of a server's entry.
 	heartbeatPeriod = 1200 * time.Millisecond
 	engineSlots     = 64
-	memoryTokens    = 260975
+	engineQueue     = 192
+	// queuePeriod is how often a queued request looks for a free slot.
+	queuePeriod  = 2 * time.Millisecond
+	memoryTokens = 260975
 )
 
 // order is an order that reached an engine.
@@ -64,10 +67,20 @@
 	accepts int64
 	busy    bool
 	running int
+	queued  int
 	beats   int64
 	// cached holds the workspace that made each cached part, by scope and part.
 	cached  map[[2]string]string
 	changes [][]any
+	// runs holds the runs of the engine.
+	runs []engineRun
+}
+
+// engineRun is a run of a request on a version of the weights.
+type engineRun struct {
+	at        time.Time
+	requestID string
+	version   int64
 }
 
 func (d *deployment) startEngines(n, events int, interval time.Duration) (*engines, error) {
@@ -135,7 +148,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	reply(w, http.StatusOK, map[string]any{
-		"Stage": "unified", "State": "ready", "Models": e.models(), "Busy": e.busy, "Sequence": e.accepts, "Queued": 0, "Running": e.running,
+		"Stage": "unified", "State": "ready", "Models": e.models(), "Busy": e.busy, "Sequence": e.accepts, "Queued": e.queued, "Running": e.running,
 		names["memory_used"]: 0, names["memory_total"]: memoryTokens, "Handles": 0,
 	})
 }
@@ -236,12 +249,20 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return false
 	}
-	if e.busy || e.running >= engineSlots {
-		w.Header().Set(names["not_run"], "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return false
+	for queued := false; e.busy || e.running >= engineSlots; queued = true {
+		if e.busy || !queued && e.queued >= engineQueue || r.Context().Err() != nil {
+			w.Header().Set(names["not_run"], "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return false
+		}
+		e.queued++
+		e.mu.Unlock()
+		time.Sleep(queuePeriod)
+		e.mu.Lock()
+		e.queued--
 	}
 	e.running++
+	e.runs = append(e.runs, engineRun{time.Now(), r.Header.Get(names["request_id"]), e.version})
 	e.cacheParts(r)
 	w.Header().Set(names["seal"], "seal."+e.id)
 	return true
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -31,6 +31,7 @@
 	"late":   runLate,
 	"memory": runMemory,
 	"wall":   runWall,
+	"stale":  runStale,
 }
 
 func main() {
