review: a request hidden in the body of another one is served

Cause: an entry serves a request that states a length and chunks by its chunks, and keeps the connection.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -27,11 +27,12 @@
 type scenario func(d *deployment, trouble bool) (violations []string, err error)
 
 var scenarios = map[string]scenario{
-	"orders": runOrders,
-	"late":   runLate,
-	"memory": runMemory,
-	"wall":   runWall,
-	"stale":  runStale,
+	"orders":  runOrders,
+	"late":    runLate,
+	"memory":  runMemory,
+	"wall":    runWall,
+	"stale":   runStale,
+	"smuggle": runSmuggle,
 }
 
 func main() {
