--- a/review/stand-2/late.go
+++ b/review/stand-2/late.go
@@ -14,7 +14,7 @@
 
 const (
 	// submitsPerSecond is the rate of requests that may run once.
-	submitsPerSecond = 106
+	submitsPerSecond = 97
 	// workTime is how long a plain server works on a request.
 	workTime = 15 * time.Millisecond
 	// The disruption: a share of the servers sends further bytes after a share of its complete answers.
