--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -1,9 +1,9 @@
 // Command stand-2 runs the cases of the second review: it starts the project's processes on loopback
 // addresses, plays their platform, servers and clients, and checks one rule of the platform's pages.
 //
-// Usage: stand-2 CASE FOLDER, in the root of the repository. It writes FOLDER/record.txt and exits with 1
-// if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in the environment
-// it leaves out the disruption.
+// Usage: stand-2 CASE FOLDER TROUBLE, in the root of the repository. It writes FOLDER/record.txt and exits with 1
+// if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE 0 it leaves out the
+// disruption.
 package main
 
 import (
@@ -36,11 +36,11 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE FOLDER")
+	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE FOLDER TROUBLE")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(scenarios[os.Args[1]], os.Args[2], os.Getenv("TROUBLE") != "0"))
+	os.Exit(run(scenarios[os.Args[1]], os.Args[2], os.Args[3] != "0"))
 }
 
 func run(s scenario, folder string, trouble bool) int {
