Log by what a request counts as run or not run, and the connection that carried it

Cause: a request that ran twice has two request_sent lines; nothing says why the first send counted as not run, whether its connection had carried others before, and which bytes were taken for its answer. Change: send_failed, and request_done after a failure or several sends, have evidence (not_connected, stated_not_run, no_response, response), earlier, conn_age, conn_idle and skipped; response_skipped is logged and counted for a response that belongs to another request.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -147,6 +147,9 @@
 	// Detour records that a request was sent although a target that asked for fewer requests was
 	// passed over for it.
 	Detour(reason string)
+	// SkippedResponse records that a target's connection delivered a response that does not belong to
+	// the request on it.
+	SkippedResponse(service string)
 }
 
 // Forwarder is the HTTP handler that serves callers. Create it with New.
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -54,6 +54,7 @@
 func (noMetrics) RateLimitWait(time.Duration)                 {}
 func (noMetrics) TargetLimitDecision(string, bool)            {}
 func (noMetrics) Detour(string)                               {}
+func (noMetrics) SkippedResponse(string)                      {}
 
 type noStatements struct{}
 
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
@@ -73,10 +75,25 @@
 	if err != nil {
 		detail = err.Error()
 	}
-	fl.Logger.Info("send_failed", "request_id", fl.request.ID, "print", fl.fingerprint, "send", fl.sends, "target", dst.target.Incarnation,
+	fl.withConn(fl.Logger).Info("send_failed", "request_id", fl.request.ID, "print", fl.fingerprint, "send", fl.sends, "target", dst.target.Incarnation,
 		"status", status, "rest", rest, "error", detail, "after", roundForLog(time.Since(fl.sentAt)))
 }
 
+// withConn adds to the logger by what the last send counts as run or not run, and the connection that
+// carried it.
+func (fl *flow) withConn(log logr.Logger) logr.Logger {
+	s := &fl.lastSend
+	return log.WithValues("evidence", s.evidence, "earlier", s.conn.Earlier, "conn_age", roundForLog(s.conn.Age), "conn_idle", roundForLog(s.conn.Idle), "skipped", s.skipped)
+}
+
+// recordSkipped records a response that came for the request and belongs to another one.
+func (fl *flow) recordSkipped(dst *destination, status int, id string) {
+	fl.lastSend.skipped++
+	fl.Metrics.SkippedResponse(fl.serviceName())
+	fl.Logger.Info("response_skipped", "request_id", fl.request.ID, "send", fl.sends, "target", dst.target.Incarnation, "status", status, "response_id", bounded(id),
+		"earlier", fl.lastSend.conn.Earlier, "after", roundForLog(time.Since(fl.sentAt)))
+}
+
 // isSendFailure reports whether a status means that the send failed or was refused.
 func isSendFailure(status int) bool {
 	return status >= http.StatusInternalServerError || status == http.StatusMisdirectedRequest || status == http.StatusTooManyRequests
@@ -212,6 +229,9 @@
 	if e != nil && isServiceFault(e) || fl.sends > 1 || fl.lastSend.status >= http.StatusInternalServerError {
 		log = fl.Logger
 	}
+	if fl.sends > 0 && (e != nil || fl.sends > 1) {
+		log = fl.withConn(log)
+	}
 	if e != nil && fl.view != nil {
 		log = log.WithValues("declared_at", fl.view.Declared.At, "declared_source", fl.view.Declared.Source, "declared_age", fl.age(fl.view.EstateCurrentAt),
 			"list_at", fl.view.Listed.At, "list_source", fl.view.Listed.Source, "list_age", fl.age(fl.view.TargetsCurrentAt))
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -81,8 +81,27 @@
 type sendRecord struct {
 	incarnation fleet.Incarnation
 	status      int
+	// evidence is why the request counts as run or not run.
+	evidence evidence
+	// conn is the connection, skipped the number of responses on it that belong to other requests.
+	conn    upstream.Trace
+	skipped int
 }
 
+// evidence is why a request counts as run or not run at a target.
+type evidence string
+
+const (
+	// notConnected requests were not sent.
+	notConnected evidence = "not_connected"
+	// statedNotRun requests did not run by the target's own statement.
+	statedNotRun evidence = "stated_not_run"
+	// noResponse requests may have run.
+	noResponse evidence = "no_response"
+	// hasResponse requests have run.
+	hasResponse evidence = "response"
+)
+
 // sendResult is the result of a send.
 type sendResult struct {
 	// final is set if the request must not be sent again.
@@ -146,11 +165,13 @@
 	defer watch.stop()
 	resp, err := fl.Pool.Send(ctx, dst.target.Address, fl.upstreamRequest(dst))
 	if err != nil {
+		fl.lastSend.evidence = evidenceOfError(err)
 		fl.logFailedSend(dst, 0, 0, err)
 		return fl.handleFailedSend(ctx, dst, err)
 	}
 	defer resp.Close()
 	reply := fl.Protocol.ReadReply(resp.Status, resp.Header)
+	fl.lastSend.evidence = evidenceOfReply(reply)
 	fl.logFailedSend(dst, resp.Status, reply.Pushback.RetryAfter, nil)
 	if fl.service.Engine != nil {
 		fl.Reach.EngineResponded(fl.Now())
@@ -210,9 +231,28 @@
 		Header: fl.Protocol.WriteAttempt(fl.r.Header, send), Body: fl.body, FreshConn: !fl.route.Retryable(),
 		Matches: func(status int, h http.Header) bool {
 			id := fl.Protocol.ReadReply(status, h).ID
-			return id == fl.request.ID || id == "" && status >= http.StatusMultipleChoices
+			matches := id == fl.request.ID || id == "" && status >= http.StatusMultipleChoices
+			if !matches {
+				fl.recordSkipped(dst, status, id)
+			}
+			return matches
 		},
+		Trace: &fl.lastSend.conn,
+	}
+}
+
+func evidenceOfError(err error) evidence {
+	if errors.Is(err, upstream.ErrNotSent) {
+		return notConnected
+	}
+	return noResponse
+}
+
+func evidenceOfReply(reply wire.Reply) evidence {
+	if reply.NotRun {
+		return statedNotRun
 	}
+	return hasResponse
 }
 
 const (
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -141,7 +141,7 @@
 	}
 	p.onDial()
 	input := &headReader{in: c}
-	return &conn{pool: p, address: address, net: c, input: input, reader: bufio.NewReaderSize(input, bufferSize)}, nil
+	return &conn{pool: p, address: address, dialedAt: time.Now(), net: c, input: input, reader: bufio.NewReaderSize(input, bufferSize)}, nil
 }
 
 const (
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -66,6 +66,16 @@
 	FreshConn bool
 	// Matches reports whether a response belongs to this request.
 	Matches func(status int, h http.Header) bool
+	// Trace, unless nil, receives what connection carries the request, before a response is read.
+	Trace *Trace
+}
+
+// Trace describes the connection that carries a request.
+type Trace struct {
+	// Earlier is the number of requests that the connection carried before this one.
+	Earlier int
+	// Age is the time since the connection was made, Idle that since the response before.
+	Age, Idle time.Duration
 }
 
 // Response is a target's response. The caller must close it.
@@ -126,6 +136,7 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, c.close)
+	c.trace(req.Trace)
 	written := c.write(req)
 	raw, err := c.readResponse(req)
 	if err != nil {
@@ -227,7 +238,22 @@
 	input     *headReader
 	reader    *bufio.Reader
 	closeOnce sync.Once
+	dialedAt  time.Time
 	idleSince time.Time
+	// requests is the number of requests that were sent on the connection.
+	requests int
+}
+
+// trace counts a request and describes the connection to it.
+func (c *conn) trace(t *Trace) {
+	if t != nil {
+		now := time.Now()
+		*t = Trace{Earlier: c.requests, Age: now.Sub(c.dialedAt)}
+		if !c.idleSince.IsZero() {
+			t.Idle = now.Sub(c.idleSince)
+		}
+	}
+	c.requests++
 }
 
 func (c *conn) close() {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,6 +41,7 @@
 	invalidStatements  prometheus.Counter
 	targetLimits       *prometheus.CounterVec
 	detours            *prometheus.CounterVec
+	skippedResponses   *prometheus.CounterVec
 	queueMetrics
 }
 
@@ -89,6 +90,7 @@
 		invalidStatements: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_statements_refused_total", Help: "Statements of targets about their load that could not be used."}),
 		targetLimits:      counter("target_limit_decisions_total", "Decisions of the rate limits that targets state, by source and outcome.", "source", "outcome"),
 		detours:           counter("detours_total", "Sends for which a target was passed over that had asked for fewer requests, by reason.", "reason"),
+		skippedResponses:  counter("skipped_responses_total", "Responses on connections to targets that belong to no request on them, by service.", "service"),
 		weightsOrders:     counter("weights_orders_total", "Orders to load weights, by outcome.", "outcome"),
 		queueWaiting:      gauge("queue_waiting", "Requests waiting at this sidecar."),
 		queueRunning:      gauge("queue_running", "Requests running at this sidecar's target."),
@@ -98,7 +100,7 @@
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.recomputedTokens,
 		m.retries, m.resumes, m.streamStarts, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
-		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.rateLimitRequests, m.rateLimitWait, m.invalidStatements, m.targetLimits, m.detours)
+		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.rateLimitRequests, m.rateLimitWait, m.invalidStatements, m.targetLimits, m.detours, m.skippedResponses)
 	m.queueMetrics = newQueueMetrics(m.Registry)
 	return m
 }
@@ -163,6 +165,11 @@
 // Detour counts a send for which a target was passed over that had asked for fewer requests.
 func (m *Metrics) Detour(reason string) { m.detours.WithLabelValues(reason).Inc() }
 
+// SkippedResponse counts a response that does not belong to the request on its connection.
+func (m *Metrics) SkippedResponse(service string) {
+	m.skippedResponses.WithLabelValues(service).Inc()
+}
+
 // Resume counts a resumed stream.
 func (m *Metrics) Resume() { m.resumes.Inc() }
 
