A response without an ID is the answer to no request

Callers saw a request that may run once run twice, or got 503 for one that had run. Cause: targets may send further bytes after a complete response, which arrive where the answer to the next request on the connection is expected. One without an ID and with a status of 300 or more was taken for that answer; with "not run" or 421 the request went to a second target while the first one ran it. Bytes of this kind also set a target's rest and were relayed as failures of another request. Change: only a response with the request's own ID is its answer; others are skipped, as those with another ID were before, and the request's own answer is read. Targets repeat the ID in each response to a request that has one. A request without an ID gets a connection that has carried no other. Both follow from what the target sends, not from status or kind of route. Weighed: to fail the send at the first such bytes, which gives up answers that are on their way.

--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -118,8 +118,8 @@
 	instance string
 	// handle writes the response and reports whether the connection stays open.
 	handle func(w io.Writer, r *http.Request, body string) bool
-	// runs counts the requests passed to handle.
-	runs atomic.Int32
+	// accepted counts the connections, runs the requests passed to handle.
+	accepted, runs atomic.Int32
 	// disconnects counts the connections closed by the other end.
 	disconnects atomic.Int32
 	tasks       sync.WaitGroup
@@ -145,6 +145,7 @@
 		if err != nil {
 			return
 		}
+		tg.accepted.Add(1)
 		tg.tasks.Add(1)
 		go tg.serve(c)
 	}
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -229,18 +229,24 @@
 	return &upstream.Request{
 		Method: fl.r.Method, RequestURI: fl.r.RequestURI, Host: fl.r.Host,
 		Header: fl.Protocol.WriteAttempt(fl.r.Header, send), Body: fl.body, FreshConn: !fl.route.Retryable(),
-		Matches: func(status int, h http.Header) bool {
-			id := fl.Protocol.ReadReply(status, h).ID
-			matches := id == fl.request.ID || id == "" && status >= http.StatusMultipleChoices
-			if !matches {
-				fl.recordSkipped(dst, status, id)
-			}
-			return matches
-		},
+		NewConn: fl.request.ID == "", Matches: func(status int, h http.Header) bool { return fl.isOwnResponse(dst, status, h) },
 		Trace: &fl.lastSend.conn,
 	}
 }
 
+// isOwnResponse reports whether a response belongs to the request. Targets repeat the ID of the request
+// that they answer. One without an ID belongs to no request, whatever it states: targets may send further
+// bytes after a complete response, which arrive where the next one is expected. Only a request that has
+// no ID itself takes it, on a connection that has carried no other.
+func (fl *flow) isOwnResponse(dst *destination, status int, h http.Header) bool {
+	id := fl.Protocol.ReadReply(status, h).ID
+	if id != fl.request.ID {
+		fl.recordSkipped(dst, status, id)
+		return false
+	}
+	return true
+}
+
 func evidenceOfError(err error) evidence {
 	if errors.Is(err, upstream.ErrNotSent) {
 		return notConnected
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -85,10 +85,13 @@
 	return sockoptErr
 }
 
-// get returns an idle connection that is alive, or a new one.
-func (p *Pool) get(ctx context.Context, address netip.AddrPort, fresh bool) (*conn, error) {
+// get returns an idle connection that is alive and may carry the request, or a new one.
+func (p *Pool) get(ctx context.Context, address netip.AddrPort, req *Request) (*conn, error) {
+	if req.NewConn {
+		return p.dial(ctx, address)
+	}
 	for {
-		c := p.takeIdle(address, fresh)
+		c := p.takeIdle(address, req.FreshConn)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -64,6 +64,9 @@
 	// FreshConn excludes connections that have been idle for long, which the target may
 	// have closed. Set it for requests that can't be retried.
 	FreshConn bool
+	// NewConn excludes connections that have carried other requests. Set it for requests whose
+	// responses Matches can't tell from those to others.
+	NewConn bool
 	// Matches reports whether a response belongs to this request.
 	Matches func(status int, h http.Header) bool
 	// Trace, unless nil, receives what connection carries the request, before a response is read.
@@ -131,7 +134,7 @@
 // Send sends a request to an address and returns when the headers of the response arrive.
 // Cancelling the context closes the connection, even while the body is being read.
 func (p *Pool) Send(ctx context.Context, address netip.AddrPort, req *Request) (*Response, error) {
-	c, err := p.get(ctx, address, req.FreshConn)
+	c, err := p.get(ctx, address, req)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
