Own protocol: runs and calls share no connection with earlier ones

Callers of the product's own interface could see a run repeated at another engine, or a call with the response to another one. Engines and plain services of the own interface do not name the request that they answer; net/http takes whatever comes on a connection in use for the next response. A 409 counts as "other weights, not run", and the run is repeated. Change: a connection for each run and call. The sidecar is on its target's host, so this costs a connect over loopback.

--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -40,6 +40,17 @@
 	}}
 }
 
+// withoutReuse returns a client that makes a connection for each request. Responses do not name their
+// requests: on a connection that has carried another one, further bytes that the target sent after its
+// response would be taken for the next response.
+func withoutReuse(client *http.Client) *http.Client {
+	own := *client
+	transport := client.Transport.(*http.Transport).Clone()
+	transport.DisableKeepAlives = true
+	own.Transport = transport
+	return &own
+}
+
 // markNotSent marks dial errors as ErrNotSent. After other errors the call may have
 // taken effect.
 func markNotSent(err error) error {
@@ -176,11 +187,15 @@
 }
 
 // HTTPEngine is an Engine over HTTP. Its streams use server-sent events.
-type HTTPEngine struct{ c jsonClient }
+type HTTPEngine struct {
+	c jsonClient
+	// runs is used for runs, which may not be repeated on the word of a response to another request.
+	runs jsonClient
+}
 
 // NewHTTPEngine returns a client for the Engine at a base URL.
 func NewHTTPEngine(base string, client *http.Client) *HTTPEngine {
-	return &HTTPEngine{jsonClient{base, client}}
+	return &HTTPEngine{jsonClient{base, client}, jsonClient{base, withoutReuse(client)}}
 }
 
 // Generate implements Engine.
@@ -189,7 +204,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	resp, err := e.c.do(ctx, http.MethodPost, "/v1/generate", bytes.NewReader(data))
+	resp, err := e.runs.do(ctx, http.MethodPost, "/v1/generate", bytes.NewReader(data))
 	if statusCode(err) == http.StatusConflict {
 		return nil, errors.Mark(err, ErrWrongWeights)
 	}
@@ -284,7 +299,7 @@
 
 // NewHTTPPlain returns a client for the Plain at a base URL.
 func NewHTTPPlain(base string, client *http.Client) *HTTPPlain {
-	return &HTTPPlain{jsonClient{base, client}}
+	return &HTTPPlain{jsonClient{base, withoutReuse(client)}}
 }
 
 // Call implements Plain. It does not follow redirects and sends each call once:
