Refuse requests that state the length of their body in two ways

Cause: net/http goes by the transfer coding, drops the Content-Length before a handler sees it and keeps the connection open. Change: a caller's connection keeps the head of each request until it is served. With both lengths the request is refused with 400 and the connection closed; with a transfer coding and an unknown head, as behind a pipelined body, the connection is closed after the response.

--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -17,7 +17,17 @@
 }
 
 // callerConn is a connection of a caller.
-type callerConn struct{ net.Conn }
+type callerConn struct {
+	net.Conn
+	head requestHead
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.head.record(p[:n])
+	return n, err
+}
 
 // connState is the state of a connection in callerConns.
 type connState uint8
@@ -37,7 +47,7 @@
 func (c *callerConns) add(conn net.Conn) *callerConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	tracked := &callerConn{conn}
+	tracked := &callerConn{Conn: conn}
 	c.open[tracked] = connNew
 	return tracked
 }
@@ -107,9 +117,12 @@
 // handle returns a handler that serves requests on tracked connections.
 func (c *callerConns) handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(callerConnKey{}).(*callerConn); !ok || !c.begin(conn) {
+		conn, ok := r.Context().Value(callerConnKey{}).(*callerConn)
+		if !ok || !c.begin(conn) {
 			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(w, r)
+		if conn.checkFraming(w, r) {
+			next.ServeHTTP(w, r)
+		}
 	})
 }
--- /dev/null
+++ b/internal/gateway/callerframing.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// maxRecordedHead bounds the bytes of a head that are kept; it is the largest limit for heads of callers.
+const maxRecordedHead = maxHeaderBytes
+
+// requestHead keeps what a connection delivers until the request that it begins is served. net/http drops
+// the Content-Length of a request that also has a Transfer-Encoding, and serves it by the latter: a caller
+// behind a proxy that goes by the former could hide a request in the body of another one. It is safe for
+// concurrent use.
+type requestHead struct {
+	mu sync.Mutex
+	// paused is set while a body is read.
+	paused bool
+	bytes  []byte
+}
+
+func (h *requestHead) record(p []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.paused:
+	case len(h.bytes)+len(p) > maxRecordedHead:
+		h.paused, h.bytes = true, nil
+	default:
+		h.bytes = append(h.bytes, p...)
+	}
+}
+
+// take returns the head of the request that begins to be served; nil if it was not recorded from its start.
+func (h *requestHead) take(r *http.Request) []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	recorded := h.bytes
+	end := headEnd(recorded)
+	if r.ContentLength != 0 {
+		h.paused, h.bytes = true, nil
+	} else {
+		h.paused, h.bytes = false, bytes.Clone(recorded[end:])
+	}
+	if !bytes.HasPrefix(recorded, []byte(r.Method+" "+r.RequestURI+" ")) {
+		return nil
+	}
+	return recorded[:end]
+}
+
+// resume begins to record the next head, after the body of a request has been read.
+func (h *requestHead) resume() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.paused, h.bytes = false, nil
+}
+
+// headEnd returns the length of the head that b begins with, its empty line included; zero if it does
+// not end in b.
+func headEnd(b []byte) int {
+	for at := 0; ; {
+		i := bytes.IndexByte(b[at:], '\n')
+		if i < 0 {
+			return 0
+		}
+		line := b[at : at+i]
+		at += i + 1
+		if len(bytes.TrimSuffix(line, []byte("\r"))) == 0 {
+			return at
+		}
+	}
+}
+
+// hasHeader reports whether a head has a header of that name.
+func hasHeader(head []byte, name string) bool {
+	for line := range bytes.Lines(head) {
+		if field, _, ok := bytes.Cut(line, []byte(":")); ok && strings.EqualFold(string(field), name) {
+			return true
+		}
+	}
+	return false
+}
+
+// framing is what a request says about the length of its body.
+type framing uint8
+
+const (
+	// clear requests state it in one way.
+	clearFraming framing = iota
+	// ambiguousFraming requests state it in two ways.
+	ambiguousFraming
+	// unknownFraming requests have a transfer coding, and their heads were not recorded.
+	unknownFraming
+)
+
+// framingOf returns the framing of a request with a recorded head; nil if there is none.
+func framingOf(r *http.Request, head []byte) framing {
+	mayBeAmbiguous := len(r.TransferEncoding) > 0 || r.ContentLength != 0 && !r.ProtoAtLeast(1, 1)
+	switch {
+	case !mayBeAmbiguous:
+		return clearFraming
+	case head == nil:
+		return unknownFraming
+	case hasHeader(head, "Content-Length") && hasHeader(head, "Transfer-Encoding"):
+		return ambiguousFraming
+	default:
+		return clearFraming
+	}
+}
+
+// checkFraming refuses a request that states the length of its body in two ways, and reports whether the
+// request may be served. The connection of one that may do so is closed after the response, so that what
+// follows is not served as a request.
+func (c *callerConn) checkFraming(w http.ResponseWriter, r *http.Request) bool {
+	switch framingOf(r, c.head.take(r)) {
+	case ambiguousFraming:
+		w.Header().Set("Connection", "close")
+		http.Error(w, "the request has a Content-Length and a Transfer-Encoding", http.StatusBadRequest)
+		return false
+	case unknownFraming:
+		w.Header().Set("Connection", "close")
+	}
+	if r.ContentLength != 0 {
+		r.Body = &callerBody{r.Body, &c.head}
+	}
+	return true
+}
+
+// callerBody is the body of a caller's request.
+type callerBody struct {
+	io.ReadCloser
+	head *requestHead
+}
+
+// Read implements io.Reader.
+func (b *callerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.head.resume()
+	}
+	return n, err
+}
--- a/internal/gateway/callerserver_test.go
+++ b/internal/gateway/callerserver_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -166,3 +168,79 @@
 		t.Errorf("aborted %v, %d requests served, %d busy connections", aborted, served, conns.busy())
 	}
 }
+
+// Guards against a request that is hidden in the body of another one, which states its length in two
+// ways: proxies and servers disagree on where it ends.
+func TestRequestWithTwoLengthsIsRefused(t *testing.T) {
+	const hidden = "POST /hidden HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+	const body = "0\r\n\r\n" + hidden
+	length := fmt.Sprintf("Content-Length: %d", len(body))
+	for name, request := range map[string]string{
+		"length first":           "POST /a HTTP/1.1\r\nHost: h\r\n" + length + "\r\nTransfer-Encoding: chunked\r\n\r\n" + body,
+		"coding first":           "POST /a HTTP/1.1\r\nHost: h\r\ntransfer-encoding: Chunked\r\ncontent-length: 5\r\n\r\n" + body,
+		"line feeds alone":       "POST /a HTTP/1.1\nHost: h\n" + length + "\nTransfer-Encoding: chunked\n\n" + body,
+		"HTTP/1.0":               "POST /a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + body,
+		"after another":          "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi" + "POST /a HTTP/1.1\r\nHost: h\r\n" + length + "\r\nTransfer-Encoding: chunked\r\n\r\n" + body,
+		"after one without body": "GET /b HTTP/1.1\r\nHost: h\r\n\r\n" + "POST /a HTTP/1.1\r\nHost: h\r\n" + length + "\r\nTransfer-Encoding: chunked\r\n\r\n" + body,
+	} {
+		var mu sync.Mutex
+		var seen []string
+		_, address := startCallerServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			text, _ := io.ReadAll(r.Body)
+			mu.Lock()
+			defer mu.Unlock()
+			seen = append(seen, r.RequestURI+" "+string(text))
+		}))
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, request)
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.ReadAll(conn); err != nil {
+			t.Errorf("%s: the connection stays open: %v", name, err)
+		}
+		_ = conn.Close()
+		mu.Lock()
+		for _, s := range seen {
+			if strings.HasPrefix(s, "/hidden") {
+				t.Errorf("%s: the hidden request was served: %q", name, seen)
+			}
+		}
+		mu.Unlock()
+	}
+}
+
+// Guards against callers whose connections are closed although their requests are proper.
+func TestProperRequestsKeepTheirConnection(t *testing.T) {
+	var served atomic.Int32
+	_, address := startCallerServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if text, err := io.ReadAll(r.Body); err == nil && (r.Method == http.MethodGet || string(text) == "some body") {
+			served.Add(1)
+		}
+	}))
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	requests := []string{
+		"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsome \r\n4\r\nbody\r\n0\r\n\r\n",
+		"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nsome body",
+	}
+	for n := range 9 {
+		if _, err := io.WriteString(conn, requests[n%len(requests)]); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil || resp.Close || resp.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: response %v, error %v", n, resp, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+	if n := served.Load(); n != 9 {
+		t.Errorf("%d of 9 requests were served whole", n)
+	}
+}
