The shared cache domain changes with the set of isolated workspaces

Cause: all workspaces that are not isolated shared one text for a version of the weights, which stayed the same when one of them became isolated. Change: the shared text depends on the set of isolated workspaces; a request keeps that of the configuration that admitted it. A change of the set makes the others' shared parts be read once more.

--- a/internal/gateway/estate/estate.go
+++ b/internal/gateway/estate/estate.go
@@ -6,11 +6,14 @@
 package estate
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/toucanwell/toucanwell/internal/gateway/ratelimit"
@@ -175,6 +178,8 @@
 	byHost     map[string][]*Route
 	byKey      map[string]*Workspace
 	byName     map[string]*Workspace
+	// sharedCacheDomain is the cache domain of the workspaces that are not isolated.
+	sharedCacheDomain string
 	// strictestPause is the lowest GapTarget of the streams that a service serves.
 	strictestPause map[string]time.Duration
 }
@@ -299,9 +304,47 @@
 			e.byKey[key] = w
 		}
 	}
+	e.sharedCacheDomain = sharedCacheDomain(workspaces)
 	return nil
 }
 
+// sharedDomainPrefix distinguishes the shared cache domain from those of isolated workspaces.
+const sharedDomainPrefix = "*"
+
+// sharedCacheDomain returns the cache domain of the workspaces that are not isolated. It depends on the
+// isolated ones: parts that a workspace made before it became isolated are in another domain than those
+// that the others use afterwards.
+func sharedCacheDomain(workspaces []Workspace) string {
+	var isolated []string
+	for i := range workspaces {
+		if workspaces[i].Isolated {
+			isolated = append(isolated, workspaces[i].Name)
+		}
+	}
+	if len(isolated) == 0 {
+		return ""
+	}
+	slices.Sort(isolated)
+	h := xxhash.New()
+	for _, name := range isolated {
+		_, _ = fmt.Fprintf(h, "%d.%s", len(name), name)
+	}
+	return sharedDomainPrefix + strconv.FormatUint(h.Sum64(), 16)
+}
+
+// CacheDomain returns the domain within which a workspace shares cached prompt parts; w may be nil. That
+// of an isolated workspace is its own.
+func (e *Estate) CacheDomain(w *Workspace) string {
+	switch {
+	case w == nil || !w.Isolated:
+		return e.sharedCacheDomain
+	case strings.HasPrefix(w.Name, sharedDomainPrefix):
+		return sharedDomainPrefix + w.Name // no shared domain has the prefix twice
+	default:
+		return w.Name
+	}
+}
+
 // Match returns the host's route with the longest matching path prefix, or nil. host may include
 // a port.
 func (e *Estate) Match(host, path string) *Route {
--- a/internal/gateway/estate/estate_test.go
+++ b/internal/gateway/estate/estate_test.go
@@ -1,6 +1,7 @@
 package estate
 
 import (
+	"slices"
 	"strings"
 	"testing"
 )
@@ -102,3 +103,43 @@
 		t.Error("NeedsKey must be false for the public route only")
 	}
 }
+
+// Guards against cached parts that a workspace made before it became isolated, and that others use after
+// that.
+func TestSharedCacheDomainChangesWithTheIsolatedWorkspaces(t *testing.T) {
+	estateWith := func(isolated ...string) *Estate {
+		var all []Workspace
+		for _, name := range []string{"town", "fort", "mill", "*", "*town"} {
+			all = append(all, Workspace{Name: name, Isolated: slices.Contains(isolated, name)})
+		}
+		e, err := New(1, nil, nil, all, Limits{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return e
+	}
+	sets := [][]string{nil, {"town"}, {"fort"}, {"town", "fort"}, {"*"}, {"*town"}, {"town", "*town"}}
+	shared := map[string]int{}
+	for i, isolated := range sets {
+		e := estateWith(isolated...)
+		domain := e.CacheDomain(nil)
+		if j, ok := shared[domain]; ok {
+			t.Errorf("%q is shared while %v and while %v are isolated", domain, sets[j], isolated)
+		}
+		shared[domain] = i
+		own := map[string]bool{}
+		for _, w := range e.workspaces {
+			switch got := e.CacheDomain(&w); {
+			case !w.Isolated && got != domain:
+				t.Errorf("%v isolated: %s has the domain %q, want %q", isolated, w.Name, got, domain)
+			case w.Isolated && (got == domain || own[got]):
+				t.Errorf("%v isolated: %s shares the domain %q", isolated, w.Name, got)
+			case w.Isolated:
+				own[got] = true
+			}
+		}
+	}
+	if estateWith("town", "fort").CacheDomain(nil) != estateWith("fort", "town").CacheDomain(nil) {
+		t.Error("the order of the workspaces changes the domain")
+	}
+}
--- a/internal/gateway/forward/explain.go
+++ b/internal/gateway/forward/explain.go
@@ -53,6 +53,7 @@
 	if fl.workspace = fl.view.Estate.Workspace(workspace); fl.workspace == nil && workspace != "" {
 		return nil, errkind.New(errkind.UnknownWorkspace, "%q", workspace)
 	}
+	fl.cacheDomain = fl.view.Estate.CacheDomain(fl.workspace)
 	x := &Explanation{
 		Route: fl.routeName(), Service: fl.serviceName(), Estate: fl.estateVersion(), ListAge: fl.age(fl.view.TargetsCurrentAt),
 		Targets: fl.view.Targets[fl.service.Name],
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -220,8 +220,11 @@
 	route     *estate.Route
 	service   *estate.Service
 	workspace *estate.Workspace
-	request   wire.Request
-	body      []byte
+	// cacheDomain is the domain within which the request shares cached parts, by the configuration of its
+	// admission: later ones may isolate its workspace.
+	cacheDomain string
+	request     wire.Request
+	body        []byte
 	// fingerprint identifies the request across the caller's retries.
 	fingerprint quarantine.Fingerprint
 	// parts are the shared parts of its prompt.
@@ -343,6 +346,7 @@
 	if fl.workspace == nil && fl.view.Estate.NeedsKey(fl.route) {
 		return errkind.New(errkind.UnknownKey, "")
 	}
+	fl.cacheDomain = fl.view.Estate.CacheDomain(fl.workspace)
 	if refusal := fl.checkExit(); refusal != nil {
 		return refusal
 	}
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -351,7 +351,7 @@
 			in.Family = xxhash.Sum64String(p.ID)
 		}
 		if i == 0 {
-			in.FirstPart = xxhash.Sum64String(fl.isolatedWorkspace() + "\x00" + p.ID)
+			in.FirstPart = xxhash.Sum64String(fl.cacheDomain + "\x00" + p.ID)
 		}
 	}
 	in.OwnTokens = max(fl.request.PromptTokens-in.SharedTokens, 0)
--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -277,7 +277,7 @@
 
 // sharedParts returns the prompt's shared parts for a probe.
 func (fl *flow) sharedParts() probe.Prompt {
-	p := probe.Prompt{Model: fl.request.Model, IsolatedWorkspace: fl.isolatedWorkspace()}
+	p := probe.Prompt{Model: fl.request.Model, CacheDomain: fl.cacheDomain}
 	if n := len(fl.request.Parts) - 1; n > 0 {
 		p.Parts = fl.request.Parts[:n]
 	}
--- a/internal/gateway/forward/sources.go
+++ b/internal/gateway/forward/sources.go
@@ -14,16 +14,7 @@
 
 // cacheScopeAt returns the cache scope of the request for a version of the weights.
 func (fl *flow) cacheScopeAt(version int64) string {
-	return parts.Scope(fl.request.Model, version, fl.isolatedWorkspace())
-}
-
-// isolatedWorkspace returns the name of the request's workspace if that shares no parts
-// with others, else "".
-func (fl *flow) isolatedWorkspace() string {
-	if fl.workspace != nil && fl.workspace.Isolated {
-		return fl.workspace.Name
-	}
-	return ""
+	return parts.Scope(fl.request.Model, version, fl.cacheDomain)
 }
 
 // promptLocations is where the shared parts of a prompt are cached, for one version of the
--- a/internal/gateway/parts/parts.go
+++ b/internal/gateway/parts/parts.go
@@ -37,12 +37,12 @@
 	return Key(d.Sum64())
 }
 
-// Scope returns the cache scope of a prompt: the model, the version of its weights, and the
-// workspace if it is isolated. Parts are shared only within a scope.
+// Scope returns the cache scope of a prompt: the model, the version of its weights, and the domain of the
+// workspaces that share parts. Parts are shared only within a scope.
 //
 // The length prefix of the model name keeps the scopes of different inputs distinct.
-func Scope(model string, weights int64, isolated string) string {
-	return strconv.Itoa(len(model)) + "." + model + "." + strconv.FormatInt(weights, 10) + "." + isolated
+func Scope(model string, weights int64, domain string) string {
+	return strconv.Itoa(len(model)) + "." + model + "." + strconv.FormatInt(weights, 10) + "." + domain
 }
 
 // Keys returns the keys of the prompt's shared parts: all but the last part.
--- a/internal/gateway/probe/probe.go
+++ b/internal/gateway/probe/probe.go
@@ -27,9 +27,9 @@
 // Prompt names the shared parts of a prompt.
 type Prompt struct {
 	Model string
-	// IsolatedWorkspace is the workspace if it shares no parts with others, else empty.
-	IsolatedWorkspace string
-	Parts             []wire.Part
+	// CacheDomain is the domain within which the prompt shares cached parts.
+	CacheDomain string
+	Parts       []wire.Part
 }
 
 // Response is a sidecar's response to a probe: the state of its engine.
@@ -132,7 +132,7 @@
 }
 
 func encodePrompt(p Prompt) *peerv1.SharedParts {
-	out := &peerv1.SharedParts{Model: p.Model, Isolated: p.IsolatedWorkspace}
+	out := &peerv1.SharedParts{Model: p.Model, CacheDomain: p.CacheDomain}
 	for _, part := range p.Parts {
 		out.Names = append(out.Names, part.ID)
 		out.Tokens = append(out.Tokens, uint32(part.Tokens))
@@ -141,7 +141,7 @@
 }
 
 func decodePrompt(in *peerv1.SharedParts) Prompt {
-	p := Prompt{Model: in.GetModel(), IsolatedWorkspace: in.GetIsolated()}
+	p := Prompt{Model: in.GetModel(), CacheDomain: in.GetCacheDomain()}
 	for i, name := range in.GetNames() {
 		if i < len(in.Tokens) {
 			p.Parts = append(p.Parts, wire.Part{ID: name, Tokens: int(in.Tokens[i])})
--- a/internal/gateway/probe/probe_test.go
+++ b/internal/gateway/probe/probe_test.go
@@ -68,7 +68,7 @@
 	return c
 }
 
-var prompt = Prompt{Model: "m", IsolatedWorkspace: "acme", Parts: []wire.Part{{ID: "a1", Tokens: 512}, {ID: "b2", Tokens: 4870}}}
+var prompt = Prompt{Model: "m", CacheDomain: "acme", Parts: []wire.Part{{ID: "a1", Tokens: 512}, {ID: "b2", Tokens: 4870}}}
 
 // All fields of responses and notifications survive the wire.
 func TestMessagesSurviveTheWire(t *testing.T) {
@@ -89,7 +89,7 @@
 	if !equalResponses(got, response) {
 		t.Errorf("got %+v, want %+v", got, response)
 	}
-	if p := engine.probed[0]; p.Model != "m" || p.IsolatedWorkspace != "acme" || len(p.Parts) != 2 || p.Parts[1] != prompt.Parts[1] {
+	if p := engine.probed[0]; p.Model != "m" || p.CacheDomain != "acme" || len(p.Parts) != 2 || p.Parts[1] != prompt.Parts[1] {
 		t.Errorf("probed for %+v", p)
 	}
 	send := Send{
--- a/internal/gateway/tracker/tracker.go
+++ b/internal/gateway/tracker/tracker.go
@@ -177,7 +177,7 @@
 
 // partKeys returns the keys of a prompt's parts for a version of the weights.
 func partKeys(p probe.Prompt, version int64) []parts.Key {
-	scope := parts.Scope(p.Model, version, p.IsolatedWorkspace)
+	scope := parts.Scope(p.Model, version, p.CacheDomain)
 	n := min(len(p.Parts), maxParts)
 	keys := make([]parts.Key, 0, n)
 	for _, part := range p.Parts[:n] {
