--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -56,6 +56,7 @@
 	StreamNotResumable
 	PartQuarantined
 	Interrupted
+	MemoryFull
 )
 
 // Spec describes how a kind is reported and retried.
@@ -110,6 +111,7 @@
 	Throttled:            {"throttled", "All targets of the service have asked for fewer requests.", http.StatusServiceUnavailable, true},
 	StreamNotResumable:   {"stream_not_resumable", "The stream cannot go on where it broke off; start it anew.", http.StatusMisdirectedRequest, false},
 	Interrupted:          {"interrupted", "This entry stopped before the answer came; the request may have run.", http.StatusBadGateway, false},
+	MemoryFull:           {"memory_full", "This entry has no memory left for the body; another one may have.", http.StatusServiceUnavailable, false},
 	RateLimited:          {"rate_limited", "The workspace has used up its rate limit for now.", http.StatusTooManyRequests, false},
 }
 
@@ -133,7 +135,7 @@
 // All returns all kinds except None, in numerical order.
 func All() []Kind {
 	kinds := make([]Kind, 0, len(table))
-	for k := BadRequest; k <= Interrupted; k++ {
+	for k := BadRequest; k <= MemoryFull; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
--- a/internal/gateway/buffers/buffers.go
+++ b/internal/gateway/buffers/buffers.go
@@ -1,14 +1,15 @@
-// Package buffers bounds the memory in which responses are buffered, summed over all requests of the
-// process. Without the sum, tens of targets that send without end would fill it together.
+// Package buffers bounds the memory in which bodies are held, summed over all requests of the process.
+// Without the sum, tens of targets that send without end, or of callers with large requests, would fill it
+// together.
 package buffers
 
 import "sync/atomic"
 
-// Step is the unit in which memory is taken. The first one of each response is not counted, so that
-// ordinary responses do not depend on others.
+// Step is the unit in which memory is taken. The first one of each body is not counted, so that ordinary
+// requests and responses do not depend on others.
 const Step = 32 << 10
 
-// Budget is a number of bytes that responses share. It is safe for concurrent use.
+// Budget is a number of bytes that bodies share. It is safe for concurrent use.
 type Budget struct{ free atomic.Int64 }
 
 // NewBudget returns a budget of a size in bytes.
@@ -27,7 +28,7 @@
 	return false
 }
 
-// Share is what one response has taken of a budget. It is not safe for concurrent use.
+// Share is what one body has taken of a budget. It is not safe for concurrent use.
 type Share struct {
 	budget *Budget
 	steps  int
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -57,12 +56,13 @@
 	Protocol wire.Protocol
 	View     func() (*view.View, bool)
 	Pool     *upstream.Pool
-	// Buffers is the memory for large responses; nil for no bound.
-	Buffers *buffers.Budget
-	Ledger  *ledger.Ledger
-	Parts   *parts.Index
-	Health  *health.Monitor
-	Reach   *reach.Monitor
+	// Buffers is the memory for large responses, Bodies that for large bodies of requests; nil for no
+	// bound.
+	Buffers, Bodies *buffers.Budget
+	Ledger          *ledger.Ledger
+	Parts           *parts.Index
+	Health          *health.Monitor
+	Reach           *reach.Monitor
 	// Pushback keeps what targets state about the load that they take, TargetLimits shares their
 	// rate limits among the entries.
 	Pushback     *pushback.Registry
@@ -225,6 +225,8 @@
 	cacheDomain string
 	request     wire.Request
 	body        []byte
+	// bodyMemory is what the body has taken of the memory for large ones.
+	bodyMemory *buffers.Share
 	// fingerprint identifies the request across the caller's retries.
 	fingerprint quarantine.Fingerprint
 	// parts are the shared parts of its prompt.
@@ -284,14 +286,19 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	fl := &flow{Forwarder: f, w: w, r: r, arrived: time.Now()}
+	fl := &flow{Forwarder: f, w: w, r: r, arrived: time.Now(), bodyMemory: f.Bodies.NewShare()}
+	defer fl.bodyMemory.Release()
 	fl.setDeadline()
 	fl.limitWrites()
 	defer fl.refund()
 	ctx, release := f.shutdown.withExit(r.Context())
 	defer release()
 	if refusal := fl.admit(ctx); refusal != nil {
-		fl.refuse(refusal)
+		if refusal.Kind == errkind.MemoryFull {
+			fl.refuseUnread(refusal)
+		} else {
+			fl.refuse(refusal)
+		}
 		return
 	}
 	fl.limitWrites()
@@ -353,7 +360,7 @@
 	if refusal := fl.checkRateLimit(ctx); refusal != nil {
 		return refusal
 	}
-	if refusal := fl.readBody(ctx, fl.view.Estate.Limits.BodyBytes); refusal != nil {
+	if refusal := fl.readBody(ctx); refusal != nil {
 		return refusal
 	}
 	fl.fingerprint = quarantine.FingerprintOf(fl.workspaceName(), fl.r.RequestURI, fl.body)
@@ -403,53 +410,8 @@
 	// configuration yet; it arrives within some hundred milliseconds after the store or a
 	// peer responds.
 	noEstateRetryAfter = 500 * time.Millisecond
-	// defaultMaxBody is the body limit if the configuration sets none.
-	defaultMaxBody = 4 << 20
 )
 
-// readBody reads the whole body before anything is sent, so that the request can be retried
-// and a truncated body reaches no target.
-func (fl *flow) readBody(ctx context.Context, limit int64) *errkind.Error {
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if fl.r.ContentLength == 0 {
-		return nil
-	}
-	if fl.r.ContentLength > limit {
-		// Drain what the limit allows: a caller that is still sending would get a reset
-		// instead of the response.
-		_, _ = io.CopyN(io.Discard, fl.r.Body, limit)
-		return errkind.New(errkind.BodyTooLarge, "the body has %d bytes; the limit is %d", fl.r.ContentLength, limit)
-	}
-	done := fl.interruptBody(ctx)
-	defer done()
-	if n := fl.r.ContentLength; n > 0 {
-		fl.body = make([]byte, n)
-		if _, err := io.ReadFull(fl.r.Body, fl.body); err != nil {
-			return fl.bodyRefusal(ctx, err)
-		}
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(fl.r.Body, limit+1))
-	if err != nil {
-		return fl.bodyRefusal(ctx, err)
-	}
-	if int64(len(body)) > limit {
-		return errkind.New(errkind.BodyTooLarge, "the body exceeds %d bytes", limit)
-	}
-	fl.body = body
-	return nil
-}
-
-// bodyRefusal returns the refusal of a request whose body could not be read.
-func (fl *flow) bodyRefusal(ctx context.Context, err error) *errkind.Error {
-	if errors.Is(context.Cause(ctx), errExit) {
-		return fl.exitRefusal()
-	}
-	return errkind.New(errkind.BadRequest, "read body: %v", err)
-}
-
 // timeLeft is the time until the deadline.
 func (fl *flow) timeLeft() time.Duration { return time.Until(fl.deadline) }
 
