A process that starts is told since when weights are wanted

Cause: a wanted version counts from the moment at which a process reads it. One that starts reads it from the store's records, which do not say since when. Change: for 5 s after a process was heard first, the others' heartbeats say since when they know the versions that were wanted lately; the earlier time counts.

--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -26,7 +26,7 @@
 // stateChangeEvents are the events that record a change in what a process knows of targets,
 // or in the availability of a dependency.
 var stateChangeEvents = []string{
-	"estate_in_force", "weights_wanted", "target_listed", "target_unlisted", "target_gone", "engine_reported", "engine_reported_unresponsive", "target_rested",
+	"estate_in_force", "weights_wanted", "weights_wanted_since", "target_listed", "target_unlisted", "target_gone", "engine_reported", "engine_reported_unresponsive", "target_rested",
 	"target_limited", "target_limit_ended", "target_leaving", "target_wants_rest", "target_rest_over", "target_statement_refused",
 	"store_lost", "store_regained", "list_regained", "feed_trimmed", "snapshot_ignored", "store_era_refused", "store_restored", "era_followed", "quarantine_reconciled", "fetch_failed", "peer_live", "peer_silent", "host_woke", "declaration_refused",
 	"settings_reloaded", "settings_refused", "started", "stopping", "stopped", "stop_cut_requests", "log_lines_dropped",
--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -56,7 +56,9 @@
 	// rawEstate is the record that the estate was decoded from.
 	rawEstate     []byte
 	wantedWeights map[string]weights.History
-	engineReports map[fleet.Incarnation]view.EngineReport
+	// announceWantedUntil is until when heartbeats announce since when versions are wanted.
+	announceWantedUntil time.Time
+	engineReports       map[fleet.Incarnation]view.EngineReport
 	// unlisted are the reported incarnations that are missing from the target list.
 	unlisted        map[fleet.Incarnation]fleet.UnlistedState
 	loggedOutageEnd time.Time
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -19,6 +19,7 @@
 		c.position(topicOperators, c.declarations, 0),
 		c.position(topicTargets, c.targets, c.listingsDigest),
 	}
+	c.announceWanted(heartbeat)
 }
 
 func (c *clusterState) position(name string, f *feed.Follower, digest uint64) *peerv1.TopicPosition {
@@ -66,6 +67,7 @@
 // onHeartbeat compares a peer's replicas with this process's and fetches missing records.
 func (c *clusterState) onHeartbeat(m *mesh.Member) {
 	c.peerSaysLarge = c.peerSaysLarge || m.Heartbeat.LargeFleet
+	c.onWanted(m)
 	for _, p := range m.Heartbeat.Topics {
 		if p.Unknown {
 			c.emptyPeerSeen = true
--- /dev/null
+++ b/internal/gateway/wantedages.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"time"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+	"github.com/toucanwell/toucanwell/internal/gateway/weights"
+)
+
+const (
+	// announceWantedFor is how long after a process was heard first the others announce since when
+	// versions of weights are wanted: some heartbeats.
+	announceWantedFor = 5 * time.Second
+	// minBackdate is the least difference that is taken over; smaller ones are the time of messages.
+	minBackdate = 500 * time.Millisecond
+	// maxWantedAge bounds the ages that are announced. It is far longer than weights may be outdated.
+	maxWantedAge = 10 * time.Minute
+)
+
+// announceWanted adds to a heartbeat since when versions of weights are wanted, if there may be a receiver
+// that has just started.
+func (c *clusterState) announceWanted(heartbeat *peerv1.Beat) {
+	now := c.clock.Now()
+	if !now.Before(c.announceWantedUntil) {
+		return
+	}
+	for model, history := range c.wantedWeights {
+		for _, w := range history {
+			heartbeat.Wanted = append(heartbeat.Wanted, &peerv1.WantedWeights{
+				Model: model, Version: w.Version, AgeMs: uint32(min(now.Sub(w.Since), maxWantedAge).Milliseconds()),
+			})
+		}
+	}
+}
+
+// onWanted takes over since when versions of weights are wanted from a process that has known them for
+// longer. A process that starts would count from its start, and use weights that are long outdated.
+func (c *clusterState) onWanted(m *mesh.Member) {
+	now := c.clock.Now()
+	if m.AliveSince.After(now.Add(-announceWantedFor)) {
+		c.announceWantedUntil = m.AliveSince.Add(announceWantedFor)
+	}
+	changed := false
+	for _, w := range m.Heartbeat.Wanted {
+		history := c.wantedWeights[w.Model]
+		since := now.Add(-min(time.Duration(w.AgeMs)*time.Millisecond, maxWantedAge))
+		earlier := history.StaleFor(w.Version-1, now)
+		next := history.Backdate(weights.WantedVersion{Version: w.Version, Since: since})
+		if next.StaleFor(w.Version-1, now) < earlier+minBackdate {
+			continue
+		}
+		c.logger.Info("weights_wanted_since", "model", w.Model, "version", w.Version, "for", now.Sub(since).Round(time.Millisecond), "before", earlier.Round(time.Millisecond), "peer", m.Name)
+		c.wantedWeights[w.Model], changed = next, true
+	}
+	if changed {
+		c.publishView()
+	}
+}
--- a/internal/gateway/weights/plan.go
+++ b/internal/gateway/weights/plan.go
@@ -7,6 +7,7 @@
 package weights
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -93,7 +94,7 @@
 // WantedVersion is a version of a model that operators have published.
 type WantedVersion struct {
 	Version int64
-	// Since is when this process learned of the version.
+	// Since is when this process, or one that told it, learned of the version.
 	Since time.Time
 }
 
@@ -109,6 +110,23 @@
 	return next[max(0, len(next)-maxHistory):]
 }
 
+// Backdate returns the history with a version that another process has known since an earlier time. One that
+// is newer than all in the history is ignored: new versions come with the platform's records only.
+func (h History) Backdate(w WantedVersion) History {
+	i, known := slices.BinarySearchFunc(h, w.Version, func(o WantedVersion, version int64) int { return cmp.Compare(o.Version, version) })
+	switch {
+	case i == len(h) || known && !w.Since.Before(h[i].Since):
+		return h
+	case known:
+		next := slices.Clone(h)
+		next[i].Since = w.Since
+		return next
+	default:
+		next := slices.Insert(slices.Clone(h), i, w)
+		return next[max(0, len(next)-maxHistory):]
+	}
+}
+
 // Newest returns the newest version; zero if there is none.
 func (h History) Newest() int64 {
 	if len(h) == 0 {
--- a/internal/gateway/weights/plan_test.go
+++ b/internal/gateway/weights/plan_test.go
@@ -106,3 +106,36 @@
 		t.Errorf("newest version %d, want 4", h.Newest())
 	}
 }
+
+// Guards against a process that takes weights for less outdated than another one knows them to be, in
+// whichever order it is told, and against versions that only another process has read.
+func TestHistoryIsBackdated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(version int64, d time.Duration) WantedVersion {
+		return WantedVersion{Version: version, Since: now.Add(-d)}
+	}
+	h := History{}.Add(ago(5, time.Second))
+	for _, told := range [][]WantedVersion{
+		{ago(3, 20*time.Second), ago(5, 9*time.Second), ago(4, 15*time.Second)},
+		{ago(5, 9*time.Second), ago(5, 2*time.Second), ago(4, 15*time.Second), ago(3, 20*time.Second), ago(6, time.Hour)},
+	} {
+		next := h
+		for _, w := range told {
+			next = next.Backdate(w)
+		}
+		for version, want := range map[int64]time.Duration{2: 20 * time.Second, 3: 15 * time.Second, 4: 9 * time.Second, 5: 0} {
+			if got := next.StaleFor(version, now); got != want {
+				t.Errorf("told %v: version %d is outdated for %v, want %v", told, version, got, want)
+			}
+		}
+		if next.Newest() != 5 {
+			t.Errorf("the newest version is %d, want 5", next.Newest())
+		}
+	}
+	if h.StaleFor(4, now) != time.Second {
+		t.Error("the history itself has changed")
+	}
+	if got := History(nil).Backdate(ago(1, time.Second)); len(got) != 0 {
+		t.Errorf("a history without records has %v", got)
+	}
+}
