Order loads for engines on hosts without a sidecar

Cause: the entry that orders loads where there are no sidecars stopped with the first sidecar that it saw. Change: it goes on for engines on hosts on which it has never seen one, once their weights are as outdated as the deployment allows and it has known the fleet for 10 s; not in large fleets. Result: TestEngineWithoutSidecarGetsWantedWeights (processes) times out without the change and passes in 12 s; it also checks that an engine whose sidecar is away is left to that one.

--- a/internal/gateway/deputy.go
+++ b/internal/gateway/deputy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,14 +18,18 @@
 	// sidecarDiscoveryTime is the time after the start within which an entry receives a
 	// heartbeat if there are any sidecars.
 	sidecarDiscoveryTime = 6 * time.Second
+	// sidecarAbsence is how long an entry that has seen sidecars must have known of none on an engine's
+	// host. It exceeds the time in which processes and hosts start again.
+	sidecarAbsence = 10 * time.Second
 	// leaseTimeout limits a call to the store for the lease.
 	leaseTimeout = time.Second
 )
 
-// deputy orders weight loads in place of sidecars, in deployments without sidecars. Without
-// it the engines there would keep outdated weights until all prompts are refused. It stops
-// for good once the entry has seen a sidecar, because sidecars order the loads of their own
-// engines.
+// deputy orders weight loads for engines without a sidecar. Without it these would keep outdated
+// weights, which prompts are refused for in the end. In deployments without sidecars it orders all loads.
+// Once the entry has seen a sidecar, it orders for engines on hosts only on which it has never seen one,
+// and only once their weights are as outdated as the deployment allows: a sidecar that is away for a moment
+// orders the loads of its own engine.
 //
 // A lease in the platform's store ensures that one entry at a time gives orders. The
 // holder's fencing token is higher than those of earlier holders, so that engines that
@@ -38,14 +43,14 @@
 	token    uint64
 	fetching bool
 	engines  map[netip.AddrPort]weights.Engine
-	// sidecarSeen is set once the entry has seen a live sidecar.
-	sidecarSeen bool
+	// sidecarHosts are the hosts on which the entry has seen a live sidecar.
+	sidecarHosts map[netip.Addr]bool
 }
 
 func newDeputy(p *process) *deputy {
 	holder := p.settings.Name + "/" + strconv.FormatUint(p.incarnation, 16)
 	return &deputy{
-		process: p, lease: lease.New(holder), engines: map[netip.AddrPort]weights.Engine{},
+		process: p, lease: lease.New(holder), engines: map[netip.AddrPort]weights.Engine{}, sidecarHosts: map[netip.Addr]bool{},
 		controller: weights.NewRemoteController(p.loop, p.settings.Name, p.logger, p.clock.Now, func(o weights.Outcome) { p.metrics.WeightsOrder(o.String()) }),
 	}
 }
@@ -62,12 +67,14 @@
 	if state.estate != nil && d.lease.ObserveEra(state.era, now) {
 		d.process.logger.Info("order_lease", "held", false, "era", uint64(state.era), "blocked_for", lease.TakeoverAfter)
 	}
-	d.sidecarSeen = d.sidecarSeen || state.mesh.LiveCount(false) > 0
-	if d.sidecarSeen || state.estate == nil || state.stopping || now.Sub(d.startedAt) < sidecarDiscoveryTime {
+	for _, m := range state.mesh.Live(false) {
+		d.sidecarHosts[m.Address.Addr()] = true
+	}
+	if !d.mayOrder(now) {
 		return
 	}
 	for model, history := range state.wantedWeights {
-		engines := d.enginesOf(model)
+		engines := slices.DeleteFunc(d.enginesOf(model), func(e weights.RemoteEngine) bool { return d.hasSidecar(&e, history.StaleFor(e.Versions[model], now)) })
 		wanted := history.Newest()
 		if !d.controller.AnyStale(engines, model, wanted) {
 			continue
@@ -84,6 +91,25 @@
 	}
 }
 
+// mayOrder reports whether the entry may give orders to any engine. In fleets whose sidecars it does not all
+// hear it can't tell which engines have none.
+func (d *deputy) mayOrder(now time.Time) bool {
+	state, knownFor := d.process.state, now.Sub(d.startedAt)
+	if state.estate == nil || state.stopping || knownFor < sidecarDiscoveryTime {
+		return false
+	}
+	return len(d.sidecarHosts) == 0 || !state.large.Load() && knownFor >= sidecarAbsence
+}
+
+// hasSidecar reports whether the loads of an engine, whose weights are outdated for some time, are to be
+// ordered by its sidecar.
+func (d *deputy) hasSidecar(e *weights.RemoteEngine, staleFor time.Duration) bool {
+	if len(d.sidecarHosts) == 0 {
+		return false
+	}
+	return d.sidecarHosts[e.Address.Addr()] || staleFor < d.process.settings.Bounds.MaxStaleness.Duration
+}
+
 // enginesOf returns the engines that serve a model.
 func (d *deputy) enginesOf(model string) []weights.RemoteEngine {
 	state := d.process.state
@@ -99,7 +125,7 @@
 			if _, serves := t.Weights[model]; !serves || t.Leaving || leaving[t.ID] || t.Unconfirmed {
 				continue
 			}
-			found = append(found, weights.RemoteEngine{Incarnation: t.Incarnation, Engine: d.engineAt(t.Address), Versions: t.Weights})
+			found = append(found, weights.RemoteEngine{Incarnation: t.Incarnation, Address: t.Address, Engine: d.engineAt(t.Address), Versions: t.Weights})
 		}
 	}
 	return found
--- a/internal/gateway/weights/remote.go
+++ b/internal/gateway/weights/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -14,6 +15,7 @@
 // RemoteEngine is an engine without a sidecar, as the platform lists it.
 type RemoteEngine struct {
 	fleet.Incarnation
+	Address netip.AddrPort
 	Engine Engine
 	// Versions maps each of the engine's models to its version.
 	Versions map[string]int64
