--- a/internal/gateway/callerframing.go
+++ b/internal/gateway/callerframing.go
@@ -88,7 +88,7 @@
 type framing uint8
 
 const (
-	// clear requests state it in one way.
+	// clearFraming requests state it in one way.
 	clearFraming framing = iota
 	// ambiguousFraming requests state it in two ways.
 	ambiguousFraming
--- a/internal/gateway/deputy.go
+++ b/internal/gateway/deputy.go
@@ -25,11 +25,11 @@
 	leaseTimeout = time.Second
 )
 
-// deputy orders weight loads for engines without a sidecar. Without it these would keep outdated
-// weights, which prompts are refused for in the end. In deployments without sidecars it orders all loads.
-// Once the entry has seen a sidecar, it orders for engines on hosts only on which it has never seen one,
-// and only once their weights are as outdated as the deployment allows: a sidecar that is away for a moment
-// orders the loads of its own engine.
+// deputy orders weight loads for engines without a sidecar. Without it these would keep outdated weights,
+// and prompts would be refused in the end. In deployments without sidecars it orders all loads. Once the
+// entry has seen a sidecar, it orders loads only on hosts on which it has never seen one, and only once an
+// engine's weights are as outdated as the deployment allows: a sidecar that is away for a moment orders the
+// loads of its own engine.
 //
 // A lease in the platform's store ensures that one entry at a time gives orders. The
 // holder's fencing token is higher than those of earlier holders, so that engines that
@@ -74,7 +74,9 @@
 		return
 	}
 	for model, history := range state.wantedWeights {
-		engines := slices.DeleteFunc(d.enginesOf(model), func(e weights.RemoteEngine) bool { return d.hasSidecar(&e, history.StaleFor(e.Versions[model], now)) })
+		engines := slices.DeleteFunc(d.enginesOf(model), func(e weights.RemoteEngine) bool {
+			return d.isLeftToSidecar(&e, history.StaleFor(e.Versions[model], now))
+		})
 		wanted := history.Newest()
 		if !d.controller.AnyStale(engines, model, wanted) {
 			continue
@@ -101,9 +103,9 @@
 	return len(d.sidecarHosts) == 0 || !state.large.Load() && knownFor >= sidecarAbsence
 }
 
-// hasSidecar reports whether the loads of an engine, whose weights are outdated for some time, are to be
-// ordered by its sidecar.
-func (d *deputy) hasSidecar(e *weights.RemoteEngine, staleFor time.Duration) bool {
+// isLeftToSidecar reports whether the load of an engine whose weights are outdated for some time is left to
+// a sidecar.
+func (d *deputy) isLeftToSidecar(e *weights.RemoteEngine, staleFor time.Duration) bool {
 	if len(d.sidecarHosts) == 0 {
 		return false
 	}
--- a/internal/gateway/weights/remote.go
+++ b/internal/gateway/weights/remote.go
@@ -16,7 +16,7 @@
 type RemoteEngine struct {
 	fleet.Incarnation
 	Address netip.AddrPort
-	Engine Engine
+	Engine  Engine
 	// Versions maps each of the engine's models to its version.
 	Versions map[string]int64
 }
