Own protocol: refuse requests that state the length of their body in two ways

Callers saw: an entry without gateway served a request that was hidden in the body of another one, over plain text and TLS: two responses and two request_done lines for one request with Content-Length and Transfer-Encoding. Its administration server did the same. Change: the check moves to internal/callers, and guards every HTTP server of both programs. Where a connection is not seen in plain text (TLS), a request with a transfer coding is the last one on it. HTTP/2 is left alone, its frames state the length.

--- a/internal/gateway/callerframing.go
+++ b/internal/callers/framing.go
@@ -1,4 +1,4 @@
-package gateway
+package callers
 
 import (
 	"bytes"
@@ -8,8 +8,8 @@
 	"sync"
 )
 
-// maxRecordedHead bounds the bytes of a head that are kept; it is the largest limit for heads of callers.
-const maxRecordedHead = maxHeaderBytes
+// maxRecordedHead bounds the bytes of a head that are kept. A longer one counts as not recorded.
+const maxRecordedHead = 64 << 10
 
 // requestHead keeps what a connection delivers until the request that it begins is served. net/http drops
 // the Content-Length of a request that also has a Transfer-Encoding, and serves it by the latter: a caller
@@ -51,6 +51,13 @@
 	return recorded[:end]
 }
 
+// stop ends the recording for good.
+func (h *requestHead) stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.paused, h.bytes = true, nil
+}
+
 // resume begins to record the next head, after the body of a request has been read.
 func (h *requestHead) resume() {
 	h.mu.Lock()
@@ -113,9 +120,19 @@
 
 // checkFraming refuses a request that states the length of its body in two ways, and reports whether the
 // request may be served. The connection of one that may do so is closed after the response, so that what
-// follows is not served as a request.
-func (c *callerConn) checkFraming(w http.ResponseWriter, r *http.Request) bool {
-	switch framingOf(r, c.head.take(r)) {
+// follows is not served as a request. Requests of HTTP/2 have one length, which its frames state.
+func checkFraming(head *requestHead, w http.ResponseWriter, r *http.Request) bool {
+	if r.ProtoMajor > 1 {
+		if head != nil {
+			head.stop()
+		}
+		return true
+	}
+	var recorded []byte
+	if head != nil {
+		recorded = head.take(r)
+	}
+	switch framingOf(r, recorded) {
 	case ambiguousFraming:
 		w.Header().Set("Connection", "close")
 		http.Error(w, "the request has a Content-Length and a Transfer-Encoding", http.StatusBadRequest)
@@ -123,20 +140,20 @@
 	case unknownFraming:
 		w.Header().Set("Connection", "close")
 	}
-	if r.ContentLength != 0 {
-		r.Body = &callerBody{r.Body, &c.head}
+	if r.ContentLength != 0 && head != nil {
+		r.Body = &body{r.Body, head}
 	}
 	return true
 }
 
-// callerBody is the body of a caller's request.
-type callerBody struct {
+// body is the body of a request on a connection whose heads are recorded.
+type body struct {
 	io.ReadCloser
 	head *requestHead
 }
 
 // Read implements io.Reader.
-func (b *callerBody) Read(p []byte) (int, error) {
+func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
 		b.head.resume()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/toucanwell/toucanwell/api/admin/oas"
 	"github.com/toucanwell/toucanwell/internal/admin"
+	"github.com/toucanwell/toucanwell/internal/callers"
 	"github.com/toucanwell/toucanwell/internal/configlog"
 	"github.com/toucanwell/toucanwell/internal/entry"
 	"github.com/toucanwell/toucanwell/internal/external"
@@ -206,8 +207,11 @@
 }
 
 func (d *Daemon) serve(traffic, adminListener net.Listener) {
+	encrypted := d.settings.TLS.CertFile != ""
+	traffic = callers.Guard(d.traffic, traffic, encrypted)
+	adminListener = callers.Guard(d.admin, adminListener, false)
 	go func() {
-		if d.settings.TLS.CertFile != "" {
+		if encrypted {
 			d.failed <- d.traffic.ServeTLS(traffic, d.settings.TLS.CertFile, d.settings.TLS.KeyFile)
 			return
 		}
--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -1,10 +1,11 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/toucanwell/toucanwell/internal/callers"
 )
 
 // callerConns tracks the connections of callers, so that a stopping entry closes none on which it has
@@ -12,23 +13,10 @@
 // idle whose next request is just being read, and that request is served all the same.
 type callerConns struct {
 	mu    sync.Mutex
-	open  map[*callerConn]connState
+	open  map[*callers.Conn]connState
 	nBusy int
 }
 
-// callerConn is a connection of a caller.
-type callerConn struct {
-	net.Conn
-	head requestHead
-}
-
-// Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.head.record(p[:n])
-	return n, err
-}
-
 // connState is the state of a connection in callerConns.
 type connState uint8
 
@@ -41,20 +29,20 @@
 	connIdle
 )
 
-func newCallerConns() *callerConns { return &callerConns{open: map[*callerConn]connState{}} }
+func newCallerConns() *callerConns { return &callerConns{open: map[*callers.Conn]connState{}} }
 
 // add starts to track a connection.
-func (c *callerConns) add(conn net.Conn) *callerConn {
+func (c *callerConns) add(conn net.Conn) *callers.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	tracked := &callerConn{Conn: conn}
+	tracked := callers.NewConn(conn)
 	c.open[tracked] = connNew
 	return tracked
 }
 
 // begin marks a connection as busy. It returns false if the connection has been closed: a request on it
 // must not be served.
-func (c *callerConns) begin(conn *callerConn) bool {
+func (c *callerConns) begin(conn *callers.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state, ok := c.open[conn]
@@ -71,7 +59,7 @@
 // onState implements http.Server.ConnState. A connection becomes idle or closed after its response has
 // been sent.
 func (c *callerConns) onState(conn net.Conn, state http.ConnState) {
-	tracked := conn.(*callerConn)
+	tracked := conn.(*callers.Conn)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before, ok := c.open[tracked]
@@ -106,23 +94,13 @@
 	}
 }
 
-// callerConnKey is the key of the connection in the contexts of its requests.
-type callerConnKey struct{}
-
-// connContext implements http.Server.ConnContext.
-func connContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, conn)
-}
-
 // handle returns a handler that serves requests on tracked connections.
 func (c *callerConns) handle(next http.Handler) http.Handler {
+	guarded := callers.Handler(next)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, ok := r.Context().Value(callerConnKey{}).(*callerConn)
-		if !ok || !c.begin(conn) {
+		if conn := callers.ConnOf(r); conn == nil || !c.begin(conn) {
 			panic(http.ErrAbortHandler)
 		}
-		if conn.checkFraming(w, r) {
-			next.ServeHTTP(w, r)
-		}
+		guarded.ServeHTTP(w, r)
 	})
 }
--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/toucanwell/toucanwell/internal/callers"
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
@@ -117,7 +118,7 @@
 	c.newest = &connListener{conns: make(chan net.Conn), closed: make(chan struct{}), addr: c.address}
 	server := &http.Server{
 		Handler: c.handler, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleMargin, MaxHeaderBytes: l.HeaderBytes,
-		ErrorLog: log.New(httpErrorLog{c.logger}, "", 0), ConnState: c.conns.onState, ConnContext: connContext,
+		ErrorLog: log.New(httpErrorLog{c.logger}, "", 0), ConnState: c.conns.onState, ConnContext: callers.Context,
 	}
 	c.servers = append(c.servers, server)
 	listener := c.newest
--- a/internal/gateway/callerserver_test.go
+++ b/internal/gateway/callerserver_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/toucanwell/toucanwell/internal/callers"
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 )
 
@@ -150,7 +151,7 @@
 	conn := conns.add(server)
 	request := func() (aborted bool) {
 		defer func() { aborted = recover() == http.ErrAbortHandler }()
-		r, err := http.NewRequestWithContext(connContext(t.Context(), conn), http.MethodGet, "/", nil)
+		r, err := http.NewRequestWithContext(callers.Context(t.Context(), conn), http.MethodGet, "/", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -16,6 +16,7 @@
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/burn"
+	"github.com/toucanwell/toucanwell/internal/callers"
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
@@ -204,6 +205,7 @@
 	}
 	server := &http.Server{Handler: http.MaxBytesHandler(handler, maxControlBody), ReadHeaderTimeout: headerTimeout, ReadTimeout: controlReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	p.servers = append(p.servers, server)
+	listener = callers.Guard(server, listener, false)
 	go func() { p.serveErrors <- server.Serve(listener) }()
 	return nil
 }
