Own protocol: bodies share a budget of memory

Callers saw: 300 requests whose bodies of 1 MiB (the example's limit) lack their last bytes were all held; the entry took 389 MB where its settings give it 128, and none was refused. A process that exceeds its memory is killed with all requests in it. Without gateway a prompt is held four times over while its request is served, which counts. What does not fit is refused at once with memory_full, 503 and Retry-After. memory_mb is a setting of these processes, too; it replaces the runtime's fixed limit of 512 MB.

--- a/cmd/toucanwelld/gateway.go
+++ b/cmd/toucanwelld/gateway.go
@@ -15,9 +15,6 @@
 	"github.com/toucanwell/toucanwell/platform"
 )
 
-// memoryLimitRatio is the ratio of the Go runtime's soft memory limit to the process's memory.
-const memoryLimitRatio = 0.7
-
 // gatewayCommand returns the command that runs a gateway process, whose state is in the
 // platform's store.
 func gatewayCommand() *cli.Command {
--- a/cmd/toucanwelld/main.go
+++ b/cmd/toucanwelld/main.go
@@ -21,8 +21,8 @@
 const (
 	exitSettings = 2
 	exitFailed   = 1
-	// memoryLimit is the soft memory limit of the Go runtime in bytes.
-	memoryLimit = 512 << 20
+	// memoryLimitRatio is the ratio of the Go runtime's soft memory limit to the process's memory.
+	memoryLimitRatio = 0.7
 )
 
 func main() {
@@ -55,7 +55,7 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryLimitRatio))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	d, err := daemon.New(s, os.Stderr)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/blackboard"
+	"github.com/toucanwell/toucanwell/internal/buffers"
 	"github.com/toucanwell/toucanwell/internal/burn"
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/configlog"
@@ -60,6 +61,7 @@
 	health   *targetHealth
 	budget   *retry.Budget
 	burn     *burn.Counter
+	bodies   *buffers.Budget
 	peers    *http.Client
 	prober   *probe.Client
 	location routing.Location
@@ -87,7 +89,7 @@
 	e := &Entry{
 		settings: s, logger: d.Logger, metrics: d.Metrics, hosts: d.Hosts,
 		board: &Board{}, loop: control.NewLoop(s.Seed, d.Metrics.ControlTime), health: newTargetHealth(time.Now),
-		budget: retry.NewBudget(), burn: burn.NewCounter(time.Now), peers: d.Peers, prober: d.Prober,
+		budget: retry.NewBudget(), burn: burn.NewCounter(time.Now), bodies: buffers.NewBudget(s.MemoryMB << 20 * bodyShareNumerator / bodyShareDivisor), peers: d.Peers, prober: d.Prober,
 		location: routing.Location{Zone: s.AvailabilityZone, Region: s.Region},
 	}
 	e.follower = configlog.NewFollower(e.loop, d.Log, &e.board.Config, configlog.FollowerOptions{
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -52,9 +52,11 @@
 		id := uuid.NewString()
 		w.Header().Set(requestIDHeader, id)
 		r = r.WithContext(context.WithValue(r.Context(), requestIDKey, id))
-		body, refusal := e.readBody(r)
+		memory := e.bodies.NewShare()
+		defer memory.Release()
+		body, refusal := e.readBody(r, memory)
 		if refusal != nil {
-			writeProblem(w, id, refusal)
+			e.refuseBody(w, r, memory, refusal)
 			return
 		}
 		if r.Method == http.MethodPost && r.URL.Path == completionPath && wantsStream(body) {
@@ -66,22 +68,6 @@
 	}), nil
 }
 
-// readBody reads the whole body, up to the configured size limit.
-func (e *Entry) readBody(r *http.Request) ([]byte, *errkind.Error) {
-	limit := int64(4 << 20)
-	if c, _, ok := e.current(); ok {
-		limit = c.Limits.MaxBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, errkind.New(errkind.BadRequest, "read body: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return nil, errkind.New(errkind.BodyTooLarge, "the limit is %d bytes", limit)
-	}
-	return body, nil
-}
-
 // wantsStream reports whether the body asks for a streamed response. It searches for the field
 // first, so that most bodies are not parsed here.
 func wantsStream(body []byte) bool {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -11,8 +11,8 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/buffers"
 	"github.com/toucanwell/toucanwell/internal/burn"
-	"github.com/toucanwell/toucanwell/internal/gateway/buffers"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/forward"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
--- a/internal/gateway/events/events.go
+++ b/internal/gateway/events/events.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/toucanwell/toucanwell/internal/gateway/buffers"
+	"github.com/toucanwell/toucanwell/internal/buffers"
 )
 
 // maxEvent is the maximum size of an event, which is buffered in memory until it is complete.
--- a/internal/gateway/events/events_test.go
+++ b/internal/gateway/events/events_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/toucanwell/toucanwell/internal/gateway/buffers"
+	"github.com/toucanwell/toucanwell/internal/buffers"
 	"github.com/toucanwell/toucanwell/internal/testseed"
 )
 
--- a/internal/gateway/forward/body_test.go
+++ b/internal/gateway/forward/body_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/toucanwell/toucanwell/internal/gateway/buffers"
+	"github.com/toucanwell/toucanwell/internal/buffers"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire/wiretest"
 )
 
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -20,8 +20,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/toucanwell/toucanwell/internal/buffers"
 	"github.com/toucanwell/toucanwell/internal/errkind"
-	"github.com/toucanwell/toucanwell/internal/gateway/buffers"
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/toucanwell/toucanwell/internal/buffers"
 	"github.com/toucanwell/toucanwell/internal/errkind"
-	"github.com/toucanwell/toucanwell/internal/gateway/buffers"
 	"github.com/toucanwell/toucanwell/internal/gateway/events"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/ledger"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -45,6 +46,8 @@
 	// Peers are the listen addresses of a few other processes. They provide the
 	// configuration if the log is down when the process starts.
 	Peers []string `toml:"peers"`
+	// MemoryMB is the memory limit of the process. Default 512.
+	MemoryMB int64 `toml:"memory_mb"`
 	// Seed of timer jitter. Default: a hash of the name.
 	Seed uint64 `toml:"seed"`
 
@@ -163,6 +166,7 @@
 
 func defaults() *Settings {
 	return &Settings{
+		MemoryMB: 512,
 		Platform: Platform{LogRetention: Duration{24 * time.Hour}},
 		Target:   Target{MaxRunning: 8, MaxPrefilling: 1, MaxQueued: 512, PrefillTokensPerSecond: 8000},
 		Timing: Timing{
@@ -179,6 +183,9 @@
 	}
 }
 
+// minMemoryMB is the least memory with which a process runs.
+const minMemoryMB = 64
+
 func (s *Settings) validate() []string {
 	var problems []string
 	require := func(ok bool, problem string) {
@@ -192,6 +199,7 @@
 	require(s.AvailabilityZone != "", "availability_zone: missing")
 	require(isAddress(s.Listen), `listen: "`+s.Listen+`" found; allowed is an IP number with a port`)
 	require(isAddress(s.AdminListen), `admin_listen: "`+s.AdminListen+`" found; allowed is an IP number with a port`)
+	require(s.MemoryMB >= minMemoryMB, "memory_mb: must be at least "+strconv.Itoa(minMemoryMB))
 	require(s.Platform.LogURL != "", "platform.log_url: missing")
 	require(s.Role != RoleSidecar || s.Target.URL != "", "target.url: missing; required for a sidecar")
 	require((s.TLS.CertFile == "") == (s.TLS.KeyFile == ""), "tls: set both cert_file and key_file or neither")
