Callers: the rest of a body that is not read is not served as a request

Cause: the check of framing replaced the body of the server's own request, by which net/http tells whether the connection can be used again; and a read that times out in the refusal does not count as an unread body there. Change: the handler gets a copy of the request; a refusal of a body that is not read ends its connection. Evidence: on a listener with the steps of refuseUnread served "/a /hidden", and a request with Expect got no 404 within 3 s.

--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -66,9 +66,10 @@
 
 // RefuseUnread refuses a request whose body is not held. The client gets the response at once. What it
 // still sends, up to limit bytes, is read and dropped until the deadline: it would get a reset instead of
-// the response otherwise.
+// the response otherwise. The connection ends with it, since the rest of the body may still come.
 func RefuseUnread(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time, refuse func()) {
 	response := http.NewResponseController(w)
+	w.Header().Set("Connection", "close")
 	_ = response.EnableFullDuplex() // without it the body is read before the response is sent
 	refuse()
 	_ = response.Flush()
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -80,8 +80,11 @@
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := ConnOf(r)
-		if conn != nil && checkFraming(conn.head, w, r) {
-			next.ServeHTTP(w, r)
+		if conn == nil {
+			panic(http.ErrAbortHandler)
+		}
+		if checked, ok := checkFraming(conn.head, w, r); ok {
+			next.ServeHTTP(w, checked)
 		}
 	})
 }
--- a/internal/callers/framing.go
+++ b/internal/callers/framing.go
@@ -118,15 +118,15 @@
 	}
 }
 
-// checkFraming refuses a request that states the length of its body in two ways, and reports whether the
-// request may be served. The connection of one that may do so is closed after the response, so that what
+// checkFraming refuses a request that states the length of its body in two ways. It returns the request to
+// be served, and whether it may be. The connection of one that may do so is closed after the response, so that what
 // follows is not served as a request. Requests of HTTP/2 have one length, which its frames state.
-func checkFraming(head *requestHead, w http.ResponseWriter, r *http.Request) bool {
+func checkFraming(head *requestHead, w http.ResponseWriter, r *http.Request) (*http.Request, bool) {
 	if r.ProtoMajor > 1 {
 		if head != nil {
 			head.stop()
 		}
-		return true
+		return r, true
 	}
 	var recorded []byte
 	if head != nil {
@@ -136,14 +136,17 @@
 	case ambiguousFraming:
 		w.Header().Set("Connection", "close")
 		http.Error(w, "the request has a Content-Length and a Transfer-Encoding", http.StatusBadRequest)
-		return false
+		return nil, false
 	case unknownFraming:
 		w.Header().Set("Connection", "close")
 	}
-	if r.ContentLength != 0 && head != nil {
-		r.Body = &body{r.Body, head}
+	if r.ContentLength == 0 || head == nil {
+		return r, true
 	}
-	return true
+	// The server looks at the body of its own request to tell whether the connection can be used again.
+	checked := r.WithContext(r.Context())
+	checked.Body = &body{r.Body, head}
+	return checked, true
 }
 
 // body is the body of a request on a connection whose heads are recorded.
