Own protocol: messages of entries share a budget of memory at a sidecar

Callers saw: nothing yet; 120 prompts of 1 MiB that entries sent to one sidecar took 195 MB where its settings give it 96. A sidecar that is killed for that loses all runs of its engine. Cause: the same as at entries: each message has a bound, their sum had none. Change: messages count from their first byte, at three times their size, and one that does not fit is not read on. Its entry gets resource_exhausted and tries another target without suspecting the sidecar. Evidence: TestPromptsDoNotFillTheMemoryOfASidecar (a process of 96 MB, HTTP/2) failed before, passes (four runs, one with the race detector).

--- a/internal/cluster/bodymemory_test.go
+++ b/internal/cluster/bodymemory_test.go
@@ -13,8 +13,12 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/examples"
 	"github.com/toucanwell/toucanwell/internal/cluster"
+	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/settings"
 )
 
@@ -106,3 +110,53 @@
 		t.Error(err)
 	}
 }
+
+// Guards against entries whose prompts together fill the memory of a sidecar.
+func TestPromptsDoNotFillTheMemoryOfASidecar(t *testing.T) {
+	const memoryMB, prompts = 96, 120
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	c, err := cluster.Start(ctx, cluster.Options{
+		ConfigText: examples.Marktlizenz, Entries: 1, EngineCosts: slowCosts, LogOutput: io.Discard, Launch: processLauncher(t),
+		AdjustSettings: func(s *settings.Settings) { s.MemoryMB = memoryMB },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	parsed, err := config.Parse("configuration", c.ConfigText)
+	if err != nil {
+		t.Fatal(err)
+	}
+	service := parsed.Service(parsed.Models[0].Service)
+	target := service.Targets[0]
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	client := peerv1.NewGateClient(&http.Client{Transport: &http.Transport{Protocols: protocols}}, "http://"+target.Address)
+	var refused atomic.Int32
+	var runs sync.WaitGroup
+	for n := range prompts {
+		runs.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+			defer cancel()
+			stream, err := client.Run(ctx, connect.NewRequest(&peerv1.RunRequest{
+				RequestId: fmt.Sprint(n), Workspace: parsed.Workspaces[0].Name, Service: service.Name, Model: parsed.Models[0].Name,
+				Weights: parsed.Models[0].Weights, BudgetMs: 60_000, Prompt: strings.Repeat("x", 1<<20), PromptTokens: 1000, MaxTokens: 200, FromSeq: 1,
+			}))
+			if err != nil {
+				return
+			}
+			defer stream.Close()
+			if !stream.Receive() && connect.CodeOf(stream.Err()) == connect.CodeResourceExhausted {
+				refused.Add(1)
+			}
+		})
+	}
+	runs.Wait()
+	if peak := peakMemoryMB(t, asProcess(c.Sidecars[target.Name])); peak > memoryMB {
+		t.Errorf("the sidecar has taken %d MB of %d", peak, memoryMB)
+	}
+	if refused.Load() == 0 {
+		t.Error("no prompt was refused")
+	}
+}
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -264,6 +264,9 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	stream, err := client.Run(ctx, connect.NewRequest(request))
+	if refusal := exhaustedRefusal(err); refusal != nil {
+		return refusal, false
+	}
 	if err != nil {
 		return errkind.New(errkind.TargetFailed, "%v", err), true
 	}
@@ -328,9 +331,21 @@
 			return nil, false
 		}
 	}
+	if refusal := exhaustedRefusal(stream.Err()); refusal != nil {
+		return refusal, false
+	}
 	return errkind.New(errkind.TargetFailed, "stream ended early: %v", stream.Err()), true
 }
 
+// exhaustedRefusal returns the refusal of a request for which its sidecar had no memory; nil if err is
+// another error. The sidecar has not handled it.
+func exhaustedRefusal(err error) *errkind.Error {
+	if connect.CodeOf(err) != connect.CodeResourceExhausted {
+		return nil
+	}
+	return errkind.NewRetryAfter(errkind.Overloaded, memoryRetryAfter, "the sidecar has no memory left for the request")
+}
+
 func (p *progress) deliver(r *completion, frame *peerv1.Frame, out sink) {
 	if p.nextSeq == 1 {
 		p.timeToFirstToken = time.Since(r.arrived)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -332,6 +332,9 @@
 	if ctx.Err() != nil {
 		return nil, errkind.New(errkind.Cancelled, "the caller disconnected")
 	}
+	if refusal := exhaustedRefusal(err); refusal != nil {
+		return nil, refusal
+	}
 	if err != nil {
 		e.health.record(target.Name, routing.Suspect)
 		return nil, errkind.New(errkind.TargetFailed, "%v", err)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,6 +27,7 @@
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/admission"
 	"github.com/toucanwell/toucanwell/internal/blackboard"
+	"github.com/toucanwell/toucanwell/internal/buffers"
 	"github.com/toucanwell/toucanwell/internal/configlog"
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/external"
@@ -66,6 +67,7 @@
 	plain    external.Plain
 	gate     *Gate
 	runs     *runs
+	messages *buffers.Budget
 	board    *Board
 	loop     *control.Loop
 	follower *configlog.Follower
@@ -100,12 +102,13 @@
 	clock := func() time.Duration { return time.Since(start) }
 	c := &Sidecar{
 		settings: s, logger: d.Logger, metrics: d.Metrics, log: d.Log, engine: d.Engine, plain: d.Plain,
-		gate:    NewGate(limits, s.Cache.MaxBlocks, s.Target.PrefillTokensPerSecond, clock),
-		runs:    newRuns(),
-		board:   &Board{},
-		loop:    control.NewLoop(s.Seed, d.Metrics.ControlTime),
-		ledgers: map[string]*once.Ledger{},
-		ctx:     ctx, stop: stop,
+		gate:     NewGate(limits, s.Cache.MaxBlocks, s.Target.PrefillTokensPerSecond, clock),
+		runs:     newRuns(),
+		messages: buffers.NewBudget(s.MemoryMB << 20 * messageShareNumerator / messageShareDivisor),
+		board:    &Board{},
+		loop:     control.NewLoop(s.Seed, d.Metrics.ControlTime),
+		ledgers:  map[string]*once.Ledger{},
+		ctx:      ctx, stop: stop,
 	}
 	c.follower = configlog.NewFollower(c.loop, d.Log, &c.board.Config, configlog.FollowerOptions{
 		Address: s.Listen, Peers: s.Peers, LogPolls: s.Timing.LogPolls, SyncPeriod: s.Timing.SyncPeriod.Duration,
@@ -151,7 +154,7 @@
 	// Frames are a few bytes each; compressing them costs more than it saves.
 	mux.Handle(peerv1.NewGateHandler(s, connect.WithCompression("gzip", nil, nil)))
 	mux.Handle(peerv1.NewPeerHandler(configlog.NewPeerServer(&s.board.Config, s.follower.Hint)))
-	return mux
+	return s.boundMessages(mux)
 }
 
 // Drain refuses new requests and waits until the running ones have completed or
