Bound the memory of callers' connections, heads and small bodies

Callers saw: nothing yet; an entry of 112 MB with 3,000 connections took 117 MB when each had sent most of a head, 146 MB with many lines of one, and 175 MB with most of a body of 32 KB. Its descriptors allow 3,800; a process that exceeds its memory is killed with all requests in it. Cause: bodies up to 32 KB, heads and connections had no bound on their sum. Change: a connection takes 24 KB of a quarter of the process's memory, its head beyond 4 KB and its small body take more. If it is full, the connection that has been without a request for longest is closed; if all have requests, the new one is, or the body is refused with memory_full. The servers for operators and the balancer have bounds of their own; peers need none (CAPACITY.md). The tracking of connections moves from gateway to callers, so that both kinds of entry have it; Guard becomes a method of it. Not counted, stated in CAPACITY.md: the first 32 KB of responses that callers do not read, heads over TLS and HTTP/2.

--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -35,7 +35,11 @@
 	if length >= 0 {
 		size = length
 	}
-	body := make([]byte, 0, firstCapacity(size))
+	first := firstCapacity(size)
+	if !memory.Grow(first) {
+		return nil, ErrMemoryFull
+	}
+	body := make([]byte, 0, first)
 	for {
 		n, err := r.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -1,6 +1,7 @@
-// Package callers guards HTTP servers against clients and proxies that disagree with them on where a
-// request ends: one that states the length of its body in two ways is refused, or is the last one on its
-// connection.
+// Package callers guards HTTP servers against clients that misbehave.
+//
+// A request that states the length of its body in two ways is refused or is the last one on its connection.
+// Connections, heads and bodies of requests take no more memory than they are given.
 package callers
 
 import (
@@ -8,6 +9,11 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/buffers"
 )
 
 // Conn is a connection of a client.
@@ -15,45 +21,45 @@
 	net.Conn
 	// head is nil if the connection does not carry plain text.
 	head *requestHead
+	// memory is what the connection has taken charged bytes of.
+	memory  *buffers.Budget
+	charged atomic.Int64
 }
 
-// NewConn returns a connection that carries plain text.
-func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn, head: &requestHead{}} }
+// errHeadMemory is why reading a head ends for which no memory is left.
+var errHeadMemory = errors.New("no memory left for the head")
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.head != nil {
-		c.head.record(p[:n])
+	if c.head == nil {
+		return n, err
+	}
+	if more := c.head.record(p[:n]); more > 0 && !c.charge(headCopies*more) {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errHeadMemory}
 	}
 	return n, err
 }
 
-// listener is a net.Listener whose connections are guarded.
-type listener struct {
-	net.Listener
-	encrypted bool
+// charge takes memory for the connection, and reports whether it was free.
+func (c *Conn) charge(n int) bool {
+	if !c.memory.Take(int64(n)) {
+		return false
+	}
+	c.charged.Add(int64(n))
+	return true
 }
 
-// Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if l.encrypted {
-		return &Conn{Conn: conn}, nil
+// discharge gives back memory that was taken for a head.
+func (c *Conn) discharge(n int) {
+	if n > 0 {
+		c.charged.Add(-int64(n))
+		c.memory.Give(int64(n))
 	}
-	return NewConn(conn), nil
 }
 
-// Guard guards a server, and returns the listener that it must serve. The connections of the listener
-// are encrypted if the server is to serve TLS on it.
-func Guard(server *http.Server, l net.Listener, encrypted bool) net.Listener {
-	server.Handler = Handler(server.Handler)
-	server.ConnContext = Context
-	return listener{l, encrypted}
-}
+// release gives back all memory of the connection.
+func (c *Conn) release() { c.memory.Give(c.charged.Swap(0)) }
 
 // connKey is the key of the connection in the contexts of its requests.
 type connKey struct{}
@@ -63,28 +69,21 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// ConnOf returns the connection of a request, or nil if it is not guarded.
+// ConnOf returns the connection of a request, or nil if it is not tracked.
 func ConnOf(r *http.Request) *Conn {
-	switch conn := r.Context().Value(connKey{}).(type) {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	return guarded(conn)
+}
+
+// guarded returns the connection below one of an http.Server, or nil if it is not tracked.
+func guarded(conn net.Conn) *Conn {
+	switch conn := conn.(type) {
 	case *Conn:
 		return conn
 	case *tls.Conn:
-		guarded, _ := conn.NetConn().(*Conn)
-		return guarded
+		below, _ := conn.NetConn().(*Conn)
+		return below
 	default:
 		return nil
 	}
 }
-
-// Handler returns a handler that serves requests on guarded connections.
-func Handler(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn := ConnOf(r)
-		if conn == nil {
-			panic(http.ErrAbortHandler)
-		}
-		if checked, ok := checkFraming(conn.head, w, r); ok {
-			next.ServeHTTP(w, checked)
-		}
-	})
-}
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/toucanwell/toucanwell/internal/buffers"
 )
 
@@ -22,6 +24,11 @@
 }
 
 func startServer(t *testing.T, handler http.HandlerFunc) *server {
+	t.Helper()
+	return startServerWith(t, NewConns(nil, nil), handler)
+}
+
+func startServerWith(t *testing.T, conns *Conns, handler http.HandlerFunc) *server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -34,7 +41,7 @@
 		s.mu.Unlock()
 		handler(w, r)
 	})}
-	guarded := Guard(httpServer, l, false)
+	guarded := conns.Guard(httpServer, l, false)
 	go func() { _ = httpServer.Serve(guarded) }() // ends with Close
 	t.Cleanup(func() { _ = httpServer.Close() })
 	return s
@@ -104,6 +111,73 @@
 	}
 }
 
+// isOpen reports whether the server keeps a connection open.
+func isOpen(conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	_, err := conn.Read(make([]byte, 1))
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// Guards against connections that fill the memory of the process, against requests that are cut off to make
+// room, and against memory that is not given back.
+func TestConnectionsShareMemory(t *testing.T) {
+	const room = 3
+	memory := buffers.NewBudget(room * connMemory)
+	var mu sync.Mutex
+	shed := map[string]int{}
+	release, arrived := make(chan struct{}), make(chan struct{}, room)
+	conns := NewConns(memory, func(reason string) {
+		mu.Lock()
+		defer mu.Unlock()
+		shed[reason]++
+	})
+	s := startServerWith(t, conns, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-release
+	})
+	var held []net.Conn
+	for range room + 1 {
+		held = append(held, dial(t, s.address))
+		isOpen(held[len(held)-1]) // returns once the server has accepted it
+	}
+	if isOpen(held[0]) || !isOpen(held[1]) || !isOpen(held[3]) {
+		t.Error("want the connection closed that has waited for longest, and no other")
+	}
+	for _, conn := range held[1:] {
+		_, _ = io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-arrived
+	}
+	if isOpen(dial(t, s.address)) {
+		t.Error("a connection was accepted beyond the memory")
+	}
+	close(release)
+	for i, conn := range held[1:] {
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("request %d: response %v, error %v", i, resp, err)
+		}
+	}
+	mu.Lock()
+	if shed[ShedIdle] != 1 || shed[ShedNew] != 1 {
+		t.Errorf("shed %v, want one of each", shed)
+	}
+	mu.Unlock()
+	long := dial(t, s.address)
+	_, _ = io.WriteString(long, "GET /a HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 60_000))
+	if isOpen(long) {
+		t.Error("a head was held beyond the memory")
+	}
+	for _, conn := range append(held, long) {
+		_ = conn.Close()
+	}
+	for deadline := time.Now().Add(5 * time.Second); !memory.Take(room * connMemory); <-time.After(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("memory was not given back")
+		}
+	}
+}
+
 // Guards against bodies that are held beyond what the memory for them allows.
 func TestReadBody(t *testing.T) {
 	for _, c := range []struct {
@@ -123,7 +197,7 @@
 			t.Fatal(err)
 		}
 		r.ContentLength = c.length
-		body, err := ReadBody(r, 10*buffers.Step, buffers.NewBudget(int64(c.memory)).NewShare())
+		body, err := ReadBody(r, 10*buffers.Step, buffers.NewBudget(int64(c.memory)).NewBodyShare(nil))
 		if err != c.want || err == nil && len(body) != c.size {
 			t.Errorf("%s: %d bytes, error %v; want error %v", c.name, len(body), err, c.want)
 		}
--- a/internal/callers/framing.go
+++ b/internal/callers/framing.go
@@ -8,8 +8,14 @@
 	"sync"
 )
 
-// maxRecordedHead bounds the bytes of a head that are kept. A longer one counts as not recorded.
-const maxRecordedHead = 64 << 10
+const (
+	// maxRecordedHead bounds the bytes of a head that are kept. A longer one counts as not recorded.
+	maxRecordedHead = 64 << 10
+	// freeHead is the part of a head that the memory of its connection includes.
+	freeHead = 4 << 10
+	// headCopies is how often the rest of a head is held: as recorded, with room to grow, and as parsed.
+	headCopies = 4
+)
 
 // requestHead keeps what a connection delivers until the request that it begins is served. net/http drops
 // the Content-Length of a request that also has a Transfer-Encoding, and serves it by the latter: a caller
@@ -19,50 +25,65 @@
 	mu sync.Mutex
 	// paused is set while a body is read.
 	paused bool
-	bytes  []byte
+	// bytes is nil if the head is too long.
+	bytes []byte
+	// size is the length of what was delivered.
+	size int
 }
 
-func (h *requestHead) record(p []byte) {
+// record keeps what a connection has delivered, and returns how many more bytes than freeHead it has
+// become.
+func (h *requestHead) record(p []byte) (more int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case h.paused:
-	case len(h.bytes)+len(p) > maxRecordedHead:
-		h.paused, h.bytes = true, nil
-	default:
+	if h.paused {
+		return 0
+	}
+	before := h.surplus()
+	if h.size += len(p); h.size > maxRecordedHead {
+		h.bytes = nil
+	} else {
 		h.bytes = append(h.bytes, p...)
 	}
+	return h.surplus() - before
 }
 
+// surplus is by how much the head is longer than freeHead.
+func (h *requestHead) surplus() int { return max(h.size-freeHead, 0) }
+
 // take returns the head of the request that begins to be served; nil if it was not recorded from its start.
-func (h *requestHead) take(r *http.Request) []byte {
+// less is by how much what is kept is no longer longer than freeHead.
+func (h *requestHead) take(r *http.Request) (head []byte, less int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	recorded := h.bytes
+	before, recorded := h.surplus(), h.bytes
 	end := headEnd(recorded)
-	if r.ContentLength != 0 {
-		h.paused, h.bytes = true, nil
-	} else {
-		h.paused, h.bytes = false, bytes.Clone(recorded[end:])
+	h.paused = r.ContentLength != 0
+	if h.bytes, h.size = nil, 0; !h.paused {
+		h.bytes = bytes.Clone(recorded[end:])
+		h.size = len(h.bytes)
 	}
+	less = before - h.surplus()
 	if !bytes.HasPrefix(recorded, []byte(r.Method+" "+r.RequestURI+" ")) {
-		return nil
+		return nil, less
 	}
-	return recorded[:end]
+	return recorded[:end], less
 }
 
-// stop ends the recording for good.
-func (h *requestHead) stop() {
+// stop ends the recording for good. less is as of take.
+func (h *requestHead) stop() (less int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.paused, h.bytes = true, nil
+	less = h.surplus()
+	h.paused, h.bytes, h.size = true, nil, 0
+	return less
 }
 
 // resume begins to record the next head, after the body of a request has been read.
 func (h *requestHead) resume() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.paused, h.bytes = false, nil
+	h.paused, h.bytes, h.size = false, nil, 0
 }
 
 // headEnd returns the length of the head that b begins with, its empty line included; zero if it does
@@ -119,18 +140,20 @@
 }
 
 // checkFraming refuses a request that states the length of its body in two ways. It returns the request to
-// be served, and whether it may be. The connection of one that may do so is closed after the response, so that what
-// follows is not served as a request. Requests of HTTP/2 have one length, which its frames state.
-func checkFraming(head *requestHead, w http.ResponseWriter, r *http.Request) (*http.Request, bool) {
+// be served, and whether it may be. The connection of one that may do so is closed after the response, so that
+// what follows is not served as a request. Requests of HTTP/2 have one length, which its frames state.
+func (c *Conn) checkFraming(w http.ResponseWriter, r *http.Request) (*http.Request, bool) {
 	if r.ProtoMajor > 1 {
-		if head != nil {
-			head.stop()
+		if c.head != nil {
+			c.discharge(headCopies * c.head.stop())
 		}
 		return r, true
 	}
 	var recorded []byte
-	if head != nil {
-		recorded = head.take(r)
+	if c.head != nil {
+		var less int
+		recorded, less = c.head.take(r)
+		c.discharge(headCopies * less)
 	}
 	switch framingOf(r, recorded) {
 	case ambiguousFraming:
@@ -140,12 +163,12 @@
 	case unknownFraming:
 		w.Header().Set("Connection", "close")
 	}
-	if r.ContentLength == 0 || head == nil {
+	if r.ContentLength == 0 || c.head == nil {
 		return r, true
 	}
 	// The server looks at the body of its own request to tell whether the connection can be used again.
 	checked := r.WithContext(r.Context())
-	checked.Body = &body{r.Body, head}
+	checked.Body = &body{r.Body, c.head}
 	return checked, true
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/toucanwell/toucanwell/api/admin/oas"
 	"github.com/toucanwell/toucanwell/internal/admin"
+	"github.com/toucanwell/toucanwell/internal/buffers"
 	"github.com/toucanwell/toucanwell/internal/callers"
 	"github.com/toucanwell/toucanwell/internal/configlog"
 	"github.com/toucanwell/toucanwell/internal/entry"
@@ -34,6 +35,10 @@
 	peerIdleTimeout   = 10 * time.Second
 	peerPingAfter     = time.Second
 	peerPingTimeout   = time.Second
+	// connDivisor divides the memory of an entry into the part for callers' connections, heads and small
+	// bodies, adminConnDivisor that of a process into the part for connections to its administration server.
+	connDivisor      = 4
+	adminConnDivisor = 64
 )
 
 // role is an entry or a sidecar.
@@ -52,7 +57,9 @@
 	traffic  *http.Server
 	admin    *http.Server
 	// probes is the probe client of an entry or the probe server of a sidecar.
-	probes   io.Closer
+	probes io.Closer
+	// conns tracks the connections of callers, or of entries, which are few.
+	conns    *callers.Conns
 	peers    *http.Client
 	platform *http.Client
 	draining atomic.Bool
@@ -118,7 +125,12 @@
 		return err
 	}
 	d.probes = prober
-	deps := entry.Deps{Log: log, Peers: d.peers, Prober: prober, Logger: d.logger, Metrics: m}
+	connections := buffers.NewBudget(d.settings.MemoryMB << 20 / connDivisor)
+	d.conns = callers.NewConns(connections, func(reason string) {
+		m.ConnectionShed(reason)
+		d.logger.Info("caller_connection_shed", "reason", reason)
+	})
+	deps := entry.Deps{Log: log, Peers: d.peers, Prober: prober, Logger: d.logger, Metrics: m, Connections: connections}
 	if d.settings.Platform.HostsURL != "" {
 		deps.Hosts = external.NewHTTPHosts(d.settings.Platform.HostsURL, d.platform)
 	}
@@ -153,6 +165,7 @@
 		Peers:  d.peers, Logger: d.logger, Metrics: m,
 	})
 	d.role = s
+	d.conns = callers.NewConns(nil, nil)
 	d.drain = s.Drain
 	d.traffic = newServer(s.Handler())
 	process.InFlight = s.InFlight
@@ -208,8 +221,8 @@
 
 func (d *Daemon) serve(traffic, adminListener net.Listener) {
 	encrypted := d.settings.TLS.CertFile != ""
-	traffic = callers.Guard(d.traffic, traffic, encrypted)
-	adminListener = callers.Guard(d.admin, adminListener, false)
+	traffic = d.conns.Guard(d.traffic, traffic, encrypted)
+	adminListener = callers.NewConns(buffers.NewBudget(d.settings.MemoryMB<<20/adminConnDivisor), nil).Guard(d.admin, adminListener, false)
 	go func() {
 		if encrypted {
 			d.failed <- d.traffic.ServeTLS(traffic, d.settings.TLS.CertFile, d.settings.TLS.KeyFile)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,9 +62,11 @@
 	budget   *retry.Budget
 	burn     *burn.Counter
 	bodies   *buffers.Budget
-	peers    *http.Client
-	prober   *probe.Client
-	location routing.Location
+	// connections is the memory for callers' connections, which small bodies share.
+	connections *buffers.Budget
+	peers       *http.Client
+	prober      *probe.Client
+	location    routing.Location
 	// clients maps sidecar addresses to their peerv1.GateClient.
 	clients         sync.Map
 	inFlight        atomic.Int64
@@ -82,6 +84,8 @@
 	Prober  *probe.Client
 	Logger  logr.Logger
 	Metrics *metrics.Metrics
+	// Connections is the memory for callers' connections; nil for no bound.
+	Connections *buffers.Budget
 }
 
 // New returns an entry. Call Start to run it.
@@ -89,7 +93,7 @@
 	e := &Entry{
 		settings: s, logger: d.Logger, metrics: d.Metrics, hosts: d.Hosts,
 		board: &Board{}, loop: control.NewLoop(s.Seed, d.Metrics.ControlTime), health: newTargetHealth(time.Now),
-		budget: retry.NewBudget(), burn: burn.NewCounter(time.Now), bodies: buffers.NewBudget(s.MemoryMB << 20 * bodyShareNumerator / bodyShareDivisor), peers: d.Peers, prober: d.Prober,
+		connections: d.Connections, budget: retry.NewBudget(), burn: burn.NewCounter(time.Now), bodies: buffers.NewBudget(s.MemoryMB << 20 * bodyShareNumerator / bodyShareDivisor), peers: d.Peers, prober: d.Prober,
 		location: routing.Location{Zone: s.AvailabilityZone, Region: s.Region},
 	}
 	e.follower = configlog.NewFollower(e.loop, d.Log, &e.board.Config, configlog.FollowerOptions{
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -52,7 +52,7 @@
 		id := uuid.NewString()
 		w.Header().Set(requestIDHeader, id)
 		r = r.WithContext(context.WithValue(r.Context(), requestIDKey, id))
-		memory := e.bodies.NewShare()
+		memory := e.bodies.NewBodyShare(e.connections)
 		defer memory.Release()
 		body, refusal := e.readBody(w, r, memory)
 		if refusal != nil {
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	return p.serve(p.settings.AdminListen, handler)
+	return p.serve(p.settings.AdminListen, handler, p.controlBudget())
 }
 
 func (p *process) currentView() *view.View {
--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -34,7 +34,7 @@
 	handler http.Handler
 	logger  logr.Logger
 	address net.Addr
-	conns   *callerConns
+	conns   *callers.Conns
 	mu      sync.Mutex
 	limits  estate.Limits
 	newest  *connListener
@@ -69,9 +69,8 @@
 // Addr implements net.Listener.
 func (l *connListener) Addr() net.Addr { return l.addr }
 
-func newCallerServer(handler http.Handler, address net.Addr, logger logr.Logger) *callerServer {
-	conns := newCallerConns()
-	c := &callerServer{handler: conns.handle(handler), logger: logger, address: address, conns: conns}
+func newCallerServer(handler http.Handler, address net.Addr, conns *callers.Conns, logger logr.Logger) *callerServer {
+	c := &callerServer{handler: conns.Handler(handler), logger: logger, address: address, conns: conns}
 	c.apply(estate.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout - idleMargin})
 	return c
 }
@@ -96,12 +95,16 @@
 	}
 }
 
-func (c *callerServer) dispatch(conn net.Conn) {
+func (c *callerServer) dispatch(accepted net.Conn) {
+	conn := c.conns.Add(accepted, false)
+	if conn == nil {
+		return
+	}
 	c.mu.Lock()
 	listener := c.newest
 	c.mu.Unlock()
 	select {
-	case listener.conns <- c.conns.add(conn):
+	case listener.conns <- conn:
 	case <-listener.closed:
 		conn.Close()
 	}
@@ -118,7 +121,7 @@
 	c.newest = &connListener{conns: make(chan net.Conn), closed: make(chan struct{}), addr: c.address}
 	server := &http.Server{
 		Handler: c.handler, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleMargin, MaxHeaderBytes: l.HeaderBytes,
-		ErrorLog: log.New(httpErrorLog{c.logger}, "", 0), ConnState: c.conns.onState, ConnContext: callers.Context,
+		ErrorLog: log.New(httpErrorLog{c.logger}, "", 0), ConnState: c.conns.OnState, ConnContext: callers.Context,
 	}
 	c.servers = append(c.servers, server)
 	listener := c.newest
--- a/internal/gateway/callerserver_test.go
+++ b/internal/gateway/callerserver_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newCallerServer(handler, listener.Addr(), logr.Discard())
+	c := newCallerServer(handler, listener.Addr(), callers.NewConns(nil, nil), logr.Discard())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = c.serve(listener) }()
 	t.Cleanup(func() { listener.Close(); c.close(); <-done })
@@ -124,14 +124,14 @@
 	go func() { got <- statusLine(t, address, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n") }()
 	<-started
 	c.apply(estate.Limits{HeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second})
-	c.conns.closeIdle()
-	if n := c.conns.busy(); n != 1 {
+	c.conns.CloseIdle()
+	if n := c.conns.Busy(); n != 1 {
 		t.Fatalf("%d requests are running, want 1", n)
 	}
 	close(release)
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	if !awaitNone(ctx, c.conns.busy) {
+	if !awaitNone(ctx, c.conns.Busy) {
 		t.Error("the request still runs")
 	}
 	c.close()
@@ -144,11 +144,11 @@
 // runs it, and the answer is lost.
 func TestNoRequestIsServedOnAClosedConnection(t *testing.T) {
 	served := 0
-	conns := newCallerConns()
-	handler := conns.handle(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+	conns := callers.NewConns(nil, nil)
+	handler := conns.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
 	client, server := net.Pipe()
 	defer client.Close()
-	conn := conns.add(server)
+	conn := conns.Add(server, false)
 	request := func() (aborted bool) {
 		defer func() { aborted = recover() == http.ErrAbortHandler }()
 		r, err := http.NewRequestWithContext(callers.Context(t.Context(), conn), http.MethodGet, "/", nil)
@@ -159,14 +159,14 @@
 		return false
 	}
 	request()
-	conns.closeIdle()
-	if conns.busy() != 1 {
+	conns.CloseIdle()
+	if conns.Busy() != 1 {
 		t.Fatal("a connection was closed during its request")
 	}
-	conns.onState(conn, http.StateIdle)
-	conns.closeIdle()
-	if aborted := request(); !aborted || served != 1 || conns.busy() != 0 {
-		t.Errorf("aborted %v, %d requests served, %d busy connections", aborted, served, conns.busy())
+	conns.OnState(conn, http.StateIdle)
+	conns.CloseIdle()
+	if aborted := request(); !aborted || served != 1 || conns.Busy() != 0 {
+		t.Errorf("aborted %v, %d requests served, %d busy connections", aborted, served, conns.Busy())
 	}
 }
 
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -72,7 +72,7 @@
 	e.quarantine = newQuarantineSync(p)
 	p.state.quarantinePage = e.quarantine.page
 	e.forwarder = forward.New(forward.Deps{
-		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Buffers: buffers.NewBudget(p.settings.MemoryMB << 20 / maxBufferDivisor), Bodies: buffers.NewBudget(p.settings.MemoryMB << 20 * bodyShareNumerator / bodyShareDivisor), Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback, TargetLimits: e.targetLimits, Origins: p.origins, StartTime: startTimeOf(p.platform),
+		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Buffers: buffers.NewBudget(p.settings.MemoryMB << 20 / maxBufferDivisor), Bodies: buffers.NewBudget(p.settings.MemoryMB << 20 * bodyShareNumerator / bodyShareDivisor), Connections: buffers.NewBudget(p.settings.MemoryMB << 20 / connDivisor), Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback, TargetLimits: e.targetLimits, Origins: p.origins, StartTime: startTimeOf(p.platform),
 		Quarantine: e.quarantine.registry, CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return e.pool.ProbeListener(ctx, t.Address)
 		}),
@@ -126,9 +126,11 @@
 	// buffered.
 	maxBufferDivisor = 16
 	// bodyShareNumerator and bodyShareDivisor are the part in which large bodies of requests are held.
-	// What is left holds the process itself, small bodies, and bodies that the garbage collector has not
-	// freed yet.
+	// What is left holds the process itself, and what the garbage collector has not freed yet.
 	bodyShareNumerator, bodyShareDivisor = 3, 8
+	// connDivisor divides the memory of the process into the part for callers' connections, heads and small
+	// bodies.
+	connDivisor = 4
 )
 
 // requestMetrics records requests in the Prometheus metrics and the burn-rate counter.
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -59,10 +59,12 @@
 	// Buffers is the memory for large responses, Bodies that for large bodies of requests; nil for no
 	// bound.
 	Buffers, Bodies *buffers.Budget
-	Ledger          *ledger.Ledger
-	Parts           *parts.Index
-	Health          *health.Monitor
-	Reach           *reach.Monitor
+	// Connections is the memory for callers' connections, which small bodies share; nil for no bound.
+	Connections *buffers.Budget
+	Ledger      *ledger.Ledger
+	Parts       *parts.Index
+	Health      *health.Monitor
+	Reach       *reach.Monitor
 	// Pushback keeps what targets state about the load that they take, TargetLimits shares their
 	// rate limits among the entries.
 	Pushback     *pushback.Registry
@@ -288,7 +290,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	fl := &flow{Forwarder: f, w: w, r: r, arrived: time.Now(), bodyMemory: f.Bodies.NewShare()}
+	fl := &flow{Forwarder: f, w: w, r: r, arrived: time.Now(), bodyMemory: f.Bodies.NewBodyShare(f.Connections)}
 	defer fl.bodyMemory.Release()
 	fl.setDeadline()
 	fl.limitWrites()
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/buffers"
 	"github.com/toucanwell/toucanwell/internal/burn"
 	"github.com/toucanwell/toucanwell/internal/callers"
 	"github.com/toucanwell/toucanwell/internal/control"
@@ -46,6 +47,10 @@
 	// balancer read, controlReadTimeout the time in which a request must have arrived.
 	maxControlBody     = 1 << 20
 	controlReadTimeout = 10 * time.Second
+	// controlConnDivisor divides the memory of the process into the part that the connections of one server
+	// for operators or the load balancer may take. Peers are processes of the deployment, with a connection
+	// or two each.
+	controlConnDivisor = 64
 	// peerIdleTimeout is how long idle connections to peers are kept open.
 	peerIdleTimeout = 5 * time.Second
 )
@@ -175,12 +180,12 @@
 	p.state.mesh = m
 	mux := http.NewServeMux()
 	mux.Handle(mesh.NewServer(p.loop, p.state.topicPage).Handler())
-	if err := p.serve(p.settings.MeshListen, mux); err != nil {
+	if err := p.serve(p.settings.MeshListen, mux, nil); err != nil {
 		return err
 	}
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", promhttp.HandlerFor(p.metrics.Registry, promhttp.HandlerOpts{}))
-	if err := p.serve(p.settings.MetricsListen, metricsMux); err != nil {
+	if err := p.serve(p.settings.MetricsListen, metricsMux, p.controlBudget()); err != nil {
 		return err
 	}
 	if err := p.serveAdmin(); err != nil {
@@ -192,20 +197,27 @@
 	if err := p.entry.open(p); err != nil {
 		return err
 	}
-	if err := p.serve(p.settings.ReadyListen, p.entry.readyHandler(p.platform.ReadyPath())); err != nil {
+	if err := p.serve(p.settings.ReadyListen, p.entry.readyHandler(p.platform.ReadyPath()), p.controlBudget()); err != nil {
 		return err
 	}
 	return p.serveCallers()
 }
 
-func (p *process) serve(address string, handler http.Handler) error {
+// controlBudget returns the memory for the connections of a server for operators or the load balancer.
+func (p *process) controlBudget() *buffers.Budget {
+	return buffers.NewBudget(p.settings.MemoryMB << 20 / controlConnDivisor)
+}
+
+// serve serves peers, operators or the load balancer. Connections beyond the memory for them are closed; nil
+// for no bound.
+func (p *process) serve(address string, handler http.Handler, memory *buffers.Budget) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	server := &http.Server{Handler: http.MaxBytesHandler(handler, maxControlBody), ReadHeaderTimeout: headerTimeout, ReadTimeout: controlReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	p.servers = append(p.servers, server)
-	listener = callers.Guard(server, listener, false)
+	listener = callers.NewConns(memory, nil).Guard(server, listener, false)
 	go func() { p.serveErrors <- server.Serve(listener) }()
 	return nil
 }
@@ -216,7 +228,11 @@
 		return errors.Wrap(err, "listen")
 	}
 	p.listener = listener
-	p.callers = newCallerServer(p.entry.forwarder, listener.Addr(), p.logger)
+	conns := callers.NewConns(p.entry.forwarder.Connections, func(reason string) {
+		p.metrics.ConnectionShed(reason)
+		p.routineLogger.Info("caller_connection_shed", "reason", reason)
+	})
+	p.callers = newCallerServer(p.entry.forwarder, listener.Addr(), conns, p.logger)
 	p.state.onViewChange = func() {
 		p.entry.forwarder.RecheckCrashes()
 		p.entry.refreshOrigins(p.origins)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -63,17 +63,17 @@
 // drain waits for the running requests, and interrupts them when the context ends. It does not wait for
 // connections on which no request has been sent, as http.Server.Shutdown does.
 func (p *process) drain(ctx context.Context) {
-	p.callers.conns.closeIdle()
-	awaitIdle(ctx, p.callers.conns.busy)
+	p.callers.conns.CloseIdle()
+	awaitIdle(ctx, p.callers.conns.Busy)
 	p.entry.forwarder.RefuseRequests()
-	if awaitNone(ctx, p.callers.conns.busy) {
+	if awaitNone(ctx, p.callers.conns.Busy) {
 		return
 	}
 	p.logger.Info("stop_cut_requests", "in_flight", p.entry.forwarder.InFlight())
 	p.entry.forwarder.Interrupt()
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	awaitNone(ctx, p.callers.conns.busy)
+	awaitNone(ctx, p.callers.conns.Busy)
 }
 
 // awaitNone returns whether no request was running before the context ended.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,6 +42,7 @@
 	targetLimits       *prometheus.CounterVec
 	detours            *prometheus.CounterVec
 	skippedResponses   *prometheus.CounterVec
+	shedConnections    *prometheus.CounterVec
 	queueMetrics
 }
 
@@ -90,6 +91,7 @@
 		invalidStatements: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_statements_refused_total", Help: "Statements of targets about their load that could not be used."}),
 		targetLimits:      counter("target_limit_decisions_total", "Decisions of the rate limits that targets state, by source and outcome.", "source", "outcome"),
 		detours:           counter("detours_total", "Sends for which a target was passed over that had asked for fewer requests, by reason.", "reason"),
+		shedConnections:   counter("caller_connections_shed_total", "Connections of callers that were closed for lack of memory, by reason.", "reason"),
 		skippedResponses:  counter("skipped_responses_total", "Responses on connections to targets that belong to no request on them, by service.", "service"),
 		weightsOrders:     counter("weights_orders_total", "Orders to load weights, by outcome.", "outcome"),
 		queueWaiting:      gauge("queue_waiting", "Requests waiting at this sidecar."),
@@ -100,7 +102,7 @@
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.recomputedTokens,
 		m.retries, m.resumes, m.streamStarts, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
-		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.rateLimitRequests, m.rateLimitWait, m.invalidStatements, m.targetLimits, m.detours, m.skippedResponses)
+		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.rateLimitRequests, m.rateLimitWait, m.invalidStatements, m.targetLimits, m.detours, m.skippedResponses, m.shedConnections)
 	m.queueMetrics = newQueueMetrics(m.Registry)
 	return m
 }
@@ -203,6 +205,9 @@
 // Connection counts a connection opened to a target.
 func (m *Metrics) Connection() { m.connections.Inc() }
 
+// ConnectionShed counts a connection of a caller that was closed for lack of memory.
+func (m *Metrics) ConnectionShed(reason string) { m.shedConnections.WithLabelValues(reason).Inc() }
+
 // TargetEntryRefused counts an invalid entry in the platform's target list.
 func (m *Metrics) TargetEntryRefused() { m.refusedEntries.Inc() }
 
