Drop the body of a request that cannot be sent again

Callers saw: large requests refused as memory_full beside long streams that had long been answered: a body was held until its request had ended. Change: once a target has responded and no further send can need the body, its memory is given back. Evidence: TestBodyIsHeldWhileItCanBeSentAgain failed before (503 beside a stream that may not be resumed) and passes; beside a resumable stream the body is still held.

--- a/internal/gateway/forward/body.go
+++ b/internal/gateway/forward/body.go
@@ -11,6 +11,7 @@
 
 	"github.com/toucanwell/toucanwell/internal/callers"
 	"github.com/toucanwell/toucanwell/internal/errkind"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 )
 
 // defaultMaxBody is the body limit if the configuration sets none.
@@ -64,6 +65,16 @@
 	}
 }
 
+// dropBody gives back the memory of the body once a target has responded to a request that can't be sent
+// again.
+func (fl *flow) dropBody(resp *upstream.Response) {
+	if fl.route.Retryable() && fl.runs < fl.route.MaxAttempts || !resp.RequestWritten() {
+		return
+	}
+	fl.body = nil
+	fl.bodyMemory.Release()
+}
+
 // refuseUnread refuses a request whose body is not held.
 func (fl *flow) refuseUnread(e *errkind.Error) {
 	fl.bodyMemory.Release()
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -187,6 +187,7 @@
 	if result, ok := fl.checkResponse(ctx, dst, resp, reply); !ok {
 		return result
 	}
+	fl.dropBody(resp)
 	if fl.route.Kind == estate.Stream && resp.Status < http.StatusMultipleChoices {
 		return fl.relayStream(ctx, dst, resp, item, maxWaitTimer, watch, run)
 	}
--- a/internal/gateway/forward/slowbody_test.go
+++ b/internal/gateway/forward/slowbody_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -66,3 +67,41 @@
 		t.Errorf("%d requests were sent", n)
 	}
 }
+
+// Guards against long streams that hold the bodies of their requests to the end although none of them can
+// be sent again, and against bodies that are dropped although a further send needs them.
+func TestBodyIsHeldWhileItCanBeSentAgain(t *testing.T) {
+	const size = 16 * buffers.Step
+	for path, want := range map[string]int{"/stream/x": http.StatusOK, "/resume/x": http.StatusServiceUnavailable} {
+		release := make(chan struct{})
+		var tg *fakeTarget
+		tg = startTarget(t, "t", func(w io.Writer, r *http.Request, body string) bool {
+			if r.URL.Path == "/again/x" {
+				return tg.writeSealed(w, r, http.StatusOK, fmt.Sprint(len(body)))
+			}
+			tg.writeStreamHead(w, r)
+			writeChunk(w, event(1))
+			<-release
+			writeChunk(w, event(2))
+			writeChunk(w, "")
+			return true
+		})
+		env := newTestEnv(t, tg)
+		env.Bodies = buffers.NewBudget(size + size/2)
+		var streams sync.WaitGroup
+		streams.Go(func() {
+			if resp, body, err := env.post(t, path, strings.Repeat("x", size)); err != nil || resp.StatusCode != http.StatusOK || body != event(1)+event(2) {
+				t.Errorf("%s: response %v, body %q, error %v", path, resp, body, err)
+			}
+		})
+		for tg.runs.Load() == 0 {
+			<-time.After(time.Millisecond)
+		}
+		<-time.After(50 * time.Millisecond) // until the first event has been relayed
+		if resp, body, err := env.post(t, "/again/x", strings.Repeat("x", size)); err != nil || resp.StatusCode != want {
+			t.Errorf("a large body beside one of %s: response %v, body %.200s, error %v", path, resp, body, err)
+		}
+		close(release)
+		streams.Wait()
+	}
+}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -93,6 +93,9 @@
 	raw            *http.Response
 	complete       bool
 	written        <-chan error
+	// writeEnded is set once written has delivered writeErr.
+	writeEnded bool
+	writeErr   error
 	// stop detaches the connection from the context of the request.
 	stop func() bool
 }
@@ -113,22 +116,24 @@
 // nothing is left to read; otherwise it is closed, which makes the target cancel the request.
 func (r *Response) Close() {
 	stopped := r.stop()
-	if stopped && r.complete && !r.raw.Close && !r.CloseDelimited && r.bodyWritten() && r.conn.reader.Buffered() == 0 {
+	if stopped && r.complete && !r.raw.Close && !r.CloseDelimited && r.RequestWritten() && r.conn.reader.Buffered() == 0 {
 		r.conn.pool.put(r.conn)
 		return
 	}
 	r.conn.close()
 }
 
-// bodyWritten reports whether the request was written completely. After an early response it
-// may not be: the target would then take the next request for the rest of the body.
-func (r *Response) bodyWritten() bool {
-	select {
-	case err := <-r.written:
-		return err == nil
-	default:
-		return false
+// RequestWritten reports whether the request was written completely. After an early response it may not
+// be: the target would then take the next request for the rest of the body.
+func (r *Response) RequestWritten() bool {
+	if !r.writeEnded {
+		select {
+		case r.writeErr = <-r.written:
+			r.writeEnded = true
+		default:
+		}
 	}
+	return r.writeEnded && r.writeErr == nil
 }
 
 // Send sends a request to an address and returns when the headers of the response arrive.
