A head with a second status line is no response

Callers saw: "not run" (429, 503, 421) for requests that ran and were then sent a second time, a success where the target had failed, empty bodies: the status and headers of bytes to no request with the own body. Cause: after a complete answer a target sends the beginning of another response and stops within a line. The head of the next answer goes on with it, both are read as one, and the ID in it is the request's own. Change: a head is read before it is parsed; one that contains a second status line fails the send, as one that may have run.

--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -33,6 +33,9 @@
 // response.
 var ErrHeadTooLong = errors.New("head of the response is too long")
 
+// ErrJoinedHeads is returned if a target sends the beginning of another response before the response.
+var ErrJoinedHeads = errors.New("the head of the response contains another status line")
+
 const (
 	// MaxHeadBytes is the maximum size of the head of a response, with the informational responses before
 	// it.
@@ -116,7 +119,7 @@
 // nothing is left to read; otherwise it is closed, which makes the target cancel the request.
 func (r *Response) Close() {
 	stopped := r.stop()
-	if stopped && r.complete && !r.raw.Close && !r.CloseDelimited && r.RequestWritten() && r.conn.reader.Buffered() == 0 {
+	if stopped && r.complete && !r.raw.Close && !r.CloseDelimited && r.RequestWritten() && r.conn.drained() {
 		r.conn.pool.put(r.conn)
 		return
 	}
@@ -228,6 +231,9 @@
 	c.input.limit(MaxHeadBytes)
 	defer c.input.unlimit()
 	for {
+		if err := c.checkHead(); err != nil {
+			return nil, err
+		}
 		raw, err := http.ReadResponse(c.reader, httpReq)
 		if err != nil {
 			return nil, err
@@ -268,11 +274,16 @@
 	c.closeOnce.Do(func() { _ = c.net.Close() })
 }
 
+// drained reports whether nothing that was read from the connection is left.
+func (c *conn) drained() bool { return c.reader.Buffered() == 0 && len(c.input.unread) == 0 }
+
 // headReader reads from a connection. While it is limited it returns ErrHeadTooLong after so many bytes.
 type headReader struct {
 	in      io.Reader
 	limited bool
 	left    int
+	// unread was read from the connection before, and is read again first.
+	unread []byte
 }
 
 func (r *headReader) limit(n int) { r.limited, r.left = true, n }
@@ -281,6 +292,11 @@
 
 // Read implements io.Reader.
 func (r *headReader) Read(p []byte) (int, error) {
+	if len(r.unread) > 0 {
+		n := copy(p, r.unread)
+		r.unread = r.unread[n:]
+		return n, nil
+	}
 	if !r.limited {
 		return r.in.Read(p)
 	}
