Responses over HTTP/1.0 that are broken off end by a reset

Cause: without chunks the end of the connection is that of the response, and it was closed in order. Change: while a response to HTTP/1.0 is written the connection is set to end by a reset; a handler that ends regularly takes that back before the connection is closed.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -1,7 +1,8 @@
 // Package callers guards HTTP servers against clients that misbehave.
 //
 // A request that states the length of its body in two ways is refused or is the last one on its connection.
-// Connections, heads and bodies of requests take no more memory than they are given.
+// Connections, heads and bodies of requests take no more memory than they are given. A response whose end is
+// that of its connection cannot be taken for whole if it is broken off.
 package callers
 
 import (
@@ -24,6 +25,8 @@
 	// memory is what the connection has taken charged bytes of.
 	memory  *buffers.Budget
 	charged atomic.Int64
+	// whole is set when a response has been written whole whose end is that of the connection.
+	whole atomic.Bool
 }
 
 // errHeadMemory is why reading a head ends for which no memory is left.
@@ -41,6 +44,30 @@
 	return n, err
 }
 
+// beginUnframed makes the connection end by a reset, also if the process is killed, until endUnframed is
+// called.
+func (c *Conn) beginUnframed() {
+	c.whole.Store(false)
+	c.setLinger(0)
+}
+
+// endUnframed makes the connection end in order when it is closed.
+func (c *Conn) endUnframed() { c.whole.Store(true) }
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	if c.whole.Load() {
+		c.setLinger(-1)
+	}
+	return c.Conn.Close()
+}
+
+func (c *Conn) setLinger(seconds int) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(seconds) // fails only if the connection has ended
+	}
+}
+
 // charge takes memory for the connection, and reports whether it was free.
 func (c *Conn) charge(n int) bool {
 	if !c.memory.Take(int64(n)) {
--- a/internal/callers/conns.go
+++ b/internal/callers/conns.go
@@ -167,9 +167,18 @@
 		if conn == nil || !c.Begin(conn) {
 			panic(http.ErrAbortHandler)
 		}
-		if checked, ok := conn.checkFraming(w, r); ok {
+		checked, ok := conn.checkFraming(w, r)
+		if !ok {
+			return
+		}
+		if r.ProtoAtLeast(1, 1) {
 			next.ServeHTTP(w, checked)
+			return
 		}
+		// Without chunks, the end of a response of unknown length is that of the connection.
+		conn.beginUnframed()
+		next.ServeHTTP(w, checked)
+		conn.endUnframed()
 	})
 }
 
