Own protocol: bounds of the administration server and of idle connections

Callers saw: nothing yet. The administration server of toucanwelld without gateway, which peers call, too, had no bound on the size of a request or the time in which it must arrive, and connections without requests were kept for good. Cause: the gateway's servers for peers and operators got these bounds, these did not. Change: 1 MiB and 10 s for a request there; idle connections are closed after two minutes. Evidence: TestAdminRequestsAreBounded failed before (a request of 2 MiB was read and parsed) and passes.

--- a/internal/cluster/framing_test.go
+++ b/internal/cluster/framing_test.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/examples"
 	"github.com/toucanwell/toucanwell/internal/cluster"
 	"github.com/toucanwell/toucanwell/internal/settings"
@@ -94,3 +96,17 @@
 		_ = conn.Close()
 	}
 }
+
+// Guards against requests to the administration server that fill the memory of a process.
+func TestAdminRequestsAreBounded(t *testing.T) {
+	c := startCluster(t, examples.Marktlizenz, 1)
+	const size = 2 << 20
+	resp, err := http.Post("http://"+c.EntrySettings[0].AdminListen+peerv1.PeerSyncProcedure, "application/proto", bytes.NewReader(make([]byte, size)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusTooManyRequests { // resource_exhausted
+		t.Errorf("a request of %d bytes got status %d", size, resp.StatusCode)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,10 +31,16 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
-	peerDialTimeout   = 500 * time.Millisecond
-	peerIdleTimeout   = 10 * time.Second
-	peerPingAfter     = time.Second
-	peerPingTimeout   = time.Second
+	// idleTimeout is how long a connection without requests is kept.
+	idleTimeout = 2 * time.Minute
+	// maxAdminBody is the maximum size of a request to the administration server, adminReadTimeout the time
+	// in which it must have arrived.
+	maxAdminBody     = 1 << 20
+	adminReadTimeout = 10 * time.Second
+	peerDialTimeout  = 500 * time.Millisecond
+	peerIdleTimeout  = 10 * time.Second
+	peerPingAfter    = time.Second
+	peerPingTimeout  = time.Second
 	// connDivisor divides the memory of an entry into the part for callers' connections, heads and small
 	// bodies, adminConnDivisor that of a process into the part for connections to its administration server.
 	connDivisor      = 4
@@ -115,7 +121,8 @@
 		return err
 	}
 	mux.Handle("/", handler)
-	d.admin = newServer(mux)
+	d.admin = newServer(http.MaxBytesHandler(mux, maxAdminBody))
+	d.admin.ReadTimeout = adminReadTimeout
 	return nil
 }
 
@@ -274,7 +281,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols}
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols}
 }
 
 // maxHeaderBytes is the maximum size of the headers of a request or response.
