Suspects do not run at targets that have started again under their name

Cause: a send names an incarnation by the list, and engines accept requests that name the one before. Change: before a suspect is sent to an engine, the engine is asked when it started, as it is for streams that go on; one that has started again is not used. Only requests under which a target has crashed pay the question; one that is not answered in 100 ms does not hold them up. The event stream_target_restarted becomes target_restarted, with its reason. Evidence: TestSuspectDoesNotRunAtARestartedTarget failed before (one run) and passes.

--- a/internal/gateway/forward/origin.go
+++ b/internal/gateway/forward/origin.go
@@ -8,6 +8,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/origin"
+	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
@@ -150,12 +151,14 @@
 // or gone.
 const startTimeTimeout = 100 * time.Millisecond
 
-// isIncarnationConfirmed reports whether a target that is to go on with a stream is the listed one. A
-// target may start again under its name, with another software version, a second before the list
-// shows that; it accepts requests that name the earlier incarnation.
+// isIncarnationConfirmed reports whether the process at a target's address is the listed incarnation, for
+// requests that depend on it. A target may start again under its name a second before the list shows that,
+// and accepts requests that name the earlier incarnation. A stream could go on at another software version.
+// The crash of a target under a suspect would count for the incarnation that has ended already.
 func (fl *flow) isIncarnationConfirmed(ctx context.Context, dst *destination) bool {
 	t := &dst.target
-	if !fl.origin.bound || fl.StartTime == nil || t.StartedMs == 0 || fl.service.Engine == nil {
+	isSuspect := fl.quarantineStatus.Verdict != quarantine.Free
+	if !fl.origin.bound && !isSuspect || fl.StartTime == nil || t.StartedMs == 0 || fl.service.Engine == nil {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeTimeout)
@@ -164,11 +167,14 @@
 	if err == nil && (startedMs == 0 || startedMs == t.StartedMs) {
 		return true
 	}
+	if err != nil && !fl.origin.bound {
+		return true // suspects may run at targets that are slow to say
+	}
 	detail := ""
 	if err != nil {
 		detail = err.Error()
 	}
-	fl.Logger.Info("stream_target_restarted", "request_id", fl.request.ID, "target", t.Incarnation, "version", t.SoftwareVersion, "started_ms", startedMs, "error", detail)
+	fl.Logger.Info("target_restarted", "request_id", fl.request.ID, "target", t.Incarnation, "version", t.SoftwareVersion, "stream", fl.origin.bound, "suspect", isSuspect, "started_ms", startedMs, "error", detail)
 	return false
 }
 
--- a/internal/gateway/forward/quarantined_test.go
+++ b/internal/gateway/forward/quarantined_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire/wiretest"
 )
 
@@ -329,3 +331,29 @@
 		t.Errorf("%d requests failed", failed)
 	}
 }
+
+// Guards against a crash that counts for an incarnation which has ended already: its successor under the
+// same name runs the request, and one target more than allowed crashes.
+func TestSuspectDoesNotRunAtARestartedTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		startedMs int64
+		err       error
+		runs      int
+	}{"the listed incarnation": {5, nil, 1}, "started again": {6, nil, 0}, "no answer": {0, io.ErrUnexpectedEOF, 1}, "does not say": {0, nil, 1}} {
+		var tg *fakeTarget
+		tg = startTarget(t, "t", func(w io.Writer, r *http.Request, _ string) bool {
+			tg.writeStreamHead(w, r)
+			writeChunk(w, event(1))
+			writeChunk(w, "")
+			return true
+		})
+		env := newTestEnv(t, tg)
+		env.view.Targets["engines"][0].StartedMs = 5
+		env.StartTime = func(context.Context, netip.AddrPort) (int64, error) { return c.startedMs, c.err }
+		env.Quarantine.AttributeCrash(quarantine.FingerprintOf("town", "/prompt/x", []byte("fatal")), quarantine.Caller{}, quarantine.Crash{Target: 77, At: time.Now()})
+		_, _, err := env.post(t, "/prompt/x", "fatal", wiretest.Model, model, wiretest.Prompt, "1000", wiretest.TimeLeft, "1s")
+		if got := int(tg.runs.Load()); err != nil || got != c.runs {
+			t.Errorf("%s: %d runs, want %d; error %v", name, got, c.runs, err)
+		}
+	}
+}
