The only target of a service is waited for until the deadline

Callers saw: a request that may be repeated was given up after half of its time (502) although no other target was left, and the answer of the only one would have come in time. Cause: the time for one target was halved whenever the route allows a further send. Change: only if another target is listed that the request has not been sent to. Evidence: TestOnlyTargetIsWaitedFor (a plain and a resumable route) failed before and passes.

--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -453,3 +453,25 @@
 		t.Errorf("%d sends, want none", n)
 	}
 }
+
+// Guards against requests that are given up after half of their time although no other target is left: the
+// answer of the only one would have come in time.
+func TestOnlyTargetIsWaitedFor(t *testing.T) {
+	var tg *fakeTarget
+	tg = startTarget(t, "t", func(w io.Writer, r *http.Request, _ string) bool {
+		<-time.After(600 * time.Millisecond)
+		if strings.HasPrefix(r.RequestURI, "/resume-prompt/") {
+			tg.writeStreamHead(w, r)
+			writeChunk(w, event(1))
+			writeChunk(w, "")
+			return true
+		}
+		return tg.writeSealed(w, r, http.StatusOK, "fine")
+	})
+	for path, headers := range map[string][]string{"/again/x": nil, "/resume-prompt/x": {wiretest.Model, model, wiretest.Prompt, "10"}} {
+		env := newTestEnv(t, tg)
+		if resp, body, err := env.post(t, path, "", append(headers, wiretest.TimeLeft, "1s")...); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: response %v, body %q, error %v", path, resp, body, err)
+		}
+	}
+}
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -164,12 +165,22 @@
 		return nil, errkind.NewRetryAfter(errkind.NoTarget, fl.jitter(busyRetryAfter), "no target of %s", fl.service.Name)
 	}
 	dst := &destination{target: targets[best], work: ledger.Work{Running: 1}}
-	if fl.route.Retryable() && fl.runs+1 < fl.route.MaxAttempts {
+	if fl.mayTryAnother(&dst.target) {
 		dst.maxWait = fl.timeLeft() / 2
 	}
 	return dst, nil
 }
 
+// mayTryAnother reports whether the request may be sent to another target than t if that does not respond.
+func (fl *flow) mayTryAnother(t *fleet.Target) bool {
+	if !fl.route.Retryable() || fl.runs+1 >= fl.route.MaxAttempts {
+		return false
+	}
+	return slices.ContainsFunc(fl.view.Targets[fl.service.Name], func(other fleet.Target) bool {
+		return other.Incarnation != t.Incarnation && !other.Leaving && !fl.excluded[other.Incarnation]
+	})
+}
+
 const (
 	// crossZoneRequests is the cost of another availability zone, ejectedRequests that of
 	// an ejected target, in running requests.
@@ -379,7 +390,7 @@
 	}
 	dst.memoryTokens = choice.PrefillTokens + choice.FetchedTokens + in.MaxTokens/meanOutputDivisor
 	dst.work.Memory = ledger.AtPriority(choice.Priority, dst.memoryTokens)
-	if fl.route.Retryable() && fl.runs+1 < fl.route.MaxAttempts {
+	if fl.mayTryAnother(&dst.target) {
 		dst.maxWait = firstEventMaxWait(choice, fl.timeLeft())
 	}
 	return dst
