Own protocol: a caller whose body did not arrive in time is not waited for again

Cause: the refusal of a body that took 30 s dropped what came for another 30 s. Change: such a refusal ends the connection at once; others still drop what their callers send.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -71,5 +71,9 @@
 		writeProblem(w, id, refusal)
 		return
 	}
-	callers.RefuseUnread(w, r, e.bodyLimit(), time.Now().Add(bodyTimeout), func() { writeProblem(w, id, refusal) })
+	deadline := time.Now().Add(bodyTimeout)
+	if refusal.Kind == errkind.DeadlineUnmeetable {
+		deadline = time.Now() // the caller has had its time
+	}
+	callers.RefuseUnread(w, r, e.bodyLimit(), deadline, func() { writeProblem(w, id, refusal) })
 }
