--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -21,7 +21,7 @@
 	bodyCopies = 4
 	// bodyTimeout bounds how long a caller may take to send a body.
 	bodyTimeout = 30 * time.Second
-	// memoryRetryAfter is the retry delay for callers for whose bodies no memory is left.
+	// memoryRetryAfter is the retry delay for callers whose bodies were not taken.
 	memoryRetryAfter = time.Second
 	// defaultMaxBody is the body limit until a configuration is known.
 	defaultMaxBody = 4 << 20
