--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -25,6 +25,8 @@
 	// memory is what the connection has taken charged bytes of.
 	memory  *buffers.Budget
 	charged atomic.Int64
+	// requests is the number of requests that have arrived on the connection.
+	requests atomic.Int64
 	// whole is set when a response has been written whole whose end is that of the connection.
 	whole atomic.Bool
 }
@@ -44,6 +46,9 @@
 	return n, err
 }
 
+// Requests returns the number of requests that have arrived on the connection.
+func (c *Conn) Requests() int64 { return c.requests.Load() }
+
 // beginUnframed makes the connection end by a reset, also if the process is killed, until endUnframed is
 // called.
 func (c *Conn) beginUnframed() {
--- a/internal/callers/conns.go
+++ b/internal/callers/conns.go
@@ -82,6 +82,7 @@
 	if !ok {
 		return false
 	}
+	conn.requests.Add(1)
 	if place != nil {
 		c.waiting.Remove(place)
 		c.open[conn] = nil
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -92,6 +92,18 @@
 	}
 }
 
+// A story must say so if the lines of the request itself were dropped.
+func TestStoryReportsDroppedLinesOfTheRequest(t *testing.T) {
+	log := "time=2026-01-01T00:00:02Z level=WARN msg=log_lines_dropped process=e lines=7 routine=5 audit=2 requests=\"r1,r2\"\n"
+	s, err := Read("r2", strings.NewReader(log))
+	if err != nil || !s.Dropped || len(s.Lines) != 1 || s.Lines[0].Process != "e" {
+		t.Errorf("error %v, story %+v", err, s)
+	}
+	if s, err := Read("r3", strings.NewReader(log)); err != nil || s.Dropped {
+		t.Errorf("another request: error %v, story %+v", err, s)
+	}
+}
+
 // The story of an attempt must include the quarantine events that earlier attempts caused at
 // other entries. The story of a fingerprint must include all its attempts.
 func TestStoryIncludesQuarantineEvents(t *testing.T) {
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -17,6 +17,9 @@
 	fingerprintField = "print"
 	// resumesField holds the ID of the attempt that began the stream which another one resumes.
 	resumesField = "resumes"
+	// droppedEvent reports lines that were dropped, droppedField the requests of some of them.
+	droppedEvent = "log_lines_dropped"
+	droppedField = "requests"
 	// maxLineBytes bounds the length of a log line.
 	maxLineBytes = 1 << 20
 	// Lookback is how long before a request's first line state changes are included.
@@ -29,7 +32,7 @@
 	"estate_in_force", "weights_wanted", "weights_wanted_since", "target_listed", "target_unlisted", "target_gone", "engine_reported", "engine_reported_unresponsive", "target_rested",
 	"target_limited", "target_limit_ended", "target_leaving", "target_wants_rest", "target_rest_over", "target_statement_refused",
 	"store_lost", "store_regained", "list_regained", "feed_trimmed", "snapshot_ignored", "store_era_refused", "store_restored", "era_followed", "quarantine_reconciled", "fetch_failed", "peer_live", "peer_silent", "host_woke", "declaration_refused",
-	"settings_reloaded", "settings_refused", "started", "stopping", "stopped", "stop_cut_requests", "log_lines_dropped",
+	"settings_reloaded", "settings_refused", "started", "stopping", "stopped", "stop_cut_requests", droppedEvent,
 	"weights_ordered", "weights_loaded", "engine_silent", "engine_heard", "engine_started_anew", "target_listing_delayed", "target_refused",
 	"cache_reported", "cache_feed_lost", "cache_feed_regained", "cache_feed_broken", "cache_listed", "store_followed", "store_left",
 }
@@ -64,6 +67,9 @@
 			case !ok:
 			case l.Get(requestField) == id || l.Get(resumesField) == id || l.Get(requestField) != "" && l.Get(fingerprintField) == id:
 				s.Lines = append(s.Lines, l)
+			case l.Event == droppedEvent && slices.Contains(strings.Split(l.Get(droppedField), ","), id):
+				s.Dropped = true
+				s.Lines = append(s.Lines, l)
 			case slices.Contains(quarantineEvents, l.Event):
 				quarantineLines = append(quarantineLines, l)
 			case slices.Contains(stateChangeEvents, l.Event):
@@ -84,7 +90,7 @@
 	for _, l := range stateChanges {
 		if s.isRelevant(&l) {
 			s.StateChanges = append(s.StateChanges, l)
-			s.Dropped = s.Dropped || l.Event == "log_lines_dropped"
+			s.Dropped = s.Dropped || l.Event == droppedEvent
 		}
 	}
 	sortByTime(s.StateChanges)
--- a/internal/gateway/forward/body.go
+++ b/internal/gateway/forward/body.go
@@ -44,6 +44,7 @@
 	defer done()
 	var err error
 	fl.body, err = callers.ReadBody(fl.r, int(limit), fl.bodyMemory)
+	fl.bodyTime = time.Since(fl.arrived)
 	if err == nil {
 		_ = connection.SetReadDeadline(time.Time{})
 		return nil
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -89,7 +89,10 @@
 	Logger        logr.Logger
 	// RoutineLogger logs successful operations. Its lines are dropped first under load.
 	RoutineLogger logr.Logger
-	Metrics       Metrics
+	// AuditLogger logs what became of the sends of requests that may run once. Its lines are not dropped
+	// under load, and are written before it returns.
+	AuditLogger logr.Logger
+	Metrics     Metrics
 	// AnnounceWork broadcasts the work at a target to the other entries without waiting for
 	// the next heartbeat.
 	AnnounceWork func(target fleet.ID)
@@ -241,7 +244,9 @@
 	suspect          quarantine.Fingerprint
 	suspectPart      quarantine.Part
 	arrived          time.Time
-	deadline         time.Time
+	// bodyTime is how long the body took to arrive.
+	bodyTime time.Duration
+	deadline time.Time
 	// deadlineSource is what sets the deadline.
 	deadlineSource deadlineSource
 	retries        *retry.Budget
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
@@ -35,6 +33,7 @@
 	if fl.retryCause != "" {
 		log = fl.Logger
 	}
+	log = fl.withArrival(fl.auditOr(log))
 	report := fl.view.Engines[dst.target.Incarnation]
 	phase, age := report.Phase, fl.age(report.ReceivedAt)
 	if dst.probed {
@@ -75,22 +74,15 @@
 	if err != nil {
 		detail = err.Error()
 	}
-	fl.withConn(fl.Logger).Info("send_failed", "request_id", fl.request.ID, "print", fl.fingerprint, "send", fl.sends, "target", dst.target.Incarnation,
-		"status", status, "rest", rest, "error", detail, "after", roundForLog(time.Since(fl.sentAt)))
-}
-
-// withConn adds to the logger by what the last send counts as run or not run, and the connection that
-// carried it.
-func (fl *flow) withConn(log logr.Logger) logr.Logger {
-	s := &fl.lastSend
-	return log.WithValues("evidence", s.evidence, "earlier", s.conn.Earlier, "conn_age", roundForLog(s.conn.Age), "conn_idle", roundForLog(s.conn.Idle), "skipped", s.skipped)
+	fl.auditOr(fl.Logger).Info("send_failed", append(fl.sendFields(), "target", dst.target.Incarnation, "status", status, "after", roundForLog(time.Since(fl.sentAt)),
+		"rest", rest, "print", fl.fingerprint, "error", detail)...)
 }
 
 // recordSkipped records a response that came for the request and belongs to another one.
 func (fl *flow) recordSkipped(dst *destination, status int, id string) {
 	fl.lastSend.skipped++
 	fl.Metrics.SkippedResponse(fl.serviceName())
-	fl.Logger.Info("response_skipped", "request_id", fl.request.ID, "send", fl.sends, "target", dst.target.Incarnation, "status", status, "response_id", bounded(id),
+	fl.auditOr(fl.Logger).Info("response_skipped", "request_id", fl.request.ID, "send", fl.sends, "target", dst.target.Incarnation, "status", status, "response_id", bounded(id),
 		"earlier", fl.lastSend.conn.Earlier, "after", roundForLog(time.Since(fl.sentAt)))
 }
 
@@ -229,15 +221,29 @@
 	if e != nil && isServiceFault(e) || fl.sends > 1 || fl.lastSend.status >= http.StatusInternalServerError {
 		log = fl.Logger
 	}
-	if fl.sends > 0 && (e != nil || fl.sends > 1) {
-		log = fl.withConn(log)
+	log = fl.auditOr(log)
+	own := []any{"request_id", fl.request.ID}
+	if fl.audited() || fl.sends > 0 && (e != nil || fl.sends > 1) {
+		own = fl.sendFields()
 	}
 	if e != nil && fl.view != nil {
 		log = log.WithValues("declared_at", fl.view.Declared.At, "declared_source", fl.view.Declared.Source, "declared_age", fl.age(fl.view.EstateCurrentAt),
 			"list_at", fl.view.Listed.At, "list_source", fl.view.Listed.Source, "list_age", fl.age(fl.view.TargetsCurrentAt))
 	}
-	fl.withShutdown(log).Info("request_done", "request_id", fl.request.ID, "print", fl.fingerprint, "suspect", fl.suspect, "outcome", outcome, "detail", detail, "retry_after", roundForLog(retryAfter),
+	fl.withShutdown(log).Info("request_done", append(own, "outcome", outcome, "told", fl.toldStatus(e), "print", fl.fingerprint, "suspect", fl.suspect, "detail", detail, "retry_after", roundForLog(retryAfter),
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
 		"sends", fl.sends, "runs", fl.runs, "target", fl.lastSend.incarnation, "status", fl.lastSend.status,
-		"first", roundForLog(fl.timeToFirstByte), "events", fl.eventCount, "longest_gap", roundForLog(fl.longestGap), "took", roundForLog(time.Since(fl.arrived)))
+		"first", roundForLog(fl.timeToFirstByte), "events", fl.eventCount, "longest_gap", roundForLog(fl.longestGap), "took", roundForLog(time.Since(fl.arrived)))...)
+}
+
+// toldStatus returns the status that the caller gets; zero if its connection is closed without one.
+func (fl *flow) toldStatus(e *errkind.Error) int {
+	switch {
+	case e == nil || fl.responseStarted:
+		return fl.lastSend.status
+	case e.Kind == errkind.Cancelled:
+		return 0
+	default:
+		return e.Kind.Spec().Status
+	}
 }
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -321,7 +321,7 @@
 // neither does a response that the target broke off because the caller did not read it.
 func (fl *flow) recordBroken(ctx context.Context, dst *destination, err error) {
 	if fl.callerStalled() {
-		fl.Logger.Info("caller_stalled", "request_id", fl.request.ID, "target", dst.target.Incarnation, "error", err.Error())
+		fl.auditOr(fl.Logger).Info("caller_stalled", "request_id", fl.request.ID, "target", dst.target.Incarnation, "error", err.Error())
 		return
 	}
 	if errors.Is(context.Cause(ctx), errCrashedElsewhere) {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -61,18 +61,20 @@
 	platform      Platform
 	logger        logr.Logger
 	routineLogger logr.Logger
-	log           *logging.Bounded
-	metrics       *metrics.Metrics
-	burn          *burn.Counter
-	clock         *hostclock.Clock
-	loop          *control.Loop
-	state         *clusterState
-	entry         *entry
-	sidecar       *sidecar
-	callers       *callerServer
-	listener      net.Listener
-	servers       []*http.Server
-	serveErrors   chan error
+	// auditLogger is for lines that are not dropped.
+	auditLogger logr.Logger
+	log         *logging.Bounded
+	metrics     *metrics.Metrics
+	burn        *burn.Counter
+	clock       *hostclock.Clock
+	loop        *control.Loop
+	state       *clusterState
+	entry       *entry
+	sidecar     *sidecar
+	callers     *callerServer
+	listener    net.Listener
+	servers     []*http.Server
+	serveErrors chan error
 	// useSpeeds is set if placement uses the measured speeds of engines.
 	useSpeeds atomic.Bool
 	deputy    *deputy
@@ -93,6 +95,7 @@
 		settings: s, platform: platform, log: log, logger: logging.New(log, s.Name), routineLogger: logging.New(log.Routine(), s.Name), metrics: metrics.New(),
 		clock: hostclock.New(), burn: burn.NewCounter(time.Now), incarnation: rand.Uint64(), serveErrors: make(chan error, 4),
 	}
+	p.auditLogger = logging.New(log.Audit(), s.Name).WithValues("incarnation", p.incarnation)
 	platform.SetLogger(p.logger)
 	p.useSpeeds.Store(s.Speeds.Enabled)
 	p.loop = control.NewLoop(s.seed(), p.metrics.ControlTime)
@@ -130,7 +133,7 @@
 		p.deputy.start()
 	}
 	p.loop.Go(func(ctx context.Context) { p.clock.Watch(ctx, p.onResume) })
-	p.logger.Info("started", "role", string(s.Role), "mesh", s.MeshListen, "store", s.Store.Address)
+	p.logger.Info("started", "role", string(s.Role), "incarnation", p.incarnation, "mesh", s.MeshListen, "store", s.Store.Address)
 	return &Process{p}, nil
 }
 
@@ -148,6 +151,7 @@
 	p.metrics.RegisterGauge("targets_age_seconds", "Age of the local replica of the platform's target list.", age(func(v *view.View) time.Time { return v.TargetsCurrentAt }))
 	p.metrics.RegisterGauge("declarations_age_seconds", "Age of the local replica of operators' declarations.", age(func(v *view.View) time.Time { return v.EstateCurrentAt }))
 	p.metrics.RegisterGauge("log_lines_dropped", "Log lines dropped since the process started.", func() float64 { return float64(p.log.Dropped()) })
+	p.metrics.RegisterGauge("log_audit_lines_dropped", "Log lines on sends of requests that may run once that were dropped since the process started.", func() float64 { return float64(p.log.DroppedAudits()) })
 	count := func(value *atomic.Uint64) func() float64 { return func() float64 { return float64(value.Load()) } }
 	p.metrics.RegisterGauge("store_era", "Newest era of the platform's store that the process has heard of.", count(&p.state.eraMetric))
 	p.metrics.RegisterGauge("records_restated", "Records that were written again after restores of the store.", count(&p.state.restatedMetric))
--- a/internal/gateway/upstream/head.go
+++ b/internal/gateway/upstream/head.go
@@ -22,6 +22,7 @@
 	if containsStatusLine(head[1:]) {
 		return ErrJoinedHeads
 	}
+	c.head = bytes.Clone(head[:min(len(head), maxTracedHead)])
 	rest, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail
 	c.input.unread = append(append(head, rest...), c.input.unread...)
 	c.reader.Reset(c.input)
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -82,6 +82,12 @@
 	Earlier int
 	// Age is the time since the connection was made, Idle that since the response before.
 	Age, Idle time.Duration
+	// Local is the address of this end.
+	Local netip.AddrPort
+	// Written is set if the request had been written when its response began, or when there was none.
+	Written bool
+	// Head is the beginning of the head that was taken for the response; nil if there was none.
+	Head []byte
 }
 
 // Response is a target's response. The caller must close it.
@@ -95,14 +101,14 @@
 	conn           *conn
 	raw            *http.Response
 	complete       bool
-	written        <-chan error
-	// writeEnded is set once written has delivered writeErr.
-	writeEnded bool
-	writeErr   error
+	written        *writeResult
 	// stop detaches the connection from the context of the request.
 	stop func() bool
 }
 
+// maxTracedHead bounds the beginning of a head in a trace.
+const maxTracedHead = 256
+
 // Read implements io.Reader. It returns an error if the response is truncated.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.raw.Body.Read(p)
@@ -128,15 +134,26 @@
 
 // RequestWritten reports whether the request was written completely. After an early response it may not
 // be: the target would then take the next request for the rest of the body.
-func (r *Response) RequestWritten() bool {
-	if !r.writeEnded {
+func (r *Response) RequestWritten() bool { return r.written.isComplete() }
+
+// writeResult is the result of writing a request, which may still go on.
+type writeResult struct {
+	result <-chan error
+	// ended is set once result has delivered err.
+	ended bool
+	err   error
+}
+
+// isComplete reports whether the request was written completely.
+func (w *writeResult) isComplete() bool {
+	if !w.ended {
 		select {
-		case r.writeErr = <-r.written:
-			r.writeEnded = true
+		case w.err = <-w.result:
+			w.ended = true
 		default:
 		}
 	}
-	return r.writeEnded && r.writeErr == nil
+	return w.ended && w.err == nil
 }
 
 // Send sends a request to an address and returns when the headers of the response arrive.
@@ -148,8 +165,9 @@
 	}
 	stop := context.AfterFunc(ctx, c.close)
 	c.trace(req.Trace)
-	written := c.write(req)
+	written := &writeResult{result: c.write(req)}
 	raw, err := c.readResponse(req)
+	c.traceResponse(req.Trace, written, err)
 	if err != nil {
 		stop()
 		c.close()
@@ -256,13 +274,15 @@
 	idleSince time.Time
 	// requests is the number of requests that were sent on the connection.
 	requests int
+	// head is the beginning of the last head that was read.
+	head []byte
 }
 
 // trace counts a request and describes the connection to it.
 func (c *conn) trace(t *Trace) {
 	if t != nil {
 		now := time.Now()
-		*t = Trace{Earlier: c.requests, Age: now.Sub(c.dialedAt)}
+		*t = Trace{Earlier: c.requests, Age: now.Sub(c.dialedAt), Local: localAddress(c.net)}
 		if !c.idleSince.IsZero() {
 			t.Idle = now.Sub(c.idleSince)
 		}
@@ -270,6 +290,24 @@
 	c.requests++
 }
 
+// traceResponse describes the response, or that there was none.
+func (c *conn) traceResponse(t *Trace, written *writeResult, err error) {
+	if t == nil {
+		return
+	}
+	t.Written = written.isComplete()
+	if err == nil {
+		t.Head = c.head
+	}
+}
+
+func localAddress(c net.Conn) netip.AddrPort {
+	if address, ok := c.LocalAddr().(*net.TCPAddr); ok {
+		return address.AddrPort()
+	}
+	return netip.AddrPort{}
+}
+
 func (c *conn) close() {
 	c.closeOnce.Do(func() { _ = c.net.Close() })
 }
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -7,27 +7,47 @@
 	"time"
 )
 
-// Bounded is a log writer that never blocks its caller. It buffers lines and drops those
-// that exceed the rate limit or find the buffer full because the output is blocked. The
-// number of dropped lines is logged with the next line that is written.
+// Bounded is a log writer that never blocks its caller for long. It buffers lines and drops those
+// that exceed the rate limit or find the buffer full because the output is blocked. What was
+// dropped is logged with the next line that is written, and at the end.
 //
 // Routine lines, such as those of successful requests, may use only a part of the rate, so
-// that a flood of them doesn't displace the lines of failures.
+// that a flood of them doesn't displace the lines of failures. Audit lines are dropped only while
+// the output is blocked.
 type Bounded struct {
 	out     io.Writer
 	process string
 	limit   int
-	lines   chan []byte
-	dropped atomic.Uint64
+	lines   chan bufferedLine
 	done    chan struct{}
+	// blocked is set while an audit line has waited in vain for the output.
+	blocked atomic.Bool
 	mu      sync.Mutex
 	second  int64
 	// linesInSecond counts the lines accepted in the current second, routineInSecond the
 	// routine ones among them.
 	linesInSecond, routineInSecond int
 	closed                         bool
+	// dropped counts all dropped lines, unreported those that no line has reported yet.
+	dropped, unreported drops
 }
 
+// bufferedLine is a line that waits for the output.
+type bufferedLine struct {
+	text []byte
+	// written, unless nil, is closed when the line was written.
+	written chan struct{}
+}
+
+// class is what decides when a line may be dropped.
+type class uint8
+
+const (
+	usual class = iota
+	routine
+	audit
+)
+
 const (
 	// maxBufferedLines bounds the memory in use while the output is blocked.
 	maxBufferedLines = 1024
@@ -35,69 +55,131 @@
 	routineShare = 0.7
 	// closeTimeout bounds how long Close waits for a blocked output.
 	closeTimeout = 200 * time.Millisecond
+	// auditWait bounds how long the caller of an audit line waits until it is written.
+	auditWait = 10 * time.Millisecond
 )
 
-// NewBounded returns a writer that writes at most perSecond lines per second to out. The name
-// of the process appears in its reports of dropped lines.
+// NewBounded returns a writer that writes at most perSecond lines per second to out, besides audit lines.
+// The name of the process appears in its reports of dropped lines.
 func NewBounded(out io.Writer, process string, perSecond int) *Bounded {
-	b := &Bounded{out: out, process: process, limit: perSecond, lines: make(chan []byte, maxBufferedLines), done: make(chan struct{})}
+	b := &Bounded{out: out, process: process, limit: perSecond, lines: make(chan bufferedLine, maxBufferedLines), done: make(chan struct{})}
 	go b.run()
 	return b
 }
 
 // Write implements io.Writer. Each call writes one line; it never fails.
-func (b *Bounded) Write(line []byte) (int, error) { return b.write(line, false), nil }
+func (b *Bounded) Write(line []byte) (int, error) { return b.write(line, usual), nil }
 
 // Routine returns a writer for routine lines.
-func (b *Bounded) Routine() io.Writer { return routineWriter{b} }
+func (b *Bounded) Routine() io.Writer { return classWriter{b, routine} }
 
-type routineWriter struct{ *Bounded }
+// Audit returns a writer for lines whose number is bounded by what they report. They are not subject to the
+// rate, and are written when Write returns, so that the end of the process doesn't lose them. A blocked output
+// delays the first one by auditWait.
+func (b *Bounded) Audit() io.Writer { return classWriter{b, audit} }
+
+type classWriter struct {
+	*Bounded
+	class class
+}
 
 // Write implements io.Writer.
-func (o routineWriter) Write(line []byte) (int, error) { return o.write(line, true), nil }
+func (w classWriter) Write(line []byte) (int, error) { return w.write(line, w.class), nil }
 
-func (b *Bounded) write(line []byte, routine bool) int {
+func (b *Bounded) write(line []byte, c class) int {
+	buffered := bufferedLine{text: append([]byte(nil), line...)}
+	if c == audit {
+		buffered.written = make(chan struct{})
+	}
+	if b.enqueue(buffered, c) && c == audit {
+		b.await(buffered.written)
+	}
+	return len(line)
+}
+
+// enqueue reports whether the line was accepted.
+func (b *Bounded) enqueue(line bufferedLine, c class) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.closed || !b.allow(time.Now().Unix(), routine) {
-		b.dropped.Add(1)
-		return len(line)
+	if !b.closed && b.allow(time.Now().Unix(), c) {
+		select {
+		case b.lines <- line:
+			return true
+		default:
+		}
 	}
+	b.dropped.add(line.text, c)
+	b.unreported.add(line.text, c)
+	return false
+}
+
+// await waits until a line was written, unless the output is blocked.
+func (b *Bounded) await(written chan struct{}) {
+	if b.blocked.Load() {
+		return
+	}
+	timer := time.NewTimer(auditWait)
+	defer timer.Stop()
 	select {
-	case b.lines <- append([]byte(nil), line...):
-	default:
-		b.dropped.Add(1)
+	case <-written:
+	case <-timer.C:
+		b.blocked.Store(true)
 	}
-	return len(line)
 }
 
 // allow reports whether the rate limit admits a line, and counts it. The caller holds mu.
-func (b *Bounded) allow(second int64, routine bool) bool {
+func (b *Bounded) allow(second int64, c class) bool {
+	if c == audit {
+		return true
+	}
 	if second != b.second {
 		b.second, b.linesInSecond, b.routineInSecond = second, 0, 0
 	}
-	if routine && b.routineInSecond >= int(routineShare*float64(b.limit)) || b.linesInSecond >= b.limit {
+	if c == routine && b.routineInSecond >= int(routineShare*float64(b.limit)) || b.linesInSecond >= b.limit {
 		return false
 	}
 	b.linesInSecond++
-	if routine {
+	if c == routine {
 		b.routineInSecond++
 	}
 	return true
 }
 
 // Dropped returns the number of lines dropped so far.
-func (b *Bounded) Dropped() uint64 { return b.dropped.Load() }
+func (b *Bounded) Dropped() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.dropped.lines
+}
+
+// DroppedAudits returns the number of audit lines among them.
+func (b *Bounded) DroppedAudits() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.dropped.audit
+}
 
 func (b *Bounded) run() {
 	defer close(b.done)
-	var reported uint64
 	for line := range b.lines {
-		if dropped := b.dropped.Load(); dropped > reported {
-			_, _ = io.WriteString(b.out, droppedLine(b.process, dropped-reported))
-			reported = dropped
+		b.reportDropped()
+		_, _ = b.out.Write(line.text) // a failing log output can't be reported
+		b.blocked.Store(false)
+		if line.written != nil {
+			close(line.written)
 		}
-		_, _ = b.out.Write(line) // a failing log output can't be reported
+	}
+	b.reportDropped()
+}
+
+// reportDropped writes what has been dropped since the last report.
+func (b *Bounded) reportDropped() {
+	b.mu.Lock()
+	d := b.unreported
+	b.unreported = drops{}
+	b.mu.Unlock()
+	if d.lines > 0 {
+		_, _ = io.WriteString(b.out, d.line(b.process))
 	}
 }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -4,8 +4,6 @@
 import (
 	"io"
 	"log/slog"
-	"strconv"
-	"time"
 
 	"github.com/go-logr/logr"
 )
@@ -23,8 +21,3 @@
 	}
 	return a
 }
-
-// droppedLine formats the report that n lines were dropped.
-func droppedLine(process string, n uint64) string {
-	return "time=" + time.Now().UTC().Format(time.RFC3339Nano) + " level=WARN msg=log_lines_dropped process=" + strconv.Quote(process) + " lines=" + strconv.FormatUint(n, 10) + "\n"
-}
