--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -77,7 +77,7 @@
 			return e.pool.ProbeListener(ctx, t.Address)
 		}),
 		Bounds: forward.Bounds{
-			RetryRatio: p.settings.Bounds.RetryRatio, RetrySlack: p.settings.Bounds.RetrySlack, MaxStaleness: p.settings.Bounds.MaxStaleness.Duration,
+			RetryRatio: p.settings.Bounds.RetryRatio, RetrySlack: p.settings.Bounds.RetrySlack, MaxStaleness: p.settings.Bounds.MaxStaleness.Duration, LongestStream: p.settings.LongestStream.Duration,
 		},
 		Zone: p.settings.AvailabilityZone, Logger: p.logger, RoutineLogger: p.routineLogger, AuditLogger: p.auditLogger, Metrics: requestMetrics{p.metrics, p.burn}, AnnounceWork: e.announceWork, Now: p.clock.Now, Seed: p.settings.seed(), Queue: p.settings.Queue.policy(),
 		QueueObserver: queueObserver{p.routineLogger, p.metrics},
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -49,6 +49,8 @@
 	// MaxStaleness is how long weights may be outdated before requests are no longer
 	// started on them.
 	MaxStaleness time.Duration
+	// LongestStream is the longest time from the first event of a stream to its last resumption.
+	LongestStream time.Duration
 }
 
 // Deps are the dependencies of a Forwarder.
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -256,7 +256,7 @@
 		CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return env.pool.ProbeListener(ctx, t.Address)
 		}),
-		Bounds: Bounds{RetryRatio: 0.5, RetrySlack: 100, MaxStaleness: 5 * time.Second}, Zone: "a",
+		Bounds: Bounds{RetryRatio: 0.5, RetrySlack: 100, MaxStaleness: 5 * time.Second, LongestStream: longestStream}, Zone: "a",
 		Logger: logr.Discard(), RoutineLogger: logr.Discard(), AuditLogger: logr.Discard(), Metrics: noMetrics{}, AnnounceWork: func(fleet.ID) {}, Now: time.Now, Seed: 1,
 	})
 	env.server = httptest.NewServer(env.Forwarder)
--- a/internal/gateway/forward/origin.go
+++ b/internal/gateway/forward/origin.go
@@ -84,13 +84,8 @@
 	return nil
 }
 
-const (
-	// longestStream is the longest time from the first event of a stream to its last resumption, with
-	// a margin for the lag of target lists.
-	longestStream = 65 * time.Second
-	// maxListWait limits the wait for a target list that was read after the caller came back.
-	maxListWait = 1500 * time.Millisecond
-)
+// maxListWait limits the wait for a target list that was read after the caller came back.
+const maxListWait = 1500 * time.Millisecond
 
 // onlyVersion returns the version that began a stream of which nothing is known, or why that cannot
 // be told.
@@ -106,7 +101,7 @@
 		v, ok := fl.View()
 		if ok && v.TargetsCurrentAt.After(since) {
 			fl.view = v
-			return singleVersion(v, fl.service.Name, since)
+			return singleVersion(v, fl.service.Name, since, fl.Bounds.LongestStream)
 		}
 		if time.Now().After(deadline) || !sleep.For(ctx, placeInterval) {
 			return origin.Ambiguous, "no record of it, and no target list from after the request"
@@ -116,7 +111,7 @@
 
 // singleVersion returns the only version that a service may have had while a stream that is resumed
 // now was begun, or why there is none.
-func singleVersion(v *view.View, service string, now time.Time) (origin.Version, string) {
+func singleVersion(v *view.View, service string, now time.Time, longestStream time.Duration) (origin.Version, string) {
 	only, ok := v.SingleVersions[service]
 	switch {
 	case !ok:
--- a/internal/gateway/forward/origin_test.go
+++ b/internal/gateway/forward/origin_test.go
@@ -14,6 +14,9 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/wire/wiretest"
 )
 
+// longestStream is the longest time from the first event of a stream to its last resumption.
+const longestStream = 65 * time.Second
+
 // versionedEnv is a testEnv whose targets have software versions.
 type versionedEnv struct {
 	*testEnv
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -67,6 +67,10 @@
 	// LogLinesPerSecond limits the log volume. An entry writes two lines per successful
 	// request. Default 600.
 	LogLinesPerSecond int `toml:"log_lines_per_second"`
+	// LongestStream is the longest time from the first event of a stream to its last resumption. A stream
+	// of which no process has a record goes on only if the list has shown a single software version for as
+	// long. Default 65s.
+	LongestStream settings.Duration `toml:"longest_stream"`
 
 	Store      StoreSettings      `toml:"store"`
 	Bounds     BoundsSettings     `toml:"bounds"`
@@ -134,12 +138,14 @@
 	defaultSuspectFor   = time.Hour
 	defaultRefuseFor    = 24 * time.Hour
 	defaultMaxRecords   = 2000
+	// defaultLongestStream includes a margin for the lag of target lists.
+	defaultLongestStream = 65 * time.Second
 )
 
 // ParseSettings decodes and validates a settings text. The name is used in error messages.
 func ParseSettings(name, text string) (*Settings, error) {
 	s := &Settings{
-		MemoryMB: defaultMemoryMB, LogLinesPerSecond: defaultLogLines, ServiceLevel: defaultServiceLevel,
+		MemoryMB: defaultMemoryMB, LogLinesPerSecond: defaultLogLines, LongestStream: settings.Duration{Duration: defaultLongestStream}, ServiceLevel: defaultServiceLevel,
 		LargeEntries: defaultLargeEntries, LargeEngines: defaultLargeEngines,
 		Bounds: BoundsSettings{RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack},
 		Quarantine: QuarantineSettings{
--- a/internal/gateway/settingscheck.go
+++ b/internal/gateway/settingscheck.go
@@ -51,6 +51,7 @@
 	c.positive("large_entries", int64(s.LargeEntries))
 	c.positive("large_engines", int64(s.LargeEngines))
 	c.positive("log_lines_per_second", int64(s.LogLinesPerSecond))
+	c.require(s.LongestStream.Duration > 0, "longest_stream", tomltext.Found(s.LongestStream.Duration, "a time above 0"))
 	c.require(s.Bounds.GracePeriod.Duration > 0, "bounds.grace_period", missing)
 	c.require(s.Bounds.MaxStaleness.Duration > 0, "bounds.weights", missing)
 	c.require(s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "bounds.retry_ratio", tomltext.Found(s.Bounds.RetryRatio, "0 to 1"))
