--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -114,11 +114,11 @@
 	onEra := func(era feed.Era) { c.noteEra(era, clock.Now()) }
 	c.declarations = feed.NewFollower(loop, p.Declarations(), c.newDeclarationsReplica(), feed.Options{
 		Name: topicOperators, Wait: declarationsWait, Place: c.placeAmongReaders, ShouldRead: c.shouldReadDeclarations, IdlePeriod: c.readCheckPeriod, OnChange: c.declarationsChanged, AwaitPeers: c.awaitsRestoredPeers, OnEra: onEra,
-		OnCall: onCall, OnRecovered: func() {}, Logger: logger, Now: clock.Now,
+		OnCall: onCall, OnRecovered: func() {}, OnRefreshed: func() {}, Logger: logger, Now: clock.Now,
 	})
 	c.targets = feed.NewFollower(loop, p.Targets(), c.newTargetsReplica(), feed.Options{
 		Name: topicTargets, ShouldRead: c.shouldReadTargets, IdlePeriod: c.readCheckPeriod, OnChange: c.targetsChanged, AwaitPeers: c.awaitsRestoredPeers, OnEra: onEra,
-		OnCall: onCall, OnRecovered: c.declarations.RestartCall, Logger: logger, Now: clock.Now,
+		OnCall: onCall, OnRecovered: c.declarations.RestartCall, OnRefreshed: c.publishView, Logger: logger, Now: clock.Now,
 	})
 	return c
 }
@@ -300,7 +300,7 @@
 	c.updateFleetSize(v.Targets)
 	v.LargeFleet = c.large.Load()
 	for incarnation, report := range c.engineReports {
-		if now.Sub(report.ReceivedAt) <= engineReportTTL {
+		if now.Sub(report.AsOf) <= engineReportTTL {
 			v.Engines[incarnation] = report
 		} else {
 			delete(c.engineReports, incarnation)
--- a/internal/gateway/enginereports.go
+++ b/internal/gateway/enginereports.go
@@ -39,19 +39,19 @@
 	report := view.EngineReport{
 		Service: e.Service, Address: address, Zone: m.Zone,
 		Weights: map[string]int64{}, Phase: phases[e.Phase],
-		Running: int(e.Running), Queued: int(e.Queued), ReceivedAt: c.clock.Now(),
+		Running: int(e.Running), Queued: int(e.Queued), AsOf: m.Receipt.Earliest(0),
 	}
 	for _, w := range e.Weights {
 		report.Weights[w.Model] = w.Version
 	}
 	if within := time.Duration(e.BeganWithinMs) * time.Millisecond; within > 0 {
-		report.StartedAfter = report.ReceivedAt.Add(-within)
+		report.StartedAfter = m.Receipt.Earliest(within)
 	}
 	old, known := c.engineReports[incarnation]
 	if !known {
 		c.dropReportsAt(address)
 	}
-	report.PhaseSince = c.clock.Now()
+	report.PhaseSince = m.Receipt.Latest(0)
 	if known && old.Phase == report.Phase {
 		report.PhaseSince = old.PhaseSince
 	}
@@ -75,7 +75,7 @@
 // whether this is new.
 func (c *clusterState) applyUnresponsive(m *mesh.Member, address netip.AddrPort) bool {
 	_, known := c.unresponsive[address]
-	c.unresponsive[address] = c.clock.Now()
+	c.unresponsive[address] = m.Receipt.Earliest(0)
 	if known {
 		return false
 	}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -72,7 +72,7 @@
 	e.quarantine = newQuarantineSync(p)
 	p.state.quarantinePage = e.quarantine.page
 	e.forwarder = forward.New(forward.Deps{
-		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Buffers: buffers.NewBudget(p.settings.MemoryMB << 20 / maxBufferDivisor), Bodies: buffers.NewBudget(p.settings.MemoryMB << 20 * bodyShareNumerator / bodyShareDivisor), Connections: buffers.NewBudget(p.settings.MemoryMB << 20 / connDivisor), Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback, TargetLimits: e.targetLimits, Origins: p.origins, StartTime: startTimeOf(p.platform),
+		Protocol: p.platform.Protocol(), View: e.currentView, Pool: e.pool, Buffers: buffers.NewBudget(p.settings.MemoryMB << 20 / maxBufferDivisor), Bodies: buffers.NewBudget(p.settings.MemoryMB << 20 * bodyShareNumerator / bodyShareDivisor), Connections: buffers.NewBudget(p.settings.MemoryMB << 20 / connDivisor), Ledger: e.ledger, Parts: e.parts, Health: e.health, Reach: e.reach, Pushback: e.pushback, TargetLimits: e.targetLimits, Origins: p.origins, RefreshTargets: p.state.refreshTargets, StartTime: startTimeOf(p.platform),
 		Quarantine: e.quarantine.registry, CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return e.pool.ProbeListener(ctx, t.Address)
 		}),
@@ -272,7 +272,7 @@
 		}
 		e.quarantine.onHeartbeat(m)
 	}
-	e.pushback.Merge(m.Heartbeat.Statements, m.Name, now)
+	e.pushback.Merge(m.Heartbeat.Statements, m.Name, m.Receipt)
 	e.applyCacheReport(m, now)
 	if e.state.applyEngineReport(m) {
 		e.state.publishViewSoon()
--- a/internal/gateway/feed/feed.go
+++ b/internal/gateway/feed/feed.go
@@ -100,14 +100,16 @@
 	// newest and source are the position and the source of the record that was applied last.
 	newest Position
 	source string
-	// currentAt is the latest time at which the replica held all records that the store had
+	// currentAt is the latest time as of which the replica is known to hold all records that the store had
 	// acknowledged.
 	currentAt time.Time
-	// outageEnd is when the replica last became current after more than outageGap.
+	// confirmedAt is when the process last learned that the replica is current.
+	confirmedAt time.Time
+	// outageEnd is when the process learned that again after more than outageGap.
 	outageEnd time.Time
-	// outageBegin is when the replica was last current before outageEnd.
+	// outageBegin is confirmedAt as it was before outageEnd.
 	outageBegin time.Time
-	// firstCurrentAt is when the replica first became current.
+	// firstCurrentAt is when the process first learned that the replica is current.
 	firstCurrentAt time.Time
 	// completeSince is the time since which the replica has missed no change: that of the
 	// last snapshot or, without one, of the first records.
@@ -153,19 +155,23 @@
 // Newest returns the position and the source of the record that was applied last.
 func (r *Replica) Newest() (at Position, source string) { return r.newest, r.source }
 
-// CurrentAt returns when the replica last held all records that the store had acknowledged, or
-// zero if it never did.
+// CurrentAt returns the latest time as of which the replica is known to hold all records that the store had
+// acknowledged, or zero if it never did.
 func (r *Replica) CurrentAt() time.Time { return r.currentAt }
 
-// OutageEnd returns when the replica first became current after the store's last outage, or zero
-// if there was none.
+// ConfirmedAt returns when the process last learned that the replica is current. What it learned may have been
+// on its way for a while: nothing but the time of the next read depends on it.
+func (r *Replica) ConfirmedAt() time.Time { return r.confirmedAt }
+
+// OutageEnd returns when the process first learned that the replica is current after the store's last outage,
+// or zero if there was none.
 func (r *Replica) OutageEnd() time.Time { return r.outageEnd }
 
-// OutageBegin returns when the replica was last current before the store's last outage, or zero
-// if there was none.
+// OutageBegin returns when the process last learned that before the store's last outage, or zero if there was
+// none.
 func (r *Replica) OutageBegin() time.Time { return r.outageBegin }
 
-// FirstCurrentAt returns when the replica first held all records that the store had
+// FirstCurrentAt returns when the process first learned that the replica holds all records that the store had
 // acknowledged, or zero if it never did.
 func (r *Replica) FirstCurrentAt() time.Time { return r.firstCurrentAt }
 
@@ -287,7 +293,7 @@
 	return r.Merge(records, s.End, current)
 }
 
-// MarkCurrent records that the replica was current at a time.
+// MarkCurrent records that the replica was current as of a time.
 func (r *Replica) MarkCurrent(at time.Time) { r.advanceCurrent(at) }
 
 func (r *Replica) put(record Record) bool {
@@ -312,17 +318,25 @@
 	return true
 }
 
-// advanceCurrent advances currentAt and detects outages. It ignores earlier times, which peers
-// may report.
+// advanceCurrent advances currentAt. It ignores earlier times, which peers may report.
 func (r *Replica) advanceCurrent(at time.Time) {
-	if !at.After(r.currentAt) {
+	if at.After(r.currentAt) {
+		r.currentAt = at
+	}
+	r.Confirm(at)
+}
+
+// Confirm records that the process has learned at a time that the replica is current, and detects outages. Call
+// it before what was learned is merged, which counts as learned at the time as of which it holds.
+func (r *Replica) Confirm(at time.Time) {
+	if !at.After(r.confirmedAt) {
 		return
 	}
 	switch {
-	case r.currentAt.IsZero():
+	case r.confirmedAt.IsZero():
 		r.firstCurrentAt = at
-	case at.Sub(r.currentAt) > r.options.OutageGap:
-		r.outageBegin, r.outageEnd = r.currentAt, at
+	case at.Sub(r.confirmedAt) > r.options.OutageGap:
+		r.outageBegin, r.outageEnd = r.confirmedAt, at
 	}
-	r.currentAt = at
+	r.confirmedAt = at
 }
--- a/internal/gateway/feed/feed_test.go
+++ b/internal/gateway/feed/feed_test.go
@@ -309,6 +309,9 @@
 	if options.OnRecovered == nil {
 		options.OnRecovered = func() {}
 	}
+	if options.OnRefreshed == nil {
+		options.OnRefreshed = func() {}
+	}
 	f := NewFollower(loop, source, NewReplica(ReplicaOptions{OutageGap: time.Second}), options)
 	go loop.Run()
 	f.Start()
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
@@ -42,7 +43,7 @@
 	Pause time.Duration
 	// ShouldRead reports whether this process reads the store now; if not, it gets records
 	// from peers. It is called on the control thread. Nil means always.
-	ShouldRead func(currentAt time.Time) bool
+	ShouldRead func(confirmedAt time.Time) bool
 	// IdlePeriod returns the interval at which a process that does not read checks ShouldRead. Nil
 	// means defaultIdlePeriod.
 	IdlePeriod func() time.Duration
@@ -55,6 +56,9 @@
 	OnChange func(keys []string)
 	// OnCall is called after each call to the store.
 	OnCall func(topic string, took time.Duration, err error)
+	// OnRefreshed is called on the control thread after a read that was made for Refresh, before its callers
+	// learn of it.
+	OnRefreshed func()
 	// OnRecovered is called on the control thread when a call succeeds after a failed one.
 	OnRecovered func()
 	Logger      logr.Logger
@@ -90,6 +94,12 @@
 	inStep bool
 	// trimmed is set if the last read was answered with ErrTrimmed.
 	trimmed bool
+	// refreshes are called with the outcome of the next read.
+	refreshes []func(ok bool)
+	// wake ends a pause between reads.
+	wake chan struct{}
+	// calledAt is when the last call began.
+	calledAt time.Time
 	// cancel cancels the current call.
 	cancelMu sync.Mutex
 	cancel   context.CancelFunc
@@ -97,7 +107,7 @@
 
 // NewFollower returns a follower that has not started.
 func NewFollower(loop *control.Loop, source Source, replica *Replica, options Options) *Follower {
-	return &Follower{loop: loop, source: source, replica: replica, options: options, needSnapshot: true, inStep: true}
+	return &Follower{loop: loop, source: source, replica: replica, options: options, needSnapshot: true, inStep: true, wake: make(chan struct{}, 1)}
 }
 
 // Replica returns the replica, for use on the control thread.
@@ -113,6 +123,37 @@
 	from         Position
 	// wait is how long a read waits at the store.
 	wait time.Duration
+	// pause is how long to wait before the call.
+	pause time.Duration
+	// refreshes are called with its outcome.
+	refreshes []func(ok bool)
+}
+
+// minRefreshInterval is the least time between the beginnings of two reads that are made for Refresh.
+const minRefreshInterval = 100 * time.Millisecond
+
+// Refresh reads the topic from the store, and calls done on the control thread with whether that succeeded: then
+// the replica is current as of a time after the call of Refresh. Calls that come before the read begins share
+// it. It runs on the control thread.
+func (f *Follower) Refresh(done func(ok bool)) {
+	f.refreshes = append(f.refreshes, done)
+	select {
+	case f.wake <- struct{}{}:
+	default: // a wake-up is pending already
+	}
+}
+
+// endRefreshes reports the outcome of a call.
+func (f *Follower) endRefreshes(r *request, err error) {
+	if len(r.refreshes) == 0 {
+		return
+	}
+	if err == nil {
+		f.options.OnRefreshed()
+	}
+	for _, done := range r.refreshes {
+		done(err == nil)
+	}
 }
 
 // NoteEra records that the store has come back from a copy, since when at the latest, as another topic's
@@ -149,20 +190,32 @@
 			return
 		}
 		if !next.shouldRead {
-			sleep.For(ctx, f.idlePeriod())
+			f.pause(ctx, f.idlePeriod())
 			continue
 		}
+		sleep.For(ctx, next.pause)
 		err := f.call(ctx, next)
 		if err == nil {
 			backoff = firstRetry
-			sleep.For(ctx, f.options.Pause)
+			f.pause(ctx, f.options.Pause)
 			continue
 		}
-		sleep.For(ctx, f.loop.Jitter(backoff))
+		f.pause(ctx, f.loop.Jitter(backoff))
 		backoff = min(2*backoff, maxRetry)
 	}
 }
 
+// pause waits for a time, or until a read is asked for.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.wake:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Follower) idlePeriod() time.Duration {
 	if f.options.IdlePeriod == nil {
 		return defaultIdlePeriod
@@ -172,11 +225,16 @@
 
 func (f *Follower) nextRequest() request {
 	behind := f.isBehind()
-	shouldRead := behind || f.options.ShouldRead == nil || f.options.ShouldRead(f.replica.CurrentAt())
+	shouldRead := behind || f.options.ShouldRead == nil || f.options.ShouldRead(f.replica.ConfirmedAt())
 	if behind && f.options.AwaitPeers != nil && f.options.AwaitPeers(f.options.Now().Sub(f.eraAt)) {
 		shouldRead = false
 	}
-	return request{shouldRead: shouldRead, wantSnapshot: f.needSnapshot || behind, from: f.replica.EndPosition(), wait: f.nextWait()}
+	next := request{shouldRead: shouldRead, wantSnapshot: f.needSnapshot || behind, from: f.replica.EndPosition(), wait: f.nextWait(), refreshes: f.refreshes}
+	if len(f.refreshes) > 0 {
+		next.shouldRead, next.wait, f.refreshes = true, 0, nil
+		next.pause = minRefreshInterval - f.options.Now().Sub(f.calledAt)
+	}
+	return next
 }
 
 // renewPeriod is the time in which one of the processes that wait at the store renews its read, if there are
@@ -210,6 +268,7 @@
 	defer cancel()
 	f.setCancel(cancel)
 	startedAt := f.options.Now()
+	f.calledAt = startedAt
 	var s Snapshot
 	var err error
 	if r.wantSnapshot {
@@ -219,7 +278,11 @@
 	}
 	f.options.OnCall(f.options.Name, f.options.Now().Sub(startedAt), err)
 	merged := make(chan error, 1)
-	f.loop.Post(func() { merged <- f.merge(r, s, startedAt, err) })
+	f.loop.Post(func() {
+		err := f.merge(r, s, startedAt, err)
+		f.endRefreshes(&r, err)
+		merged <- err
+	})
 	select {
 	case err = <-merged:
 		return err
@@ -244,9 +307,7 @@
 	}
 }
 
-// merge applies the result of a call, and returns an error if the next call should wait. A read is current
-// as of its response. A snapshot may take several calls to the store, so it is current only as of its
-// start.
+// merge applies the result of a call, and returns an error if the next call should wait.
 func (f *Follower) merge(r request, s Snapshot, startedAt time.Time, err error) error {
 	if s.Era > f.era {
 		f.learnEra(s.Era, f.options.Now())
@@ -266,12 +327,13 @@
 	f.trimmed = false
 	if f.storeDown {
 		f.storeDown = false
-		f.options.Logger.Info("store_regained", "topic", f.options.Name, "silent_for", startedAt.Sub(f.replica.CurrentAt()))
+		f.options.Logger.Info("store_regained", "topic", f.options.Name, "silent_for", startedAt.Sub(f.replica.ConfirmedAt()))
 		f.options.OnRecovered()
 	}
 	setSource(s.Records, SourceStore)
+	receipt := asof.Answer(startedAt, f.options.Now())
 	if r.wantSnapshot {
-		return f.mergeSnapshot(s, startedAt)
+		return f.mergeSnapshot(s, receipt)
 	}
 	if s.Era < f.era {
 		return errUnusable
@@ -279,7 +341,8 @@
 	if s.Era != f.replica.Era() || r.from.Era != s.Era || !f.replica.Contiguous(r.from.Offset) {
 		return nil // a read that was under way when the era began
 	}
-	f.changed(f.replica.Merge(s.Records, s.End, f.options.Now()))
+	f.replica.Confirm(receipt.At)
+	f.changed(f.replica.Merge(s.Records, s.End, receipt.Earliest(0)))
 	return nil
 }
 
@@ -298,14 +361,15 @@
 	return nil
 }
 
-func (f *Follower) mergeSnapshot(s Snapshot, startedAt time.Time) error {
+func (f *Follower) mergeSnapshot(s Snapshot, receipt asof.Receipt) error {
 	if s.Era < f.era || s.Era == f.replica.Era() && s.End < f.replica.End() {
 		f.options.Logger.Info("snapshot_ignored", "topic", f.options.Name, "era", uint64(s.Era), "end", s.End, "known", f.replica.EndPosition().String(), "known_era", uint64(f.era))
 		return errUnusable
 	}
 	f.needSnapshot = false
 	before := f.replica.Era()
-	changed := f.replica.Replace(s, startedAt)
+	f.replica.Confirm(receipt.At)
+	changed := f.replica.Replace(s, receipt.Earliest(0))
 	f.logRestore(before)
 	f.changed(changed)
 	return nil
@@ -335,9 +399,9 @@
 }
 
 // ApplyPage applies a page that a peer returned for the records from a position on, and reports
-// whether it could be applied. current is when the peer's replica was current. It runs on the
+// whether it could be applied. age is that of the peer's replica when it answered. It runs on the
 // control thread.
-func (f *Follower) ApplyPage(p Page, from Position, current time.Time, peer string) bool {
+func (f *Follower) ApplyPage(p Page, from Position, receipt asof.Receipt, age time.Duration, peer string) bool {
 	if !f.replica.CanApply(&p, from) {
 		return false
 	}
@@ -347,7 +411,8 @@
 		f.needSnapshot = false
 	}
 	before, wasEmpty := f.replica.Era(), f.replica.Empty()
-	changed := f.replica.Apply(p, current, f.options.Now())
+	f.replica.Confirm(receipt.Latest(age))
+	changed := f.replica.Apply(p, receipt.Earliest(age), receipt.At)
 	f.era = max(f.era, f.replica.Era())
 	if !wasEmpty {
 		f.logRestore(before)
--- a/internal/gateway/feed/restore_test.go
+++ b/internal/gateway/feed/restore_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 )
 
 // statement is the value of a record in tests: a number that rises with each change.
@@ -442,7 +444,7 @@
 			}
 		})
 		loop.Post(func() {
-			f.ApplyPage(peer.PageFrom(Position{Era: 1, Offset: 6}), Position{Era: 1, Offset: 6}, time.Now(), "peer")
+			f.ApplyPage(peer.PageFrom(Position{Era: 1, Offset: 6}), Position{Era: 1, Offset: 6}, asof.Answer(time.Now(), time.Now()), 0, "peer")
 		})
 		time.Sleep(100 * time.Millisecond)
 		source.set(func() { source.topic.write("c") })
--- a/internal/gateway/fleet/model_test.go
+++ b/internal/gateway/fleet/model_test.go
@@ -283,7 +283,7 @@
 			continue
 		}
 		l := listing(e.name, uint16(i+1))
-		all = append(all, Report{Incarnation: l.Incarnation, Service: l.Service, Address: l.Address, Zone: l.Zone, StartedAfter: e.startedAfter, ReceivedAt: m.now})
+		all = append(all, Report{Incarnation: l.Incarnation, Service: l.Service, Address: l.Address, Zone: l.Zone, StartedAfter: e.startedAfter, AsOf: m.now})
 	}
 	return all
 }
--- a/internal/gateway/fleet/reports.go
+++ b/internal/gateway/fleet/reports.go
@@ -16,8 +16,8 @@
 	// StartedAfter is when the host last saw another incarnation at the address; zero if it
 	// has seen none.
 	StartedAfter time.Time
-	// ReceivedAt is when the report was received.
-	ReceivedAt time.Time
+	// AsOf is the time as of which the report holds.
+	AsOf time.Time
 }
 
 // SyncState describes how complete a process's replica of the list is.
@@ -104,7 +104,7 @@
 	if s := d.states[r.Instance]; s != nil {
 		s.reportedAt = now
 	}
-	return d.Gone(r.Incarnation) || d.Superseded(r.Incarnation, r.ReceivedAt)
+	return d.Gone(r.Incarnation) || d.Superseded(r.Incarnation, r.AsOf)
 }
 
 // outdates reports whether a listed target is a later incarnation, under any name, of the one that
@@ -112,7 +112,7 @@
 // a report outlives the restart; requests sent to the ended incarnation are refused.
 func (d *Directory) outdates(listed *Target, r *Report) bool {
 	s := d.states[listed.Instance]
-	return s != nil && r.StartedMs > 0 && r.StartedMs < listed.StartedMs && s.listedAt.After(r.ReceivedAt)
+	return s != nil && r.StartedMs > 0 && r.StartedMs < listed.StartedMs && s.listedAt.After(r.AsOf)
 }
 
 // Active reports whether a reported incarnation is a member of the fleet and not leaving: it is
--- a/internal/gateway/fleet/reports_test.go
+++ b/internal/gateway/fleet/reports_test.go
@@ -9,7 +9,7 @@
 
 // reportOf is a host's report of the listed incarnation, which it saw start after a time.
 func reportOf(l Listing, startedAfter time.Time) Report {
-	return Report{Incarnation: l.Incarnation, Service: l.Service, Address: l.Address, Zone: l.Zone, StartedAfter: startedAfter, ReceivedAt: start}
+	return Report{Incarnation: l.Incarnation, Service: l.Service, Address: l.Address, Zone: l.Zone, StartedAfter: startedAfter, AsOf: start}
 }
 
 // targetAfterReport returns the target for a reported incarnation after the report is applied.
@@ -200,7 +200,7 @@
 	} {
 		d := directoryOf(startedListing("listed", 2, c.listed))
 		report := reportOf(startedListing("reported", 2, c.reported), time.Time{})
-		report.ReceivedAt = start.Add(c.reportedAfterListed)
+		report.AsOf = start.Add(c.reportedAfterListed)
 		if _, ok := targetAfterReport(d, report, currentSync, later); ok != c.replaced {
 			t.Errorf("%s: the reported incarnation is used: %v", c.name, ok)
 		}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -73,6 +73,9 @@
 	TargetLimits TargetLimits
 	// Origins keeps which software version began each stream.
 	Origins Origins
+	// RefreshTargets reads the target list from the store, and reports whether the view is current as of a time
+	// after the call. It returns when the context ends.
+	RefreshTargets func(ctx context.Context) bool
 	// StartTime returns when the process at an engine's address started, in Unix milliseconds, by the
 	// engine's own report; zero if it does not say. Nil disables the check.
 	StartTime func(ctx context.Context, address netip.AddrPort) (int64, error)
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -251,7 +251,7 @@
 	env.pool = upstream.NewPool(func() {})
 	env.Forwarder = New(Deps{
 		Protocol: wiretest.Protocol{}, View: func() (*view.View, bool) { return env.view, true }, Pool: env.pool,
-		Ledger: ledger.New(), Parts: parts.NewIndex(), Health: health.NewMonitor(nil), Reach: &reach.Monitor{}, Pushback: pushback.NewRegistry(noStatements{}), TargetLimits: unlimited{}, Origins: &fakeOrigins{},
+		Ledger: ledger.New(), Parts: parts.NewIndex(), Health: health.NewMonitor(nil), Reach: &reach.Monitor{}, Pushback: pushback.NewRegistry(noStatements{}), TargetLimits: unlimited{}, Origins: &fakeOrigins{}, RefreshTargets: func(context.Context) bool { return true },
 		Quarantine: quarantine.NewRegistry(quarantine.Limits{MaxCrashes: 3, SuspectFor: time.Hour, RefuseFor: time.Hour, MaxRecords: 100}, noObserver{}),
 		CrashDetector: quarantine.NewCrashDetector(func(ctx context.Context, t *fleet.Target) (upstream.ListenerState, error) {
 			return env.pool.ProbeListener(ctx, t.Address)
--- a/internal/gateway/forward/origin.go
+++ b/internal/gateway/forward/origin.go
@@ -91,24 +91,32 @@
 // be told.
 //
 // The target that began it was listed before its first event. The version is therefore certain if
-// a list that was read after the caller came back shows a single one, and so did all lists since
+// a list that was asked for after the caller came back shows a single one, and so did all lists since
 // the earliest time at which the stream may have begun. An entry that has started or lost the
-// store meanwhile has not seen them all; neither has one whose list is older than the request.
+// store meanwhile has not seen them all. The list is read for this: what has arrived lately may have been written
+// long before.
 func (fl *flow) onlyVersion(ctx context.Context) (origin.Version, string) {
 	since := fl.Now()
-	deadline := time.Now().Add(min(maxListWait, time.Duration(placeWaitShare*float64(fl.timeLeft()))))
+	if only, ok := fl.view.SingleVersions[fl.service.Name]; ok && since.Sub(only.Since) < fl.Bounds.LongestStream {
+		return origin.Ambiguous, shortlyKnown
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(maxListWait, time.Duration(placeWaitShare*float64(fl.timeLeft()))))
+	defer cancel()
 	for {
-		v, ok := fl.View()
-		if ok && v.TargetsCurrentAt.After(since) {
+		refreshed := fl.RefreshTargets(ctx)
+		if v, ok := fl.View(); refreshed && ok && !v.TargetsCurrentAt.Before(since) {
 			fl.view = v
 			return singleVersion(v, fl.service.Name, since, fl.Bounds.LongestStream)
 		}
-		if time.Now().After(deadline) || !sleep.For(ctx, placeInterval) {
+		if !sleep.For(ctx, placeInterval) {
 			return origin.Ambiguous, "no record of it, and no target list from after the request"
 		}
 	}
 }
 
+// shortlyKnown is why a single version does not tell which one began a stream.
+const shortlyKnown = "no record of it, and a single version is known for a short time only"
+
 // singleVersion returns the only version that a service may have had while a stream that is resumed
 // now was begun, or why there is none.
 func singleVersion(v *view.View, service string, now time.Time, longestStream time.Duration) (origin.Version, string) {
@@ -117,7 +125,7 @@
 	case !ok:
 		return origin.Ambiguous, "no record of it, and the service has targets of several or unknown versions"
 	case now.Sub(only.Since) < longestStream:
-		return origin.Ambiguous, "no record of it, and a single version is known for a short time only"
+		return origin.Ambiguous, shortlyKnown
 	default:
 		return origin.VersionOf(service, only.Version), ""
 	}
--- a/internal/gateway/forward/origin_test.go
+++ b/internal/gateway/forward/origin_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,6 +175,31 @@
 	}
 }
 
+// Guards against a stream of unknown start that goes on by a list which has only arrived after the request, and
+// against reads of the store where they cannot help.
+func TestStreamOfUnknownStartNeedsAListThatWasAskedFor(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		since     time.Duration
+		refreshed bool
+		reads     bool
+		served    bool
+	}{
+		{"the list was read", 2 * longestStream, true, true, true},
+		{"the store did not answer", 2 * longestStream, false, true, false},
+		{"a single version for a short time", longestStream / 2, true, false, false},
+	} {
+		e := newVersionedEnv(t, "v1")
+		e.listSingleVersion("v1", c.since)
+		var reads atomic.Int64
+		e.RefreshTargets = func(context.Context) bool { reads.Add(1); return c.refreshed }
+		_, body, err := e.post(t, "/resume/x", "", wiretest.LastEventID, "2", wiretest.Resumes, "first")
+		if served := body == event(3)+event(4); err != nil || served != c.served || reads.Load() > 0 != c.reads {
+			t.Errorf("%s: body %q, error %v, %d reads", c.name, body, err, reads.Load())
+		}
+	}
+}
+
 // Guards against questions to other processes for requests that resume nothing: forged ones, those
 // without a last event, and those on routes that do not resume.
 func TestOnlyResumptionsAreAskedFor(t *testing.T) {
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -35,7 +35,7 @@
 	}
 	log = fl.withArrival(fl.auditOr(log))
 	report := fl.view.Engines[dst.target.Incarnation]
-	phase, age := report.Phase, fl.age(report.ReceivedAt)
+	phase, age := report.Phase, fl.age(report.AsOf)
 	if dst.probed {
 		phase, age = dst.probeResponse.Phase, dst.probeResponse.ReportAge
 	}
--- a/internal/gateway/mesh/fleet_test.go
+++ b/internal/gateway/mesh/fleet_test.go
@@ -155,7 +155,7 @@
 	from := p.mesh.options.Listen
 	p.fleet.after(simDelay, func() {
 		if !receiver.dead {
-			receiver.mesh.handleHeartbeat(from, heartbeat)
+			receiver.mesh.handleHeartbeat(from, heartbeat, received(receiver.mesh.options.Now()))
 		}
 	})
 }
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -16,6 +16,7 @@
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/datagram"
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 )
 
 const (
@@ -36,8 +37,9 @@
 	Leaving     bool
 	Incarnation uint64
 	Sequence    uint64
-	// LastSeen is when the newest heartbeat was received, by this process or by another one that
-	// reported it.
+	// LastSeen is when the newest heartbeat was processed, by this process or by another one that
+	// reported it. A process that was stopped takes those that waited for it as signs of life: otherwise it
+	// would count all others as dead until their next ones.
 	LastSeen time.Time
 	// AliveSince is when this process first learned that this incarnation is live, or that it is
 	// live again after a heartbeat timeout; zero if it never was.
@@ -46,6 +48,8 @@
 	StoppingSince time.Time
 	// Heartbeat is the newest heartbeat received; nil if only other processes have received one.
 	Heartbeat *peerv1.Beat
+	// Receipt is that of the newest heartbeat.
+	Receipt asof.Receipt
 	// shortIncarnation is the low half of Incarnation, which sightings include.
 	shortIncarnation uint32
 	// named is LastSeen as it was when a heartbeat of this process last named the member.
@@ -135,7 +139,7 @@
 func (m *Mesh) Close() { _ = m.conn.Close() }
 
 func (m *Mesh) receive() {
-	datagram.Receive(m.conn, MaxDatagram, func(data []byte, from netip.AddrPort) {
+	datagram.ReceiveTimed(m.conn, MaxDatagram, m.options.Now, func(data []byte, from netip.AddrPort, idle time.Time) {
 		heartbeat := &peerv1.Beat{}
 		if proto.Unmarshal(data, heartbeat) != nil {
 			return
@@ -143,14 +147,14 @@
 		if heartbeat.Origin != nil {
 			m.options.OnOrigin(from, heartbeat.Origin)
 		} else {
-			m.loop.Post(func() { m.handleHeartbeat(from, heartbeat) })
+			m.loop.Post(func() { m.handleHeartbeat(from, heartbeat, asof.Message(idle, m.options.Now())) })
 		}
 	})
 }
 
 // handleHeartbeat processes a received heartbeat. It ignores one that arrives after a newer one,
 // which would restore outdated state.
-func (m *Mesh) handleHeartbeat(from netip.AddrPort, heartbeat *peerv1.Beat) {
+func (m *Mesh) handleHeartbeat(from netip.AddrPort, heartbeat *peerv1.Beat, receipt asof.Receipt) {
 	if heartbeat.Probe {
 		m.answerProbe(from)
 	}
@@ -161,7 +165,7 @@
 	if heartbeat.Partial && (member == nil || member.Incarnation != heartbeat.Incarnation) {
 		return // the first full heartbeat of this incarnation has not arrived yet
 	}
-	now, met := m.options.Now(), member != nil
+	now, met := receipt.At, member != nil
 	if member == nil {
 		member = &Member{Address: from}
 		m.members[from] = member
@@ -179,7 +183,7 @@
 		member.AliveSince, member.silent = now, false
 		m.logHeard(member, met)
 	}
-	member.LastSeen, member.Heartbeat = now, heartbeat
+	member.LastSeen, member.Heartbeat, member.Receipt = now, heartbeat, receipt
 	m.applySightings(heartbeat.Peers)
 	m.options.OnHeartbeat(member)
 	m.introduceTo(member)
--- a/internal/gateway/mesh/mesh_test.go
+++ b/internal/gateway/mesh/mesh_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 )
 
 // fakeMesh is a mesh without sockets and with a manual clock.
@@ -30,12 +31,15 @@
 	return f
 }
 
+// received is the receipt of a heartbeat that comes without delay.
+func received(now time.Time) asof.Receipt { return asof.Message(now, now) }
+
 func address(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(i%250 + 1)}), 7000)
 }
 
 func (f *fakeMesh) heartbeat(i int, sequence uint64) {
-	f.handleHeartbeat(address(i), &peerv1.Beat{Name: address(i).String(), Entry: true, Incarnation: 1, Sequence: sequence})
+	f.handleHeartbeat(address(i), &peerv1.Beat{Name: address(i).String(), Entry: true, Incarnation: 1, Sequence: sequence}, received(f.now))
 }
 
 // Each of 102 members, more than one round reaches, must be reached once in five rounds. Members
@@ -104,7 +108,7 @@
 	if to := f.receivers(f.Introduce); len(to) != 2 {
 		t.Errorf("first introduction: sent to %v", to)
 	}
-	f.handleHeartbeat(address(2), &peerv1.Beat{Name: "sidecar", Incarnation: 1, Sequence: 1})
+	f.handleHeartbeat(address(2), &peerv1.Beat{Name: "sidecar", Incarnation: 1, Sequence: 1}, received(f.now))
 	if to := f.receivers(f.Introduce); len(to) != 0 {
 		t.Errorf("second introduction: sent to %v", to)
 	}
@@ -120,7 +124,7 @@
 		want                  int
 	}{{"first heartbeat", 1, 1, 1}, {"second heartbeat", 1, 2, 0}, {"next incarnation", 2, 1, 1}, {"its second heartbeat", 2, 2, 0}} {
 		to := f.receivers(func() {
-			f.handleHeartbeat(address(3), &peerv1.Beat{Name: "sidecar", Incarnation: c.incarnation, Sequence: c.sequence})
+			f.handleHeartbeat(address(3), &peerv1.Beat{Name: "sidecar", Incarnation: c.incarnation, Sequence: c.sequence}, received(f.now))
 		})
 		if len(to) != c.want {
 			t.Errorf("%s: sent to %v", c.name, to)
@@ -150,7 +154,7 @@
 func TestDelayedHeartbeatIsIgnored(t *testing.T) {
 	f := newFakeMesh(100 * time.Millisecond)
 	f.heartbeat(1, 5)
-	f.handleHeartbeat(address(1), &peerv1.Beat{Name: "late", Entry: true, Incarnation: 1, Sequence: 4, Leaving: true})
+	f.handleHeartbeat(address(1), &peerv1.Beat{Name: "late", Entry: true, Incarnation: 1, Sequence: 4, Leaving: true}, received(f.now))
 	if m := f.ByAddress(address(1)); m.Name == "late" || m.Leaving {
 		t.Errorf("member %+v", m)
 	}
--- a/internal/gateway/mesh/probes_test.go
+++ b/internal/gateway/mesh/probes_test.go
@@ -54,7 +54,7 @@
 		t.Errorf("dead entries were probed: %v", to)
 	}
 	probe := &peerv1.Beat{Incarnation: 9, Sequence: 1, Partial: true, Probe: true}
-	if to := f.receivers(func() { f.handleHeartbeat(address(200), probe) }); len(to) != 1 || to[0] != address(200) {
+	if to := f.receivers(func() { f.handleHeartbeat(address(200), probe, received(f.now)) }); len(to) != 1 || to[0] != address(200) {
 		t.Errorf("answered: %v", to)
 	}
 	if f.ByAddress(address(200)) != nil {
@@ -71,7 +71,7 @@
 	}
 	to := f.receivers(func() {
 		for i := range 100 {
-			f.handleHeartbeat(address(i), &peerv1.Beat{Incarnation: 1, Sequence: 5, Partial: true, Probe: true})
+			f.handleHeartbeat(address(i), &peerv1.Beat{Incarnation: 1, Sequence: 5, Partial: true, Probe: true}, received(f.now))
 		}
 	})
 	if len(to) != FanOut {
--- a/internal/gateway/pushback/announce.go
+++ b/internal/gateway/pushback/announce.go
@@ -7,6 +7,7 @@
 	"time"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/ratelimit"
 )
@@ -77,27 +78,27 @@
 }
 
 // Merge applies the statements that another entry announces.
-func (r *Registry) Merge(statements []*peerv1.TargetStatement, peer string, now time.Time) {
+func (r *Registry) Merge(statements []*peerv1.TargetStatement, peer string, receipt asof.Receipt) {
 	for _, m := range statements {
 		if m.Leaving {
-			r.StateLeaving(fleet.ID(m.Target), fleet.Incarnation{}, Origin{Peer: peer}, now)
+			r.StateLeaving(fleet.ID(m.Target), fleet.Incarnation{}, Origin{Peer: peer}, receipt.Latest(0))
 		}
 		if m.Limit == nil {
-			r.mergeRateLimit(fleet.ID(m.Target), None, ratelimit.DecodeAge(m.UnlimitedAgeMs), peer, now)
+			r.mergeRateLimit(fleet.ID(m.Target), ratelimit.StatedLimit{PerSecond: None, Age: ratelimit.DecodeAge(m.UnlimitedAgeMs)}, peer, receipt)
 			continue
 		}
-		s := ratelimit.DecodeStatedLimit(m.Limit)
-		r.mergeRateLimit(fleet.ID(m.Target), s.PerSecond, s.Age, peer, now)
+		r.mergeRateLimit(fleet.ID(m.Target), ratelimit.DecodeStatedLimit(m.Limit), peer, receipt)
 	}
 }
 
 // Learn applies the limit of a target that another entry sends along with a lease request.
-func (r *Registry) Learn(id fleet.ID, s ratelimit.StatedLimit, peer string, now time.Time) {
-	r.mergeRateLimit(id, s.PerSecond, s.Age, peer, now)
+func (r *Registry) Learn(id fleet.ID, s ratelimit.StatedLimit, peer string, receipt asof.Receipt) {
+	r.mergeRateLimit(id, s, peer, receipt)
 }
 
-func (r *Registry) mergeRateLimit(id fleet.ID, perSecond float64, age time.Duration, peer string, now time.Time) {
-	if age > statementTTL {
+func (r *Registry) mergeRateLimit(id fleet.ID, s ratelimit.StatedLimit, peer string, receipt asof.Receipt) {
+	now := receipt.Latest(0)
+	if s.Age > statementTTL {
 		return
 	}
 	r.mu.Lock()
@@ -106,7 +107,7 @@
 	if t == nil {
 		return
 	}
-	t.limit.merge(perSecond, now.Add(-age))
+	t.limit.merge(s.PerSecond, receipt.Earliest(s.Age))
 	r.reportRateLimit(id, t, Origin{Peer: peer}, now)
 }
 
--- a/internal/gateway/pushback/announce_test.go
+++ b/internal/gateway/pushback/announce_test.go
@@ -7,11 +7,15 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/ratelimit"
 	"github.com/toucanwell/toucanwell/internal/gateway/wire"
 )
 
+// receivedAt is the receipt of a message that came without delay.
+func receivedAt(now time.Time) asof.Receipt { return asof.Message(now, now) }
+
 // gossip is a fleet of registries whose entries announce statements to some others in rounds.
 type gossip struct {
 	registries []*Registry
@@ -46,7 +50,7 @@
 		}
 		for range gossipFanOut {
 			if receiver := g.registries[g.random.IntN(len(g.registries))]; receiver != r && g.random.Float64() >= gossipLoss {
-				receiver.Merge(statements, "peer", g.now.Add(gossipDelay))
+				receiver.Merge(statements, "peer", receivedAt(g.now.Add(gossipDelay)))
 			}
 		}
 	}
@@ -136,15 +140,15 @@
 	r := newResponses()
 	r.at(1000, 900, limit(2))
 	now := start.Add(1100 * time.Millisecond)
-	r.Learn(1, ratelimit.StatedLimit{PerSecond: 9, Age: 500 * time.Millisecond}, "peer", now)
+	r.Learn(1, ratelimit.StatedLimit{PerSecond: 9, Age: 500 * time.Millisecond}, "peer", receivedAt(now))
 	if got, _, _ := r.RateLimit(1, now); got != 2 {
 		t.Errorf("limit %g after an older announcement", got)
 	}
-	r.Learn(1, ratelimit.StatedLimit{PerSecond: 9, Age: 10 * time.Millisecond}, "peer", now)
+	r.Learn(1, ratelimit.StatedLimit{PerSecond: 9, Age: 10 * time.Millisecond}, "peer", receivedAt(now))
 	if got, _, _ := r.RateLimit(1, now); got != 9 {
 		t.Errorf("limit %g after a newer announcement", got)
 	}
-	r.Learn(2, ratelimit.StatedLimit{PerSecond: 9, Age: 2 * statementTTL}, "peer", now)
+	r.Learn(2, ratelimit.StatedLimit{PerSecond: 9, Age: 2 * statementTTL}, "peer", receivedAt(now))
 	if _, _, ok := r.RateLimit(2, now); ok {
 		t.Error("an expired statement was adopted")
 	}
@@ -174,3 +178,15 @@
 		}
 	}
 }
+
+// Guards against a limit that takes the place of a newer one, as its announcement waited while this process was
+// stopped.
+func TestDelayedLimitDoesNotReplaceANewerOne(t *testing.T) {
+	r, now := NewRegistry(&recorder{}), time.Unix(1000, 0)
+	r.Learn(1, ratelimit.StatedLimit{PerSecond: 20}, "peer", receivedAt(now))
+	delayed := asof.Message(now.Add(-2*time.Second), now.Add(time.Second))
+	r.Learn(1, ratelimit.StatedLimit{PerSecond: 9, Age: 100 * time.Millisecond}, "peer", delayed)
+	if perSecond, _, limited := r.RateLimit(1, now.Add(time.Second)); !limited || perSecond != 20 {
+		t.Errorf("the limit in force is %v, %v", perSecond, limited)
+	}
+}
--- a/internal/gateway/quarantine/crashdetector.go
+++ b/internal/gateway/quarantine/crashdetector.go
@@ -306,7 +306,7 @@
 		return NoEvidence
 	case replaced(v, &s.Target):
 		return OtherIncarnation
-	case v.Engines[s.Target.Incarnation].ReceivedAt.Sub(s.At) > sidecarReportDelay:
+	case v.Engines[s.Target.Incarnation].AsOf.Sub(s.At) > sidecarReportDelay:
 		return NoEvidence // its sidecar still reports it: unlisted but running
 	case v.TargetsCurrentAt.After(s.At):
 		return Unlisted
--- a/internal/gateway/quarantine/crashdetector_test.go
+++ b/internal/gateway/quarantine/crashdetector_test.go
@@ -73,7 +73,7 @@
 
 // withReport adds a sidecar's report of the target, received at receivedAt.
 func withReport(v *view.View, t fleet.Target, receivedAt time.Time) *view.View {
-	v.Engines = map[fleet.Incarnation]view.EngineReport{t.Incarnation: {ReceivedAt: receivedAt}}
+	v.Engines = map[fleet.Incarnation]view.EngineReport{t.Incarnation: {AsOf: receivedAt}}
 	return v
 }
 
--- a/internal/gateway/ratelimit/exchange.go
+++ b/internal/gateway/ratelimit/exchange.go
@@ -9,6 +9,7 @@
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/datagram"
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
@@ -64,23 +65,23 @@
 
 // Serve handles messages of other entries until Close.
 func (l *Limiter) Serve() {
-	datagram.Receive(l.conn, maxDatagramSize, func(data []byte, from netip.AddrPort) {
+	datagram.ReceiveTimed(l.conn, maxDatagramSize, l.options.Now, func(data []byte, from netip.AddrPort, idle time.Time) {
 		m := &peerv1.RateMessage{}
 		if proto.Unmarshal(data, m) == nil {
-			l.handleMessage(from, m)
+			l.handleMessage(from, m, asof.Message(idle, l.options.Now()))
 		}
 	})
 }
 
-func (l *Limiter) handleMessage(from netip.AddrPort, m *peerv1.RateMessage) {
-	now := l.options.Now()
+func (l *Limiter) handleMessage(from netip.AddrPort, m *peerv1.RateMessage, receipt asof.Receipt) {
+	now := receipt.At
 	l.mu.Lock()
 	l.reportedKnown.add(int(m.Known), now)
 	l.mu.Unlock()
 	switch {
 	case m.Ask != nil:
 		if m.Ask.Stated != nil && l.options.Learn != nil {
-			l.options.Learn(m.Key, DecodeStatedLimit(m.Ask.Stated), from)
+			l.options.Learn(m.Key, DecodeStatedLimit(m.Ask.Stated), from, receipt)
 		}
 		resp, ok := l.handleRequest(m.Key, Holder{Address: from, Incarnation: m.Incarnation}, decodeRequest(m.Id, m.Ask), m.Ask.InPlace, now)
 		out := encodeResponse(resp)
--- a/internal/gateway/ratelimit/fleet_test.go
+++ b/internal/gateway/ratelimit/fleet_test.go
@@ -141,7 +141,7 @@
 	f.mu.Unlock()
 	m := &peerv1.RateMessage{}
 	if proto.Unmarshal(data, m) == nil {
-		l.handleMessage(from.address, m)
+		l.handleMessage(from.address, m, received(l))
 	}
 }
 
@@ -175,7 +175,7 @@
 	for _, message := range inbox {
 		m := &peerv1.RateMessage{}
 		if proto.Unmarshal(message[1].([]byte), m) == nil {
-			l.handleMessage(message[0].(netip.AddrPort), m)
+			l.handleMessage(message[0].(netip.AddrPort), m, received(l))
 		}
 	}
 }
--- a/internal/gateway/ratelimit/limiter.go
+++ b/internal/gateway/ratelimit/limiter.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 )
 
 const (
@@ -43,7 +45,7 @@
 	// another entry knows of that. The coordinator may not have received a response of the target
 	// itself. Both are nil if there are no buckets of targets.
 	Stated func(key string) (StatedLimit, bool)
-	Learn  func(key string, s StatedLimit, from netip.AddrPort)
+	Learn  func(key string, s StatedLimit, from netip.AddrPort, receipt asof.Receipt)
 	// OnRequest is called for each lease request that is sent, with its kind. It may be nil.
 	OnRequest func(kind RequestKind)
 	// Now is a clock that includes time that the host was suspended.
--- a/internal/gateway/ratelimit/overload_test.go
+++ b/internal/gateway/ratelimit/overload_test.go
@@ -126,7 +126,7 @@
 	f.mu.Lock()
 	h.buffered--
 	f.mu.Unlock()
-	f.entries[to].limiter.handleMessage(f.entries[from].address, m)
+	f.entries[to].limiter.handleMessage(f.entries[from].address, m, received(f.entries[to].limiter))
 }
 
 // call sends a caller's request to an entry; the caller retries once as told.
--- a/internal/gateway/ratelimit/waiting_test.go
+++ b/internal/gateway/ratelimit/waiting_test.go
@@ -10,8 +10,12 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 )
 
+// received is the receipt of a message that comes to a limiter without delay.
+func received(l *Limiter) asof.Receipt { return asof.Message(l.options.Now(), l.options.Now()) }
+
 // remoteLimiter returns a limiter whose bucket is coordinated by another entry, and the lease requests
 // that it sends to that and to the next in rank.
 func remoteLimiter(t *testing.T) (l *Limiter, toCoordinator, toOthers *[]*peerv1.RateMessage, coordinator netip.AddrPort) {
@@ -63,7 +67,7 @@
 		if len(ids) != 1 || len(*sent) < 2 || len(*others) > 0 {
 			t.Errorf("%d requests with %d IDs to the coordinator, %d to others", len(*sent), len(ids), len(*others))
 		}
-		l.handleMessage(coordinator, &peerv1.RateMessage{Id: (*sent)[0].Id, Incarnation: 1, Key: "b", Answer: &peerv1.RateAnswer{Leased: 5, NextMs: 500}})
+		l.handleMessage(coordinator, &peerv1.RateMessage{Id: (*sent)[0].Id, Incarnation: 1, Key: "b", Answer: &peerv1.RateAnswer{Leased: 5, NextMs: 500}}, received(l))
 		if d := l.Admit(t.Context(), Request{Key: "b", Limit: smallLimit, Cost: 4, MaxWait: time.Second}); !d.Admitted || d.Source != Leased {
 			t.Errorf("after a late response: got %+v", d)
 		}
@@ -209,7 +213,7 @@
 		}
 		go admit()
 		synctest.Wait()
-		l.handleMessage(coordinator, &peerv1.RateMessage{Id: (*sent)[0].Id, Incarnation: 1, Key: "b", Answer: &peerv1.RateAnswer{Admitted: true, Rate: perSecond}})
+		l.handleMessage(coordinator, &peerv1.RateMessage{Id: (*sent)[0].Id, Incarnation: 1, Key: "b", Answer: &peerv1.RateAnswer{Admitted: true, Rate: perSecond}}, received(l))
 		answered := time.Now()
 		type outcome struct {
 			Decision
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -8,6 +8,7 @@
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 )
@@ -49,9 +50,9 @@
 	c.targets.NoteEra(era, since)
 }
 
-// currentAt returns when a replica was last known to be complete. A long poll of the
-// declarations returns with the first new record, so the declarations are complete as long
-// as the store answers other reads.
+// currentAt returns as of when a replica is known to be complete. A long poll of the declarations returns
+// with the first new record, so they count as complete as long as the store answers other reads; nothing but
+// the time of reads and what operators are shown depends on that.
 func (c *clusterState) currentAt(topic string) time.Time {
 	targetsAt := c.targets.Replica().CurrentAt()
 	if topic == topicTargets {
@@ -79,20 +80,20 @@
 		if f == nil {
 			continue
 		}
-		c.compareReplica(m.Address, f, p)
+		c.compareReplica(m.Address, f, p, m.Receipt)
 	}
 }
 
 // compareReplica marks a replica as current if it matches the peer's, or fetches the
 // records that only the peer has. What is known of a later era of the store replaces the log of an earlier
 // one, never the reverse.
-func (c *clusterState) compareReplica(peer netip.AddrPort, f *feed.Follower, p *peerv1.TopicPosition) {
+func (c *clusterState) compareReplica(peer netip.AddrPort, f *feed.Follower, p *peerv1.TopicPosition, receipt asof.Receipt) {
 	replica, era := f.Replica(), feed.Era(p.Era)
 	if !replica.Empty() && era < replica.Era() {
 		return
 	}
 	if era > c.era || p.EraAgeMs > 0 {
-		c.noteEra(era, at(c.clock.Now(), p.EraAgeMs))
+		c.noteEra(era, receipt.Latest(milliseconds(p.EraAgeMs)))
 	}
 	coverage := feed.Coverage{Era: era, End: p.End, SeenFrom: p.SeenFrom, DropEnd: p.DropEnd}
 	same := p.End == replica.End()
@@ -103,7 +104,8 @@
 	case era > replica.Era():
 		c.fetchFromPeer(peer, p.Topic, f)
 	case same && replica.End() > 0 && replica.CoveredBy(coverage):
-		replica.MarkCurrent(at(c.clock.Now(), p.AgeMs))
+		replica.Confirm(receipt.Latest(milliseconds(p.AgeMs)))
+		replica.MarkCurrent(receipt.Earliest(milliseconds(p.AgeMs)))
 	case !same && p.End > replica.End():
 		c.fetchFromPeer(peer, p.Topic, f)
 	}
@@ -112,10 +114,7 @@
 	}
 }
 
-// at returns the time that was ageMs milliseconds ago.
-func at(now time.Time, ageMs uint32) time.Time {
-	return now.Add(-time.Duration(ageMs) * time.Millisecond)
-}
+func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // retainedSet identifies what a peer retains of earlier eras.
 type retainedSet struct {
@@ -198,10 +197,11 @@
 		if a.End == 0 {
 			return
 		}
+		receipt := asof.Answer(now, c.clock.Now())
 		if a.EraAge > 0 {
-			c.noteEra(a.Era, c.clock.Now().Add(-a.EraAge))
+			c.noteEra(a.Era, receipt.Latest(a.EraAge))
 		}
-		if f.ApplyPage(a.Page, position, c.clock.Now().Add(-a.Age), from.String()) {
+		if f.ApplyPage(a.Page, position, receipt, a.Age, from.String()) {
 			c.rememberRetained(topic, &a.Page)
 		}
 	})
--- a/internal/gateway/sidecar.go
+++ b/internal/gateway/sidecar.go
@@ -166,7 +166,7 @@
 	for _, t := range s.state.targetsOf(s.engineService()) {
 		v := weights.EngineView{Incarnation: t.Incarnation, Version: t.Weights[model], Age: unknownAge}
 		if report, ok := s.state.engineReports[t.Incarnation]; ok {
-			v.Version, v.Age = report.Weights[model], now.Sub(report.ReceivedAt)
+			v.Version, v.Age = report.Weights[model], now.Sub(report.AsOf)
 			v.Phase, v.PhaseAge = report.Phase, now.Sub(report.PhaseSince)
 		}
 		if t.Incarnation == s.incarnation {
@@ -199,7 +199,7 @@
 		s.statements.StateLeaving(s.engineID(), incarnation, pushback.Origin{}, s.process.clock.Now())
 	}
 	s.tracker.SetState(tracker.State{
-		Incarnation: incarnation, Weights: report.Weights, Phase: phase, ReportedAt: report.ReceivedAt,
+		Incarnation: incarnation, Weights: report.Weights, Phase: phase, ReportedAt: report.AsOf,
 	})
 	if changed && !s.state.large.Load() {
 		s.state.mesh.Broadcast()
@@ -250,7 +250,7 @@
 	id := s.engineID()
 	for _, statement := range m.Heartbeat.Statements {
 		if fleet.ID(statement.Target) == id {
-			s.statements.Merge([]*peerv1.TargetStatement{statement}, m.Name, s.process.clock.Now())
+			s.statements.Merge([]*peerv1.TargetStatement{statement}, m.Name, m.Receipt)
 		}
 	}
 }
--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 )
@@ -58,8 +59,8 @@
 
 // shouldAwaitPeers reports whether this process should get its first replica of a topic from a peer.
 // Seeds should not when the whole fleet starts. Later, peers may know what a restored store has lost.
-func (c *clusterState) shouldAwaitPeers(topic string, currentAt time.Time) bool {
-	if !currentAt.IsZero() || c.isSeed() && !c.isRestartedSeedEntry() {
+func (c *clusterState) shouldAwaitPeers(topic string, confirmedAt time.Time) bool {
+	if !confirmedAt.IsZero() || c.isSeed() && !c.isRestartedSeedEntry() {
 		return false
 	}
 	now := c.clock.Now()
@@ -134,17 +135,30 @@
 }
 
 // shouldReadDeclarations reports whether this process should read the declarations now.
-func (c *clusterState) shouldReadDeclarations(currentAt time.Time) bool {
-	if c.shouldAwaitPeers(topicOperators, currentAt) {
+func (c *clusterState) shouldReadDeclarations(confirmedAt time.Time) bool {
+	if c.shouldAwaitPeers(topicOperators, confirmedAt) {
 		return false
 	}
-	return c.longPollsDeclarations() || c.clock.Now().Sub(currentAt) > sidecarDeclarationsReadAge
+	return c.longPollsDeclarations() || c.clock.Now().Sub(confirmedAt) > sidecarDeclarationsReadAge
 }
 
 // shouldReadTargets reports whether this process should read the target list now.
-func (c *clusterState) shouldReadTargets(currentAt time.Time) bool {
-	age := c.clock.Now().Sub(currentAt)
-	return age > firstEntryReadAge && !c.shouldAwaitPeers(topicTargets, currentAt) && age > c.targetsReadAge()
+func (c *clusterState) shouldReadTargets(confirmedAt time.Time) bool {
+	age := c.clock.Now().Sub(confirmedAt)
+	return age > firstEntryReadAge && !c.shouldAwaitPeers(topicTargets, confirmedAt) && age > c.targetsReadAge()
+}
+
+// refreshTargets reads the target list from the store, and reports whether the view is then current as of a time
+// after the call. It may be called on any goroutine.
+func (c *clusterState) refreshTargets(ctx context.Context) bool {
+	done := make(chan bool, 1)
+	c.loop.Post(func() { c.targets.Refresh(func(ok bool) { done <- ok }) })
+	select {
+	case ok := <-done:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // targetsReadAge returns the age of the replica of the target list at which this process
--- a/internal/gateway/syncstate.go
+++ b/internal/gateway/syncstate.go
@@ -12,7 +12,7 @@
 	replica := c.targets.Replica()
 	f := fleet.SyncState{
 		StartedAt: c.startedAt, CompleteSince: replica.CompleteSince(), OutageBegan: replica.OutageBegin(), OutageEnded: replica.OutageEnd(),
-		Current: now.Sub(replica.CurrentAt()) <= c.targetsReadAge()+outageGap,
+		Current: now.Sub(replica.ConfirmedAt()) <= c.targetsReadAge()+outageGap,
 	}
 	if first := replica.FirstCurrentAt(); first.Sub(c.startedAt) > outageGap {
 		f.StartedAt = first // the store was unavailable at startup
@@ -40,7 +40,7 @@
 			continue
 		}
 		report := v.Engines[incarnation]
-		c.logger.Info("target_unlisted", "target", incarnation, "outcome", state.String(), "began_within", c.age(report.StartedAfter), "report_age", c.age(report.ReceivedAt),
+		c.logger.Info("target_unlisted", "target", incarnation, "outcome", state.String(), "began_within", c.age(report.StartedAfter), "report_age", c.age(report.AsOf),
 			"list_age", c.age(v.TargetsCurrentAt), "list_followed_for", c.age(c.targets.Replica().CompleteSince()), "started", c.age(c.startedAt))
 	}
 	c.unlisted = unlisted
@@ -59,15 +59,16 @@
 	all := make([]fleet.Report, 0, len(reports))
 	for incarnation, r := range reports {
 		all = append(all, fleet.Report{
-			Incarnation: incarnation, Service: r.Service, Address: r.Address, Zone: r.Zone, Weights: r.Weights, StartedAfter: r.StartedAfter, ReceivedAt: r.ReceivedAt,
+			Incarnation: incarnation, Service: r.Service, Address: r.Address, Zone: r.Zone, Weights: r.Weights, StartedAfter: r.StartedAfter, AsOf: r.AsOf,
 		})
 	}
 	return all
 }
 
-// listedAt returns the time at which the replica of the target list was current.
+// listedAt returns the latest time at which a target may have been listed that the replica of the target list
+// has just dropped.
 func (c *clusterState) listedAt() time.Time {
-	if at := c.targets.Replica().CurrentAt(); !at.IsZero() {
+	if at := c.targets.Replica().ConfirmedAt(); !at.IsZero() {
 		return at
 	}
 	return c.clock.Now()
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/forward"
 	"github.com/toucanwell/toucanwell/internal/gateway/pushback"
@@ -97,8 +98,8 @@
 }
 
 // learnLimit applies what another entry knows of a target's limit.
-func (e *entry) learnLimit(key string, s ratelimit.StatedLimit, from netip.AddrPort) {
+func (e *entry) learnLimit(key string, s ratelimit.StatedLimit, from netip.AddrPort, receipt asof.Receipt) {
 	if id, isTarget := pushback.IDFromKey(key); isTarget {
-		e.pushback.Learn(id, s, from.Addr().String(), e.state.clock.Now())
+		e.pushback.Learn(id, s, from.Addr().String(), receipt)
 	}
 }
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -25,7 +25,8 @@
 	// StartedAfter is when the sidecar last saw another incarnation at the address; zero if it
 	// has seen none.
 	StartedAfter time.Time
-	ReceivedAt   time.Time
+	// AsOf is the time as of which the report holds.
+	AsOf time.Time
 }
 
 // Knowledge names the newest record of a topic that a process has, for logs.
--- a/internal/gateway/wantedages.go
+++ b/internal/gateway/wantedages.go
@@ -44,7 +44,8 @@
 	changed := false
 	for _, w := range m.Heartbeat.Wanted {
 		history := c.wantedWeights[w.Model]
-		since := now.Add(-min(time.Duration(w.AgeMs)*time.Millisecond, maxWantedAge))
+		// The earliest time would move back with each message between two processes that tell each other.
+		since := m.Receipt.Latest(min(milliseconds(w.AgeMs), maxWantedAge))
 		earlier := history.StaleFor(w.Version-1, now)
 		next := history.Backdate(weights.WantedVersion{Version: w.Version, Since: since})
 		if next.StaleFor(w.Version-1, now) < earlier+minBackdate {
--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
@@ -30,8 +31,8 @@
 	Queued, Running int
 	// MemoryUsed is the memory that cannot be freed, in tokens.
 	MemoryUsed, MemoryTotal int
-	// ReceivedAt is when the report was received.
-	ReceivedAt time.Time
+	// AsOf is the time as of which the report holds.
+	AsOf time.Time
 }
 
 // Swap selects what happens to running requests when weights are loaded.
@@ -213,10 +214,11 @@
 func (c *Controller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		asked := c.options.Now()
 		report, err := c.engine.Report(callCtx)
 		cancel()
 		interval := make(chan time.Duration, 1)
-		c.loop.Post(func() { interval <- c.handleReport(report, err) })
+		c.loop.Post(func() { interval <- c.handleReport(report, asked, err) })
 		select {
 		case d := <-interval:
 			sleep.For(ctx, d)
@@ -225,8 +227,9 @@
 	}
 }
 
-// handleReport processes the result of a poll and returns the time until the next one.
-func (c *Controller) handleReport(report Report, err error) time.Duration {
+// handleReport processes the result of a poll that asked the engine at a time, and returns the time until
+// the next one.
+func (c *Controller) handleReport(report Report, asked time.Time, err error) time.Duration {
 	c.trackConnRefused(err)
 	if err != nil {
 		if c.reachable {
@@ -244,7 +247,7 @@
 		c.resetAfterRestart(report)
 	}
 	c.reachable = true
-	report.ReceivedAt = c.options.Now()
+	report.AsOf = asof.Answer(asked, c.options.Now()).Earliest(0)
 	c.report = report
 	c.identify()
 	c.step()
@@ -356,7 +359,7 @@
 			c.startedAfter = c.connRefusedAt
 		}
 	}
-	c.lastSeen, c.lastSeenAt = incarnation, c.report.ReceivedAt
+	c.lastSeen, c.lastSeenAt = incarnation, c.report.AsOf
 }
 
 func (c *Controller) step() {
--- a/internal/gateway/weights/controller_test.go
+++ b/internal/gateway/weights/controller_test.go
@@ -28,8 +28,10 @@
 	acceptDelay time.Duration
 	down        bool
 	// absent refuses connections, as if no process listened.
-	absent   bool
-	requests []LoadRequest
+	absent bool
+	// reportDelay holds back reports.
+	reportDelay time.Duration
+	requests    []LoadRequest
 	// restFor makes health checks fail with a TurnedAwayError; identified counts them.
 	restFor    time.Duration
 	identified int
@@ -38,6 +40,7 @@
 func (e *fakeEngine) Report(context.Context) (Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer time.Sleep(e.reportDelay)
 	if e.absent {
 		return Report{}, errors.Wrap(syscall.ECONNREFUSED, "dial")
 	}
@@ -439,3 +442,19 @@
 		t.Errorf("serving engine of a small fleet: %v", got)
 	}
 }
+
+// Guards against an engine's report that counts as new although it arrived late.
+func TestReportHoldsAsOfItsQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		h := startHarnessWith(&fakeEngine{instance: "i1", version: 1, reportDelay: reportTimeout / 2})
+		time.Sleep(reportTimeout/2 + time.Millisecond)
+		synctest.Wait()
+		asOf := make(chan time.Time, 1)
+		h.loop.Post(func() { asOf <- h.controller.report.AsOf })
+		if got := <-asOf; got != begin {
+			t.Errorf("the report holds as of %s after the question", got.Sub(begin))
+		}
+		h.stop()
+	})
+}
