An address at which something else than a target answers is rested

Cause: a response without an ID is skipped, and the request waits for its own until its deadline. Where another HTTP server listens at a listed address, each request that was sent there waited, and nothing counted against it. Change: the outcome 'foreign', for a skipped response on a connection that has carried no other request, which no earlier one can have left. It ejects the target at once, for 4 s, doubled up to a minute. The answer is still waited for, as before.

--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -9,6 +9,7 @@
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 )
 
@@ -81,6 +82,9 @@
 // recordSkipped records a response that came for the request and belongs to another one.
 func (fl *flow) recordSkipped(dst *destination, status int, id string) {
 	fl.lastSend.skipped++
+	if fl.lastSend.conn.Earlier == 0 && fl.lastSend.skipped == 1 {
+		fl.recordOutcome(dst, health.Foreign) // no earlier request can have left it
+	}
 	fl.Metrics.SkippedResponse(fl.serviceName())
 	fl.auditOr(fl.Logger).Info("response_skipped", "request_id", fl.request.ID, "send", fl.sends, "target", dst.target.Incarnation, "status", status, "response_id", bounded(id),
 		"earlier", fl.lastSend.conn.Earlier, "after", roundForLog(time.Since(fl.sentAt)))
--- a/internal/gateway/forward/strayresponse_test.go
+++ b/internal/gateway/forward/strayresponse_test.go
@@ -67,3 +67,26 @@
 		t.Errorf("%d connections, want 2", n)
 	}
 }
+
+// Guards against requests that wait again and again at an address where something else than a target answers.
+func TestForeignResponderIsRested(t *testing.T) {
+	foreign := startTarget(t, "foreign", func(w io.Writer, _ *http.Request, _ string) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	var sound *fakeTarget
+	sound = startTarget(t, "sound", func(w io.Writer, r *http.Request, _ string) bool {
+		return sound.writeSealed(w, r, http.StatusOK, "own")
+	})
+	env := newTestEnv(t, foreign, sound)
+	const requests = 40
+	failed := 0
+	for range requests {
+		if resp, _, err := env.post(t, "/once/x", "order", wiretest.TimeLeft, "100ms"); err != nil || resp.StatusCode != http.StatusOK {
+			failed++
+		}
+	}
+	if failed > 1 || foreign.runs.Load() > 1 {
+		t.Errorf("%d of %d requests failed, %d were sent to the foreign responder", failed, requests, foreign.runs.Load())
+	}
+}
--- a/internal/gateway/health/health.go
+++ b/internal/gateway/health/health.go
@@ -26,9 +26,12 @@
 	Broken
 	// Unreachable is a failure to connect.
 	Unreachable
+	// Foreign is a response to no request on a connection that has carried no other: something else than a
+	// target listens at the address.
+	Foreign
 )
 
-var outcomeNames = map[Outcome]string{Good: "good", Failed: "failed", Broken: "broken", Unreachable: "unreachable"}
+var outcomeNames = map[Outcome]string{Good: "good", Failed: "failed", Broken: "broken", Unreachable: "unreachable", Foreign: "foreign"}
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -47,6 +50,10 @@
 	// the list.
 	baseEjection = 400 * time.Millisecond
 	maxEjection  = 4 * time.Second
+	// foreignEjection and maxForeignEjection replace them for foreign responses, each of which may cost a
+	// request.
+	foreignEjection    = maxEjection
+	maxForeignEjection = time.Minute
 	// recordTTL is how long a target's record is kept after its last outcome.
 	recordTTL = 2 * time.Minute
 )
@@ -96,7 +103,11 @@
 	if !r.shouldEject(o, othersRate) || now.Before(r.ejectedUntil) {
 		return
 	}
-	r.ejection = min(max(2*r.ejection, baseEjection), maxEjection)
+	shortest, longest := baseEjection, maxEjection
+	if o == Foreign {
+		shortest, longest = foreignEjection, maxForeignEjection
+	}
+	r.ejection = min(max(2*r.ejection, shortest), longest)
 	r.ejectedUntil = now.Add(r.ejection)
 	if m.onEject != nil {
 		m.onEject(incarnation, r.ejectedUntil, r.failureRate, othersRate, o)
@@ -111,7 +122,7 @@
 	}
 	r.failureRate = (r.failureRate*r.weight*decay + failure) / (r.weight*decay + 1)
 	r.weight = r.weight*decay + 1
-	if o == Broken || o == Unreachable {
+	if o == Broken || o == Unreachable || o == Foreign {
 		r.brokenInRow++
 	} else {
 		r.brokenInRow = 0
@@ -119,7 +130,7 @@
 }
 
 func (r *record) shouldEject(o Outcome, othersRate float64) bool {
-	if o == Unreachable || r.brokenInRow >= maxBrokenInRow {
+	if o == Unreachable || o == Foreign || r.brokenInRow >= maxBrokenInRow {
 		return true
 	}
 	return r.weight >= minOutcomes && r.failureRate > othersRate+excessFailureRate
--- a/internal/gateway/health/health_test.go
+++ b/internal/gateway/health/health_test.go
@@ -96,3 +96,25 @@
 		t.Error("the next incarnation is ejected")
 	}
 }
+
+// Guards against requests that fail again and again at an address where something else than a target listens,
+// and against a target that stays out of use once it answers.
+func TestForeignResponderIsEjectedForLong(t *testing.T) {
+	m, now := NewMonitor(nil), time.Unix(1000, 0)
+	i := fleet.Incarnation{Instance: "i"}
+	tried := 0
+	for end := now.Add(10 * time.Minute); now.Before(end); now = now.Add(time.Second) {
+		if _, ejected := m.Ejected(now)[i]; !ejected {
+			tried++
+			m.Record("s", i, Foreign, now)
+		}
+	}
+	if tried < 10 || tried > 15 { // after four shorter ones, an ejection takes a minute
+		t.Errorf("%d requests in ten minutes", tried)
+	}
+	now = now.Add(maxForeignEjection)
+	m.Record("s", i, Good, now)
+	if len(m.Ejected(now)) > 0 {
+		t.Error("a target that answers is ejected")
+	}
+}
