A start time far ahead counts as not stated

Cause: of two targets at one address the later start takes precedence, as it does under one name. An entry of another writer with a start time far ahead took the place of a sound target for good. Result: TestStartTimeFarAheadCountsAsNotStated, red without the guard. With real processes the fault does not show where a sidecar reports its engine.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -131,10 +131,17 @@
 // a longer silence the "earlier" incarnation is a restart on a host whose clock went back.
 const staleListingWindow = 4 * time.Second
 
+// maxClockLead is how far a target's clock may be ahead. A start time beyond it counts as not stated: by it
+// the listing would take precedence over all others of its name and at its address.
+const maxClockLead = 24 * time.Hour
+
 // Add records a target's listing that was first read at a position. It ignores a delayed listing
 // of an earlier incarnation, which would restore the state of a process that has ended, and
 // reports whether the listing was accepted.
 func (d *Directory) Add(l Listing, position feed.Position, now time.Time) bool {
+	if l.StartedMs > now.Add(maxClockLead).UnixMilli() {
+		l.StartedMs = 0
+	}
 	s := d.states[l.Instance]
 	if s == nil {
 		s = &targetState{}
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -133,3 +134,30 @@
 		t.Errorf("targets %v", got)
 	}
 }
+
+// Guards against an odd entry whose start time is far ahead: it would take precedence over the sound target of its
+// name, or at its address, for good.
+func TestStartTimeFarAheadCountsAsNotStated(t *testing.T) {
+	d := NewDirectory()
+	now := start
+	declared := func(string) bool { return true }
+	sound := Listing{Incarnation: Incarnation{Instance: "i-1", StartedMs: now.UnixMilli()}, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	position := uint64(0)
+	add := func(l Listing) {
+		position++
+		d.Add(l, feed.Position{Offset: position}, now)
+	}
+	for _, ahead := range []int64{math.MaxInt64, now.AddDate(8000, 0, 0).UnixMilli()} {
+		odd := sound
+		odd.StartedMs = ahead
+		add(sound)
+		add(odd)
+		add(sound)
+		odd.Instance = "i-odd"
+		add(odd)
+		add(sound)
+		if got := d.Targets(declared, now, currentSync)["s"]; len(got) != 1 || got[0].Incarnation != sound.Incarnation {
+			t.Errorf("start time %d: the targets are %+v", ahead, got)
+		}
+	}
+}
