Heartbeats fit into a datagram however many versions are wanted

Cause: for 5 s after each start heartbeats name all wanted versions of all models, up to 16 a model. With many models they exceed a datagram and are not sent, so that all processes look dead to each other. Change: 300 bytes of them in each heartbeat; successive ones go on where the one before ended.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -58,6 +58,8 @@
 	wantedWeights map[string]weights.History
 	// announceWantedUntil is until when heartbeats announce since when versions are wanted.
 	announceWantedUntil time.Time
+	// wantedAnnounced counts the versions that heartbeats have announced.
+	wantedAnnounced int
 	engineReports       map[fleet.Incarnation]view.EngineReport
 	// unlisted are the reported incarnations that are missing from the target list.
 	unlisted        map[fleet.Incarnation]fleet.UnlistedState
--- a/internal/gateway/wantedages.go
+++ b/internal/gateway/wantedages.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/weights"
@@ -25,13 +29,34 @@
 	if !now.Before(c.announceWantedUntil) {
 		return
 	}
-	for model, history := range c.wantedWeights {
-		for _, w := range history {
-			heartbeat.Wanted = append(heartbeat.Wanted, &peerv1.WantedWeights{
-				Model: model, Version: w.Version, AgeMs: uint32(min(now.Sub(w.Since), maxWantedAge).Milliseconds()),
-			})
+	var all []*peerv1.WantedWeights
+	for _, model := range slices.Sorted(maps.Keys(c.wantedWeights)) {
+		for _, w := range c.wantedWeights[model] {
+			all = append(all, &peerv1.WantedWeights{Model: model, Version: w.Version, AgeMs: uint32(min(now.Sub(w.Since), maxWantedAge).Milliseconds())})
+		}
+	}
+	heartbeat.Wanted = c.nextWanted(all)
+}
+
+// maxWantedBytes bounds what a heartbeat, which fits into a datagram, has of wanted versions.
+const maxWantedBytes = 300
+
+// nextWanted returns as many of the versions as a heartbeat has room for. Successive heartbeats go on where the
+// one before ended.
+func (c *clusterState) nextWanted(all []*peerv1.WantedWeights) []*peerv1.WantedWeights {
+	var next []*peerv1.WantedWeights
+	for size := 0; len(next) < len(all); c.wantedAnnounced++ {
+		w := all[c.wantedAnnounced%len(all)]
+		const overhead = 4 // tag and length
+		if size += proto.Size(w) + overhead; size > maxWantedBytes {
+			if len(next) == 0 {
+				c.wantedAnnounced++ // it never fits
+			}
+			break
 		}
+		next = append(next, w)
 	}
+	return next
 }
 
 // onWanted takes over since when versions of weights are wanted from a process that has known them for
