--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -60,7 +60,7 @@
 	announceWantedUntil time.Time
 	// wantedAnnounced counts the versions that heartbeats have announced.
 	wantedAnnounced int
-	engineReports       map[fleet.Incarnation]view.EngineReport
+	engineReports   map[fleet.Incarnation]view.EngineReport
 	// unlisted are the reported incarnations that are missing from the target list.
 	unlisted        map[fleet.Incarnation]fleet.UnlistedState
 	loggedOutageEnd time.Time
@@ -224,6 +224,7 @@
 		listing, err := c.platform.DecodeTarget(r)
 		if err != nil {
 			c.rejectListing(key, r.Offset, err)
+			c.targets.Replica().Truncate(key, rejectedBytes)
 			c.setListingDigest(key, 0)
 			continue
 		}
@@ -243,18 +244,30 @@
 	}
 }
 
-// maxRejectedListings limits the size of rejectedListings.
-const maxRejectedListings = 1000
+const (
+	// maxRejectedListings limits the size of rejectedListings.
+	maxRejectedListings = 1000
+	// rejectedBytes is how much of an invalid record is kept: less than any valid one has.
+	rejectedBytes = 64
+	// maxErrorLogged bounds what is logged of a record's error, which may quote the record.
+	maxErrorLogged = 300
+	// maxNameLogged bounds a name in the log that another writer chooses.
+	maxNameLogged = 64
+)
+
+// bounded returns the beginning of a text for the log.
+func bounded(text string, n int) string { return text[:min(len(text), n)] }
 
 // rejectListing skips an invalid record of the target list. Every rejection is counted, but
 // only new errors are logged, since the record's writer may repeat it with each heartbeat.
 func (c *clusterState) rejectListing(key string, offset uint64, err error) {
 	c.onListingRejected()
-	if c.rejectedListings[key] == err.Error() || len(c.rejectedListings) >= maxRejectedListings {
+	text := bounded(err.Error(), maxErrorLogged)
+	if c.rejectedListings[key] == text || len(c.rejectedListings) >= maxRejectedListings {
 		return
 	}
-	c.rejectedListings[key] = err.Error()
-	c.logger.Info("target_refused", "target", key, "offset", offset, "error", err.Error())
+	c.rejectedListings[key] = text
+	c.logger.Info("target_refused", "target", key, "offset", offset, "error", text)
 }
 
 // maxListingsLogged is the number of records up to which each new listing is logged. Larger pages,
@@ -276,7 +289,7 @@
 	if bulk && !l.Leaving && !returned {
 		return true
 	}
-	c.logger.Info("target_listed", "target", l.Incarnation, "service", l.Service, "address", l.Address, "zone", l.Zone, "version", l.SoftwareVersion,
+	c.logger.Info("target_listed", "target", l.Incarnation, "service", l.Service, "address", l.Address, "zone", l.Zone, "version", bounded(l.SoftwareVersion, maxNameLogged),
 		"leaving", l.Leaving, "weights", l.Weights, "returned", returned, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source)
 	return true
 }
--- a/internal/gateway/enginereports.go
+++ b/internal/gateway/enginereports.go
@@ -19,6 +19,9 @@
 	peerv1.EnginePhase_ENGINE_PHASE_EMPTYING: weights.Draining,
 }
 
+// maxBeganWithinMs bounds the age that a report may state: a year.
+const maxBeganWithinMs = uint64(365 * 24 * time.Hour / time.Millisecond)
+
 // applyEngineReport stores a sidecar's report of its engine. It reports whether anything
 // changed that affects placement.
 func (c *clusterState) applyEngineReport(m *mesh.Member) bool {
@@ -44,8 +47,8 @@
 	for _, w := range e.Weights {
 		report.Weights[w.Model] = w.Version
 	}
-	if within := time.Duration(e.BeganWithinMs) * time.Millisecond; within > 0 {
-		report.StartedAfter = m.Receipt.Earliest(within)
+	if e.BeganWithinMs > 0 {
+		report.StartedAfter = m.Receipt.Earliest(time.Duration(min(e.BeganWithinMs, maxBeganWithinMs)) * time.Millisecond)
 	}
 	old, known := c.engineReports[incarnation]
 	if !known {
--- a/internal/gateway/estate/estate.go
+++ b/internal/gateway/estate/estate.go
@@ -256,6 +256,9 @@
 	}
 }
 
+// maxWeight is the largest weight of a backend. The sum of a route's weights fits into an int.
+const maxWeight = 1 << 30
+
 func (e *Estate) checkRoute(r *Route) error {
 	if r.Host == "" {
 		return errors.New("no host")
@@ -275,8 +278,8 @@
 		if s.Store != nil {
 			return errors.Newf("service %q is a KV store, which takes no requests", b.Service)
 		}
-		if b.Weight < 0 {
-			return errors.Newf("weight %d of service %q is negative", b.Weight, b.Service)
+		if b.Weight < 0 || b.Weight > maxWeight {
+			return errors.Newf("weight %d of service %q is not in 0 to %d", b.Weight, b.Service, maxWeight)
 		}
 		sum += b.Weight
 	}
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -420,7 +420,12 @@
 
 func toMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func fromMs(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// maxMs bounds the times of a decision, which may be infinite for a link without bandwidth.
+const maxMs = float64(24 * time.Hour / time.Millisecond)
+
+func fromMs(ms float64) time.Duration {
+	return time.Duration(min(ms, maxMs) * float64(time.Millisecond))
+}
 
 // Mix is the finalizer of splitmix64.
 func Mix(x uint64) uint64 {
