--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -17,8 +17,8 @@
 }
 
 // ReceiveTimed is like Receive. idle is the last time, by the clock now, at which the socket had no datagram
-// to read: each one has arrived after it. One that arrived while the process was stopped is not told apart
-// from a new one in another way.
+// to read, and thus precedes the arrival of the one that is handled. The time at which it is handled does not
+// tell when it arrived: the process may have been stopped meanwhile.
 func ReceiveTimed(conn *net.UDPConn, maxSize int, now func() time.Time, handle func(data []byte, from netip.AddrPort, idle time.Time)) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
--- a/internal/gateway/feed/feed.go
+++ b/internal/gateway/feed/feed.go
@@ -164,7 +164,7 @@
 func (r *Replica) CurrentAt() time.Time { return r.currentAt }
 
 // ConfirmedAt returns when the process last learned that the replica is current. What it learned may have been
-// on its way for a while: nothing but the time of the next read depends on it.
+// on its way for a while: ConfirmedAt tells how long ago the store was heard, CurrentAt what is in force.
 func (r *Replica) ConfirmedAt() time.Time { return r.confirmedAt }
 
 // OutageEnd returns when the process first learned that the replica is current after the store's last outage,
