Logs: what is inferred from a 421 is told from a target's statement, and runs that are left

Cause: evidence=stated_not_run stood for the target's word and for an inference from the status alone; nothing told when and why an entry stops reading a stream at which its engine works. Change: evidence=misdirected with its head; run_left. No change of decisions.

--- a/internal/gateway/forward/audit.go
+++ b/internal/gateway/forward/audit.go
@@ -54,7 +54,7 @@
 		"request_id", fl.request.ID, "send", fl.sends, "evidence", s.evidence, "earlier", s.conn.Earlier, "skipped", s.skipped,
 		"conn_age", roundForLog(s.conn.Age), "conn_idle", roundForLog(s.conn.Idle), "conn", s.conn.Local, "written", s.conn.Written,
 	}
-	if fl.audited() && s.evidence == statedNotRun {
+	if fl.audited() && (s.evidence == statedNotRun || s.evidence == misdirected) {
 		fields = append(fields, "head", string(s.conn.Head))
 	}
 	return fields
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 )
 
 // unknownAge is logged as the age of something that was never reported.
@@ -79,6 +81,20 @@
 		"rest", rest, "print", fl.fingerprint, "error", detail)...)
 }
 
+// logUnfinished logs a response that is not read to its end. Its target may work on until it sees that the
+// connection has ended.
+func (fl *flow) logUnfinished(ctx context.Context, dst *destination, resp *upstream.Response) {
+	if resp.Complete() || fl.lastSend.evidence.notRun() {
+		return
+	}
+	cause := ""
+	if err := context.Cause(ctx); err != nil {
+		cause = err.Error()
+	}
+	fl.Logger.Info("run_left", "request_id", fl.request.ID, "send", fl.sends, "target", dst.target.Incarnation, "status", resp.Status, "conn", fl.lastSend.conn.Local,
+		"events", fl.eventCount, "last_event", bounded(fl.lastEvent), "after", roundForLog(time.Since(fl.sentAt)), "cause", cause)
+}
+
 // recordSkipped records a response that came for the request and belongs to another one.
 func (fl *flow) recordSkipped(dst *destination, status int, id string) {
 	fl.lastSend.skipped++
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -88,20 +88,6 @@
 	skipped int
 }
 
-// evidence is why a request counts as run or not run at a target.
-type evidence string
-
-const (
-	// notConnected requests were not sent.
-	notConnected evidence = "not_connected"
-	// statedNotRun requests did not run by the target's own statement.
-	statedNotRun evidence = "stated_not_run"
-	// noResponse requests may have run.
-	noResponse evidence = "no_response"
-	// hasResponse requests have run.
-	hasResponse evidence = "response"
-)
-
 // sendResult is the result of a send.
 type sendResult struct {
 	// final is set if the request must not be sent again.
@@ -171,7 +157,8 @@
 	}
 	defer resp.Close()
 	reply := fl.Protocol.ReadReply(resp.Status, resp.Header)
-	fl.lastSend.evidence = evidenceOfReply(reply)
+	defer fl.logUnfinished(ctx, dst, resp)
+	fl.lastSend.evidence = evidenceOfReply(resp.Status, &reply)
 	fl.logFailedSend(dst, resp.Status, reply.Pushback.RetryAfter, nil)
 	if fl.service.Engine != nil {
 		fl.Reach.EngineResponded(fl.Now())
@@ -181,7 +168,7 @@
 	if reply.IdleTimeout > 0 {
 		fl.Pool.SetIdleLimit(dst.target.Address, reply.IdleTimeout)
 	}
-	if reply.NotRun {
+	if fl.lastSend.evidence.notRun() {
 		return fl.handleNotRun(dst, resp, reply)
 	}
 	if result, ok := fl.checkResponse(ctx, dst, resp, reply); !ok {
@@ -248,20 +235,6 @@
 	return true
 }
 
-func evidenceOfError(err error) evidence {
-	if errors.Is(err, upstream.ErrNotSent) {
-		return notConnected
-	}
-	return noResponse
-}
-
-func evidenceOfReply(reply wire.Reply) evidence {
-	if reply.NotRun {
-		return statedNotRun
-	}
-	return hasResponse
-}
-
 const (
 	// onTimePriorities is the number of priorities for requests that can be served in
 	// time; as many follow for late ones.
@@ -354,17 +327,6 @@
 
 func drain(resp *upstream.Response) { _, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDrain)) }
 
-// impliesNotRun reports whether a status tells callers that the request did not run and never will. A
-// target's own response with such a status is not relayed unless it states as much.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
 // checkResponse reports whether a response may be relayed to the caller, and returns the
 // result of the send if not.
 func (fl *flow) checkResponse(ctx context.Context, dst *destination, resp *upstream.Response, reply wire.Reply) (sendResult, bool) {
--- a/internal/gateway/wire/wire.go
+++ b/internal/gateway/wire/wire.go
@@ -74,7 +74,7 @@
 	ID string
 	// Sealed is set if the response includes the target's proof of origin.
 	Sealed bool
-	// NotRun is set if the target certainly did not run the request.
+	// NotRun is set if the target states that it did not run the request.
 	NotRun bool
 	// Instance is the target that responded; empty if not stated.
 	Instance string
--- a/internal/gateway/wire/wiretest/wiretest.go
+++ b/internal/gateway/wire/wiretest/wiretest.go
@@ -88,7 +88,7 @@
 func (Protocol) ReadReply(status int, h http.Header) wire.Reply {
 	reply := wire.Reply{
 		ID: h.Get(ID), Sealed: h.Get(Seal) != "", Instance: h.Get(Instance), Encoded: h.Get("Content-Encoding") != "",
-		NotRun: h.Get(NotRun) != "" || status == http.StatusMisdirectedRequest,
+		NotRun: h.Get(NotRun) != "",
 	}
 	reply.Pushback.OmitsRateLimit = h.Get(RateLimit) == ""
 	if text := h.Get(RateLimit); text != "" {
