A 421 counts as 'not run' only if it states so or contradicts the send

What callers saw: a request that may run once runs at up to three targets, and its caller is told 429 or 503, when targets that run it answer 421 of their own. Cause: any 421 counted as 'not run', without a look at who answered, what the send had named and whether it shows a run. The class: an inference about a run from a status alone. Change: the target's statement counts; else a 421 without a seal that names another instance or other weights than the send. One function for the decision and the logged evidence.

--- a/internal/gateway/forward/evidence.go
+++ b/internal/gateway/forward/evidence.go
@@ -17,7 +17,7 @@
 	notConnected evidence = "not_connected"
 	// statedNotRun requests did not run by the target's own statement.
 	statedNotRun evidence = "stated_not_run"
-	// misdirected requests were refused by a target that is not the one they were meant for.
+	// misdirected requests were refused by a target that is another one than they name, or has other weights.
 	misdirected evidence = "misdirected"
 	// noResponse requests may have run.
 	noResponse evidence = "no_response"
@@ -37,17 +37,31 @@
 	return noResponse
 }
 
-func evidenceOfReply(status int, reply *wire.Reply) evidence {
+// evidenceOfReply returns what a response to a send shows. A status 421 alone shows nothing: a target may
+// also answer a request with it that it has run.
+func evidenceOfReply(dst *destination, status int, reply *wire.Reply) evidence {
 	switch {
 	case reply.NotRun:
 		return statedNotRun
-	case status == http.StatusMisdirectedRequest:
+	case status == http.StatusMisdirectedRequest && !reply.Sealed && dst.isContradictedBy(reply):
 		return misdirected
 	default:
 		return hasResponse
 	}
 }
 
+// isContradictedBy reports whether a response comes from another instance than the send names, or from one
+// with another version of the weights. Such a target does not run the request.
+func (dst *destination) isContradictedBy(reply *wire.Reply) bool {
+	return isAnother(dst.target.Instance, reply.Instance) || isAnother(dst.weightsVersion, reply.Weights)
+}
+
+// isAnother reports whether both values are stated and differ.
+func isAnother[T comparable](named, stated T) bool {
+	var none T
+	return named != none && stated != none && named != stated
+}
+
 // impliesNotRun reports whether a status tells callers that the request did not run and never will. A
 // target's own response with such a status is not relayed unless the request did not run.
 func impliesNotRun(status int) bool {
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -158,7 +158,7 @@
 	defer resp.Close()
 	reply := fl.Protocol.ReadReply(resp.Status, resp.Header)
 	defer fl.logUnfinished(ctx, dst, resp)
-	fl.lastSend.evidence = evidenceOfReply(resp.Status, &reply)
+	fl.lastSend.evidence = evidenceOfReply(dst, resp.Status, &reply)
 	fl.logFailedSend(dst, resp.Status, reply.Pushback.RetryAfter, nil)
 	if fl.service.Engine != nil {
 		fl.Reach.EngineResponded(fl.Now())
--- a/internal/gateway/wire/wire.go
+++ b/internal/gateway/wire/wire.go
@@ -78,6 +78,8 @@
 	NotRun bool
 	// Instance is the target that responded; empty if not stated.
 	Instance string
+	// Weights is the version of the weights that the target has; zero if not stated.
+	Weights int64
 	// Encoded is set if the response has a content encoding, which no caller requests.
 	Encoded bool
 	// IdleTimeout is how long the target keeps an idle connection open; zero if not stated.
--- a/internal/gateway/wire/wiretest/wiretest.go
+++ b/internal/gateway/wire/wiretest/wiretest.go
@@ -90,6 +90,7 @@
 		ID: h.Get(ID), Sealed: h.Get(Seal) != "", Instance: h.Get(Instance), Encoded: h.Get("Content-Encoding") != "",
 		NotRun: h.Get(NotRun) != "",
 	}
+	reply.Weights, _ = strconv.ParseInt(h.Get(Weights), 10, 64)
 	reply.Pushback.OmitsRateLimit = h.Get(RateLimit) == ""
 	if text := h.Get(RateLimit); text != "" {
 		reply.Pushback.HasRateLimit = true
