Sends that are given up end by a reset

What callers saw: nothing; engines work on at streams that have gone on elsewhere, or whose callers have left. Cause: an abandoned connection was closed in order. An engine that takes the end of a connection for that of one direction works on until it writes, which a request in its queue does not; and what the kernel had not sent yet still arrived after the close. The class: an end that only one side knows of. Change: upstream resets a connection whose exchange is not complete. Connections that have carried whole exchanges close as before.

--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -122,13 +122,18 @@
 func (r *Response) Complete() bool { return r.complete }
 
 // Close ends the exchange. The connection returns to the pool if the exchange is complete and
-// nothing is left to read; otherwise it is closed, which makes the target cancel the request.
+// nothing is left to read; otherwise it ends, by a reset if the exchange is not complete, which makes the target
+// cancel the request.
 func (r *Response) Close() {
 	stopped := r.stop()
 	if stopped && r.complete && !r.raw.Close && !r.CloseDelimited && r.RequestWritten() && r.conn.drained() {
 		r.conn.pool.put(r.conn)
 		return
 	}
+	if !r.complete || !r.RequestWritten() {
+		r.conn.abort()
+		return
+	}
 	r.conn.close()
 }
 
@@ -157,20 +162,20 @@
 }
 
 // Send sends a request to an address and returns when the headers of the response arrive.
-// Cancelling the context closes the connection, even while the body is being read.
+// Cancelling the context resets the connection, even while the body is being read.
 func (p *Pool) Send(ctx context.Context, address netip.AddrPort, req *Request) (*Response, error) {
 	c, err := p.get(ctx, address, req)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	stop := context.AfterFunc(ctx, c.close)
+	stop := context.AfterFunc(ctx, c.abort)
 	c.trace(req.Trace)
 	written := &writeResult{result: c.write(req)}
 	raw, err := c.readResponse(req)
 	c.traceResponse(req.Trace, written, err)
 	if err != nil {
 		stop()
-		c.close()
+		c.abort()
 		if ctx.Err() != nil {
 			return nil, errors.Wrap(ctx.Err(), "await response")
 		}
@@ -312,6 +317,17 @@
 	c.closeOnce.Do(func() { _ = c.net.Close() })
 }
 
+// abort resets the connection. A target may take the end of a connection for that of one direction, and
+// work on until it writes; and what the kernel has not sent yet would still arrive after a regular close.
+func (c *conn) abort() {
+	c.closeOnce.Do(func() {
+		if tcp, ok := c.net.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only if the connection has ended
+		}
+		_ = c.net.Close()
+	})
+}
+
 // drained reports whether nothing that was read from the connection is left.
 func (c *conn) drained() bool { return c.reader.Buffered() == 0 && len(c.input.unread) == 0 }
 
