Streams run at one target at a time: the entry before ends a stream that its caller has taken up again

What callers saw: nothing; engines work on at streams that have gone on at others, for as long as the stream lasts. Cause: an entry knows that a caller has left by the end of its connection alone. Behind a link that forwards nothing that end does not arrive, and an entry that stands still does not act on it. The entry to which the caller comes back knows that it has left, and told nobody. The class: an end that only one side knows of. Change: records of streams have the entry that serves them, the target and an epoch. The entry to which a caller comes back asks the one before to end the stream; without an answer within 20 ms it goes on where the stream ran. stream_taken_over, takeover and epoch on stream_start, stream_takeovers_total.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -147,6 +147,8 @@
 	Resume()
 	// StreamStart records that a caller resumes a stream, and where its version was found.
 	StreamStart(source string)
+	// Takeover records whether the entry that served a resumed stream before has ended it.
+	Takeover(result string)
 	// RateLimit records whether a request was admitted, and the source of the decision.
 	RateLimitDecision(source string, admitted bool)
 	// RateLimitWait records how long a request waited for tokens of its workspace's rate limit.
@@ -320,6 +322,8 @@
 	fl.retries.Earn(f.Bounds.RetryRatio)
 	ctx, cancel := context.WithDeadlineCause(ctx, fl.deadline, errDeadline)
 	defer cancel()
+	ctx, fl.origin.end = context.WithCancelCause(ctx)
+	defer fl.leaveStream()
 	refusal := fl.run(ctx)
 	switch {
 	case refusal == nil:
@@ -517,6 +521,9 @@
 	if fl.r.Context().Err() != nil {
 		return errkind.New(errkind.Cancelled, "the caller closed the connection")
 	}
+	if errors.Is(context.Cause(ctx), errTakenOver) {
+		return errkind.New(errkind.Cancelled, "%v", errTakenOver)
+	}
 	if errors.Is(context.Cause(ctx), errExit) {
 		return fl.exitRefusal()
 	}
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -50,6 +50,7 @@
 func (noMetrics) Retry(string)                                {}
 func (noMetrics) Resume()                                     {}
 func (noMetrics) StreamStart(string)                          {}
+func (noMetrics) Takeover(string)                             {}
 func (noMetrics) RateLimitDecision(string, bool)              {}
 func (noMetrics) RateLimitWait(time.Duration)                 {}
 func (noMetrics) TargetLimitDecision(string, bool)            {}
@@ -79,15 +80,24 @@
 	recorded map[origin.Key]origin.Version
 	found    map[origin.Key]origin.Version
 	asked    int
+	// before is where found streams ran before, ended is closed once they have ended there; nil if they have.
+	before origin.Run
+	ended  chan struct{}
+	// target is that of the last record, epoch that of the last stream served, end ends it.
+	target   uint32
+	epoch    uint32
+	end      func(netip.AddrPort)
+	released int
 }
 
-func (o *fakeOrigins) Record(key origin.Key, version origin.Version) {
+func (o *fakeOrigins) Record(key origin.Key, r origin.Record) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.recorded == nil {
 		o.recorded = map[origin.Key]origin.Version{}
 	}
-	o.recorded[key] = version
+	o.recorded[key] = r.Version
+	o.target = r.Target
 }
 
 func (o *fakeOrigins) Find(_ context.Context, key origin.Key) origin.Finding {
@@ -95,11 +105,32 @@
 	defer o.mu.Unlock()
 	o.asked++
 	if v, ok := o.found[key]; ok {
-		return origin.Finding{Version: v, Source: origin.Peer}
+		return origin.Finding{Record: origin.Record{Version: v, Run: o.before}, Source: origin.Peer}
 	}
 	return origin.Finding{Source: origin.Unknown}
 }
 
+func (o *fakeOrigins) Serve(_ origin.Key, epoch uint32, end func(netip.AddrPort)) func() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.epoch, o.end = epoch, end
+	return func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.released++
+	}
+}
+
+func (o *fakeOrigins) TakeOver(origin.Key, origin.Record) <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ended == nil {
+		o.ended = make(chan struct{})
+		close(o.ended)
+	}
+	return o.ended
+}
+
 type noObserver struct{}
 
 func (noObserver) CrashAttributed(*quarantine.Record, quarantine.Crash, bool) {}
--- a/internal/gateway/forward/origin.go
+++ b/internal/gateway/forward/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/toucanwell/toucanwell/internal/errkind"
@@ -13,12 +14,17 @@
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
-// Origins keeps which software version began each stream.
+// Origins keeps which software version began each stream, and where it runs.
 type Origins interface {
-	// Record records the version that begins a stream. It does not block.
-	Record(key origin.Key, version origin.Version)
-	// Find returns the version that began a stream, and asks other processes if necessary.
+	// Record records a stream that this entry serves. It does not block.
+	Record(key origin.Key, r origin.Record)
+	// Find returns what is known of a stream, and asks other processes if necessary.
 	Find(ctx context.Context, key origin.Key) origin.Finding
+	// Serve registers a stream that this entry serves, and ends what it serves of it at lower epochs. end is
+	// called, on any goroutine, when the caller has taken the stream up at a higher one.
+	Serve(key origin.Key, epoch uint32, end func(by netip.AddrPort)) (release func())
+	// TakeOver asks the entry that served a stream before to end it. The channel is closed once that one has.
+	TakeOver(key origin.Key, before origin.Record) (ended <-chan struct{})
 }
 
 // streamOrigin is the software version that began a stream. What versions write does not fit
@@ -31,6 +37,13 @@
 	version origin.Version
 	// name is the version for the log, source where it was found.
 	name, source string
+	// epoch counts how often the caller has taken the stream up.
+	epoch uint32
+	// before is the target at which it ran before, as long as the entry before may still have it run there.
+	before fleet.ID
+	// end ends the stream here, since its caller has taken it up again. release is called when it has ended.
+	end     context.CancelCauseFunc
+	release func()
 }
 
 // Sources of a stream's version, besides those of origin.Source, in logs and metrics.
@@ -75,9 +88,15 @@
 		reason = "targets of unknown or different versions began it"
 	}
 	fl.origin.bound, fl.origin.version, fl.origin.source, fl.origin.name = true, version, source, fl.versionName(version)
+	took := notTakenOver
+	if reason == "" {
+		found.Version = version
+		took = fl.takeOver(ctx, found.Record)
+	}
 	fl.Metrics.StreamStart(source)
+	fl.Metrics.Takeover(took)
 	fl.Logger.Info("stream_start", "request_id", fl.request.ID, "resumes", bounded(fl.request.Resumes), "last_event", bounded(fl.lastEvent), "source", source, "version", fl.origin.name,
-		"reason", reason, "asked", found.Asked, "answered", found.Answered, "took", roundForLog(found.Took), "list_age", fl.age(fl.view.TargetsCurrentAt), "service", fl.serviceName(), "workspace", fl.workspaceName())
+		"reason", reason, "asked", found.Asked, "answered", found.Answered, "took", roundForLog(found.Took), "epoch", fl.origin.epoch, "takeover", took, "list_age", fl.age(fl.view.TargetsCurrentAt), "service", fl.serviceName(), "workspace", fl.workspaceName())
 	if reason != "" {
 		return errkind.New(errkind.StreamNotResumable, "the software version that began the stream is unknown: %s", reason)
 	}
@@ -131,18 +150,19 @@
 	}
 }
 
-// recordOrigin records the version that brings the first event of the stream, before the caller
-// gets it: the entry may end at any moment.
+// recordOrigin records the version that brings the first event of the stream, and where it runs, before the
+// caller gets the event: the entry may end at any moment.
 func (fl *flow) recordOrigin(dst *destination) {
-	if !fl.route.Resumable || fl.responseStarted {
+	if !fl.route.Resumable {
 		return
 	}
 	if !fl.origin.bound {
 		name := dst.target.SoftwareVersion
 		fl.origin.bound, fl.origin.version = true, origin.VersionOf(dst.target.Service, name)
 		fl.origin.name, fl.origin.source = name, sourceFirstEvent
+		fl.serveStream(firstEpoch)
 	}
-	fl.Origins.Record(fl.origin.key, fl.origin.version)
+	fl.Origins.Record(fl.origin.key, origin.Record{Version: fl.origin.version, Run: origin.Run{Target: uint32(dst.target.ID), Epoch: fl.origin.epoch}})
 }
 
 // hasOtherVersion reports whether a target must not go on with the stream.
--- /dev/null
+++ b/internal/gateway/forward/takeover.go
@@ -0,0 +1,105 @@
+package forward
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
+	"github.com/toucanwell/toucanwell/internal/gateway/origin"
+)
+
+const (
+	// firstEpoch is the epoch of a stream that its caller has not taken up again.
+	firstEpoch = 1
+	// takeoverWait is how long a stream waits for the entry before to end it: some round trips. If that does not
+	// answer it may be slow, stand still or be dead.
+	takeoverWait = 20 * time.Millisecond
+)
+
+// Results of a takeover, in logs and metrics.
+const (
+	// notTakenOver streams were refused, or their entry before is not known.
+	notTakenOver = "none"
+	// takenOver streams have ended at the entry before, unanswered ones may run on there.
+	takenOver       = "ended"
+	takeoverPending = "unanswered"
+)
+
+// errTakenOver is the cause of requests that are ended because their callers have taken the stream up again.
+var errTakenOver = errors.New("the caller has taken the stream up again")
+
+// serveStream registers that this entry serves the stream.
+func (fl *flow) serveStream(epoch uint32) {
+	fl.origin.epoch = epoch
+	fl.origin.release = fl.Origins.Serve(fl.origin.key, epoch, func(by netip.AddrPort) {
+		fl.Logger.Info("stream_taken_over", "request_id", fl.request.ID, "resumes", bounded(fl.request.Resumes), "epoch", epoch, "by", by, "since_arrival", roundForLog(time.Since(fl.arrived)))
+		fl.origin.end(errTakenOver)
+	})
+}
+
+// leaveStream ends what serveStream has begun.
+func (fl *flow) leaveStream() {
+	if fl.origin.release != nil {
+		fl.origin.release()
+	}
+	fl.origin.end(nil)
+}
+
+// takeOver makes the entry end the stream that has served it before, since the end of the caller's connection may
+// not have arrived there. It waits for that only briefly: the stream then goes on where it ran before, if
+// it can, so that it does not run at two targets.
+func (fl *flow) takeOver(ctx context.Context, before origin.Record) string {
+	before.Epoch = max(before.Epoch, firstEpoch)
+	fl.serveStream(before.Epoch + 1)
+	if before.Server == 0 {
+		return notTakenOver
+	}
+	ended := fl.Origins.TakeOver(fl.origin.key, before)
+	wait := time.NewTimer(takeoverWait)
+	defer wait.Stop()
+	select {
+	case <-ended:
+		return takenOver
+	case <-ctx.Done():
+	case <-wait.C:
+	}
+	fl.origin.before = fleet.ID(before.Target)
+	return takeoverPending
+}
+
+// placeAsBefore chooses the target at which the stream ran before, if the entry before may still have it run
+// there and the target can accept it now. It is attempted once.
+func (fl *flow) placeAsBefore(ctx context.Context) *destination {
+	if fl.origin.before == 0 {
+		return nil
+	}
+	defer func() { fl.origin.before = 0 }()
+	if v, ok := fl.View(); ok {
+		fl.view = v
+	}
+	fl.restrictions.denials = 0
+	fl.updateRestrictions()
+	targets := fl.view.Targets[fl.service.Name]
+	if !slices.ContainsFunc(targets, func(t fleet.Target) bool { return !fl.mayNotGoOnAt(&t) }) {
+		return nil
+	}
+	dst, refusal := fl.chooseForStatus(ctx)
+	if refusal != nil {
+		return nil
+	}
+	if !fl.admitAtTarget(ctx, dst) {
+		fl.endProbation(dst)
+		return nil
+	}
+	return dst
+}
+
+// mayNotGoOnAt reports whether a stream must not go on at a target, because that has another version or,
+// during placeAsBefore, is another target.
+func (fl *flow) mayNotGoOnAt(t *fleet.Target) bool {
+	return fl.hasOtherVersion(t) || fl.origin.before != 0 && t.ID != fl.origin.before
+}
--- /dev/null
+++ b/internal/gateway/forward/takeover_test.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/origin"
+	"github.com/toucanwell/toucanwell/internal/gateway/wire/wiretest"
+)
+
+// Guards against a stream that an engine goes on with after its caller has taken it up elsewhere, and against
+// an answer that looks whole.
+func TestStreamThatIsTakenUpElsewhereEnds(t *testing.T) {
+	cancelled := make(chan struct{})
+	target := startTarget(t, "target-a", nil)
+	target.handle = func(w io.Writer, r *http.Request, _ string) bool {
+		target.writeStreamHead(w, r)
+		writeChunk(w, event(1))
+		for {
+			if _, err := io.WriteString(w, "2\r\n: \r\n"); err != nil {
+				close(cancelled)
+				return false
+			}
+			<-time.After(time.Millisecond)
+		}
+	}
+	e := newTestEnv(t, target)
+	origins := &fakeOrigins{}
+	e.Origins = origins
+	e.view.Targets["plain"][0].SoftwareVersion = "v1"
+	go func() {
+		for {
+			origins.mu.Lock()
+			end := origins.end
+			origins.mu.Unlock()
+			if end != nil {
+				end(netip.MustParseAddrPort("10.0.0.2:7"))
+				return
+			}
+			<-time.After(time.Millisecond)
+		}
+	}()
+	if _, body, err := e.post(t, "/resume/x", ""); err == nil {
+		t.Errorf("the answer looks whole: %q", body)
+	}
+	select {
+	case <-cancelled:
+	case <-time.After(5 * time.Second):
+		t.Error("the target goes on")
+	}
+	if origins.epoch != firstEpoch || origins.target != uint32(e.view.Targets["plain"][0].ID) {
+		t.Errorf("served at epoch %d, recorded at target %d", origins.epoch, origins.target)
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for released := 0; released == 0 && time.Now().Before(deadline); {
+		origins.mu.Lock()
+		released = origins.released
+		origins.mu.Unlock()
+	}
+	if origins.released != 1 {
+		t.Errorf("released %d times", origins.released)
+	}
+}
+
+// Guards against a stream that goes on at another target while the entry before, which does not answer, may still
+// have it run where it was; and against one that does not go on, since it cannot run there.
+func TestStreamGoesOnWhereItRan(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		answered bool
+		leaving  bool
+		target   uint32
+		// stays is set if it must go on where it ran.
+		stays bool
+	}{
+		{name: "unanswered", stays: true},
+		{name: "unanswered, the target leaves", leaving: true},
+		{name: "unanswered, the target is not known", target: 99},
+		{name: "answered", answered: true},
+	} {
+		elsewhere := 0
+		for seed := range uint64(8) {
+			e := newVersionedEnv(t, "v1", "v1", "v1", "v1")
+			e.random.Store(seed << 60)
+			e.knows("first", origin.VersionOf("plain", "v1"))
+			targets := e.view.Targets["plain"]
+			targets[3].Leaving = c.leaving
+			e.origins.before = origin.Run{Server: 1, Target: uint32(targets[3].ID), Epoch: 4}
+			if c.target != 0 {
+				e.origins.before.Target = c.target
+			}
+			if !c.answered {
+				e.origins.ended = make(chan struct{})
+			}
+			_, body, err := e.post(t, "/resume/x", "", wiretest.LastEventID, "2", wiretest.Resumes, "first")
+			if err != nil || body != event(3)+event(4) || e.runs() != 1 {
+				t.Errorf("%s: body %q, error %v, %d runs", c.name, body, err, e.runs())
+			}
+			if e.targets[3].runs.Load() == 0 {
+				elsewhere++
+			}
+			if e.origins.epoch != 5 {
+				t.Errorf("%s: taken up at epoch %d", c.name, e.origins.epoch)
+			}
+		}
+		if c.stays == (elsewhere > 0) {
+			t.Errorf("%s: went on elsewhere %d times of 8", c.name, elsewhere)
+		}
+	}
+}
--- a/internal/gateway/origin/exchange.go
+++ b/internal/gateway/origin/exchange.go
@@ -14,8 +14,8 @@
 const (
 	// announceDelay batches records. A stream whose entry dies within it has no record elsewhere.
 	announceDelay = 5 * time.Millisecond
-	// maxRecordsPerMessage is the number of records, of 16 bytes each, that fit into a datagram.
-	maxRecordsPerMessage = 72
+	// maxRecordsPerMessage is the number of records, of 28 bytes each, that fit into a datagram.
+	maxRecordsPerMessage = 40
 	// askRetry is the time after which a question is sent again, askTimeout that after which the
 	// start counts as unknown: some round trips between availability zones on busy hosts.
 	askRetry   = 30 * time.Millisecond
@@ -32,6 +32,8 @@
 // Options configure an Exchange.
 type Options struct {
 	Zone string
+	// Self is the address by which the others know this process.
+	Self netip.AddrPort
 	// Send sends a message to another process. It may be lost.
 	Send func(to netip.AddrPort, m *peerv1.OriginMessage)
 	// Now is a clock that includes time that the host was suspended.
@@ -43,8 +45,11 @@
 type Exchange struct {
 	options   Options
 	startedAt time.Time
-	registry  *registry
-	rings     atomic.Pointer[rings]
+	// self is the hash of this process's address.
+	self     uint32
+	registry *registry
+	served   *served
+	rings    atomic.Pointer[rings]
 
 	mu sync.Mutex
 	// members are those that rings was made of.
@@ -54,11 +59,12 @@
 	scheduled bool
 	lastID    uint32
 	questions map[uint32]*question
+	takeovers map[uint32]*takeover
 }
 
 type announcement struct {
-	key     Key
-	version Version
+	key    Key
+	record Record
 }
 
 // question is a question for the start of a stream that waits for answers.
@@ -66,14 +72,17 @@
 	// unanswered are the processes that have not answered yet.
 	unanswered map[netip.AddrPort]bool
 	answered   int
-	found      chan Version
+	found      chan Record
 	// none is closed once all have answered that they do not know it.
 	none chan struct{}
 }
 
 // NewExchange returns an Exchange without members.
 func NewExchange(o Options) *Exchange {
-	x := &Exchange{options: o, startedAt: o.Now(), registry: newRegistry(), pending: map[netip.AddrPort][]announcement{}, questions: map[uint32]*question{}}
+	x := &Exchange{
+		options: o, startedAt: o.Now(), self: serverOf(o.Self), registry: newRegistry(), served: newServed(),
+		pending: map[netip.AddrPort][]announcement{}, questions: map[uint32]*question{}, takeovers: map[uint32]*takeover{},
+	}
 	x.rings.Store(newRings(o.Zone, nil))
 	return x
 }
@@ -104,14 +113,15 @@
 // Size returns the number of streams whose start this process keeps.
 func (x *Exchange) Size() int { return x.registry.size() }
 
-// Record records the version that began a stream, and tells the processes that keep the record. It
+// Record records a stream that this process serves, and tells the processes that keep the record. It
 // does not wait for them. Call it before the caller gets the first event.
-func (x *Exchange) Record(key Key, version Version) {
-	x.registry.add(key, version, x.options.Now())
-	x.announce(key, version)
+func (x *Exchange) Record(key Key, r Record) {
+	r.Server = x.self
+	x.registry.add(key, r, x.options.Now())
+	x.announce(key, r)
 }
 
-func (x *Exchange) announce(key Key, version Version) {
+func (x *Exchange) announce(key Key, r Record) {
 	owners := x.rings.Load().owners(key)
 	if len(owners) == 0 {
 		return
@@ -119,7 +129,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, to := range owners {
-		x.pending[to] = append(x.pending[to], announcement{key, version})
+		x.pending[to] = append(x.pending[to], announcement{key, r})
 	}
 	if !x.scheduled {
 		x.scheduled = true
@@ -138,7 +148,8 @@
 			n := min(len(records), maxRecordsPerMessage)
 			m := &peerv1.OriginMessage{}
 			for _, r := range records[:n] {
-				m.Keys, m.Versions = append(m.Keys, uint64(r.key)), append(m.Versions, uint64(r.version))
+				m.Keys, m.Versions = append(m.Keys, uint64(r.key)), append(m.Versions, uint64(r.record.Version))
+				m.Servers, m.Targets, m.Epochs = append(m.Servers, r.record.Server), append(m.Targets, r.record.Target), append(m.Epochs, r.record.Epoch)
 			}
 			records = records[n:]
 			x.options.Send(to, m)
@@ -148,8 +159,8 @@
 
 // HandOver tells the other processes all records that this one keeps, because it stops.
 func (x *Exchange) HandOver() {
-	for key, version := range x.registry.all(x.options.Now()) {
-		x.announce(key, version)
+	for key, record := range x.registry.all(x.options.Now()) {
+		x.announce(key, record)
 	}
 	x.flush()
 }
@@ -167,8 +178,8 @@
 
 // Finding is the result of Find.
 type Finding struct {
-	Version Version
-	Source  Source
+	Record
+	Source Source
 	// Asked is the number of processes that were asked, Answered of those that answered in time.
 	Asked, Answered int
 	Took            time.Duration
@@ -176,8 +187,8 @@
 
 // Find returns the version that began a stream. It asks other processes if this one does not know.
 func (x *Exchange) Find(ctx context.Context, key Key) Finding {
-	if v, ok := x.registry.find(key, x.options.Now()); ok {
-		return Finding{Version: v, Source: Own}
+	if record, ok := x.registry.find(key, x.options.Now()); ok {
+		return Finding{Record: record, Source: Own}
 	}
 	start := time.Now()
 	f := x.ask(ctx, key)
@@ -186,7 +197,7 @@
 	}
 	f.Took = time.Since(start)
 	if f.Source == Peer {
-		x.registry.add(key, f.Version, x.options.Now())
+		x.registry.add(key, f.Record, x.options.Now())
 	}
 	return f
 }
@@ -210,7 +221,7 @@
 	defer timeout.Stop()
 	for {
 		select {
-		case f.Version = <-q.found:
+		case f.Record = <-q.found:
 			f.Source, f.Answered = Peer, x.answered(id)
 			return f
 		case <-retry.C:
@@ -236,7 +247,7 @@
 		return 0, nil
 	}
 	x.lastID++
-	q := &question{unanswered: map[netip.AddrPort]bool{}, found: make(chan Version, 1), none: make(chan struct{})}
+	q := &question{unanswered: map[netip.AddrPort]bool{}, found: make(chan Record, 1), none: make(chan struct{})}
 	for _, to := range asked {
 		q.unanswered[to] = true
 	}
@@ -272,17 +283,29 @@
 func (x *Exchange) Handle(from netip.AddrPort, m *peerv1.OriginMessage) {
 	now := x.options.Now()
 	for i, key := range m.Keys[:min(len(m.Keys), len(m.Versions))] {
-		x.registry.add(Key(key), Version(m.Versions[i]), now)
+		x.registry.add(Key(key), Record{Version(m.Versions[i]), Run{Server: at(m.Servers, i), Target: at(m.Targets, i), Epoch: at(m.Epochs, i)}}, now)
 	}
 	switch {
 	case m.Ask != 0:
-		version, known := x.registry.find(Key(m.Ask), now)
-		x.options.Send(from, &peerv1.OriginMessage{Id: m.Id, Answer: true, Known: known, Version: uint64(version)})
+		r, known := x.registry.find(Key(m.Ask), now)
+		x.options.Send(from, &peerv1.OriginMessage{Id: m.Id, Answer: true, Known: known, Version: uint64(r.Version), Server: r.Server, Target: r.Target, Epoch: r.Epoch})
+	case m.TakeOver != 0:
+		x.handleTakeover(from, m)
+	case m.Ended:
+		x.handleEnded(from, m)
 	case m.Answer:
 		x.handleAnswer(from, m)
 	}
 }
 
+// at returns an element of a list that a process of an earlier version of the software does not send.
+func at(list []uint32, i int) uint32 {
+	if i < len(list) {
+		return list[i]
+	}
+	return 0
+}
+
 // handleAnswer takes an answer to an open question from a process that was asked.
 func (x *Exchange) handleAnswer(from netip.AddrPort, m *peerv1.OriginMessage) {
 	x.mu.Lock()
@@ -296,7 +319,7 @@
 	switch {
 	case m.Known:
 		select {
-		case q.found <- Version(m.Version):
+		case q.found <- Record{Version(m.Version), Run{Server: m.Server, Target: m.Target, Epoch: m.Epoch}}:
 		default: // another process has answered before
 		}
 	case len(q.unanswered) == 0:
--- a/internal/gateway/origin/exchange_test.go
+++ b/internal/gateway/origin/exchange_test.go
@@ -37,7 +37,7 @@
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, byte(i)}), 7)
 			m := Member{Address: address, Zone: fmt.Sprintf("zone-%d", z), Entry: i < entriesPerZone}
 			n.members = append(n.members, m)
-			n.processes[address] = NewExchange(Options{Zone: m.Zone, Now: time.Now, Send: func(to netip.AddrPort, msg *peerv1.OriginMessage) { n.send(m, to, msg) }})
+			n.processes[address] = NewExchange(Options{Zone: m.Zone, Self: address, Now: time.Now, Send: func(to netip.AddrPort, msg *peerv1.OriginMessage) { n.send(m, to, msg) }})
 		}
 	}
 	n.introduce()
@@ -114,7 +114,7 @@
 			n := newNetwork(size.zones, size.entries, size.sidecars)
 			const streams = 40
 			for i := range streams {
-				n.entry(0, 0).Record(key(i), v1)
+				n.entry(0, 0).Record(key(i), Record{Version: v1})
 			}
 			time.Sleep(10 * time.Millisecond)
 			n.kill(n.address(0, 0))
@@ -160,7 +160,7 @@
 			n := newNetwork(3, 4, 8)
 			const streams = 30
 			for i := range streams {
-				n.entry(0, 0).Record(key(i), v2)
+				n.entry(0, 0).Record(key(i), Record{Version: v2})
 			}
 			time.Sleep(10 * time.Millisecond)
 			c.fail(n)
@@ -178,7 +178,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(3, 2, 0)
 		for i := range 30 {
-			n.entry(0, 0).Record(key(i), v1)
+			n.entry(0, 0).Record(key(i), Record{Version: v1})
 		}
 		time.Sleep(10 * time.Millisecond)
 		for _, m := range n.members {
@@ -203,7 +203,7 @@
 func TestNewEntryWaitsForItsPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(3, 2, 1)
-		n.entry(0, 0).Record(key(1), v1)
+		n.entry(0, 0).Record(key(1), Record{Version: v1})
 		time.Sleep(10 * time.Millisecond)
 		x := NewExchange(n.entry(0, 0).options)
 		n.mu.Lock()
@@ -223,7 +223,7 @@
 		n.loss = 0.05
 		unknown := 0
 		for i := range 500 {
-			n.entry(0, 0).Record(key(i), v1)
+			n.entry(0, 0).Record(key(i), Record{Version: v1})
 			time.Sleep(10 * time.Millisecond)
 			if f := n.entry(2, 3).Find(t.Context(), key(i)); f.Source == Unknown {
 				unknown++
@@ -290,11 +290,11 @@
 // for ever.
 func TestRecordsExpire(t *testing.T) {
 	r, now := newRegistry(), time.Unix(1000, 0)
-	r.add(1, v1, now)
+	r.add(1, Record{Version: v1}, now)
 	if _, ok := r.find(1, now.Add(generationLength-time.Millisecond)); !ok {
 		t.Error("dropped within a generation")
 	}
-	r.add(2, v1, now.Add(generationLength-time.Millisecond))
+	r.add(2, Record{Version: v1}, now.Add(generationLength-time.Millisecond))
 	if _, ok := r.find(2, now.Add(2*generationLength-2*time.Millisecond)); !ok {
 		t.Error("dropped a generation after it was added")
 	}
@@ -324,7 +324,7 @@
 				case 0, 1:
 					k := key(step)
 					truth[k] = rapid.SampledFrom([]Version{v1, v2}).Draw(rt, "version")
-					x.Record(k, truth[k])
+					x.Record(k, Record{Version: truth[k]})
 				case 2:
 					for k, want := range truth {
 						if f := x.Find(t.Context(), k); f.Source != Unknown && f.Version != want {
@@ -356,9 +356,9 @@
 	for _, order := range [][]Version{{v1, v2}, {v2, v1}, {v1, v2, v1}, {Ambiguous, v1}} {
 		r := newRegistry()
 		for _, v := range order {
-			r.add(1, v, now)
+			r.add(1, Record{Version: v}, now)
 		}
-		if got, ok := r.find(1, now); !ok || got != Ambiguous {
+		if got, ok := r.find(1, now); !ok || got.Version != Ambiguous {
 			t.Errorf("%v: found %v, %v", order, got, ok)
 		}
 	}
@@ -385,6 +385,6 @@
 	}
 	x.SetMembers(members)
 	for i := range b.N {
-		x.Record(KeyOf("town", fmt.Sprint(i)), v1)
+		x.Record(KeyOf("town", fmt.Sprint(i)), Record{Version: v1})
 	}
 }
--- a/internal/gateway/origin/origin.go
+++ b/internal/gateway/origin/origin.go
@@ -1,15 +1,19 @@
-// Package origin keeps the software version that began each stream, so that the stream goes on at
-// that version only, whichever entry its caller comes back to.
+// Package origin keeps the software version that began each stream, and where the stream runs, so that it
+// goes on at that version and at one target at a time, whichever entry its caller comes back to.
 //
 // The entry that relays the first event of a stream tells a few other processes: an entry of its
 // own availability zone, an entry of another one, and a sidecar. An entry that does not know the
-// start of a stream asks the processes that the ring of members assigns to it. Records never
-// change, so that a late or repeated message does no harm.
+// start of a stream asks the processes that the ring of members assigns to it. The version in a record never
+// changes, and a later run replaces an earlier one, so that a late or repeated message does no harm.
+//
+// An entry to which a caller comes back takes the stream over: the entry before ends what it still serves of
+// it, since the end of the caller's first connection may not have arrived there.
 package origin
 
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -38,6 +42,38 @@
 // targets of different versions. Such a stream cannot go on.
 const Ambiguous Version = 0
 
+// Record is what is known of a stream.
+type Record struct {
+	// Version is the software version that began it.
+	Version Version
+	Run
+}
+
+// Run is where a stream runs.
+type Run struct {
+	// Server is the entry that serves it, Target the target, as hashes; zero if unknown.
+	Server, Target uint32
+	// Epoch counts how often the caller has taken the stream up. The run with the highest one is the latest.
+	Epoch uint32
+}
+
+// latest returns the later of two runs of a stream.
+func (r Run) latest(other Run) Run {
+	switch {
+	case other.Epoch < r.Epoch:
+		return r
+	case other.Epoch == r.Epoch && other.Target == 0:
+		other.Target = r.Target
+	}
+	return other
+}
+
+// serverOf returns the hash of a process's address.
+func serverOf(address netip.AddrPort) uint32 {
+	text, _ := address.MarshalBinary() // never fails
+	return max(uint32(xxhash.Sum64(text)), 1)
+}
+
 // VersionOf returns the identifier of a service's version; Ambiguous if the name is empty.
 func VersionOf(service, name string) Version {
 	if name == "" {
--- a/internal/gateway/origin/ring.go
+++ b/internal/gateway/origin/ring.go
@@ -62,6 +62,8 @@
 	// zones are sorted by name. They include that of this process.
 	zones             []string
 	entries, sidecars map[string]ring
+	// servers are the addresses of entries by their hash.
+	servers map[uint32]netip.AddrPort
 }
 
 func newRings(selfZone string, members []Member) *rings {
@@ -71,7 +73,12 @@
 		zones[m.Zone] = true
 		byZone[m.Entry][m.Zone] = append(byZone[m.Entry][m.Zone], m.Address)
 	}
-	r := &rings{self: selfZone, entries: map[string]ring{}, sidecars: map[string]ring{}}
+	r := &rings{self: selfZone, entries: map[string]ring{}, sidecars: map[string]ring{}, servers: map[uint32]netip.AddrPort{}}
+	for _, m := range members {
+		if m.Entry {
+			r.servers[serverOf(m.Address)] = m.Address
+		}
+	}
 	for zone := range zones {
 		r.zones = append(r.zones, zone)
 		r.entries[zone], r.sidecars[zone] = newRing(byZone[true][zone]), newRing(byZone[false][zone])
--- /dev/null
+++ b/internal/gateway/origin/takeover_test.go
@@ -0,0 +1,188 @@
+package origin
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+)
+
+// serving is a stream that an exchange serves in a test.
+type serving struct {
+	by atomic.Pointer[netip.AddrPort]
+}
+
+func serve(x *Exchange, k Key, epoch uint32) *serving {
+	s := &serving{}
+	x.Serve(k, epoch, func(by netip.AddrPort) { s.by.Store(&by) })
+	return s
+}
+
+func (s *serving) ended() bool { return s.by.Load() != nil }
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// lose sets the share of messages that are lost.
+func (n *network) lose(share float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = share
+}
+
+// messages returns the number of messages sent so far.
+func (n *network) messages() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent
+}
+
+// resume takes a stream up at an exchange, as a caller that has come back makes it do.
+func resume(t *testing.T, x *Exchange, k Key) (*serving, <-chan struct{}) {
+	t.Helper()
+	found := x.Find(t.Context(), k)
+	if found.Source == Unknown {
+		t.Fatalf("the stream is not known")
+	}
+	s := serve(x, k, found.Epoch+1)
+	return s, x.TakeOver(k, found.Record)
+}
+
+// Guards against a stream that runs on at the entry that its caller has left, or is ended at the one to which
+// it came back, in large and small deployments and whether or not messages are lost.
+func TestStreamEndsAtTheEntryBefore(t *testing.T) {
+	for _, size := range []struct {
+		zones, entries, sidecars int
+		loss                     float64
+	}{{1, 2, 0, 0}, {1, 2, 1, 0.1}, {3, 2, 3, 0}, {5, 20, 30, 0.1}} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(size.zones, size.entries, size.sidecars)
+			for i := range 4 {
+				k := key(i)
+				first, second := n.entry(0, 0), n.entry(size.zones-1, size.entries-1)
+				before := serve(first, k, 1)
+				first.Record(k, Record{v1, Run{Target: 7, Epoch: 1}})
+				time.Sleep(50 * time.Millisecond)
+				after, ended := resume(t, second, k)
+				n.lose(size.loss)
+				time.Sleep(takeoverTimeout)
+				if !before.ended() || *before.by.Load() != n.address(size.zones-1, size.entries-1) || after.ended() || !isClosed(ended) {
+					t.Errorf("%+v: ended before %v, after %v, answered %v", size, before.ended(), after.ended(), isClosed(ended))
+				}
+				n.lose(0)
+				back, ended := resume(t, first, k)
+				time.Sleep(50 * time.Millisecond)
+				if !after.ended() || back.ended() || !isClosed(ended) {
+					t.Errorf("%+v, back again: ended after %v, back %v, answered %v", size, after.ended(), back.ended(), isClosed(ended))
+				}
+			}
+		})
+	}
+}
+
+// Guards against a stream that runs twice at one entry after its caller has come back to it.
+func TestStreamEndsWhenItIsTakenUpAtTheSameEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newNetwork(1, 2, 1).entry(0, 0)
+		before := serve(x, key(1), 1)
+		x.Record(key(1), Record{v1, Run{Target: 7, Epoch: 1}})
+		after, ended := resume(t, x, key(1))
+		if !before.ended() || before.by.Load().IsValid() || after.ended() || !isClosed(ended) {
+			t.Errorf("ended before %v, after %v, answered %v", before.ended(), after.ended(), isClosed(ended))
+		}
+		time.Sleep(10 * time.Millisecond)
+	})
+}
+
+// Guards against a takeover that arrives late and ends a later run of the stream, and against answers of
+// processes that were not asked.
+func TestLateTakeoversAndForeignAnswersAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1, 3, 0)
+		first, k := n.entry(0, 0), key(1)
+		first.Record(k, Record{v1, Run{Epoch: 1}})
+		time.Sleep(10 * time.Millisecond)
+		later := serve(first, k, 3)
+		first.Handle(n.address(0, 1), &peerv1.OriginMessage{Id: 77, TakeOver: uint64(k), Epoch: 2})
+		first.Handle(n.address(0, 1), &peerv1.OriginMessage{Id: 77, TakeOver: uint64(k), Epoch: 3})
+		first.Handle(n.address(0, 1), &peerv1.OriginMessage{Id: 77, TakeOver: uint64(key(2)), Epoch: 9})
+		if later.ended() {
+			t.Error("a late takeover ended a later run")
+		}
+		n.kill(n.address(0, 0))
+		second := n.entry(0, 1)
+		_, ended := resume(t, second, k)
+		for id := range uint32(10) {
+			second.Handle(n.address(0, 2), &peerv1.OriginMessage{Id: id, Ended: true})
+		}
+		time.Sleep(time.Second)
+		if isClosed(ended) {
+			t.Error("another process's answer counts")
+		}
+		time.Sleep(takeoverTimeout)
+		if second.openTakeovers() != 0 {
+			t.Error("the takeover is kept for ever")
+		}
+	})
+}
+
+func (x *Exchange) openTakeovers() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.takeovers)
+}
+
+// Guards against a stream that is taken to have ended at an entry which has not answered: one that does not
+// hear, and one that is not among the live ones any more.
+func TestUnansweredTakeoverIsNotTakenForAnEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1, 3, 0)
+		k := key(1)
+		n.entry(0, 0).Record(k, Record{v1, Run{Target: 7, Epoch: 1}})
+		time.Sleep(10 * time.Millisecond)
+		n.kill(n.address(0, 0))
+		sent := n.messages()
+		_, ended := resume(t, n.entry(0, 1), k)
+		time.Sleep(2 * takeoverTimeout)
+		if isClosed(ended) {
+			t.Error("an entry that does not answer counts as having ended the stream")
+		}
+		if messages := n.messages() - sent; messages > 20 {
+			t.Errorf("%d messages for one takeover", messages)
+		}
+		n.introduce()
+		// The record says that entry 1 serves it now; entry 2 knows of the first one only.
+		n.entry(0, 2).registry.add(key(2), Record{v1, Run{Server: serverOf(n.address(0, 0)), Target: 7, Epoch: 1}}, time.Now())
+		if _, ended := resume(t, n.entry(0, 2), key(2)); isClosed(ended) {
+			t.Error("an entry that is not known counts as having ended the stream")
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against records that forget where a stream runs, or remember an earlier run, in whichever order they
+// arrive and however often.
+func TestRecordsKeepTheLatestRun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	runs := []Run{{Server: 1, Target: 7, Epoch: 1}, {Server: 1, Target: 8, Epoch: 1}, {Server: 2, Target: 8, Epoch: 2}, {Server: 3, Epoch: 3}, {Server: 3, Target: 9, Epoch: 3}}
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		r := newRegistry()
+		for _, i := range append(random.Perm(len(runs)), 0, random.IntN(len(runs))) {
+			r.add(1, Record{v1, runs[i]}, now)
+		}
+		if got, _ := r.find(1, now); got.Version != v1 || got.Run != (Run{Server: 3, Target: 9, Epoch: 3}) {
+			t.Fatalf("found %+v", got)
+		}
+	}
+}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -16,7 +16,7 @@
 // newOrigins returns the exchange of a process. Sidecars keep records and answer questions only.
 func newOrigins(p *process) *origin.Exchange {
 	x := origin.NewExchange(origin.Options{
-		Zone: p.settings.AvailabilityZone, Now: p.clock.Now,
+		Zone: p.settings.AvailabilityZone, Self: p.settings.meshAddress(), Now: p.clock.Now,
 		Send: func(to netip.AddrPort, m *peerv1.OriginMessage) { p.state.mesh.SendOrigin(to, m) },
 	})
 	p.metrics.RegisterGauge("stream_starts_kept", "Streams of which this process keeps the software version that began them.", func() float64 { return float64(x.Size()) })
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -20,6 +20,7 @@
 	retries            *prometheus.CounterVec
 	resumes            prometheus.Counter
 	streamStarts       *prometheus.CounterVec
+	takeovers          *prometheus.CounterVec
 	probes             prometheus.Counter
 	queueWaiting       prometheus.Gauge
 	queueRunning       prometheus.Gauge
@@ -71,6 +72,7 @@
 		}, labels),
 		resumes:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "stream_resumes_total", Help: "Streams resumed after an interruption."}),
 		streamStarts:   prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "toucanwell", Name: "stream_starts_total", Help: "Streams that callers resume, by where the software version that began them was found."}, []string{"source"}),
+		takeovers:      prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "toucanwell", Name: "stream_takeovers_total", Help: "Streams that callers resume, by whether the entry that served them before has ended them."}, []string{"result"}),
 		probes:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "probes_total", Help: "Probes sent to sidecars."}),
 		controlSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "control_seconds_total", Help: "Time spent on the control thread."}),
 		connections:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_connections_total", Help: "Connections opened to targets."}),
@@ -101,7 +103,7 @@
 		configVersion:     gauge("config_version", "Version of the configuration in force."),
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.recomputedTokens,
-		m.retries, m.resumes, m.streamStarts, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
+		m.retries, m.resumes, m.streamStarts, m.takeovers, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
 		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.rateLimitRequests, m.rateLimitWait, m.invalidStatements, m.targetLimits, m.detours, m.skippedResponses, m.shedConnections)
 	m.queueMetrics = newQueueMetrics(m.Registry)
 	return m
@@ -178,6 +180,9 @@
 // StreamStart counts a stream that a caller resumes, by where its version was found.
 func (m *Metrics) StreamStart(source string) { m.streamStarts.WithLabelValues(source).Inc() }
 
+// Takeover counts a stream that a caller resumes, by whether the entry that served it before has ended it.
+func (m *Metrics) Takeover(result string) { m.takeovers.WithLabelValues(result).Inc() }
+
 // Probes counts sent probes.
 func (m *Metrics) Probes(n int) { m.probes.Add(float64(n)) }
 
