Targets that are listed at the address of an entry get no requests

What callers saw: some sound requests time out while another writer's entry names an entry's own address: they come back to it. Cause: the list was believed; the processes know each other's addresses. Change: dropEntries leaves out the own address and those of live entries at the same port; target_is_entry.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -93,6 +93,8 @@
 	large atomic.Bool
 	// rejectedListings holds the error of each invalid record of the target list.
 	rejectedListings map[string]string
+	// listedEntries are the targets that are listed at addresses of entries.
+	listedEntries map[fleet.Incarnation]bool
 	stopping         bool
 	// stoppingSince is when the process began to stop; zero if it has not.
 	stoppingSince time.Time
@@ -329,6 +331,7 @@
 		}
 	}
 	c.logUnlisted(v, c.directory.ApplyReports(v.Targets, reportedTargets(v.Engines), syncState, now))
+	c.dropEntries(v.Targets)
 	v.SingleVersions = c.directory.SingleVersions(v.Targets, c.targets.Replica().CompleteSince())
 	for model, w := range c.wantedWeights {
 		v.Wanted[model] = w
