Explain: one line for each event, all lines of a stream that was taken up

Cause: read as the engineer on call with one ID: the head of a refusal broke a line into six, and of an attempt that takes a stream up only the sends were shown, not its end. Change: values with control characters are quoted; request_done has resumes; target_is_entry is a state change.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -69,13 +69,28 @@
 	entry := logging.New(&two, "entry-2")
 	entry.Info("stream_start", "request_id", "r2", "resumes", "r1", "version", "v1", "source", "peer")
 	entry.Info("request_sent", "request_id", "r2", "resumes", "r1", "target", "i-2", "version", "v1")
+	entry.Info("request_done", "request_id", "r2", "resumes", "r1", "outcome", "answered")
 	entry.Info("request_sent", "request_id", "r3", "resumes", "", "target", "i-2")
 	s, err := Read("r1", strings.NewReader(one.String()), strings.NewReader(two.String()))
-	if err != nil || len(s.Lines) != 3 || s.Lines[1].Get("source") != "peer" {
+	if err != nil || len(s.Lines) != 4 || s.Lines[1].Get("source") != "peer" {
 		t.Errorf("error %v, lines %+v", err, s.Lines)
 	}
 }
 
+// Guards against a line of a story that is broken into several by a value with line ends.
+func TestStoryHasOneLineForEachEvent(t *testing.T) {
+	var log strings.Builder
+	logging.New(&log, "entry-1").Info("send_failed", "request_id", "r1", "head", "HTTP/1.1 421 X\r\nX-Instance-Id: i-2\r\n", "target", "i-1")
+	s, err := Read("r1", strings.NewReader(log.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var printed strings.Builder
+	if err := s.Print(&printed); err != nil || !strings.Contains(printed.String(), `head="HTTP/1.1 421 X\r\nX-Instance-Id: i-2\r\n" target=i-1`) {
+		t.Errorf("%v: %s", err, printed.String())
+	}
+}
+
 // A story must say that log lines were dropped, and that a request has no lines at all.
 func TestStoryReportsDroppedAndMissingLines(t *testing.T) {
 	log := "time=2026-01-01T00:00:01Z level=INFO msg=request_sent process=e request_id=r1\n" +
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
+	"unicode"
 )
 
 const (
@@ -33,7 +35,7 @@
 	"target_limited", "target_limit_ended", "target_leaving", "target_wants_rest", "target_rest_over", "target_statement_refused",
 	"store_lost", "store_regained", "list_regained", "feed_trimmed", "snapshot_ignored", "store_era_refused", "store_restored", "era_followed", "quarantine_reconciled", "fetch_failed", "peer_live", "peer_silent", "host_woke", "declaration_refused",
 	"settings_reloaded", "settings_refused", "started", "stopping", "stopped", "stop_cut_requests", droppedEvent,
-	"weights_ordered", "weights_loaded", "engine_silent", "engine_heard", "engine_started_anew", "target_listing_delayed", "target_refused",
+	"weights_ordered", "weights_loaded", "engine_silent", "engine_heard", "engine_started_anew", "target_listing_delayed", "target_refused", "target_is_entry",
 	"cache_reported", "cache_feed_lost", "cache_feed_regained", "cache_feed_broken", "cache_listed", "store_followed", "store_left",
 }
 
@@ -193,7 +195,15 @@
 		if b.Len() > 0 {
 			b.WriteByte(' ')
 		}
-		b.WriteString(f.Key + "=" + f.Value)
+		b.WriteString(f.Key + "=" + oneLine(f.Value))
 	}
 	return b.String()
 }
+
+// oneLine returns a value as it is, or quoted if it contains line ends or other control characters.
+func oneLine(value string) string {
+	if strings.ContainsFunc(value, unicode.IsControl) {
+		return strconv.Quote(value)
+	}
+	return value
+}
--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -95,7 +95,7 @@
 	rejectedListings map[string]string
 	// listedEntries are the targets that are listed at addresses of entries.
 	listedEntries map[fleet.Incarnation]bool
-	stopping         bool
+	stopping      bool
 	// stoppingSince is when the process began to stop; zero if it has not.
 	stoppingSince time.Time
 	view          blackboard.Fact[*view.View]
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -250,7 +250,7 @@
 		log = log.WithValues("declared_at", fl.view.Declared.At, "declared_source", fl.view.Declared.Source, "declared_age", fl.age(fl.view.EstateCurrentAt),
 			"list_at", fl.view.Listed.At, "list_source", fl.view.Listed.Source, "list_age", fl.age(fl.view.TargetsCurrentAt))
 	}
-	fl.withShutdown(log).Info("request_done", append(fields, "outcome", outcome, "told", fl.toldStatus(e), "print", fl.fingerprint, "suspect", fl.suspect, "detail", detail, "retry_after", roundForLog(retryAfter),
+	fl.withShutdown(log).Info("request_done", append(fields, "resumes", bounded(fl.request.Resumes), "outcome", outcome, "told", fl.toldStatus(e), "print", fl.fingerprint, "suspect", fl.suspect, "detail", detail, "retry_after", roundForLog(retryAfter),
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(),
 		"sends", fl.sends, "runs", fl.runs, "target", fl.lastSend.incarnation, "status", fl.lastSend.status,
 		"first", roundForLog(fl.timeToFirstByte), "events", fl.eventCount, "longest_gap", roundForLog(fl.longestGap), "took", roundForLog(time.Since(fl.arrived)))...)
