--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -80,13 +80,13 @@
 // Guards against a line of a story that is broken into several by a value with line ends.
 func TestStoryHasOneLineForEachEvent(t *testing.T) {
 	var log strings.Builder
-	logging.New(&log, "entry-1").Info("send_failed", "request_id", "r1", "head", "HTTP/1.1 421 X\r\nX-Instance-Id: i-2\r\n", "target", "i-1")
+	logging.New(&log, "entry-1").Info("send_failed", "request_id", "r1", "head", "HTTP/1.1 421 X\r\nInstance: i-2\r\n", "target", "i-1")
 	s, err := Read("r1", strings.NewReader(log.String()))
 	if err != nil {
 		t.Fatal(err)
 	}
 	var printed strings.Builder
-	if err := s.Print(&printed); err != nil || !strings.Contains(printed.String(), `head="HTTP/1.1 421 X\r\nX-Instance-Id: i-2\r\n" target=i-1`) {
+	if err := s.Print(&printed); err != nil || !strings.Contains(printed.String(), `head="HTTP/1.1 421 X\r\nInstance: i-2\r\n" target=i-1`) {
 		t.Errorf("%v: %s", err, printed.String())
 	}
 }
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -88,6 +88,9 @@
 	epoch    uint32
 	end      func(netip.AddrPort)
 	released int
+	// takenOver counts takeovers. asking is called during questions, unless nil.
+	takenOver int
+	asking    func(ctx context.Context)
 }
 
 func (o *fakeOrigins) Record(key origin.Key, r origin.Record) {
@@ -100,7 +103,10 @@
 	o.target = r.Target
 }
 
-func (o *fakeOrigins) Find(_ context.Context, key origin.Key) origin.Finding {
+func (o *fakeOrigins) Find(ctx context.Context, key origin.Key) origin.Finding {
+	if o.asking != nil {
+		o.asking(ctx)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.asked++
@@ -124,6 +130,7 @@
 func (o *fakeOrigins) TakeOver(origin.Key, origin.Record) <-chan struct{} {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.takenOver++
 	if o.ended == nil {
 		o.ended = make(chan struct{})
 		close(o.ended)
@@ -298,7 +305,12 @@
 // post sends a request and returns the response, its body and any error.
 func (env *testEnv) post(t *testing.T, path, body string, header ...string) (*http.Response, string, error) {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodPost, env.server.URL+path, strings.NewReader(body))
+	return env.postContext(t.Context(), t, path, body, header...)
+}
+
+func (env *testEnv) postContext(ctx context.Context, t *testing.T, path, body string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, env.server.URL+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/forward/takeover.go
+++ b/internal/gateway/forward/takeover.go
@@ -55,8 +55,8 @@
 func (fl *flow) takeOver(ctx context.Context, before origin.Record) string {
 	before.Epoch = max(before.Epoch, firstEpoch)
 	fl.serveStream(before.Epoch + 1)
-	if before.Server == 0 {
-		return notTakenOver
+	if before.Server == 0 || ctx.Err() != nil {
+		return notTakenOver // a request that arrives after its caller has left must not end a later one
 	}
 	ended := fl.Origins.TakeOver(fl.origin.key, before)
 	wait := time.NewTimer(takeoverWait)
--- a/internal/gateway/forward/takeover_test.go
+++ b/internal/gateway/forward/takeover_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/netip"
@@ -111,3 +112,28 @@
 		}
 	}
 }
+
+// Guards against a request that a link has delivered late, after its caller has left, and that ends the stream
+// where the caller reads it by now.
+func TestRequestWhoseCallerHasLeftTakesNothingOver(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		e := newVersionedEnv(t, "v1")
+		e.knows("first", origin.VersionOf("plain", "v1"))
+		e.origins.before = origin.Run{Server: 1, Target: 1, Epoch: 1}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		e.origins.asking = func(served context.Context) {
+			if leaves {
+				cancel()
+				<-served.Done()
+			}
+		}
+		_, _, _ = e.postContext(ctx, t, "/resume/x", "", wiretest.LastEventID, "2", wiretest.Resumes, "first")
+		e.origins.mu.Lock()
+		got := e.origins.takenOver
+		e.origins.mu.Unlock()
+		if got != map[bool]int{false: 1, true: 0}[leaves] {
+			t.Errorf("the caller has left %v: %d takeovers", leaves, got)
+		}
+	}
+}
