A stream does not wait at a target that is not in good health, and a late request ends nothing here either

Cause: reading of the diff. A stream whose entry before does not answer went on where it ran even if that engine was ejected, unconfirmed or silent: the only candidate is taken as a last resort. And a request whose caller had left still ended a later run at the same entry. Change: such targets are not used for this; the caller is looked at before anything is ended. Result: TestStreamGoesOnWhereItRan has the silent target, TestRequestWhoseCallerHasLeftTakesNothingOver the epoch; both red without.

--- a/internal/gateway/forward/takeover.go
+++ b/internal/gateway/forward/takeover.go
@@ -53,10 +53,13 @@
 // not have arrived there. It waits for that only briefly: the stream then goes on where it ran before, if
 // it can, so that it does not run at two targets.
 func (fl *flow) takeOver(ctx context.Context, before origin.Record) string {
+	if ctx.Err() != nil {
+		return notTakenOver // a request that arrives after its caller has left must not end a later one
+	}
 	before.Epoch = max(before.Epoch, firstEpoch)
 	fl.serveStream(before.Epoch + 1)
-	if before.Server == 0 || ctx.Err() != nil {
-		return notTakenOver // a request that arrives after its caller has left must not end a later one
+	if before.Server == 0 {
+		return notTakenOver
 	}
 	ended := fl.Origins.TakeOver(fl.origin.key, before)
 	wait := time.NewTimer(takeoverWait)
@@ -72,7 +75,7 @@
 }
 
 // placeAsBefore chooses the target at which the stream ran before, if the entry before may still have it run
-// there and the target can accept it now. It is attempted once.
+// there, the target is in good health and can accept it now. It is attempted once.
 func (fl *flow) placeAsBefore(ctx context.Context) *destination {
 	if fl.origin.before == 0 {
 		return nil
@@ -83,8 +86,12 @@
 	}
 	fl.restrictions.denials = 0
 	fl.updateRestrictions()
-	targets := fl.view.Targets[fl.service.Name]
-	if !slices.ContainsFunc(targets, func(t fleet.Target) bool { return !fl.mayNotGoOnAt(&t) }) {
+	ejected := fl.Health.Ejected(fl.Now())
+	isUsable := func(t fleet.Target) bool {
+		_, isEjected := ejected[t.Incarnation]
+		return !fl.mayNotGoOnAt(&t) && !t.Leaving && !t.Unconfirmed && !isEjected && !fl.view.Unresponsive[t.Address]
+	}
+	if !slices.ContainsFunc(fl.view.Targets[fl.service.Name], isUsable) {
 		return nil
 	}
 	dst, refusal := fl.chooseForStatus(ctx)
--- a/internal/gateway/forward/takeover_test.go
+++ b/internal/gateway/forward/takeover_test.go
@@ -73,12 +73,15 @@
 		name     string
 		answered bool
 		leaving  bool
-		target   uint32
+		// unresponsive is set if its sidecar says that the target does not respond.
+		unresponsive bool
+		target       uint32
 		// stays is set if it must go on where it ran.
 		stays bool
 	}{
 		{name: "unanswered", stays: true},
 		{name: "unanswered, the target leaves", leaving: true},
+		{name: "unanswered, the target does not respond", unresponsive: true},
 		{name: "unanswered, the target is not known", target: 99},
 		{name: "answered", answered: true},
 	} {
@@ -89,6 +92,9 @@
 			e.knows("first", origin.VersionOf("plain", "v1"))
 			targets := e.view.Targets["plain"]
 			targets[3].Leaving = c.leaving
+			if c.unresponsive {
+				e.view.Unresponsive = map[netip.AddrPort]bool{targets[3].Address: true}
+			}
 			e.origins.before = origin.Run{Server: 1, Target: uint32(targets[3].ID), Epoch: 4}
 			if c.target != 0 {
 				e.origins.before.Target = c.target
@@ -132,8 +138,8 @@
 		e.origins.mu.Lock()
 		got := e.origins.takenOver
 		e.origins.mu.Unlock()
-		if got != map[bool]int{false: 1, true: 0}[leaves] {
-			t.Errorf("the caller has left %v: %d takeovers", leaves, got)
+		if got != map[bool]int{false: 1, true: 0}[leaves] || leaves && e.origins.epoch != 0 {
+			t.Errorf("the caller has left %v: %d takeovers, served at epoch %d", leaves, got, e.origins.epoch)
 		}
 	}
 }
