Test of late requests: wait for the entry

Change: it waits until nothing is in flight. Result: red with the order of the checks as it was ('served at epoch 2') and without the check ('1 takeovers'); green with it.

--- a/internal/gateway/forward/takeover_test.go
+++ b/internal/gateway/forward/takeover_test.go
@@ -135,6 +135,9 @@
 			}
 		}
 		_, _, _ = e.postContext(ctx, t, "/resume/x", "", wiretest.LastEventID, "2", wiretest.Resumes, "first")
+		for e.InFlight() > 0 {
+			<-time.After(time.Millisecond) // its caller does not wait for the entry
+		}
 		e.origins.mu.Lock()
 		got := e.origins.takenOver
 		e.origins.mu.Unlock()
