Audit lines wait for an output that is slow, not only for 10 ms

Cause, likely: the caller of an audit line waited for 10 ms, and took an output that had not written the line by then for blocked. A process that gets little processor time, or whose buffer holds lines before it, needs longer; a line in the buffer goes with the process. Change: the output counts as blocked after four ticks of 10 ms without a written line; 0.25 s is the bound for one that is slow. A pause of the process is one tick. TestBlockedOutputDelaysOneAuditLine unchanged: one line is delayed, by 40 ms.

--- a/internal/logging/audit_test.go
+++ b/internal/logging/audit_test.go
@@ -62,6 +62,54 @@
 	}
 }
 
+// slowWriter takes a while for each line.
+type slowWriter struct {
+	lockedBuffer
+	pause time.Duration
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(w.pause)
+	return w.lockedBuffer.Write(p)
+}
+
+// Guards against an audit line that is lost with its process, because the lines before it took the writer longer
+// than usual.
+func TestAuditLineWaitsForTheLinesBeforeIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &slowWriter{pause: 3 * time.Millisecond}
+		b := NewBounded(out, "p", 1000)
+		defer b.Close()
+		for i := range 5 {
+			for range 10 {
+				_, _ = b.Write([]byte("usual\n"))
+			}
+			line := fmt.Sprintf("audit %d\n", i)
+			_, _ = b.Audit().Write([]byte(line))
+			if !strings.HasSuffix(out.String(), line) {
+				t.Errorf("line %d is not written when it is logged", i)
+			}
+		}
+	})
+}
+
+// Guards against requests that a slow output holds up for as long as its buffer lasts.
+func TestSlowOutputDelaysAuditLinesForABoundedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBounded(&slowWriter{pause: 5 * time.Millisecond}, "p", 1<<20)
+		for range maxBufferedLines / 2 {
+			_, _ = b.Write([]byte("usual\n"))
+		}
+		begin := time.Now()
+		_, _ = b.Audit().Write([]byte("audit\n"))
+		if took := time.Since(begin); took > maxAuditTicks*auditTick {
+			t.Errorf("an audit line took %s", took)
+		}
+		time.Sleep(time.Minute)
+		b.Close()
+	})
+}
+
 // A blocked log output must not hold up each request whose lines are audited, and the report of what was
 // dropped must name the requests.
 func TestBlockedOutputDelaysOneAuditLine(t *testing.T) {
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -22,8 +22,10 @@
 	done    chan struct{}
 	// blocked is set while an audit line has waited in vain for the output.
 	blocked atomic.Bool
-	mu      sync.Mutex
-	second  int64
+	// writes counts the lines that the output has taken.
+	writes atomic.Uint64
+	mu     sync.Mutex
+	second int64
 	// linesInSecond counts the lines accepted in the current second, routineInSecond the
 	// routine ones among them.
 	linesInSecond, routineInSecond int
@@ -55,8 +57,15 @@
 	routineShare = 0.7
 	// closeTimeout bounds how long Close waits for a blocked output.
 	closeTimeout = 200 * time.Millisecond
-	// auditWait bounds how long the caller of an audit line waits until it is written.
-	auditWait = 10 * time.Millisecond
+	// stalledTicks is the number of successive ticks without a written line after which the output counts as
+	// blocked. A process that gets no processor time for a while sees one long tick, after which its writer
+	// goes on.
+	auditTick    = 10 * time.Millisecond
+	stalledTicks = 4
+	// maxAuditTicks bounds how long the caller of an audit line waits for an output that is slow.
+	maxAuditTicks = 25
+	// auditWait is how long a blocked output delays the caller of an audit line.
+	auditWait = stalledTicks * auditTick
 )
 
 // NewBounded returns a writer that writes at most perSecond lines per second to out, besides audit lines.
@@ -118,13 +127,21 @@
 	if b.blocked.Load() {
 		return
 	}
-	timer := time.NewTimer(auditWait)
-	defer timer.Stop()
-	select {
-	case <-written:
-	case <-timer.C:
-		b.blocked.Store(true)
+	writes, stalled := b.writes.Load(), 0
+	for tick := 0; stalled < stalledTicks && tick < maxAuditTicks; tick++ {
+		timer := time.NewTimer(auditTick)
+		select {
+		case <-written:
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		stalled++
+		if now := b.writes.Load(); now != writes {
+			writes, stalled = now, 0
+		}
 	}
+	b.blocked.Store(true)
 }
 
 // allow reports whether the rate limit admits a line, and counts it. The caller holds mu.
@@ -164,6 +181,7 @@
 	for line := range b.lines {
 		b.reportDropped()
 		_, _ = b.out.Write(line.text) // a failing log output can't be reported
+		b.writes.Add(1)
 		b.blocked.Store(false)
 		if line.written != nil {
 			close(line.written)
