Reading of the diff: names of the previous run of a stream, run_abandoned

Cause: 'before' named a target, a record and an entry; 'left' is no word of the field. No change of behaviour.

--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -80,9 +80,9 @@
 	recorded map[origin.Key]origin.Version
 	found    map[origin.Key]origin.Version
 	asked    int
-	// before is where found streams ran before, ended is closed once they have ended there; nil if they have.
-	before origin.Run
-	ended  chan struct{}
+	// previous is where found streams ran, ended is closed once they have ended there; nil if they have.
+	previous origin.Run
+	ended    chan struct{}
 	// target is that of the last record, epoch that of the last stream served, end ends it.
 	target   uint32
 	epoch    uint32
@@ -111,7 +111,7 @@
 	defer o.mu.Unlock()
 	o.asked++
 	if v, ok := o.found[key]; ok {
-		return origin.Finding{Record: origin.Record{Version: v, Run: o.before}, Source: origin.Peer}
+		return origin.Finding{Record: origin.Record{Version: v, Run: o.previous}, Source: origin.Peer}
 	}
 	return origin.Finding{Source: origin.Unknown}
 }
--- a/internal/gateway/forward/origin.go
+++ b/internal/gateway/forward/origin.go
@@ -23,8 +23,8 @@
 	// Serve registers a stream that this entry serves, and ends what it serves of it at lower epochs. end is
 	// called, on any goroutine, when the caller has taken the stream up at a higher one.
 	Serve(key origin.Key, epoch uint32, end func(by netip.AddrPort)) (release func())
-	// TakeOver asks the entry that served a stream before to end it. The channel is closed once that one has.
-	TakeOver(key origin.Key, before origin.Record) (ended <-chan struct{})
+	// TakeOver asks the previous entry of a stream to end it. The channel is closed once that one has.
+	TakeOver(key origin.Key, previous origin.Record) (ended <-chan struct{})
 }
 
 // streamOrigin is the software version that began a stream. What versions write does not fit
@@ -39,8 +39,8 @@
 	name, source string
 	// epoch counts how often the caller has taken the stream up.
 	epoch uint32
-	// before is the target at which it ran before, as long as the entry before may still have it run there.
-	before fleet.ID
+	// previousTarget is where it ran, as long as the previous entry may still have it run there.
+	previousTarget fleet.ID
 	// end ends the stream here, since its caller has taken it up again. release is called when it has ended.
 	end     context.CancelCauseFunc
 	release func()
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -34,7 +34,7 @@
 
 // place chooses the target of the next send, and waits for one if necessary.
 func (fl *flow) place(ctx context.Context) (*destination, *errkind.Error) {
-	if dst := fl.placeAsBefore(ctx); dst != nil {
+	if dst := fl.placeAtPreviousTarget(ctx); dst != nil {
 		return dst, nil
 	}
 	if fl.usesQueue() {
@@ -154,7 +154,7 @@
 	targets := fl.view.Targets[fl.service.Name]
 	for i := range targets {
 		t := &targets[i]
-		if t.Leaving || fl.excluded[t.Incarnation] || fl.mustAvoid(t) || fl.mayNotGoOnAt(t) || fl.isRestrained(t) {
+		if t.Leaving || fl.excluded[t.Incarnation] || fl.mustAvoid(t) || fl.mustNotContinueAt(t) || fl.isRestrained(t) {
 			continue
 		}
 		if cost := fl.plainCost(t, totals[t.ID], ejected); cost < lowest {
@@ -311,7 +311,7 @@
 		c := &candidates[i]
 		*c = placement.Candidate{
 			Address: t.Address, Hash: t.Hash, SameZone: t.Zone == fl.Zone,
-			Excluded: t.Leaving || fl.excluded[t.Incarnation] || fl.mustAvoid(t) || fl.mayNotGoOnAt(t) || fl.isRestrained(t), Loading: fl.view.Phase(t) == weights.Loading, Draining: fl.view.Phase(t) == weights.Draining, Version: fl.view.Version(t, fl.request.Model),
+			Excluded: t.Leaving || fl.excluded[t.Incarnation] || fl.mustAvoid(t) || fl.mustNotContinueAt(t) || fl.isRestrained(t), Loading: fl.view.Phase(t) == weights.Loading, Draining: fl.view.Phase(t) == weights.Draining, Version: fl.view.Version(t, fl.request.Model),
 			Slots: t.Slots, Memory: fl.service.Engine.CacheTokens, Work: totals[t.ID],
 		}
 		c.LoadStartsIn, c.LoadScheduled = schedule[t.Incarnation]
--- a/internal/gateway/forward/probed.go
+++ b/internal/gateway/forward/probed.go
@@ -106,7 +106,7 @@
 	for i := range targets {
 		t := &targets[i]
 		_, isEjected := ejected[t.Incarnation]
-		ranked[i] = placement.RankedEngine{Hash: t.Hash, SameZone: t.Zone == fl.Zone, Excluded: t.Leaving || isEjected || t.Unconfirmed || fl.excluded[t.Incarnation] || fl.view.Unresponsive[t.Address] || fl.mayNotGoOnAt(t) || fl.isRestrained(t)}
+		ranked[i] = placement.RankedEngine{Hash: t.Hash, SameZone: t.Zone == fl.Zone, Excluded: t.Leaving || isEjected || t.Unconfirmed || fl.excluded[t.Incarnation] || fl.view.Unresponsive[t.Address] || fl.mustNotContinueAt(t) || fl.isRestrained(t)}
 	}
 	return ranked
 }
@@ -170,7 +170,7 @@
 func (p *probeRound) candidate(i int) placement.Candidate {
 	fl, t, a := p.fl, &p.targets[i], &p.responses[i]
 	c := placement.Candidate{
-		Address: t.Address, Hash: t.Hash, SameZone: t.Zone == fl.Zone, Excluded: t.Leaving || fl.excluded[t.Incarnation] || fl.mustAvoid(t) || fl.mayNotGoOnAt(t) || fl.isRestrained(t),
+		Address: t.Address, Hash: t.Hash, SameZone: t.Zone == fl.Zone, Excluded: t.Leaving || fl.excluded[t.Incarnation] || fl.mustAvoid(t) || fl.mustNotContinueAt(t) || fl.isRestrained(t),
 		Version: fl.view.Version(t, fl.request.Model), Slots: t.Slots, Memory: fl.service.Engine.CacheTokens,
 	}
 	if c.Slots == 0 {
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -81,9 +81,9 @@
 		"rest", rest, "print", fl.fingerprint, "error", detail)...)
 }
 
-// logUnfinished logs a response that is not read to its end. Its target may work on until it sees that the
+// logAbandoned logs a response that is not read to its end. Its target may work on until it sees that the
 // connection has ended.
-func (fl *flow) logUnfinished(ctx context.Context, dst *destination, resp *upstream.Response) {
+func (fl *flow) logAbandoned(ctx context.Context, dst *destination, resp *upstream.Response) {
 	if resp.Complete() || fl.lastSend.evidence.notRun() {
 		return
 	}
@@ -91,7 +91,7 @@
 	if err := context.Cause(ctx); err != nil {
 		cause = err.Error()
 	}
-	fl.Logger.Info("run_left", "request_id", fl.request.ID, "send", fl.sends, "target", dst.target.Incarnation, "status", resp.Status, "conn", fl.lastSend.conn.Local,
+	fl.Logger.Info("run_abandoned", "request_id", fl.request.ID, "send", fl.sends, "target", dst.target.Incarnation, "status", resp.Status, "conn", fl.lastSend.conn.Local,
 		"events", fl.eventCount, "last_event", bounded(fl.lastEvent), "after", roundForLog(time.Since(fl.sentAt)), "cause", cause)
 }
 
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -157,7 +157,7 @@
 	}
 	defer resp.Close()
 	reply := fl.Protocol.ReadReply(resp.Status, resp.Header)
-	defer fl.logUnfinished(ctx, dst, resp)
+	defer fl.logAbandoned(ctx, dst, resp)
 	fl.lastSend.evidence = evidenceOfReply(dst, resp.Status, &reply)
 	fl.logFailedSend(dst, resp.Status, reply.Pushback.RetryAfter, nil)
 	if fl.service.Engine != nil {
--- a/internal/gateway/forward/takeover.go
+++ b/internal/gateway/forward/takeover.go
@@ -52,16 +52,16 @@
 // takeOver makes the entry end the stream that has served it before, since the end of the caller's connection may
 // not have arrived there. It waits for that only briefly: the stream then goes on where it ran before, if
 // it can, so that it does not run at two targets.
-func (fl *flow) takeOver(ctx context.Context, before origin.Record) string {
+func (fl *flow) takeOver(ctx context.Context, previous origin.Record) string {
 	if ctx.Err() != nil {
 		return notTakenOver // a request that arrives after its caller has left must not end a later one
 	}
-	before.Epoch = max(before.Epoch, firstEpoch)
-	fl.serveStream(before.Epoch + 1)
-	if before.Server == 0 {
+	previous.Epoch = max(previous.Epoch, firstEpoch)
+	fl.serveStream(previous.Epoch + 1)
+	if previous.Server == 0 {
 		return notTakenOver
 	}
-	ended := fl.Origins.TakeOver(fl.origin.key, before)
+	ended := fl.Origins.TakeOver(fl.origin.key, previous)
 	wait := time.NewTimer(takeoverWait)
 	defer wait.Stop()
 	select {
@@ -70,17 +70,17 @@
 	case <-ctx.Done():
 	case <-wait.C:
 	}
-	fl.origin.before = fleet.ID(before.Target)
+	fl.origin.previousTarget = fleet.ID(previous.Target)
 	return takeoverPending
 }
 
-// placeAsBefore chooses the target at which the stream ran before, if the entry before may still have it run
+// placeAtPreviousTarget chooses the target at which the stream ran before, if the entry before may still have it run
 // there, the target is in good health and can accept it now. It is attempted once.
-func (fl *flow) placeAsBefore(ctx context.Context) *destination {
-	if fl.origin.before == 0 {
+func (fl *flow) placeAtPreviousTarget(ctx context.Context) *destination {
+	if fl.origin.previousTarget == 0 {
 		return nil
 	}
-	defer func() { fl.origin.before = 0 }()
+	defer func() { fl.origin.previousTarget = 0 }()
 	if v, ok := fl.View(); ok {
 		fl.view = v
 	}
@@ -89,7 +89,7 @@
 	ejected := fl.Health.Ejected(fl.Now())
 	isUsable := func(t fleet.Target) bool {
 		_, isEjected := ejected[t.Incarnation]
-		return !fl.mayNotGoOnAt(&t) && !t.Leaving && !t.Unconfirmed && !isEjected && !fl.view.Unresponsive[t.Address]
+		return !fl.mustNotContinueAt(&t) && !t.Leaving && !t.Unconfirmed && !isEjected && !fl.view.Unresponsive[t.Address]
 	}
 	if !slices.ContainsFunc(fl.view.Targets[fl.service.Name], isUsable) {
 		return nil
@@ -105,8 +105,8 @@
 	return dst
 }
 
-// mayNotGoOnAt reports whether a stream must not go on at a target, because that has another version or,
-// during placeAsBefore, is another target.
-func (fl *flow) mayNotGoOnAt(t *fleet.Target) bool {
-	return fl.hasOtherVersion(t) || fl.origin.before != 0 && t.ID != fl.origin.before
+// mustNotContinueAt reports whether a stream must not go on at a target, because that has another version or,
+// during placeAtPreviousTarget, is another target.
+func (fl *flow) mustNotContinueAt(t *fleet.Target) bool {
+	return fl.hasOtherVersion(t) || fl.origin.previousTarget != 0 && t.ID != fl.origin.previousTarget
 }
--- a/internal/gateway/forward/takeover_test.go
+++ b/internal/gateway/forward/takeover_test.go
@@ -95,9 +95,9 @@
 			if c.unresponsive {
 				e.view.Unresponsive = map[netip.AddrPort]bool{targets[3].Address: true}
 			}
-			e.origins.before = origin.Run{Server: 1, Target: uint32(targets[3].ID), Epoch: 4}
+			e.origins.previous = origin.Run{Server: 1, Target: uint32(targets[3].ID), Epoch: 4}
 			if c.target != 0 {
-				e.origins.before.Target = c.target
+				e.origins.previous.Target = c.target
 			}
 			if !c.answered {
 				e.origins.ended = make(chan struct{})
@@ -125,7 +125,7 @@
 	for _, leaves := range []bool{false, true} {
 		e := newVersionedEnv(t, "v1")
 		e.knows("first", origin.VersionOf("plain", "v1"))
-		e.origins.before = origin.Run{Server: 1, Target: 1, Epoch: 1}
+		e.origins.previous = origin.Run{Server: 1, Target: 1, Epoch: 1}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		e.origins.asking = func(served context.Context) {
--- a/internal/gateway/origin/takeover.go
+++ b/internal/gateway/origin/takeover.go
@@ -23,19 +23,19 @@
 	ended  chan struct{}
 }
 
-// TakeOver records that this process serves a stream from now on, of which before is known, and asks the entry
+// TakeOver records that this process serves a stream from now on, of which previous is known, and asks the entry
 // that has served it to end what it still serves of it. The returned channel is closed once that one has: at
 // once if it is this process, or not known. It is never closed if that entry is not among the live ones, since
-// it may work on. Call Serve before.
-func (x *Exchange) TakeOver(key Key, before Record) <-chan struct{} {
-	r := Record{before.Version, Run{Target: before.Target, Epoch: before.Epoch + 1}}
+// it may work on. Call Serve first.
+func (x *Exchange) TakeOver(key Key, previous Record) <-chan struct{} {
+	r := Record{previous.Version, Run{Target: previous.Target, Epoch: previous.Epoch + 1}}
 	x.Record(key, r)
 	ended := make(chan struct{})
-	if before.Server == 0 || before.Server == x.self {
+	if previous.Server == 0 || previous.Server == x.self {
 		close(ended)
 		return ended
 	}
-	server, ok := x.rings.Load().servers[before.Server]
+	server, ok := x.rings.Load().servers[previous.Server]
 	if !ok {
 		return ended
 	}
