Logs: a send on a connection that has carried the same attempt, and to an address again

Cause: whether a response may be a copy of the answer to an earlier send of the same attempt shows only when four lines are put together: both sends, their addresses and connections.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -266,6 +266,8 @@
 	totalWork map[fleet.ID]ledger.Work
 	// excluded targets are not tried again.
 	excluded map[fleet.Incarnation]bool
+	// sentTo counts the sends to each address.
+	sentTo map[netip.AddrPort]int
 	// restrictions are what targets have stated about the load that they take, as of the last
 	// placement.
 	restrictions restrictions
@@ -436,7 +438,7 @@
 // run sends the request until it is served or no further send is possible. It returns nil
 // if the caller got a response.
 func (fl *flow) run(ctx context.Context) *errkind.Error {
-	fl.excluded = map[fleet.Incarnation]bool{}
+	fl.excluded, fl.sentTo = map[fleet.Incarnation]bool{}, map[netip.AddrPort]int{}
 	fl.lastEvent = fl.request.LastEventID
 	defer fl.leaveQueue()
 	if refusal := fl.resolveOrigin(ctx); refusal != nil {
--- a/internal/gateway/forward/record.go
+++ b/internal/gateway/forward/record.go
@@ -13,6 +13,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/health"
 	"github.com/toucanwell/toucanwell/internal/gateway/parts"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
+	"github.com/toucanwell/toucanwell/internal/gateway/wire"
 )
 
 // unknownAge is logged as the age of something that was never reported.
@@ -44,7 +45,7 @@
 	}
 	log.Info("request_sent", "request_id", fl.request.ID, "print", fl.fingerprint, "send", fl.sends, "cause", fl.retryCause, "last_event", fl.lastEvent, "resumes", bounded(fl.request.Resumes), "start", fl.origin.name, "start_source", fl.origin.source,
 		"route", fl.routeName(), "service", fl.serviceName(), "workspace", fl.workspaceName(), "estate", fl.estateVersion(), "declared_at", fl.view.Declared.At, "declared_source", fl.view.Declared.Source,
-		"target", dst.target.Incarnation, "version", dst.target.SoftwareVersion, "address", dst.target.Address, "zone", dst.target.Zone,
+		"target", dst.target.Incarnation, "version", dst.target.SoftwareVersion, "address", dst.target.Address, "same_address", fl.lastSend.sameAddress, "zone", dst.target.Zone,
 		"list_at", fl.view.Listed.At, "list_source", fl.view.Listed.Source, "list_age", fl.age(fl.view.TargetsCurrentAt), "listed", !dst.target.Unlisted, "asked", dst.probeCount, "report_age", age, "phase", phase.String(),
 		"weights", dst.weightsVersion, "wanted", fl.view.Wanted[fl.request.Model].Newest(),
 		"prompt", fl.request.PromptTokens, "shared", fl.sharedTokens(), "parts", fl.sharedPartNames(), "family", familyName(dst), "answer", fl.request.MaxTokens, "held", dst.choice.CachedTokens, "fetched", dst.choice.FetchedTokens, "fetch_from", dst.fetchFrom, "save_to", dst.offloadTo,
@@ -96,14 +97,14 @@
 }
 
 // recordSkipped records a response that came for the request and belongs to another one.
-func (fl *flow) recordSkipped(dst *destination, status int, id string) {
+func (fl *flow) recordSkipped(dst *destination, status int, reply *wire.Reply) {
 	fl.lastSend.skipped++
 	if fl.lastSend.conn.Earlier == 0 && fl.lastSend.skipped == 1 {
 		fl.recordOutcome(dst, health.Foreign) // no earlier request can have left it
 	}
 	fl.Metrics.SkippedResponse(fl.serviceName())
-	fl.auditOr(fl.Logger).Info("response_skipped", "request_id", fl.request.ID, "send", fl.sends, "target", dst.target.Incarnation, "status", status, "response_id", bounded(id),
-		"earlier", fl.lastSend.conn.Earlier, "after", roundForLog(time.Since(fl.sentAt)))
+	fl.auditOr(fl.Logger).Info("response_skipped", "request_id", fl.request.ID, "send", fl.sends, "target", dst.target.Incarnation, "status", status, "response_id", bounded(reply.ID),
+		"not_run", reply.NotRun, "conn", fl.lastSend.conn.Local, "earlier", fl.lastSend.conn.Earlier, "after", roundForLog(time.Since(fl.sentAt)))
 }
 
 // isSendFailure reports whether a status means that the send failed or was refused.
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -80,6 +80,8 @@
 // sendRecord is what is logged of the last send.
 type sendRecord struct {
 	incarnation fleet.Incarnation
+	// sameAddress is the number of earlier sends of the request to the target's address.
+	sameAddress int
 	status      int
 	// evidence is why the request counts as run or not run.
 	evidence evidence
@@ -145,6 +147,8 @@
 	}
 	sentAt := fl.Now()
 	fl.sentAt = time.Now()
+	fl.lastSend.sameAddress = fl.sentTo[dst.target.Address]
+	fl.sentTo[dst.target.Address]++
 	fl.logSend(dst)
 	fl.countSend(dst)
 	watch := fl.watchEngine(ctx, dst, cancel)
@@ -216,7 +220,7 @@
 	}
 	return &upstream.Request{
 		Method: fl.r.Method, RequestURI: fl.r.RequestURI, Host: fl.r.Host,
-		Header: fl.Protocol.WriteAttempt(fl.r.Header, send), Body: fl.body, FreshConn: !fl.route.Retryable(),
+		Header: fl.Protocol.WriteAttempt(fl.r.Header, send), Body: fl.body, Attempt: fl.request.ID, FreshConn: !fl.route.Retryable(),
 		NewConn: fl.request.ID == "", Matches: func(status int, h http.Header) bool { return fl.isOwnResponse(dst, status, h) },
 		Trace: &fl.lastSend.conn,
 	}
@@ -227,9 +231,9 @@
 // bytes after a complete response, which arrive where the next one is expected. Only a request that has
 // no ID itself takes it, on a connection that has carried no other.
 func (fl *flow) isOwnResponse(dst *destination, status int, h http.Header) bool {
-	id := fl.Protocol.ReadReply(status, h).ID
-	if id != fl.request.ID {
-		fl.recordSkipped(dst, status, id)
+	reply := fl.Protocol.ReadReply(status, h)
+	if reply.ID != fl.request.ID {
+		fl.recordSkipped(dst, status, &reply)
 		return false
 	}
 	return true
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -64,6 +64,8 @@
 	Host       string
 	Header     http.Header
 	Body       []byte
+	// Attempt is the ID that the target repeats in its response.
+	Attempt string
 	// FreshConn excludes connections that have been idle for long, which the target may
 	// have closed. Set it for requests that can't be retried.
 	FreshConn bool
@@ -80,6 +82,8 @@
 type Trace struct {
 	// Earlier is the number of requests that the connection carried before this one.
 	Earlier int
+	// SameAttempt is set if one of them had the same attempt's ID.
+	SameAttempt bool
 	// Age is the time since the connection was made, Idle that since the response before.
 	Age, Idle time.Duration
 	// Local is the address of this end.
@@ -169,7 +173,7 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, c.abort)
-	c.trace(req.Trace)
+	c.trace(req)
 	written := &writeResult{result: c.write(req)}
 	raw, err := c.readResponse(req)
 	c.traceResponse(req.Trace, written, err)
@@ -279,20 +283,22 @@
 	idleSince time.Time
 	// requests is the number of requests that were sent on the connection.
 	requests int
+	attempts attemptSet
 	// head is the beginning of the last head that was read.
 	head []byte
 }
 
 // trace counts a request and describes the connection to it.
-func (c *conn) trace(t *Trace) {
-	if t != nil {
+func (c *conn) trace(req *Request) {
+	if t := req.Trace; t != nil {
 		now := time.Now()
-		*t = Trace{Earlier: c.requests, Age: now.Sub(c.dialedAt), Local: localAddress(c.net)}
+		*t = Trace{Earlier: c.requests, SameAttempt: c.attempts.contains(req.Attempt), Age: now.Sub(c.dialedAt), Local: localAddress(c.net)}
 		if !c.idleSince.IsZero() {
 			t.Idle = now.Sub(c.idleSince)
 		}
 	}
 	c.requests++
+	c.attempts.add(req.Attempt)
 }
 
 // traceResponse describes the response, or that there was none.
