A connection carries an attempt once: copies of refusals are no answers

What callers saw: a request that may run once ran twice, or ran although its caller was told 429 or 503. Cause: a target may send a refusal twice. The copy has the ID of the request, which was all that an entry looked at: if the same attempt was under way again on the same connection, the copy was taken for its answer, and the request counted as not run. Change: a connection remembers the attempts that it has carried, as hashes of their IDs, and carries each once; another idle connection or a new one takes a repeated one. Whoever sends again and why, no copy can come on the connection of the second send.

--- a/internal/gateway/forward/audit.go
+++ b/internal/gateway/forward/audit.go
@@ -51,7 +51,7 @@
 func (fl *flow) sendFields() []any {
 	s := &fl.lastSend
 	fields := []any{
-		"request_id", fl.request.ID, "send", fl.sends, "evidence", s.evidence, "earlier", s.conn.Earlier, "same_conn", s.conn.SameAttempt, "same_address", s.sameAddress, "skipped", s.skipped,
+		"request_id", fl.request.ID, "send", fl.sends, "evidence", s.evidence, "earlier", s.conn.Earlier, "passed_over", s.conn.PassedOver, "same_address", s.sameAddress, "skipped", s.skipped,
 		"conn_age", roundForLog(s.conn.Age), "conn_idle", roundForLog(s.conn.Idle), "conn", s.conn.Local, "written", s.conn.Written,
 	}
 	if fl.audited() && (s.evidence == statedNotRun || s.evidence == misdirected) {
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -221,15 +221,16 @@
 	return &upstream.Request{
 		Method: fl.r.Method, RequestURI: fl.r.RequestURI, Host: fl.r.Host,
 		Header: fl.Protocol.WriteAttempt(fl.r.Header, send), Body: fl.body, Attempt: fl.request.ID, FreshConn: !fl.route.Retryable(),
-		NewConn: fl.request.ID == "", Matches: func(status int, h http.Header) bool { return fl.isOwnResponse(dst, status, h) },
-		Trace: &fl.lastSend.conn,
+		Matches: func(status int, h http.Header) bool { return fl.isOwnResponse(dst, status, h) },
+		Trace:   &fl.lastSend.conn,
 	}
 }
 
 // isOwnResponse reports whether a response belongs to the request. Targets repeat the ID of the request
 // that they answer. One without an ID belongs to no request, whatever it states: targets may send further
 // bytes after a complete response, which arrive where the next one is expected. Only a request that has
-// no ID itself takes it, on a connection that has carried no other.
+// no ID itself takes it, on a connection that has carried no other. They may also send a response twice: the
+// connection has therefore carried no earlier send of the same ID.
 func (fl *flow) isOwnResponse(dst *destination, status int, h http.Header) bool {
 	reply := fl.Protocol.ReadReply(status, h)
 	if reply.ID != fl.request.ID {
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -85,41 +86,48 @@
 	return sockoptErr
 }
 
-// get returns an idle connection that is alive and may carry the request, or a new one.
-func (p *Pool) get(ctx context.Context, address netip.AddrPort, req *Request) (*conn, error) {
-	if req.NewConn {
-		return p.dial(ctx, address)
+// get returns an idle connection that is alive and may carry the request, or a new one. It also returns how many
+// idle connections were passed over because they have carried the attempt.
+func (p *Pool) get(ctx context.Context, address netip.AddrPort, req *Request) (c *conn, passedOver int, err error) {
+	if req.Attempt == "" {
+		c, err = p.dial(ctx, address)
+		return c, 0, err
 	}
 	for {
-		c := p.takeIdle(address, req.FreshConn)
+		c, passedOver = p.takeIdle(address, req)
 		if c == nil {
-			return p.dial(ctx, address)
+			c, err = p.dial(ctx, address)
+			return c, passedOver, err
 		}
 		if c.alive() {
-			return c, nil
+			return c, passedOver, nil
 		}
 		c.close()
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) takeIdle(address netip.AddrPort, fresh bool) *conn {
+// takeIdle removes and returns the most recently used idle connection that has not carried the attempt, or nil. A
+// target may send a response twice, and the ID in the copy of an earlier response to the attempt is the right one.
+func (p *Pool) takeIdle(address netip.AddrPort, req *Request) (c *conn, passedOver int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	last := list[len(list)-1]
 	limit := p.idleLimit(address)
-	if fresh {
+	if req.FreshConn {
 		limit = min(limit, maxFreshConnIdle)
 	}
-	if time.Since(last.idleSince) > limit {
-		return nil
+	list := p.idle[address]
+	for i, c := range slices.Backward(list) {
+		if time.Since(c.idleSince) > limit {
+			break
+		}
+		if c.attempts.contains(req.Attempt) {
+			passedOver++
+			continue
+		}
+		p.idle[address] = slices.Delete(list, i, i+1)
+		return c, passedOver
 	}
-	p.idle[address] = list[:len(list)-1]
-	return last
+	return nil, passedOver
 }
 
 func (p *Pool) idleLimit(address netip.AddrPort) time.Duration {
@@ -205,12 +213,13 @@
 	return ListenerUnknown, errClosedAtOnce
 }
 
-// put adds a connection to the pool, or closes it if the pool is full or closed.
+// put adds a connection to the pool, or closes it if the pool is full or closed, or if the connection can't
+// remember further attempts.
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[c.address]
-	if p.closed || len(list) >= maxIdlePerTarget {
+	if p.closed || len(list) >= maxIdlePerTarget || c.attempts.isFull() {
 		c.close()
 		return
 	}
--- a/internal/gateway/upstream/pool_test.go
+++ b/internal/gateway/upstream/pool_test.go
@@ -53,7 +53,7 @@
 func send(t *testing.T, p *Pool, to netip.AddrPort, id string) (string, error) {
 	t.Helper()
 	resp, err := p.Send(t.Context(), to, &Request{
-		Method: http.MethodPost, RequestURI: "/a%2Fb?x=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Method: http.MethodPost, RequestURI: "/a%2Fb?x=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"), Attempt: id,
 		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
 	})
 	if err != nil {
@@ -240,3 +240,44 @@
 		p.CloseIdle()
 	}
 }
+
+// Guards against a connection that carries an attempt again: a late copy of the response before has the right ID.
+// Other attempts use it.
+func TestConnectionCarriesAnAttemptOnce(t *testing.T) {
+	var connections atomic.Int32
+	to := listen(t, func(n int, c net.Conn, r *bufio.Reader) {
+		connections.Store(int32(n))
+		for serveOne(c, r) {
+		}
+	})
+	p := NewPool(func() {})
+	defer p.CloseIdle()
+	for _, attempt := range []struct {
+		id          string
+		connections int32
+	}{{"1", 1}, {"2", 1}, {"1", 2}, {"3", 2}, {"1", 3}, {"2", 3}, {"2", 3}, {"3", 3}} {
+		if _, err := send(t, p, to, attempt.id); err != nil || connections.Load() != attempt.connections {
+			t.Errorf("attempt %s: error %v, %d connections, want %d", attempt.id, err, connections.Load(), attempt.connections)
+		}
+	}
+}
+
+// Guards against a connection that forgets attempts: it is closed once it can't remember any further ones.
+func TestConnectionEndsWithItsMemoryOfAttempts(t *testing.T) {
+	var connections atomic.Int32
+	to := listen(t, func(n int, c net.Conn, r *bufio.Reader) {
+		connections.Store(int32(n))
+		for serveOne(c, r) {
+		}
+	})
+	p := NewPool(func() {})
+	defer p.CloseIdle()
+	for i := range maxAttempts + 1 {
+		if _, err := send(t, p, to, fmt.Sprint(i)); err != nil {
+			t.Fatal(err)
+		}
+		if want := int32(1 + i/maxAttempts); connections.Load() != want {
+			t.Fatalf("%d connections after %d requests, want %d", connections.Load(), i+1, want)
+		}
+	}
+}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -64,14 +64,12 @@
 	Host       string
 	Header     http.Header
 	Body       []byte
-	// Attempt is the ID that the target repeats in its response.
+	// Attempt is the ID that the target repeats in its response. A connection carries an attempt once. Without an
+	// ID the request gets a connection that has carried no other.
 	Attempt string
 	// FreshConn excludes connections that have been idle for long, which the target may
 	// have closed. Set it for requests that can't be retried.
 	FreshConn bool
-	// NewConn excludes connections that have carried other requests. Set it for requests whose
-	// responses Matches can't tell from those to others.
-	NewConn bool
 	// Matches reports whether a response belongs to this request.
 	Matches func(status int, h http.Header) bool
 	// Trace, unless nil, receives what connection carries the request, before a response is read.
@@ -82,8 +80,8 @@
 type Trace struct {
 	// Earlier is the number of requests that the connection carried before this one.
 	Earlier int
-	// SameAttempt is set if one of them had the same attempt's ID.
-	SameAttempt bool
+	// PassedOver is the number of idle connections that were not used because they had carried the attempt.
+	PassedOver int
 	// Age is the time since the connection was made, Idle that since the response before.
 	Age, Idle time.Duration
 	// Local is the address of this end.
@@ -168,12 +166,12 @@
 // Send sends a request to an address and returns when the headers of the response arrive.
 // Cancelling the context resets the connection, even while the body is being read.
 func (p *Pool) Send(ctx context.Context, address netip.AddrPort, req *Request) (*Response, error) {
-	c, err := p.get(ctx, address, req)
+	c, passedOver, err := p.get(ctx, address, req)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, c.abort)
-	c.trace(req)
+	c.trace(req, passedOver)
 	written := &writeResult{result: c.write(req)}
 	raw, err := c.readResponse(req)
 	c.traceResponse(req.Trace, written, err)
@@ -289,10 +287,10 @@
 }
 
 // trace counts a request and describes the connection to it.
-func (c *conn) trace(req *Request) {
+func (c *conn) trace(req *Request, passedOver int) {
 	if t := req.Trace; t != nil {
 		now := time.Now()
-		*t = Trace{Earlier: c.requests, SameAttempt: c.attempts.contains(req.Attempt), Age: now.Sub(c.dialedAt), Local: localAddress(c.net)}
+		*t = Trace{Earlier: c.requests, PassedOver: passedOver, Age: now.Sub(c.dialedAt), Local: localAddress(c.net)}
 		if !c.idleSince.IsZero() {
 			t.Idle = now.Sub(c.idleSince)
 		}
