Repeated attempts do not add connections

Cause: since a connection carries an attempt once, a caller whose requests all have one ID makes an entry open a connection for each of them and keep up to 32: 20 in a test of 20 requests. Targets accept a number of connections from all entries. Change: the new connection replaces an idle one that has carried the attempt. Result: 1 connection after 20 requests of one ID (red before: 20); the tests of upstream pass with -race, the new mutation is red.

--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -116,17 +116,23 @@
 		limit = min(limit, maxFreshConnIdle)
 	}
 	list := p.idle[address]
+	repeated := -1
 	for i, c := range slices.Backward(list) {
 		if time.Since(c.idleSince) > limit {
 			break
 		}
 		if c.attempts.contains(req.Attempt) {
+			repeated = i
 			passedOver++
 			continue
 		}
 		p.idle[address] = slices.Delete(list, i, i+1)
 		return c, passedOver
 	}
+	if repeated >= 0 { // the new connection replaces it: repeated attempts do not add connections
+		list[repeated].close()
+		p.idle[address] = slices.Delete(list, repeated, repeated+1)
+	}
 	return nil, passedOver
 }
 
