--- a/internal/gateway/forward/copiedrefusal_test.go
+++ b/internal/gateway/forward/copiedrefusal_test.go
@@ -91,8 +91,8 @@
 				t.Errorf("%s, %s: %v", name, route, err)
 				continue
 			}
-			if ran := target.ran.Load(); ran > 1 || ran > 0 && impliesNotRun(resp.StatusCode) {
-				t.Errorf("%s, %s: ran %d times, its caller was told %d", name, route, ran, resp.StatusCode)
+			if ran, sent := target.ran.Load(), target.runs.Load(); resp.StatusCode != http.StatusOK || ran != 1 || sent != 2 {
+				t.Errorf("%s, %s: sent %d times, ran %d times, its caller was told %d", name, route, sent, ran, resp.StatusCode)
 			}
 		}
 	}
@@ -102,10 +102,10 @@
 func TestCopyOfARefusalIsNoAnswerToARepeatedAttempt(t *testing.T) {
 	target := startCopyingTarget(t, "t", http.StatusServiceUnavailable)
 	env := newTestEnv(t, target.fakeTarget)
-	if resp, _, err := env.post(t, "/once/x", "order"); err != nil || !impliesNotRun(resp.StatusCode) {
+	if resp, _, err := env.post(t, "/again/x", "order", wiretest.ID, "r", wiretest.TimeLeft, "500ms"); err != nil || !impliesNotRun(resp.StatusCode) || target.runs.Load() != 1 {
 		t.Fatalf("response %v, error %v; want a refusal", resp, err)
 	}
-	resp, body, err := env.post(t, "/once/x", "order")
+	resp, body, err := env.post(t, "/again/x", "order", wiretest.ID, "r")
 	if err != nil || resp.StatusCode != http.StatusOK || body != "own" || target.ran.Load() != 1 {
 		t.Errorf("response %v, body %q, error %v, %d runs", resp, body, err, target.ran.Load())
 	}
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -239,6 +239,8 @@
 	view   *view.View
 	server *httptest.Server
 	pool   *upstream.Pool
+	// posted is the number of requests that were sent.
+	posted atomic.Int32
 }
 
 const (
@@ -302,7 +304,8 @@
 	return env
 }
 
-// post sends a request and returns the response, its body and any error.
+// post sends a request, with an ID of its own unless the headers have one, and returns the response, its body and
+// any error.
 func (env *testEnv) post(t *testing.T, path, body string, header ...string) (*http.Response, string, error) {
 	t.Helper()
 	return env.postContext(t.Context(), t, path, body, header...)
@@ -315,7 +318,7 @@
 		t.Fatal(err)
 	}
 	req.Host = host
-	req.Header.Set(wiretest.ID, "r1")
+	req.Header.Set(wiretest.ID, fmt.Sprintf("r%d", env.posted.Add(1)))
 	req.Header.Set(wiretest.Key, "town-key")
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
--- a/internal/gateway/upstream/attempts.go
+++ b/internal/gateway/upstream/attempts.go
@@ -9,12 +9,16 @@
 // maxAttempts is the number of attempts that a connection remembers. It is closed after the last one.
 const maxAttempts = 256
 
-// attemptSet holds the attempts that a connection has carried, as hashes of their IDs.
-type attemptSet []uint64
+// attempt is the hash of an attempt's ID. Two IDs with one hash only cost a connection.
+type attempt uint64
 
-func (s *attemptSet) add(id string) { *s = append(*s, xxhash.Sum64String(id)) }
+func attemptOf(id string) attempt { return attempt(xxhash.Sum64String(id)) }
 
-// contains reports whether the set contains an attempt, or one whose ID has the same hash.
-func (s attemptSet) contains(id string) bool { return slices.Contains(s, xxhash.Sum64String(id)) }
+// attemptSet holds the attempts that a connection has carried.
+type attemptSet []attempt
+
+func (s *attemptSet) add(a attempt) { *s = append(*s, a) }
+
+func (s attemptSet) contains(a attempt) bool { return slices.Contains(s, a) }
 
 func (s attemptSet) isFull() bool { return len(s) >= maxAttempts }
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -115,13 +115,13 @@
 	if req.FreshConn {
 		limit = min(limit, maxFreshConnIdle)
 	}
-	list := p.idle[address]
+	list, wanted := p.idle[address], attemptOf(req.Attempt)
 	repeated := -1
 	for i, c := range slices.Backward(list) {
 		if time.Since(c.idleSince) > limit {
 			break
 		}
-		if c.attempts.contains(req.Attempt) {
+		if c.attempts.contains(wanted) {
 			repeated = i
 			passedOver++
 			continue
--- a/internal/gateway/upstream/pool_test.go
+++ b/internal/gateway/upstream/pool_test.go
@@ -284,20 +284,66 @@
 
 // Guards against callers whose requests all have one ID, and which take up all connections that a target accepts.
 func TestRepeatedAttemptsDoNotAddConnections(t *testing.T) {
+	var accepted, open atomic.Int32
+	mostOpen := int32(0)
 	to := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		accepted.Add(1)
+		open.Add(1)
+		defer open.Add(-1)
 		for serveOne(c, r) {
 		}
 	})
 	p := NewPool(func() {})
 	defer p.CloseIdle()
-	for range 20 {
+	for range 200 {
 		if _, err := send(t, p, to, "1"); err != nil {
 			t.Fatal(err)
 		}
+		mostOpen = max(mostOpen, open.Load())
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if n := len(p.idle[to]); n != 1 {
-		t.Errorf("%d idle connections, want 1", n)
+	idle := len(p.idle[to])
+	p.mu.Unlock()
+	if idle != 1 || accepted.Load() != 200 || mostOpen > 20 {
+		t.Errorf("%d idle connections, %d made, at most %d open at a time; want 1, 200 and few", idle, accepted.Load(), mostOpen)
+	}
+}
+
+// Guards against a connection that is used again while a request is still being written on it, after an early
+// response: the next request would wait for the target to read on.
+func TestConnectionWithUnfinishedRequestIsNotUsedAgain(t *testing.T) {
+	const buffer = 8 << 10 // keeps the kernel from taking a whole body before it is read
+	mayRead := make(chan struct{})
+	to := listen(t, func(n int, c net.Conn, r *bufio.Reader) {
+		_ = c.(*net.TCPConn).SetReadBuffer(buffer)
+		if n > 1 {
+			serveOne(c, r)
+			return
+		}
+		fmt.Fprint(c, "HTTP/1.1 503 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+		<-mayRead
+	})
+	p := NewPool(func() {})
+	defer p.CloseIdle()
+	defer close(mayRead)
+	dial := p.dialContext
+	p.dialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err == nil {
+			_ = c.(*net.TCPConn).SetWriteBuffer(buffer)
+		}
+		return c, err
+	}
+	resp, err := p.Send(t.Context(), to, &Request{
+		Method: http.MethodPost, RequestURI: "/", Host: "h", Body: make([]byte, 16<<20), Attempt: "1",
+		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == "1" },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp)
+	resp.Close()
+	if got, err := send(t, p, to, "2"); err != nil || got != "/a%2Fb?x=1 body" {
+		t.Errorf("response %q, error %v", got, err)
 	}
 }
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -279,8 +279,7 @@
 	closeOnce sync.Once
 	dialedAt  time.Time
 	idleSince time.Time
-	// requests is the number of requests that were sent on the connection.
-	requests int
+	// attempts are the requests that were sent on the connection.
 	attempts attemptSet
 	// head is the beginning of the last head that was read.
 	head []byte
@@ -290,13 +289,12 @@
 func (c *conn) trace(req *Request, passedOver int) {
 	if t := req.Trace; t != nil {
 		now := time.Now()
-		*t = Trace{Earlier: c.requests, PassedOver: passedOver, Age: now.Sub(c.dialedAt), Local: localAddress(c.net)}
+		*t = Trace{Earlier: len(c.attempts), PassedOver: passedOver, Age: now.Sub(c.dialedAt), Local: localAddress(c.net)}
 		if !c.idleSince.IsZero() {
 			t.Idle = now.Sub(c.idleSince)
 		}
 	}
-	c.requests++
-	c.attempts.add(req.Attempt)
+	c.attempts.add(attemptOf(req.Attempt))
 }
 
 // traceResponse describes the response, or that there was none.
