Events: blank lines without end are read in linear time

Cause: events.Reader looked for content in all of the event at each blank line. A target that sends line feeds without end makes that quadratic: up to 1 MB of them, each followed by a scan of all that came before.

Change: the reader notes whether a line had content.

--- a/internal/gateway/events/events.go
+++ b/internal/gateway/events/events.go
@@ -54,7 +54,8 @@
 func (r *Reader) Next() (Event, error) {
 	var e Event
 	r.memory.Release()
-	continued := false // the slice does not begin its line
+	continued := false  // the slice does not begin its line
+	hasContent := false // the event is more than white space
 	for {
 		line, err := r.in.ReadSlice('\n')
 		e.Raw = append(e.Raw, line...)
@@ -64,11 +65,12 @@
 		if !r.memory.Grow(growthFactor * len(e.Raw)) {
 			return Event{}, ErrNoMemory
 		}
+		hasContent = hasContent || len(bytes.TrimSpace(line)) > 0
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continued = true
 			continue
 		}
-		if err == io.EOF && len(bytes.TrimSpace(e.Raw)) > 0 {
+		if err == io.EOF && hasContent {
 			return Event{}, ErrTruncated
 		}
 		if err != nil {
@@ -77,7 +79,7 @@
 		if !continued {
 			e.parseID(line)
 		}
-		if !continued && isBlank(line) && len(bytes.TrimSpace(e.Raw)) > 0 {
+		if !continued && isBlank(line) && hasContent {
 			return e, nil
 		}
 		continued = false
--- a/internal/gateway/events/events_test.go
+++ b/internal/gateway/events/events_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -51,6 +52,26 @@
 	})
 }
 
+// Guards against a target that sends blank lines without end: finding out that an event has no content yet
+// must not read what has come again with each line.
+func TestBlankLinesWithoutEnd(t *testing.T) {
+	for _, line := range []string{"\n", "\r\n", "\r\r\r\n"} {
+		read := make(chan error, 1)
+		go func() {
+			_, err := NewReader(strings.NewReader(strings.Repeat(line, 2*maxEvent/len(line))), (*buffers.Budget)(nil).NewShare()).Next()
+			read <- err
+		}()
+		select {
+		case err := <-read:
+			if !errors.Is(err, ErrTooLong) {
+				t.Errorf("%q: error %v", line, err)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%q: not read within 5 s", line)
+		}
+	}
+}
+
 // Next must parse numeric IDs and ignore other ones.
 func TestEventIDs(t *testing.T) {
 	r := NewReader(strings.NewReader("id: 12\ndata: x\n\ndata: id: 9\n\nid: none\ndata: y\n\n"), (*buffers.Budget)(nil).NewShare())
