Sidecar: what targets answer shares a part of its memory

Cause: toucanwelld without the gateway kept every frame of a run until its reader had been gone for five seconds, and a run has no deadline; and it read up to 8 MB of each plain response, without a bound on the sum. An engine that sends tokens without end, or a plain service with tens of endless bodies, fills the memory of the sidecar, and all runs in it are lost.

Change: frames and plain responses take from a budget of a quarter of the process's memory. A run for which none is left ends with an error of the target and is cancelled at the engine; before that, runs that have ended and that nobody reads are dropped, the longest idle first, which can't be resumed then.

Not played with real processes.

--- a/internal/external/endless_test.go
+++ b/internal/external/endless_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/toucanwell/toucanwell/internal/buffers"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream/endlesstest"
 )
 
@@ -43,3 +44,34 @@
 		})
 	}
 }
+
+// endlessBody counts what is read of it.
+type endlessBody struct{ read int }
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	b.read += len(p)
+	return len(p), nil
+}
+
+// Guards against a plain service that answers many calls without end: their responses together fill the memory of
+// the sidecar, and all calls in it are lost.
+func TestEndlessPlainResponsesShareMemory(t *testing.T) {
+	const calls, memory = 40, 8 << 20
+	budget := buffers.NewBudget(memory)
+	total := 0
+	for range calls {
+		body := &endlessBody{}
+		if _, err := readPlainBody(body, budget.NewShare()); err == nil {
+			t.Error("an endless response was taken for whole")
+		}
+		total += body.read
+	}
+	// The first step of each body is not taken from the budget.
+	if most := memory + calls*buffers.Step; total > most {
+		t.Errorf("%d bytes were read, want at most %d", total, most)
+	}
+	body := &endlessBody{}
+	if _, err := readPlainBody(body, nil); err == nil || body.read < maxResponseBytes {
+		t.Errorf("without a budget %d bytes were read, error %v", body.read, err)
+	}
+}
--- a/internal/external/external.go
+++ b/internal/external/external.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/buffers"
 )
 
 // ErrNotSent marks errors of calls that were not sent and thus had no effect.
@@ -169,6 +171,8 @@
 	RequestID string
 	Key       string
 	Timeout   time.Duration
+	// Memory is what the response takes its memory from, and Call does not release; nil for no bound.
+	Memory *buffers.Share
 }
 
 // PlainResponse is the response of a plain service.
--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -10,11 +10,13 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/toucanwell/toucanwell/internal/buffers"
 	"github.com/toucanwell/toucanwell/internal/retryafter"
 )
 
@@ -323,12 +325,41 @@
 		return nil, errors.Wrap(markNotSent(err), "plain call")
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := readPlainBody(resp.Body, in.Memory)
 	if err != nil {
 		return nil, errors.Wrap(err, "plain response")
 	}
-	if len(body) > maxResponseBytes {
-		return nil, errors.Newf("plain response: over %d bytes", maxResponseBytes)
-	}
 	return &PlainResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body, RetryAfter: retryAfter(resp)}, nil
 }
+
+// errNoMemory is returned if a response is large and others have taken the memory for it.
+var errNoMemory = errors.New("no memory for a large response")
+
+const (
+	// minBodyRead is the space for the first read of a body.
+	minBodyRead = 512
+	// bodyCopies is how often a body is held: as received, with the space to grow, and encoded for the entry.
+	bodyCopies = 3
+)
+
+// readPlainBody reads a body of at most maxResponseBytes.
+func readPlainBody(in io.Reader, memory *buffers.Share) ([]byte, error) {
+	var body []byte
+	for {
+		if memory != nil && !memory.Grow(bodyCopies*(len(body)+minBodyRead)) {
+			return nil, errNoMemory
+		}
+		body = slices.Grow(body, minBodyRead)
+		n, err := in.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if len(body) > maxResponseBytes {
+			return nil, errors.Newf("over %d bytes", maxResponseBytes)
+		}
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -72,7 +72,7 @@
 	ctx = context.WithoutCancel(ctx)
 	s.calls.Add(1)
 	defer s.calls.Done()
-	request := &external.PlainRequest{Path: m.Path, ContentType: m.ContentType, Body: m.Body, RequestID: m.RequestId, Timeout: a.service.Timeout.Duration}
+	request := &external.PlainRequest{Path: m.Path, ContentType: m.ContentType, Body: m.Body, RequestID: m.RequestId, Timeout: a.service.Timeout.Duration, Memory: responseMemory(ctx)}
 	if m.Once != nil {
 		request.Key = m.Once.Key
 	}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -34,6 +34,15 @@
 	cancel   context.CancelFunc
 	// finished is closed when the run has ended at the engine.
 	finished chan struct{}
+	// memory is that of the frames in the buffer.
+	memory *runMemory
+}
+
+func (s *Sidecar) newRun(engineID string, from uint64, cancel context.CancelFunc) *run {
+	return &run{
+		engineID: engineID, buffer: stream.NewBuffer(from, time.Now), cancel: cancel, finished: make(chan struct{}),
+		memory: &runMemory{budget: s.responses},
+	}
 }
 
 // runKey identifies a run. It includes the workspace, so that callers cannot
@@ -96,11 +105,37 @@
 		if !idle || now.Sub(since) < grace {
 			continue
 		}
-		current.cancel()
-		delete(r.byKey, key)
+		r.remove(key, current)
 	}
 }
 
+// remove cancels and removes a run. The caller must hold mu.
+func (r *runs) remove(key runKey, current *run) {
+	current.cancel()
+	delete(r.byKey, key)
+	current.memory.release()
+}
+
+// reclaim removes the run that has ended and been without a reader for longest, which can't be resumed then, and
+// reports whether there was one.
+func (r *runs) reclaim() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var longest runKey
+	var longestSince time.Time
+	for key, current := range r.byKey {
+		since, idle := current.buffer.IdleSince()
+		if idle && current.buffer.Ended() && (longestSince.IsZero() || since.Before(longestSince)) {
+			longest, longestSince = key, since
+		}
+	}
+	if longestSince.IsZero() {
+		return false
+	}
+	r.remove(longest, r.byKey[longest])
+	return true
+}
+
 // startRun starts an admitted completion.
 func (s *Sidecar) startRun(r *run, admission *Admission, request *external.GenerateRequest, ticket *once.Ticket) {
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -143,6 +178,9 @@
 		p.run.buffer.Refuse(&peerv1.Refusal{Kind: uint32(errkind.Cancelled)})
 		return breaker.Neutral
 	default:
+		if errors.Is(err, errResponseMemory) {
+			p.cancelEngine()
+		}
 		p.loseTicket()
 		p.sidecar.logger.Info("run_failed", "request_id", p.run.engineID, "error", err.Error())
 		p.run.buffer.Refuse(&peerv1.Refusal{Kind: uint32(p.failureKind()), Detail: err.Error()})
@@ -227,8 +265,11 @@
 }
 
 // resume reopens the stream, with retries. It stops early if the engine does not
-// know the stream.
+// know the stream, or no memory is left for it.
 func (p *pump) resume(ctx context.Context, failures *int, cause error) (external.TokenStream, error) {
+	if errors.Is(cause, errResponseMemory) {
+		return nil, cause
+	}
 	for {
 		if *failures++; *failures > maxEngineResumes || !sleep.For(ctx, engineResumeDelay) {
 			return nil, cause
@@ -255,6 +296,9 @@
 		if token.Seq < p.run.buffer.Next() {
 			continue
 		}
+		if !p.run.memory.take(p.memoryOf(token)) {
+			return errResponseMemory
+		}
 		p.handleToken(token)
 		if token.End {
 			return nil
@@ -262,6 +306,15 @@
 	}
 }
 
+// memoryOf returns what a token takes in the buffer, and in the text of a run that is recorded.
+func (p *pump) memoryOf(token external.Token) int64 {
+	n := frameMemory + len(token.Text)
+	if p.ticket != nil {
+		n += len(token.Text)
+	}
+	return int64(n)
+}
+
 func (p *pump) handleToken(token external.Token) {
 	if !p.started {
 		p.started = true
@@ -301,7 +354,7 @@
 		cancel()
 		return nil, err
 	}
-	newRun := &run{engineID: engineID, buffer: stream.NewBuffer(from, time.Now), cancel: cancel, finished: make(chan struct{})}
+	newRun := s.newRun(engineID, from, cancel)
 	r, added := s.runs.add(key, newRun)
 	if !added {
 		cancel()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -158,7 +158,7 @@
 		MaxTokens: int(m.MaxTokens), Priority: int(m.Class), Blocks: m.Blocks,
 		BlockTokens: a.service.BlockTokens, PromptTokens: int(m.PromptTokens), Weights: m.Weights, Adapter: m.Adapter,
 	}
-	r := &run{engineID: request.RequestID, buffer: stream.NewBuffer(request.From, time.Now), cancel: func() {}, finished: make(chan struct{})}
+	r := s.newRun(request.RequestID, request.From, func() {})
 	existing, added := s.runs.add(key, r)
 	if !added {
 		admission.Release(breaker.Neutral)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -67,12 +67,13 @@
 	plain    external.Plain
 	gate     *Gate
 	runs     *runs
-	messages *buffers.Budget
-	board    *Board
-	loop     *control.Loop
-	follower *configlog.Follower
-	watcher  *engineWatcher
-	loader   *loader
+	// messages is the memory for the messages of entries, responses that for what the target answers.
+	messages, responses *buffers.Budget
+	board               *Board
+	loop                *control.Loop
+	follower            *configlog.Follower
+	watcher             *engineWatcher
+	loader              *loader
 
 	ledgerMu sync.Mutex
 	ledgers  map[string]*once.Ledger
@@ -104,12 +105,13 @@
 		settings: s, logger: d.Logger, metrics: d.Metrics, log: d.Log, engine: d.Engine, plain: d.Plain,
 		gate:     NewGate(limits, s.Cache.MaxBlocks, s.Target.PrefillTokensPerSecond, clock),
 		runs:     newRuns(),
-		messages: buffers.NewBudget(s.MemoryMB << 20 * messageShareNumerator / messageShareDivisor),
-		board:    &Board{},
-		loop:     control.NewLoop(s.Seed, d.Metrics.ControlTime),
-		ledgers:  map[string]*once.Ledger{},
-		ctx:      ctx, stop: stop,
+		messages: buffers.NewBudget(s.MemoryMB << 20 * messageShareNumerator / messageShareDivisor), responses: buffers.NewBudget(s.MemoryMB << 20 / responseShareDivisor),
+		board:   &Board{},
+		loop:    control.NewLoop(s.Seed, d.Metrics.ControlTime),
+		ledgers: map[string]*once.Ledger{},
+		ctx:     ctx, stop: stop,
 	}
+	c.responses.SetReclaim(c.runs.reclaim)
 	c.follower = configlog.NewFollower(c.loop, d.Log, &c.board.Config, configlog.FollowerOptions{
 		Address: s.Listen, Peers: s.Peers, LogPolls: s.Timing.LogPolls, SyncPeriod: s.Timing.SyncPeriod.Duration,
 		Retention: s.Platform.LogRetention.Duration, Client: d.Peers, Logger: d.Logger, LogError: d.Metrics.LogError,
