Responses: a buffered piece takes what it is counted for

Cause: the pieces of a buffered response were read with bytes.Buffer, which grows to 64 KB for a piece of 32 KB, and leaves as much behind. Many endless or large responses together took twice their part of the memory.

Change: a piece grows up to its size.

Measured: TestBufferedResponsesTakeWhatIsCounted, red before (65,536 bytes for 32,768), green after; the tests of forward, upstream and gateway pass.

--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -67,10 +66,9 @@
 // allows.
 func readBuffered(resp io.Reader, memory *buffers.Share) (pieces [][]byte, complete bool, err error) {
 	for size := 0; size < maxBuffered && memory.Grow(size+buffers.Step); {
-		var b bytes.Buffer
-		n, err := io.CopyN(&b, resp, buffers.Step)
-		pieces = append(pieces, b.Bytes())
-		size += int(n)
+		piece, err := readPiece(resp)
+		pieces = append(pieces, piece)
+		size += len(piece)
 		if err == io.EOF {
 			return pieces, true, nil
 		}
@@ -81,6 +79,26 @@
 	return pieces, false, nil
 }
 
+// minPiece is the size of the buffer for a small response.
+const minPiece = 1 << 10
+
+// readPiece reads buffers.Step bytes, or up to an error. It takes no more memory than that: bytes.Buffer would take
+// up to twice as much.
+func readPiece(in io.Reader) ([]byte, error) {
+	piece := make([]byte, 0, minPiece)
+	for len(piece) < buffers.Step {
+		if len(piece) == cap(piece) {
+			piece = append(make([]byte, 0, min(2*cap(piece), buffers.Step)), piece...)
+		}
+		n, err := in.Read(piece[len(piece):cap(piece)])
+		piece = piece[:len(piece)+n]
+		if err != nil {
+			return piece, err
+		}
+	}
+	return piece, nil
+}
+
 func totalLength(pieces [][]byte) int {
 	n := 0
 	for _, piece := range pieces {
