Connections: an idle one does not keep the head of its last response

Cause: the head of a response is read ahead and read again from a slice, which stayed in the connection at its end and kept up to 64 KB and what was read beyond it while the connection was idle.

Change: the slice is dropped when it has been read.

Measured: TestHeadIsNotKept, red with the line removed.

--- a/internal/gateway/upstream/endless_test.go
+++ b/internal/gateway/upstream/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -119,3 +120,12 @@
 		})
 	}
 }
+
+// Guards against connections that keep the heads of the responses before: a target with large heads fills the
+// memory with its idle connections.
+func TestHeadIsNotKept(t *testing.T) {
+	r := &headReader{unread: make([]byte, MaxHeadBytes), in: strings.NewReader("")}
+	if n, err := io.Copy(io.Discard, r); n != MaxHeadBytes || err != nil || r.unread != nil {
+		t.Errorf("%d bytes were read, error %v, the head is kept: %v", n, err, r.unread != nil)
+	}
+}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -352,7 +352,9 @@
 func (r *headReader) Read(p []byte) (int, error) {
 	if len(r.unread) > 0 {
 		n := copy(p, r.unread)
-		r.unread = r.unread[n:]
+		if r.unread = r.unread[n:]; len(r.unread) == 0 {
+			r.unread = nil // an idle connection must not keep the head
+		}
 		return n, nil
 	}
 	if !r.limited {
