Streams end at entries that drain when they are taken up elsewhere

Cause: the processes that an entry knows as receivers of takeovers were those that are to keep records. An entry that drains is not among them, but serves its streams for seconds. It was not told that a caller had come back elsewhere. If the engine accepted the stream, it went on where it ran; if that was full, at another one beside it, until the first stream's end.

Change: members that leave stay out of the rings, and stay known by their hash, so that takeovers reach them.

--- a/internal/gateway/origin/exchange_test.go
+++ b/internal/gateway/origin/exchange_test.go
@@ -380,7 +380,7 @@
 	var members []Member
 	for z := range 5 {
 		for i := range 200 {
-			members = append(members, Member{netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, byte(i)}), 7), fmt.Sprintf("zone-%d", z), i < 84})
+			members = append(members, Member{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, byte(i)}), 7), Zone: fmt.Sprintf("zone-%d", z), Entry: i < 84})
 		}
 	}
 	x.SetMembers(members)
--- a/internal/gateway/origin/ring.go
+++ b/internal/gateway/origin/ring.go
@@ -15,6 +15,8 @@
 	Zone    string
 	// Entry is set for entries; other members are sidecars.
 	Entry bool
+	// Leaving members get no records. Entries among them still end the streams that they serve.
+	Leaving bool
 }
 
 // pointsPerMember is the number of points of a member on its ring, which evens out the shares.
@@ -62,7 +64,7 @@
 	// zones are sorted by name. They include that of this process.
 	zones             []string
 	entries, sidecars map[string]ring
-	// servers are the addresses of entries by their hash.
+	// servers are the addresses of entries, also of those that leave, by their hash.
 	servers map[uint32]netip.AddrPort
 }
 
@@ -70,8 +72,10 @@
 	byZone := map[bool]map[string][]netip.AddrPort{true: {}, false: {}}
 	zones := map[string]bool{selfZone: true}
 	for _, m := range members {
-		zones[m.Zone] = true
-		byZone[m.Entry][m.Zone] = append(byZone[m.Entry][m.Zone], m.Address)
+		if !m.Leaving {
+			zones[m.Zone] = true
+			byZone[m.Entry][m.Zone] = append(byZone[m.Entry][m.Zone], m.Address)
+		}
 	}
 	r := &rings{self: selfZone, entries: map[string]ring{}, sidecars: map[string]ring{}, servers: map[uint32]netip.AddrPort{}}
 	for _, m := range members {
--- a/internal/gateway/origin/takeover_test.go
+++ b/internal/gateway/origin/takeover_test.go
@@ -186,3 +186,32 @@
 		}
 	}
 }
+
+// Guards against a stream that runs on at an entry which drains, and against records that are kept there.
+func TestStreamEndsAtAnEntryThatDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1, 4, 1)
+		first, second := n.entry(0, 0), n.entry(0, 1)
+		k := key(1)
+		before := serve(first, k, 1)
+		first.Record(k, Record{v1, Run{Target: 7, Epoch: 1}})
+		time.Sleep(50 * time.Millisecond)
+		for i := range n.members {
+			n.members[i].Leaving = n.members[i].Address == n.address(0, 0)
+		}
+		n.introduce()
+		_, ended := resume(t, second, k)
+		time.Sleep(50 * time.Millisecond)
+		if !before.ended() || !isClosed(ended) {
+			t.Errorf("ended before %v, answered %v", before.ended(), isClosed(ended))
+		}
+		r := second.rings.Load()
+		for i := range 50 {
+			for _, owner := range append(r.owners(key(i)), r.candidates(key(i))...) {
+				if owner == n.address(0, 0) {
+					t.Fatal("an entry that drains is to keep records")
+				}
+			}
+		}
+	})
+}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -44,7 +44,7 @@
 // onOriginMember adds a process that was heard for the first time. An entry that has just started
 // thus asks the others as soon as it knows them.
 func (e *entry) onOriginMember(x *origin.Exchange, m *mesh.Member) {
-	if !e.originMembers[m.Address] && !m.Leaving {
+	if !e.originMembers[m.Address] {
 		e.updateOriginMembers(x)
 	}
 }
@@ -54,10 +54,8 @@
 	var members []origin.Member
 	for _, entries := range []bool{true, false} {
 		for _, m := range e.state.mesh.Live(entries) {
-			if !m.Leaving {
-				e.originMembers[m.Address] = true
-				members = append(members, origin.Member{Address: m.Address, Zone: m.Zone, Entry: entries})
-			}
+			e.originMembers[m.Address] = true
+			members = append(members, origin.Member{Address: m.Address, Zone: m.Zone, Entry: entries, Leaving: m.Leaving})
 		}
 	}
 	x.SetMembers(members)
