A takeover follows a stream to the entry where it was taken up last

Cause: a caller that has come back twice may come to an entry, or find a record at a process, that knows of an earlier run only: records of a run go to three or so processes near the entry that serves it, the entries before keep theirs, and the first answer to a question wins. The takeover then went to an entry that had long ended the stream, which said so. The entry that really served it, over a link that had gone silent, ran it on beside the next engine. The same happened when a record was lost and two entries took the stream up at one epoch.

--- a/internal/gateway/origin/exchange.go
+++ b/internal/gateway/origin/exchange.go
@@ -114,9 +114,10 @@
 func (x *Exchange) Size() int { return x.registry.size() }
 
 // Record records a stream that this process serves, and tells the processes that keep the record. It
-// does not wait for them. Call it before the caller gets the first event.
+// does not wait for them. The epoch is the one that was given to Serve. Call it before the caller gets the first
+// event.
 func (x *Exchange) Record(key Key, r Record) {
-	r.Server = x.self
+	r.Server, r.Epoch = x.self, x.served.epochOf(key, r.Epoch)
 	x.registry.add(key, r, x.options.Now())
 	x.announce(key, r)
 }
--- a/internal/gateway/origin/registry.go
+++ b/internal/gateway/origin/registry.go
@@ -41,13 +41,6 @@
 	r.current[key] = record
 }
 
-// update records a run of a stream if the stream is known.
-func (r *registry) update(key Key, run Run, now time.Time) {
-	if known, ok := r.find(key, now); ok {
-		r.add(key, Record{known.Version, run}, now)
-	}
-}
-
 func (r *registry) find(key Key, now time.Time) (Record, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/origin/takeover_test.go
+++ b/internal/gateway/origin/takeover_test.go
@@ -14,10 +14,12 @@
 // serving is a stream that an exchange serves in a test.
 type serving struct {
 	by atomic.Pointer[netip.AddrPort]
+	// epoch is the one that it was registered at.
+	epoch uint32
 }
 
 func serve(x *Exchange, k Key, epoch uint32) *serving {
-	s := &serving{}
+	s := &serving{epoch: epoch}
 	x.Serve(k, epoch, func(by netip.AddrPort) { s.by.Store(&by) })
 	return s
 }
@@ -191,6 +193,101 @@
 // overlapAllowed is how long a stream may run at two targets.
 const overlapAllowed = 400 * time.Millisecond
 
+// Guards against a stream that runs on where its caller read it last, because the entry to which the caller comes
+// back, or the process that it asks, knows of an earlier run only.
+func TestStreamEndsWhereItWasTakenUpLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(5, 20, 30)
+		for i := range 10 {
+			k := key(i)
+			first, second, third := n.entry(0, i), n.entry(1, i), n.entry(2, i)
+			serve(first, k, 1)
+			first.Record(k, Record{v1, Run{Target: 7, Epoch: 1}})
+			time.Sleep(50 * time.Millisecond)
+			_, _ = resume(t, second, k)
+			time.Sleep(50 * time.Millisecond)
+			before, _ := resume(t, third, k)
+			time.Sleep(50 * time.Millisecond)
+			// It knows that the second one has taken the stream over, unless it keeps the records of this stream.
+			after, ended := resume(t, first, k)
+			time.Sleep(overlapAllowed)
+			if !before.ended() || after.ended() || !isClosed(ended) {
+				t.Errorf("stream %d: ended before %v, after %v, answered %v", i, before.ended(), after.ended(), isClosed(ended))
+			}
+			first.Record(k, Record{v1, Run{Target: 8, Epoch: after.epoch}})
+			if found := first.Find(t.Context(), k); found.Epoch != 4 || found.Target != 8 || found.Server != first.self {
+				t.Errorf("stream %d: recorded %+v, want epoch 4 at target 8", i, found)
+			}
+			time.Sleep(50 * time.Millisecond)
+			last, ended := resume(t, n.entry(4, i), k)
+			time.Sleep(overlapAllowed)
+			if !after.ended() || last.ended() || !isClosed(ended) {
+				t.Errorf("stream %d, back again: ended after %v, last %v, answered %v", i, after.ended(), last.ended(), isClosed(ended))
+			}
+		}
+	})
+}
+
+// Guards against a stream that two entries have taken up at the same epoch, as the record of the first one was lost.
+func TestStreamTakenUpTwiceFromOneRecordEndsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1, 4, 0)
+		k, old := key(1), Record{v1, Run{Server: serverOf(n.address(0, 0)), Target: 7, Epoch: 1}}
+		served := []*serving{serve(n.entry(0, 0), k, 1)}
+		for i := range 4 {
+			n.entry(0, i).registry.add(k, old, time.Now())
+		}
+		var answers []<-chan struct{}
+		for i := 1; i <= 3; i++ {
+			served = append(served, serve(n.entry(0, i), k, 2))
+			answers = append(answers, n.entry(0, i).TakeOver(k, old))
+			n.entry(0, 3).registry.add(k, old, time.Now())
+		}
+		time.Sleep(overlapAllowed)
+		running := 0
+		for i, s := range served {
+			if !s.ended() {
+				running++
+			}
+			if i > 0 && !s.ended() && !isClosed(answers[i-1]) {
+				t.Errorf("entry %d has no answer", i)
+			}
+		}
+		if running != 1 {
+			t.Errorf("%d entries serve the stream, want 1", running)
+		}
+		time.Sleep(takeoverTimeout)
+		for i := range 4 {
+			if n.entry(0, i).openTakeovers() != 0 {
+				t.Errorf("entry %d keeps a takeover for ever", i)
+			}
+		}
+	})
+}
+
+// Guards against an earlier run that ends the one which the caller reads, as its takeover is answered late with
+// the record of that.
+func TestLateAnswerDoesNotEndALaterRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1, 3, 0)
+		first, second, k := n.entry(0, 0), n.entry(0, 1), key(1)
+		serve(first, k, 1)
+		first.Record(k, Record{v1, Run{Target: 7, Epoch: 1}})
+		time.Sleep(50 * time.Millisecond)
+		second.Find(t.Context(), k)
+		second.SetMembers(nil)
+		between, _ := resume(t, second, k)
+		n.introduce()
+		first.Handle(n.address(0, 1), &peerv1.OriginMessage{TakeOver: uint64(k), Epoch: 2})
+		last, _ := resume(t, first, k)
+		time.Sleep(overlapAllowed)
+		if !between.ended() || last.ended() {
+			t.Errorf("ended between %v, last %v", between.ended(), last.ended())
+		}
+		time.Sleep(takeoverTimeout)
+	})
+}
+
 // Guards against a stream that runs at two targets for long because a link loses messages for some hundred
 // milliseconds, or as the entry to which its caller comes back does not know the one before yet.
 func TestStreamEndsAsSoonAsTheEntryBeforeIsReached(t *testing.T) {
