A stream that must go on elsewhere waits for the entry before

Cause: an entry that stands still for a moment answers no takeover within 20 ms. Where the engine before accepts, the stream goes on there; where that is full or leaves, it went on at another one at once, and both worked on it until the entry went on. An entry that was stopped is out of touch for the rule; one that lacks processor time is not.

Change: it waits for the answer once, for 0.4 s at most and a quarter of the time that is left, and logs stream_end_awaited. Streams of dead entries pay for it if their engine is full, though their runs have ended and left places.

TestStreamThatCannotGoOnWhereItRanWaitsForTheEntryBefore is red without the wait.

--- a/internal/gateway/forward/origin.go
+++ b/internal/gateway/forward/origin.go
@@ -41,6 +41,8 @@
 	epoch uint32
 	// previousTarget is where it ran, as long as the previous entry may still have it run there.
 	previousTarget fleet.ID
+	// ended is closed once the previous entry has ended the stream; nil if it has, or is not waited for any more.
+	ended <-chan struct{}
 	// end ends the stream here, since its caller has taken it up again. release is called when it has ended.
 	end     context.CancelCauseFunc
 	release func()
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -37,6 +37,7 @@
 	if dst := fl.placeAtPreviousTarget(ctx); dst != nil {
 		return dst, nil
 	}
+	fl.awaitEnd(ctx)
 	if fl.usesQueue() {
 		return fl.placeQueued(ctx)
 	}
--- a/internal/gateway/forward/takeover.go
+++ b/internal/gateway/forward/takeover.go
@@ -18,6 +18,9 @@
 	// takeoverWait is how long a stream waits for the entry before to end it: some round trips. If that does not
 	// answer it may be slow, stand still or be dead.
 	takeoverWait = 20 * time.Millisecond
+	// maxEndWait is how long a stream that cannot go on where it ran waits for the entry before to end it, before
+	// it goes on at another target: one that stands still for a moment ends it when it goes on.
+	maxEndWait = 400 * time.Millisecond
 )
 
 // Results of a takeover, in logs and metrics.
@@ -70,7 +73,7 @@
 	case <-ctx.Done():
 	case <-wait.C:
 	}
-	fl.origin.previousTarget = fleet.ID(previous.Target)
+	fl.origin.previousTarget, fl.origin.ended = fleet.ID(previous.Target), ended
 	return takeoverPending
 }
 
@@ -110,3 +113,23 @@
 func (fl *flow) mustNotContinueAt(t *fleet.Target) bool {
 	return fl.hasOtherVersion(t) || fl.origin.previousTarget != 0 && t.ID != fl.origin.previousTarget
 }
+
+// awaitEnd waits until the entry before has ended the stream, before it goes on at another target than the one
+// where it ran. It waits once, and briefly: that entry may be dead.
+func (fl *flow) awaitEnd(ctx context.Context) {
+	ended := fl.origin.ended
+	if ended == nil {
+		return
+	}
+	fl.origin.ended = nil
+	start, hasEnded := time.Now(), false
+	wait := time.NewTimer(min(maxEndWait, time.Duration(placeWaitShare*float64(fl.timeLeft()))))
+	defer wait.Stop()
+	select {
+	case <-ended:
+		hasEnded = true
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	fl.Logger.Info("stream_end_awaited", "request_id", fl.request.ID, "resumes", bounded(fl.request.Resumes), "epoch", fl.origin.epoch, "ended", hasEnded, "took", roundForLog(time.Since(start)))
+}
--- a/internal/gateway/forward/takeover_test.go
+++ b/internal/gateway/forward/takeover_test.go
@@ -119,6 +119,44 @@
 	}
 }
 
+// Guards against a stream that goes on at another target while the entry before, which stands still, has it run at
+// one that refuses it; and against one that waits for long, since that entry is dead.
+func TestStreamThatCannotGoOnWhereItRanWaitsForTheEntryBefore(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// endsAfter is when the entry before answers; zero if it does not.
+		endsAfter          time.Duration
+		leaving, isRefused bool
+		atLeast            time.Duration
+	}{
+		{"the target refuses, the entry goes on", 200 * time.Millisecond, false, true, 200 * time.Millisecond},
+		{"the target leaves, the entry goes on", 200 * time.Millisecond, true, false, 200 * time.Millisecond},
+		{"the target refuses, the entry is dead", 0, false, true, maxEndWait},
+	} {
+		e := newVersionedEnv(t, "v1", "v1")
+		e.knows("first", origin.VersionOf("plain", "v1"))
+		previous := &e.view.Targets["plain"][1]
+		previous.Leaving = c.leaving
+		e.origins.previous = origin.Run{Server: 1, Target: uint32(previous.ID), Epoch: 1}
+		e.origins.ended = make(chan struct{})
+		if c.isRefused {
+			target := e.targets[1]
+			target.handle = func(w io.Writer, r *http.Request, _ string) bool {
+				return target.writeNotRun(w, r, http.StatusServiceUnavailable)
+			}
+		}
+		if c.endsAfter > 0 {
+			time.AfterFunc(c.endsAfter, func() { close(e.origins.ended) })
+		}
+		start := time.Now()
+		_, body, err := e.post(t, "/resume/x", "", wiretest.LastEventID, "2", wiretest.Resumes, "first")
+		took := time.Since(start)
+		if err != nil || body != event(3)+event(4) || took < c.atLeast {
+			t.Errorf("%s: body %q, error %v, went on within %v, want %v or more", c.name, body, err, took, c.atLeast)
+		}
+	}
+}
+
 // Guards against a request that a link has delivered late, after its caller has left, and that ends the stream
 // where the caller reads it by now.
 func TestRequestWhoseCallerHasLeftTakesNothingOver(t *testing.T) {
