Orders of weights and health checks have connections of their own

What callers saw: nothing yet; shown by a target that sends its responses twice. The outcome of an order of weights was that of another one: an order that was refused counted as accepted, one that was accepted as refused. The copy of a health check's response made its engine count as unresponsive and unnamed. Cause: responses to control calls do not name their calls. net/http closes an idle connection on which further bytes come, but takes them for the response if the next request has been written. Reports, health checks and orders shared their connections. Change: orders and health checks get a connection each: one for each load, and one for each identification of an engine, which are once in its life as a rule.

--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -75,6 +75,15 @@
 	return &http.Transport{DialContext: NewDialer().DialContext, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadBytes}
 }
 
+// NewSingleUseTransport returns a transport for control calls that makes a connection for each of them. Responses
+// do not name their calls: on a connection that has carried another call, a response that is sent twice is taken
+// for the next one.
+func NewSingleUseTransport() *http.Transport {
+	transport := NewTransport()
+	transport.DisableKeepAlives = true
+	return transport
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockoptErr error
 	err := raw.Control(func(fd uintptr) {
