Engines' runs, orders and statuses have connections of their own

What callers saw: nothing yet; shown by an engine that sends its responses twice. A run that went on was taken for unknown, so that its request failed or ran again elsewhere, or it went on with the text of another run. An order of weights that was refused counted as carried out, and the reverse. A page of events was read as the engine's status, without weights: all its requests were refused, and the loader ordered the weights that it had; the same after a status from before a load. Cause: Resume, Cancel, LoadWeights, Status and Events shared their connections. Responses name neither their call nor its kind. Change: all calls to an engine but those for events get a connection each. Events have numbers, and known ones are skipped.

--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -41,8 +41,8 @@
 }
 
 // withoutReuse returns a client that makes a connection for each request. Responses do not name their
-// requests: on a connection that has carried another one, further bytes that the target sent after its
-// response would be taken for the next response.
+// requests: on a connection that has carried another one, further bytes that the server sent after its
+// response, such as the response again, would be taken for the next response.
 func withoutReuse(client *http.Client) *http.Client {
 	own := *client
 	transport := client.Transport.(*http.Transport).Clone()
@@ -189,13 +189,13 @@
 // HTTPEngine is an Engine over HTTP. Its streams use server-sent events.
 type HTTPEngine struct {
 	c jsonClient
-	// runs is used for runs, which may not be repeated on the word of a response to another request.
-	runs jsonClient
+	// events uses connections again, for events only: they have numbers, and those that are known are skipped.
+	events jsonClient
 }
 
 // NewHTTPEngine returns a client for the Engine at a base URL.
 func NewHTTPEngine(base string, client *http.Client) *HTTPEngine {
-	return &HTTPEngine{jsonClient{base, client}, jsonClient{base, withoutReuse(client)}}
+	return &HTTPEngine{c: jsonClient{base, withoutReuse(client)}, events: jsonClient{base, client}}
 }
 
 // Generate implements Engine.
@@ -204,7 +204,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	resp, err := e.runs.do(ctx, http.MethodPost, "/v1/generate", bytes.NewReader(data))
+	resp, err := e.c.do(ctx, http.MethodPost, "/v1/generate", bytes.NewReader(data))
 	if statusCode(err) == http.StatusConflict {
 		return nil, errors.Mark(err, ErrWrongWeights)
 	}
@@ -235,7 +235,7 @@
 // Events implements Engine.
 func (e *HTTPEngine) Events(ctx context.Context, from uint64) (*EventPage, error) {
 	page := &EventPage{}
-	err := e.c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/events?from=%d", from), nil, page)
+	err := e.events.call(ctx, http.MethodGet, fmt.Sprintf("/v1/events?from=%d", from), nil, page)
 	return page, err
 }
 
