Calls of the log and the host list have connections of their own

What callers saw: nothing yet; shown by a log that sends its responses twice. The page of another stream was read as one of claims: the table of keys goes on behind its first offset and leaves out claims between, so that a call which another process has claimed may run again. An append's offset was that of an earlier one, so that a claim counted as read back before it was, and its key stayed blocked. The response of a log at the same address was read as the list of hosts, without hosts. Cause: all calls to one address shared their connections, for all streams. Change: a connection for each call. A connection for each stream would do for pages, which skip known records, but not for appends.

--- a/internal/external/copies_test.go
+++ b/internal/external/copies_test.go
@@ -125,3 +125,65 @@
 	}
 	check("an order", "new")
 }
+
+// Guards against a call that runs twice because the page of another stream of the log is read as one of its claims, against
+// claims that count as read back when they are not, and against hosts that count as removed.
+func TestLogAndHostsAreNotReadFromEarlierResponses(t *testing.T) {
+	end := uint64(0)
+	base, client := startCopying(t, func(r *http.Request, _ []byte) copytest.Response {
+		switch {
+		case r.URL.Path == "/hosts":
+			return copytest.Response{Status: http.StatusOK, Body: `{"hosts":[{"name":"h","state":"live"}]}`}
+		case r.Method == http.MethodPost:
+			end++
+			return copytest.Response{Status: http.StatusOK, Body: fmt.Sprintf(`{"offset":%d}`, end)}
+		case strings.Contains(r.URL.Path, "/long/"):
+			return copytest.Response{Status: http.StatusOK, Body: `{"first":900,"next":1000}`}
+		default:
+			return copytest.Response{Status: http.StatusOK, Body: `{"first":1,"next":3}`}
+		}
+	})
+	log, hosts := NewHTTPLog(base, client), NewHTTPHosts(base, client)
+	appendOne := func(want uint64) {
+		t.Helper()
+		var offset uint64
+		err := copytest.Do(func() (err error) { offset, err = log.Append(t.Context(), "s", nil); return err })
+		if err != nil || offset != want {
+			t.Errorf("append %d: offset %d, error %v", want, offset, err)
+		}
+	}
+	for n := range uint64(3) {
+		appendOne(2*n + 1)
+		appendOne(2*n + 2)
+		for stream, want := range map[string]Page{"long": {First: 900, Next: 1000}, "short": {First: 1, Next: 3}} {
+			var page *Page
+			err := copytest.Do(func() (err error) { page, err = log.Read(t.Context(), stream, 1); return err })
+			if err != nil || page.First != want.First || page.Next != want.Next {
+				t.Errorf("%s: %+v, error %v", stream, page, err)
+			}
+		}
+		var listed []Host
+		err := copytest.Do(func() (err error) { listed, err = hosts.List(t.Context()); return err })
+		if err != nil || len(listed) != 1 {
+			t.Errorf("hosts %v, error %v", listed, err)
+		}
+	}
+}
+
+func BenchmarkLogAppend(b *testing.B) {
+	server := copytest.Start(b, func(*http.Request, []byte) copytest.Response {
+		return copytest.Response{Status: http.StatusOK, Body: `{"offset":1}`, Once: true}
+	})
+	client := NewHTTPClient()
+	defer client.CloseIdleConnections()
+	for name, c := range map[string]*http.Client{"kept": client, "own": withoutReuse(client)} {
+		b.Run(name, func(b *testing.B) {
+			log := &HTTPLog{jsonClient{server.URL(), c}}
+			for b.Loop() {
+				if _, err := log.Append(b.Context(), "s", nil); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -148,7 +148,7 @@
 
 // NewHTTPLog returns a client for the Log at a base URL.
 func NewHTTPLog(base string, client *http.Client) *HTTPLog {
-	return &HTTPLog{jsonClient{base, client}}
+	return &HTTPLog{jsonClient{base, withoutReuse(client)}}
 }
 
 // Append implements Log.
@@ -174,7 +174,7 @@
 
 // NewHTTPHosts returns a client for the Hosts at a base URL.
 func NewHTTPHosts(base string, client *http.Client) *HTTPHosts {
-	return &HTTPHosts{jsonClient{base, client}}
+	return &HTTPHosts{jsonClient{base, withoutReuse(client)}}
 }
 
 // List implements Hosts.
