A report from before the known one does not count as a restart

What callers saw: nothing yet; shown by an engine's report that comes again. Its count of accepted loads was below the known one, by which an engine counts as restarted: it went back to its earlier weights and lost its name, so that entries heard nothing of it until it was identified again by a health check, which waits for a slot. Cause: sidecars ask ten times a second on connections that they use again, where the copy of an earlier report can be the answer. A connection for each report would cost the engine ten new connections a second. Change: a report with fewer accepted loads and the same start time is discarded: a process accepts ever more. Without start times it can't be told from a restart, and counts as one, as before. Result: TestEarlierReportOfTheSameProcessIsDiscarded is red with the guard switched off (mutation): the earlier weights stand in the known report. TestRestartedEngineIsHeardThoughItHasAcceptedFewerLoads guards the reverse; its mutation is red, too. internal/gateway/weights passes 5 times with -race.

--- a/internal/gateway/weights/controller.go
+++ b/internal/gateway/weights/controller.go
@@ -242,6 +242,10 @@
 	if !c.reachable {
 		c.options.Logger.Info("engine_heard", "weights", report.Weights, "busy", report.Busy, "orders", report.AcceptedLoads)
 	}
+	if c.isOutdated(&report) {
+		c.options.Logger.Info("engine_report_outdated", "instance", c.instance, "orders", report.AcceptedLoads, "known_orders", c.report.AcceptedLoads)
+		return loadingPollInterval
+	}
 	hadReport := c.report.Weights != nil
 	if hadReport && (report.StartedMs != c.report.StartedMs || report.AcceptedLoads < c.report.AcceptedLoads) {
 		c.resetAfterRestart(report)
@@ -257,6 +261,13 @@
 	return c.restPollInterval()
 }
 
+// isOutdated reports whether a report is from before the known one, as an engine may send its responses twice. A process
+// accepts ever more loads. Without its start time the count of its successor can't be told from an earlier one.
+func (c *Controller) isOutdated(report *Report) bool {
+	isSameProcess := c.report.Weights != nil && report.StartedMs != 0 && report.StartedMs == c.report.StartedMs
+	return isSameProcess && report.AcceptedLoads < c.report.AcceptedLoads
+}
+
 // restPollInterval returns how often an engine that serves, or does not respond, is polled.
 func (c *Controller) restPollInterval() time.Duration {
 	if c.env.PartialView() && c.reachable {
--- a/internal/gateway/weights/controller_test.go
+++ b/internal/gateway/weights/controller_test.go
@@ -458,3 +458,47 @@
 		h.stop()
 	})
 }
+
+// Guards against an engine that counts as restarted, loses its name and goes back to its earlier weights, because it has
+// sent a report from before its last load twice.
+func TestEarlierReportOfTheSameProcessIsDiscarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := startHarnessWith(&fakeEngine{instance: "i1", startedAt: 5, version: 2, acceptedLoads: 1})
+		time.Sleep(time.Second)
+		h.engine.set(func(e *fakeEngine) { e.version, e.acceptedLoads = 1, 0 })
+		time.Sleep(pollInterval)
+		synctest.Wait()
+		h.engine.set(func(e *fakeEngine) { e.version, e.acceptedLoads = 2, 1 })
+		known, instance := make(chan Report, 1), make(chan string, 1)
+		h.loop.Post(func() { known <- h.controller.report; instance <- h.controller.instance })
+		if r := <-known; r.Weights["m"] != 2 || <-instance != "i1" {
+			t.Errorf("the engine counts as one with %+v", r)
+		}
+		time.Sleep(time.Second)
+		h.stop()
+		if h.engine.identified != 1 {
+			t.Errorf("%d health checks, want 1", h.engine.identified)
+		}
+	})
+}
+
+// Guards against a restarted engine whose reports count as outdated, since its count of loads begins again.
+func TestRestartedEngineIsHeardThoughItHasAcceptedFewerLoads(t *testing.T) {
+	for _, startedAt := range []int64{0, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			h := startHarnessWith(&fakeEngine{instance: "i1", startedAt: startedAt, version: 2, acceptedLoads: 1})
+			time.Sleep(time.Second)
+			h.engine.set(func(e *fakeEngine) {
+				e.instance, e.version, e.acceptedLoads = "i2", 1, 0
+				if startedAt > 0 {
+					e.startedAt++
+				}
+			})
+			time.Sleep(time.Second)
+			h.stop()
+			if h.controller.instance != "i2" || h.controller.report.Weights["m"] != 1 {
+				t.Errorf("started at %d: instance %q, %+v", startedAt, h.controller.instance, h.controller.report)
+			}
+		})
+	}
+}
