Test: shared connections on which each response is one call behind

Calls that wait at the server get the real response to the call before where their own is due, for as long as the connection lasts, once a copy was read as the first.

--- a/internal/gateway/upstream/copytest/copytest.go
+++ b/internal/gateway/upstream/copytest/copytest.go
@@ -28,20 +28,34 @@
 type Server struct {
 	Address netip.AddrPort
 	respond func(r *http.Request, body []byte) Response
-	copies  atomic.Int32
-	dials   atomic.Int32
-	mu      sync.Mutex
-	open    map[net.Conn]bool
+	// behind is set if each response after the copy is held back until the next request has arrived.
+	behind bool
+	copies atomic.Int32
+	dials  atomic.Int32
+	mu     sync.Mutex
+	open   map[net.Conn]bool
 }
 
 // Start starts a server. It ends with the test.
 func Start(t testing.TB, respond func(r *http.Request, body []byte) Response) *Server {
+	t.Helper()
+	return start(t, respond, false)
+}
+
+// StartBehind starts a server that sends the first response on a connection twice. Each later one comes when the next
+// request has arrived, as from a server whose responses take longer than the client's pauses.
+func StartBehind(t testing.TB, respond func(r *http.Request, body []byte) Response) *Server {
+	t.Helper()
+	return start(t, respond, true)
+}
+
+func start(t testing.TB, respond func(r *http.Request, body []byte) Response, behind bool) *Server {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{Address: netip.MustParseAddrPort(listener.Addr().String()), respond: respond, open: map[net.Conn]bool{}}
+	s := &Server{Address: netip.MustParseAddrPort(listener.Addr().String()), respond: respond, behind: behind, open: map[net.Conn]bool{}}
 	var tasks sync.WaitGroup
 	tasks.Go(func() {
 		for {
@@ -67,7 +81,7 @@
 // URL returns the base URL of the server.
 func (s *Server) URL() string { return "http://" + s.Address.String() }
 
-// Copies returns how many responses were sent twice.
+// Copies returns how many responses were sent where that to a later request was due.
 func (s *Server) Copies() int { return int(s.copies.Load()) }
 
 // Connections returns how many connections were made to the server.
@@ -116,8 +130,13 @@
 			s.copies.Add(1)
 			_, _ = io.WriteString(c, last)
 		}
+		isHeldBack := s.behind && last != "" && !r.Close
 		response := s.respond(r, body)
 		text := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", response.Status, len(response.Body), response.Body)
+		if isHeldBack {
+			last = text
+			continue
+		}
 		if _, err := io.WriteString(c, text); err != nil || r.Close {
 			return
 		}
