Mutation of a stream that goes on where it ran: the test that sees it

Cause: the line that the mutation replaces had been joined with another one, so that its old text stood nowhere; and a stream that does not go on where it ran now waits for the entry before, so that the test with an entry stopped for 0.8 s may not see it.

TestMutationsStandInTheirFiles failed before, and passes.

--- a/internal/gateway/forward/takeover.go
+++ b/internal/gateway/forward/takeover.go
@@ -73,7 +73,8 @@
 	case <-ctx.Done():
 	case <-wait.C:
 	}
-	fl.origin.previousTarget, fl.origin.ended = fleet.ID(previous.Target), ended
+	fl.origin.previousTarget = fleet.ID(previous.Target)
+	fl.origin.ended = ended
 	return takeoverPending
 }
 
