--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -69,8 +69,7 @@
 }
 
 // boundMessages bounds the memory for the messages of entries, and for what targets answer, while they are received
-// and handled. One for
-// which no memory is left is not handled; the entry gets the code resource_exhausted.
+// and handled. One for which no memory is left is not handled; the entry gets the code resource_exhausted.
 func (s *Sidecar) boundMessages(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		message := &messageBody{ReadCloser: r.Body, memory: s.messages.NewShare()}
