--- a/internal/gateway/upstream/pool_test.go
+++ b/internal/gateway/upstream/pool_test.go
@@ -76,14 +76,20 @@
 	return true
 }
 
-// Consecutive requests use one connection, and the request target arrives unchanged.
-func TestConnectionIsReused(t *testing.T) {
+// serveAll starts a listener that answers all requests, and returns the number of its connections so far.
+func serveAll(t *testing.T) (netip.AddrPort, *atomic.Int32) {
 	var connections atomic.Int32
 	to := listen(t, func(n int, c net.Conn, r *bufio.Reader) {
 		connections.Store(int32(n))
 		for serveOne(c, r) {
 		}
 	})
+	return to, &connections
+}
+
+// Consecutive requests use one connection, and the request target arrives unchanged.
+func TestConnectionIsReused(t *testing.T) {
+	to, connections := serveAll(t)
 	p := NewPool(func() {})
 	defer p.CloseIdle()
 	for i := range 3 {
@@ -244,12 +250,7 @@
 // Guards against a connection that carries an attempt again: a late copy of the response before has the right ID.
 // Other attempts use it.
 func TestConnectionCarriesAnAttemptOnce(t *testing.T) {
-	var connections atomic.Int32
-	to := listen(t, func(n int, c net.Conn, r *bufio.Reader) {
-		connections.Store(int32(n))
-		for serveOne(c, r) {
-		}
-	})
+	to, connections := serveAll(t)
 	p := NewPool(func() {})
 	defer p.CloseIdle()
 	for _, attempt := range []struct {
@@ -264,12 +265,7 @@
 
 // Guards against a connection that forgets attempts: it is closed once it can't remember any further ones.
 func TestConnectionEndsWithItsMemoryOfAttempts(t *testing.T) {
-	var connections atomic.Int32
-	to := listen(t, func(n int, c net.Conn, r *bufio.Reader) {
-		connections.Store(int32(n))
-		for serveOne(c, r) {
-		}
-	})
+	to, connections := serveAll(t)
 	p := NewPool(func() {})
 	defer p.CloseIdle()
 	for i := range maxAttempts + 1 {
