--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -37,16 +37,19 @@
   cat KNOWN-RED.txt
   red=$(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|')
 fi
-# The tests with real processes, half of all the time, run in two processes beside the others: those whose
-# names begin with A to R, and all the rest.
-half='^Test[A-R]'
+# The tests with real processes, half of all the time, run in three processes beside the others: those whose
+# names begin with A to R, the soaks, and all the rest.
+early='^Test[A-R]' soaks='^TestSoak'
 tests() { go test -race -timeout 20m "$@"; }
-tests ${red:+-skip "^($red)$"} -run "$half" ./platform &
+tests ${red:+-skip "^($red)$"} -run "$early" ./platform &
 first=$!
-tests -skip "$half${red:+|^($red)$}" ./platform &
+tests ${red:+-skip "^($red)$"} -run "$soaks" ./platform &
 second=$!
+tests -skip "$early|$soaks${red:+|^($red)$}" ./platform &
+third=$!
 failed=0
 tests ${red:+-skip "^($red)$"} $(go list ./... | grep -v '/platform$') || failed=1
 wait $first || failed=1
 wait $second || failed=1
+wait $third || failed=1
 exit $failed
