--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -17,9 +17,16 @@
 
 const eventQueueSize = 1024
 
+// event is a function to run on the control thread.
+type event struct {
+	run func()
+	// due is when it was posted or, for a timer, when the timer should have fired.
+	due time.Time
+}
+
 // Loop is the event loop of the control thread.
 type Loop struct {
-	events chan func()
+	events chan event
 	ctx    context.Context
 	stop   context.CancelFunc
 	tasks  sync.WaitGroup
@@ -28,6 +35,8 @@
 	stopped   bool
 	// observe is called with the duration of each event.
 	observe func(time.Duration)
+	// observeWait is called with the time by which each event is late; nil if nobody asks.
+	observeWait func(time.Duration)
 	// randomMu guards random.
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -38,7 +47,7 @@
 func NewLoop(seed uint64, observe func(time.Duration)) *Loop {
 	ctx, stop := context.WithCancel(context.Background())
 	return &Loop{
-		events:  make(chan func(), eventQueueSize),
+		events:  make(chan event, eventQueueSize),
 		observe: observe,
 		ctx:     ctx,
 		stop:    stop,
@@ -46,13 +55,20 @@
 	}
 }
 
+// ObserveWait sets a function that is called on the control thread with the time by which each event is
+// late: it waited for the control thread, or its timer for the processor. It must be called before Run.
+func (l *Loop) ObserveWait(observe func(time.Duration)) { l.observeWait = observe }
+
 // Run handles events until Stop is called, and returns when all tasks have ended.
 func (l *Loop) Run() {
 	for {
 		select {
-		case event := <-l.events:
+		case e := <-l.events:
 			start := time.Now()
-			event()
+			if l.observeWait != nil {
+				l.observeWait(start.Sub(e.due))
+			}
+			e.run()
 			l.observe(time.Since(start))
 		case <-l.ctx.Done():
 			l.tasks.Wait()
@@ -74,9 +90,11 @@
 
 // Post queues an event for the control thread. It blocks while the queue is full,
 // until the loop stops.
-func (l *Loop) Post(event func()) {
+func (l *Loop) Post(run func()) { l.post(event{run: run, due: time.Now()}) }
+
+func (l *Loop) post(e event) {
 	select {
-	case l.events <- event:
+	case l.events <- e:
 	case <-l.ctx.Done():
 	}
 }
@@ -85,20 +103,21 @@
 // not enough: the period may change once the process has its configuration.
 const initialWaits = 2
 
-// Every runs event on the control thread once per period, with jitter. The initial
+// Every runs a function on the control thread once per period, with jitter. The initial
 // waits are random over the whole period, which desynchronizes processes that
 // start together.
-func (l *Loop) Every(period func() time.Duration, event func()) {
+func (l *Loop) Every(period func() time.Duration, run func()) {
 	l.Go(func(ctx context.Context) {
 		for n := 0; ; n++ {
 			wait := l.Jitter(period())
 			if n < initialWaits {
 				wait = time.Duration(l.randomFloat() * float64(period()))
 			}
+			due := time.Now().Add(wait)
 			if !sleep.For(ctx, wait) {
 				return
 			}
-			l.Post(event)
+			l.post(event{run: run, due: due})
 		}
 	})
 }
--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -105,6 +105,8 @@
 	// quarantinePage returns the quarantine records for a process that starts.
 	quarantinePage func() (mesh.TopicPage, bool)
 	onEstateChange func(version int64)
+	// onFetch is called after each fetch from a peer.
+	onFetch func(topic, result string)
 	// onListingRejected is called for each invalid record of the target list.
 	onListingRejected func()
 }
@@ -113,7 +115,7 @@
 	c := &clusterState{
 		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
 		directory: fleet.NewDirectory(), wantedWeights: map[string]weights.History{}, engineReports: map[fleet.Incarnation]view.EngineReport{}, unlisted: map[fleet.Incarnation]fleet.UnlistedState{}, unresponsive: map[netip.AddrPort]time.Time{},
-		replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onListingRejected: func() {}, retainedSeen: map[retainedSet]bool{},
+		replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onFetch: func(string, string) {}, onListingRejected: func() {}, retainedSeen: map[retainedSet]bool{},
 	}
 	onEra := func(era feed.Era) { c.noteEra(era, clock.Now()) }
 	c.declarations = feed.NewFollower(loop, p.Declarations(), c.newDeclarationsReplica(), feed.Options{
@@ -198,7 +200,8 @@
 		c.estate, c.rawEstate = d.Estate, r.Value
 		c.directory.Invalidate()
 		c.onEstateChange(d.Estate.Version)
-		c.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "replaced", replaced, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
+		known := c.declared()
+		c.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "replaced", replaced, "known_age", c.age(known.EstateCurrentAt), "read_age", c.age(known.EstateReadAt), "confirmed_by", known.EstateConfirmedBy, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
 	}
 	if d.Model == "" || d.Version <= c.wantedWeights[d.Model].Newest() {
 		return
@@ -208,6 +211,15 @@
 	c.logger.Info("weights_wanted", "model", d.Model, "version", d.Version, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "replaced", replaced)
 }
 
+// declared returns what the last view has of the declarations, before what is being applied.
+func (c *clusterState) declared() view.View {
+	v, ok := c.view.Get()
+	if !ok {
+		return view.View{}
+	}
+	return view.View{EstateCurrentAt: v.EstateCurrentAt, EstateReadAt: v.EstateReadAt, EstateConfirmedBy: v.EstateConfirmedBy}
+}
+
 func (c *clusterState) targetsChanged(keys []string) {
 	changed, listed := false, 0
 	bulk := len(keys) > maxListingsLogged
@@ -311,7 +323,7 @@
 	c.logOutage(syncState)
 	v := &view.View{
 		Declared: knowledge(c.declarations), Listed: knowledge(c.targets), Estate: c.estate, RawEstate: c.rawEstate, Targets: c.directory.Targets(c.isDeclared, now, syncState),
-		TargetsCurrentAt: c.targets.Replica().CurrentAt(), EstateCurrentAt: c.currentAt(topicOperators), Engines: map[fleet.Incarnation]view.EngineReport{}, Unresponsive: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
+		TargetsCurrentAt: c.targets.Replica().CurrentAt(), EstateCurrentAt: c.currentAt(topicOperators), EstateReadAt: c.declarations.Replica().CurrentAt(), EstateConfirmedBy: c.declarations.Replica().ConfirmedBy(), Engines: map[fleet.Incarnation]view.EngineReport{}, Unresponsive: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
 		EntryCount: 1 + c.mesh.LiveCount(true), EntryRank: c.entryRank(), Stopping: c.stopping, OtherEntryAt: c.otherEntryAt(now),
 	}
 	c.updateFleetSize(v.Targets)
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -48,6 +49,8 @@
 	quarantine   *quarantineSync
 	// cacheReportedAt is when the last report of each cache was received.
 	cacheReportedAt map[fleet.ID]time.Time
+	// wasReady is the last answer to the load balancer.
+	wasReady atomic.Bool
 	// probes sends probes to sidecars; nil if probes are disabled.
 	probes *probe.Client
 	// limits enforces the rate limits of workspaces; nil if they are disabled.
@@ -312,7 +315,9 @@
 func (e *entry) readyHandler(path string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) {
-		if e.ready() {
+		ready := e.ready()
+		e.logReadiness(ready)
+		if ready {
 			w.WriteHeader(http.StatusOK)
 			return
 		}
@@ -320,3 +325,16 @@
 	})
 	return mux
 }
+
+// logReadiness logs a change of the readiness, with what configuration the entry serves by.
+func (e *entry) logReadiness(ready bool) {
+	if e.wasReady.Swap(ready) == ready {
+		return
+	}
+	v, ok := e.currentView()
+	if !ok || v.Estate == nil {
+		e.state.logger.Info("readiness", "ready", ready)
+		return
+	}
+	e.state.logger.Info("readiness", "ready", ready, "estate", v.Estate.Version, "declared_at", v.Declared.At, "declared_source", v.Declared.Source, "declared_age", e.state.age(v.EstateCurrentAt), "list_age", e.state.age(v.TargetsCurrentAt))
+}
--- a/internal/gateway/feed/feed.go
+++ b/internal/gateway/feed/feed.go
@@ -107,8 +107,10 @@
 	// currentAt is the latest time as of which the replica is known to hold all records that the store had
 	// acknowledged.
 	currentAt time.Time
-	// confirmedAt is when the process last learned that the replica is current.
+	// confirmedAt is when the process last learned that the replica is current, confirmedBy from where:
+	// SourceStore, or a peer's address.
 	confirmedAt time.Time
+	confirmedBy string
 	// outageEnd is when the process learned that again after more than outageGap.
 	outageEnd time.Time
 	// outageBegin is confirmedAt as it was before outageEnd.
@@ -167,6 +169,10 @@
 // on its way for a while: ConfirmedAt tells how long ago the store was heard, CurrentAt what is in force.
 func (r *Replica) ConfirmedAt() time.Time { return r.confirmedAt }
 
+// ConfirmedBy returns from where the process last learned that the replica is current: SourceStore, or a peer's
+// address; empty if it never did.
+func (r *Replica) ConfirmedBy() string { return r.confirmedBy }
+
 // OutageEnd returns when the process first learned that the replica is current after the store's last outage,
 // or zero if there was none.
 func (r *Replica) OutageEnd() time.Time { return r.outageEnd }
@@ -337,15 +343,16 @@
 	if at.After(r.currentAt) {
 		r.currentAt = at
 	}
-	r.Confirm(at)
+	r.Confirm(at, r.confirmedBy)
 }
 
-// Confirm records that the process has learned at a time that the replica is current, and detects outages. Call
-// it before what was learned is merged, which counts as learned at the time as of which it holds.
-func (r *Replica) Confirm(at time.Time) {
+// Confirm records that the process has learned at a time that the replica is current, and from where, and detects
+// outages. Call it before what was learned is merged, which counts as learned at the time as of which it holds.
+func (r *Replica) Confirm(at time.Time, by string) {
 	if !at.After(r.confirmedAt) {
 		return
 	}
+	r.confirmedBy = by
 	switch {
 	case r.confirmedAt.IsZero():
 		r.firstCurrentAt = at
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -358,7 +358,7 @@
 		f.changed(f.replica.Merge(s.Records, s.End, time.Time{}))
 		return nil
 	}
-	f.replica.Confirm(receipt.At)
+	f.replica.Confirm(receipt.At, SourceStore)
 	f.changed(f.replica.Merge(s.Records, s.End, receipt.Earliest(0)))
 	return nil
 }
@@ -385,7 +385,7 @@
 	}
 	f.needSnapshot = false
 	before := f.replica.Era()
-	f.replica.Confirm(receipt.At)
+	f.replica.Confirm(receipt.At, SourceStore)
 	changed := f.replica.Replace(s, receipt.Earliest(0))
 	f.logRestore(before)
 	f.changed(changed)
@@ -428,7 +428,7 @@
 		f.needSnapshot = false
 	}
 	before, wasEmpty := f.replica.Era(), f.replica.Empty()
-	f.replica.Confirm(receipt.Latest(age))
+	f.replica.Confirm(receipt.Latest(age), peer)
 	changed := f.replica.Apply(p, receipt.Earliest(age), receipt.At)
 	f.era = max(f.era, f.replica.Era())
 	if !wasEmpty {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -99,6 +99,7 @@
 	platform.SetLogger(p.logger)
 	p.useSpeeds.Store(s.Speeds.Enabled)
 	p.loop = control.NewLoop(s.seed(), p.metrics.ControlTime)
+	p.loop.ObserveWait((&controlWaits{metrics: p.metrics, logger: p.logger}).observe)
 	p.origins = newOrigins(p)
 	transport := upstream.NewTransport()
 	transport.IdleConnTimeout = peerIdleTimeout
@@ -156,6 +157,7 @@
 	p.metrics.RegisterGauge("store_era", "Newest era of the platform's store that the process has heard of.", count(&p.state.eraMetric))
 	p.metrics.RegisterGauge("records_restated", "Records that were written again after restores of the store.", count(&p.state.restatedMetric))
 	p.metrics.RegisterGauge("records_retained", "Statements of earlier eras in force that the store lacks.", count(&p.state.retainedMetric))
+	p.state.onFetch = p.metrics.PeerFetch
 	p.state.onListingRejected = p.metrics.TargetEntryRefused
 	p.state.onEstateChange = func(version int64) { p.metrics.ConfigVersion(uint64(version)) }
 	if p.entry != nil {
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -104,7 +104,7 @@
 	case era > replica.Era():
 		c.fetchFromPeer(peer, p.Topic, f)
 	case same && replica.End() > 0 && replica.CoveredBy(coverage):
-		replica.Confirm(receipt.Latest(milliseconds(p.AgeMs)))
+		replica.Confirm(receipt.Latest(milliseconds(p.AgeMs)), peer.String())
 		replica.MarkCurrent(receipt.Earliest(milliseconds(p.AgeMs)))
 	case !same && p.End > replica.End():
 		c.fetchFromPeer(peer, p.Topic, f)
@@ -188,6 +188,7 @@
 		return mesh.Fetch(ctx, c.peers, from, topic, position)
 	}, func(a mesh.TopicPage, err error) {
 		c.fetching[topic] = false
+		c.onFetch(topic, fetchResult(err))
 		if err != nil {
 			if !mesh.IsBusy(err) {
 				c.logger.Info("fetch_failed", "topic", topic, "peer", from, "error", err.Error())
@@ -207,6 +208,18 @@
 	})
 }
 
+// fetchResult returns the label of a fetch's result for metrics.
+func fetchResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case mesh.IsBusy(err):
+		return "busy"
+	default:
+		return "failed"
+	}
+}
+
 // topicPage serves a peer's fetch.
 func (c *clusterState) topicPage(topic string, from feed.Position) (mesh.TopicPage, bool) {
 	if topic == topicQuarantine {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -29,6 +29,8 @@
 	configVersion      prometheus.Gauge
 	logErrors          *prometheus.CounterVec
 	controlSeconds     prometheus.Counter
+	controlWait        prometheus.Histogram
+	peerFetches        *prometheus.CounterVec
 	connections        prometheus.Counter
 	refusedEntries     prometheus.Counter
 	storeCalls         *prometheus.HistogramVec
@@ -75,6 +77,10 @@
 		takeovers:      prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "toucanwell", Name: "stream_takeovers_total", Help: "Streams that callers resume, by whether the entry that served them before has ended them."}, []string{"result"}),
 		probes:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "probes_total", Help: "Probes sent to sidecars."}),
 		controlSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "control_seconds_total", Help: "Time spent on the control thread."}),
+		controlWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "toucanwell", Name: "control_wait_seconds", Help: "Time by which events of the control thread were late.", Buckets: ttftBuckets,
+		}),
+		peerFetches:    counter("peer_fetches_total", "Fetches of a topic's records from peers, by result: ok, busy or failed.", "topic", "result"),
 		connections:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_connections_total", Help: "Connections opened to targets."}),
 		refusedEntries: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "target_entries_refused_total", Help: "Invalid entries in the platform's target list."}),
 		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -104,7 +110,7 @@
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.recomputedTokens,
 		m.retries, m.resumes, m.streamStarts, m.takeovers, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
-		m.configVersion, m.logErrors, m.controlSeconds, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.rateLimitRequests, m.rateLimitWait, m.invalidStatements, m.targetLimits, m.detours, m.skippedResponses, m.shedConnections)
+		m.configVersion, m.logErrors, m.controlSeconds, m.controlWait, m.peerFetches, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.rateLimitRequests, m.rateLimitWait, m.invalidStatements, m.targetLimits, m.detours, m.skippedResponses, m.shedConnections)
 	m.queueMetrics = newQueueMetrics(m.Registry)
 	return m
 }
@@ -207,6 +213,12 @@
 // ControlTime adds time spent on the control thread.
 func (m *Metrics) ControlTime(d time.Duration) { m.controlSeconds.Add(d.Seconds()) }
 
+// ControlWait records the time by which an event of the control thread was late.
+func (m *Metrics) ControlWait(d time.Duration) { m.controlWait.Observe(d.Seconds()) }
+
+// PeerFetch counts a fetch of a topic's records from a peer.
+func (m *Metrics) PeerFetch(topic, result string) { m.peerFetches.WithLabelValues(topic, result).Inc() }
+
 // Connection counts a connection opened to a target.
 func (m *Metrics) Connection() { m.connections.Inc() }
 
