--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -119,7 +119,7 @@
 	}
 	onEra := func(era feed.Era) { c.noteEra(era, clock.Now()) }
 	c.declarations = feed.NewFollower(loop, p.Declarations(), c.newDeclarationsReplica(), feed.Options{
-		Name: topicOperators, Wait: declarationsWait, Place: c.placeAmongReaders, ShouldRead: c.shouldReadDeclarations, IdlePeriod: c.readCheckPeriod, OnChange: c.declarationsChanged, AwaitPeers: c.awaitsRestoredPeers, OnEra: onEra,
+		Name: topicOperators, Wait: declarationsWait, Place: c.placeAmongReaders, RenewPeriod: c.declarationsRenewPeriod, ShouldRead: c.shouldReadDeclarations, IdlePeriod: c.readCheckPeriod, OnChange: c.declarationsChanged, AwaitPeers: c.awaitsRestoredPeers, OnEra: onEra,
 		OnCall: onCall, OnRecovered: func() {}, OnRefreshed: func() {}, Logger: logger, Now: clock.Now,
 	})
 	c.targets = feed.NewFollower(loop, p.Targets(), c.newTargetsReplica(), feed.Options{
@@ -201,7 +201,7 @@
 		c.directory.Invalidate()
 		c.onEstateChange(d.Estate.Version)
 		known := c.declared()
-		c.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "replaced", replaced, "known_age", c.age(known.EstateCurrentAt), "read_age", c.age(known.EstateReadAt), "confirmed_by", known.EstateConfirmedBy, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
+		c.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "replaced", replaced, "known_age", c.age(known.EstateCurrentAt), "confirmed_by", known.EstateConfirmedBy, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
 	}
 	if d.Model == "" || d.Version <= c.wantedWeights[d.Model].Newest() {
 		return
@@ -217,7 +217,7 @@
 	if !ok {
 		return view.View{}
 	}
-	return view.View{EstateCurrentAt: v.EstateCurrentAt, EstateReadAt: v.EstateReadAt, EstateConfirmedBy: v.EstateConfirmedBy}
+	return view.View{EstateCurrentAt: v.EstateCurrentAt, EstateConfirmedBy: v.EstateConfirmedBy}
 }
 
 func (c *clusterState) targetsChanged(keys []string) {
@@ -323,7 +323,7 @@
 	c.logOutage(syncState)
 	v := &view.View{
 		Declared: knowledge(c.declarations), Listed: knowledge(c.targets), Estate: c.estate, RawEstate: c.rawEstate, Targets: c.directory.Targets(c.isDeclared, now, syncState),
-		TargetsCurrentAt: c.targets.Replica().CurrentAt(), EstateCurrentAt: c.currentAt(topicOperators), EstateReadAt: c.declarations.Replica().CurrentAt(), EstateConfirmedBy: c.declarations.Replica().ConfirmedBy(), Engines: map[fleet.Incarnation]view.EngineReport{}, Unresponsive: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
+		TargetsCurrentAt: c.targets.Replica().CurrentAt(), EstateCurrentAt: c.declarations.Replica().CurrentAt(), EstateConfirmedBy: c.declarations.Replica().ConfirmedBy(), Engines: map[fleet.Incarnation]view.EngineReport{}, Unresponsive: map[netip.AddrPort]bool{}, Wanted: map[string]weights.History{},
 		EntryCount: 1 + c.mesh.LiveCount(true), EntryRank: c.entryRank(), Stopping: c.stopping, OtherEntryAt: c.otherEntryAt(now),
 	}
 	c.updateFleetSize(v.Targets)
--- a/internal/gateway/feed/follower.go
+++ b/internal/gateway/feed/follower.go
@@ -36,9 +36,12 @@
 	Name string
 	// Wait is how long a read waits at the store for a new record; zero returns at once.
 	Wait time.Duration
-	// Place returns which of the processes that wait at the store this one is, from 0, and their number. It
-	// is called on the control thread. Nil means the only one.
+	// Place returns which of the processes that wait at the store this one is, from 0, and their number; zero
+	// if this one does not wait, but reads once. It is called on the control thread. Nil means the only one.
 	Place func() (rank, readers int)
+	// RenewPeriod returns the time in which one of the processes that wait renews its read, if there are few
+	// of them. It is called on the control thread. Nil means DefaultRenewPeriod.
+	RenewPeriod func() time.Duration
 	// Pause between two reads.
 	Pause time.Duration
 	// ShouldRead reports whether this process reads the store now; if not, it gets records
@@ -246,16 +249,18 @@
 	return next
 }
 
-// renewPeriod is the time in which one of the processes that wait at the store renews its read, if there are
-// few of them.
-const renewPeriod = time.Second
+// DefaultRenewPeriod is the time in which one of the processes that wait at the store renews its read, if there
+// are few of them.
+const DefaultRenewPeriod = time.Second
 
 // nextWait returns how long the next read waits at the store.
 //
 // A store that was silent for a moment may never answer the reads that reached it meanwhile, and nothing but
 // their end shows it. A record answers the reads of all processes at the same time, so that all would be
 // lost together. The processes therefore end their next reads one after the other, and the first one to
-// read again passes on what it finds. While the store does not answer, reads do not wait.
+// read again passes on what it finds. The first of them does so at once: how old the answer with a record may
+// be is not known, and the others would take the replica for older than it is. While the store does not answer,
+// reads do not wait.
 func (f *Follower) nextWait() time.Duration {
 	if f.options.Wait == 0 || f.storeDown {
 		return 0
@@ -264,9 +269,16 @@
 	if f.options.Place != nil {
 		rank, readers = f.options.Place()
 	}
+	if readers == 0 {
+		return 0
+	}
+	renewPeriod := DefaultRenewPeriod
+	if f.options.RenewPeriod != nil {
+		renewPeriod = f.options.RenewPeriod()
+	}
 	wait := min(f.options.Wait, time.Duration(readers)*renewPeriod)
 	if f.inStep {
-		return wait * time.Duration(rank+1) / time.Duration(readers)
+		return wait * time.Duration(rank) / time.Duration(readers)
 	}
 	return wait
 }
@@ -359,10 +371,19 @@
 		return nil
 	}
 	f.replica.Confirm(receipt.At, SourceStore)
-	f.changed(f.replica.Merge(s.Records, s.End, receipt.Earliest(0)))
+	f.changed(f.replica.Merge(s.Records, s.End, asOf(r.wait, len(s.Records), receipt)))
 	return nil
 }
 
+// asOf returns a time as of which the answer to a read holds. A store that returns no records has waited for
+// them, so that the answer is not older than the end of the wait.
+func asOf(wait time.Duration, records int, receipt asof.Receipt) time.Time {
+	if end := receipt.After.Add(wait); records == 0 && !end.After(receipt.At) {
+		return end
+	}
+	return receipt.Earliest(0)
+}
+
 // mergeTrimmed handles a read of records that the store does not have. The first one is followed by a
 // snapshot at once.
 func (f *Follower) mergeTrimmed(r request, s Snapshot) error {
--- a/internal/gateway/mesh/members.go
+++ b/internal/gateway/mesh/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -67,6 +68,28 @@
 	return rank
 }
 
+// ReaderRank returns the number of live entries that are not stopping and that precede this process in an order
+// which all processes share. It follows neither the addresses nor the zones, whose processes often fail together.
+func (m *Mesh) ReaderRank() int {
+	rank, own := 0, readerOrder(m.options.Listen)
+	m.eachLive(true, func(member *Member) {
+		if !member.Leaving && readerOrder(member.Address) < own {
+			rank++
+		}
+	})
+	return rank
+}
+
+// readerOrder returns the place of an address in the order of ReaderRank. Its steps are invertible, so that no two
+// addresses with the same port have the same place.
+func readerOrder(address netip.AddrPort) uint32 {
+	b := address.Addr().As4()
+	x := binary.BigEndian.Uint32(b[:])
+	x = (x ^ x>>16) * 0x7feb352d
+	x = (x ^ x>>15) * 0x846ca68b
+	return x ^ x>>16
+}
+
 func (m *Mesh) eachLive(entries bool, visit func(*Member)) {
 	within, now := m.heartbeatTimeout(entries), m.options.Now()
 	for _, member := range m.members {
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -24,7 +24,7 @@
 }
 
 func (c *clusterState) position(name string, f *feed.Follower, digest uint64) *peerv1.TopicPosition {
-	current, covered := c.currentAt(name), f.Replica().Coverage()
+	current, covered := f.Replica().CurrentAt(), f.Replica().Coverage()
 	return &peerv1.TopicPosition{
 		Topic: name, Era: uint64(covered.Era), End: covered.End, SeenFrom: covered.SeenFrom, DropEnd: covered.DropEnd, AgeMs: uint32(c.clock.Now().Sub(current).Milliseconds()),
 		Unknown: current.IsZero(), Digest: digest, EraAgeMs: uint32(c.eraAge(f).Milliseconds()), RetainedDigest: f.Replica().RetainedDigest(),
@@ -50,21 +50,6 @@
 	c.targets.NoteEra(era, since)
 }
 
-// currentAt returns as of when a replica is known to be complete. A long poll of the declarations returns
-// with the first new record, so they count as complete as long as the store answers other reads; nothing but
-// the time of reads and what operators are shown depends on that.
-func (c *clusterState) currentAt(topic string) time.Time {
-	targetsAt := c.targets.Replica().CurrentAt()
-	if topic == topicTargets {
-		return targetsAt
-	}
-	at := c.declarations.Replica().CurrentAt()
-	if c.longPollsDeclarations() && !at.IsZero() && targetsAt.After(at) {
-		return targetsAt
-	}
-	return at
-}
-
 // onHeartbeat compares a peer's replicas with this process's and fetches missing records.
 func (c *clusterState) onHeartbeat(m *mesh.Member) {
 	c.peerSaysLarge = c.peerSaysLarge || m.Heartbeat.LargeFleet
@@ -230,6 +215,6 @@
 		return mesh.TopicPage{}, false
 	}
 	return mesh.TopicPage{
-		Page: f.Replica().PageFrom(from), Age: c.clock.Now().Sub(c.currentAt(topic)), EraAge: c.eraAge(f),
+		Page: f.Replica().PageFrom(from), Age: c.clock.Now().Sub(f.Replica().CurrentAt()), EraAge: c.eraAge(f),
 	}, true
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -108,6 +108,9 @@
 	// MaxStaleness is how long engines may run outdated weights after new ones are declared.
 	// Required.
 	MaxStaleness settings.Duration `toml:"weights"`
+	// Configuration is the time in which a declared configuration must be in force at all processes. In
+	// large fleets it determines how soon others read the store if those that usually do cannot. Default 4s.
+	Configuration settings.Duration `toml:"configuration"`
 	// RetryRatio is the number of retries per request that all processes together may make.
 	// RetrySlack is the number of additional retries in a window of some seconds. Default 0.1
 	// and 10.
@@ -138,6 +141,8 @@
 	defaultSuspectFor   = time.Hour
 	defaultRefuseFor    = 24 * time.Hour
 	defaultMaxRecords   = 2000
+	// defaultConfiguration leaves time for a read that fails and for the way through a fleet of hundreds.
+	defaultConfiguration = 4 * time.Second
 	// defaultLongestStream includes a margin for the lag of target lists.
 	defaultLongestStream = 65 * time.Second
 )
@@ -147,7 +152,7 @@
 	s := &Settings{
 		MemoryMB: defaultMemoryMB, LogLinesPerSecond: defaultLogLines, LongestStream: settings.Duration{Duration: defaultLongestStream}, ServiceLevel: defaultServiceLevel,
 		LargeEntries: defaultLargeEntries, LargeEngines: defaultLargeEngines,
-		Bounds: BoundsSettings{RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack},
+		Bounds: BoundsSettings{Configuration: settings.Duration{Duration: defaultConfiguration}, RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack},
 		Quarantine: QuarantineSettings{
 			MaxCrashes: defaultMaxCrashes, SuspectFor: settings.Duration{Duration: defaultSuspectFor}, RefuseFor: settings.Duration{Duration: defaultRefuseFor}, MaxRecords: defaultMaxRecords,
 		},
--- a/internal/gateway/settingscheck.go
+++ b/internal/gateway/settingscheck.go
@@ -54,6 +54,7 @@
 	c.require(s.LongestStream.Duration > 0, "longest_stream", tomltext.Found(s.LongestStream.Duration, "a time above 0"))
 	c.require(s.Bounds.GracePeriod.Duration > 0, "bounds.grace_period", missing)
 	c.require(s.Bounds.MaxStaleness.Duration > 0, "bounds.weights", missing)
+	c.require(s.Bounds.Configuration.Duration > 0, "bounds.configuration", tomltext.Found(s.Bounds.Configuration.Duration, "a time above 0"))
 	c.require(s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "bounds.retry_ratio", tomltext.Found(s.Bounds.RetryRatio, "0 to 1"))
 	c.require(s.Bounds.RetrySlack >= 0, "bounds.retry_slack", tomltext.Found(s.Bounds.RetrySlack, "0 or more"))
 	c.positive("quarantine.ends", int64(s.Quarantine.MaxCrashes))
--- a/internal/gateway/storereads.go
+++ b/internal/gateway/storereads.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 )
 
 const (
@@ -19,7 +21,7 @@
 	largeSecondEntryReadAge  = 1300 * time.Millisecond
 	largeOtherEntriesReadAge = 2500 * time.Millisecond
 	largeSidecarReadAge      = 5 * time.Second
-	// sidecarDeclarationsReadAge is the same for sidecars and the declarations.
+	// sidecarDeclarationsReadAge is the same for sidecars and the declarations, and the most for entries.
 	sidecarDeclarationsReadAge = 3 * time.Second
 )
 
@@ -91,20 +93,33 @@
 
 // longPollsDeclarations reports whether this process long-polls the store for declarations.
 func (c *clusterState) longPollsDeclarations() bool {
-	return c.isEntry() && !c.isSettling() && (!c.large.Load() || c.entryRank() < declarationReaders)
+	return c.isEntry() && !c.isSettling() && (!c.large.Load() || c.mesh.ReaderRank() < declarationReaders)
 }
 
 // placeAmongReaders returns which of the processes that long-poll the declarations this one is, and their
-// number. A process that steps in for them counts as the only one.
+// number; zero if it steps in for them.
 func (c *clusterState) placeAmongReaders() (rank, readers int) {
 	if !c.longPollsDeclarations() {
-		return 0, 1
+		return 0, 0
 	}
 	readers = 1 + c.mesh.LiveCount(true)
 	if c.large.Load() {
 		readers = min(readers, declarationReaders)
 	}
-	return min(c.entryRank(), readers-1), readers
+	return min(c.mesh.ReaderRank(), readers-1), readers
+}
+
+// declarationsRenewPeriod returns the time in which one of the processes that long-poll the declarations renews
+// its read. In a small fleet all entries do, and none depends on the others.
+func (c *clusterState) declarationsRenewPeriod() time.Duration {
+	if !c.large.Load() {
+		return feed.DefaultRenewPeriod
+	}
+	return c.declarationsSchedule().RenewPeriod()
+}
+
+func (c *clusterState) declarationsSchedule() feed.Schedule {
+	return feed.Schedule{Bound: c.settings.Bounds.Configuration.Duration}
 }
 
 // settleTime is how long after its start an entry may not know the other entries yet. It is shorter
@@ -123,12 +138,14 @@
 	// should. In large fleets most processes step in after seconds only and check less often.
 	defaultReadCheckPeriod = 100 * time.Millisecond
 	largeReadCheckPeriod   = 300 * time.Millisecond
+	// frequentCheckers is how many entries, in the order of their addresses, check often also in large fleets.
+	frequentCheckers = 6
 )
 
 // readCheckPeriod returns how often this process checks whether it should read the store. It may be
 // called on any goroutine.
 func (c *clusterState) readCheckPeriod() time.Duration {
-	if v, ok := c.view.Get(); ok && v.LargeFleet && (!c.isEntry() || v.EntryRank >= declarationReaders) {
+	if v, ok := c.view.Get(); ok && v.LargeFleet && (!c.isEntry() || v.EntryRank >= frequentCheckers) {
 		return largeReadCheckPeriod
 	}
 	return defaultReadCheckPeriod
@@ -139,7 +156,17 @@
 	if c.shouldAwaitPeers(topicOperators, confirmedAt) {
 		return false
 	}
-	return c.longPollsDeclarations() || c.clock.Now().Sub(confirmedAt) > sidecarDeclarationsReadAge
+	return c.longPollsDeclarations() || c.clock.Now().Sub(confirmedAt) > c.declarationsReadAge()
+}
+
+// declarationsReadAge returns the age of the replica of the declarations at which this process reads them, if it
+// does not long-poll them.
+func (c *clusterState) declarationsReadAge() time.Duration {
+	if !c.isEntry() {
+		return sidecarDeclarationsReadAge
+	}
+	rank, others := c.mesh.ReaderRank()-declarationReaders, 1+c.mesh.LiveCount(true)-declarationReaders
+	return min(c.declarationsSchedule().StepInAge(max(rank, 0), others), sidecarDeclarationsReadAge)
 }
 
 // shouldReadTargets reports whether this process should read the target list now.
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -46,9 +46,7 @@
 	RawEstate []byte
 	// EstateCurrentAt is when the replica of the operators' topic was last current.
 	EstateCurrentAt time.Time
-	// EstateReadAt is as of when the topic was last read, by this process or by one that has told it, and
-	// EstateConfirmedBy from where this process learned that: the store, or a peer's address.
-	EstateReadAt      time.Time
+	// EstateConfirmedBy is from where the process last learned that: the store, or a peer's address.
 	EstateConfirmedBy string
 	// Targets by service, as of TargetsCurrentAt.
 	Targets          map[string][]fleet.Target
