--- a/internal/gateway/quarantine/announce.go
+++ b/internal/gateway/quarantine/announce.go
@@ -52,16 +52,43 @@
 	}
 	q.markChanged(other.Fingerprint, false)
 	if rebroadcast && !r.isLonePart() {
-		q.queueUpdate(other.Fingerprint)
+		q.pendingForwards.add(other.Fingerprint)
+		q.signal()
 	}
 	q.evict()
 	return true
 }
 
-func (q *Registry) queueUpdate(fp Fingerprint) {
-	if !slices.Contains(q.pendingUpdates, fp) {
-		q.pendingUpdates = append(q.pendingUpdates, fp)
+// updateQueue holds records to announce, each once, in the order in which they were added.
+type updateQueue struct {
+	order   []Fingerprint
+	pending map[Fingerprint]bool
+}
+
+func (u *updateQueue) add(fp Fingerprint) {
+	if u.pending[fp] {
+		return
+	}
+	if u.pending == nil {
+		u.pending = map[Fingerprint]bool{}
 	}
+	u.pending[fp] = true
+	u.order = append(u.order, fp)
+}
+
+// take removes and returns the first record, or false if there is none.
+func (u *updateQueue) take() (Fingerprint, bool) {
+	if len(u.order) == 0 {
+		return 0, false
+	}
+	fp := u.order[0]
+	u.order = u.order[1:]
+	delete(u.pending, fp)
+	return fp, true
+}
+
+func (q *Registry) queueUpdate(fp Fingerprint) {
+	q.pendingUpdates.add(fp)
 	q.signal()
 }
 
@@ -73,14 +100,29 @@
 	}
 }
 
-// TakeUpdates removes and returns up to n records from those to be announced at once.
-func (q *Registry) TakeUpdates(n int) []Record {
+// TakeUpdates removes and returns up to n records from those to be announced at once because this process
+// changed them.
+func (q *Registry) TakeUpdates(n int) []Record { return q.take(&q.pendingUpdates, n) }
+
+// TakeForwards removes and returns up to n records from those to be passed on that other processes announced. If
+// there are more, Updates receives another value.
+func (q *Registry) TakeForwards(n int) []Record {
+	taken := q.take(&q.pendingForwards, n)
+	if len(taken) == n {
+		q.signal()
+	}
+	return taken
+}
+
+func (q *Registry) take(from *updateQueue, n int) []Record {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var taken []Record
-	for len(taken) < n && len(q.pendingUpdates) > 0 {
-		fp := q.pendingUpdates[0]
-		q.pendingUpdates = q.pendingUpdates[1:]
+	for len(taken) < n {
+		fp, ok := from.take()
+		if !ok {
+			break
+		}
 		if r := q.records[fp]; r != nil {
 			taken = append(taken, r.clone())
 		}
--- a/internal/gateway/quarantine/evaluate.go
+++ b/internal/gateway/quarantine/evaluate.go
@@ -79,24 +79,33 @@
 		e.findings[r.Fingerprint] = MustNotRun
 		e.explain(r, e.explained)
 	}
-	for _, r := range e.candidates {
-		e.assessments[r.Fingerprint] = e.assess(r)
-	}
 	return e
 }
 
+// assessmentOf returns the inputs of a record's finding; zero if it has too few crashes to be evaluated.
+func (e *evaluation) assessmentOf(r *Record) Assessment {
+	if a, ok := e.assessments[r.Fingerprint]; ok || !slices.Contains(e.candidates, r) {
+		return a
+	}
+	return e.assess(r)
+}
+
 // evaluation is the state of one call of Evaluate.
 type evaluation struct {
 	records    []*Record
 	maxCrashes int
 	findings   map[Fingerprint]Finding
-	// assessments holds the inputs of each candidate's finding.
+	// assessments holds the inputs of each finding.
 	assessments map[Fingerprint]Assessment
 	explanations
 	// candidates are the requests with enough crashes that are not evaluated yet.
 	candidates []*Record
-	// timeline caches crashesByTime.
+	// timeline caches crashesByTime, earliest has the times in it by target.
 	timeline []Crash
+	earliest map[fleet.ID]time.Time
+	// unexplained caches unexplainedByTime, as of when so many crashes were explained.
+	unexplained   []Crash
+	unexplainedOf int
 }
 
 // explanations are the crashes that don't count against some records, because others explain them.
@@ -320,51 +329,69 @@
 // crashInterval returns the times of the first and last crash of any target between margin
 // before the request's first crash and concurrentWindow after its last.
 func (e *evaluation) crashInterval(r *Record, margin time.Duration) (first, last time.Time) {
-	from, to := r.crashSpan()
-	for _, c := range e.crashesByTime() {
-		if c.At.Before(from.Add(-margin)) || c.At.After(to.Add(concurrentWindow)) || e.explained[c.Target] {
-			continue
-		}
-		if first.IsZero() {
-			first = c.At
-		}
-		last = c.At
+	window := e.unexplainedWithin(r, margin)
+	if len(window) == 0 {
+		return time.Time{}, time.Time{}
 	}
-	return first, last
+	return window[0].At, window[len(window)-1].At
 }
 
 // crashesWithout counts the crashes of other targets between margin before the request's first
 // crash and concurrentWindow after its last.
 func (e *evaluation) crashesWithout(r *Record, margin time.Duration) int {
-	first, last := r.crashSpan()
-	all := e.crashesByTime()
-	from, _ := slices.BinarySearchFunc(all, first.Add(-margin), func(c Crash, t time.Time) int { return c.At.Compare(t) })
-	n := 0
-	for _, c := range all[from:] {
-		if c.At.After(last.Add(concurrentWindow)) {
-			break
-		}
-		if !e.explained[c.Target] && !r.hasCrash(c.Target) {
-			n++
+	window := e.unexplainedWithin(r, margin)
+	n := len(window)
+	if n == 0 {
+		return 0
+	}
+	first, last := window[0].At, window[n-1].At
+	for _, c := range r.Crashes {
+		if at := e.earliest[c.Target]; !e.explained[c.Target] && !at.Before(first) && !at.After(last) {
+			n--
 		}
 	}
 	return n
 }
 
+// unexplainedWithin returns the unexplained crashes of any target between margin before the request's first
+// crash and concurrentWindow after its last, ordered by time.
+func (e *evaluation) unexplainedWithin(r *Record, margin time.Duration) []Crash {
+	all := e.unexplainedByTime()
+	first, last := r.crashSpan()
+	byTime := func(c Crash, t time.Time) int { return c.At.Compare(t) }
+	from, _ := slices.BinarySearchFunc(all, first.Add(-margin), byTime)
+	to, _ := slices.BinarySearchFunc(all, last.Add(concurrentWindow+1), byTime)
+	return all[from:max(from, to)]
+}
+
+// unexplainedByTime returns those of crashesByTime that are not explained.
+func (e *evaluation) unexplainedByTime() []Crash {
+	if e.unexplained != nil && e.unexplainedOf == len(e.explained) {
+		return e.unexplained
+	}
+	e.unexplained, e.unexplainedOf = make([]Crash, 0, len(e.crashesByTime())), len(e.explained)
+	for _, c := range e.crashesByTime() {
+		if !e.explained[c.Target] {
+			e.unexplained = append(e.unexplained, c)
+		}
+	}
+	return e.unexplained
+}
+
 // crashesByTime returns the crash of each incarnation once, ordered by time.
 func (e *evaluation) crashesByTime() []Crash {
 	if e.timeline != nil {
 		return e.timeline
 	}
-	earliest := map[fleet.ID]time.Time{}
+	e.earliest = map[fleet.ID]time.Time{}
 	for _, r := range e.records {
 		for _, c := range r.Crashes {
-			if at, ok := earliest[c.Target]; !ok || c.At.Before(at) {
-				earliest[c.Target] = c.At
+			if at, ok := e.earliest[c.Target]; !ok || c.At.Before(at) {
+				e.earliest[c.Target] = c.At
 			}
 		}
 	}
-	for target, at := range earliest {
+	for target, at := range e.earliest {
 		e.timeline = append(e.timeline, Crash{Target: target, At: at})
 	}
 	slices.SortFunc(e.timeline, func(a, b Crash) int { return a.At.Compare(b.At) })
--- a/internal/gateway/quarantine/eviction.go
+++ b/internal/gateway/quarantine/eviction.go
@@ -41,22 +41,56 @@
 	q.markChanged(fp, false)
 }
 
+// evictionBatch is the share of the records, as a divisor, that are determined at once as the next to be evicted.
+// It takes a pass through all of them, which a flood of new records would cause for each.
+const evictionBatch = 32
+
+// evictable is a record that was among the least suspect ones.
+type evictable struct {
+	record    *Record
+	crashes   int
+	changedAt time.Time
+}
+
 // evict drops the least suspect records beyond the limit. Requests with a single crash are
 // evicted before refused ones, so that a flood of them can't displace these.
 func (q *Registry) evict() {
 	for len(q.records) > q.limits.MaxRecords {
-		var least *Record
-		for _, r := range q.records {
-			if least == nil || q.lessSuspect(r, least) {
-				least = r
-			}
-		}
+		least := q.leastSuspect()
 		q.drop(least.Fingerprint)
 		q.observer.Evicted(least)
 	}
 }
 
-func (q *Registry) lessSuspect(x, y *Record) bool {
+// leastSuspect removes and returns the next record to evict.
+func (q *Registry) leastSuspect() *Record {
+	for {
+		if len(q.evictables) == 0 {
+			q.findEvictables()
+		}
+		next := q.evictables[0]
+		q.evictables = q.evictables[1:]
+		r := next.record
+		if q.records[r.Fingerprint] == r && len(r.Crashes) == next.crashes && r.ChangedAt().Equal(next.changedAt) {
+			return r
+		}
+	}
+}
+
+// findEvictables determines the next records to evict.
+func (q *Registry) findEvictables() {
+	all := make([]*Record, 0, len(q.records))
+	for _, r := range q.records {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, q.compareSuspicion)
+	for _, r := range all[:max(len(all)/evictionBatch, 1)] {
+		q.evictables = append(q.evictables, evictable{r, len(r.Crashes), r.ChangedAt()})
+	}
+}
+
+// compareSuspicion orders the less suspect record first, of equally suspect ones that which changed earlier.
+func (q *Registry) compareSuspicion(x, y *Record) int {
 	suspicion := func(r *Record) int {
 		if q.findings[r.Fingerprint] == MustNotRun {
 			return maxRecordedCrashes + 1
@@ -64,7 +98,7 @@
 		return len(r.Crashes)
 	}
 	if c := cmp.Compare(suspicion(x), suspicion(y)); c != 0 {
-		return c < 0
+		return c
 	}
-	return x.ChangedAt().Before(y.ChangedAt())
+	return x.ChangedAt().Compare(y.ChangedAt())
 }
--- a/internal/gateway/quarantine/reevaluate.go
+++ b/internal/gateway/quarantine/reevaluate.go
@@ -20,12 +20,26 @@
 	q.reevaluate(now)
 }
 
+const (
+	// fewRecords is the number of records up to which each change is evaluated at once. A crash of many
+	// targets changes thousands of records within a second, and each evaluation goes through all of them.
+	fewRecords = 200
+	// evaluationInterval is the least time between two evaluations for each further record.
+	evaluationInterval = 50 * time.Microsecond
+)
+
+// nextEvaluation returns the earliest time of the next evaluation.
+func (q *Registry) nextEvaluation() time.Time {
+	return q.evaluatedAt.Add(evaluationInterval * time.Duration(max(len(q.records)-fewRecords, 0)))
+}
+
 // reevaluate updates the findings and cancels runs of suspects.
 func (q *Registry) reevaluate(now time.Time) {
 	due := !q.evaluateAt.IsZero() && !now.Before(q.evaluateAt)
-	if len(q.changed) == 0 && !due {
+	if len(q.changed) == 0 && !due || now.Before(q.nextEvaluation()) {
 		return
 	}
+	q.evaluatedAt = now
 	q.evaluate(!q.localChange, now)
 	for _, fp := range slices.Sorted(maps.Keys(q.changed)) {
 		if r := q.records[fp]; r != nil && q.status(r, now).Verdict != Free {
@@ -55,7 +69,7 @@
 			q.explained[c.Target] = true
 		}
 	}
-	q.notifyFindings(before, e.assessments, remote)
+	q.notifyFindings(before, e, remote)
 }
 
 // evaluateBy schedules an evaluation at the given time at the latest.
@@ -66,7 +80,7 @@
 }
 
 // notifyFindings reports changed findings to the observer.
-func (q *Registry) notifyFindings(before map[Fingerprint]Finding, assessments map[Fingerprint]Assessment, remote bool) {
+func (q *Registry) notifyFindings(before map[Fingerprint]Finding, e *evaluation, remote bool) {
 	changed := map[Fingerprint]bool{}
 	for fp := range before {
 		changed[fp] = q.findings[fp] != before[fp]
@@ -76,7 +90,7 @@
 	}
 	for _, fp := range slices.Sorted(maps.Keys(changed)) {
 		if r := q.records[fp]; r != nil && changed[fp] {
-			q.observer.FindingChanged(r, before[fp], q.findings[fp], assessments[fp], remote)
+			q.observer.FindingChanged(r, before[fp], q.findings[fp], e.assessmentOf(r), remote)
 			q.signal()
 		}
 	}
--- a/internal/gateway/quarantine/registry.go
+++ b/internal/gateway/quarantine/registry.go
@@ -96,11 +96,11 @@
 	explained map[fleet.ID]bool
 	// explanations are the crashes that don't count against some records.
 	explanations explanations
-	// pendingUpdates lists the records to announce at once, lastAnnounced is where
-	// NextToAnnounce stopped.
-	pendingUpdates []Fingerprint
-	lastAnnounced  Fingerprint
-	updates        chan struct{}
+	// pendingUpdates lists the records to announce at once because of this process, pendingForwards
+	// those that others announced. lastAnnounced is where NextToAnnounce stopped.
+	pendingUpdates, pendingForwards updateQueue
+	lastAnnounced                   Fingerprint
+	updates                         chan struct{}
 	// runs holds the runs in flight.
 	runs map[Fingerprint][]*Run
 	// probationRuns holds the records with a probation run in flight.
@@ -109,7 +109,11 @@
 	// this process changed one of them.
 	changed     map[Fingerprint]bool
 	localChange bool
+	// evaluatedAt is when the records were last evaluated.
+	evaluatedAt time.Time
 	sweptAt     time.Time
+	// evictables are the next records to evict, the least suspect one first.
+	evictables []evictable
 	// soundParts are the parts that were served lately.
 	soundParts *soundParts
 	// lastCrashAt is when the last crash of any target was observed.
--- a/internal/gateway/quarantine/simulation_test.go
+++ b/internal/gateway/quarantine/simulation_test.go
@@ -100,6 +100,11 @@
 	simCrashDelay    = 80 * time.Millisecond // from the start of a fatal request to the crash
 	simLatency       = 2 * time.Millisecond
 	simAnnounceDelay = 5 * time.Millisecond
+	// Records of others are passed on to fewer, some at a time, and announcements are apart, in fleets in which that is
+	// done.
+	simForwardFanOut = 4
+	simForwards      = 40
+	simAnnouncePause = 50 * time.Millisecond
 	simRetryPause    = 10 * time.Millisecond
 	simMaxWait       = time.Second // for a probation run
 	// The target list shows a crash between simListDelay and twice as late.
@@ -143,6 +148,7 @@
 	*Registry
 	id              int
 	announcePending bool
+	announcedAt     time.Duration
 }
 
 type simEngine struct {
@@ -621,7 +627,7 @@
 }
 
 func (s *sim) heartbeat(n *simEntry) {
-	s.announceRecords(n, n.NextToAnnounce(8, s.clock()))
+	s.announceRecords(n, n.NextToAnnounce(8, s.clock()), simFanOut)
 	s.schedule(s.heartbeatPeriod(), func() { s.heartbeat(n) })
 }
 
@@ -631,13 +637,21 @@
 		return
 	}
 	n.announcePending = true
-	s.schedule(simAnnounceDelay, func() {
-		n.announcePending = false
-		s.announceRecords(n, n.TakeUpdates(1<<30))
+	delay := simAnnounceDelay
+	if forwards := len(s.nodes) > simFanOut; forwards {
+		delay = max(delay, simAnnouncePause-(s.now-n.announcedAt))
+	}
+	s.schedule(delay, func() {
+		n.announcePending, n.announcedAt = false, s.now
+		s.announceRecords(n, n.TakeUpdates(1<<30), simFanOut)
+		s.announceRecords(n, n.TakeForwards(simForwards), simForwardFanOut)
+		if len(n.pendingForwards.order) > 0 {
+			s.announceSoon(n)
+		}
 	})
 }
 
-func (s *sim) announceRecords(from *simEntry, records []Record) {
+func (s *sim) announceRecords(from *simEntry, records []Record, receivers int) {
 	const perDatagram = 1100
 	for len(records) > 0 {
 		size, n := 0, 0
@@ -645,12 +659,12 @@
 			size += proto.Size(ToMessage(&records[n], s.clock()))
 			n++
 		}
-		s.broadcast(from, records[:n], size)
+		s.broadcast(from, records[:n], size, receivers)
 		records = records[n:]
 	}
 }
 
-func (s *sim) broadcast(from *simEntry, records []Record, size int) {
+func (s *sim) broadcast(from *simEntry, records []Record, size, receivers int) {
 	sentAt := s.clock()
 	reached := 0
 	for _, i := range s.random.Perm(len(s.nodes)) {
@@ -658,7 +672,7 @@
 		if to == from {
 			continue
 		}
-		if reached++; reached > simFanOut {
+		if reached++; reached > receivers {
 			return
 		}
 		s.datagrams++
