--- a/internal/gateway/cachefollowers.go
+++ b/internal/gateway/cachefollowers.go
@@ -198,7 +198,7 @@
 	if c.process.state.large.Load() {
 		return
 	}
-	c.process.state.mesh.BroadcastToEntries(func(heartbeat *peerv1.Beat) { heartbeat.Cache = cacheState(f, cached) })
+	c.process.state.mesh.BroadcastToEntries(mesh.FanOut, func(heartbeat *peerv1.Beat) { heartbeat.Cache = cacheState(f, cached) })
 }
 
 // reannounce announces the next slice of each cache again.
--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -42,11 +42,13 @@
 // clusterState is what a process knows of the deployment. It is used on the control thread
 // only; requests use the immutable view that it publishes.
 type clusterState struct {
-	settings     *Settings
-	platform     Platform
-	loop         *control.Loop
-	clock        *hostclock.Clock
-	logger       logr.Logger
+	settings *Settings
+	platform Platform
+	loop     *control.Loop
+	clock    *hostclock.Clock
+	logger   logr.Logger
+	// auditLogger is for lines that are not dropped.
+	auditLogger  logr.Logger
 	peers        *http.Client
 	mesh         *mesh.Mesh
 	declarations *feed.Follower
@@ -113,7 +115,7 @@
 
 func newClusterState(s *Settings, p Platform, loop *control.Loop, clock *hostclock.Clock, logger logr.Logger, peers *http.Client, onCall func(string, time.Duration, error)) *clusterState {
 	c := &clusterState{
-		settings: s, platform: p, loop: loop, clock: clock, logger: logger, peers: peers,
+		settings: s, platform: p, loop: loop, clock: clock, logger: logger, auditLogger: logger, peers: peers,
 		directory: fleet.NewDirectory(), wantedWeights: map[string]weights.History{}, engineReports: map[fleet.Incarnation]view.EngineReport{}, unlisted: map[fleet.Incarnation]fleet.UnlistedState{}, unresponsive: map[netip.AddrPort]time.Time{},
 		replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, fetching: map[string]bool{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onFetch: func(string, string) {}, onListingRejected: func() {}, retainedSeen: map[retainedSet]bool{},
 	}
@@ -201,7 +203,7 @@
 		c.directory.Invalidate()
 		c.onEstateChange(d.Estate.Version)
 		known := c.declared()
-		c.logger.Info("estate_in_force", "estate", d.Estate.Version, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "replaced", replaced, "known_age", c.age(known.EstateCurrentAt), "confirmed_by", known.EstateConfirmedBy, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
+		c.auditLogger.Info("estate_in_force", "estate", d.Estate.Version, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "replaced", replaced, "known_age", c.age(known.EstateCurrentAt), "confirmed_by", known.EstateConfirmedBy, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
 	}
 	if d.Model == "" || d.Version <= c.wantedWeights[d.Model].Newest() {
 		return
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -242,7 +242,7 @@
 
 func (e *entry) announceChangedWork() {
 	now := e.state.clock.Now()
-	e.state.mesh.BroadcastToEntries(func(heartbeat *peerv1.Beat) {
+	e.state.mesh.BroadcastToEntries(mesh.FanOut, func(heartbeat *peerv1.Beat) {
 		for target := range e.changedTargets {
 			heartbeat.Loads = append(heartbeat.Loads, probe.EncodeLoad(target, e.ledger.OwnAt(target, now)))
 		}
--- a/internal/gateway/mesh/rounds.go
+++ b/internal/gateway/mesh/rounds.go
@@ -66,15 +66,15 @@
 	m.sendFull(sample(to, FanOut), false)
 }
 
-// BroadcastToEntries sends the live entries a partial heartbeat with only what fill adds.
-func (m *Mesh) BroadcastToEntries(fill func(*peerv1.Beat)) {
+// BroadcastToEntries sends live entries, at most as many as receivers, a partial heartbeat with only what fill adds.
+func (m *Mesh) BroadcastToEntries(receivers int, fill func(*peerv1.Beat)) {
 	var to []netip.AddrPort
 	for _, member := range m.members {
 		if member.Entry && m.isLive(member) {
 			to = append(to, member.Address)
 		}
 	}
-	m.sendHeartbeat(sample(to, FanOut), func(heartbeat *peerv1.Beat) {
+	m.sendHeartbeat(sample(to, receivers), func(heartbeat *peerv1.Beat) {
 		heartbeat.Partial, heartbeat.Name, heartbeat.Zone = true, "", ""
 		fill(heartbeat)
 	})
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,6 +38,7 @@
 	placementWait      *prometheus.HistogramVec
 	attributedCrashes  *prometheus.CounterVec
 	evictedSuspects    prometheus.Counter
+	droppedSuspects    prometheus.Counter
 	rateLimitDecisions *prometheus.CounterVec
 	rateLimitRequests  *prometheus.CounterVec
 	rateLimitWait      prometheus.Histogram
@@ -91,6 +92,7 @@
 		}, labels),
 		attributedCrashes:  counter("blamed_requests_total", "Target crashes attributed to a request, by source: this process (own) or a peer (told).", "word"),
 		evictedSuspects:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "suspects_evicted_total", Help: "Quarantine records evicted because the registry was full."}),
+		droppedSuspects:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: "toucanwell", Name: "suspects_dropped_total", Help: "Quarantine records that other entries announced and that were dropped, because too many waited to be merged."}),
 		rateLimitDecisions: counter("rate_limit_decisions_total", "Rate limit decisions, by source and outcome.", "source", "outcome"),
 		rateLimitRequests:  counter("rate_limit_requests_total", "Lease requests sent for rate limits, by kind.", "kind"),
 		rateLimitWait: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -110,7 +112,7 @@
 	}
 	m.Registry.MustRegister(m.requests, m.refusals, m.ttft, m.promptTokens, m.cachedTokens, m.recomputedTokens,
 		m.retries, m.resumes, m.streamStarts, m.takeovers, m.probes, m.queueWaiting, m.queueRunning, m.indexBlocks, m.eventGaps,
-		m.configVersion, m.logErrors, m.controlSeconds, m.controlWait, m.peerFetches, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.rateLimitDecisions, m.rateLimitRequests, m.rateLimitWait, m.invalidStatements, m.targetLimits, m.detours, m.skippedResponses, m.shedConnections)
+		m.configVersion, m.logErrors, m.controlSeconds, m.controlWait, m.peerFetches, m.connections, m.refusedEntries, m.storeCalls, m.weightsOrders, m.placementWait, m.attributedCrashes, m.evictedSuspects, m.droppedSuspects, m.rateLimitDecisions, m.rateLimitRequests, m.rateLimitWait, m.invalidStatements, m.targetLimits, m.detours, m.skippedResponses, m.shedConnections)
 	m.queueMetrics = newQueueMetrics(m.Registry)
 	return m
 }
@@ -213,6 +215,9 @@
 // ControlTime adds time spent on the control thread.
 func (m *Metrics) ControlTime(d time.Duration) { m.controlSeconds.Add(d.Seconds()) }
 
+// SuspectsDropped counts quarantine records of other entries that were dropped before they were merged.
+func (m *Metrics) SuspectsDropped(records int) { m.droppedSuspects.Add(float64(records)) }
+
 // ControlWait records the time by which an event of the control thread was late.
 func (m *Metrics) ControlWait(d time.Duration) { m.controlWait.Observe(d.Seconds()) }
 
