--- a/internal/gateway/mesh/fetch.go
+++ b/internal/gateway/mesh/fetch.go
@@ -17,10 +17,13 @@
 const (
 	// FetchTimeout limits one fetch.
 	FetchTimeout = 700 * time.Millisecond
-	// MaxFetches is the number of fetches that a process serves at once. When a whole fleet starts,
-	// all processes ask the seeds, whose links would carry none of the replicas in time; those
-	// that are refused fetch from the first that were served.
+	// MaxFetches is the number of fetches of a topic that a process serves at once. When a whole fleet
+	// starts, all processes ask the seeds, whose links would carry none of the replicas in time; those
+	// that are refused fetch from the first that were served. Each topic has places of its own: the target list
+	// of a large fleet is large and changes all the time, and other topics must not wait for it.
 	MaxFetches = 4
+	// topicHeader names the topic of a fetch.
+	topicHeader = "Toucanwell-Topic"
 	// maxReplicaBytes is the maximum size of a replica, which has the records of one topic.
 	maxReplicaBytes = 8 << 20
 	// maxFetchRequest is the maximum size of a request for one.
@@ -49,23 +52,31 @@
 	loop *control.Loop
 	// lookup is called on the control thread.
 	lookup func(topic string, from feed.Position) (TopicPage, bool)
-	// places limits the fetches in progress.
-	places chan struct{}
+	// places limits the fetches in progress, by topic. Requests that name no known topic share those of "".
+	places map[string]chan struct{}
 }
 
-// NewServer returns a server. It calls lookup on the control thread.
-func NewServer(loop *control.Loop, lookup func(topic string, from feed.Position) (TopicPage, bool)) *Server {
-	return &Server{loop: loop, lookup: lookup, places: make(chan struct{}, MaxFetches)}
+// NewServer returns a server of topics. It calls lookup on the control thread.
+func NewServer(loop *control.Loop, topics []string, lookup func(topic string, from feed.Position) (TopicPage, bool)) *Server {
+	s := &Server{loop: loop, lookup: lookup, places: map[string]chan struct{}{"": make(chan struct{}, MaxFetches)}}
+	for _, topic := range topics {
+		s.places[topic] = make(chan struct{}, MaxFetches)
+	}
+	return s
 }
 
 // Handler returns the path and the handler for the Mesh service. It refuses requests while
-// MaxFetches responses are being sent.
+// MaxFetches responses of their topic are being sent.
 func (s *Server) Handler() (string, http.Handler) {
 	path, handler := peerv1.NewMeshHandler(s, connect.WithReadMaxBytes(maxFetchRequest))
 	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		places, ok := s.places[r.Header.Get(topicHeader)]
+		if !ok {
+			places = s.places[""]
+		}
 		select {
-		case s.places <- struct{}{}:
-			defer func() { <-s.places }()
+		case places <- struct{}{}:
+			defer func() { <-places }()
 			handler.ServeHTTP(w, r)
 		default:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -141,7 +152,9 @@
 	ctx, cancel := context.WithTimeout(ctx, FetchTimeout)
 	defer cancel()
 	rpc := peerv1.NewMeshClient(client, "http://"+peer.String())
-	resp, err := rpc.Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{Topic: topic, From: from.Offset, Era: uint64(from.Era)}))
+	req := connect.NewRequest(&peerv1.FetchRequest{Topic: topic, From: from.Offset, Era: uint64(from.Era)})
+	req.Header().Set(topicHeader, topic)
+	resp, err := rpc.Fetch(ctx, req)
 	if err != nil {
 		return TopicPage{}, err
 	}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -186,7 +186,7 @@
 	}
 	p.state.mesh = m
 	mux := http.NewServeMux()
-	mux.Handle(mesh.NewServer(p.loop, p.state.topicPage).Handler())
+	mux.Handle(mesh.NewServer(p.loop, []string{topicOperators, topicTargets, topicQuarantine}, p.state.topicPage).Handler())
 	if err := p.serve(p.settings.MeshListen, mux, nil); err != nil {
 		return err
 	}
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -11,6 +11,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 // compose adds the positions of the topic replicas to a heartbeat.
@@ -87,12 +88,12 @@
 	}
 	switch {
 	case era > replica.Era():
-		c.fetchFromPeer(peer, p.Topic, f)
+		c.fetchOffered(peer, feed.Position{Era: era, Offset: p.End}, p.Topic, f)
 	case same && replica.End() > 0 && replica.CoveredBy(coverage):
 		replica.Confirm(receipt.Latest(milliseconds(p.AgeMs)), peer.String())
 		replica.MarkCurrent(receipt.Earliest(milliseconds(p.AgeMs)))
 	case !same && p.End > replica.End():
-		c.fetchFromPeer(peer, p.Topic, f)
+		c.fetchOffered(peer, feed.Position{Era: era, Offset: p.End}, p.Topic, f)
 	}
 	if era == replica.Era() && c.lacksRetained(p, replica) {
 		c.fetchFromPeer(peer, p.Topic, f)
@@ -160,12 +161,55 @@
 // process fetch continuously.
 const minFetchInterval = 300 * time.Millisecond
 
-// fetchFromPeer fetches the records of a topic that a peer has and this process lacks.
+// busyPause is the average pause before another peer is asked after one that serves too many fetches.
+const busyPause = 40 * time.Millisecond
+
+// fetchOffered fetches the records of a topic up to a position that a peer has announced.
+func (c *clusterState) fetchOffered(peer netip.AddrPort, at feed.Position, topic string, f *feed.Follower) {
+	offers := c.offers[topic]
+	if offers == nil {
+		offers = &topicOffers{}
+		c.offers[topic] = offers
+	}
+	offers.add(peer, at)
+	c.fetchFromPeer(peer, topic, f)
+}
+
+// fetchAgain fetches from another peer that has announced records which this process still lacks, after a fetch from
+// one has failed.
+func (c *clusterState) fetchAgain(failed netip.AddrPort, err error, topic string, f *feed.Follower) {
+	offers := c.offers[topic]
+	if offers == nil {
+		return
+	}
+	offers.remove(failed)
+	var pause time.Duration
+	if mesh.IsBusy(err) {
+		pause = c.loop.Jitter(busyPause)
+	}
+	c.loop.Go(func(ctx context.Context) {
+		if !sleep.For(ctx, pause) {
+			return
+		}
+		c.loop.Post(func() {
+			if offer, ok := offers.next(f.Replica().EndPosition()); ok && !c.fetching[topic] {
+				c.startFetch(offer.peer, topic, f)
+			}
+		})
+	})
+}
+
+// fetchFromPeer fetches the records of a topic that a peer has and this process lacks, unless it does already or, in
+// a large fleet, has just done so.
 func (c *clusterState) fetchFromPeer(from netip.AddrPort, topic string, f *feed.Follower) {
-	now := c.clock.Now()
-	if c.fetching[topic] || c.large.Load() && now.Sub(c.fetchedAt[topic]) < minFetchInterval {
+	if c.fetching[topic] || c.large.Load() && c.clock.Now().Sub(c.fetchedAt[topic]) < minFetchInterval {
 		return
 	}
+	c.startFetch(from, topic, f)
+}
+
+func (c *clusterState) startFetch(from netip.AddrPort, topic string, f *feed.Follower) {
+	now := c.clock.Now()
 	c.fetching[topic], c.fetchedAt[topic] = true, now
 	position := f.Replica().EndPosition()
 	const timeout = 800 * time.Millisecond
@@ -178,6 +222,7 @@
 			if !mesh.IsBusy(err) {
 				c.logger.Info("fetch_failed", "topic", topic, "peer", from, "error", err.Error())
 			}
+			c.fetchAgain(from, err, topic, f)
 			return
 		}
 		if a.End == 0 {
--- /dev/null
+++ b/internal/gateway/topicoffers.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
+)
+
+// maxOffers bounds the peers that are remembered to offer records of a topic.
+const maxOffers = 8
+
+// topicOffer is a peer that has announced records of a topic that this process lacks.
+type topicOffer struct {
+	peer netip.AddrPort
+	at   feed.Position
+}
+
+// topicOffers are the peers from which a topic may be fetched, so that a fetch that fails does not wait for another
+// heartbeat.
+type topicOffers struct{ offers []topicOffer }
+
+// add remembers an offer, in place of an earlier one of the same peer and of the oldest beyond the bound.
+func (o *topicOffers) add(peer netip.AddrPort, at feed.Position) {
+	o.remove(peer)
+	if len(o.offers) == maxOffers {
+		o.offers = o.offers[1:]
+	}
+	o.offers = append(o.offers, topicOffer{peer, at})
+}
+
+func (o *topicOffers) remove(peer netip.AddrPort) {
+	o.offers = slices.DeleteFunc(o.offers, func(offer topicOffer) bool { return offer.peer == peer })
+}
+
+// next returns the peer of the newest offer beyond a position, and forgets those that are not.
+func (o *topicOffers) next(known feed.Position) (topicOffer, bool) {
+	o.offers = slices.DeleteFunc(o.offers, func(offer topicOffer) bool { return !isAfter(offer.at, known) })
+	if len(o.offers) == 0 {
+		return topicOffer{}, false
+	}
+	return o.offers[len(o.offers)-1], true
+}
+
+func isAfter(a, b feed.Position) bool { return a.Era > b.Era || a.Era == b.Era && a.Offset > b.Offset }
