--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -204,7 +204,7 @@
 		c.estate, c.rawEstate = d.Estate, r.Value
 		c.directory.Invalidate()
 		c.onEstateChange(d.Estate.Version)
-		known := c.declared()
+		known := c.lastView()
 		c.auditLogger.Info("estate_in_force", "estate", d.Estate.Version, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "replaced", replaced, "known_age", c.age(known.EstateCurrentAt), "confirmed_by", known.EstateConfirmedBy, "routes", len(d.Estate.Routes()), "services", len(d.Estate.Services()), "stores", len(d.Estate.Stores()), "limited", len(d.Estate.RateLimited()))
 	}
 	if d.Model == "" || d.Version <= c.wantedWeights[d.Model].Newest() {
@@ -215,13 +215,12 @@
 	c.logger.Info("weights_wanted", "model", d.Model, "version", d.Version, "offset", r.Offset, "era", uint64(r.Era), "source", r.Source, "replaced", replaced)
 }
 
-// declared returns what the last view has of the declarations, before what is being applied.
-func (c *clusterState) declared() view.View {
-	v, ok := c.view.Get()
-	if !ok {
-		return view.View{}
+// lastView returns the view before what is being applied, an empty one if there is none.
+func (c *clusterState) lastView() *view.View {
+	if v, ok := c.view.Get(); ok {
+		return v
 	}
-	return view.View{EstateCurrentAt: v.EstateCurrentAt, EstateConfirmedBy: v.EstateConfirmedBy}
+	return &view.View{}
 }
 
 func (c *clusterState) targetsChanged(keys []string) {
--- a/internal/gateway/quarantine/announce.go
+++ b/internal/gateway/quarantine/announce.go
@@ -65,8 +65,11 @@
 	pending map[Fingerprint]bool
 }
 
+// maxPendingUpdates bounds the records that wait to be announced. Further ones are announced in turn.
+const maxPendingUpdates = 8192
+
 func (u *updateQueue) add(fp Fingerprint) {
-	if u.pending[fp] {
+	if u.pending[fp] || len(u.order) >= maxPendingUpdates {
 		return
 	}
 	if u.pending == nil {
--- a/internal/gateway/quarantine/reevaluate_test.go
+++ b/internal/gateway/quarantine/reevaluate_test.go
@@ -8,6 +8,27 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 )
 
+// Guards against records of others that fill the memory while more arrive than are passed on, and against records
+// that are passed on twice.
+func TestPendingForwardsAreBounded(t *testing.T) {
+	var u updateQueue
+	for range 2 {
+		for fp := range Fingerprint(maxPendingUpdates + 10) {
+			u.add(fp)
+		}
+	}
+	taken := 0
+	for fp, ok := u.take(); ok; fp, ok = u.take() {
+		if fp != Fingerprint(taken) {
+			t.Fatalf("record %d is taken as number %d", fp, taken)
+		}
+		taken++
+	}
+	if taken != maxPendingUpdates || len(u.pending) > 0 {
+		t.Errorf("%d records were taken, want %d; %d are left", taken, maxPendingUpdates, len(u.pending))
+	}
+}
+
 // Guards against a process that evaluates all its records for each of the thousands that change when many targets
 // crash, and against findings that come late then.
 func TestManyChangedRecordsAreEvaluatedTogether(t *testing.T) {
