--- a/internal/gateway/replicas_test.go
+++ b/internal/gateway/replicas_test.go
@@ -10,6 +10,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
+	"github.com/toucanwell/toucanwell/internal/settings"
 )
 
 // Guards against a process that waits in vain for a replica: its first fetch may be refused while too
@@ -46,3 +47,25 @@
 		t.Errorf("announced %d times to the same process later, want once", n)
 	}
 }
+
+// Guards against processes that vouch for declarations which nobody has read lately, because another topic was read.
+func TestDeclarationsAreAsOldAsTheirLastRead(t *testing.T) {
+	const age = 10 * time.Second
+	clock := hostclock.New()
+	followed := func(age time.Duration) *feed.Follower {
+		replica := feed.NewReplica(feed.ReplicaOptions{OutageGap: outageGap})
+		replica.MarkCurrent(clock.Now().Add(-age))
+		return feed.NewFollower(nil, nil, replica, feed.Options{})
+	}
+	c := &clusterState{
+		settings: &Settings{Role: settings.RoleEntry, MeshListen: "10.0.0.1:1"}, clock: clock, mesh: emptyMesh(t),
+		declarations: followed(age), targets: followed(0),
+	}
+	c.large.Store(true)
+	if p := c.position(topicOperators, c.declarations, 0); milliseconds(p.AgeMs) < age {
+		t.Errorf("the declarations are announced to be %v old, want %v", milliseconds(p.AgeMs), age)
+	}
+	if page, ok := c.topicPage(topicOperators, feed.Position{}); !ok || page.Age < age {
+		t.Errorf("a page of the declarations is %v old, want %v", page.Age, age)
+	}
+}
