--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -105,7 +105,7 @@
 	transport.IdleConnTimeout = peerIdleTimeout
 	peers := mesh.NewClient(transport)
 	p.state = newClusterState(s, platform, p.loop, p.clock, p.logger, peers, p.metrics.StoreCall)
-	p.state.auditLogger = p.auditLogger
+	p.state.auditLogger = logging.New(log.Audit(), s.Name)
 	if s.Role == settings.RoleEntry {
 		p.entry = newEntry(p)
 	} else {
