--- a/internal/gateway/storereads_test.go
+++ b/internal/gateway/storereads_test.go
@@ -7,6 +7,8 @@
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/control"
+	"github.com/toucanwell/toucanwell/internal/gateway/asof"
+	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/settings"
@@ -79,3 +81,31 @@
 	t.Cleanup(m.Close)
 	return m
 }
+
+// Guards against an entry that starts with the replica of a peer that is cut off from the store, and serves by an old
+// configuration until others tell it of a newer one.
+func TestStartingEntryReadsTheStoreAfterAnOldReplica(t *testing.T) {
+	for name, c := range map[string]struct {
+		age  time.Duration
+		want bool
+	}{
+		"the peer is cut off":     {age: 5 * time.Second, want: true},
+		"the peer knows the news": {age: 500 * time.Millisecond, want: false},
+	} {
+		clock := hostclock.New()
+		state := &clusterState{
+			settings: &Settings{Role: settings.RoleEntry, MeshListen: "10.0.0.9:7000", Seeds: []string{"10.0.0.1:1"}, Bounds: BoundsSettings{Configuration: settings.Duration{Duration: 4 * time.Second}}},
+			clock:    clock, startedAt: clock.Now(), mesh: emptyMesh(t),
+		}
+		state.large.Store(true)
+		follower := feed.NewFollower(nil, nil, feed.NewReplica(feed.ReplicaOptions{OutageGap: outageGap}), feed.Options{OnChange: func([]string) {}})
+		page := feed.Page{Full: true, Snapshot: feed.Snapshot{End: 1, Records: []feed.Record{{Key: "config", Value: []byte("1")}}}}
+		now := clock.Now()
+		if !follower.ApplyPage(page, feed.Position{}, asof.Answer(now, now), c.age, "10.0.0.2:7000") {
+			t.Fatalf("%s: the page is not applied", name)
+		}
+		if got := state.shouldReadDeclarations(follower.Replica().ConfirmedAt()); got != c.want {
+			t.Errorf("%s, %v ago: the entry reads the store %v, want %v", name, c.age, got, c.want)
+		}
+	}
+}
