--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -356,6 +356,7 @@
 				sendToken(w, enc, token)
 			}
 			sent++
+			_ = flusher.Flush() // each token in a chunk of its own, so that equal streams have equal lengths
 		}
 		_ = flusher.Flush()
 		if len(tokens) > 0 && tokens[len(tokens)-1].End {
