Failed fetches are logged with their time, their connection and the scheduling delay

Cause: a fetch that timed out did not tell whether its connection was made, nor whether the process lacked processor time. Change: fetch_failed has took, connected and scheduling_delay, the 0.9 quantile of the runtime's histogram since the last line. Measured: tests of internal/gateway pass.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -75,8 +75,9 @@
 	// offers are the peers that have announced records of each topic that this process lacks.
 	offers map[string]*topicOffers
 	// fetchedAt is when each topic was last fetched from a peer.
-	fetchedAt map[string]time.Time
-	startedAt time.Time
+	fetchedAt        map[string]time.Time
+	schedulingDelays schedulingDelays
+	startedAt        time.Time
 	// replicaSeenAt is when a peer last announced a replica of each topic. emptyPeerSeen is set once
 	// a peer has announced that it has none.
 	replicaSeenAt map[string]time.Time
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"maps"
+	"net/http/httptrace"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
@@ -213,14 +215,15 @@
 	c.fetching[topic], c.fetchedAt[topic] = true, now
 	position := f.Replica().EndPosition()
 	const timeout = 800 * time.Millisecond
+	var connected atomic.Bool
 	control.Do(c.loop, timeout, func(ctx context.Context) (mesh.TopicPage, error) {
-		return mesh.Fetch(ctx, c.peers, from, topic, position)
+		return mesh.Fetch(traceConnection(ctx, &connected), c.peers, from, topic, position)
 	}, func(a mesh.TopicPage, err error) {
 		c.fetching[topic] = false
 		c.onFetch(topic, fetchResult(err))
 		if err != nil {
 			if !mesh.IsBusy(err) {
-				c.logger.Info("fetch_failed", "topic", topic, "peer", from, "error", err.Error())
+				c.logFetchFailure(topic, from, c.clock.Now().Sub(now), connected.Load(), err)
 			}
 			c.fetchAgain(from, err, topic, f)
 			return
@@ -238,6 +241,21 @@
 	})
 }
 
+// traceConnection returns a context for a request that records whether the request got a connection.
+func traceConnection(ctx context.Context, connected *atomic.Bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+}
+
+// loggedDelayQuantile is the quantile of the scheduling delays that is logged.
+const loggedDelayQuantile = 0.9
+
+// logFetchFailure logs a failed fetch with how long it took, how far it got, and how long goroutines of this process
+// have waited for the processor since the last such line.
+func (c *clusterState) logFetchFailure(topic string, from netip.AddrPort, took time.Duration, connected bool, err error) {
+	c.logger.Info("fetch_failed", "topic", topic, "peer", from, "took", took.Round(time.Millisecond), "connected", connected,
+		"scheduling_delay", c.schedulingDelays.quantile(loggedDelayQuantile).Round(time.Millisecond), "error", err.Error())
+}
+
 // fetchResult returns the label of a fetch's result for metrics.
 func fetchResult(err error) string {
 	switch {
