Fetches from peers are hedged, and end when their records are known

Callers saw an older version in force at entries that were short of processor time: such an entry knows of a newer version from heartbeats and fetches it, but each fetch was given up after 250 ms without a connection or 700 ms in all, and begun anew at another peer. Change: a fetch goes on while, after 700 ms, another peer is asked too, up to four; the oldest gives way to a fifth. Once the records are known, those still in progress are cancelled. Time-outs to connect are the bound of the configuration. Why it works: progress that was made is kept, and a silent peer still costs 700 ms only.

--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -71,7 +71,8 @@
 	// listingsDigest is the digest of all listings, digestByKey that of each listing.
 	listingsDigest uint64
 	digestByKey    map[string]uint64
-	fetching       map[string]bool
+	// fetches are the fetches from peers that are in progress, by topic, in the order of their beginnings.
+	fetches map[string][]*topicFetch
 	// offers are the peers that have announced records of each topic that this process lacks.
 	offers map[string]*topicOffers
 	// fetchedAt is when each topic was last fetched from a peer.
@@ -120,7 +121,7 @@
 	c := &clusterState{
 		settings: s, platform: p, loop: loop, clock: clock, logger: logger, auditLogger: logger, peers: peers,
 		directory: fleet.NewDirectory(), wantedWeights: map[string]weights.History{}, engineReports: map[fleet.Incarnation]view.EngineReport{}, unlisted: map[fleet.Incarnation]fleet.UnlistedState{}, unresponsive: map[netip.AddrPort]time.Time{},
-		replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, fetching: map[string]bool{}, offers: map[string]*topicOffers{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onFetch: func(string, string) {}, onListingRejected: func() {}, retainedSeen: map[retainedSet]bool{},
+		replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, fetches: map[string][]*topicFetch{}, offers: map[string]*topicOffers{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onFetch: func(string, string) {}, onListingRejected: func() {}, retainedSeen: map[retainedSet]bool{},
 	}
 	onEra := func(era feed.Era) { c.noteEra(era, clock.Now()) }
 	c.declarations = feed.NewFollower(loop, p.Declarations(), c.newDeclarationsReplica(), feed.Options{
--- a/internal/gateway/mesh/fetch.go
+++ b/internal/gateway/mesh/fetch.go
@@ -15,8 +15,12 @@
 )
 
 const (
-	// FetchTimeout limits one fetch.
-	FetchTimeout = 700 * time.Millisecond
+	// HedgeDelay is the time after which another peer is asked too for records that the first has not sent yet: it
+	// may be silent, or this process or the link may be slow.
+	HedgeDelay = 700 * time.Millisecond
+	// MaxHedges is the number of peers that are asked for a topic at the same time. The oldest request gives way to a
+	// further one.
+	MaxHedges = 4
 	// MaxFetches is the number of fetches of a topic that a process serves at once. When a whole fleet
 	// starts, all processes ask the seeds, whose links would carry none of the replicas in time; those
 	// that are refused fetch from the first that were served. Each topic has places of its own: the target list
@@ -142,15 +146,18 @@
 	return records
 }
 
-// NewClient returns a client for Fetch.
-func NewClient(transport http.RoundTripper) *http.Client {
+// peerIdleTimeout is how long idle connections to peers are kept open.
+const peerIdleTimeout = 5 * time.Second
+
+// NewClient returns a client for Fetch. timeout bounds the time to connect.
+func NewClient(timeout time.Duration) *http.Client {
+	dialer, transport := upstream.NewDialer(), upstream.NewTransport()
+	dialer.Timeout, transport.DialContext, transport.IdleConnTimeout = timeout, dialer.DialContext, peerIdleTimeout
 	return &http.Client{Transport: upstream.LimitBodies(transport, maxReplicaBytes)}
 }
 
-// Fetch fetches the records of a topic from a position on from another process.
+// Fetch fetches the records of a topic from a position on from another process, until the context ends.
 func Fetch(ctx context.Context, client *http.Client, peer netip.AddrPort, topic string, from feed.Position) (TopicPage, error) {
-	ctx, cancel := context.WithTimeout(ctx, FetchTimeout)
-	defer cancel()
 	rpc := peerv1.NewMeshClient(client, "http://"+peer.String())
 	req := connect.NewRequest(&peerv1.FetchRequest{Topic: topic, From: from.Offset, Era: uint64(from.Era)})
 	req.Header().Set(topicHeader, topic)
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -22,7 +22,6 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/origin"
-	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
 	"github.com/toucanwell/toucanwell/internal/logging"
 	"github.com/toucanwell/toucanwell/internal/metrics"
@@ -51,8 +50,6 @@
 	// for operators or the load balancer may take. Peers are processes of the deployment, with a connection
 	// or two each.
 	controlConnDivisor = 64
-	// peerIdleTimeout is how long idle connections to peers are kept open.
-	peerIdleTimeout = 5 * time.Second
 )
 
 // process is a running entry or sidecar.
@@ -101,9 +98,7 @@
 	p.loop = control.NewLoop(s.seed(), p.metrics.ControlTime)
 	p.loop.ObserveWait((&controlWaits{metrics: p.metrics, logger: p.logger}).observe)
 	p.origins = newOrigins(p)
-	transport := upstream.NewTransport()
-	transport.IdleConnTimeout = peerIdleTimeout
-	peers := mesh.NewClient(transport)
+	peers := mesh.NewClient(s.Bounds.Configuration.Duration)
 	p.state = newClusterState(s, platform, p.loop, p.clock, p.logger, peers, p.metrics.StoreCall)
 	p.state.auditLogger = logging.New(log.Audit(), s.Name)
 	if s.Role == settings.RoleEntry {
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -1,19 +1,14 @@
 package gateway
 
 import (
-	"context"
 	"maps"
-	"net/http/httptrace"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
-	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/gateway/asof"
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
-	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
 // compose adds the positions of the topic replicas to a heartbeat.
@@ -158,116 +153,6 @@
 	}
 }
 
-// minFetchInterval is the minimum time between fetches of a topic in a large fleet. Without
-// it a rollout of weights, which changes hundreds of targets one by one, would make every
-// process fetch continuously.
-const minFetchInterval = 300 * time.Millisecond
-
-// busyPause is the average pause before another peer is asked after one that serves too many fetches.
-const busyPause = 40 * time.Millisecond
-
-// fetchOffered fetches the records of a topic up to a position that a peer has announced.
-func (c *clusterState) fetchOffered(peer netip.AddrPort, at feed.Position, topic string, f *feed.Follower) {
-	offers := c.offers[topic]
-	if offers == nil {
-		offers = &topicOffers{}
-		c.offers[topic] = offers
-	}
-	offers.add(peer, at)
-	c.fetchFromPeer(peer, topic, f)
-}
-
-// fetchAgain fetches from another peer that has announced records which this process still lacks, after a fetch from
-// one has failed.
-func (c *clusterState) fetchAgain(failed netip.AddrPort, err error, topic string, f *feed.Follower) {
-	offers := c.offers[topic]
-	if offers == nil {
-		return
-	}
-	offers.remove(failed)
-	var pause time.Duration
-	if mesh.IsBusy(err) {
-		pause = c.loop.Jitter(busyPause)
-	}
-	c.loop.Go(func(ctx context.Context) {
-		if !sleep.For(ctx, pause) {
-			return
-		}
-		c.loop.Post(func() {
-			if offer, ok := offers.next(f.Replica().EndPosition()); ok && !c.fetching[topic] {
-				c.startFetch(offer.peer, topic, f)
-			}
-		})
-	})
-}
-
-// fetchFromPeer fetches the records of a topic that a peer has and this process lacks, unless it does already or, in
-// a large fleet, has just done so.
-func (c *clusterState) fetchFromPeer(from netip.AddrPort, topic string, f *feed.Follower) {
-	if c.fetching[topic] || c.large.Load() && c.clock.Now().Sub(c.fetchedAt[topic]) < minFetchInterval {
-		return
-	}
-	c.startFetch(from, topic, f)
-}
-
-func (c *clusterState) startFetch(from netip.AddrPort, topic string, f *feed.Follower) {
-	now := c.clock.Now()
-	c.fetching[topic], c.fetchedAt[topic] = true, now
-	position := f.Replica().EndPosition()
-	const timeout = 800 * time.Millisecond
-	var connected atomic.Bool
-	control.Do(c.loop, timeout, func(ctx context.Context) (mesh.TopicPage, error) {
-		return mesh.Fetch(traceConnection(ctx, &connected), c.peers, from, topic, position)
-	}, func(a mesh.TopicPage, err error) {
-		c.fetching[topic] = false
-		c.onFetch(topic, fetchResult(err))
-		if err != nil {
-			if !mesh.IsBusy(err) {
-				c.logFetchFailure(topic, from, c.clock.Now().Sub(now), connected.Load(), err)
-			}
-			c.fetchAgain(from, err, topic, f)
-			return
-		}
-		if a.End == 0 {
-			return
-		}
-		receipt := asof.Answer(now, c.clock.Now())
-		if a.EraAge > 0 {
-			c.noteEra(a.Era, receipt.Latest(a.EraAge))
-		}
-		if f.ApplyPage(a.Page, position, receipt, a.Age, from.String()) {
-			c.rememberRetained(topic, &a.Page)
-		}
-	})
-}
-
-// traceConnection returns a context for a request that records whether the request got a connection.
-func traceConnection(ctx context.Context, connected *atomic.Bool) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-}
-
-// loggedDelayQuantile is the quantile of the scheduling delays that is logged.
-const loggedDelayQuantile = 0.9
-
-// logFetchFailure logs a failed fetch with how long it took, how far it got, and how long goroutines of this process
-// have waited for the processor since the last such line.
-func (c *clusterState) logFetchFailure(topic string, from netip.AddrPort, took time.Duration, connected bool, err error) {
-	c.logger.Info("fetch_failed", "topic", topic, "peer", from, "took", took.Round(time.Millisecond), "connected", connected,
-		"scheduling_delay", c.schedulingDelays.quantile(loggedDelayQuantile).Round(time.Millisecond), "error", err.Error())
-}
-
-// fetchResult returns the label of a fetch's result for metrics.
-func fetchResult(err error) string {
-	switch {
-	case err == nil:
-		return "ok"
-	case mesh.IsBusy(err):
-		return "busy"
-	default:
-		return "failed"
-	}
-}
-
 // topicPage serves a peer's fetch.
 func (c *clusterState) topicPage(topic string, from feed.Position) (mesh.TopicPage, bool) {
 	if topic == topicQuarantine {
--- a/internal/gateway/topicoffers.go
+++ b/internal/gateway/topicoffers.go
@@ -33,13 +33,16 @@
 	o.offers = slices.DeleteFunc(o.offers, func(offer topicOffer) bool { return offer.peer == peer })
 }
 
-// next returns the peer of the newest offer beyond a position, and forgets those that are not.
-func (o *topicOffers) next(known feed.Position) (topicOffer, bool) {
+// next returns the newest offer beyond a position of a peer that is not being asked, and forgets those that are not
+// beyond it.
+func (o *topicOffers) next(known feed.Position, asked func(netip.AddrPort) bool) (topicOffer, bool) {
 	o.offers = slices.DeleteFunc(o.offers, func(offer topicOffer) bool { return !isAfter(offer.at, known) })
-	if len(o.offers) == 0 {
-		return topicOffer{}, false
+	for _, offer := range slices.Backward(o.offers) {
+		if !asked(offer.peer) {
+			return offer, true
+		}
 	}
-	return o.offers[len(o.offers)-1], true
+	return topicOffer{}, false
 }
 
 func isAfter(a, b feed.Position) bool { return a.Era > b.Era || a.Era == b.Era && a.Offset > b.Offset }
