Connections are accepted in turn with other work

Callers saw an entry that answered an added route with 404 for as long as more connections came than it had processor time for, and that served next to nothing: 276 of 11,000 requests. Cause: the accept loop runs for its whole time slice, and makes a goroutine for each connection of the kernel's backlog. All stand in the run queue, first come, first served, before the control thread, the receiver of heartbeats, the fetch of a newer configuration and all requests that have been accepted before. What had been accepted was abandoned by its callers before its turn came. Change: the loop yields before each connection. What there is no processor time for stays in the kernel's backlog, which costs nothing. The same in the servers of the own protocol, of operators, peers and the load balancer.

--- a/internal/callers/conns.go
+++ b/internal/callers/conns.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"net"
 	"net/http"
+	"runtime"
+
 	"sync"
 
 	"github.com/toucanwell/toucanwell/internal/buffers"
@@ -192,6 +194,11 @@
 	return listener{l, c, encrypted}
 }
 
+// AwaitTurn lets all goroutines run that wait for the processor. A server that calls it before it accepts a
+// connection leaves those that it has no processor time for to the kernel. Otherwise a flood of them fills the run
+// queue, in which the control thread and all that has been accepted before wait too.
+func AwaitTurn() { runtime.Gosched() }
+
 // listener is a net.Listener whose connections are tracked.
 type listener struct {
 	net.Listener
@@ -202,6 +209,7 @@
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
 	for {
+		AwaitTurn()
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -82,6 +82,7 @@
 // serve accepts connections until the listener is closed.
 func (c *callerServer) serve(listener net.Listener) error {
 	for {
+		callers.AwaitTurn()
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return http.ErrServerClosed
