An entry that cannot get a configuration in time takes no callers for a while

Callers saw an entry that served by an older configuration although it knew from heartbeats that there was a newer one: what it had taken on for them took the processor time that it needed to fetch it. Change: once two processes have announced declarations that an entry lacks for an eighth of the bound, it refuses requests with 503 configuration_outdated and a time to come back, asks for another connection, is not ready, and accepts a connection each 10 ms. That ends with any progress, or after twice the bound: then something else is in the way. Announcements are noted by the receiver of datagrams, as the control thread may be late. One announcer is not enough, so that a record out of reach of all does not make a fleet refuse.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -57,6 +57,7 @@
 	PartQuarantined
 	Interrupted
 	MemoryFull
+	Outdated
 )
 
 // Spec describes how a kind is reported and retried.
@@ -112,6 +113,7 @@
 	StreamNotResumable:   {"stream_not_resumable", "The stream cannot go on where it broke off; start it anew.", http.StatusMisdirectedRequest, false},
 	Interrupted:          {"interrupted", "This entry stopped before the answer came; the request may have run.", http.StatusBadGateway, false},
 	MemoryFull:           {"memory_full", "This entry has no memory left for the body; another one may have.", http.StatusServiceUnavailable, false},
+	Outdated:             {"configuration_outdated", "This entry does not have the newest configuration yet; another one may have.", http.StatusServiceUnavailable, false},
 	RateLimited:          {"rate_limited", "The workspace has used up its rate limit for now.", http.StatusTooManyRequests, false},
 }
 
@@ -135,7 +137,7 @@
 // All returns all kinds except None, in numerical order.
 func All() []Kind {
 	kinds := make([]Kind, 0, len(table))
-	for k := BadRequest; k <= MemoryFull; k++ {
+	for k := BadRequest; k <= Outdated; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -33,7 +33,7 @@
 var stateChangeEvents = []string{
 	"estate_in_force", "weights_wanted", "weights_wanted_since", "target_listed", "target_unlisted", "target_gone", "engine_reported", "engine_reported_unresponsive", "target_rested",
 	"target_limited", "target_limit_ended", "target_leaving", "target_wants_rest", "target_rest_over", "target_statement_refused",
-	"store_lost", "store_regained", "list_regained", "feed_trimmed", "snapshot_ignored", "store_era_refused", "store_restored", "era_followed", "quarantine_reconciled", "fetch_failed", "control_late", "readiness", "peer_live", "peer_silent", "host_woke", "declaration_refused",
+	"store_lost", "store_regained", "list_regained", "feed_trimmed", "snapshot_ignored", "store_era_refused", "store_restored", "era_followed", "quarantine_reconciled", "fetch_failed", "control_late", "configuration_outdated", "readiness", "peer_live", "peer_silent", "host_woke", "declaration_refused",
 	"settings_reloaded", "settings_refused", "started", "stopping", "stopped", "stop_cut_requests", droppedEvent,
 	"weights_ordered", "weights_loaded", "engine_silent", "engine_heard", "engine_started_anew", "target_listing_delayed", "target_refused", "target_is_entry",
 	"cache_reported", "cache_feed_lost", "cache_feed_regained", "cache_feed_broken", "cache_listed", "store_followed", "store_left",
--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -35,11 +35,13 @@
 	logger  logr.Logger
 	address net.Addr
 	conns   *callers.Conns
-	mu      sync.Mutex
-	limits  estate.Limits
-	newest  *connListener
-	servers []*http.Server
-	closed  bool
+	// outdated reports whether connections are accepted slowly for now.
+	outdated func() bool
+	mu       sync.Mutex
+	limits   estate.Limits
+	newest   *connListener
+	servers  []*http.Server
+	closed   bool
 }
 
 // connListener is a net.Listener that receives its connections over a channel.
@@ -69,8 +71,8 @@
 // Addr implements net.Listener.
 func (l *connListener) Addr() net.Addr { return l.addr }
 
-func newCallerServer(handler http.Handler, address net.Addr, conns *callers.Conns, logger logr.Logger) *callerServer {
-	c := &callerServer{handler: conns.Handler(handler), logger: logger, address: address, conns: conns}
+func newCallerServer(handler http.Handler, address net.Addr, conns *callers.Conns, outdated func() bool, logger logr.Logger) *callerServer {
+	c := &callerServer{handler: conns.Handler(handler), logger: logger, address: address, conns: conns, outdated: outdated}
 	c.apply(estate.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout - idleMargin})
 	return c
 }
@@ -79,9 +81,16 @@
 // descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
+// outdatedAcceptPause is the pause between two connections that an entry accepts while it lacks processor time for
+// the newest configuration.
+const outdatedAcceptPause = 10 * time.Millisecond
+
 // serve accepts connections until the listener is closed.
 func (c *callerServer) serve(listener net.Listener) error {
 	for {
+		if c.outdated() {
+			sleep.For(context.Background(), outdatedAcceptPause)
+		}
 		callers.AwaitTurn()
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/gateway/callerserver_test.go
+++ b/internal/gateway/callerserver_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newCallerServer(handler, listener.Addr(), callers.NewConns(nil, nil), logr.Discard())
+	c := newCallerServer(handler, listener.Addr(), callers.NewConns(nil, nil), func() bool { return false }, logr.Discard())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = c.serve(listener) }()
 	t.Cleanup(func() { listener.Close(); c.close(); <-done })
--- a/internal/gateway/clusterstate.go
+++ b/internal/gateway/clusterstate.go
@@ -14,6 +14,7 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/hostclock"
+	"github.com/toucanwell/toucanwell/internal/gateway/lag"
 	"github.com/toucanwell/toucanwell/internal/gateway/mesh"
 	"github.com/toucanwell/toucanwell/internal/gateway/view"
 	"github.com/toucanwell/toucanwell/internal/gateway/weights"
@@ -55,6 +56,10 @@
 	targets      *feed.Follower
 	directory    *fleet.Directory
 	estate       *estate.Estate
+	// lag compares the declarations in force with those that other processes announce.
+	lag *lag.Monitor
+	// loggedOutdated is set while the last line on it says that the declarations are outdated.
+	loggedOutdated bool
 	// rawEstate is the record that the estate was decoded from.
 	rawEstate     []byte
 	wantedWeights map[string]weights.History
@@ -119,7 +124,7 @@
 
 func newClusterState(s *Settings, p Platform, loop *control.Loop, clock *hostclock.Clock, logger logr.Logger, peers *http.Client, onCall func(string, time.Duration, error)) *clusterState {
 	c := &clusterState{
-		settings: s, platform: p, loop: loop, clock: clock, logger: logger, auditLogger: logger, peers: peers,
+		settings: s, platform: p, lag: lag.NewMonitor(s.Bounds.Configuration.Duration), loop: loop, clock: clock, logger: logger, auditLogger: logger, peers: peers,
 		directory: fleet.NewDirectory(), wantedWeights: map[string]weights.History{}, engineReports: map[fleet.Incarnation]view.EngineReport{}, unlisted: map[fleet.Incarnation]fleet.UnlistedState{}, unresponsive: map[netip.AddrPort]time.Time{},
 		replicaAnnouncedTo: map[netip.AddrPort]time.Time{}, fetches: map[string][]*topicFetch{}, offers: map[string]*topicOffers{}, fetchedAt: map[string]time.Time{}, replicaSeenAt: map[string]time.Time{}, digestByKey: map[string]uint64{}, rejectedListings: map[string]string{}, onViewChange: func() {}, quarantinePage: func() (mesh.TopicPage, bool) { return mesh.TopicPage{}, false }, onEstateChange: func(int64) {}, onFetch: func(string, string) {}, onListingRejected: func() {}, retainedSeen: map[retainedSet]bool{},
 	}
@@ -358,6 +363,8 @@
 	c.restatedMetric.Store(uint64(declarations.Restated() + targets.Restated()))
 	c.retainedMetric.Store(uint64(len(declarations.Retained()) + len(targets.Retained())))
 	c.view.Post(v, now)
+	c.lag.Applied(declarations.EndPosition())
+	c.logLag(now)
 	c.onViewChange()
 }
 
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -84,7 +84,7 @@
 		},
 		Zone: p.settings.AvailabilityZone, Logger: p.logger, RoutineLogger: p.routineLogger, AuditLogger: p.auditLogger, Metrics: requestMetrics{p.metrics, p.burn}, AnnounceWork: e.announceWork, Now: p.clock.Now, Seed: p.settings.seed(), Queue: p.settings.Queue.policy(),
 		QueueObserver: queueObserver{p.routineLogger, p.metrics},
-		SpeedsEnabled: p.useSpeeds.Load,
+		SpeedsEnabled: p.useSpeeds.Load, Outdated: e.outdated,
 	})
 	return e
 }
@@ -149,11 +149,15 @@
 
 func (e *entry) currentView() (*view.View, bool) { return e.state.view.Get() }
 
+// outdated reports whether the entry lacks the newest configuration for longer than it should, and takes no callers
+// meanwhile.
+func (e *entry) outdated() bool { return e.state.lag.Overdue(e.state.clock.Now()) }
+
 // ready reports whether the entry can serve callers. It is false while the entry is
-// partitioned, so that the load balancer prefers other entries.
+// partitioned or outdated, so that the load balancer prefers other entries.
 func (e *entry) ready() bool {
 	v, ok := e.currentView()
-	return ok && v.Estate != nil && len(v.Targets) > 0 && !e.forwarder.Stopping() && !e.reach.Partitioned(e.state.clock.Now())
+	return ok && v.Estate != nil && len(v.Targets) > 0 && !e.forwarder.Stopping() && !e.outdated() && !e.reach.Partitioned(e.state.clock.Now())
 }
 
 // compose adds this entry's work and quarantine records to a heartbeat.
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -101,7 +101,9 @@
 	// AnnounceWork broadcasts the work at a target to the other entries without waiting for
 	// the next heartbeat.
 	AnnounceWork func(target fleet.ID)
-	Now          func() time.Time
+	// Outdated reports whether this entry refuses requests because it lacks the newest configuration.
+	Outdated func() bool
+	Now      func() time.Time
 	// Queue, unless nil, enables the queue for requests that find no target, and the bound on the
 	// memory of engines at placement in fleets that don't probe sidecars.
 	Queue *queue.Policy
@@ -365,6 +367,9 @@
 	if fl.view, refusal = fl.configuredView(ctx); refusal != nil {
 		return refusal
 	}
+	if fl.Outdated() {
+		return errkind.NewRetryAfter(errkind.Outdated, fl.jitter(outdatedRetryAfter), "")
+	}
 	path, _, _ := strings.Cut(fl.r.RequestURI, "?")
 	if refusal := fl.resolveRoute(fl.r.Host, path); refusal != nil {
 		return refusal
@@ -430,6 +435,9 @@
 	// configuration yet; it arrives within some hundred milliseconds after the store or a
 	// peer responds.
 	noEstateRetryAfter = 500 * time.Millisecond
+	// outdatedRetryAfter is the average retry delay for callers of an entry that lacks the newest configuration.
+	// Other entries serve them at once, and they are asked to connect anew.
+	outdatedRetryAfter = busyRetryAfter
 )
 
 // timeLeft is the time until the deadline.
--- a/internal/gateway/forward/helpers_test.go
+++ b/internal/gateway/forward/helpers_test.go
@@ -297,7 +297,7 @@
 			return env.pool.ProbeListener(ctx, t.Address)
 		}),
 		Bounds: Bounds{RetryRatio: 0.5, RetrySlack: 100, MaxStaleness: 5 * time.Second, LongestStream: longestStream}, Zone: "a",
-		Logger: logr.Discard(), RoutineLogger: logr.Discard(), AuditLogger: logr.Discard(), Metrics: noMetrics{}, AnnounceWork: func(fleet.ID) {}, Now: time.Now, Seed: 1,
+		Logger: logr.Discard(), RoutineLogger: logr.Discard(), AuditLogger: logr.Discard(), Metrics: noMetrics{}, AnnounceWork: func(fleet.ID) {}, Outdated: func() bool { return false }, Now: time.Now, Seed: 1,
 	})
 	env.server = httptest.NewServer(env.Forwarder)
 	t.Cleanup(func() { env.server.Close(); env.pool.CloseIdle() })
--- a/internal/gateway/forward/refusal.go
+++ b/internal/gateway/forward/refusal.go
@@ -48,10 +48,10 @@
 	panic(http.ErrAbortHandler)
 }
 
-// setConnectionClose asks the caller to reconnect, while this entry is stopping or partitioned,
+// setConnectionClose asks the caller to reconnect, while this entry is stopping, partitioned or outdated,
 // so that a load balancer can choose another entry.
 func (fl *flow) setConnectionClose(header http.Header) {
-	if fl.Stopping() || fl.Reach.Partitioned(fl.Now()) {
+	if fl.Stopping() || fl.Outdated() || fl.Reach.Partitioned(fl.Now()) {
 		header.Set("Connection", "close")
 	}
 }
--- a/internal/gateway/mesh/mesh.go
+++ b/internal/gateway/mesh/mesh.go
@@ -75,6 +75,8 @@
 	Compose func(*peerv1.Beat)
 	// OnHeartbeat is called for each heartbeat that is newer than the last of its sender.
 	OnHeartbeat func(*Member)
+	// OnReceived is called for each heartbeat as it arrives, on the receiving goroutine: the control thread may be late.
+	OnReceived func(from netip.AddrPort, heartbeat *peerv1.Beat)
 	// OnOrigin is called for each message about the starts of streams, on the receiving goroutine.
 	OnOrigin func(from netip.AddrPort, m *peerv1.OriginMessage)
 	// Period returns the time between rounds to the entries or to the sidecars.
@@ -147,6 +149,7 @@
 		if heartbeat.Origin != nil {
 			m.options.OnOrigin(from, heartbeat.Origin)
 		} else {
+			m.options.OnReceived(from, heartbeat)
 			m.loop.Post(func() { m.handleHeartbeat(from, heartbeat, asof.Message(idle, m.options.Now())) })
 		}
 	})
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -174,7 +174,7 @@
 			Name: p.settings.Name, Incarnation: p.incarnation, Entry: p.entry != nil, Zone: p.settings.AvailabilityZone,
 		},
 		Listen: p.settings.meshAddress(), Seeds: p.settings.seedHosts(), Hosts: p.state.sidecarHosts,
-		Compose: p.compose, OnHeartbeat: p.onHeartbeat, OnOrigin: p.origins.Handle, Period: p.heartbeatPeriod, RoundSize: p.heartbeatRoundSize, Logger: p.logger, Now: p.clock.Now,
+		Compose: p.compose, OnHeartbeat: p.onHeartbeat, OnReceived: p.state.onHeartbeatReceived, OnOrigin: p.origins.Handle, Period: p.heartbeatPeriod, RoundSize: p.heartbeatRoundSize, Logger: p.logger, Now: p.clock.Now,
 	})
 	if err != nil {
 		return err
@@ -234,7 +234,7 @@
 		p.metrics.ConnectionShed(reason)
 		p.routineLogger.Info("caller_connection_shed", "reason", reason)
 	})
-	p.callers = newCallerServer(p.entry.forwarder, listener.Addr(), conns, p.logger)
+	p.callers = newCallerServer(p.entry.forwarder, listener.Addr(), conns, p.entry.outdated, p.logger)
 	p.state.onViewChange = func() {
 		p.entry.forwarder.RecheckCrashes()
 		p.entry.refreshOrigins(p.origins)
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -48,6 +48,26 @@
 	c.targets.NoteEra(era, since)
 }
 
+// onHeartbeatReceived notes what declarations a peer has. It may be called on any goroutine.
+func (c *clusterState) onHeartbeatReceived(from netip.AddrPort, heartbeat *peerv1.Beat) {
+	for _, p := range heartbeat.Topics {
+		if p.Topic == topicOperators && !p.Unknown {
+			c.lag.Announced(from, feed.Position{Era: feed.Era(p.Era), Offset: p.End}, c.clock.Now())
+		}
+	}
+}
+
+// logLag logs when callers begin to be refused because the declarations are outdated, and when that ends.
+func (c *clusterState) logLag(now time.Time) {
+	state := c.lag.State(now)
+	if state.Overdue == c.loggedOutdated {
+		return
+	}
+	c.loggedOutdated = state.Overdue
+	c.logger.Info("configuration_outdated", "refuses", state.Overdue, "known", state.Known.String(), "announced", state.Announced.String(), "for", state.For.Round(time.Millisecond),
+		"scheduling_delay", c.schedulingDelays.quantile(loggedDelayQuantile).Round(time.Millisecond))
+}
+
 // onHeartbeat compares a peer's replicas with this process's and fetches missing records.
 func (c *clusterState) onHeartbeat(m *mesh.Member) {
 	c.peerSaysLarge = c.peerSaysLarge || m.Heartbeat.LargeFleet
