Test: crashes of many engines do not flood entries with datagrams

Change: the model passes records on as the entries do, and, as a strategy to compare with, at once to as many as own ones.

--- a/internal/gateway/quarantine/scenarios_test.go
+++ b/internal/gateway/quarantine/scenarios_test.go
@@ -353,3 +353,30 @@
 		t.Logf("%3d entries: %d engines crashed; %d refusals, the last %v after the third crash; per second and entry %s", size.entries, s.crashesBy[1], len(refusals), last, fmt.Sprintf("%.1f datagrams, %.0f bytes", float64(s.datagrams)/entrySeconds, float64(s.bytes)/entrySeconds))
 	}
 }
+
+// Guards against entries that get thousands of datagrams when many engines of a large fleet crash at once, as they
+// did when each passed on all that it learned at once.
+func TestCrashesOfManyEnginesDoNotFloodEntries(t *testing.T) {
+	const (
+		entries, engines, crashes = 103, 180, 54
+		crashAt                   = 700 * time.Millisecond
+		window                    = 600 * time.Millisecond
+		// maxDatagrams is the most that the crashes add to what an entry gets, a second: what it can merge beside its
+		// requests with 0.144 of a core and 40 us for each.
+		maxDatagrams = 1000
+	)
+	flooding := fullQuarantine
+	flooding.floods = true
+	for _, way := range []strategy{flooding, fullQuarantine} {
+		load := workload{entries: entries, engines: engines, requestsPerEngine: 75, sharedParts: 800, loss: 0.01, duration: crashAt + window}
+		calm := simulate(way, load, 1)
+		load.crashEvery, load.crashes = crashAt, crashes
+		s := simulate(way, load, 1)
+		rate := float64(s.datagrams-calm.datagrams) / entries / window.Seconds()
+		kilobytes := float64(s.bytes-calm.bytes) / entries / window.Seconds() / 1000
+		t.Logf("%d entries, %d of %d engines crash, floods %v: %.0f datagrams and %.0f kB more a second and entry", entries, crashes, engines, way.floods, rate, kilobytes)
+		if isFlood := rate > maxDatagrams; isFlood != way.floods {
+			t.Errorf("floods %v: %.0f datagrams a second, at most %d are no flood", way.floods, rate, maxDatagrams)
+		}
+	}
+}
--- a/internal/gateway/quarantine/simulation_test.go
+++ b/internal/gateway/quarantine/simulation_test.go
@@ -21,6 +21,8 @@
 	// suspects with two crashes one at a time, and cancelQueued cancels their queued runs
 	// elsewhere. Without evaluate no request is refused.
 	evaluate, announce, apart, alone, cancelQueued bool
+	// floods passes records of others on at once, to as many entries as own ones.
+	floods bool
 	// recheck probes engines again that crashed without evidence, awaitEvidence retries only
 	// after the first recheck, countUnconfirmed restricts requests by their unconfirmed crashes,
 	// and announceUnconfirmed shares these between entries.
@@ -638,13 +640,17 @@
 	}
 	n.announcePending = true
 	delay := simAnnounceDelay
-	if forwards := len(s.nodes) > simFanOut; forwards {
+	if len(s.nodes) > simFanOut && !s.floods {
 		delay = max(delay, simAnnouncePause-(s.now-n.announcedAt))
 	}
 	s.schedule(delay, func() {
 		n.announcePending, n.announcedAt = false, s.now
 		s.announceRecords(n, n.TakeUpdates(1<<30), simFanOut)
-		s.announceRecords(n, n.TakeForwards(simForwards), simForwardFanOut)
+		forwards, receivers := simForwards, simForwardFanOut
+		if s.floods {
+			forwards, receivers = 1<<30, simFanOut
+		}
+		s.announceRecords(n, n.TakeForwards(forwards), receivers)
 		if len(n.pendingForwards.order) > 0 {
 			s.announceSoon(n)
 		}
