--- a/internal/callers/conns.go
+++ b/internal/callers/conns.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"runtime"
-
 	"sync"
 
 	"github.com/toucanwell/toucanwell/internal/buffers"
--- a/internal/gateway/replicas.go
+++ b/internal/gateway/replicas.go
@@ -48,8 +48,11 @@
 	c.targets.NoteEra(era, since)
 }
 
-// onHeartbeatReceived notes what declarations a peer has. It may be called on any goroutine.
+// onHeartbeatReceived notes at an entry what declarations a peer has. It may be called on any goroutine.
 func (c *clusterState) onHeartbeatReceived(from netip.AddrPort, heartbeat *peerv1.Beat) {
+	if !c.isEntry() {
+		return
+	}
 	for _, p := range heartbeat.Topics {
 		if p.Topic == topicOperators && !p.Unknown {
 			c.lag.Announced(from, feed.Position{Era: feed.Era(p.Era), Offset: p.End}, c.clock.Now())
