Requests of callers who have closed their connections are not sent

Engines got requests up to 7 s after their callers had left: 45 and 60 of 8,200 and 8,700 whose callers left, under 2,000 new connections a second at an entry with 0.144 of a core. Cause: the context of a request ends when a goroutine of the server has read the close, which waits for the processor behind the request itself. Change: before an attempt is placed and before it is sent, the entry looks whether the kernel has the close (MSG_PEEK). A client that has sent more than was read is not taken for gone.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -21,6 +21,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/toucanwell/toucanwell/internal/buffers"
+	"github.com/toucanwell/toucanwell/internal/callers"
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/gateway/estate"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
@@ -474,6 +475,10 @@
 			fl.release(dst)
 			return fl.finalRefusal(lastRefusal, errkind.NewRetryAfter(errkind.Overloaded, fl.jitter(busyRetryAfter), "the retry budget is exhausted"))
 		}
+		if callers.HasLeft(fl.r) {
+			fl.release(dst)
+			return callerLeft()
+		}
 		fl.chargeRerun()
 		result := fl.send(ctx, dst)
 		if result.final {
@@ -517,6 +522,9 @@
 	if ctx.Err() != nil {
 		return fl.contextRefusal(ctx)
 	}
+	if callers.HasLeft(fl.r) {
+		return callerLeft()
+	}
 	if fl.sends >= maxSends {
 		return lastRefusal
 	}
@@ -526,10 +534,15 @@
 	return nil
 }
 
+// callerLeft returns the refusal of a request whose caller has closed the connection.
+func callerLeft() *errkind.Error {
+	return errkind.New(errkind.Cancelled, "the caller closed the connection")
+}
+
 // contextRefusal returns the refusal for a context that has ended.
 func (fl *flow) contextRefusal(ctx context.Context) *errkind.Error {
 	if fl.r.Context().Err() != nil {
-		return errkind.New(errkind.Cancelled, "the caller closed the connection")
+		return callerLeft()
 	}
 	if errors.Is(context.Cause(ctx), errTakenOver) {
 		return errkind.New(errkind.Cancelled, "%v", errTakenOver)
--- a/internal/gateway/forward/startup.go
+++ b/internal/gateway/forward/startup.go
@@ -38,7 +38,7 @@
 			return nil, errkind.NewRetryAfter(errkind.ConfigurationMissing, noEstateRetryAfter, "")
 		}
 		if !sleep.For(ctx, placeInterval) {
-			return nil, errkind.New(errkind.Cancelled, "the caller closed the connection")
+			return nil, callerLeft()
 		}
 	}
 }
