Callers who have left: looked for in the own protocol too, and before a retry is charged

Cause: the yield before connections are accepted is in the own protocol's servers too, whose requests may likewise wait in the kernel's backlog until their callers have left; and a request of the gateway whose caller had left was charged to the retry budget before that was seen. Change: completions and calls of the own protocol ask the kernel before each attempt; the gateway asks before it charges. HasLeft takes the context, which is all that generated handlers have. The own protocol's check has no test of its own beside that of HasLeft.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -102,8 +102,10 @@
 }
 
 // ConnOf returns the connection of a request, or nil if it is not tracked.
-func ConnOf(r *http.Request) *Conn {
-	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+func ConnOf(r *http.Request) *Conn { return connOf(r.Context()) }
+
+func connOf(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
 	return guarded(conn)
 }
 
--- a/internal/callers/left.go
+++ b/internal/callers/left.go
@@ -1,17 +1,17 @@
 package callers
 
 import (
-	"net/http"
+	"context"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
 
-// HasLeft reports whether the client of a request has closed its connection, as far as the kernel knows. The context of
-// the request ends only once a goroutine of the server has seen it, which may take long in a process that is short of
+// HasLeft reports whether the client of the request with this context has closed its connection, as far as the kernel
+// knows. The context ends only once a goroutine of the server has seen it, which may take long in a process that is short of
 // processor time. It is false if the client has sent more than the server has read.
-func HasLeft(r *http.Request) bool {
-	conn := ConnOf(r)
+func HasLeft(ctx context.Context) bool {
+	conn := connOf(ctx)
 	if conn == nil {
 		return false
 	}
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
+	"github.com/toucanwell/toucanwell/internal/callers"
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/once"
@@ -85,6 +86,10 @@
 			}
 			break
 		}
+		if callers.HasLeft(ctx) {
+			p.callerGone = true
+			return p, callerLeft()
+		}
 		p.choice = chosen
 		last = e.runOnTarget(ctx, r, p, out)
 		if last == nil {
@@ -244,7 +249,7 @@
 	if p.callerGone || ctx.Err() != nil {
 		p.callerGone = true
 		e.cancelRun(client, r)
-		return errkind.New(errkind.Cancelled, "the caller disconnected")
+		return callerLeft()
 	}
 	if refusal != nil && refusal.Kind == errkind.TargetFailed {
 		e.health.record(p.choice.target.Name, routing.Suspect)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -15,6 +15,7 @@
 	"github.com/toucanwell/toucanwell/api/caller/oas"
 	peerv1 "github.com/toucanwell/toucanwell/api/peer/v1"
 	"github.com/toucanwell/toucanwell/internal/burn"
+	"github.com/toucanwell/toucanwell/internal/callers"
 	"github.com/toucanwell/toucanwell/internal/config"
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/routing"
@@ -295,6 +296,9 @@
 		if !ok {
 			break
 		}
+		if callers.HasLeft(ctx) {
+			return nil, callerLeft()
+		}
 		resp, refusal := e.callTarget(ctx, &target, call)
 		if refusal == nil {
 			return resp, nil
@@ -326,11 +330,16 @@
 	return routing.Target{}, false
 }
 
+// callerLeft returns the refusal of a request whose caller has closed the connection.
+func callerLeft() *errkind.Error {
+	return errkind.New(errkind.Cancelled, "the caller disconnected")
+}
+
 func (e *Entry) callTarget(ctx context.Context, target *routing.Target, call *plainCall) (*peerv1.CallResponse, *errkind.Error) {
 	call.request.BudgetMs = budgetMs(call.deadline, 1)
 	resp, err := e.client(target.Address).Call(ctx, connect.NewRequest(call.request))
 	if ctx.Err() != nil {
-		return nil, errkind.New(errkind.Cancelled, "the caller disconnected")
+		return nil, callerLeft()
 	}
 	if refusal := exhaustedRefusal(err); refusal != nil {
 		return nil, refusal
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -471,13 +471,13 @@
 			fl.release(dst)
 			return fl.finalRefusal(lastRefusal, refusal)
 		}
-		if fl.delivered > 0 && !fl.retries.Spend() {
+		if callers.HasLeft(fl.r.Context()) {
 			fl.release(dst)
-			return fl.finalRefusal(lastRefusal, errkind.NewRetryAfter(errkind.Overloaded, fl.jitter(busyRetryAfter), "the retry budget is exhausted"))
+			return callerLeft()
 		}
-		if callers.HasLeft(fl.r) {
+		if fl.delivered > 0 && !fl.retries.Spend() {
 			fl.release(dst)
-			return callerLeft()
+			return fl.finalRefusal(lastRefusal, errkind.NewRetryAfter(errkind.Overloaded, fl.jitter(busyRetryAfter), "the retry budget is exhausted"))
 		}
 		fl.chargeRerun()
 		result := fl.send(ctx, dst)
@@ -522,7 +522,7 @@
 	if ctx.Err() != nil {
 		return fl.contextRefusal(ctx)
 	}
-	if callers.HasLeft(fl.r) {
+	if callers.HasLeft(fl.r.Context()) {
 		return callerLeft()
 	}
 	if fl.sends >= maxSends {
