Callers of an outdated entry are told to come back at once, as those of a stopping one

Cause: the refusal had a delay of its own, 0.3 to 0.45 s, although the project had one for callers whom another entry serves at once. Change: otherEntryRetryAfter, 50 ms, as for entries that stop or are cut off.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -369,7 +369,7 @@
 		return refusal
 	}
 	if fl.Outdated() {
-		return errkind.NewRetryAfter(errkind.Outdated, fl.jitter(outdatedRetryAfter), "")
+		return errkind.NewRetryAfter(errkind.Outdated, otherEntryRetryAfter, "")
 	}
 	path, _, _ := strings.Cut(fl.r.RequestURI, "?")
 	if refusal := fl.resolveRoute(fl.r.Host, path); refusal != nil {
@@ -436,9 +436,6 @@
 	// configuration yet; it arrives within some hundred milliseconds after the store or a
 	// peer responds.
 	noEstateRetryAfter = 500 * time.Millisecond
-	// outdatedRetryAfter is the average retry delay for callers of an entry that lacks the newest configuration.
-	// Other entries serve them at once, and they are asked to connect anew.
-	outdatedRetryAfter = busyRetryAfter
 )
 
 // timeLeft is the time until the deadline.
@@ -510,7 +507,7 @@
 	// accept the request soon.
 	busyRetryAfter = 300 * time.Millisecond
 	// otherEntryRetryAfter is the retry delay for callers that are refused because this
-	// entry is stopping or partitioned: another entry can accept the request at once.
+	// entry is stopping, partitioned or outdated: another entry can accept the request at once.
 	otherEntryRetryAfter = 50 * time.Millisecond
 	// minTimeLeft is the least remaining time that makes a retry worthwhile.
 	minTimeLeft = 15 * time.Millisecond
