Fetches: a response that has begun is not asked for twice

Cause: on a slow link a large response took longer than the delay of a hedge, and was fetched from up to four peers at the same time: four times the memory, on the same link. Change: another peer is asked only while no byte of the response has come.

--- a/internal/gateway/mesh/fetch.go
+++ b/internal/gateway/mesh/fetch.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// HedgeDelay is the time after which another peer is asked too for records that the first has not sent yet: it
-	// may be silent, or this process or the link may be slow.
+	// HedgeDelay is the time after which another peer is asked too for records that the first has not begun to send:
+	// it may be silent, or this process or the link may be slow.
 	HedgeDelay = 700 * time.Millisecond
 	// MaxHedges is the number of peers that are asked for a topic at the same time. The oldest request gives way to a
 	// further one.
--- a/internal/gateway/topicfetches.go
+++ b/internal/gateway/topicfetches.go
@@ -30,11 +30,11 @@
 	// position is from where on records were asked for.
 	position feed.Position
 	began    time.Time
-	// connected is set once the request has a connection.
-	connected atomic.Bool
-	ctx       context.Context
-	cancel    context.CancelFunc
-	ended     bool
+	// connected is set once the request has a connection, responding once the first byte of the response has come.
+	connected, responding atomic.Bool
+	ctx                   context.Context
+	cancel                context.CancelFunc
+	ended                 bool
 }
 
 // fetchOffered fetches the records of a topic up to a position that a peer has announced.
@@ -89,7 +89,8 @@
 	c.loop.Go(func(ctx context.Context) {
 		if sleep.For(ctx, mesh.HedgeDelay) {
 			c.loop.Post(func() {
-				if !fetch.ended {
+				// A response that has begun comes as fast as the link allows, and another one would slow it down.
+				if !fetch.ended && !fetch.responding.Load() {
 					c.fetchFromNext(topic, f)
 				}
 			})
@@ -97,9 +98,12 @@
 	})
 }
 
-// trace returns the context of the fetch, which records whether its request got a connection.
+// trace returns the context of the fetch, which records how far its request has got.
 func (t *topicFetch) trace() context.Context {
-	return httptrace.WithClientTrace(t.ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) }})
+	return httptrace.WithClientTrace(t.ctx, &httptrace.ClientTrace{
+		GotConn:              func(httptrace.GotConnInfo) { t.connected.Store(true) },
+		GotFirstResponseByte: func() { t.responding.Store(true) },
+	})
 }
 
 // endFetch applies the result of a fetch.
--- a/internal/gateway/topicoffers_test.go
+++ b/internal/gateway/topicoffers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -57,6 +58,20 @@
 	}
 }
 
+// Guards against a large response that is asked for twice because it takes long on a slow link.
+func TestResponseThatHasBegunIsNotHedged(t *testing.T) {
+	const slow = mesh.HedgeDelay * 3 / 2
+	f := newFetchTest(t)
+	select {
+	case <-f.offer(f.startPacedPeer(t, 0, slow), f.startPacedPeer(t, 0, slow)):
+	case <-time.After(slow + time.Second):
+		t.Fatal("the records were not fetched")
+	}
+	if asked := f.asked.Load(); asked != 1 {
+		t.Errorf("%d peers were asked, want 1", asked)
+	}
+}
+
 // fetchTest is a process that lacks a record which its peers have.
 type fetchTest struct {
 	loop  *control.Loop
@@ -84,6 +99,12 @@
 
 // startPeer starts a peer that answers after a delay, and returns its address.
 func (f *fetchTest) startPeer(t *testing.T, delay time.Duration) net.Addr {
+	t.Helper()
+	return f.startPacedPeer(t, delay, 0)
+}
+
+// startPacedPeer starts a peer whose answer begins after a delay and ends after another one.
+func (f *fetchTest) startPacedPeer(t *testing.T, delay, rest time.Duration) net.Addr {
 	t.Helper()
 	_, handler := mesh.NewServer(f.loop, []string{topicOperators}, func(string, feed.Position) (mesh.TopicPage, bool) {
 		return mesh.TopicPage{Page: feed.Page{Full: true, Snapshot: feed.Snapshot{End: 5, Records: []feed.Record{{Key: "config", Value: []byte("1"), Offset: 4}}}}}, true
@@ -91,7 +112,13 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.asked.Add(1)
 		<-time.After(delay)
-		handler.ServeHTTP(w, r)
+		answer := httptest.NewRecorder()
+		handler.ServeHTTP(answer, r)
+		maps.Copy(w.Header(), answer.Header())
+		w.WriteHeader(answer.Code)
+		_ = http.NewResponseController(w).Flush() // fails only if the caller has gone
+		<-time.After(rest)
+		_, _ = w.Write(answer.Body.Bytes())
 	}))
 	t.Cleanup(server.Close)
 	return server.Listener.Addr()
