Clients: a connection lost during an upload is not the end of a body

Callers saw: a target that answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still written: the part was a complete answer. A stream ended regularly after the events that had come, on a route that may be resumed too. The own protocol's calls of plain services got the same. Cause: the kernel reports a reset once for a connection, to whichever call asks first. The request is written beside the read of the response: if the write is told, the read gets what has arrived and then io.EOF, which is the regular end of a body without a length. Change: the clients' connections are responses.Conn. At io.EOF it asks the kernel (TCP_INFO) whether the other end has ended its direction. If not, the connection is lost, and a write that still goes on returns at once: its error is the read's. EPIPE there means that the other end had ended its direction before, so that what came is whole. It stands in upstream.NewDialer, Pool and external.NewHTTPClient, and so below requests, streams, control calls, fetches from peers and the own protocol. What was broken off then goes the way of a cut response: health, crash detection, another target where the route allows it, the last event of a stream that may be resumed. Waiting for the result of the write at each end would have held up targets that end their direction and read on, or never read.

--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/toucanwell/toucanwell/internal/buffers"
+	"github.com/toucanwell/toucanwell/internal/responses"
 	"github.com/toucanwell/toucanwell/internal/retryafter"
 )
 
@@ -33,7 +34,7 @@
 // NewHTTPClient returns an HTTP client whose dial errors are recognized as
 // ErrNotSent by the types of this package.
 func NewHTTPClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &responses.Dialer{Dialer: net.Dialer{Timeout: dialTimeout}}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    idleConnections,
--- /dev/null
+++ b/internal/gateway/upstream/broken_test.go
@@ -0,0 +1,79 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/toucanwell/toucanwell/internal/gateway/upstream/brokentest"
+)
+
+// largeBody is larger than what the kernels of both ends hold.
+var largeBody = []byte(strings.Repeat("x", 16<<20))
+
+// readAnswer sends a request to a server, and reads its response once await returns.
+func readAnswer(t *testing.T, a brokentest.Answer, requestBody []byte, await func(*brokentest.Server, *Response)) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	p := NewPool(func() {})
+	defer p.CloseIdle()
+	s := brokentest.Start(t, a)
+	resp, err := p.Send(ctx, s.Address, &Request{
+		Method: http.MethodPost, RequestURI: "/x", Host: "h", Body: requestBody, Attempt: "1",
+		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == "1" },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	await(s, resp)
+	body, err := io.ReadAll(resp)
+	return string(body), err
+}
+
+// untilEnded waits until the server has ended the answer, and the request is no longer written.
+func untilEnded(s *brokentest.Server, resp *Response) {
+	<-s.Ended()
+	for resp.RequestWritten(); !resp.written.ended; resp.RequestWritten() {
+		<-time.After(time.Millisecond)
+	}
+}
+
+// atOnce waits for nothing.
+func atOnce(*brokentest.Server, *Response) {}
+
+// Guards against a part of a body that is taken for the whole, because the reset that ended the connection was
+// reported to the write of the request.
+func TestResetDuringUploadIsNotTheEndOfTheBody(t *testing.T) {
+	for _, a := range brokentest.Cut("Id: 1\r\n", "part") {
+		t.Run(a.Name, func(t *testing.T) {
+			if body, err := readAnswer(t, a, largeBody, untilEnded); err == nil {
+				t.Errorf("%q was taken for the whole body", body)
+			}
+		})
+	}
+}
+
+// Guards against whole answers that are rejected because their server does not read the request to its end, or ends
+// one direction of the connection only.
+func TestAnswerThatItsServerEndsIsWhole(t *testing.T) {
+	for _, a := range append(brokentest.Whole("Id: 1\r\n", "body"), brokentest.WholeThenReset("Id: 1\r\n", "body")) {
+		t.Run(a.Name, func(t *testing.T) {
+			if body, err := readAnswer(t, a, largeBody, untilEnded); err != nil || body != "body" {
+				t.Errorf("body %q, error %v", body, err)
+			}
+		})
+	}
+}
+
+// Guards against whole answers that wait until their request is written, which the server may never read.
+func TestWholeAnswerDoesNotWaitForItsRequest(t *testing.T) {
+	a := brokentest.Answer{Text: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody", Early: true, End: brokentest.EndsDirectionUnread}
+	if body, err := readAnswer(t, a, largeBody, atOnce); err != nil || body != "body" {
+		t.Errorf("body %q, error %v", body, err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/upstream/brokentest/brokentest.go
@@ -0,0 +1,185 @@
+// Package brokentest plays servers in trouble for tests: their answers are broken.
+package brokentest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Answer is what a server sends in answer to a request.
+type Answer struct {
+	Name, Text string
+	// Early answers are sent before the body of the request is read.
+	Early bool
+	// Pause is the time between the answer and its end.
+	Pause time.Duration
+	End   End
+}
+
+// End is what a server does with the connection after an answer.
+type End int
+
+const (
+	// KeepsOpen reads on, until the client ends the connection.
+	KeepsOpen End = iota
+	// Closes closes the connection. If a part of the request has not been read, the kernel resets it instead.
+	Closes
+	// Resets resets the connection.
+	Resets
+	// EndsDirection ends the server's direction, and reads on until the client ends its own.
+	EndsDirection
+	// EndsDirectionThenResets ends the server's direction, and then resets the connection.
+	EndsDirectionThenResets
+	// EndsDirectionUnread ends the server's direction, and leaves the rest of the request unread until the test ends.
+	EndsDirectionUnread
+)
+
+// Cut returns answers without a length that a reset ends while a large request is still written. Header has the
+// lines of their heads, part is the part of the body that is sent.
+func Cut(header, part string) []Answer {
+	cut := func(name, version, lines string, end End) Answer {
+		return Answer{Name: name, Text: version + " 200 OK\r\n" + header + lines + "\r\n" + part, Early: true, Pause: time.Millisecond, End: end}
+	}
+	return []Answer{
+		cut("reset", "HTTP/1.1", "", Resets),
+		cut("reset, Connection: close", "HTTP/1.1", "Connection: close\r\n", Resets),
+		cut("reset, HTTP/1.0", "HTTP/1.0", "", Resets),
+		cut("closed with the request unread", "HTTP/1.1", "", Closes),
+	}
+}
+
+// Whole returns answers without a length that the server ends itself.
+func Whole(header, body string) []Answer {
+	text := "HTTP/1.1 200 OK\r\n" + header + "\r\n" + body
+	return []Answer{
+		{Name: "closed", Text: text, End: Closes},
+		{Name: "closed in one direction", Text: text, End: EndsDirection},
+		{Name: "closed in one direction, then reset", Text: text, End: EndsDirectionThenResets},
+		{Name: "closed in one direction while the request is written", Text: text, Early: true, End: EndsDirection},
+	}
+}
+
+// WholeThenReset returns an answer without a length that the server ends itself while a large request is still
+// written, before it resets the connection.
+func WholeThenReset(header, body string) Answer {
+	return Answer{Name: "closed in one direction while the request is written, then reset", Text: "HTTP/1.1 200 OK\r\n" + header + "\r\n" + body, Early: true, End: EndsDirectionThenResets}
+}
+
+// Server is a server whose answers are broken.
+type Server struct {
+	Address netip.AddrPort
+	// answer returns the answer to a request; nil if the request is forwarded to next.
+	answer  func(*http.Request) *Answer
+	next    string
+	answers atomic.Int64
+	ended   chan struct{}
+	// stop is closed when the test ends.
+	stop chan struct{}
+}
+
+// maxConnections is the number of connections that end without Ended being read.
+const maxConnections = 1 << 14
+
+// Start starts a server that sends the answer to each request. It ends with the test, when all its connections
+// have ended.
+func Start(t *testing.T, answer Answer) *Server {
+	t.Helper()
+	return StartProxy(t, "127.0.0.1:0", "", func(*http.Request) *Answer { return &answer })
+}
+
+// StartProxy starts a server that sends the answers that answer returns, which is called for the first request of
+// each connection. If it returns nil the connection is forwarded to the server at next.
+func StartProxy(t *testing.T, address, next string, answer func(*http.Request) *Answer) *Server {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Address: netip.MustParseAddrPort(listener.Addr().String()), answer: answer, next: next, ended: make(chan struct{}, maxConnections), stop: make(chan struct{})}
+	var tasks sync.WaitGroup
+	tasks.Go(func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			tasks.Go(func() { s.serve(c.(*net.TCPConn)) })
+		}
+	})
+	t.Cleanup(func() { listener.Close(); close(s.stop); tasks.Wait() })
+	return s
+}
+
+// Ended receives a value for each answer, once the server has ended the connection or read the request.
+func (s *Server) Ended() <-chan struct{} { return s.ended }
+
+// Answers returns the number of answers that were sent.
+func (s *Server) Answers() int { return int(s.answers.Load()) }
+
+// receiveBuffer keeps the kernel from taking a large request that the server does not read.
+const receiveBuffer = 16 << 10
+
+func (s *Server) serve(c *net.TCPConn) {
+	defer c.Close()
+	_ = c.SetReadBuffer(receiveBuffer)
+	var head strings.Builder
+	reader := bufio.NewReader(io.TeeReader(c, &head))
+	r, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	answer := s.answer(r)
+	if answer == nil {
+		s.forward(c, head.String())
+		return
+	}
+	if !answer.Early {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	s.answers.Add(1)
+	_, _ = io.WriteString(c, answer.Text)
+	<-time.After(answer.Pause)
+	switch answer.End {
+	case EndsDirection, EndsDirectionThenResets, EndsDirectionUnread:
+		_ = c.CloseWrite()
+	}
+	switch answer.End {
+	case KeepsOpen, EndsDirection:
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.ended <- struct{}{}
+		_, _ = io.Copy(io.Discard, reader)
+		return
+	case EndsDirectionUnread:
+		s.ended <- struct{}{}
+		<-s.stop
+		return
+	case Resets, EndsDirectionThenResets:
+		_ = c.SetLinger(0)
+	}
+	_ = c.Close()
+	s.ended <- struct{}{}
+}
+
+// forward forwards a connection of which a part has been read.
+func (s *Server) forward(c *net.TCPConn, read string) {
+	next, err := net.Dial("tcp", s.next)
+	if err != nil {
+		return
+	}
+	defer next.Close()
+	go func() {
+		if _, err := io.WriteString(next, read); err == nil {
+			_, _ = io.Copy(next, c) // ends with the connection
+		}
+		_ = next.Close()
+	}()
+	_, _ = io.Copy(c, next)
+}
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/toucanwell/toucanwell/internal/responses"
 	"github.com/toucanwell/toucanwell/internal/sleep"
 )
 
@@ -51,7 +52,7 @@
 // NewPool returns an empty pool. onDial is called for each new connection.
 func NewPool(onDial func()) *Pool {
 	return &Pool{
-		dialContext: NewDialer().DialContext,
+		dialContext: NewDialer().Dialer.DialContext,
 		onDial:      onDial,
 		idle:        map[netip.AddrPort][]*conn{},
 		idleLimits:  map[netip.AddrPort]time.Duration{},
@@ -59,14 +60,14 @@
 }
 
 // NewDialer returns a dialer whose connections fail when the remote host is unreachable.
-func NewDialer() *net.Dialer {
-	return &net.Dialer{
+func NewDialer() *responses.Dialer {
+	return &responses.Dialer{Dialer: net.Dialer{
 		Timeout: dialTimeout,
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-	}
+	}}
 }
 
 // NewTransport returns a transport for control calls. It detects unreachable hosts and bounds the heads of
@@ -161,11 +162,12 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
-	c, err := p.dialContext(ctx, "tcp", address.String())
+	dialed, err := p.dialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
 	p.onDial()
+	c := responses.NewConn(dialed)
 	input := &headReader{in: c}
 	return &conn{pool: p, address: address, dialedAt: time.Now(), net: c, input: input, reader: bufio.NewReaderSize(input, bufferSize)}, nil
 }
@@ -246,7 +248,7 @@
 // that the target has closed it would be unknown whether the next request ran, and data is a
 // late response to an earlier request.
 func (c *conn) alive() bool {
-	raw, err := c.net.(*net.TCPConn).SyscallConn()
+	raw, err := c.net.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/toucanwell/toucanwell/internal/responses"
 )
 
 // ErrNotSent marks errors of requests that certainly did not reach their target.
@@ -209,11 +211,7 @@
 		done <- err
 		return done
 	}
-	go func() {
-		buffers := net.Buffers{head, req.Body}
-		_, err := buffers.WriteTo(c.net)
-		done <- err
-	}()
+	go func() { done <- c.net.WriteBuffers(net.Buffers{head, req.Body}) }()
 	return done
 }
 
@@ -273,7 +271,7 @@
 type conn struct {
 	pool      *Pool
 	address   netip.AddrPort
-	net       net.Conn
+	net       *responses.Conn
 	input     *headReader
 	reader    *bufio.Reader
 	closeOnce sync.Once
@@ -322,12 +320,7 @@
 // abort resets the connection. A target may take the end of a connection for that of one direction, and
 // work on until it writes; and what the kernel has not sent yet would still arrive after a regular close.
 func (c *conn) abort() {
-	c.closeOnce.Do(func() {
-		if tcp, ok := c.net.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // fails only if the connection has ended
-		}
-		_ = c.net.Close()
-	})
+	c.closeOnce.Do(c.net.Abort)
 }
 
 // drained reports whether nothing that was read from the connection is left.
