Clients: a head without a valid status is no answer

Callers saw: a target in trouble answers with status 000. If bytes that look like an answer follow, the caller got these (200); otherwise the body was read as the next head and the request waited until its deadline: 504, or 2.5 s more at another target. The own protocol's calls of plain services handed on 000, 099, +20 and 101 as statuses. Cause: net/http takes any three characters for a status that are a number of zero or more, and upstream.readFinal skipped every status below 200 as an informational one. Change: responses.Check rejects a status below 100, and 101, as no request asks for another protocol. It is called for each head in upstream, and by responses.Checked, through which all clients of net/http go now: the store, control calls of engines, caches, fetches from peers, and the own protocol. A request whose answer is rejected goes the way of one whose response broke off: it may have run (502, never a status that says that it has not), the connection ends, health, crash detection and send_failed have the cause, another target is tried where the route allows it, and the caller is answered at once. Statuses from 600 to 999 pass unchanged, as before: the protocol passes a status on, their framing is the same, and RFC 9110, section 15, tells clients to take them for 5xx, which health and retries here do.

--- a/internal/external/broken_test.go
+++ b/internal/external/broken_test.go
@@ -43,3 +43,14 @@
 		})
 	}
 }
+
+// Guards against a call that gets a response whose status is none.
+func TestStatusThatIsNoneIsNoResponse(t *testing.T) {
+	for _, a := range brokentest.Status("") {
+		t.Run(a.Name, func(t *testing.T) {
+			if resp, err := callPlain(t, a); err == nil {
+				t.Errorf("status %d, body %q", resp.Status, resp.Body)
+			}
+		})
+	}
+}
--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -50,7 +50,14 @@
 	own := *client
 	transport := client.Transport.(*http.Transport).Clone()
 	transport.DisableKeepAlives = true
-	own.Transport = transport
+	own.Transport = responses.Checked(transport)
+	return &own
+}
+
+// checked returns a client with the connections of another that rejects broken responses.
+func checked(client *http.Client) *http.Client {
+	own := *client
+	own.Transport = responses.Checked(client.Transport.(*http.Transport))
 	return &own
 }
 
@@ -198,7 +205,7 @@
 
 // NewHTTPEngine returns a client for the Engine at a base URL.
 func NewHTTPEngine(base string, client *http.Client) *HTTPEngine {
-	return &HTTPEngine{c: jsonClient{base, withoutReuse(client)}, events: jsonClient{base, client}}
+	return &HTTPEngine{c: jsonClient{base, withoutReuse(client)}, events: jsonClient{base, checked(client)}}
 }
 
 // Generate implements Engine.
--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -11,6 +11,7 @@
 	"github.com/toucanwell/toucanwell/internal/errkind"
 	"github.com/toucanwell/toucanwell/internal/gateway/fleet"
 	"github.com/toucanwell/toucanwell/internal/gateway/quarantine"
+	"github.com/toucanwell/toucanwell/internal/responses"
 )
 
 const (
@@ -151,11 +152,11 @@
 	}
 }
 
-// isDisconnect reports whether an error is a connection closed or reset by the target's
-// host, as when the target's process ends. An unresponsive or unreachable host closes
-// nothing.
-func isDisconnect(err error) bool {
-	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+// mayHaveCrashed reports whether an error is a connection closed or reset by the target's
+// host, as when the target's process ends, or a broken response that the process may have sent
+// before. An unresponsive or unreachable host closes nothing.
+func mayHaveCrashed(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, responses.ErrBrokenHead)
 }
 
 // suspectedCrash describes a possible crash of the target while it ran the request.
@@ -176,7 +177,7 @@
 // and did not just close the connection. It must be called before the next send is placed,
 // which depends on the request's status.
 func (fl *flow) attributeCrash(ctx context.Context, dst *destination, err error) {
-	if ctx.Err() != nil || !isDisconnect(err) {
+	if ctx.Err() != nil || !mayHaveCrashed(err) {
 		return
 	}
 	v, ok := fl.View()
--- a/internal/gateway/forward/quarantined_test.go
+++ b/internal/gateway/forward/quarantined_test.go
@@ -72,6 +72,34 @@
 	}
 }
 
+// Guards against a request that crashes one target after the other because these send a broken head before they end.
+func TestRequestThatCrashesTargetsAfterABrokenHeadIsQuarantined(t *testing.T) {
+	var targets []*fakeTarget
+	for i := range 6 {
+		var tg *fakeTarget
+		tg = startTarget(t, fmt.Sprintf("t%d", i), func(w io.Writer, r *http.Request, _ string) bool {
+			tg.listener.Close()
+			fmt.Fprintf(w, "HTTP/1.1 000 X\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody", wiretest.ID, r.Header.Get(wiretest.ID))
+			return false
+		})
+		targets = append(targets, tg)
+	}
+	env := newTestEnv(t, targets...)
+	for n := 1; n <= 4; n++ {
+		want := http.StatusBadGateway
+		if n > 3 {
+			want = http.StatusServiceUnavailable
+		}
+		resp, body, err := env.post(t, "/once/x", "fatal")
+		if err != nil || resp.StatusCode != want {
+			t.Errorf("attempt %d: response %v, body %q, error %v", n, resp, body, err)
+		}
+	}
+	if runs := totalRuns(targets); runs != 3 {
+		t.Errorf("%d runs; want 3", runs)
+	}
+}
+
 // A request that crashes targets whose listeners close only some time after their connections, so
 // that the first probe finds no evidence, must crash three of them at most.
 func TestCrashWithLateEvidence(t *testing.T) {
--- a/internal/gateway/mesh/fetch.go
+++ b/internal/gateway/mesh/fetch.go
@@ -12,6 +12,7 @@
 	"github.com/toucanwell/toucanwell/internal/control"
 	"github.com/toucanwell/toucanwell/internal/gateway/feed"
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream"
+	"github.com/toucanwell/toucanwell/internal/responses"
 )
 
 const (
@@ -153,7 +154,7 @@
 func NewClient(timeout time.Duration) *http.Client {
 	dialer, transport := upstream.NewDialer(), upstream.NewTransport()
 	dialer.Timeout, transport.DialContext, transport.IdleConnTimeout = timeout, dialer.DialContext, peerIdleTimeout
-	return &http.Client{Transport: upstream.LimitBodies(transport, maxReplicaBytes)}
+	return &http.Client{Transport: upstream.LimitBodies(responses.Checked(transport), maxReplicaBytes)}
 }
 
 // Fetch fetches the records of a topic from a position on from another process, until the context ends.
--- a/internal/gateway/upstream/broken_test.go
+++ b/internal/gateway/upstream/broken_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream/brokentest"
 )
 
@@ -77,3 +80,25 @@
 		t.Errorf("body %q, error %v", body, err)
 	}
 }
+
+// Guards against a head whose status is none and that is taken for an answer or for an informational one: what
+// follows it would be the answer, or be waited for until the deadline.
+func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
+	for _, a := range brokentest.Status("Id: 1\r\n") {
+		t.Run(a.Name, func(t *testing.T) {
+			if body, err := readAnswer(t, a, nil, atOnce); err == nil || errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("body %q, error %v", body, err)
+			}
+		})
+	}
+}
+
+// Guards against statuses that are rejected although clients may take them for a failure of the server.
+func TestAnyStatusOfThreeDigitsIsPassedOn(t *testing.T) {
+	for _, status := range []int{200, 299, 404, 599, 600, 999} {
+		resp, err := readOne(fmt.Sprintf("HTTP/1.1 %d X\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody", status))
+		if err != nil || resp.status != status || resp.body != "body" {
+			t.Errorf("status %d: %+v, error %v", status, resp, err)
+		}
+	}
+}
--- a/internal/gateway/upstream/brokentest/brokentest.go
+++ b/internal/gateway/upstream/brokentest/brokentest.go
@@ -73,37 +73,65 @@
 	return Answer{Name: "closed in one direction while the request is written, then reset", Text: "HTTP/1.1 200 OK\r\n" + header + "\r\n" + body, Early: true, End: EndsDirectionThenResets}
 }
 
+// Status returns answers whose status is none, or one of another protocol.
+func Status(header string) []Answer {
+	var all []Answer
+	const whole = "Content-Length: 4\r\n\r\nbody"
+	for _, status := range []string{"000", "001", "099", "+20", "+99", "-00", "101"} {
+		head := "HTTP/1.1 " + status + " X\r\n" + header
+		all = append(all, Answer{Name: "status " + status, Text: head + whole},
+			Answer{Name: "status " + status + " before an answer", Text: head + "\r\nHTTP/1.1 200 OK\r\n" + header + whole})
+	}
+	return all
+}
+
 // Server is a server whose answers are broken.
 type Server struct {
 	Address netip.AddrPort
 	// answer returns the answer to a request; nil if the request is forwarded to next.
-	answer  func(*http.Request) *Answer
-	next    string
+	answer func(*http.Request) *Answer
+	next   string
+	// rewrite changes the heads of the responses from next.
+	rewrite func(head string) string
 	answers atomic.Int64
 	ended   chan struct{}
 	// stop is closed when the test ends.
 	stop chan struct{}
+	mu   sync.Mutex
+	open map[net.Conn]bool
 }
 
 // maxConnections is the number of connections that end without Ended being read.
 const maxConnections = 1 << 14
 
-// Start starts a server that sends the answer to each request. It ends with the test, when all its connections
-// have ended.
+// Start starts a server that sends the answer to each request. It ends with the test, and its connections with it.
 func Start(t *testing.T, answer Answer) *Server {
 	t.Helper()
-	return StartProxy(t, "127.0.0.1:0", "", func(*http.Request) *Answer { return &answer })
+	return start(t, "127.0.0.1:0", &Server{answer: func(*http.Request) *Answer { return &answer }})
 }
 
 // StartProxy starts a server that sends the answers that answer returns, which is called for the first request of
 // each connection. If it returns nil the connection is forwarded to the server at next.
 func StartProxy(t *testing.T, address, next string, answer func(*http.Request) *Answer) *Server {
+	t.Helper()
+	return start(t, address, &Server{answer: answer, next: next, rewrite: func(head string) string { return head }})
+}
+
+// StartRewriter starts a server that forwards connections to the one at next, and changes the head of the first
+// response of each.
+func StartRewriter(t *testing.T, next string, rewrite func(head string) string) *Server {
+	t.Helper()
+	return start(t, "127.0.0.1:0", &Server{answer: func(*http.Request) *Answer { return nil }, next: next, rewrite: rewrite})
+}
+
+func start(t *testing.T, address string, s *Server) *Server {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{Address: netip.MustParseAddrPort(listener.Addr().String()), answer: answer, next: next, ended: make(chan struct{}, maxConnections), stop: make(chan struct{})}
+	s.Address, s.ended = netip.MustParseAddrPort(listener.Addr().String()), make(chan struct{}, maxConnections)
+	s.stop, s.open = make(chan struct{}), map[net.Conn]bool{}
 	var tasks sync.WaitGroup
 	tasks.Go(func() {
 		for {
@@ -114,7 +142,7 @@
 			tasks.Go(func() { s.serve(c.(*net.TCPConn)) })
 		}
 	})
-	t.Cleanup(func() { listener.Close(); close(s.stop); tasks.Wait() })
+	t.Cleanup(func() { listener.Close(); s.closeAll(); tasks.Wait() })
 	return s
 }
 
@@ -124,8 +152,40 @@
 // Answers returns the number of answers that were sent.
 func (s *Server) Answers() int { return int(s.answers.Load()) }
 
+func (s *Server) closeAll() {
+	close(s.stop)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		_ = c.Close()
+	}
+}
+
+// add keeps a connection until the test ends. It reports false if it has ended.
+func (s *Server) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.stop:
+		return false
+	default:
+		s.open[c] = true
+		return true
+	}
+}
+
+func (s *Server) remove(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
 func (s *Server) serve(c *net.TCPConn) {
 	defer c.Close()
+	if !s.add(c) {
+		return
+	}
+	defer s.remove(c)
 	var head strings.Builder
 	reader := bufio.NewReader(io.TeeReader(c, &head))
 	r, err := http.ReadRequest(reader)
@@ -164,7 +224,7 @@
 	s.ended <- struct{}{}
 }
 
-// forward forwards a connection of which a part has been read.
+// forward forwards a connection of which a part has been read. It changes the head of the first response.
 func (s *Server) forward(c *net.TCPConn, read string) {
 	next, err := net.Dial("tcp", s.next)
 	if err != nil {
@@ -177,5 +237,23 @@
 		}
 		_ = next.Close()
 	}()
-	_, _ = io.Copy(c, next)
+	reader := bufio.NewReader(next)
+	head, err := readHead(reader)
+	if err != nil {
+		return
+	}
+	if _, err := io.WriteString(c, s.rewrite(head)); err == nil {
+		_, _ = io.Copy(c, reader)
+	}
+}
+
+func readHead(r *bufio.Reader) (string, error) {
+	var head strings.Builder
+	for {
+		line, err := r.ReadString('\n')
+		head.WriteString(line)
+		if err != nil || line == "\r\n" {
+			return head.String(), err
+		}
+	}
 }
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -70,6 +70,11 @@
 	}}
 }
 
+// NewClient returns a client for control calls that uses a transport.
+func NewClient(transport *http.Transport) *http.Client {
+	return &http.Client{Transport: responses.Checked(transport)}
+}
+
 // NewTransport returns a transport for control calls. It detects unreachable hosts and bounds the heads of
 // responses.
 func NewTransport() *http.Transport {
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -261,6 +261,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := responses.Check(raw); err != nil {
+			return nil, err
+		}
 		if raw.StatusCode >= http.StatusOK {
 			return raw, nil
 		}
