Clients: a head with a broken field name is no answer

Callers saw: a target answers with a head in which the name of a field holds a blank, or has one before its colon. The answer came with that line, or, if the name was to be Content-Length or Transfer-Encoding, with more than the body or with the framing of its chunks. The store, engines and peers were believed too. Cause: net/http accepts blanks in names (it refuses all else that is no token), and does not take "Content-Length " for the length. Rejected rather than repaired: RFC 9112, section 5.1, lets a proxy remove a blank before the colon, but which body a line like this was to frame can't be known, and other blanks have no reading at all. Handled before, tests kept: tab, NUL, escape, DEL, CR, high byte or another character that is no token in a name, no name, no colon.

--- a/internal/external/broken_test.go
+++ b/internal/external/broken_test.go
@@ -54,3 +54,17 @@
 		})
 	}
 }
+
+// Guards against a call that gets a response in whose head a field's name is none, and with it another body.
+func TestHeadWithABrokenFieldNameIsNoResponse(t *testing.T) {
+	for _, a := range brokentest.FieldName("") {
+		if a.Name == "early hints" {
+			continue // net/http drops informational responses
+		}
+		t.Run(a.Name, func(t *testing.T) {
+			if resp, err := callPlain(t, a); err == nil {
+				t.Errorf("status %d, body %q", resp.Status, resp.Body)
+			}
+		})
+	}
+}
--- a/internal/gateway/upstream/broken_test.go
+++ b/internal/gateway/upstream/broken_test.go
@@ -93,6 +93,28 @@
 	}
 }
 
+// Guards against a head with a field's name that is none and that is taken for that of an answer: the line would be
+// passed on, or the body would not be the server's.
+func TestHeadWithABrokenFieldNameIsNoAnswer(t *testing.T) {
+	for _, a := range brokentest.FieldName("Id: 1\r\n") {
+		t.Run(a.Name, func(t *testing.T) {
+			if body, err := readAnswer(t, a, nil, atOnce); err == nil || errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("body %q, error %v", body, err)
+			}
+		})
+	}
+}
+
+// Guards against answers that are rejected because of the names, values or lines of their fields that are in use.
+func TestHeadWithUsualFieldsIsAnAnswer(t *testing.T) {
+	for _, lines := range []string{"x_y.z~1: x", "X-Name:x", "X-Name:", "X-Name: \tx y\t ", "X-Name: x\r\n X Name : y", "!#$%&'*+-.^_`|~: x", "X-Name: \x80\xff"} {
+		resp, err := readOne("HTTP/1.1 200 OK\r\nId: 1\r\n" + lines + "\r\nContent-Length: 4\r\n\r\nbody")
+		if err != nil || resp.body != "body" {
+			t.Errorf("%q: %+v, error %v", lines, resp, err)
+		}
+	}
+}
+
 // Guards against statuses that are rejected although clients may take them for a failure of the server.
 func TestAnyStatusOfThreeDigitsIsPassedOn(t *testing.T) {
 	for _, status := range []int{200, 299, 404, 599, 600, 999} {
--- a/internal/gateway/upstream/brokentest/brokentest.go
+++ b/internal/gateway/upstream/brokentest/brokentest.go
@@ -85,6 +85,22 @@
 	return all
 }
 
+// FieldName returns answers in whose heads a field's name has a blank or a control byte, or is missing.
+func FieldName(header string) []Answer {
+	var all []Answer
+	const length, chunk = "Content-Length: 4\r\n", "4\r\nbody\r\n0\r\n\r\n"
+	for _, name := range []string{"X Name", "X-Name ", "X-Name  ", "X\tName", "X-Name\t", "X\x00Name", "X\x1bName", "X\x7fName", "X\rName", "X\x80Name", "X(Name", ""} {
+		all = append(all, Answer{Name: "name " + name, Text: "HTTP/1.1 200 OK\r\n" + header + name + ": x\r\n" + length + "\r\nbody"})
+	}
+	return append(all,
+		Answer{Name: "no colon", Text: "HTTP/1.1 200 OK\r\n" + header + "X-Name\r\n" + length + "\r\nbody"},
+		Answer{Name: "early hints", Text: "HTTP/1.1 103 Early Hints\r\nX Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + header + length + "\r\nbody"},
+		Answer{Name: "length, blank at the end", Text: "HTTP/1.1 200 OK\r\n" + header + "Content-Length : 4\r\n\r\nbody and more", End: Closes},
+		Answer{Name: "length, blank within", Text: "HTTP/1.1 200 OK\r\n" + header + "Content Length: 4\r\n\r\nbody and more", End: Closes},
+		Answer{Name: "coding, blank at the end", Text: "HTTP/1.1 200 OK\r\n" + header + "Transfer-Encoding : chunked\r\n\r\n" + chunk, End: Closes},
+	)
+}
+
 // Server is a server whose answers are broken.
 type Server struct {
 	Address netip.AddrPort
