Malformed responses: the field's terms in names and comments

Cause: read as a newcomer would, "a status that is none" and "a broken answer" are not the terms of the field, and the purpose of NewClient, NewConn and the lock of a write had to be guessed. Change: names and comments only.

--- a/internal/external/broken_test.go
+++ b/internal/external/broken_test.go
@@ -9,8 +9,8 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream/brokentest"
 )
 
-// callPlain makes a call with a body of 8 MiB to a target that sends the answer.
-func callPlain(t *testing.T, a brokentest.Answer) (*external.PlainResponse, error) {
+// callPlain makes a call with a body of 8 MiB to a target that sends the response.
+func callPlain(t *testing.T, a brokentest.Response) (*external.PlainResponse, error) {
 	t.Helper()
 	client := external.NewHTTPClient()
 	defer client.CloseIdleConnections()
@@ -22,7 +22,7 @@
 // was reported to the write of the request.
 func TestResetDuringUploadIsNotTheEndOfAResponse(t *testing.T) {
 	const rounds = 20 // which of the write and the read is told of the reset is up to the kernel
-	for _, a := range brokentest.Cut("", "part") {
+	for _, a := range brokentest.ResetDuringUpload("", "part") {
 		t.Run(a.Name, func(t *testing.T) {
 			for range rounds {
 				if resp, err := callPlain(t, a); err == nil {
@@ -34,7 +34,7 @@
 }
 
 // Guards against whole responses that are rejected because their target ends the connection.
-func TestResponseThatItsTargetEndsIsWhole(t *testing.T) {
+func TestResponseEndedByItsTargetIsWhole(t *testing.T) {
 	for _, a := range brokentest.Whole("", "body") {
 		t.Run(a.Name, func(t *testing.T) {
 			if resp, err := callPlain(t, a); err != nil || string(resp.Body) != "body" {
@@ -44,9 +44,9 @@
 	}
 }
 
-// Guards against a call that gets a response whose status is none.
-func TestStatusThatIsNoneIsNoResponse(t *testing.T) {
-	for _, a := range brokentest.Status("") {
+// Guards against a call that returns an invalid status.
+func TestInvalidStatusOfPlainCallIsRejected(t *testing.T) {
+	for _, a := range brokentest.InvalidStatuses("") {
 		t.Run(a.Name, func(t *testing.T) {
 			if resp, err := callPlain(t, a); err == nil {
 				t.Errorf("status %d, body %q", resp.Status, resp.Body)
@@ -55,9 +55,9 @@
 	}
 }
 
-// Guards against a call that gets a response in whose head a field's name is none, and with it another body.
-func TestHeadWithABrokenFieldNameIsNoResponse(t *testing.T) {
-	for _, a := range brokentest.FieldName("") {
+// Guards against a call that accepts a head with an invalid field name, and with it another body than the target's.
+func TestInvalidFieldNameOfPlainCallIsRejected(t *testing.T) {
+	for _, a := range brokentest.InvalidFieldNames("") {
 		if a.Name == "early hints" {
 			continue // net/http drops informational responses
 		}
--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -54,7 +54,7 @@
 	return &own
 }
 
-// checked returns a client with the connections of another that rejects broken responses.
+// checked returns a client that uses the connections of another one and rejects malformed responses.
 func checked(client *http.Client) *http.Client {
 	own := *client
 	own.Transport = responses.Checked(client.Transport.(*http.Transport))
--- a/internal/gateway/forward/quarantined.go
+++ b/internal/gateway/forward/quarantined.go
@@ -153,10 +153,10 @@
 }
 
 // mayHaveCrashed reports whether an error is a connection closed or reset by the target's
-// host, as when the target's process ends, or a broken response that the process may have sent
-// before. An unresponsive or unreachable host closes nothing.
+// host, as when the target's process ends, or a malformed response that the process may have
+// sent before it ended. An unresponsive or unreachable host closes nothing.
 func mayHaveCrashed(err error) bool {
-	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, responses.ErrBrokenHead)
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, responses.ErrMalformedHead)
 }
 
 // suspectedCrash describes a possible crash of the target while it ran the request.
--- a/internal/gateway/forward/quarantined_test.go
+++ b/internal/gateway/forward/quarantined_test.go
@@ -73,7 +73,7 @@
 }
 
 // Guards against a request that crashes one target after the other because these send a broken head before they end.
-func TestRequestThatCrashesTargetsAfterABrokenHeadIsQuarantined(t *testing.T) {
+func TestCrashAfterMalformedHeadIsAttributed(t *testing.T) {
 	var targets []*fakeTarget
 	for i := range 6 {
 		var tg *fakeTarget
--- a/internal/gateway/mesh/broken_test.go
+++ b/internal/gateway/mesh/broken_test.go
@@ -13,9 +13,8 @@
 	"github.com/toucanwell/toucanwell/internal/gateway/upstream/brokentest"
 )
 
-// Guards against a replica that is taken from a response with a broken head, which may have another body than the
-// peer's.
-func TestReplicaBehindABrokenHeadIsRejected(t *testing.T) {
+// Guards against a replica from a response with a malformed head, whose body may not be the peer's.
+func TestReplicaWithMalformedHeadIsRejected(t *testing.T) {
 	loop := control.NewLoop(1, func(time.Duration) {})
 	go loop.Run()
 	defer loop.Stop()
--- a/internal/gateway/upstream/broken_test.go
+++ b/internal/gateway/upstream/broken_test.go
@@ -17,8 +17,8 @@
 // largeBody is larger than what the kernels of both ends hold.
 var largeBody = []byte(strings.Repeat("x", 16<<20))
 
-// readAnswer sends a request to a server, and reads its response once await returns.
-func readAnswer(t *testing.T, a brokentest.Answer, requestBody []byte, await func(*brokentest.Server, *Response)) (string, error) {
+// readResponseOf sends a request to a server, and reads its response once await returns.
+func readResponseOf(t *testing.T, a brokentest.Response, requestBody []byte, await func(*brokentest.Server, *Response)) (string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -38,7 +38,7 @@
 	return string(body), err
 }
 
-// untilEnded waits until the server has ended the answer, and the request is no longer written.
+// untilEnded waits until the server has ended the response, and the request is no longer being written.
 func untilEnded(s *brokentest.Server, resp *Response) {
 	<-s.Ended()
 	for resp.RequestWritten(); !resp.written.ended; resp.RequestWritten() {
@@ -52,61 +52,61 @@
 // Guards against a part of a body that is taken for the whole, because the reset that ended the connection was
 // reported to the write of the request.
 func TestResetDuringUploadIsNotTheEndOfTheBody(t *testing.T) {
-	for _, a := range brokentest.Cut("Id: 1\r\n", "part") {
+	for _, a := range brokentest.ResetDuringUpload("Id: 1\r\n", "part") {
 		t.Run(a.Name, func(t *testing.T) {
-			if body, err := readAnswer(t, a, largeBody, untilEnded); err == nil {
+			if body, err := readResponseOf(t, a, largeBody, untilEnded); err == nil {
 				t.Errorf("%q was taken for the whole body", body)
 			}
 		})
 	}
 }
 
-// Guards against whole answers that are rejected because their server does not read the request to its end, or ends
+// Guards against whole responses that are rejected because their server does not read the request to its end, or ends
 // one direction of the connection only.
-func TestAnswerThatItsServerEndsIsWhole(t *testing.T) {
+func TestResponseEndedByItsServerIsWhole(t *testing.T) {
 	for _, a := range append(brokentest.Whole("Id: 1\r\n", "body"), brokentest.WholeThenReset("Id: 1\r\n", "body")) {
 		t.Run(a.Name, func(t *testing.T) {
-			if body, err := readAnswer(t, a, largeBody, untilEnded); err != nil || body != "body" {
+			if body, err := readResponseOf(t, a, largeBody, untilEnded); err != nil || body != "body" {
 				t.Errorf("body %q, error %v", body, err)
 			}
 		})
 	}
 }
 
-// Guards against whole answers that wait until their request is written, which the server may never read.
-func TestWholeAnswerDoesNotWaitForItsRequest(t *testing.T) {
-	a := brokentest.Answer{Text: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody", Early: true, End: brokentest.EndsDirectionUnread}
-	if body, err := readAnswer(t, a, largeBody, atOnce); err != nil || body != "body" {
+// Guards against whole responses that wait until their request is written, which the server may never read.
+func TestWholeResponseDoesNotWaitForItsRequest(t *testing.T) {
+	a := brokentest.Response{Text: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody", Early: true, End: brokentest.EndsDirectionUnread}
+	if body, err := readResponseOf(t, a, largeBody, atOnce); err != nil || body != "body" {
 		t.Errorf("body %q, error %v", body, err)
 	}
 }
 
-// Guards against a head whose status is none and that is taken for an answer or for an informational one: what
-// follows it would be the answer, or be waited for until the deadline.
-func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
-	for _, a := range brokentest.Status("Id: 1\r\n") {
+// Guards against an invalid status that is taken for that of a final or informational response: what follows the head
+// would be the response, or be awaited until the deadline.
+func TestInvalidStatusIsRejected(t *testing.T) {
+	for _, a := range brokentest.InvalidStatuses("Id: 1\r\n") {
 		t.Run(a.Name, func(t *testing.T) {
-			if body, err := readAnswer(t, a, nil, atOnce); err == nil || errors.Is(err, context.DeadlineExceeded) {
+			if body, err := readResponseOf(t, a, nil, atOnce); err == nil || errors.Is(err, context.DeadlineExceeded) {
 				t.Errorf("body %q, error %v", body, err)
 			}
 		})
 	}
 }
 
-// Guards against a head with a field's name that is none and that is taken for that of an answer: the line would be
-// passed on, or the body would not be the server's.
-func TestHeadWithABrokenFieldNameIsNoAnswer(t *testing.T) {
-	for _, a := range brokentest.FieldName("Id: 1\r\n") {
+// Guards against a head with an invalid field name that is accepted: the line would be passed on, or the body would
+// not be the server's.
+func TestInvalidFieldNameIsRejected(t *testing.T) {
+	for _, a := range brokentest.InvalidFieldNames("Id: 1\r\n") {
 		t.Run(a.Name, func(t *testing.T) {
-			if body, err := readAnswer(t, a, nil, atOnce); err == nil || errors.Is(err, context.DeadlineExceeded) {
+			if body, err := readResponseOf(t, a, nil, atOnce); err == nil || errors.Is(err, context.DeadlineExceeded) {
 				t.Errorf("body %q, error %v", body, err)
 			}
 		})
 	}
 }
 
-// Guards against answers that are rejected because of the names, values or lines of their fields that are in use.
-func TestHeadWithUsualFieldsIsAnAnswer(t *testing.T) {
+// Guards against valid responses that are rejected because their fields have unusual names, values or lines.
+func TestUnusualFieldsAreAccepted(t *testing.T) {
 	for _, lines := range []string{"x_y.z~1: x", "X-Name:x", "X-Name:", "X-Name: \tx y\t ", "X-Name: x\r\n X Name : y", "!#$%&'*+-.^_`|~: x", "X-Name: \x80\xff"} {
 		resp, err := readOne("HTTP/1.1 200 OK\r\nId: 1\r\n" + lines + "\r\nContent-Length: 4\r\n\r\nbody")
 		if err != nil || resp.body != "body" {
--- a/internal/gateway/upstream/brokentest/brokentest.go
+++ b/internal/gateway/upstream/brokentest/brokentest.go
@@ -1,4 +1,4 @@
-// Package brokentest plays servers in trouble for tests: their answers are broken.
+// Package brokentest plays servers in trouble for tests: their responses are broken.
 package brokentest
 
 import (
@@ -14,17 +14,17 @@
 	"time"
 )
 
-// Answer is what a server sends in answer to a request.
-type Answer struct {
+// Response is what a server sends in response to a request.
+type Response struct {
 	Name, Text string
-	// Early answers are sent before the body of the request is read.
+	// Early responses are sent before the body of the request is read.
 	Early bool
-	// Pause is the time between the answer and its end.
+	// Pause is the time between the response and its end.
 	Pause time.Duration
 	End   End
 }
 
-// End is what a server does with the connection after an answer.
+// End is what a server does with the connection after an response.
 type End int
 
 const (
@@ -42,13 +42,13 @@
 	EndsDirectionUnread
 )
 
-// Cut returns answers without a length that a reset ends while a large request is still written. Header has the
+// ResetDuringUpload returns responses without a length that a reset ends while a large request is still written. Header has the
 // lines of their heads, part is the part of the body that is sent.
-func Cut(header, part string) []Answer {
-	cut := func(name, version, lines string, end End) Answer {
-		return Answer{Name: name, Text: version + " 200 OK\r\n" + header + lines + "\r\n" + part, Early: true, Pause: time.Millisecond, End: end}
+func ResetDuringUpload(header, part string) []Response {
+	cut := func(name, version, lines string, end End) Response {
+		return Response{Name: name, Text: version + " 200 OK\r\n" + header + lines + "\r\n" + part, Early: true, Pause: time.Millisecond, End: end}
 	}
-	return []Answer{
+	return []Response{
 		cut("reset", "HTTP/1.1", "", Resets),
 		cut("reset, Connection: close", "HTTP/1.1", "Connection: close\r\n", Resets),
 		cut("reset, HTTP/1.0", "HTTP/1.0", "", Resets),
@@ -56,10 +56,10 @@
 	}
 }
 
-// Whole returns answers without a length that the server ends itself.
-func Whole(header, body string) []Answer {
+// Whole returns responses without a length that the server ends itself.
+func Whole(header, body string) []Response {
 	text := "HTTP/1.1 200 OK\r\n" + header + "\r\n" + body
-	return []Answer{
+	return []Response{
 		{Name: "closed", Text: text, End: Closes},
 		{Name: "closed in one direction", Text: text, End: EndsDirection},
 		{Name: "closed in one direction, then reset", Text: text, End: EndsDirectionThenResets},
@@ -67,49 +67,49 @@
 	}
 }
 
-// WholeThenReset returns an answer without a length that the server ends itself while a large request is still
+// WholeThenReset returns a response without a length that the server ends itself while a large request is still
 // written, before it resets the connection.
-func WholeThenReset(header, body string) Answer {
-	return Answer{Name: "closed in one direction while the request is written, then reset", Text: "HTTP/1.1 200 OK\r\n" + header + "\r\n" + body, Early: true, End: EndsDirectionThenResets}
+func WholeThenReset(header, body string) Response {
+	return Response{Name: "closed in one direction while the request is written, then reset", Text: "HTTP/1.1 200 OK\r\n" + header + "\r\n" + body, Early: true, End: EndsDirectionThenResets}
 }
 
-// Status returns answers whose status is none, or one of another protocol.
-func Status(header string) []Answer {
-	var all []Answer
+// InvalidStatuses returns responses with an invalid status, or one that switches to another protocol.
+func InvalidStatuses(header string) []Response {
+	var all []Response
 	const whole = "Content-Length: 4\r\n\r\nbody"
 	for _, status := range []string{"000", "001", "099", "+20", "+99", "-00", "101"} {
 		head := "HTTP/1.1 " + status + " X\r\n" + header
-		all = append(all, Answer{Name: "status " + status, Text: head + whole},
-			Answer{Name: "status " + status + " before an answer", Text: head + "\r\nHTTP/1.1 200 OK\r\n" + header + whole})
+		all = append(all, Response{Name: "status " + status, Text: head + whole},
+			Response{Name: "status " + status + " before a response", Text: head + "\r\nHTTP/1.1 200 OK\r\n" + header + whole})
 	}
 	return all
 }
 
-// FieldName returns answers in whose heads a field's name has a blank or a control byte, or is missing.
-func FieldName(header string) []Answer {
-	var all []Answer
+// InvalidFieldNames returns responses in whose heads a field's name has a blank or a control byte, or is missing.
+func InvalidFieldNames(header string) []Response {
+	var all []Response
 	const length, chunk = "Content-Length: 4\r\n", "4\r\nbody\r\n0\r\n\r\n"
 	for _, name := range []string{"X Name", "X-Name ", "X-Name  ", "X\tName", "X-Name\t", "X\x00Name", "X\x1bName", "X\x7fName", "X\rName", "X\x80Name", "X(Name", ""} {
-		all = append(all, Answer{Name: "name " + name, Text: "HTTP/1.1 200 OK\r\n" + header + name + ": x\r\n" + length + "\r\nbody"})
+		all = append(all, Response{Name: "name " + name, Text: "HTTP/1.1 200 OK\r\n" + header + name + ": x\r\n" + length + "\r\nbody"})
 	}
 	return append(all,
-		Answer{Name: "no colon", Text: "HTTP/1.1 200 OK\r\n" + header + "X-Name\r\n" + length + "\r\nbody"},
-		Answer{Name: "early hints", Text: "HTTP/1.1 103 Early Hints\r\nX Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + header + length + "\r\nbody"},
-		Answer{Name: "length, blank at the end", Text: "HTTP/1.1 200 OK\r\n" + header + "Content-Length : 4\r\n\r\nbody and more", End: Closes},
-		Answer{Name: "length, blank within", Text: "HTTP/1.1 200 OK\r\n" + header + "Content Length: 4\r\n\r\nbody and more", End: Closes},
-		Answer{Name: "coding, blank at the end", Text: "HTTP/1.1 200 OK\r\n" + header + "Transfer-Encoding : chunked\r\n\r\n" + chunk, End: Closes},
+		Response{Name: "no colon", Text: "HTTP/1.1 200 OK\r\n" + header + "X-Name\r\n" + length + "\r\nbody"},
+		Response{Name: "early hints", Text: "HTTP/1.1 103 Early Hints\r\nX Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + header + length + "\r\nbody"},
+		Response{Name: "length, blank at the end", Text: "HTTP/1.1 200 OK\r\n" + header + "Content-Length : 4\r\n\r\nbody and more", End: Closes},
+		Response{Name: "length, blank within", Text: "HTTP/1.1 200 OK\r\n" + header + "Content Length: 4\r\n\r\nbody and more", End: Closes},
+		Response{Name: "coding, blank at the end", Text: "HTTP/1.1 200 OK\r\n" + header + "Transfer-Encoding : chunked\r\n\r\n" + chunk, End: Closes},
 	)
 }
 
-// Server is a server whose answers are broken.
+// Server is a server whose responses are broken.
 type Server struct {
 	Address netip.AddrPort
-	// answer returns the answer to a request; nil if the request is forwarded to next.
-	answer func(*http.Request) *Answer
-	next   string
+	// respond returns the response to a request; nil if the request is forwarded to next.
+	respond func(*http.Request) *Response
+	next    string
 	// rewrite changes the heads of the responses from next.
 	rewrite func(head string) string
-	answers atomic.Int64
+	sent    atomic.Int64
 	ended   chan struct{}
 	// stop is closed when the test ends.
 	stop chan struct{}
@@ -120,24 +120,24 @@
 // maxConnections is the number of connections that end without Ended being read.
 const maxConnections = 1 << 14
 
-// Start starts a server that sends the answer to each request. It ends with the test, and its connections with it.
-func Start(t *testing.T, answer Answer) *Server {
+// Start starts a server that sends the response to each request. It ends with the test, and its connections with it.
+func Start(t *testing.T, response Response) *Server {
 	t.Helper()
-	return start(t, "127.0.0.1:0", &Server{answer: func(*http.Request) *Answer { return &answer }})
+	return start(t, "127.0.0.1:0", &Server{respond: func(*http.Request) *Response { return &response }})
 }
 
-// StartProxy starts a server that sends the answers that answer returns, which is called for the first request of
+// StartProxy starts a server that sends the responses that respond returns, which is called for the first request of
 // each connection. If it returns nil the connection is forwarded to the server at next.
-func StartProxy(t *testing.T, address, next string, answer func(*http.Request) *Answer) *Server {
+func StartProxy(t *testing.T, address, next string, respond func(*http.Request) *Response) *Server {
 	t.Helper()
-	return start(t, address, &Server{answer: answer, next: next, rewrite: func(head string) string { return head }})
+	return start(t, address, &Server{respond: respond, next: next, rewrite: func(head string) string { return head }})
 }
 
 // StartRewriter starts a server that forwards connections to the one at next, and changes the head of the first
 // response of each.
 func StartRewriter(t *testing.T, next string, rewrite func(head string) string) *Server {
 	t.Helper()
-	return start(t, "127.0.0.1:0", &Server{answer: func(*http.Request) *Answer { return nil }, next: next, rewrite: rewrite})
+	return start(t, "127.0.0.1:0", &Server{respond: func(*http.Request) *Response { return nil }, next: next, rewrite: rewrite})
 }
 
 func start(t *testing.T, address string, s *Server) *Server {
@@ -162,11 +162,11 @@
 	return s
 }
 
-// Ended receives a value for each answer, once the server has ended the connection or read the request.
+// Ended receives a value for each response, once the server has ended the connection or read the request.
 func (s *Server) Ended() <-chan struct{} { return s.ended }
 
-// Answers returns the number of answers that were sent.
-func (s *Server) Answers() int { return int(s.answers.Load()) }
+// Responses returns the number of responses that were sent.
+func (s *Server) Responses() int { return int(s.sent.Load()) }
 
 func (s *Server) closeAll() {
 	close(s.stop)
@@ -208,22 +208,22 @@
 	if err != nil {
 		return
 	}
-	answer := s.answer(r)
-	if answer == nil {
+	response := s.respond(r)
+	if response == nil {
 		s.forward(c, head.String())
 		return
 	}
-	if !answer.Early {
+	if !response.Early {
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
-	s.answers.Add(1)
-	_, _ = io.WriteString(c, answer.Text)
-	<-time.After(answer.Pause)
-	switch answer.End {
+	s.sent.Add(1)
+	_, _ = io.WriteString(c, response.Text)
+	<-time.After(response.Pause)
+	switch response.End {
 	case EndsDirection, EndsDirectionThenResets, EndsDirectionUnread:
 		_ = c.CloseWrite()
 	}
-	switch answer.End {
+	switch response.End {
 	case KeepsOpen, EndsDirection:
 		_, _ = io.Copy(io.Discard, r.Body)
 		s.ended <- struct{}{}
--- a/internal/gateway/upstream/pool.go
+++ b/internal/gateway/upstream/pool.go
@@ -40,6 +40,7 @@
 
 // Pool manages connections to targets. It is safe for concurrent use.
 type Pool struct {
+	// dialContext makes the connections that dial wraps.
 	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	onDial      func()
 	mu          sync.Mutex
@@ -70,7 +71,7 @@
 	}}
 }
 
-// NewClient returns a client for control calls that uses a transport.
+// NewClient returns a client for control calls that rejects malformed responses.
 func NewClient(transport *http.Transport) *http.Client {
 	return &http.Client{Transport: responses.Checked(transport)}
 }
--- a/internal/responses/check.go
+++ b/internal/responses/check.go
@@ -7,23 +7,23 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrBrokenHead is returned if the head of a response is none that a server may send.
-var ErrBrokenHead = errors.New("the head of the response is broken")
+// ErrMalformedHead is returned for a response whose head a server must not send.
+var ErrMalformedHead = errors.New("the head of the response is malformed")
 
 // maxShown is the number of bytes of a status or a name in an error.
 const maxShown = 64
 
-// Check returns ErrBrokenHead if the head of a response is broken although net/http accepts it.
+// Check returns ErrMalformedHead if the head of a response is malformed in a way that net/http accepts.
 func Check(r *http.Response) error {
-	// net/http takes any three characters that are a number of zero or more. Connections are never switched to another
-	// protocol. Statuses above 599 are passed on: clients may take them for 5xx (RFC 9110, section 15).
+	// net/http accepts any three characters that are a number of zero or more. No request asks to switch protocols.
+	// Statuses above 599 are valid here, since clients may treat them as 5xx (RFC 9110, section 15).
 	if r.StatusCode < http.StatusContinue || r.StatusCode == http.StatusSwitchingProtocols {
-		return errors.Wrapf(ErrBrokenHead, "status %q", shortened(r.Status))
+		return errors.Wrapf(ErrMalformedHead, "status %q", shortened(r.Status))
 	}
-	// net/http accepts blanks in names. The length or the coding of the body may be behind such a name.
+	// net/http accepts spaces in names, and then ignores a Content-Length or Transfer-Encoding.
 	for name := range r.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return errors.Wrapf(ErrBrokenHead, "field name %q", shortened(name))
+			return errors.Wrapf(ErrMalformedHead, "field name %q", shortened(name))
 		}
 	}
 	return nil
@@ -31,7 +31,7 @@
 
 func shortened(text string) string { return text[:min(len(text), maxShown)] }
 
-// Checked returns a transport that fails if Check does. Its connections are not used for further requests then.
+// Checked returns a transport that rejects the responses that Check does. It does not reuse their connections.
 func Checked(t *http.Transport) http.RoundTripper { return &checkedTransport{t} }
 
 type checkedTransport struct{ *http.Transport }
@@ -44,7 +44,7 @@
 	}
 	if err := Check(resp); err != nil {
 		_ = resp.Body.Close()
-		t.CloseIdleConnections() // a connection is idle already if its response has no body
+		t.CloseIdleConnections() // the connection of a response without a body is idle already
 		return nil, err
 	}
 	return resp, nil
--- a/internal/responses/conn.go
+++ b/internal/responses/conn.go
@@ -1,4 +1,4 @@
-// Package responses guards HTTP clients against broken responses that look whole.
+// Package responses protects HTTP clients from truncated and malformed responses that net/http accepts.
 package responses
 
 import (
@@ -24,10 +24,10 @@
 	return NewConn(c), nil
 }
 
-// Conn is a TCP connection whose reads return io.EOF only if the other end has ended its direction.
+// Conn is a TCP connection whose reads return io.EOF only if the peer has closed its direction.
 //
-// The kernel reports a reset once for a connection, to whichever call asks first. If that is the write of a request,
-// a read gets what has arrived and then io.EOF, which is the regular end of a response without a length.
+// The kernel reports a reset only once per connection, to whichever call comes first. If that is the write of a
+// request, a read returns what has arrived and then io.EOF, which is the regular end of a response without a length.
 type Conn struct {
 	net.Conn
 	// mu is held during writes.
@@ -36,7 +36,7 @@
 	writeErr error
 }
 
-// NewConn returns a connection that takes over c. Only writes through it are known to its reads.
+// NewConn wraps a connection, which must not be written to directly from then on.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
 // Write implements io.Writer.
@@ -48,7 +48,7 @@
 	return n, err
 }
 
-// WriteBuffers writes several buffers with one call of the system, if it can.
+// WriteBuffers writes several buffers, with a single system call if possible.
 func (c *Conn) WriteBuffers(buffers net.Buffers) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -68,14 +68,14 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err == io.EOF && !c.isHalfClosed() {
-		if cause := c.lossReportedToWrite(); cause != nil {
+		if cause := c.errorOfLostConn(); cause != nil {
 			err = errors.Wrap(cause, "connection lost")
 		}
 	}
 	return n, err
 }
 
-// isHalfClosed reports whether the other end has ended its direction of the connection, and the connection is not lost.
+// isHalfClosed reports whether the peer has closed its direction of the connection, and only that.
 func (c *Conn) isHalfClosed() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -89,9 +89,9 @@
 	return err == nil && isHalfClosed
 }
 
-// lossReportedToWrite returns the error that ended the connection if it was reported to a write. A write in progress
-// returns at once, as the connection has ended. EPIPE means that the other end had ended its direction before.
-func (c *Conn) lossReportedToWrite() error {
+// errorOfLostConn returns the error that was reported to a write when the connection was lost. A write in progress
+// returns at once then, so the lock is not held for long. EPIPE means that the peer had closed its direction before.
+func (c *Conn) errorOfLostConn() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if errors.Is(c.writeErr, syscall.EPIPE) {
