Tests: resets that were handled before, with a length, in chunks and after the request

Change: ResetDuringUpload has a response with a length and one in chunks, for all tests that use it; TestResetAfterUploadIsNotTheEndOfTheBody resets after small and concurrently written requests.

--- a/internal/gateway/upstream/broken_test.go
+++ b/internal/gateway/upstream/broken_test.go
@@ -61,6 +61,22 @@
 	}
 }
 
+// Guards against the same when the request has been written before the reset.
+func TestResetAfterUploadIsNotTheEndOfTheBody(t *testing.T) {
+	for _, a := range brokentest.ResetDuringUpload("Id: 1\r\n", "part") {
+		if a.End != brokentest.Resets {
+			continue // the kernel resets only a connection with unread data when it is closed
+		}
+		t.Run(a.Name, func(t *testing.T) {
+			for _, size := range []int{1, maxInlineBody + 1} {
+				if body, err := readResponseOf(t, a, largeBody[:size], untilEnded); err == nil {
+					t.Errorf("a request of %d bytes: %q was taken for the whole body", size, body)
+				}
+			}
+		})
+	}
+}
+
 // Guards against whole responses that are rejected because their server does not read the request to its end, or ends
 // one direction of the connection only.
 func TestResponseEndedByItsServerIsWhole(t *testing.T) {
--- a/internal/gateway/upstream/brokentest/brokentest.go
+++ b/internal/gateway/upstream/brokentest/brokentest.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -42,17 +43,21 @@
 	EndsDirectionUnread
 )
 
-// ResetDuringUpload returns responses without a length that a reset ends while a large request is still written. Header has the
-// lines of their heads, part is the part of the body that is sent.
+// ResetDuringUpload returns responses that a reset ends while a large request is still being written, most of them
+// without a length. Header has the lines of their heads, part is the part of the body that is sent.
 func ResetDuringUpload(header, part string) []Response {
 	cut := func(name, version, lines string, end End) Response {
 		return Response{Name: name, Text: version + " 200 OK\r\n" + header + lines + "\r\n" + part, Early: true, Pause: time.Millisecond, End: end}
 	}
+	chunked := cut("reset, in chunks", "HTTP/1.1", "Transfer-Encoding: chunked\r\n", Resets)
+	chunked.Text = strings.TrimSuffix(chunked.Text, part) + fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
 	return []Response{
 		cut("reset", "HTTP/1.1", "", Resets),
 		cut("reset, Connection: close", "HTTP/1.1", "Connection: close\r\n", Resets),
 		cut("reset, HTTP/1.0", "HTTP/1.0", "", Resets),
 		cut("closed with the request unread", "HTTP/1.1", "", Closes),
+		cut("reset, with a length", "HTTP/1.1", fmt.Sprintf("Content-Length: %d\r\n", len(part)+1), Resets),
+		chunked,
 	}
 }
 
