--- a/internal/gateway/upstream/brokentest/brokentest.go
+++ b/internal/gateway/upstream/brokentest/brokentest.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -31,8 +32,10 @@
 const (
 	// KeepsOpen reads on, until the client ends the connection.
 	KeepsOpen End = iota
-	// Closes closes the connection. If a part of the request has not been read, the kernel resets it instead.
+	// Closes closes the connection.
 	Closes
+	// ClosesUnread closes the connection when a part of the request has arrived and not been read: the kernel resets it.
+	ClosesUnread
 	// Resets resets the connection.
 	Resets
 	// EndsDirection ends the server's direction, and reads on until the client ends its own.
@@ -55,7 +58,7 @@
 		cut("reset", "HTTP/1.1", "", Resets),
 		cut("reset, Connection: close", "HTTP/1.1", "Connection: close\r\n", Resets),
 		cut("reset, HTTP/1.0", "HTTP/1.0", "", Resets),
-		cut("closed with the request unread", "HTTP/1.1", "", Closes),
+		cut("closed with the request unread", "HTTP/1.1", "", ClosesUnread),
 		cut("reset, with a length", "HTTP/1.1", fmt.Sprintf("Content-Length: %d\r\n", len(part)+1), Resets),
 		chunked,
 	}
@@ -238,6 +241,8 @@
 		s.ended <- struct{}{}
 		<-s.stop
 		return
+	case ClosesUnread:
+		awaitUnread(c)
 	case Resets, EndsDirectionThenResets:
 		_ = c.SetLinger(0)
 	}
@@ -245,6 +250,19 @@
 	s.ended <- struct{}{}
 }
 
+// awaitUnread waits until data has arrived on a connection, and leaves it there.
+func awaitUnread(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool { // fails only if the connection has ended
+		var buffer [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err != syscall.EAGAIN
+	})
+}
+
 // forward forwards a connection of which a part has been read. It changes the head of the first response.
 func (s *Server) forward(c *net.TCPConn, read string) {
 	next, err := net.Dial("tcp", s.next)
